--- /dev/null
+++ b/src/coordination/acceptance.hpp
@@ -0,0 +1,20 @@
+#pragma once
+
+/// \file
+/// Defines the acceptance of tickets: a pure function from the state before a ticket, and the
+/// ticket, to the state after it or a refusal. Every host that reads the same prefix of the log
+/// comes to the same result.
+
+#include "coordination/ticket.hpp"
+#include "state/verdict.hpp"
+
+namespace banyanshunt
+{
+
+/// Decides on `it`, read at `offset`, against the state before it.
+///
+/// Fails with `errc::ticket_out_of_order` when the number is not above the last accepted one, and
+/// with `errc::ticket_malformed` when the ticket refers to what would not exist after it.
+verdict<fleet_state> accept(const fleet_state& before, const ticket& it, log_offset offset);
+
+} // namespace banyanshunt
--- /dev/null
+++ b/src/coordination/lease_book.hpp
@@ -0,0 +1,60 @@
+#pragma once
+
+/// \file
+/// Defines the leases on backend servers: a pure fold over the records of a domain's lease stream.
+///
+/// A claim names the claim that it follows; it counts only if that is still the newest one, so of
+/// two racing claimants every reader sees the same winner. The offset of the winning claim is the
+/// fencing number. Nothing is renewed: a holder acts only while a read of the log that began less
+/// than `lease_length` ago showed no later claim, and a new holder waits that long, and the longest
+/// that an order can be under way, before its first order.
+
+#include <map>
+#include <optional>
+#include <string>
+
+#include "state/clock.hpp"
+#include "state/ids.hpp"
+
+namespace banyanshunt
+{
+
+/// A claim of one placer on one backend server.
+struct lease_claim
+{
+    server_id server;
+    host_id holder;
+    incarnation life;
+    /// The fencing number of the claim that this one follows; 0 for the first.
+    fencing_number follows;
+};
+
+/// The newest valid claim on a server.
+struct lease
+{
+    host_id holder;
+    incarnation life;
+    /// Offset of the claim in the lease stream, plus 1 so that 0 means none.
+    fencing_number fencing;
+    friend bool operator==(const lease&, const lease&) = default;
+};
+
+/// All leases of one domain, after a prefix of its lease stream.
+class lease_book
+{
+public:
+    /// Applies the claim read at `offset`; returns whether it won.
+    bool apply(const lease_claim& claim, log_offset offset);
+
+    std::optional<lease> find(const server_id& server) const;
+    /// The first offset that is not applied.
+    log_offset through() const { return through_; }
+    /// Counts a record that is no claim as read.
+    void skip(log_offset offset) { through_ = offset + log_offset(1); }
+
+private:
+    std::map<server_id, lease> leases_;
+    log_offset through_;
+};
+
+} // namespace banyanshunt
--- /dev/null
+++ b/src/coordination/plain_service.hpp
@@ -0,0 +1,52 @@
+#pragma once
+
+/// \file
+/// Defines what the system needs of a plain service that stands beside the engines.
+
+#include <concepts>
+#include <string>
+#include <vector>
+
+#include "state/ids.hpp"
+#include "state/verdict.hpp"
+
+namespace banyanshunt
+{
+
+/// A header that may go through to a service, or come back from one.
+struct http_field
+{
+    std::string name;
+    std::string value;
+};
+
+/// One call, sent at most once by the client that takes it.
+struct service_call
+{
+    request_id id;
+    /// "GET", "POST", "PUT" or "DELETE".
+    std::string method;
+    std::string path;
+    std::vector<http_field> headers;
+    std::string body;
+};
+
+/// The service's own answer, whatever its status.
+struct service_answer
+{
+    int status = 0;
+    std::string content_type;
+    std::string body;
+};
+
+/// A client of plain services, by address (IP and port).
+template <class T>
+concept plain_service = requires(T& service, const std::string& address, const service_call& call,
+                                 milliseconds limit)
+{
+    {
+        service.call(address, call, limit)
+        } -> std::same_as<verdict<service_answer>>;
+};
+
+} // namespace banyanshunt
--- /dev/null
+++ b/src/coordination/random_source.hpp
@@ -0,0 +1,25 @@
+#pragma once
+
+/// \file
+/// Defines the source of chance that decisions take as an argument, so that a seed repeats them.
+
+#include <concepts>
+#include <cstdint>
+#include <random>
+
+namespace banyanshunt
+{
+
+/// Any uniform generator of 64-bit numbers.
+template <class T>
+concept random_source = std::uniform_random_bit_generator<T>;
+
+/// A generator seeded by the system, for daemons.
+inline std::mt19937_64 system_seeded()
+{
+    std::random_device device;
+    std::seed_seq seed{device(), device(), device(), device()};
+    return std::mt19937_64(seed);
+}
+
+} // namespace banyanshunt
--- /dev/null
+++ b/src/coordination/state_follower.hpp
@@ -0,0 +1,76 @@
+#pragma once
+
+/// \file
+/// Defines the follower of the tickets' stream: it reads the log and keeps the state in force.
+/// One thread calls `step` again and again; each call waits at most for one read.
+
+#include <functional>
+
+#include "coordination/acceptance.hpp"
+#include "coordination/log_service.hpp"
+#include "state/state_cell.hpp"
+
+namespace banyanshunt
+{
+
+/// Turns a record's data into a ticket; fails with `errc::ticket_malformed`.
+using ticket_decoder = std::function<verdict<ticket>(const std::string&)>;
+
+/// What one record of the tickets' stream came to.
+struct ticket_outcome
+{
+    log_offset offset;
+    record_id id;
+    /// 0 when the record could not be read as a ticket.
+    ticket_number number;
+    /// Nothing when the ticket was accepted.
+    std::optional<failure> refused;
+};
+
+/// Returns the state after `record`, and tells what became of the ticket in it.
+std::pair<fleet_state, ticket_outcome>
+follow_record(const fleet_state& before, const log_record& record, const ticket_decoder& decode);
+
+/// Reads one page and applies it to the cell.
+template <log_service Log>
+class state_follower
+{
+public:
+    using outcome_sink = std::function<void(const ticket_outcome&)>;
+
+    state_follower(Log& log, state_cell& cell, ticket_decoder decode, outcome_sink told)
+        : log_(log), cell_(cell), decode_(std::move(decode)), told_(std::move(told))
+    {
+    }
+
+    /// Waits up to `wait` for new tickets and puts them in force. Fails as the log's read fails.
+    verdict<done> step(milliseconds wait)
+    {
+        constexpr std::size_t page_limit = 256;
+        fleet_state state = *cell_.get();
+        auto page = log_.read(tickets_stream, state.through, page_limit, wait);
+        if (!page)
+        {
+            return page.error();
+        }
+        for (const auto& record : page->records)
+        {
+            auto [after, outcome] = follow_record(state, record, decode_);
+            state = std::move(after);
+            told_(outcome);
+        }
+        if (!page->records.empty())
+        {
+            cell_.replace(std::make_shared<const fleet_state>(std::move(state)));
+        }
+        return done{};
+    }
+
+private:
+    Log& log_;
+    state_cell& cell_;
+    ticket_decoder decode_;
+    outcome_sink told_;
+};
+
+} // namespace banyanshunt
--- /dev/null
+++ b/src/entry/entry_settings.cpp
@@ -0,0 +1,35 @@
+#include "entry/entry_settings.hpp"
+
+#include "transport/peer_keys.hpp"
+
+namespace banyanshunt
+{
+
+entry_settings read_entry_settings(settings_file& file)
+{
+    const entry_settings defaults;
+    entry_settings it;
+    it.host = read_host_settings(file);
+    it.platform = read_platform_settings(file);
+    it.peer_keys = read_peer_keys(read_peer_settings(file), file);
+    it.listen = file.address("callers", "listen");
+    it.peer_listen = file.address("peers", "listen");
+    it.admin_listen = file.address("admin", "listen");
+    constexpr std::int64_t most_hosts = 1000;
+    constexpr std::int64_t most_requests = 100'000;
+    constexpr std::int64_t most_threads = 4096;
+    it.entry_hosts = static_cast<int>(
+        file.integer("shares", "entry_hosts", 1, most_hosts, defaults.entry_hosts));
+    it.most_waiting = static_cast<std::size_t>(file.integer(
+        "limits", "waiting", 1, most_requests, static_cast<std::int64_t>(defaults.most_waiting)));
+    it.threads = static_cast<std::size_t>(file.integer(
+        "limits", "connections", 4, most_threads, static_cast<std::int64_t>(defaults.threads)));
+    it.deadline = file.duration("limits", "deadline_ms", defaults.deadline);
+    it.silence = file.duration("limits", "silence_ms", defaults.silence);
+    it.service_limit = file.duration("limits", "service_ms", defaults.service_limit);
+    it.demand_interval = file.duration("limits", "demand_interval_ms", defaults.demand_interval);
+    it.drain_limit = file.duration("limits", "drain_ms", defaults.drain_limit);
+    return it;
+}
+
+} // namespace banyanshunt
--- /dev/null
+++ b/src/placer/placer_host.hpp
@@ -0,0 +1,37 @@
+#pragma once
+
+/// \file
+/// Defines a placer: the process on each entry host that holds leases on backend servers of its own
+/// failure domain and orders their loads.
+
+#include <memory>
+#include <string>
+
+#include "placer/placer_settings.hpp"
+
+namespace banyanshunt
+{
+
+/// Runs from `start` to `stop`.
+class placer_host
+{
+public:
+    explicit placer_host(const placer_settings& settings);
+    ~placer_host();
+    placer_host(const placer_host&) = delete;
+    placer_host& operator=(const placer_host&) = delete;
+
+    /// Returns false, after a log line, when an address cannot be bound.
+    bool start();
+    /// Gives no further orders, and ends.
+    void stop();
+
+    std::string peer_address() const;
+    std::string admin_address() const;
+
+private:
+    struct impl;
+    std::unique_ptr<impl> impl_;
+};
+
+} // namespace banyanshunt
--- /dev/null
+++ b/src/placer/placer_settings.cpp
@@ -0,0 +1,23 @@
+#include "placer/placer_settings.hpp"
+
+#include "transport/peer_keys.hpp"
+
+namespace banyanshunt
+{
+
+placer_settings read_placer_settings(settings_file& file)
+{
+    const placer_settings defaults;
+    placer_settings it;
+    it.host = read_host_settings(file);
+    it.platform = read_platform_settings(file);
+    it.peer_keys = read_peer_keys(read_peer_settings(file), file);
+    it.peer_listen = file.address("peers", "listen");
+    it.admin_listen = file.address("admin", "listen");
+    it.lease_length = file.duration("placement", "lease_ms", defaults.lease_length);
+    it.longest_order = file.duration("placement", "longest_order_ms", defaults.longest_order);
+    it.interval = file.duration("placement", "interval_ms", defaults.interval);
+    return it;
+}
+
+} // namespace banyanshunt
--- /dev/null
+++ b/src/placer/placer_settings.hpp
@@ -0,0 +1,36 @@
+#pragma once
+
+/// \file
+/// Defines the settings of a placer; docs/SETTINGS.md is their reference.
+
+#include <optional>
+
+#include "protocol/peer_settings.hpp"
+#include "transport/peer_node.hpp"
+
+namespace banyanshunt
+{
+
+struct placer_settings
+{
+    host_settings host;
+    platform_settings platform;
+    std::optional<peer_credentials> peer_keys;
+
+    /// Where entry hosts reach this placer over gRPC.
+    std::string peer_listen;
+    /// Where /metrics is.
+    std::string admin_listen;
+
+    /// How long a read of the lease stream without a later claim lets a holder act.
+    milliseconds lease_length{3000};
+    /// The longest time that an order can be under way to an engine.
+    milliseconds longest_order{2000};
+    /// How often engines are read back and orders planned.
+    milliseconds interval{100};
+};
+
+/// Reads all settings; `file.mistakes()` then tells what is wrong.
+placer_settings read_placer_settings(settings_file& file);
+
+} // namespace banyanshunt
--- /dev/null
+++ b/src/protocol/completion_codec.cpp
@@ -0,0 +1,189 @@
+#include "protocol/completion_codec.hpp"
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+#include "protocol/json_reader.hpp"
+#include "state/errors.hpp"
+
+namespace banyanshunt
+{
+namespace
+{
+
+using nlohmann::json;
+
+constexpr std::size_t longest_name = 128;
+constexpr std::size_t longest_prompt = 1024 * 1024;
+constexpr std::int64_t most_answer_tokens = 1'000'000;
+
+failure bad_request(std::string detail)
+{
+    return {.run = run_state::not_run,
+            .code = errc::bad_request,
+            .detail = std::move(detail),
+            .retry_after = {}};
+}
+
+// Joins a conversation into the one prompt that engines take.
+std::string read_messages(const json* messages, json_errors& errors)
+{
+    if (!messages || !messages->is_array() || messages->empty())
+    {
+        errors.note("messages", "must be a list of at least one message");
+        return {};
+    }
+    std::string prompt;
+    for (std::size_t i = 0; i < messages->size(); ++i)
+    {
+        json_reader in((*messages)[i], fmt::format("messages.{}", i), errors);
+        std::string role = in.word("role", {"system", "user", "assistant"});
+        prompt += role + ": " + in.text("content", longest_prompt, "") + "\n";
+    }
+    return prompt;
+}
+
+json choice_of(const answer_header& header, const char* chat_field, const std::string& text)
+{
+    json choice = {{"index", 0}, {"finish_reason", nullptr}};
+    if (header.chat)
+    {
+        choice[chat_field] = {{"role", "assistant"}, {"content", text}};
+    }
+    else
+    {
+        choice["text"] = text;
+    }
+    return choice;
+}
+
+json frame_of(const answer_header& header, bool chunk)
+{
+    std::string object = header.chat ? "chat.completion" : "text_completion";
+    return {{"id", header.id.str()},
+            {"object", chunk && header.chat ? object + ".chunk" : object},
+            {"model", header.name}};
+}
+
+json usage_of(const completion_end& end)
+{
+    return {{"prompt_tokens", end.prompt_tokens},
+            {"completion_tokens", end.answer_tokens},
+            {"total_tokens", end.prompt_tokens + end.answer_tokens}};
+}
+
+json failure_json(const failure& why)
+{
+    json error = {
+        {"reason", why.code.message()}, {"run", to_string(why.run)}, {"message", why.detail}};
+    if (why.retry_after)
+    {
+        error["retry_after_ms"] = why.retry_after->count();
+    }
+    return {{"error", error}};
+}
+
+std::string event(const json& data)
+{
+    return "data: " + data.dump() + "\n\n";
+}
+
+} // namespace
+
+verdict<caller_completion> decode_completion(const std::string& body, bool chat)
+{
+    json_errors errors;
+    json document = parse_json(body, errors);
+    json_reader in(document, "", errors);
+    caller_completion it;
+    it.chat = chat;
+    it.name = in.text("model", longest_name);
+    it.prompt =
+        chat ? read_messages(in.member("messages"), errors) : in.text("prompt", longest_prompt);
+    it.max_tokens = in.integer("max_tokens", 1, most_answer_tokens, 16);
+    it.stream = in.boolean("stream", false);
+    if (!errors.empty())
+    {
+        return bad_request(errors.first());
+    }
+    return it;
+}
+
+std::string encode_answer(const answer_header& header, const std::string& text,
+                          const completion_end& end)
+{
+    json out = frame_of(header, false);
+    json choice = choice_of(header, "message", text);
+    choice["finish_reason"] = end.finish_reason;
+    out["choices"] = json::array({choice});
+    out["usage"] = usage_of(end);
+    return out.dump();
+}
+
+std::string encode_chunk(const answer_header& header, const std::string& text)
+{
+    json out = frame_of(header, true);
+    out["choices"] = json::array({choice_of(header, "delta", text)});
+    return event(out);
+}
+
+std::string encode_stream_end(const answer_header& header, const completion_end& end)
+{
+    json out = frame_of(header, true);
+    json choice = choice_of(header, "delta", "");
+    choice["finish_reason"] = end.finish_reason;
+    out["choices"] = json::array({choice});
+    out["usage"] = usage_of(end);
+    return event(out) + "data: [DONE]\n\n";
+}
+
+std::string encode_stream_failure(const failure& why)
+{
+    return event(failure_json(why));
+}
+
+std::string encode_failure(const failure& why)
+{
+    return failure_json(why).dump();
+}
+
+int status_of(const failure& why)
+{
+    if (why.code.category() != banyanshunt_category())
+    {
+        return 502;
+    }
+    switch (static_cast<errc>(why.code.value()))
+    {
+    case errc::bad_request:
+        return 400;
+    case errc::key_missing:
+    case errc::key_refused:
+        return 401;
+    case errc::not_found:
+        return 404;
+    case errc::idempotency_mismatch:
+        return 409;
+    case errc::over_rate:
+        return 429;
+    case errc::deadline:
+    case errc::timeout:
+        return 504;
+    case errc::bad_answer:
+        return 502;
+    default:
+        return 503;
+    }
+}
+
+std::string encode_models(const std::vector<std::string>& names)
+{
+    json data = json::array();
+    for (const auto& name : names)
+    {
+        data.push_back({{"id", name}, {"object", "model"}, {"owned_by", "banyanshunt"}});
+    }
+    return json{{"object", "list"}, {"data", data}}.dump();
+}
+
+} // namespace banyanshunt
--- /dev/null
+++ b/src/protocol/json_reader.cpp
@@ -0,0 +1,183 @@
+#include "protocol/json_reader.hpp"
+
+#include <algorithm>
+
+#include <fmt/format.h>
+#include <fmt/ranges.h>
+#include <nlohmann/json.hpp>
+
+namespace banyanshunt
+{
+
+void json_errors::note(const std::string& path, const std::string& message)
+{
+    if (first_.empty())
+    {
+        first_ = path.empty() ? message : path + ": " + message;
+    }
+}
+
+nlohmann::json parse_json(const std::string& text, json_errors& errors)
+{
+    auto document = nlohmann::json::parse(text, nullptr, false);
+    if (document.is_discarded())
+    {
+        errors.note("", "not a JSON document");
+        return nullptr;
+    }
+    return document;
+}
+
+json_reader::json_reader(const nlohmann::json& object, std::string path, json_errors& errors)
+    : object_(object), path_(std::move(path)), errors_(errors)
+{
+    if (!object_.is_object())
+    {
+        errors_.note(path_, "must be an object");
+    }
+}
+
+std::string json_reader::path_of(const std::string& name) const
+{
+    return path_.empty() ? name : path_ + "." + name;
+}
+
+bool json_reader::has(const std::string& name) const
+{
+    return object_.is_object() && object_.contains(name);
+}
+
+const nlohmann::json* json_reader::member(const std::string& name)
+{
+    asked_.insert(name);
+    if (!has(name))
+    {
+        return nullptr;
+    }
+    return &object_.at(name);
+}
+
+std::int64_t json_reader::integer(const std::string& name, std::int64_t lowest,
+                                  std::int64_t highest, std::optional<std::int64_t> otherwise)
+{
+    const auto* found = member(name);
+    if (!found && otherwise)
+    {
+        return *otherwise;
+    }
+    if (!found)
+    {
+        errors_.note(path_of(name), "is missing");
+        return lowest;
+    }
+    bool fits = found->is_number_integer();
+    if (fits && found->is_number_unsigned())
+    {
+        fits = found->get<std::uint64_t>() <= static_cast<std::uint64_t>(INT64_MAX);
+    }
+    auto n = fits ? found->get<std::int64_t>() : lowest;
+    if (!fits || n < lowest || n > highest)
+    {
+        errors_.note(path_of(name), fmt::format("is {}, but must be a whole number from {} to {}",
+                                                found->dump(), lowest, highest));
+        return lowest;
+    }
+    return n;
+}
+
+std::string json_reader::text(const std::string& name, std::size_t longest,
+                              std::optional<std::string> otherwise)
+{
+    const auto* found = member(name);
+    if (!found && otherwise)
+    {
+        return *otherwise;
+    }
+    if (!found)
+    {
+        errors_.note(path_of(name), "is missing");
+        return {};
+    }
+    if (!found->is_string())
+    {
+        errors_.note(path_of(name), "must be text");
+        return {};
+    }
+    auto value = found->get<std::string>();
+    if (value.size() > longest)
+    {
+        errors_.note(path_of(name), fmt::format("has {} bytes, but at most {} are allowed",
+                                                value.size(), longest));
+    }
+    if (value.empty() && !otherwise)
+    {
+        errors_.note(path_of(name), "must not be empty");
+    }
+    return value;
+}
+
+bool json_reader::boolean(const std::string& name, std::optional<bool> otherwise)
+{
+    const auto* found = member(name);
+    if (!found && otherwise)
+    {
+        return *otherwise;
+    }
+    if (!found || !found->is_boolean())
+    {
+        errors_.note(path_of(name), found ? "must be true or false" : "is missing");
+        return false;
+    }
+    return found->get<bool>();
+}
+
+std::vector<std::string> json_reader::texts(const std::string& name)
+{
+    const auto* found = member(name);
+    std::vector<std::string> list;
+    if (!found || !found->is_array())
+    {
+        errors_.note(path_of(name), found ? "must be a list of texts" : "is missing");
+        return list;
+    }
+    for (const auto& item : *found)
+    {
+        if (!item.is_string())
+        {
+            errors_.note(path_of(name), "must be a list of texts");
+            return {};
+        }
+        list.push_back(item.get<std::string>());
+    }
+    return list;
+}
+
+std::string json_reader::word(const std::string& name, const std::vector<std::string>& allowed,
+                              std::optional<std::string> otherwise)
+{
+    constexpr std::size_t longest_word = 64;
+    std::string value = text(name, longest_word, std::move(otherwise));
+    if (std::find(allowed.begin(), allowed.end(), value) == allowed.end())
+    {
+        errors_.note(path_of(name), fmt::format("is \"{}\", but must be one of: {}", value,
+                                                fmt::join(allowed, ", ")));
+    }
+    return value;
+}
+
+void json_reader::refuse_others()
+{
+    if (!object_.is_object())
+    {
+        return;
+    }
+    for (const auto& item : object_.items())
+    {
+        if (!asked_.contains(item.key()))
+        {
+            errors_.note(path_of(item.key()), "is not a known field");
+        }
+    }
+}
+
+} // namespace banyanshunt
--- /dev/null
+++ b/src/protocol/lease_codec.cpp
@@ -0,0 +1,48 @@
+#include "protocol/lease_codec.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include "protocol/json_reader.hpp"
+#include "state/errors.hpp"
+
+namespace banyanshunt
+{
+
+std::string encode_claim(const lease_claim& claim)
+{
+    return nlohmann::json{{"server", claim.server.str()},
+                          {"holder", claim.holder.str()},
+                          {"life", claim.life.count()},
+                          {"follows", claim.follows.count()}}
+        .dump();
+}
+
+verdict<lease_claim> decode_claim(const std::string& text)
+{
+    constexpr std::size_t longest_name = 128;
+    json_errors errors;
+    auto document = parse_json(text, errors);
+    json_reader in(document, "", errors);
+    lease_claim claim{
+        .server = server_id(in.text("server", longest_name)),
+        .holder = host_id(in.text("holder", longest_name)),
+        .life = incarnation(in.integer("life", 0, INT64_MAX)),
+        .follows = fencing_number(in.integer("follows", 0, INT64_MAX)),
+    };
+    in.refuse_others();
+    if (!errors.empty())
+    {
+        return failure{.run = run_state::not_run,
+                       .code = errc::bad_answer,
+                       .detail = errors.first(),
+                       .retry_after = {}};
+    }
+    return claim;
+}
+
+stream_name lease_stream(const domain_id& domain)
+{
+    return stream_name("leases." + domain.str());
+}
+
+} // namespace banyanshunt
--- /dev/null
+++ b/src/protocol/platform_codec.cpp
@@ -0,0 +1,410 @@
+#include "protocol/platform_codec.hpp"
+
+#include <functional>
+
+#include <nlohmann/json.hpp>
+
+#include "protocol/json_reader.hpp"
+#include "state/errors.hpp"
+
+namespace banyanshunt
+{
+namespace
+{
+
+using nlohmann::json;
+
+constexpr std::size_t longest_name = 256;
+constexpr std::size_t longest_data = 8 * 1024 * 1024;
+constexpr std::int64_t any = INT64_MAX;
+
+// Reads a whole document with `read`; a mistake becomes errc::bad_answer with its field.
+template <class Value>
+verdict<Value> decode(const std::string& body,
+                      const std::function<Value(json_reader&, json_errors&)>& read)
+{
+    json_errors errors;
+    json document = parse_json(body, errors);
+    json_reader in(document, "", errors);
+    Value value = read(in, errors);
+    if (!errors.empty())
+    {
+        return failure{.run = run_state::may_have_run,
+                       .code = errc::bad_answer,
+                       .detail = errors.first(),
+                       .retry_after = {}};
+    }
+    return value;
+}
+
+// Calls `read` for each object in the list named `name`.
+void each(json_reader& in, const std::string& name, json_errors& errors,
+          const std::function<void(json_reader&)>& read)
+{
+    const json* list = in.member(name);
+    if (!list || !list->is_array())
+    {
+        errors.note(in.path_of(name), "must be a list");
+        return;
+    }
+    for (const auto& item : *list)
+    {
+        json_reader object(item, in.path_of(name), errors);
+        read(object);
+    }
+}
+
+const std::vector<std::string> order_names = {"load_model", "unload_model", "load_adapter",
+                                              "unload_adapter"};
+const std::vector<std::string> phase_names = {"loading", "ready", "unloading"};
+const std::vector<std::string> tier_names = {"memory", "disk", "remote"};
+
+template <class Enum>
+Enum enum_of(json_reader& in, const std::string& name, const std::vector<std::string>& names)
+{
+    std::string word = in.word(name, names);
+    for (std::size_t i = 0; i < names.size(); ++i)
+    {
+        if (names[i] == word)
+        {
+            return static_cast<Enum>(i);
+        }
+    }
+    return Enum{};
+}
+
+template <class Id>
+json names_of(const std::vector<Id>& ids)
+{
+    json out = json::array();
+    for (const auto& id : ids)
+    {
+        out.push_back(id.str());
+    }
+    return out;
+}
+
+std::vector<adapter_id> adapters_of(json_reader& in, const std::string& name)
+{
+    std::vector<adapter_id> ids;
+    for (auto& text : in.texts(name))
+    {
+        ids.emplace_back(std::move(text));
+    }
+    return ids;
+}
+
+json write(const held_replica& it)
+{
+    return {{"model", it.model.str()},
+            {"version", it.version.str()},
+            {"phase", phase_names[static_cast<std::size_t>(it.phase)]},
+            {"memory_mib", it.memory.count()},
+            {"adapters", names_of(it.adapters)},
+            {"adapters_loading", names_of(it.adapters_loading)},
+            {"running", it.running}};
+}
+
+held_replica read_replica(json_reader& in)
+{
+    return {
+        .model = model_id(in.text("model", longest_name)),
+        .version = version_id(in.text("version", longest_name)),
+        .phase = enum_of<replica_phase>(in, "phase", phase_names),
+        .memory = mebibytes(in.integer("memory_mib", 0, any)),
+        .adapters = adapters_of(in, "adapters"),
+        .adapters_loading = adapters_of(in, "adapters_loading"),
+        .running = static_cast<int>(in.integer("running", 0, INT32_MAX)),
+    };
+}
+
+} // namespace
+
+const char* to_string(order_kind kind)
+{
+    return order_names[static_cast<std::size_t>(kind)].c_str();
+}
+
+std::string encode_append(std::span<const log_entry> batch)
+{
+    json records = json::array();
+    for (const auto& entry : batch)
+    {
+        records.push_back({{"id", entry.id.str()}, {"data", entry.data}});
+    }
+    return json{{"records", records}}.dump();
+}
+
+verdict<std::vector<log_entry>> decode_append(const std::string& body)
+{
+    return decode<std::vector<log_entry>>(
+        body,
+        [](json_reader& in, json_errors& errors)
+        {
+            std::vector<log_entry> batch;
+            each(in, "records", errors,
+                 [&batch](json_reader& record)
+                 {
+                     batch.push_back({.id = record_id(record.text("id", longest_name)),
+                                      .data = record.text("data", longest_data, "")});
+                 });
+            return batch;
+        });
+}
+
+std::string encode_appended(log_offset first)
+{
+    return json{{"first_offset", first.count()}}.dump();
+}
+
+verdict<log_offset> decode_appended(const std::string& body)
+{
+    return decode<log_offset>(body, [](json_reader& in, json_errors&)
+                              { return log_offset(in.integer("first_offset", 0, any)); });
+}
+
+std::string encode_page(const log_page& page)
+{
+    json records = json::array();
+    for (const auto& record : page.records)
+    {
+        records.push_back(
+            {{"offset", record.offset.count()}, {"id", record.id.str()}, {"data", record.data}});
+    }
+    return json{
+        {"first_kept", page.first_kept.count()}, {"end", page.end.count()}, {"records", records}}
+        .dump();
+}
+
+verdict<log_page> decode_page(const std::string& body)
+{
+    return decode<log_page>(
+        body,
+        [](json_reader& in, json_errors& errors)
+        {
+            log_page page;
+            page.first_kept = log_offset(in.integer("first_kept", 0, any));
+            page.end = log_offset(in.integer("end", 0, any));
+            each(in, "records", errors,
+                 [&page](json_reader& record)
+                 {
+                     page.records.push_back({.offset = log_offset(record.integer("offset", 0, any)),
+                                             .id = record_id(record.text("id", longest_name)),
+                                             .data = record.text("data", longest_data, "")});
+                 });
+            return page;
+        });
+}
+
+std::string encode_hosts(const std::vector<listed_host>& hosts)
+{
+    json list = json::array();
+    for (const auto& host : hosts)
+    {
+        list.push_back({{"name", host.name},
+                        {"role", host.role},
+                        {"domain", host.domain.str()},
+                        {"address", host.address},
+                        {"leaving", host.leaving}});
+    }
+    return json{{"hosts", list}}.dump();
+}
+
+verdict<std::vector<listed_host>> decode_hosts(const std::string& body)
+{
+    return decode<std::vector<listed_host>>(
+        body,
+        [](json_reader& in, json_errors& errors)
+        {
+            std::vector<listed_host> hosts;
+            each(in, "hosts", errors,
+                 [&hosts](json_reader& host)
+                 {
+                     hosts.push_back({.name = host.text("name", longest_name),
+                                      .role = host.word("role", {"entry", "placer", "backend"}),
+                                      .domain = domain_id(host.text("domain", longest_name)),
+                                      .address = host.text("address", longest_name),
+                                      .leaving = host.boolean("leaving", false)});
+                 });
+            return hosts;
+        });
+}
+
+std::string encode_limits(const weight_store_limits& limits)
+{
+    return json{{"milliloads_per_second", limits.milliloads_per_second},
+                {"full_speed_loads", limits.full_speed_loads},
+                {"full_speed_adapters", limits.full_speed_adapters}}
+        .dump();
+}
+
+verdict<weight_store_limits> decode_limits(const std::string& body)
+{
+    return decode<weight_store_limits>(
+        body,
+        [](json_reader& in, json_errors&)
+        {
+            return weight_store_limits{
+                .milliloads_per_second = in.integer("milliloads_per_second", 1, any),
+                .full_speed_loads = static_cast<int>(in.integer("full_speed_loads", 1, INT32_MAX)),
+                .full_speed_adapters =
+                    static_cast<int>(in.integer("full_speed_adapters", 1, INT32_MAX)),
+            };
+        });
+}
+
+std::string encode_order(const engine_order& order)
+{
+    return json{{"kind", to_string(order.kind)},      {"model", order.model.str()},
+                {"version", order.version.str()},     {"adapter", order.adapter.str()},
+                {"memory_mib", order.memory.count()}, {"fencing", order.fencing.count()}}
+        .dump();
+}
+
+verdict<engine_order> decode_order(const std::string& body)
+{
+    return decode<engine_order>(body,
+                                [](json_reader& in, json_errors&)
+                                {
+                                    return engine_order{
+                                        .kind = enum_of<order_kind>(in, "kind", order_names),
+                                        .model = model_id(in.text("model", longest_name)),
+                                        .version = version_id(in.text("version", longest_name, "")),
+                                        .adapter = adapter_id(in.text("adapter", longest_name, "")),
+                                        .memory = mebibytes(in.integer("memory_mib", 0, any, 0)),
+                                        .fencing = fencing_number(in.integer("fencing", 0, any)),
+                                    };
+                                });
+}
+
+std::string encode_report(const engine_report& report)
+{
+    json replicas = json::array();
+    for (const auto& replica : report.replicas)
+    {
+        replicas.push_back(write(replica));
+    }
+    json cached = json::array();
+    for (const auto& it : report.cached)
+    {
+        cached.push_back({{"model", it.model.str()},
+                          {"version", it.version.str()},
+                          {"tier", tier_names[static_cast<std::size_t>(it.tier)]}});
+    }
+    return json{{"life", report.life.count()},
+                {"memory_total_mib", report.memory_total.count()},
+                {"memory_used_mib", report.memory_used.count()},
+                {"fencing", report.fencing.count()},
+                {"replicas", replicas},
+                {"cached", cached}}
+        .dump();
+}
+
+verdict<engine_report> decode_report(const std::string& body)
+{
+    return decode<engine_report>(
+        body,
+        [](json_reader& in, json_errors& errors)
+        {
+            engine_report report;
+            report.life = incarnation(in.integer("life", 0, any));
+            report.memory_total = mebibytes(in.integer("memory_total_mib", 0, any));
+            report.memory_used = mebibytes(in.integer("memory_used_mib", 0, any));
+            report.fencing = fencing_number(in.integer("fencing", 0, any));
+            each(in, "replicas", errors,
+                 [&report](json_reader& it) { report.replicas.push_back(read_replica(it)); });
+            each(in, "cached", errors,
+                 [&report](json_reader& it)
+                 {
+                     report.cached.push_back(
+                         {.model = model_id(it.text("model", longest_name)),
+                          .version = version_id(it.text("version", longest_name)),
+                          .tier = enum_of<checkpoint_tier>(it, "tier", tier_names)});
+                 });
+            return report;
+        });
+}
+
+std::string encode_load(const load_report& report)
+{
+    return json{
+        {"running", report.running}, {"waiting", report.waiting}, {"age_ms", report.age.count()}}
+        .dump();
+}
+
+verdict<load_report> decode_load(const std::string& body)
+{
+    return decode<load_report>(
+        body,
+        [](json_reader& in, json_errors&)
+        {
+            return load_report{.running = static_cast<int>(in.integer("running", 0, INT32_MAX)),
+                               .waiting = static_cast<int>(in.integer("waiting", 0, INT32_MAX)),
+                               .age = milliseconds(in.integer("age_ms", 0, any))};
+        });
+}
+
+std::string encode_engine_request(const completion_request& request)
+{
+    return json{{"id", request.id.str()},           {"model", request.model.str()},
+                {"adapter", request.adapter.str()}, {"prompt", request.prompt},
+                {"max_tokens", request.max_tokens}, {"priority", request.priority}}
+        .dump();
+}
+
+verdict<completion_request> decode_engine_request(const std::string& body)
+{
+    return decode<completion_request>(
+        body,
+        [](json_reader& in, json_errors&)
+        {
+            return completion_request{
+                .id = request_id(in.text("id", longest_name)),
+                .model = model_id(in.text("model", longest_name)),
+                .adapter = adapter_id(in.text("adapter", longest_name, "")),
+                .prompt = in.text("prompt", longest_data, ""),
+                .max_tokens = in.integer("max_tokens", 1, any),
+                .priority = static_cast<int>(in.integer("priority", INT32_MIN, INT32_MAX, 0)),
+            };
+        });
+}
+
+std::string encode_engine_event(const engine_event& event)
+{
+    json out = {{"id", event.token.id.str()}, {"position", event.token.position}};
+    if (event.end)
+    {
+        out["end"] = {{"prompt_tokens", event.end->prompt_tokens},
+                      {"answer_tokens", event.end->answer_tokens},
+                      {"finish_reason", event.end->finish_reason}};
+    }
+    else
+    {
+        out["text"] = event.token.text;
+    }
+    return out.dump();
+}
+
+verdict<engine_event> decode_engine_event(const std::string& data)
+{
+    return decode<engine_event>(
+        data,
+        [](json_reader& in, json_errors& errors)
+        {
+            engine_event event;
+            event.token.id = request_id(in.text("id", longest_name));
+            event.token.position = in.integer("position", 0, any);
+            if (const json* end = in.member("end"))
+            {
+                json_reader it(*end, "end", errors);
+                event.end = completion_end{.prompt_tokens = it.integer("prompt_tokens", 0, any),
+                                           .answer_tokens = it.integer("answer_tokens", 0, any),
+                                           .finish_reason = it.text("finish_reason", longest_name)};
+                return event;
+            }
+            event.token.text = in.text("text", longest_data, "");
+            return event;
+        });
+}
+
+} // namespace banyanshunt
--- /dev/null
+++ b/src/state/fleet_state.hpp
@@ -0,0 +1,74 @@
+#pragma once
+
+/// \file
+/// Defines the state that tickets build up: a table of objects, each with the ticket and the log
+/// offset that set it.
+///
+/// Two tables merge object by object, the higher offset winning. That makes a merge idempotent and
+/// independent of order, so a table is at once what a host serves from, what hosts relay to each
+/// other, and what a snapshot holds.
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "state/objects.hpp"
+
+namespace banyanshunt
+{
+
+/// One object's newest value, or its withdrawal.
+template <class Object>
+struct state_entry
+{
+    ticket_number ticket;
+    log_offset offset;
+    /// Nothing when the ticket withdrew the object; kept so that an older value cannot come back.
+    std::optional<Object> value;
+    friend bool operator==(const state_entry&, const state_entry&) = default;
+};
+
+/// All objects of one kind by name, each an immutable node shared between tables.
+template <class Id, class Object>
+using state_table = std::map<Id, std::shared_ptr<const state_entry<Object>>>;
+
+/// The whole state in force after a prefix of the tickets' stream.
+struct fleet_state
+{
+    state_table<model_id, model_object> models;
+    state_table<adapter_id, adapter_object> adapters;
+    state_table<workspace_id, workspace_object> workspaces;
+    state_table<key_id, key_object> keys;
+    state_table<route_id, route_object> routes;
+    state_table<server_id, server_object> servers;
+
+    /// The first offset of the tickets' stream that this state does not reflect.
+    log_offset through;
+    /// The highest ticket number accepted so far; 0 before the first.
+    ticket_number last_ticket;
+
+    /// Whether any prefix has been applied.
+    bool known() const { return through.count() > 0; }
+};
+
+/// Shared, immutable state; a new ticket makes a new one that shares all untouched entries.
+using fleet_state_ptr = std::shared_ptr<const fleet_state>;
+
+/// Returns the object named `id`, or null when it is unknown or withdrawn.
+template <class Id, class Object>
+const Object* find_object(const state_table<Id, Object>& table, const Id& id)
+{
+    auto it = table.find(id);
+    if (it == table.end() || !it->second->value)
+    {
+        return nullptr;
+    }
+    return &*it->second->value;
+}
+
+/// Returns the state in which each object has the entry with the higher offset, and the prefix is
+/// the longer one. Both must come from the same tickets' stream.
+fleet_state merge(const fleet_state& a, const fleet_state& b);
+
+} // namespace banyanshunt
--- /dev/null
+++ b/src/state/ids.hpp
@@ -0,0 +1,41 @@
+#pragma once
+
+/// \file
+/// Defines the identifiers that name everything the system talks about.
+
+#include "state/strong_type.hpp"
+
+namespace banyanshunt
+{
+
+/// Names an entry host. A replaced host keeps its name and gets a new `incarnation`.
+using host_id = strong_text<struct host_id_tag>;
+/// Names a failure domain.
+using domain_id = strong_text<struct domain_id_tag>;
+using workspace_id = strong_text<struct workspace_id_tag>;
+using model_id = strong_text<struct model_id_tag>;
+using adapter_id = strong_text<struct adapter_id_tag>;
+/// Names a backend server: a model engine or a plain service.
+using server_id = strong_text<struct server_id_tag>;
+using route_id = strong_text<struct route_id_tag>;
+/// The public part of a bearer key, before the dot; the secret follows it.
+using key_id = strong_text<struct key_id_tag>;
+/// Names one request from a caller; unique over all hosts.
+using request_id = strong_text<struct request_id_tag>;
+/// Names one version of a model's checkpoint.
+using version_id = strong_text<struct version_id_tag>;
+/// Names one stream of the platform's log service.
+using stream_name = strong_text<struct stream_name_tag>;
+/// The writer's own name for a record of the log, by which a lost answer is resolved.
+using record_id = strong_text<struct record_id_tag>;
+
+/// The number that the operators give a ticket.
+using ticket_number = strong_number<struct ticket_number_tag>;
+/// The position of a record in one stream of the log; the first record has offset 0.
+using log_offset = strong_number<struct log_offset_tag>;
+/// The offset of a lease's claim, which an engine compares to refuse orders of older holders.
+using fencing_number = strong_number<struct fencing_number_tag>;
+/// Tells one life of a process from the next at the same address; drawn at random at start.
+using incarnation = strong_number<struct incarnation_tag>;
+
+} // namespace banyanshunt
--- /dev/null
+++ b/src/state/invariant.cpp
@@ -0,0 +1,18 @@
+#include "state/invariant.hpp"
+
+#include <cstdio>
+#include <cstdlib>
+
+#include <fmt/format.h>
+
+namespace banyanshunt
+{
+
+void invariant_broken(const char* message, source_place where)
+{
+    fmt::print(stderr, "level=fatal event=invariant_broken at={}:{} message=\"{}\"\n", where.file,
+               where.line, message);
+    std::abort();
+}
+
+} // namespace banyanshunt
--- /dev/null
+++ b/src/state/units.hpp
@@ -0,0 +1,32 @@
+#pragma once
+
+/// \file
+/// Defines quantities with their units. Durations are `std::chrono` types.
+
+#include <chrono>
+
+#include "state/strong_type.hpp"
+
+namespace banyanshunt
+{
+
+/// Thousandths of a token. Whole arithmetic keeps sums of shares exact.
+using millitokens = strong_number<struct millitokens_tag>;
+/// Thousandths of a token for each second.
+using millitokens_per_second = strong_number<struct millitokens_per_second_tag>;
+/// Memory of a backend server, in mebibytes.
+using mebibytes = strong_number<struct mebibytes_tag>;
+
+inline constexpr std::int64_t millitokens_in_token = 1000;
+
+/// Returns `n` whole tokens.
+constexpr millitokens tokens(std::int64_t n)
+{
+    return millitokens(n * millitokens_in_token);
+}
+
+using std::chrono::milliseconds;
+using std::chrono::nanoseconds;
+using std::chrono::seconds;
+
+} // namespace banyanshunt
--- /dev/null
+++ b/src/transport/backend_clients.cpp
@@ -0,0 +1,232 @@
+#include "transport/backend_clients.hpp"
+
+#include <fmt/format.h>
+
+#include "protocol/platform_codec.hpp"
+#include "state/errors.hpp"
+#include "transport/event_stream.hpp"
+
+namespace banyanshunt
+{
+namespace
+{
+
+// An engine refuses a request or an order before it acts on it, with a 4xx, 503 or 507.
+failure refusal_of(const http_answer& answer, const http_call& call)
+{
+    bool refused = (answer.status >= 400 && answer.status < 500) || answer.status == 503 ||
+                   answer.status == 507;
+    errc code = errc::unavailable;
+    if (answer.status == 409)
+    {
+        code = errc::fenced;
+    }
+    else if (answer.status == 507)
+    {
+        code = errc::memory_full;
+    }
+    else if (answer.status == 404)
+    {
+        code = errc::not_found;
+    }
+    return {.run = refused ? run_state::not_run : run_state::may_have_run,
+            .code = code,
+            .detail = fmt::format("{} {} at {}: status {}", call.method, call.path, call.address,
+                                  answer.status),
+            .retry_after = {}};
+}
+
+verdict<done> expect_ok(verdict<http_answer> answer, const http_call& call)
+{
+    if (!answer)
+    {
+        return answer.error();
+    }
+    if (answer->status != 200)
+    {
+        return refusal_of(*answer, call);
+    }
+    return done{};
+}
+
+failure broken_stream(std::string detail)
+{
+    return {.run = run_state::may_have_run,
+            .code = errc::bad_answer,
+            .detail = std::move(detail),
+            .retry_after = {}};
+}
+
+} // namespace
+
+verdict<completion_end> http_model_engine::read_tokens(const http_call& call, const request_id& id,
+                                                       std::int64_t position,
+                                                       const token_sink& sink)
+{
+    event_stream_reader events;
+    std::optional<completion_end> end;
+    std::optional<failure> broken;
+    bool stopped = false;
+    auto take = [&](const engine_event& event)
+    {
+        if (event.token.id != id || event.token.position < position || end)
+        {
+            return true; // Late or crossed: not this answer's next token.
+        }
+        if (event.token.position > position)
+        {
+            broken = broken_stream(
+                fmt::format("token {} came in place of {}", event.token.position, position));
+            return false;
+        }
+        if (event.end)
+        {
+            end = event.end;
+            return true;
+        }
+        ++position;
+        stopped = !sink(event.token);
+        return !stopped;
+    };
+    auto answer = http_.stream(call,
+                               [&](std::string_view piece)
+                               {
+                                   for (const auto& data : events.feed(piece))
+                                   {
+                                       auto event = decode_engine_event(data);
+                                       if (!event)
+                                       {
+                                           broken = event.error();
+                                           return false;
+                                       }
+                                       if (!take(*event))
+                                       {
+                                           return false;
+                                       }
+                                   }
+                                   return true;
+                               });
+    if (end)
+    {
+        return *end;
+    }
+    if (broken)
+    {
+        return *broken;
+    }
+    if (stopped)
+    {
+        return failure{.run = run_state::may_have_run,
+                       .code = errc::cancelled,
+                       .detail = "the reader stopped",
+                       .retry_after = {}};
+    }
+    if (!answer)
+    {
+        return answer.error();
+    }
+    if (answer->status != 200)
+    {
+        return refusal_of(*answer, call);
+    }
+    return broken_stream("the stream ended early");
+}
+
+verdict<completion_end> http_model_engine::complete(const std::string& address,
+                                                    const completion_request& request,
+                                                    milliseconds silence, const token_sink& sink)
+{
+    http_call call{.address = address,
+                   .method = "POST",
+                   .path = "/engine/completions",
+                   .headers = {},
+                   .body = encode_engine_request(request),
+                   .silence = silence};
+    return read_tokens(call, request.id, 0, sink);
+}
+
+verdict<completion_end> http_model_engine::resume(const std::string& address, const request_id& id,
+                                                  std::int64_t position, milliseconds silence,
+                                                  const token_sink& sink)
+{
+    http_call call{.address = address,
+                   .method = "GET",
+                   .path = fmt::format("/engine/completions/{}?from={}", id.str(), position),
+                   .headers = {},
+                   .body = {},
+                   .silence = silence};
+    return read_tokens(call, id, position, sink);
+}
+
+verdict<done> http_model_engine::cancel(const std::string& address, const request_id& id)
+{
+    http_call call{.address = address,
+                   .method = "DELETE",
+                   .path = "/engine/completions/" + id.str(),
+                   .headers = {},
+                   .body = {}};
+    return expect_ok(http_.send(call), call);
+}
+
+verdict<done> http_model_engine::order(const std::string& address, const engine_order& it)
+{
+    http_call call{.address = address,
+                   .method = "POST",
+                   .path = "/engine/orders",
+                   .headers = {},
+                   .body = encode_order(it)};
+    return expect_ok(http_.send(call), call);
+}
+
+verdict<engine_report> http_model_engine::read_back(const std::string& address)
+{
+    http_call call{
+        .address = address, .method = "GET", .path = "/engine/report", .headers = {}, .body = {}};
+    auto answer = http_.send(call);
+    if (!answer)
+    {
+        return answer.error();
+    }
+    if (answer->status != 200)
+    {
+        return refusal_of(*answer, call);
+    }
+    return decode_report(answer->body);
+}
+
+verdict<load_report> http_model_engine::load(const std::string& address)
+{
+    http_call call{
+        .address = address, .method = "GET", .path = "/engine/load", .headers = {}, .body = {}};
+    auto answer = http_.send(call);
+    if (!answer)
+    {
+        return answer.error();
+    }
+    if (answer->status != 200)
+    {
+        return refusal_of(*answer, call);
+    }
+    return decode_load(answer->body);
+}
+
+verdict<service_answer> http_plain_service::call(const std::string& address, const service_call& it,
+                                                 milliseconds limit)
+{
+    http_call request{.address = address,
+                      .method = it.method,
+                      .path = it.path,
+                      .headers = it.headers,
+                      .body = it.body,
+                      .silence = limit};
+    auto answer = http_.send(request);
+    if (!answer)
+    {
+        return answer.error();
+    }
+    return service_answer{.status = answer->status,
+                          .content_type = answer->content_type,
+                          .body = std::move(answer->body)};
+}
+
+} // namespace banyanshunt
--- /dev/null
+++ b/src/transport/http_server.hpp
@@ -0,0 +1,91 @@
+#pragma once
+
+/// \file
+/// Defines the HTTP server that daemons and stand-ins share. Handlers run on a bounded pool of
+/// threads, one for each connection.
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "coordination/plain_service.hpp"
+#include "state/units.hpp"
+
+namespace banyanshunt
+{
+
+/// A request as a handler gets it. Header names are lower case.
+struct http_request
+{
+    std::string method;
+    std::string path;
+    /// The path with its query, as it came.
+    std::string target;
+    std::map<std::string, std::string> query;
+    std::map<std::string, std::string> headers;
+    std::string body;
+
+    /// The header's value, or empty text.
+    std::string header(const std::string& name) const;
+    /// The query's value, or `otherwise`.
+    std::string parameter(const std::string& name, const std::string& otherwise) const;
+};
+
+/// Writes one piece of a streamed body; returns false once the caller is gone.
+using piece_writer = std::function<bool(std::string_view)>;
+
+/// A handler's answer.
+struct http_reply
+{
+    int status = 200;
+    std::string content_type = "application/json";
+    std::vector<http_field> headers;
+    std::string body;
+    /// When set, called once to write the body in place of `body`.
+    std::function<void(const piece_writer&)> stream;
+    /// Close the connection with the answer unfinished; stand-ins lose answers this way.
+    bool cut = false;
+};
+
+using http_handler = std::function<http_reply(const http_request&)>;
+
+struct http_server_options
+{
+    /// IP address and port; port 0 takes a free one.
+    std::string address = "127.0.0.1:0";
+    std::size_t threads = 64;
+    std::size_t largest_body = 8 * 1024 * 1024;
+    /// How long an idle connection is kept; a stop may wait this long for it.
+    seconds idle{1};
+};
+
+/// Listens from construction; serves from `start` to `stop`.
+class http_server
+{
+public:
+    explicit http_server(const http_server_options& options);
+    ~http_server();
+    http_server(const http_server&) = delete;
+    http_server& operator=(const http_server&) = delete;
+
+    /// Registers a handler for "GET", "POST", "PUT" or "DELETE" and a regular expression over the
+    /// whole path. The first registered match wins.
+    void handle(const std::string& method, const std::string& pattern, http_handler handler);
+
+    void start();
+    /// Takes no new connection, and returns once all running handlers have ended.
+    void stop();
+
+    /// IP address and the port in use, or empty if the address could not be bound.
+    const std::string& address() const { return address_; }
+
+private:
+    struct impl;
+    std::unique_ptr<impl> impl_;
+    std::string address_;
+};
+
+} // namespace banyanshunt
--- /dev/null
+++ b/src/transport/metrics.hpp
@@ -0,0 +1,48 @@
+#pragma once
+
+/// \file
+/// Defines the metrics of a daemon: counters, gauges and histograms by name, and the text that
+/// /metrics answers. Names and meanings are listed in docs/OPERATORS.md.
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "state/units.hpp"
+
+namespace banyanshunt
+{
+
+/// One label of a metric, such as {"reason", "over_rate"}.
+struct metric_label
+{
+    std::string name;
+    std::string value;
+};
+
+/// A registry of metrics; all calls are safe from any thread.
+class metrics
+{
+public:
+    metrics();
+    ~metrics();
+    metrics(const metrics&) = delete;
+    metrics& operator=(const metrics&) = delete;
+
+    /// Adds `n` to a counter.
+    void count(const std::string& name, const std::vector<metric_label>& labels = {}, double n = 1);
+    /// Sets a gauge.
+    void set(const std::string& name, double value, const std::vector<metric_label>& labels = {});
+    /// Puts a duration into a histogram, in seconds.
+    void observe(const std::string& name, std::chrono::nanoseconds duration,
+                 const std::vector<metric_label>& labels = {});
+
+    /// The text that a scrape of /metrics gets.
+    std::string text() const;
+
+private:
+    struct impl;
+    std::unique_ptr<impl> impl_;
+};
+
+} // namespace banyanshunt
--- /dev/null
+++ b/src/transport/platform_clients.cpp
@@ -0,0 +1,107 @@
+#include "transport/platform_clients.hpp"
+
+#include <fmt/format.h>
+
+#include "protocol/platform_codec.hpp"
+#include "state/errors.hpp"
+
+namespace banyanshunt
+{
+namespace
+{
+
+// Maps a status other than 200 to a failure. The platform refuses before it acts, so a 4xx or a 503
+// did not run; any other status says nothing.
+failure failure_of(const http_answer& answer, const http_call& call)
+{
+    bool refused = (answer.status >= 400 && answer.status < 500) || answer.status == 503;
+    errc code = errc::unavailable;
+    if (answer.status == 410)
+    {
+        code = errc::records_expired;
+    }
+    else if (answer.status == 429)
+    {
+        code = errc::platform_busy;
+    }
+    return {.run = refused ? run_state::not_run : run_state::may_have_run,
+            .code = code,
+            .detail = fmt::format("{} {} at {}: status {}", call.method, call.path, call.address,
+                                  answer.status),
+            .retry_after = {}};
+}
+
+verdict<http_answer> send_expecting_ok(http_client& http, const http_call& call)
+{
+    auto answer = http.send(call);
+    if (answer && answer->status != 200)
+    {
+        return failure_of(*answer, call);
+    }
+    return answer;
+}
+
+} // namespace
+
+verdict<log_offset> http_log_service::append(const stream_name& stream,
+                                             std::span<const log_entry> batch)
+{
+    http_call call{.address = address_,
+                   .method = "POST",
+                   .path = "/streams/" + stream.str() + "/records",
+                   .headers = {},
+                   .body = encode_append(batch),
+                   .connect_timeout = patience_,
+                   .silence = patience_};
+    auto answer = send_expecting_ok(http_, call);
+    if (!answer)
+    {
+        return answer.error();
+    }
+    return decode_appended(answer->body);
+}
+
+verdict<log_page> http_log_service::read(const stream_name& stream, log_offset from,
+                                         std::size_t limit, milliseconds wait)
+{
+    http_call call{.address = address_,
+                   .method = "GET",
+                   .path = fmt::format("/streams/{}/records?from={}&limit={}&wait_ms={}",
+                                       stream.str(), from.count(), limit, wait.count()),
+                   .headers = {},
+                   .body = {},
+                   .connect_timeout = patience_,
+                   .silence = patience_ + wait};
+    auto answer = send_expecting_ok(http_, call);
+    if (!answer)
+    {
+        return answer.error();
+    }
+    return decode_page(answer->body);
+}
+
+verdict<std::vector<listed_host>> http_host_list::hosts()
+{
+    http_call call{
+        .address = address_, .method = "GET", .path = "/hosts", .headers = {}, .body = {}};
+    auto answer = send_expecting_ok(http_, call);
+    if (!answer)
+    {
+        return answer.error();
+    }
+    return decode_hosts(answer->body);
+}
+
+verdict<weight_store_limits> http_weight_store::limits()
+{
+    http_call call{
+        .address = address_, .method = "GET", .path = "/limits", .headers = {}, .body = {}};
+    auto answer = send_expecting_ok(http_, call);
+    if (!answer)
+    {
+        return answer.error();
+    }
+    return decode_limits(answer->body);
+}
+
+} // namespace banyanshunt
--- /dev/null
+++ b/tests/correctness/whole_path_test.cpp
@@ -0,0 +1,182 @@
+/// \file
+/// One request through the whole path: a ticket in the log, a cold load ordered by a placer, and an
+/// answer streamed back by an entry host.
+
+#include <thread>
+
+#include <catch2/catch.hpp>
+
+#include "entry/entry_host.hpp"
+#include "placer/placer_host.hpp"
+#include "protocol/platform_codec.hpp"
+#include "stand_ins/engine_stand_in.hpp"
+#include "stand_ins/platform_stand_in.hpp"
+#include "stand_ins/service_stand_in.hpp"
+#include "stand_ins/ticket_text.hpp"
+#include "transport/http_client.hpp"
+
+using namespace banyanshunt;
+
+namespace
+{
+
+// One failure domain on loopback, with everything in this process.
+struct small_fleet
+{
+    platform_stand_in platform{{.limits = {}, .load_time = milliseconds(20)}};
+    engine_stand_in engine{{.weight_store = platform.address()}};
+    service_stand_in service{{}};
+    placer_host placer{placer_options()};
+    entry_host entry{entry_options()};
+    http_client http;
+
+    small_fleet()
+    {
+        REQUIRE(placer.start());
+        list_hosts();
+        REQUIRE(entry.start());
+        publish(first_ticket());
+    }
+
+    ~small_fleet()
+    {
+        entry.stop();
+        placer.stop();
+    }
+
+    platform_settings platform_options() const
+    {
+        return {
+            .log = platform.address(), .hosts = platform.address(), .weights = platform.address()};
+    }
+
+    placer_settings placer_options() const
+    {
+        placer_settings it;
+        it.host = {.name = "n1", .domain = "north"};
+        it.platform = platform_options();
+        it.peer_listen = "127.0.0.1:0";
+        it.admin_listen = "127.0.0.1:0";
+        it.interval = milliseconds(10);
+        return it;
+    }
+
+    entry_settings entry_options() const
+    {
+        entry_settings it;
+        it.host = {.name = "n1", .domain = "north"};
+        it.platform = platform_options();
+        it.listen = "127.0.0.1:0";
+        it.peer_listen = "127.0.0.1:0";
+        it.admin_listen = "127.0.0.1:0";
+        it.demand_interval = milliseconds(10);
+        return it;
+    }
+
+    void list_hosts()
+    {
+        std::vector<listed_host> hosts = {{.name = "n1",
+                                           .role = "placer",
+                                           .domain = domain_id("north"),
+                                           .address = placer.peer_address()}};
+        REQUIRE(http.send({.address = platform.address(),
+                           .method = "PUT",
+                           .path = "/hosts",
+                           .headers = {},
+                           .body = encode_hosts(hosts)}));
+    }
+
+    std::string first_ticket() const
+    {
+        return ticket_text(
+            1, {{"models", R"({"guide-7b":{"version":"v1","memory_mib":14000,"replicas":1}})"},
+                {"adapters", R"({"clinics":{"base":"guide-7b","memory_mib":200}})"},
+                {"workspaces", R"({"clinics":{"tokens_per_second":1000,"burst_tokens":4000}})"},
+                {"keys", key_text("k1", "clinics", "secret")},
+                {"servers", server_text("e1", "engine", engine.address()) + "," +
+                                server_text("s1", "service", service.address())},
+                {"routes", R"({"orders":{"prefix":"/work-orders","servers":["s1"]}})"}});
+    }
+
+    void publish(const std::string& ticket)
+    {
+        log_entry entry_of_log{.id = record_id("t"), .data = ticket};
+        REQUIRE(platform.log().append(tickets_stream, std::span(&entry_of_log, 1)));
+    }
+
+    // Sends until the ticket is in force, as only then the key is known.
+    http_answer post(const std::string& path, const std::string& body, const std::string& key)
+    {
+        http_call call{.address = entry.caller_address(),
+                       .method = "POST",
+                       .path = path,
+                       .headers = {{"Authorization", "Bearer " + key}},
+                       .body = body,
+                       .silence = milliseconds(60000)};
+        auto answer = http.send(call);
+        REQUIRE(answer);
+        return *answer;
+    }
+
+    void wait_until_ready()
+    {
+        http_call call{.address = entry.admin_address(),
+                       .method = "GET",
+                       .path = "/ready",
+                       .headers = {},
+                       .body = {}};
+        while (http.send(call)->status != 200)
+        {
+            std::this_thread::sleep_for(milliseconds(5));
+        }
+    }
+};
+
+} // namespace
+
+TEST_CASE("a request for an idle model is answered over the whole path")
+{
+    small_fleet fleet;
+    fleet.wait_until_ready();
+
+    SECTION("a completion loads the model and comes back whole")
+    {
+        auto answer =
+            fleet.post("/v1/completions", R"({"model":"guide-7b","prompt":"swap","max_tokens":3})",
+                       "k1.secret");
+        CHECK(answer.status == 200);
+        CHECK_THAT(answer.body, Catch::Contains("tok0 tok1 tok2 "));
+        CHECK(fleet.engine.overcommits() == 0);
+
+        SECTION("no header with the key reaches the engine")
+        {
+            for (const auto& header : fleet.engine.headers_seen())
+            {
+                CHECK_THAT(header, !Catch::Contains("secret"));
+            }
+        }
+    }
+    SECTION("a streamed chat with an adapter comes in events")
+    {
+        auto answer = fleet.post(
+            "/v1/chat/completions",
+            R"({"model":"clinics","messages":[{"role":"user","content":"swap"}],"max_tokens":2,"stream":true})",
+            "k1.secret");
+        CHECK(answer.status == 200);
+        CHECK_THAT(answer.body, Catch::Contains("tok1 "));
+        CHECK_THAT(answer.body, Catch::EndsWith("data: [DONE]\n\n"));
+    }
+    SECTION("a work order runs once at the plain service")
+    {
+        auto answer = fleet.post("/work-orders", R"({"unit":"clinic-4"})", "k1.secret");
+        CHECK(answer.status == 200);
+        CHECK(fleet.service.runs_of(R"({"unit":"clinic-4"})") == 1);
+    }
+    SECTION("a wrong key is refused and nothing runs")
+    {
+        auto answer = fleet.post("/work-orders", "{}", "k1.wrong");
+        CHECK(answer.status == 401);
+        CHECK_THAT(answer.body, Catch::Contains("\"run\":\"not_run\""));
+        CHECK(fleet.service.runs_of("{}") == 0);
+    }
+}
