State part: the entry host follows log, list and peers in one place

Cause: the entry host followed the tickets' stream itself, heard no peer, and offered no gRPC service; a host cut off from the log could not learn of a ticket, and other parts had no view of who lives.

Change: src/entry/state_part owns the state cell, the duties that follow the tickets and the host list, and two duties that exchange heartbeats with peers, near and far. state_keeper holds what they learn, free of sockets; liveness keeps listed and heard apart; state_relay.proto carries heartbeat and delta in one streamed call. A delta starts at a prefix the receiver reflects, so lost, repeated or reordered ones do no harm. Objects' written form moved to object_codec, which tickets and deltas share. An exact repeat of an accepted ticket is harmless; another ticket with its number is refused by name, from digests of the newest 512 accepted tickets kept in the state.

Tests: the case that expected an exact repeat to be refused is replaced by three: a lower number, an exact repeat, another ticket with the same number.

--- a/src/coordination/acceptance.cpp
+++ b/src/coordination/acceptance.cpp
@@ -35,6 +35,8 @@
     apply_changes(after.keys, it.keys, it.number, offset);
     apply_changes(after.routes, it.routes, it.number, offset);
     apply_changes(after.servers, it.servers, it.number, offset);
+    after.accepted[it.number] = {.offset = offset, .digest = it.digest};
+    forget_old_tickets(after);
     after.through = offset + log_offset(1);
     after.last_ticket = it.number;
     return after;
@@ -77,11 +79,31 @@
     return std::nullopt;
 }
 
+// Of two records with one number the first holds; one with the same bytes repeats it harmlessly.
+verdict<accepted_state> taken_number(const fleet_state& before, const ticket& it,
+                                     const accepted_ticket& earlier, log_offset offset)
+{
+    if (earlier.digest != it.digest)
+    {
+        return refuse(errc::ticket_out_of_order,
+                      fmt::format("ticket: number {} was taken by another ticket, at offset {}",
+                                  it.number.count(), earlier.offset.count()));
+    }
+    accepted_state same{.state = before, .repeated = true};
+    same.state.through = offset + log_offset(1);
+    return same;
+}
+
 } // namespace
 
-verdict<fleet_state> accept(const fleet_state& before, const ticket& it, log_offset offset)
+verdict<accepted_state> accept(const fleet_state& before, const ticket& it, log_offset offset)
 {
     check_invariant(offset >= before.through, "a ticket was applied twice");
+    auto earlier = before.accepted.find(it.number);
+    if (earlier != before.accepted.end())
+    {
+        return taken_number(before, it, earlier->second, offset);
+    }
     if (it.number <= before.last_ticket)
     {
         return refuse(errc::ticket_out_of_order,
@@ -93,7 +115,7 @@
     {
         return refuse(errc::ticket_malformed, *dangling);
     }
-    return after;
+    return accepted_state{.state = std::move(after), .repeated = false};
 }
 
 } // namespace banyanshunt
--- a/src/coordination/key_check.cpp
+++ b/src/coordination/key_check.cpp
@@ -1,11 +1,8 @@
 #include "coordination/key_check.hpp"
 
-#include <array>
-
-#include <fmt/format.h>
 #include <openssl/crypto.h>
-#include <openssl/sha.h>
 
+#include "state/content_digest.hpp"
 #include "state/errors.hpp"
 
 namespace banyanshunt
@@ -30,14 +27,7 @@
     std::string input;
     input.append(salt_hex);
     input.append(secret);
-    std::array<unsigned char, SHA256_DIGEST_LENGTH> digest{};
-    SHA256(reinterpret_cast<const unsigned char*>(input.data()), input.size(), digest.data());
-    std::string hex;
-    for (unsigned char byte : digest)
-    {
-        hex += fmt::format("{:02x}", byte);
-    }
-    return hex;
+    return content_digest(input);
 }
 
 verdict<key_holder> check_key(const fleet_state& state, std::string_view bearer)
--- /dev/null
+++ b/src/coordination/liveness.hpp
@@ -0,0 +1,104 @@
+#pragma once
+
+/// \file
+/// Defines the view of other entry hosts: which are listed by the platform, and which were heard.
+///
+/// Both are evidence, neither is proof: the list lags, and a silent host may only be cut off. The
+/// two are kept apart so that each decision can say which it rests on.
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "coordination/host_list.hpp"
+#include "state/clock.hpp"
+
+namespace banyanshunt
+{
+
+/// What an entry host says of itself whenever it speaks to another.
+struct heartbeat
+{
+    host_id host;
+    /// "entry", or "placer" for one that only asks for the state.
+    std::string role = "entry";
+    incarnation life;
+    domain_id domain;
+    /// Where peers reach it over gRPC, and operators over HTTP.
+    std::string peer_address;
+    std::string admin_address;
+    /// It is stopping: it takes no new work and gives up what it owns.
+    bool leaving = false;
+    /// The prefix of the tickets' stream that it has in force.
+    log_offset through;
+    ticket_number last_ticket;
+    /// How long ago its view of the tickets' stream was confirmed by the log or by a peer that had
+    /// it confirmed; nothing before the first time.
+    std::optional<milliseconds> view_age;
+};
+
+/// What is known of one other entry host.
+struct peer_view
+{
+    host_id host;
+    domain_id domain;
+    std::string address;
+
+    /// Evidence of the platform's list.
+    bool listed = false;
+    bool listed_leaving = false;
+
+    /// Evidence of heartbeats: the last one, and when it came.
+    std::optional<heartbeat> said;
+    std::optional<instant> heard_at;
+
+    bool leaving() const { return listed_leaving || (said && said->leaving); }
+    /// Whether a heartbeat came within `patience` before `now`.
+    bool heard_within(milliseconds patience, instant now) const
+    {
+        return heard_at && now - *heard_at <= patience;
+    }
+};
+
+struct liveness_options
+{
+    /// The host that holds this table; it is never one of the peers.
+    host_id self;
+    /// A peer that was not heard for this long does not count as live.
+    milliseconds patience{2000};
+    /// A peer that is neither listed nor was heard for this long is forgotten.
+    milliseconds memory{60000};
+};
+
+/// The table of peers. Not safe from several threads; copies are snapshots.
+class liveness
+{
+public:
+    explicit liveness(liveness_options options) : options_(std::move(options)) {}
+
+    /// Takes the platform's newest list.
+    void take_list(const std::vector<listed_host>& list, instant now);
+    /// Takes an entry host's heartbeat that came now. One of an older life than the last heard
+    /// changes nothing once that life was replaced.
+    void hear(const heartbeat& it, instant now);
+
+    /// Every known peer, by name.
+    const std::map<host_id, peer_view>& peers() const { return peers_; }
+    const peer_view* find(const host_id& host) const;
+
+    /// Peers heard within the patience and not leaving.
+    std::vector<peer_view> live(instant now) const;
+    std::vector<peer_view> live_in(const domain_id& domain, instant now) const;
+    /// Peers worth trying to reach: listed or heard, whether or not they are silent now.
+    std::vector<peer_view> reachable() const;
+
+    const liveness_options& options() const { return options_; }
+
+private:
+    liveness_options options_;
+    std::map<host_id, peer_view> peers_;
+    std::map<host_id, std::vector<incarnation>> replaced_;
+};
+
+} // namespace banyanshunt
--- a/src/coordination/state_follower.cpp
+++ b/src/coordination/state_follower.cpp
@@ -1,12 +1,15 @@
 #include "coordination/state_follower.hpp"
 
+#include "state/errors.hpp"
+
 namespace banyanshunt
 {
 
 std::pair<fleet_state, ticket_outcome>
 follow_record(const fleet_state& before, const log_record& record, const ticket_decoder& decode)
 {
-    ticket_outcome outcome{.offset = record.offset, .id = record.id, .number = {}, .refused = {}};
+    ticket_outcome outcome{
+        .offset = record.offset, .id = record.id, .number = {}, .repeated = false, .refused = {}};
     fleet_state after = before;
     after.through = record.offset + log_offset(1);
     auto decoded = decode(record.data);
@@ -22,7 +25,16 @@
         outcome.refused = accepted.error();
         return {std::move(after), std::move(outcome)};
     }
-    return {std::move(accepted).value(), std::move(outcome)};
+    outcome.repeated = accepted->repeated;
+    return {std::move(accepted->state), std::move(outcome)};
+}
+
+failure lost_records()
+{
+    return {.run = run_state::not_run,
+            .code = errc::bad_answer,
+            .detail = "the log ends before what was read from it earlier",
+            .retry_after = {}};
 }
 
 } // namespace banyanshunt
--- a/src/coordination/state_follower.hpp
+++ b/src/coordination/state_follower.hpp
@@ -23,6 +23,8 @@
     record_id id;
     /// 0 when the record could not be read as a ticket.
     ticket_number number;
+    /// The ticket repeats an accepted one.
+    bool repeated = false;
     /// Nothing when the ticket was accepted.
     std::optional<failure> refused;
 };
@@ -31,6 +33,18 @@
 std::pair<fleet_state, ticket_outcome>
 follow_record(const fleet_state& before, const log_record& record, const ticket_decoder& decode);
 
+/// The failure of a read from a log that ends before what was read from it earlier.
+failure lost_records();
+
+/// What one step of the follower learned.
+struct follow_step
+{
+    /// The end of the stream as the log told it.
+    log_offset end;
+    /// Records applied.
+    std::size_t records = 0;
+};
+
 /// Reads one page and applies it to the cell.
 template <log_service Log>
 class state_follower
@@ -43,8 +57,10 @@
     {
     }
 
-    /// Waits up to `wait` for new tickets and puts them in force. Fails as the log's read fails.
-    verdict<done> step(milliseconds wait)
+    /// Waits up to `wait` for new tickets and puts them in force. Fails as the log's read fails,
+    /// with `errc::records_expired` when records after the state in force are no longer kept, and
+    /// with `errc::bad_answer` when the log ends before what was read from it.
+    verdict<follow_step> step(milliseconds wait)
     {
         constexpr std::size_t page_limit = 256;
         fleet_state state = *cell_.get();
@@ -53,17 +69,25 @@
         {
             return page.error();
         }
+        if (page->end < state.through)
+        {
+            return lost_records();
+        }
         for (const auto& record : page->records)
         {
+            if (record.offset < state.through)
+            {
+                continue;
+            }
             auto [after, outcome] = follow_record(state, record, decode_);
             state = std::move(after);
             told_(outcome);
         }
         if (!page->records.empty())
         {
-            cell_.replace(std::make_shared<const fleet_state>(std::move(state)));
+            (void)cell_.advance(std::make_shared<const fleet_state>(std::move(state)));
         }
-        return done{};
+        return follow_step{.end = page->end, .records = page->records.size()};
     }
 
 private:
--- /dev/null
+++ b/src/coordination/state_keeper.hpp
@@ -0,0 +1,80 @@
+#pragma once
+
+/// \file
+/// Defines what a host does with all evidence about the state and its peers, free of sockets: the
+/// log's pages, the platform's list and the peers' heartbeats come in; answers to peers go out.
+
+#include <mutex>
+
+#include "coordination/liveness.hpp"
+#include "coordination/state_delta.hpp"
+#include "coordination/view_age.hpp"
+#include "state/state_cell.hpp"
+
+namespace banyanshunt
+{
+
+/// What a host answers to a heartbeat.
+struct exchange_answer
+{
+    heartbeat said;
+    /// What the caller lacks, if anything.
+    std::optional<state_delta> delta;
+    /// Bytes of the answer, without the transport's own.
+    std::size_t bytes = 0;
+};
+
+/// Who this host is.
+struct state_keeper_options
+{
+    host_id host;
+    std::string role = "entry";
+    incarnation life;
+    domain_id domain;
+    /// A peer that was not heard for this long does not count as live.
+    milliseconds peer_patience{2000};
+};
+
+/// Keeps the state in force, its age, and the view of peers. Safe from any thread.
+class state_keeper
+{
+public:
+    explicit state_keeper(const state_keeper_options& options);
+
+    state_cell& cell() { return cell_; }
+    const state_cell& cell() const { return cell_; }
+
+    /// Where peers and operators reach this host; known once its servers listen.
+    void set_addresses(const std::string& peer, const std::string& admin);
+    /// From now on heartbeats say that this host is leaving.
+    void leave();
+
+    /// What this host says of itself now.
+    heartbeat self(instant now) const;
+    /// Takes a caller's heartbeat and returns this host's, with what the caller lacks.
+    exchange_answer answer(const heartbeat& from, instant now);
+    /// Takes the answer to an exchange that this host began at `asked`; returns whether it moved
+    /// the state forward.
+    bool take(const exchange_answer& answer, instant asked, instant now);
+    /// The log, asked at `asked`, showed that its end is at `end`.
+    void confirm(log_offset end, instant asked);
+    void take_list(const std::vector<listed_host>& list, instant now);
+
+    /// Time since the view was confirmed; nothing before the first time.
+    std::optional<milliseconds> age(instant now) const;
+    /// A copy of the view of peers.
+    liveness peers() const;
+    const state_keeper_options& options() const { return options_; }
+
+private:
+    state_keeper_options options_;
+    state_cell cell_;
+    mutable std::mutex mutex_;
+    liveness peers_;
+    view_age age_;
+    std::string peer_address_;
+    std::string admin_address_;
+    bool leaving_ = false;
+};
+
+} // namespace banyanshunt
--- a/src/coordination/ticket.hpp
+++ b/src/coordination/ticket.hpp
@@ -21,6 +21,8 @@
 struct ticket
 {
     ticket_number number;
+    /// `content_digest` of the ticket as it was written.
+    std::string digest;
     /// Who issued it and why, for people.
     std::string issuer;
     std::string note;
--- a/src/entry/entry_host.cpp
+++ b/src/entry/entry_host.cpp
@@ -3,22 +3,17 @@
 #include <thread>
 
 #include "coordination/fixed_shares.hpp"
-#include "coordination/state_follower.hpp"
 #include "entry/placement_follower.hpp"
 #include "entry/request_handler.hpp"
-#include "protocol/ticket_codec.hpp"
+#include "entry/state_part.hpp"
 #include "state/duty_thread.hpp"
 #include "state/log_line.hpp"
-#include "transport/platform_clients.hpp"
 
 namespace banyanshunt
 {
 namespace
 {
 
-constexpr milliseconds log_wait(1000);
-constexpr milliseconds failed_read_pause(200);
-constexpr milliseconds host_list_interval(500);
 constexpr milliseconds drain_poll(10);
 
 } // namespace
@@ -26,12 +21,12 @@
 struct entry_host::impl
 {
     explicit impl(const entry_settings& given)
-        : settings(given), log(http, given.platform.log, given.platform.patience),
-          hosts(http, given.platform.hosts), engine(http), service(http),
-          shares(state, given.entry_hosts), board(given.most_waiting), channels(given.peer_keys),
+        : settings(given), engine(http), service(http), channels(given.peer_keys),
+          state_duties(settings, http, channels, counters,
+                       [this](const auto& list) { take_list(list); }),
+          state(state_duties.cell()), shares(state, given.entry_hosts), board(given.most_waiting),
           placement(channels, board,
                     {.host = host_id(given.host.name), .domain = domain_id(given.host.domain)}),
-          follower(log, state, decode_ticket, [this](const auto& it) { note_ticket(it); }),
           handler({.settings = settings,
                    .state = state,
                    .shares = shares,
@@ -41,51 +36,27 @@
                    .counters = counters,
                    .wake_demand = [this] { wake_demand(); }}),
           callers({.address = given.listen, .threads = given.threads}),
-          admin({.address = given.admin_listen, .threads = 4})
+          admin({.address = given.admin_listen, .threads = 4}),
+          peers({.address = given.peer_listen,
+                 .credentials = given.peer_keys,
+                 .services = peer_services()})
     {
     }
 
-    void note_ticket(const ticket_outcome& it)
-    {
-        if (it.refused)
-        {
-            log_warning("ticket_refused", "offset={} ticket={} reason=\"{}\"", it.offset.count(),
-                        it.number.count(), it.refused->detail);
-            counters.count("banyanshunt_tickets_total", {{"result", "refused"}});
-            return;
-        }
-        log_change("ticket_in_force", "ticket={} offset={}", it.number.count(), it.offset.count());
-        counters.count("banyanshunt_tickets_total", {{"result", "accepted"}});
-    }
-
-    milliseconds follow_tickets()
-    {
-        auto step = follower.step(log_wait);
-        bool heard = step.has_value();
-        if (heard != log_heard)
-        {
-            log_change(heard ? "log_heard" : "log_silent", "address={}", settings.platform.log);
-            log_heard = heard;
-        }
-        return heard ? milliseconds(0) : failed_read_pause;
-    }
+    // Every part that answers peers adds its service here.
+    std::vector<grpc::Service*> peer_services() { return {state_duties.service()}; }
 
-    milliseconds follow_hosts()
+    void take_list(const std::vector<listed_host>& list)
     {
-        auto listed = hosts.hosts();
-        if (listed)
+        std::vector<std::string> placers;
+        for (const auto& host : list)
         {
-            std::vector<std::string> placers;
-            for (const auto& host : *listed)
+            if (host.role == "placer")
             {
-                if (host.role == "placer")
-                {
-                    placers.push_back(host.address);
-                }
+                placers.push_back(host.address);
             }
-            placement.set_placers(std::move(placers));
         }
-        return host_list_interval;
+        placement.set_placers(std::move(placers));
     }
 
     milliseconds follow_placement()
@@ -142,25 +113,21 @@
 
     entry_settings settings;
     metrics counters;
-    state_cell state;
     http_client http;
-    http_log_service log;
-    http_host_list hosts;
     http_model_engine engine;
     http_plain_service service;
+    peer_channels channels;
+    state_part state_duties;
+    state_cell& state;
     fixed_shares shares;
     replica_board board;
-    peer_channels channels;
     placement_follower placement;
-    state_follower<http_log_service> follower;
     request_handler handler;
     http_server callers;
     http_server admin;
     std::atomic<bool> draining = false;
-    bool log_heard = true;
-    std::unique_ptr<duty_thread> ticket_duty;
-    std::unique_ptr<duty_thread> host_duty;
     std::unique_ptr<duty_thread> placement_duty;
+    peer_server peers;
 };
 
 entry_host::entry_host(const entry_settings& settings) : impl_(std::make_unique<impl>(settings)) {}
@@ -170,21 +137,21 @@
 bool entry_host::start()
 {
     impl& it = *impl_;
-    if (it.callers.address().empty() || it.admin.address().empty())
+    if (it.callers.address().empty() || it.admin.address().empty() || it.peers.address().empty())
     {
-        log_warning("cannot_listen", "callers={} admin={}", it.settings.listen,
-                    it.settings.admin_listen);
+        log_warning("cannot_listen", "callers={} admin={} peers={}", it.settings.listen,
+                    it.settings.admin_listen, it.settings.peer_listen);
         return false;
     }
-    it.ticket_duty = std::make_unique<duty_thread>([&it] { return it.follow_tickets(); });
-    it.host_duty = std::make_unique<duty_thread>([&it] { return it.follow_hosts(); });
+    it.state_duties.start(it.peers.address(), it.admin.address());
     it.placement_duty = std::make_unique<duty_thread>([&it] { return it.follow_placement(); });
     it.add_caller_handlers();
     it.add_admin_handlers();
     it.callers.start();
     it.admin.start();
-    log_change("entry_started", "host={} domain={} callers={} admin={}", it.settings.host.name,
-               it.settings.host.domain, it.callers.address(), it.admin.address());
+    log_change("entry_started", "host={} domain={} callers={} admin={} peers={}",
+               it.settings.host.name, it.settings.host.domain, it.callers.address(),
+               it.admin.address(), it.peers.address());
     return true;
 }
 
@@ -192,6 +159,7 @@
 {
     impl& it = *impl_;
     it.draining = true;
+    it.state_duties.leave();
     it.handler.drain();
     log_change("draining", "running={}", it.handler.running());
     instant limit = boot_clock().now() + it.settings.drain_limit;
@@ -202,8 +170,7 @@
     bool clean = it.handler.running() == 0;
     it.callers.stop();
     it.placement_duty->stop();
-    it.host_duty->stop();
-    it.ticket_duty->stop();
+    it.state_duties.stop();
     it.admin.stop();
     log_change("entry_stopped", "clean={}", clean);
     return clean;
@@ -214,6 +181,11 @@
     return impl_->callers.address();
 }
 
+std::string entry_host::peer_address() const
+{
+    return impl_->peers.address();
+}
+
 std::string entry_host::admin_address() const
 {
     return impl_->admin.address();
--- a/src/entry/entry_host.hpp
+++ b/src/entry/entry_host.hpp
@@ -29,6 +29,7 @@
     /// Addresses in use, for settings with port 0.
     std::string caller_address() const;
     std::string admin_address() const;
+    std::string peer_address() const;
 
 private:
     struct impl;
--- /dev/null
+++ b/src/protocol/object_codec.hpp
@@ -0,0 +1,42 @@
+#pragma once
+
+/// \file
+/// Defines the written form of each kind of object, which tickets, snapshots and messages between
+/// hosts share, so that an object has one form wherever it is written.
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include <nlohmann/json_fwd.hpp>
+
+#include "protocol/json_reader.hpp"
+#include "state/objects.hpp"
+
+namespace banyanshunt
+{
+
+/// The longest name of an object, in bytes.
+inline constexpr std::size_t longest_object_name = 128;
+
+/// Whether `text` may name an object: 1 to 128 letters, digits, '-', '_', '.' or ':'.
+bool is_object_name(const std::string& text);
+
+/// Read one object's members; mistakes are noted with the field's path.
+void read_object(json_reader& in, json_errors& errors, model_object& out);
+void read_object(json_reader& in, json_errors& errors, adapter_object& out);
+void read_object(json_reader& in, json_errors& errors, workspace_object& out);
+void read_object(json_reader& in, json_errors& errors, key_object& out);
+void read_object(json_reader& in, json_errors& errors, route_object& out);
+void read_object(json_reader& in, json_errors& errors, server_object& out);
+
+/// Write an object so that `read_object` reads the same one.
+nlohmann::json write_object(const model_object& it);
+nlohmann::json write_object(const adapter_object& it);
+nlohmann::json write_object(const workspace_object& it);
+nlohmann::json write_object(const key_object& it);
+nlohmann::json write_object(const route_object& it);
+nlohmann::json write_object(const server_object& it);
+
+} // namespace banyanshunt
--- /dev/null
+++ b/src/protocol/state_codec.cpp
@@ -0,0 +1,197 @@
+#include "protocol/state_codec.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include "protocol/object_codec.hpp"
+#include "state/errors.hpp"
+
+namespace banyanshunt
+{
+namespace
+{
+
+using nlohmann::json;
+
+constexpr std::int64_t state_format = 1;
+constexpr std::int64_t most_parts = 1'000'000;
+constexpr std::size_t digest_digits = 64;
+
+// Collects entries into documents, and begins a new one when the last has grown large.
+class part_writer
+{
+public:
+    template <class Id, class Object>
+    void add_table(const char* kind, const state_table<Id, Object>& table)
+    {
+        for (const auto& [id, entry] : table)
+        {
+            json it = {{"ticket", entry->ticket.count()}, {"offset", entry->offset.count()}};
+            if (entry->value)
+            {
+                it["value"] = write_object(*entry->value);
+            }
+            add(kind, id.str(), std::move(it));
+        }
+    }
+
+    void add(const char* kind, const std::string& name, json entry)
+    {
+        constexpr std::size_t punctuation = 8;
+        size_ += name.size() + entry.dump().size() + punctuation;
+        parts_.back()[kind][name] = std::move(entry);
+        if (size_ >= state_part_size)
+        {
+            parts_.push_back(json::object());
+            size_ = 0;
+        }
+    }
+
+    std::vector<std::string> finish(const state_delta& delta)
+    {
+        std::vector<std::string> texts;
+        for (auto& part : parts_)
+        {
+            part["format"] = state_format;
+            part["since"] = delta.since.count();
+            part["through"] = delta.entries.through.count();
+            part["last_ticket"] = delta.entries.last_ticket.count();
+            part["part"] = texts.size();
+            part["parts"] = parts_.size();
+            texts.push_back(part.dump());
+        }
+        return texts;
+    }
+
+private:
+    std::vector<json> parts_{json::object()};
+    std::size_t size_ = 0;
+};
+
+// Calls `read` with a reader of each named entry of one kind.
+template <class Read>
+void each_entry(json_reader& in, const char* kind, json_errors& errors, Read read)
+{
+    const json* member = in.member(kind);
+    if (!member)
+    {
+        return;
+    }
+    if (!member->is_object())
+    {
+        errors.note(kind, "must be an object of names");
+        return;
+    }
+    for (const auto& item : member->items())
+    {
+        json_reader entry(item.value(), in.path_of(kind) + "." + item.key(), errors);
+        read(item.key(), entry);
+        entry.refuse_others();
+    }
+}
+
+template <class Id, class Object>
+void read_table(json_reader& in, const char* kind, json_errors& errors,
+                state_table<Id, Object>& table)
+{
+    each_entry(in, kind, errors,
+               [&](const std::string& name, json_reader& entry)
+               {
+                   state_entry<Object> it{
+                       .ticket = ticket_number(entry.integer("ticket", 1, INT64_MAX)),
+                       .offset = log_offset(entry.integer("offset", 0, INT64_MAX)),
+                       .value = {}};
+                   if (const json* value = entry.member("value"))
+                   {
+                       json_reader object(*value, entry.path_of("value"), errors);
+                       read_object(object, errors, it.value.emplace());
+                   }
+                   table[Id(name)] = std::make_shared<const state_entry<Object>>(std::move(it));
+               });
+}
+
+void read_accepted(json_reader& in, json_errors& errors,
+                   std::map<ticket_number, accepted_ticket>& accepted)
+{
+    each_entry(in, "accepted", errors,
+               [&](const std::string& name, json_reader& entry)
+               {
+                   accepted_ticket it{.offset = log_offset(entry.integer("offset", 0, INT64_MAX)),
+                                      .digest = entry.text("digest", digest_digits)};
+                   constexpr std::size_t most_digits = 18;
+                   bool number = !name.empty() && name.size() <= most_digits &&
+                                 name.find_first_not_of("0123456789") == std::string::npos;
+                   if (!number)
+                   {
+                       errors.note(in.path_of("accepted"), "its names are ticket numbers");
+                       return;
+                   }
+                   accepted[ticket_number(std::stoll(name))] = std::move(it);
+               });
+}
+
+failure bad_part(std::string detail)
+{
+    return {.run = run_state::not_run,
+            .code = errc::bad_answer,
+            .detail = std::move(detail),
+            .retry_after = {}};
+}
+
+} // namespace
+
+std::vector<std::string> encode_delta(const state_delta& delta)
+{
+    part_writer writer;
+    writer.add_table("models", delta.entries.models);
+    writer.add_table("adapters", delta.entries.adapters);
+    writer.add_table("workspaces", delta.entries.workspaces);
+    writer.add_table("keys", delta.entries.keys);
+    writer.add_table("routes", delta.entries.routes);
+    writer.add_table("servers", delta.entries.servers);
+    for (const auto& [number, it] : delta.entries.accepted)
+    {
+        writer.add("accepted", std::to_string(number.count()),
+                   {{"offset", it.offset.count()}, {"digest", it.digest}});
+    }
+    return writer.finish(delta);
+}
+
+verdict<done> delta_joiner::add(const std::string& part)
+{
+    json_errors errors;
+    json document = parse_json(part, errors);
+    json_reader in(document, "", errors);
+    in.integer("format", state_format, state_format);
+    log_offset since(in.integer("since", 0, INT64_MAX));
+    log_offset through(in.integer("through", 0, INT64_MAX));
+    ticket_number last(in.integer("last_ticket", 0, INT64_MAX));
+    std::int64_t number = in.integer("part", 0, most_parts);
+    std::int64_t parts = in.integer("parts", 1, most_parts);
+    fleet_state& entries = delta_.entries;
+    bool follows = number == next_part_ && number < parts;
+    bool same =
+        number == 0 || (parts == parts_ && since == delta_.since && through == entries.through);
+    if (errors.empty() && !(follows && same))
+    {
+        return bad_part("a part is missing, repeated or of another delta");
+    }
+    read_table(in, "models", errors, entries.models);
+    read_table(in, "adapters", errors, entries.adapters);
+    read_table(in, "workspaces", errors, entries.workspaces);
+    read_table(in, "keys", errors, entries.keys);
+    read_table(in, "routes", errors, entries.routes);
+    read_table(in, "servers", errors, entries.servers);
+    read_accepted(in, errors, entries.accepted);
+    if (!errors.empty())
+    {
+        return bad_part(errors.first());
+    }
+    delta_.since = since;
+    entries.through = through;
+    entries.last_ticket = last;
+    parts_ = parts;
+    ++next_part_;
+    return done{};
+}
+
+} // namespace banyanshunt
--- a/src/state/fleet_state.hpp
+++ b/src/state/fleet_state.hpp
@@ -33,6 +33,19 @@
 template <class Id, class Object>
 using state_table = std::map<Id, std::shared_ptr<const state_entry<Object>>>;
 
+/// What is remembered of an accepted ticket, so that an operator's retry of it is known as such.
+struct accepted_ticket
+{
+    log_offset offset;
+    /// `content_digest` of the record's data.
+    std::string digest;
+    friend bool operator==(const accepted_ticket&, const accepted_ticket&) = default;
+};
+
+/// How many accepted tickets are remembered. A retry of an older one is refused as out of order,
+/// which changes nothing either.
+inline constexpr std::size_t remembered_tickets = 512;
+
 /// The whole state in force after a prefix of the tickets' stream.
 struct fleet_state
 {
@@ -42,6 +55,8 @@
     state_table<key_id, key_object> keys;
     state_table<route_id, route_object> routes;
     state_table<server_id, server_object> servers;
+    /// The newest accepted tickets by number.
+    std::map<ticket_number, accepted_ticket> accepted;
 
     /// The first offset of the tickets' stream that this state does not reflect.
     log_offset through;
@@ -67,6 +82,12 @@
     return &*it->second->value;
 }
 
+/// Forgets all but the newest `remembered_tickets` accepted tickets.
+void forget_old_tickets(fleet_state& state);
+
+/// Whether two states hold equal entries and reflect the same prefix.
+bool same_state(const fleet_state& a, const fleet_state& b);
+
 /// Returns the state in which each object has the entry with the higher offset, and the prefix is
 /// the longer one. Both must come from the same tickets' stream.
 fleet_state merge(const fleet_state& a, const fleet_state& b);
--- a/src/state/state_cell.hpp
+++ b/src/state/state_cell.hpp
@@ -1,9 +1,14 @@
 #pragma once
 
 /// \file
-/// Defines the cell that holds the state in force on this host. One duty writes it, all read it.
+/// Defines the cell that holds the state in force on this host. The duties that follow the log and
+/// the peers write it, all read it.
 
 #include <atomic>
+#include <condition_variable>
+#include <functional>
+#include <mutex>
+#include <vector>
 
 #include "state/fleet_state.hpp"
 #include "state/invariant.hpp"
@@ -15,18 +20,61 @@
 class state_cell
 {
 public:
-    /// Never null; an unknown state before the first `replace`.
+    /// Never null; an unknown state before the first one came.
     fleet_state_ptr get() const { return state_.load(); }
 
-    /// Puts `next` in force. A state never reverts: `next` must reflect at least the old prefix.
+    /// Puts `next` in force if it reflects more than the state in force, and returns whether it
+    /// did. Each state is the exact result of its prefix, so the longer prefix is the newer state.
+    bool advance(fleet_state_ptr next)
+    {
+        std::vector<std::function<void()>> listeners;
+        {
+            std::lock_guard lock(mutex_);
+            if (next->through <= state_.load()->through)
+            {
+                return false;
+            }
+            state_.store(std::move(next));
+            listeners = listeners_;
+        }
+        changed_.notify_all();
+        for (const auto& listener : listeners)
+        {
+            listener();
+        }
+        return true;
+    }
+
+    /// Puts `next` in force where there is one writer only: it must reflect at least the old
+    /// prefix.
     void replace(fleet_state_ptr next)
     {
-        check_invariant(next->through >= state_.load()->through, "the state went back");
-        state_.store(std::move(next));
+        check_invariant(next->through >= get()->through, "the state went back");
+        (void)advance(std::move(next));
+    }
+
+    /// Waits up to `patience` until the state reflects more than the prefix up to `seen`; returns
+    /// the state then in force either way.
+    fleet_state_ptr wait_beyond(log_offset seen, milliseconds patience) const
+    {
+        std::unique_lock lock(mutex_);
+        changed_.wait_for(lock, patience, [&] { return get()->through > seen; });
+        return get();
+    }
+
+    /// Calls `listener` after every change from now on, on the thread that made it. Requests that
+    /// wait are woken this way to check their key again. A listener is never removed.
+    void on_change(std::function<void()> listener)
+    {
+        std::lock_guard lock(mutex_);
+        listeners_.push_back(std::move(listener));
     }
 
 private:
     std::atomic<fleet_state_ptr> state_{std::make_shared<const fleet_state>()};
+    mutable std::mutex mutex_;
+    mutable std::condition_variable changed_;
+    std::vector<std::function<void()>> listeners_;
 };
 
 } // namespace banyanshunt
--- /dev/null
+++ b/src/transport/state_relay.hpp
@@ -0,0 +1,38 @@
+#pragma once
+
+/// \file
+/// Defines the call by which entry hosts exchange heartbeats and deltas of the state, over gRPC.
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "coordination/state_keeper.hpp"
+#include "transport/peer_node.hpp"
+
+namespace banyanshunt
+{
+
+/// Answers heartbeats; called from several threads.
+using exchange_handler = std::function<exchange_answer(const heartbeat&)>;
+
+/// The gRPC service of an entry host.
+class state_relay_service
+{
+public:
+    explicit state_relay_service(exchange_handler handler);
+    ~state_relay_service();
+
+    grpc::Service* service();
+
+private:
+    struct impl;
+    std::unique_ptr<impl> impl_;
+};
+
+/// Sends a heartbeat to the host at `address`. A whole answer must come within `limit`; a delta
+/// that is cut off in the middle is dropped whole.
+verdict<exchange_answer> exchange(peer_channels& channels, const std::string& address,
+                                  const heartbeat& it, milliseconds limit);
+
+} // namespace banyanshunt
