--- a/src/coordination/liveness.cpp
+++ b/src/coordination/liveness.cpp
@@ -12,6 +12,7 @@
         peer.listed = false;
         peer.listed_leaving = false;
     }
+    milliseconds limit = patience();
     for (const auto& host : list)
     {
         host_id id(host.name);
@@ -24,7 +25,7 @@
         peer.domain = host.domain;
         peer.listed = true;
         peer.listed_leaving = host.leaving;
-        if (!peer.heard_within(options_.patience, now))
+        if (!peer.heard_within(limit, now))
         {
             peer.address = host.address;
         }
@@ -72,12 +73,20 @@
     return it == peers_.end() ? nullptr : &it->second;
 }
 
+milliseconds liveness::patience() const
+{
+    auto near = std::count_if(peers_.begin(), peers_.end(),
+                              [&](const auto& it) { return it.second.domain == options_.domain; });
+    return std::max(options_.patience, options_.patience_per_peer * near);
+}
+
 std::vector<peer_view> liveness::live(instant now) const
 {
     std::vector<peer_view> found;
+    milliseconds limit = patience();
     for (const auto& [id, peer] : peers_)
     {
-        if (peer.heard_within(options_.patience, now) && !peer.leaving())
+        if (peer.heard_within(limit, now) && !peer.leaving())
         {
             found.push_back(peer);
         }
--- a/src/coordination/liveness.hpp
+++ b/src/coordination/liveness.hpp
@@ -65,8 +65,11 @@
 {
     /// The host that holds this table; it is never one of the peers.
     host_id self;
-    /// A peer that was not heard for this long does not count as live.
+    domain_id domain;
+    /// A peer that was not heard for this long does not count as live, in a small domain.
     milliseconds patience{2000};
+    /// The patience is at least this for each peer of the domain, as they are heard in turn.
+    milliseconds patience_per_peer{200};
     /// A peer that is neither listed nor was heard for this long is forgotten.
     milliseconds memory{60000};
 };
@@ -93,6 +96,8 @@
     /// Peers worth trying to reach: listed or heard, whether or not they are silent now.
     std::vector<peer_view> reachable() const;
 
+    /// How long a peer may be silent and still count as live.
+    milliseconds patience() const;
     const liveness_options& options() const { return options_; }
 
 private:
--- a/src/coordination/relay_plan.cpp
+++ b/src/coordination/relay_plan.cpp
@@ -70,7 +70,7 @@
                        std::uint64_t seed)
 {
     auto known = peers.reachable();
-    milliseconds patience = peers.options().patience;
+    milliseconds patience = peers.patience();
     relay_round round;
     std::map<domain_id, bool> others;
     for (const auto& peer : known)
--- /dev/null
+++ b/src/coordination/snapshot_store.cpp
@@ -0,0 +1,21 @@
+#include "coordination/snapshot_store.hpp"
+
+#include <fmt/format.h>
+
+namespace banyanshunt
+{
+
+record_id part_id(const snapshot_entry& entry, std::int64_t part)
+{
+    return record_id(fmt::format("{}.{}", entry.name, part));
+}
+
+failure parts_missing(const snapshot_entry& entry)
+{
+    return {.run = run_state::not_run,
+            .code = errc::records_expired,
+            .detail = fmt::format("not all parts of snapshot {} are kept", entry.name),
+            .retry_after = {}};
+}
+
+} // namespace banyanshunt
--- /dev/null
+++ b/src/coordination/snapshot_store.hpp
@@ -0,0 +1,219 @@
+#pragma once
+
+/// \file
+/// Defines how snapshots are kept in the log: their parts in one stream, and for each whole
+/// snapshot a short record in an index stream, so that hosts watch the index and read parts only
+/// when they need a state.
+
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "coordination/log_service.hpp"
+#include "coordination/state_delta.hpp"
+#include "state/errors.hpp"
+#include "state/state_cell.hpp"
+
+namespace banyanshunt
+{
+
+/// The stream of snapshots' parts.
+inline const stream_name snapshots_stream{"state-snapshots"};
+/// The stream with one record for each whole snapshot.
+inline const stream_name snapshot_index_stream{"state-snapshot-index"};
+
+/// Where the parts of one whole snapshot are.
+struct snapshot_entry
+{
+    /// Each part's record id is this, a dot, and the part's number.
+    std::string name;
+    /// All parts are at this offset of `snapshots_stream` or later.
+    log_offset first;
+    std::int64_t parts = 0;
+    /// The prefix of the tickets' stream that the snapshot reflects.
+    log_offset through;
+    friend bool operator==(const snapshot_entry&, const snapshot_entry&) = default;
+};
+
+/// The written forms, which belong to the layer above.
+struct snapshot_codec
+{
+    std::function<std::vector<std::string>(const state_delta&)> encode;
+    std::function<verdict<state_delta>(const std::vector<std::string>&)> decode;
+    std::function<std::string(const snapshot_entry&)> encode_entry;
+    std::function<verdict<snapshot_entry>(const std::string&)> decode_entry;
+};
+
+/// The id of a part's record.
+record_id part_id(const snapshot_entry& entry, std::int64_t part);
+
+/// The failure of reading a snapshot whose parts are not all kept.
+failure parts_missing(const snapshot_entry& entry);
+
+/// Where a stream begins and ends; reading from past the end gives an empty page that tells both.
+template <log_service Log>
+verdict<log_page> stream_bounds(Log& log, const stream_name& stream)
+{
+    return log.read(stream, log_offset(INT64_MAX), 1, milliseconds(0));
+}
+
+/// Writes one snapshot, one record for each call of `step`.
+///
+/// A part whose append may have taken effect is appended again under the same id: readers take the
+/// first record of each id, so the repeat is harmless.
+template <log_service Log>
+class snapshot_writer
+{
+public:
+    snapshot_writer(Log& log, const snapshot_codec& codec, const fleet_state& state,
+                    std::string name)
+        : log_(log), codec_(codec), parts_(codec.encode(changes_since(state, log_offset(0))))
+    {
+        entry_ = {.name = std::move(name),
+                  .first = {},
+                  .parts = static_cast<std::int64_t>(parts_.size()),
+                  .through = state.through};
+    }
+
+    /// Appends the next record; returns whether the snapshot is whole. Fails as the log fails, and
+    /// may then be called again.
+    verdict<bool> step()
+    {
+        if (!bounds_known_)
+        {
+            auto bounds = stream_bounds(log_, snapshots_stream);
+            if (!bounds)
+            {
+                return bounds.error();
+            }
+            entry_.first = bounds->end;
+            bounds_known_ = true;
+        }
+        if (next_ < entry_.parts)
+        {
+            return append_part();
+        }
+        log_entry index{.id = record_id(entry_.name), .data = codec_.encode_entry(entry_)};
+        auto appended = log_.append(snapshot_index_stream, std::span(&index, 1));
+        if (!appended)
+        {
+            return appended.error();
+        }
+        return true;
+    }
+
+    const snapshot_entry& entry() const { return entry_; }
+
+private:
+    verdict<bool> append_part()
+    {
+        log_entry part{.id = part_id(entry_, next_),
+                       .data = parts_[static_cast<std::size_t>(next_)]};
+        auto appended = log_.append(snapshots_stream, std::span(&part, 1));
+        if (!appended)
+        {
+            return appended.error();
+        }
+        ++next_;
+        return false;
+    }
+
+    Log& log_;
+    const snapshot_codec& codec_;
+    std::vector<std::string> parts_;
+    snapshot_entry entry_;
+    std::int64_t next_ = 0;
+    bool bounds_known_ = false;
+};
+
+/// Reads the entries of the newest whole snapshots, the newest first.
+template <log_service Log>
+verdict<std::vector<snapshot_entry>> newest_snapshots(Log& log, const snapshot_codec& codec)
+{
+    constexpr std::int64_t tried = 4;
+    auto bounds = stream_bounds(log, snapshot_index_stream);
+    if (!bounds)
+    {
+        return bounds.error();
+    }
+    log_offset from(std::max(bounds->first_kept.count(), bounds->end.count() - tried));
+    auto page = log.read(snapshot_index_stream, from, tried, milliseconds(0));
+    if (!page)
+    {
+        return page.error();
+    }
+    std::vector<snapshot_entry> found;
+    for (auto it = page->records.rbegin(); it != page->records.rend(); ++it)
+    {
+        auto entry = codec.decode_entry(it->data);
+        if (entry)
+        {
+            found.push_back(std::move(entry).value());
+        }
+    }
+    return found;
+}
+
+/// Reads the state of one snapshot. Fails with `errc::records_expired` when a part is not kept.
+template <log_service Log>
+verdict<fleet_state> read_snapshot(Log& log, const snapshot_codec& codec,
+                                   const snapshot_entry& entry)
+{
+    constexpr std::size_t parts_in_page = 8;
+    std::vector<std::string> parts;
+    log_offset from = entry.first;
+    while (static_cast<std::int64_t>(parts.size()) < entry.parts)
+    {
+        auto page = log.read(snapshots_stream, from, parts_in_page, milliseconds(0));
+        if (!page)
+        {
+            return page.error();
+        }
+        if (page->records.empty())
+        {
+            return parts_missing(entry);
+        }
+        for (const auto& record : page->records)
+        {
+            from = record.offset + log_offset(1);
+            if (record.id == part_id(entry, static_cast<std::int64_t>(parts.size())))
+            {
+                parts.push_back(record.data);
+            }
+        }
+    }
+    auto delta = codec.decode(parts);
+    if (!delta)
+    {
+        return delta.error();
+    }
+    return delta->entries;
+}
+
+/// Puts the newest readable snapshot in force if it is newer than the state in force; returns
+/// whether it did.
+template <log_service Log>
+verdict<bool> load_snapshot(Log& log, const snapshot_codec& codec, state_cell& cell)
+{
+    auto entries = newest_snapshots(log, codec);
+    if (!entries)
+    {
+        return entries.error();
+    }
+    for (const auto& entry : *entries)
+    {
+        if (entry.through <= cell.get()->through)
+        {
+            continue;
+        }
+        auto state = read_snapshot(log, codec, entry);
+        if (state)
+        {
+            return cell.advance(std::make_shared<const fleet_state>(std::move(state).value()));
+        }
+    }
+    return false;
+}
+
+} // namespace banyanshunt
--- a/src/coordination/state_keeper.cpp
+++ b/src/coordination/state_keeper.cpp
@@ -4,7 +4,8 @@
 {
 
 state_keeper::state_keeper(const state_keeper_options& options)
-    : options_(options), peers_({.self = options.host, .patience = options.peer_patience})
+    : options_(options),
+      peers_({.self = options.host, .domain = options.domain, .patience = options.peer_patience})
 {
 }
 
--- a/src/entry/entry_settings.cpp
+++ b/src/entry/entry_settings.cpp
@@ -12,6 +12,7 @@
     it.host = read_host_settings(file);
     it.platform = read_platform_settings(file);
     it.peer_keys = read_peer_keys(read_peer_settings(file), file);
+    it.state = read_state_settings(file);
     it.listen = file.address("callers", "listen");
     it.peer_listen = file.address("peers", "listen");
     it.admin_listen = file.address("admin", "listen");
--- a/src/entry/entry_settings.hpp
+++ b/src/entry/entry_settings.hpp
@@ -5,6 +5,7 @@
 
 #include <optional>
 
+#include "entry/state_settings.hpp"
 #include "protocol/peer_settings.hpp"
 #include "transport/peer_node.hpp"
 
@@ -16,6 +17,7 @@
     host_settings host;
     platform_settings platform;
     std::optional<peer_credentials> peer_keys;
+    state_settings state;
 
     /// Where callers come in.
     std::string listen;
--- a/src/entry/state_part.cpp
+++ b/src/entry/state_part.cpp
@@ -3,6 +3,7 @@
 #include "coordination/random_source.hpp"
 #include "protocol/ticket_codec.hpp"
 #include "state/duty_thread.hpp"
+#include "state/errors.hpp"
 #include "state/log_line.hpp"
 
 namespace banyanshunt
@@ -31,6 +32,7 @@
     duty_thread hosts;
     duty_thread near;
     duty_thread far;
+    duty_thread snapshots;
 };
 
 state_part::state_part(const entry_settings& settings, http_client& http, peer_channels& channels,
@@ -38,10 +40,12 @@
     : settings_(settings), channels_(channels), counters_(counters),
       told_list_(std::move(told_list)), keeper_({.host = host_id(settings.host.name),
                                                  .life = new_incarnation(),
-                                                 .domain = domain_id(settings.host.domain)}),
+                                                 .domain = domain_id(settings.host.domain),
+                                                 .peer_patience = settings.state.peer_patience}),
       log_(http, settings.platform.log, settings.platform.patience),
       hosts_(http, settings.platform.hosts),
       follower_(log_, keeper_.cell(), decode_ticket, [this](const auto& it) { note_ticket(it); }),
+      snapshots_(log_, keeper_, counters, settings.state.snapshots),
       service_([this](const heartbeat& it) { return keeper_.answer(it, boot_clock().now()); }),
       plan_({.self = host_id(settings.host.name), .domain = domain_id(settings.host.domain)})
 {
@@ -60,7 +64,8 @@
     duties_.reset(new duties{.tickets = duty_thread([this] { return follow_tickets(); }),
                              .hosts = duty_thread([this] { return follow_hosts(); }),
                              .near = duty_thread([this] { return exchange_near(); }),
-                             .far = duty_thread([this] { return exchange_far(); })});
+                             .far = duty_thread([this] { return exchange_far(); }),
+                             .snapshots = duty_thread([this] { return snapshots_.step(); })});
 }
 
 void state_part::leave()
@@ -91,18 +96,42 @@
     counters_.count("banyanshunt_tickets_total", {{"result", "accepted"}});
 }
 
-milliseconds state_part::follow_tickets()
+// A start, and a read whose records have expired, begin with the newest snapshot.
+verdict<done> state_part::read_tickets()
 {
+    if (snapshot_wanted_)
+    {
+        auto loaded = load_snapshot(log_, json_snapshot_codec(), keeper_.cell());
+        if (!loaded)
+        {
+            return loaded.error();
+        }
+        snapshot_wanted_ = false;
+        if (*loaded)
+        {
+            log_change("state_from_snapshot", "ticket={}",
+                       keeper_.cell().get()->last_ticket.count());
+        }
+    }
     instant asked = boot_clock().now();
     auto step = follower_.step(log_wait);
-    bool heard = step.has_value();
-    if (heard)
+    if (!step)
     {
-        keeper_.confirm(step->end, asked);
+        snapshot_wanted_ = step.error().code == errc::records_expired;
+        return step.error();
     }
+    keeper_.confirm(step->end, asked);
+    return done{};
+}
+
+milliseconds state_part::follow_tickets()
+{
+    auto read = read_tickets();
+    bool heard = read.has_value();
     if (heard != log_heard_)
     {
-        log_change(heard ? "log_heard" : "log_silent", "address={}", settings_.platform.log);
+        log_change(heard ? "log_heard" : "log_silent", "address={} reason={}",
+                   settings_.platform.log, heard ? "none" : read.error().code.message());
         log_heard_ = heard;
     }
     return heard ? milliseconds(0) : failed_read_pause;
--- a/src/entry/state_part.hpp
+++ b/src/entry/state_part.hpp
@@ -10,6 +10,7 @@
 #include "coordination/relay_plan.hpp"
 #include "coordination/state_follower.hpp"
 #include "entry/entry_settings.hpp"
+#include "entry/snapshot_duty.hpp"
 #include "transport/metrics.hpp"
 #include "transport/platform_clients.hpp"
 #include "transport/state_relay.hpp"
@@ -51,6 +52,7 @@
 
     void note_ticket(const ticket_outcome& it);
     milliseconds follow_tickets();
+    verdict<done> read_tickets();
     milliseconds follow_hosts();
     milliseconds exchange_near();
     milliseconds exchange_far();
@@ -65,11 +67,13 @@
     http_log_service log_;
     http_host_list hosts_;
     state_follower<http_log_service> follower_;
+    snapshot_duty snapshots_;
     state_relay_service service_;
     relay_plan_options plan_;
     std::vector<std::string> near_;
     std::vector<std::string> far_;
     bool log_heard_ = true;
+    bool snapshot_wanted_ = true;
     std::unique_ptr<duties> duties_;
 };
 
--- /dev/null
+++ b/src/protocol/snapshot_codec.cpp
@@ -0,0 +1,81 @@
+#include "protocol/snapshot_codec.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include "protocol/json_reader.hpp"
+#include "protocol/state_codec.hpp"
+
+namespace banyanshunt
+{
+namespace
+{
+
+constexpr std::int64_t index_format = 1;
+constexpr std::size_t longest_snapshot_name = 128;
+constexpr std::int64_t most_parts = 1'000'000;
+
+failure bad_record(std::string detail)
+{
+    return {.run = run_state::not_run,
+            .code = errc::bad_answer,
+            .detail = std::move(detail),
+            .retry_after = {}};
+}
+
+verdict<state_delta> decode_parts(const std::vector<std::string>& parts)
+{
+    delta_joiner joiner;
+    for (const auto& part : parts)
+    {
+        auto added = joiner.add(part);
+        if (!added)
+        {
+            return added.error();
+        }
+    }
+    if (!joiner.whole() || joiner.delta().since.count() != 0)
+    {
+        return bad_record("the snapshot is not whole");
+    }
+    return joiner.delta();
+}
+
+std::string encode_entry(const snapshot_entry& it)
+{
+    nlohmann::json out = {{"format", index_format},
+                          {"name", it.name},
+                          {"first", it.first.count()},
+                          {"parts", it.parts},
+                          {"through", it.through.count()}};
+    return out.dump();
+}
+
+verdict<snapshot_entry> decode_entry(const std::string& text)
+{
+    json_errors errors;
+    nlohmann::json document = parse_json(text, errors);
+    json_reader in(document, "", errors);
+    in.integer("format", index_format, index_format);
+    snapshot_entry it{.name = in.text("name", longest_snapshot_name),
+                      .first = log_offset(in.integer("first", 0, INT64_MAX)),
+                      .parts = in.integer("parts", 1, most_parts),
+                      .through = log_offset(in.integer("through", 1, INT64_MAX))};
+    if (!errors.empty())
+    {
+        return bad_record(errors.first());
+    }
+    return it;
+}
+
+} // namespace
+
+const snapshot_codec& json_snapshot_codec()
+{
+    static const snapshot_codec it{.encode = encode_delta,
+                                   .decode = decode_parts,
+                                   .encode_entry = encode_entry,
+                                   .decode_entry = decode_entry};
+    return it;
+}
+
+} // namespace banyanshunt
--- a/src/state/state_cell.hpp
+++ b/src/state/state_cell.hpp
@@ -11,7 +11,7 @@
 #include <vector>
 
 #include "state/fleet_state.hpp"
-#include "state/invariant.hpp"
+#include "state/units.hpp"
 
 namespace banyanshunt
 {
@@ -25,50 +25,19 @@
 
     /// Puts `next` in force if it reflects more than the state in force, and returns whether it
     /// did. Each state is the exact result of its prefix, so the longer prefix is the newer state.
-    bool advance(fleet_state_ptr next)
-    {
-        std::vector<std::function<void()>> listeners;
-        {
-            std::lock_guard lock(mutex_);
-            if (next->through <= state_.load()->through)
-            {
-                return false;
-            }
-            state_.store(std::move(next));
-            listeners = listeners_;
-        }
-        changed_.notify_all();
-        for (const auto& listener : listeners)
-        {
-            listener();
-        }
-        return true;
-    }
+    bool advance(fleet_state_ptr next);
 
     /// Puts `next` in force where there is one writer only: it must reflect at least the old
     /// prefix.
-    void replace(fleet_state_ptr next)
-    {
-        check_invariant(next->through >= get()->through, "the state went back");
-        (void)advance(std::move(next));
-    }
+    void replace(fleet_state_ptr next);
 
     /// Waits up to `patience` until the state reflects more than the prefix up to `seen`; returns
     /// the state then in force either way.
-    fleet_state_ptr wait_beyond(log_offset seen, milliseconds patience) const
-    {
-        std::unique_lock lock(mutex_);
-        changed_.wait_for(lock, patience, [&] { return get()->through > seen; });
-        return get();
-    }
+    fleet_state_ptr wait_beyond(log_offset seen, milliseconds patience) const;
 
     /// Calls `listener` after every change from now on, on the thread that made it. Requests that
     /// wait are woken this way to check their key again. A listener is never removed.
-    void on_change(std::function<void()> listener)
-    {
-        std::lock_guard lock(mutex_);
-        listeners_.push_back(std::move(listener));
-    }
+    void on_change(std::function<void()> listener);
 
 private:
     std::atomic<fleet_state_ptr> state_{std::make_shared<const fleet_state>()};
--- /dev/null
+++ b/tests/correctness/snapshot_test.cpp
@@ -0,0 +1,220 @@
+/// \file
+/// Snapshots outlive the tickets they were made from, through lost answers and expiry.
+
+#include <set>
+
+#include <catch2/catch.hpp>
+#include <fmt/format.h>
+
+#include "coordination/snapshot_schedule.hpp"
+#include "coordination/state_follower.hpp"
+#include "protocol/snapshot_codec.hpp"
+#include "protocol/ticket_codec.hpp"
+#include "stand_ins/memory_log.hpp"
+#include "stand_ins/ticket_text.hpp"
+
+using namespace banyanshunt;
+
+namespace
+{
+
+void publish(memory_log& log, int number, const std::string& model)
+{
+    std::string text = ticket_text(
+        number,
+        {{"models", fmt::format(R"("{}":{{"version":"v1","memory_mib":9,"replicas":1}})", model)}});
+    log_entry entry{.id = record_id("t"), .data = text};
+    REQUIRE(log.append(tickets_stream, std::span(&entry, 1)));
+}
+
+fleet_state follow(memory_log& log, state_cell& cell)
+{
+    state_follower<memory_log> follower(log, cell, decode_ticket, [](const auto&) {});
+    REQUIRE(follower.step(milliseconds(0)));
+    return *cell.get();
+}
+
+// Writes a whole snapshot, calling again after each failure; returns how many calls failed.
+int write_snapshot(memory_log& log, const fleet_state& state, const std::string& name)
+{
+    snapshot_writer<memory_log> writer(log, json_snapshot_codec(), state, name);
+    int failed = 0;
+    while (true)
+    {
+        auto whole = writer.step();
+        failed += whole ? 0 : 1;
+        if (whole && *whole)
+        {
+            return failed;
+        }
+    }
+}
+
+// A state whose snapshot has several parts.
+fleet_state large_state(memory_log& log, state_cell& cell)
+{
+    constexpr int models = 4000;
+    std::string names;
+    for (int i = 0; i < models; ++i)
+    {
+        names += fmt::format(R"({}"m{}":{{"version":"v1","memory_mib":9,"replicas":1}})",
+                             i ? "," : "", i);
+    }
+    log_entry entry{.id = record_id("t"), .data = ticket_text(1, {{"models", names}})};
+    REQUIRE(log.append(tickets_stream, std::span(&entry, 1)));
+    return follow(log, cell);
+}
+
+} // namespace
+
+TEST_CASE("a host that starts after the tickets expired finds the whole state")
+{
+    memory_log log;
+    state_cell cell;
+    auto state = large_state(log, cell);
+
+    SECTION("from a snapshot written while all is well")
+    {
+        CHECK(write_snapshot(log, state, "a") == 0);
+    }
+    SECTION("from one whose appends were lost, repeated, or refused")
+    {
+        log.faults().set({{.call = "append", .first = 2, .kind = fault_kind::lose_answer},
+                          {.call = "append", .first = 3, .kind = fault_kind::repeat},
+                          {.call = "append", .first = 4, .kind = fault_kind::refuse}});
+        CHECK(write_snapshot(log, state, "a") >= 1);
+    }
+    SECTION("from two that were written across each other")
+    {
+        snapshot_writer<memory_log> a(log, json_snapshot_codec(), state, "a");
+        snapshot_writer<memory_log> b(log, json_snapshot_codec(), state, "b");
+        bool a_whole = false;
+        bool b_whole = false;
+        while (!a_whole || !b_whole)
+        {
+            a_whole = a_whole || *a.step();
+            b_whole = b_whole || *b.step();
+        }
+    }
+    SECTION("from an older one when the newest lost its parts")
+    {
+        write_snapshot(log, state, "a");
+        snapshot_entry broken{
+            .name = "b", .first = log_offset(1000), .parts = 2, .through = log_offset(9)};
+        log_entry index{.id = record_id("b"), .data = json_snapshot_codec().encode_entry(broken)};
+        REQUIRE(log.append(snapshot_index_stream, std::span(&index, 1)));
+    }
+
+    state_cell fresh;
+    auto loaded = load_snapshot(log, json_snapshot_codec(), fresh);
+    REQUIRE(loaded);
+    CHECK(*loaded);
+    CHECK(same_state(*fresh.get(), state));
+}
+
+TEST_CASE(
+    "a reader that was away longer than the retention does not resume as if nothing was missed")
+{
+    memory_log log;
+    publish(log, 1, "one");
+    state_cell away;
+    auto before = follow(log, away);
+    publish(log, 2, "two");
+    publish(log, 3, "three");
+    state_cell other;
+    auto state = follow(log, other);
+    state_follower<memory_log> follower(log, away, decode_ticket, [](const auto&) {});
+
+    SECTION("without a snapshot it is told, and keeps what it has")
+    {
+        log.expire_all_but(1);
+        auto step = follower.step(milliseconds(0));
+        REQUIRE_FALSE(step);
+        CHECK(step.error().code == errc::records_expired);
+        CHECK_FALSE(*load_snapshot(log, json_snapshot_codec(), away));
+        CHECK(same_state(*away.get(), before));
+    }
+    SECTION("with one it comes to the same state as those who were there")
+    {
+        write_snapshot(log, state, "a");
+        log.expire_all_but(1);
+        CHECK_FALSE(follower.step(milliseconds(0)));
+        REQUIRE(*load_snapshot(log, json_snapshot_codec(), away));
+        REQUIRE(follower.step(milliseconds(0)));
+        CHECK(same_state(*away.get(), state));
+    }
+    SECTION("an older snapshot never takes the state back")
+    {
+        write_snapshot(log, before, "old");
+        CHECK_FALSE(*load_snapshot(log, json_snapshot_codec(), other));
+        CHECK(same_state(*other.get(), state));
+    }
+}
+
+TEST_CASE("a log that ends before what was read from it is not believed")
+{
+    memory_log log;
+    publish(log, 1, "one");
+    state_cell cell;
+    follow(log, cell);
+    memory_log emptied;
+    state_follower<memory_log> follower(emptied, cell, decode_ticket, [](const auto&) {});
+    auto step = follower.step(milliseconds(0));
+    REQUIRE_FALSE(step);
+    CHECK(step.error().code == errc::bad_answer);
+}
+
+TEST_CASE("one host writes the snapshots, and others only when it does not")
+{
+    test_clock clock;
+    snapshot_options options{.interval = seconds(100),
+                             .records = 50,
+                             .shortest_interval = seconds(10),
+                             .backup_delay = seconds(5)};
+    snapshot_schedule schedule(options, clock.now());
+    schedule.note(log_offset(10), clock.now());
+
+    SECTION("when the interval has passed, the first before its backups")
+    {
+        clock.advance(seconds(99));
+        CHECK_FALSE(schedule.due(log_offset(11), 0, clock.now()));
+        clock.advance(seconds(1));
+        CHECK(schedule.due(log_offset(11), 0, clock.now()));
+        CHECK_FALSE(schedule.due(log_offset(11), 1, clock.now()));
+        clock.advance(seconds(5));
+        CHECK(schedule.due(log_offset(11), 1, clock.now()));
+        CHECK_FALSE(schedule.due(log_offset(11), snapshot_writers, clock.now()));
+    }
+    SECTION("even when nothing changed, as the last snapshot expires too")
+    {
+        clock.advance(seconds(100));
+        CHECK(schedule.due(log_offset(10), 0, clock.now()));
+    }
+    SECTION("earlier after many records, but not faster than the shortest interval")
+    {
+        CHECK_FALSE(schedule.due(log_offset(60), 0, clock.now()));
+        clock.advance(seconds(10));
+        CHECK(schedule.due(log_offset(60), 0, clock.now()));
+        CHECK_FALSE(schedule.due(log_offset(59), 0, clock.now()));
+    }
+    SECTION("hosts that are listed alike rank alike, each at another place")
+    {
+        std::set<std::size_t> ranks;
+        for (int i = 0; i < 9; ++i)
+        {
+            host_id self(fmt::format("h{}", i));
+            liveness peers({.self = self, .domain = domain_id("d")});
+            std::vector<listed_host> list;
+            for (int j = 0; j < 9; ++j)
+            {
+                list.push_back({.name = fmt::format("h{}", j),
+                                .role = "entry",
+                                .domain = domain_id("d"),
+                                .address = "a"});
+            }
+            peers.take_list(list, clock.now());
+            ranks.insert(snapshot_rank(self, peers, clock.now()));
+        }
+        CHECK(ranks.size() == 9);
+    }
+}
--- /dev/null
+++ b/tests/stand_ins/cut_log.hpp
@@ -0,0 +1,44 @@
+#pragma once
+
+/// \file
+/// Defines one host's view of a shared log in memory, which a test can cut off.
+
+#include "stand_ins/memory_log.hpp"
+#include "state/errors.hpp"
+
+namespace banyanshunt
+{
+
+/// A log service that refuses while `cut` is set.
+class cut_log
+{
+public:
+    explicit cut_log(memory_log& log) : log_(log) {}
+
+    verdict<log_offset> append(const stream_name& stream, std::span<const log_entry> batch)
+    {
+        return cut ? verdict<log_offset>(refusal()) : log_.append(stream, batch);
+    }
+    verdict<log_page> read(const stream_name& stream, log_offset from, std::size_t limit,
+                           milliseconds wait)
+    {
+        return cut ? verdict<log_page>(refusal()) : log_.read(stream, from, limit, wait);
+    }
+
+    bool cut = false;
+
+private:
+    static failure refusal()
+    {
+        return {.run = run_state::not_run,
+                .code = errc::unavailable,
+                .detail = "cut off from the log",
+                .retry_after = {}};
+    }
+
+    memory_log& log_;
+};
+
+static_assert(log_service<cut_log>);
+
+} // namespace banyanshunt
