Request handling takes any token source

The handler named fixed_shares, so another owner of shares could not stand in its place. It now holds any_token_source, a reference behind the token_source concept.

--- a/src/entry/request_handler.hpp
+++ b/src/entry/request_handler.hpp
@@ -6,12 +6,13 @@
 #include <atomic>
 
 #include "coordination/admission.hpp"
+#include "coordination/any_token_source.hpp"
 #include "coordination/completion_run.hpp"
-#include "coordination/fixed_shares.hpp"
 #include "coordination/replica_board.hpp"
 #include "entry/answer_stream.hpp"
 #include "entry/entry_settings.hpp"
 #include "protocol/completion_codec.hpp"
+#include "state/state_cell.hpp"
 #include "transport/backend_clients.hpp"
 #include "transport/http_server.hpp"
 #include "transport/metrics.hpp"
@@ -24,7 +25,7 @@
 {
     const entry_settings& settings;
     const state_cell& state;
-    fixed_shares& shares;
+    any_token_source shares;
     replica_board& board;
     http_model_engine& engine;
     http_plain_service& service;
