Transport: bounded connections, own connection for calls that may not repeat, listed headers

Cause: the library's pool queued connections beyond its threads without bound; a kept connection gone silent could swallow a call that must not be repeated; tokens of other requests kept a silent answer alive; an engine's 408 was taken for a sure refusal. Change: a worker pool that refuses what finds no thread in time, idle connections that make way, a loop of our own over a connection's requests (it also tells whether the caller has closed its side), calls on a connection of their own, idle connections to a silent address dropped, progress counted by this answer's tokens, an end checked against the count of tokens, header lists both ways.

--- a/src/coordination/plain_service.hpp
+++ b/src/coordination/plain_service.hpp
@@ -29,6 +29,9 @@
     std::string path;
     std::vector<http_field> headers;
     std::string body;
+    /// A call that may not run twice is sent on a connection of its own: on one that was kept, a
+    /// loss before the service read anything cannot be told from one after it.
+    bool repeatable = false;
 };
 
 /// The service's own answer, whatever its status.
@@ -37,6 +40,7 @@
     int status = 0;
     std::string content_type;
     std::string body;
+    std::vector<http_field> headers = {};
 };
 
 /// A client of plain services, by address (IP and port).
--- a/src/protocol/completion_codec.cpp
+++ b/src/protocol/completion_codec.cpp
@@ -83,9 +83,15 @@
     return {{"error", error}};
 }
 
+// Text from callers and engines may hold bytes that are not UTF-8; they are replaced.
+std::string text_of(const json& data)
+{
+    return data.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
 std::string event(const json& data)
 {
-    return "data: " + data.dump() + "\n\n";
+    return "data: " + text_of(data) + "\n\n";
 }
 
 } // namespace
@@ -117,7 +123,7 @@
     choice["finish_reason"] = end.finish_reason;
     out["choices"] = json::array({choice});
     out["usage"] = usage_of(end);
-    return out.dump();
+    return text_of(out);
 }
 
 std::string encode_chunk(const answer_header& header, const std::string& text)
@@ -144,7 +150,7 @@
 
 std::string encode_failure(const failure& why)
 {
-    return failure_json(why).dump();
+    return text_of(failure_json(why));
 }
 
 int status_of(const failure& why)
@@ -163,6 +169,8 @@
     case errc::not_found:
         return 404;
     case errc::idempotency_mismatch:
+    case errc::already_claimed:
+    case errc::already_ran:
         return 409;
     case errc::over_rate:
         return 429;
--- a/src/state/errors.cpp
+++ b/src/state/errors.cpp
@@ -33,6 +33,8 @@
     "cancelled",
     "ticket_malformed",
     "ticket_out_of_order",
+    "already_claimed",
+    "already_ran",
 };
 
 class category final : public std::error_category
--- a/src/state/errors.hpp
+++ b/src/state/errors.hpp
@@ -58,6 +58,10 @@
     ticket_malformed,
     /// A ticket's number was passed or taken by another.
     ticket_out_of_order,
+    /// A call with this idempotency key is under way, or its outcome is unknown.
+    already_claimed,
+    /// A call with this idempotency key ran, and its answer is not kept.
+    already_ran,
 };
 
 const std::error_category& banyanshunt_category();
--- a/src/transport/backend_clients.cpp
+++ b/src/transport/backend_clients.cpp
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 
 #include "protocol/platform_codec.hpp"
+#include "state/clock.hpp"
 #include "state/errors.hpp"
 #include "transport/event_stream.hpp"
 
@@ -11,11 +12,19 @@
 namespace
 {
 
-// An engine refuses a request or an order before it acts on it, with a 4xx, 503 or 507.
+constexpr milliseconds cancel_patience(300);
+
+// An engine refuses a request or an order before it acts on it, with one of these. A 408 or a 5xx
+// other than these says nothing about what was done before it.
+bool refuses_before_acting(int status)
+{
+    bool client_error = status >= 400 && status < 500 && status != 408;
+    return client_error || status == 503 || status == 507;
+}
+
 failure refusal_of(const http_answer& answer, const http_call& call)
 {
-    bool refused = (answer.status >= 400 && answer.status < 500) || answer.status == 503 ||
-                   answer.status == 507;
+    bool refused = refuses_before_acting(answer.status);
     errc code = errc::unavailable;
     if (answer.status == 409)
     {
@@ -67,6 +76,7 @@
     std::optional<completion_end> end;
     std::optional<failure> broken;
     bool stopped = false;
+    instant last_token = boot_clock().now();
     auto take = [&](const engine_event& event)
     {
         if (event.token.id != id || event.token.position < position || end)
@@ -79,8 +89,15 @@
                 fmt::format("token {} came in place of {}", event.token.position, position));
             return false;
         }
+        last_token = boot_clock().now();
         if (event.end)
         {
+            if (event.end->answer_tokens != position)
+            {
+                broken = broken_stream(fmt::format("an end after {} tokens came at token {}",
+                                                   event.end->answer_tokens, position));
+                return false;
+            }
             end = event.end;
             return true;
         }
@@ -88,6 +105,19 @@
         stopped = !sink(event.token);
         return !stopped;
     };
+    // Late and crossed tokens keep a connection busy without bringing the answer on.
+    auto may_go_on = [&]
+    {
+        if (events.too_long())
+        {
+            broken = broken_stream("an event is too long");
+        }
+        else if (!end && boot_clock().now() - last_token > call.silence)
+        {
+            broken = broken_stream("no token of this answer came in time");
+        }
+        return !broken;
+    };
     auto answer = http_.stream(call,
                                [&](std::string_view piece)
                                {
@@ -104,7 +134,7 @@
                                            return false;
                                        }
                                    }
-                                   return true;
+                                   return may_go_on();
                                });
     if (end)
     {
@@ -164,7 +194,9 @@
                    .method = "DELETE",
                    .path = "/engine/completions/" + id.str(),
                    .headers = {},
-                   .body = {}};
+                   .body = {},
+                   .connect_timeout = cancel_patience,
+                   .silence = cancel_patience};
     return expect_ok(http_.send(call), call);
 }
 
@@ -218,7 +250,9 @@
                       .path = it.path,
                       .headers = it.headers,
                       .body = it.body,
-                      .silence = limit};
+                      .content_type = "application/octet-stream",
+                      .silence = limit,
+                      .own_connection = !it.repeatable};
     auto answer = http_.send(request);
     if (!answer)
     {
@@ -226,7 +260,8 @@
     }
     return service_answer{.status = answer->status,
                           .content_type = answer->content_type,
-                          .body = std::move(answer->body)};
+                          .body = std::move(answer->body),
+                          .headers = std::move(answer->headers)};
 }
 
 } // namespace banyanshunt
--- a/src/transport/event_stream.cpp
+++ b/src/transport/event_stream.cpp
@@ -1,5 +1,8 @@
 #include "transport/event_stream.hpp"
 
+#include <algorithm>
+#include <iterator>
+
 namespace banyanshunt
 {
 namespace
@@ -28,7 +31,8 @@
 
 std::vector<std::string> event_stream_reader::feed(std::string_view piece)
 {
-    pending_ += piece;
+    std::copy_if(piece.begin(), piece.end(), std::back_inserter(pending_),
+                 [](char c) { return c != '\r'; });
     std::vector<std::string> events;
     for (auto end = pending_.find(event_end); end != std::string::npos;
          end = pending_.find(event_end))
--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -6,6 +6,7 @@
 #include <fmt/format.h>
 #include <httplib.h>
 
+#include "state/clock.hpp"
 #include "state/errors.hpp"
 
 namespace banyanshunt
@@ -13,7 +14,11 @@
 namespace
 {
 
-constexpr std::size_t idle_connections_kept = 16;
+constexpr std::size_t idle_connections_kept = 64;
+constexpr milliseconds longest_idle(2000);
+
+// Nothing was written to a connection that was not made; after any other error the other side may
+// have read the whole call.
 
 failure failure_of(httplib::Error error, const http_call& call)
 {
@@ -39,7 +44,10 @@
     if (!call.body.empty())
     {
         request.body = call.body;
-        request.headers.emplace("Content-Type", call.content_type);
+        if (request.headers.count("Content-Type") == 0)
+        {
+            request.headers.emplace("Content-Type", call.content_type);
+        }
     }
     return request;
 }
@@ -48,37 +56,55 @@
 
 struct http_client::pool
 {
+    struct idle_connection
+    {
+        std::unique_ptr<httplib::Client> client;
+        instant since;
+    };
+
     std::mutex mutex;
-    std::map<std::string, std::vector<std::unique_ptr<httplib::Client>>> idle;
+    std::map<std::string, std::vector<idle_connection>> idle;
 
-    std::unique_ptr<httplib::Client> take(const std::string& address)
+    std::unique_ptr<httplib::Client> take(const http_call& call)
     {
+        if (!call.own_connection)
         {
             std::lock_guard lock(mutex);
-            auto& kept = idle[address];
-            if (!kept.empty())
+            auto& kept = idle[call.address];
+            if (!kept.empty() && boot_clock().now() - kept.back().since < longest_idle)
             {
-                auto client = std::move(kept.back());
+                auto client = std::move(kept.back().client);
                 kept.pop_back();
                 return client;
             }
+            kept.clear();
         }
-        auto client = std::make_unique<httplib::Client>("http://" + address);
-        client->set_keep_alive(true);
+        auto client = std::make_unique<httplib::Client>("http://" + call.address);
+        client->set_keep_alive(!call.own_connection);
         client->set_follow_location(false);
         client->set_tcp_nodelay(true);
         return client;
     }
 
-    void give_back(const std::string& address, std::unique_ptr<httplib::Client> client)
+    void give_back(const http_call& call, std::unique_ptr<httplib::Client> client)
     {
+        if (call.own_connection)
+        {
+            return;
+        }
         std::lock_guard lock(mutex);
-        auto& kept = idle[address];
+        auto& kept = idle[call.address];
         if (kept.size() < idle_connections_kept)
         {
-            kept.push_back(std::move(client));
+            kept.push_back({.client = std::move(client), .since = boot_clock().now()});
         }
     }
+
+    void forget(const std::string& address)
+    {
+        std::lock_guard lock(mutex);
+        idle.erase(address);
+    }
 };
 
 http_client::http_client() : pool_(std::make_unique<pool>()) {}
@@ -99,29 +125,37 @@
     {
         return failure_of(error, call);
     }
-    return http_answer{.status = response.status,
+    http_answer answer{.status = response.status,
                        .content_type = response.get_header_value("Content-Type"),
                        .body = std::move(response.body)};
+    for (const auto& [name, value] : response.headers)
+    {
+        answer.headers.push_back({.name = name, .value = value});
+    }
+    return answer;
 }
 
 } // namespace
 
 verdict<http_answer> http_client::send(const http_call& call)
 {
-    auto client = pool_->take(call.address);
+    auto client = pool_->take(call);
     auto answer = exchange(*client, call, request_of(call));
-    if (answer)
+    if (!answer)
     {
-        pool_->give_back(call.address, std::move(client));
+        pool_->forget(call.address);
+        return answer;
     }
+    pool_->give_back(call, std::move(client));
     return answer;
 }
 
 verdict<http_answer> http_client::stream(const http_call& call, const body_sink& sink)
 {
-    auto client = pool_->take(call.address);
+    auto client = pool_->take(call);
     httplib::Request request = request_of(call);
     int status = 0;
+    bool stopped = false;
     std::string refused;
     request.response_handler = [&status](const httplib::Response& response)
     {
@@ -132,7 +166,8 @@
     {
         if (status == 200)
         {
-            return sink(std::string_view(data, size));
+            stopped = !sink(std::string_view(data, size));
+            return !stopped;
         }
         refused.append(data, size);
         return true;
@@ -140,10 +175,14 @@
     auto answer = exchange(*client, call, std::move(request));
     if (!answer)
     {
+        if (!stopped)
+        {
+            pool_->forget(call.address);
+        }
         return answer;
     }
     answer->body = std::move(refused);
-    pool_->give_back(call.address, std::move(client));
+    pool_->give_back(call, std::move(client));
     return answer;
 }
 
--- a/src/transport/http_client.hpp
+++ b/src/transport/http_client.hpp
@@ -28,6 +28,8 @@
     milliseconds connect_timeout{1000};
     /// The longest silence between two pieces of the answer.
     milliseconds silence{10000};
+    /// Whether the call goes out on a new connection, which is closed after it.
+    bool own_connection = false;
 };
 
 struct http_answer
@@ -35,12 +37,17 @@
     int status = 0;
     std::string content_type;
     std::string body;
+    std::vector<http_field> headers = {};
 };
 
 /// Gets each piece of an answer's body; returns false to stop reading.
 using body_sink = std::function<bool(std::string_view)>;
 
 /// Sends calls, keeping idle connections open for the next call to the same address.
+///
+/// An idle connection is kept for a short time only. When a call on one address goes without an
+/// answer, all idle connections to that address are closed: what silenced one may have silenced
+/// the others.
 class http_client
 {
 public:
@@ -49,8 +56,8 @@
     http_client(const http_client&) = delete;
     http_client& operator=(const http_client&) = delete;
 
-    /// Sends the call and returns the whole answer, whatever its status. Fails with `not_run` only
-    /// if no connection was made.
+    /// Sends the call and returns the whole answer, whatever its status. A redirect is an answer
+    /// too. Fails with `not_run` only if no connection was made.
     verdict<http_answer> send(const http_call& call);
 
     /// Sends the call and passes a 200 answer's body to `sink` piece by piece; the returned answer
--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -1,10 +1,15 @@
 #include "transport/http_server.hpp"
 
 #include <algorithm>
+#include <atomic>
 #include <thread>
 
+#include <fmt/format.h>
 #include <httplib.h>
 
+#include "transport/socket_io.hpp"
+#include "transport/worker_pool.hpp"
+
 namespace banyanshunt
 {
 namespace
@@ -17,6 +22,164 @@
     return text;
 }
 
+constexpr milliseconds io_patience(10000);
+constexpr milliseconds idle_look(50);
+constexpr milliseconds refusal_patience(20);
+
+// The connection that this thread serves, and whether it may serve it.
+thread_local int served_socket = -1;
+thread_local bool has_worker = true;
+
+// What the library reads requests from and writes answers to.
+class socket_stream final : public httplib::Stream
+{
+public:
+    explicit socket_stream(int socket) : socket_(socket) {}
+
+    bool is_readable() const override { return wait_readable(socket_, io_patience); }
+    bool is_writable() const override { return !other_end_closed(socket_); }
+    ssize_t read(char* to, std::size_t size) override
+    {
+        if (at_ == filled_)
+        {
+            long n = read_some(socket_, buf_.data(), buf_.size(), io_patience);
+            if (n <= 0)
+            {
+                return n;
+            }
+            at_ = 0;
+            filled_ = static_cast<std::size_t>(n);
+        }
+        std::size_t n = std::min(size, filled_ - at_);
+        std::copy_n(buf_.data() + at_, n, to);
+        at_ += n;
+        return static_cast<ssize_t>(n);
+    }
+    ssize_t write(const char* from, std::size_t size) override
+    {
+        return write_some(socket_, std::string_view(from, size), io_patience);
+    }
+    void get_remote_ip_and_port(std::string& ip, int& port) const override
+    {
+        auto end = remote_end(socket_);
+        ip = end.ip;
+        port = end.port;
+    }
+    void get_local_ip_and_port(std::string& ip, int& port) const override
+    {
+        auto end = local_end(socket_);
+        ip = end.ip;
+        port = end.port;
+    }
+    socket_t socket() const override { return socket_; }
+
+    // Whether bytes of a next request were read along with the last one.
+    bool has_more() const { return at_ < filled_; }
+
+private:
+    static constexpr std::size_t buffer_size = 4096;
+
+    int socket_;
+    std::array<char, buffer_size> buf_{};
+    std::size_t at_ = 0;
+    std::size_t filled_ = 0;
+};
+
+// Hands the library's jobs, one for each connection, to the bounded pool.
+class pool_queue final : public httplib::TaskQueue
+{
+public:
+    explicit pool_queue(worker_pool& pool) : pool_(pool) {}
+
+    void enqueue(std::function<void()> serve) override
+    {
+        auto with_worker = [serve](bool found_worker)
+        {
+            has_worker = found_worker;
+            serve();
+        };
+        if (!pool_.add(with_worker))
+        {
+            with_worker(false);
+        }
+    }
+
+    void shutdown() override { pool_.stop(); }
+
+private:
+    worker_pool& pool_;
+};
+
+// The library's server with a loop of our own over the requests of one connection.
+class connection_server final : public httplib::Server
+{
+public:
+    explicit connection_server(const http_server_options& options)
+        : options_(options), pool_({.threads = options.threads, .patience = options.patience})
+    {
+        new_task_queue = [this] { return new pool_queue(pool_); };
+    }
+
+    std::atomic<bool> draining = false;
+
+private:
+    bool process_and_close_socket(socket_t socket) override
+    {
+        if (!has_worker)
+        {
+            refuse(socket);
+            return false;
+        }
+        served_socket = socket;
+        socket_stream stream(socket);
+        bool good = true;
+        bool closed = false;
+        while (good && !closed && wait_for_request(stream))
+        {
+            good = process_request(stream, draining || stopping(), closed, nullptr);
+            closed = closed || draining;
+        }
+        served_socket = -1;
+        close_after_reading(socket, milliseconds(0));
+        return good;
+    }
+
+    bool stopping() const { return svr_sock_ == INVALID_SOCKET; }
+
+    // A request that has come before a stop is still answered; an idle connection makes way for
+    // one that waits for a thread.
+    bool wait_for_request(const socket_stream& stream) const
+    {
+        instant limit = boot_clock().now() + options_.idle;
+        while (!stream.has_more())
+        {
+            bool last_look = stopping() || pool_.saturated() || boot_clock().now() >= limit;
+            if (wait_readable(stream.socket(), last_look ? milliseconds(0) : idle_look))
+            {
+                return !other_end_closed(stream.socket());
+            }
+            if (last_look)
+            {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    void refuse(int socket) const
+    {
+        write_all(socket,
+                  fmt::format("HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\n"
+                              "Retry-After: 1\r\nContent-Type: {}\r\nContent-Length: {}\r\n\r\n{}",
+                              options_.refusal_type, options_.refusal.size(), options_.refusal),
+                  refusal_patience);
+        close_after_reading(socket, refusal_patience);
+    }
+
+    http_server_options options_;
+    worker_pool pool_;
+};
+
 http_request request_of(const httplib::Request& from)
 {
     http_request request{.method = from.method,
@@ -24,7 +187,9 @@
                          .target = from.target,
                          .query = {},
                          .headers = {},
-                         .body = from.body};
+                         .body = from.body,
+                         .caller_gone = [socket = served_socket]
+                         { return other_end_closed(socket); }};
     for (const auto& [name, value] : from.params)
     {
         request.query.emplace(name, value);
@@ -82,19 +247,18 @@
 
 struct http_server::impl
 {
-    httplib::Server server;
+    explicit impl(const http_server_options& options) : server(options) {}
+
+    connection_server server;
     std::thread listener;
 };
 
-http_server::http_server(const http_server_options& options) : impl_(std::make_unique<impl>())
+http_server::http_server(const http_server_options& options)
+    : impl_(std::make_unique<impl>(options))
 {
     auto& server = impl_->server;
-    server.new_task_queue = [n = options.threads] { return new httplib::ThreadPool(n); };
     server.set_payload_max_length(options.largest_body);
     server.set_tcp_nodelay(true);
-    server.set_keep_alive_timeout(options.idle.count());
-    constexpr std::size_t requests_on_a_connection = 1'000'000;
-    server.set_keep_alive_max_count(requests_on_a_connection);
     auto colon = options.address.rfind(':');
     std::string ip = options.address.substr(0, colon);
     int port = std::stoi(options.address.substr(colon + 1));
@@ -149,6 +313,11 @@
     }
 }
 
+void http_server::drain()
+{
+    impl_->server.draining = true;
+}
+
 void http_server::stop()
 {
     if (impl_->listener.joinable())
--- a/src/transport/http_server.hpp
+++ b/src/transport/http_server.hpp
@@ -2,7 +2,7 @@
 
 /// \file
 /// Defines the HTTP server that daemons and stand-ins share. Handlers run on a bounded pool of
-/// threads, one for each connection.
+/// threads, one for each connection; a connection that finds no thread in time is told so at once.
 
 #include <functional>
 #include <map>
@@ -27,6 +27,8 @@
     std::map<std::string, std::string> query;
     std::map<std::string, std::string> headers;
     std::string body;
+    /// Whether the caller has closed its connection. Valid until the reply was written.
+    std::function<bool()> caller_gone = {};
 
     /// The header's value, or empty text.
     std::string header(const std::string& name) const;
@@ -60,6 +62,11 @@
     std::size_t largest_body = 8 * 1024 * 1024;
     /// How long an idle connection is kept; a stop may wait this long for it.
     seconds idle{1};
+    /// How long a new connection waits for a thread before it is refused with 503.
+    milliseconds patience{250};
+    /// The body of that refusal.
+    std::string refusal = "{}";
+    std::string refusal_type = "application/json";
 };
 
 /// Listens from construction; serves from `start` to `stop`.
@@ -76,7 +83,10 @@
     void handle(const std::string& method, const std::string& pattern, http_handler handler);
 
     void start();
-    /// Takes no new connection, and returns once all running handlers have ended.
+    /// From now on each answer asks the caller to close its connection.
+    void drain();
+    /// Takes no new connection, answers what has come on the others, and returns once all
+    /// handlers have ended.
     void stop();
 
     /// IP address and the port in use, or empty if the address could not be bound.
