Owned shares: the ledger of one host

Fixed equal shares refuse half of a skewed demand, and anything that moves tokens between hosts can double them. The ledger debits a loan before it answers, keeps the lender's depth lowered until the loan has ended, and counts a borrower's time from before it asked; a share has two layers that differ in what their owner must have heard. A gained share comes empty. Places that are held and given back (loads at once) are the same resource without refill, and are never lent.

--- a/src/coordination/token_bucket.cpp
+++ b/src/coordination/token_bucket.cpp
@@ -101,4 +101,10 @@
     level_ = std::min(level_, depth_);
 }
 
+void token_bucket::skip_refill(instant from, instant to)
+{
+    refill(from);
+    filled_at_ = std::max(filled_at_, to);
+}
+
 } // namespace banyanshunt
--- a/src/coordination/token_bucket.hpp
+++ b/src/coordination/token_bucket.hpp
@@ -28,6 +28,8 @@
     std::optional<milliseconds> time_until(millitokens amount, instant now);
     /// Changes rate and depth; a lower depth cuts the level, a higher one adds nothing.
     void reshape(millitokens_per_second rate, millitokens depth, instant now);
+    /// Counts refill up to `from`, and none between `from` and `to`.
+    void skip_refill(instant from, instant to);
 
     millitokens_per_second rate() const { return rate_; }
     millitokens depth() const { return depth_; }
--- /dev/null
+++ b/tests/correctness/share_ledger_test.cpp
@@ -0,0 +1,211 @@
+/// \file
+/// What one host's ledger of owned shares grants, lends and takes back.
+
+#include <catch2/catch.hpp>
+
+#include "coordination/share_ledger.hpp"
+
+using namespace banyanshunt;
+
+namespace
+{
+
+const resource_id clinics("clinics");
+const share_life south{.host = host_id("s1"), .life = incarnation(7)};
+
+layered<share_size> share_of(std::int64_t rate, std::int64_t depth, bool places = false)
+{
+    share_size half{.rate = millitokens_per_second(tokens(rate).count() / 2),
+                    .depth = millitokens(tokens(depth).count() / 2),
+                    .places = places};
+    return {.confirmed = half, .outage = half};
+}
+
+struct one_host
+{
+    test_clock clock;
+    share_ledger ledger{share_ledger_options()};
+
+    one_host()
+    {
+        confirm(seconds(1000));
+        ledger.set_share(clinics, share_of(100, 400), clock.now());
+    }
+
+    void confirm(nanoseconds length)
+    {
+        for (auto layer : all_layers)
+        {
+            ledger.confirm_until(layer, clock.now() + length);
+        }
+    }
+
+    bool take(std::int64_t n) { return ledger.take(clinics, tokens(n), clock.now()); }
+    std::int64_t available()
+    {
+        return ledger.available(clinics, clock.now()).count() / millitokens_in_token;
+    }
+    token_loan lend(std::int64_t n)
+    {
+        token_ask ask{.number = share_number(1),
+                      .resource = clinics,
+                      .amount = tokens(n),
+                      .waited = milliseconds(1)};
+        return ledger.lend(ask, tokens(0), clock.now());
+    }
+};
+
+} // namespace
+
+TEST_CASE("a share begins empty and fills at its rate up to its depth")
+{
+    one_host host;
+    CHECK_FALSE(host.take(1));
+    host.clock.advance(seconds(2));
+    CHECK(host.available() == 200);
+    host.clock.advance(seconds(60));
+    CHECK(host.available() == 400);
+
+    SECTION("unused tokens come back up to the depth, and the rest is told")
+    {
+        REQUIRE(host.take(300));
+        host.clock.advance(seconds(2));
+        CHECK(host.ledger.put_back(clinics, tokens(250), host.clock.now()) == tokens(150));
+        CHECK(host.available() == 400);
+    }
+    SECTION("a gained share comes empty and a cut takes effect at once")
+    {
+        host.ledger.set_share(clinics, share_of(100, 800), host.clock.now());
+        CHECK(host.available() == 400);
+        host.ledger.set_share(clinics, share_of(100, 200), host.clock.now());
+        CHECK(host.available() == 200);
+    }
+    SECTION("past the confirmed time nothing is granted, lent or refilled")
+    {
+        REQUIRE(host.take(400));
+        host.confirm(seconds(1));
+        host.clock.advance(seconds(3));
+        CHECK(host.available() == 0);
+        CHECK(host.lend(10).amount == tokens(0));
+
+        SECTION("a new reading without change gives the refill of the gap")
+        {
+            host.confirm(seconds(10));
+            CHECK(host.available() == 300);
+        }
+        SECTION("with a change of owners that refill is discarded")
+        {
+            for (auto layer : all_layers)
+            {
+                host.ledger.discard_unconfirmed(layer, host.clock.now());
+            }
+            host.confirm(seconds(10));
+            CHECK(host.available() == 100);
+        }
+    }
+}
+
+TEST_CASE("a loan is debited before it is answered and lowers the lender's depth until it ends")
+{
+    one_host host;
+    host.clock.advance(seconds(60));
+    token_loan loan = host.lend(300);
+    REQUIRE(loan.amount == tokens(300));
+    CHECK(host.available() == 100);
+    host.clock.advance(seconds(1));
+    CHECK(host.available() == 100);
+
+    SECTION("once reported spent the depth is whole again and only time refills it")
+    {
+        host.ledger.end_loan({.loan = loan.loan, .returned = {}}, host.clock.now());
+        CHECK(host.available() == 100);
+        host.clock.advance(seconds(1));
+        CHECK(host.available() == 200);
+
+        SECTION("a repeated report changes nothing")
+        {
+            host.ledger.end_loan({.loan = loan.loan, .returned = tokens(300)}, host.clock.now());
+            CHECK(host.available() == 200);
+        }
+    }
+    SECTION("a returned part is there at once")
+    {
+        host.ledger.end_loan({.loan = loan.loan, .returned = tokens(200)}, host.clock.now());
+        CHECK(host.available() == 300);
+    }
+    SECTION("a report that never comes is waited out")
+    {
+        host.clock.advance(seconds(1));
+        CHECK(host.available() == 100);
+        host.clock.advance(seconds(1));
+        CHECK(host.available() == 150);
+    }
+    SECTION("a cut below the loan is complete only when the loan has ended")
+    {
+        host.ledger.set_share(clinics, share_of(100, 200), host.clock.now());
+        CHECK_FALSE(host.ledger.cut_is_complete(host.clock.now()));
+        host.ledger.end_loan({.loan = loan.loan, .returned = {}}, host.clock.now());
+        CHECK(host.ledger.cut_is_complete(host.clock.now()));
+    }
+}
+
+TEST_CASE("a borrower spends a loan once and within its time")
+{
+    one_host host;
+    token_ask ask = host.ledger.ask(clinics, tokens(50), milliseconds(1), host.clock.now());
+    token_loan loan{.ask = ask.number,
+                    .loan = share_number(9),
+                    .resource = clinics,
+                    .amount = tokens(50),
+                    .left = {}};
+
+    SECTION("a repeated answer counts once")
+    {
+        host.ledger.borrow(south, loan, host.clock.now());
+        host.ledger.borrow(south, loan, host.clock.now());
+        CHECK(host.available() == 50);
+        REQUIRE(host.take(50));
+        auto reports = host.ledger.take_reports(south);
+        REQUIRE(reports.size() == 1);
+        CHECK(reports[0].returned == tokens(0));
+        CHECK(host.ledger.take_reports(south).empty());
+    }
+    SECTION("its time counts from the ask, not from the answer")
+    {
+        host.clock.advance(milliseconds(1900));
+        host.ledger.borrow(south, loan, host.clock.now());
+        CHECK(host.available() == 240);
+        host.clock.advance(milliseconds(100));
+        CHECK(host.available() == 200);
+    }
+    SECTION("a late answer is discarded")
+    {
+        host.clock.advance(seconds(2));
+        host.ledger.borrow(south, loan, host.clock.now());
+        CHECK(host.available() == 200);
+    }
+}
+
+TEST_CASE("places are held and given back, never lent, and a cut waits for those in use")
+{
+    one_host host;
+    share_ledger& ledger = host.ledger;
+    instant now = host.clock.now();
+    const resource_id loads("loads_at_once");
+    ledger.set_share(loads, share_of(0, 4, true), now);
+    REQUIRE(ledger.take(loads, tokens(4), now));
+    CHECK_FALSE(ledger.take(loads, tokens(1), now));
+    ledger.set_share(loads, share_of(0, 2, true), now);
+    CHECK_FALSE(ledger.cut_is_complete(now));
+    CHECK(ledger.put_back(loads, tokens(2), now) == tokens(0));
+    CHECK(ledger.cut_is_complete(now));
+    CHECK_FALSE(ledger.take(loads, tokens(1), now));
+    ledger.put_back(loads, tokens(1), now);
+    CHECK(ledger.take(loads, tokens(1), now));
+    ledger.put_back(loads, tokens(1), now);
+    token_ask ask{.number = share_number(1),
+                  .resource = loads,
+                  .amount = tokens(1),
+                  .waited = milliseconds(1)};
+    CHECK(ledger.lend(ask, tokens(0), now).amount == tokens(0));
+}
