shunt-load: open-loop load with the four measures

Cause: nothing measured what the deployments weigh. Change: a workload in INI, a seeded plan of arrivals with bursts, senders whose latencies count from the intended time, idle accelerator time from the engines, and a single bucket charged with all grants that judges refusals for the rate. Before: no tool.

--- /dev/null
+++ b/src/tools/idle_watch.hpp
@@ -0,0 +1,35 @@
+#pragma once
+
+/// \file
+/// Defines the measurement of idle accelerator hours: engines are asked once a second whether they
+/// hold a loaded replica and run nothing, because only the engines know both.
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "state/units.hpp"
+
+namespace banyanshunt
+{
+
+/// Watches from construction to `stop`.
+class idle_watch
+{
+public:
+    idle_watch(std::vector<std::string> engines, std::int64_t accelerators_per_engine);
+    ~idle_watch();
+    idle_watch(const idle_watch&) = delete;
+    idle_watch& operator=(const idle_watch&) = delete;
+
+    /// Ends the watch and returns the accelerator time that stood idle with a replica loaded;
+    /// nothing when no engine was named or none answered.
+    std::optional<nanoseconds> stop();
+
+private:
+    struct impl;
+    std::unique_ptr<impl> impl_;
+};
+
+} // namespace banyanshunt
--- /dev/null
+++ b/src/tools/single_bucket.cpp
@@ -0,0 +1,49 @@
+#include "tools/single_bucket.hpp"
+
+#include <algorithm>
+
+namespace banyanshunt
+{
+namespace
+{
+
+void judge(const judged_request& it, token_bucket& bucket, rate_judgement& out)
+{
+    if (!it.granted)
+    {
+        ++out.refused;
+        out.refused_within_rate += bucket.level(it.at) >= it.asked ? 1 : 0;
+        return;
+    }
+    if (!bucket.take(*it.granted, it.at))
+    {
+        ++out.granted_beyond_rate;
+        bucket.take(bucket.level(it.at), it.at);
+    }
+}
+
+} // namespace
+
+std::map<workspace_id, rate_judgement>
+judge_refusals(std::vector<judged_request> requests,
+               const std::map<workspace_id, workspace_rate>& rates)
+{
+    std::stable_sort(requests.begin(), requests.end(),
+                     [](const auto& a, const auto& b) { return a.at < b.at; });
+    std::map<workspace_id, token_bucket> buckets;
+    std::map<workspace_id, rate_judgement> out;
+    for (const auto& it : requests)
+    {
+        auto rate = rates.find(it.workspace);
+        if (rate == rates.end())
+        {
+            continue;
+        }
+        auto [bucket, added] =
+            buckets.try_emplace(it.workspace, rate->second.rate, rate->second.burst, it.at);
+        judge(it, bucket->second, out[it.workspace]);
+    }
+    return out;
+}
+
+} // namespace banyanshunt
