--- a/tests/correctness/snapshot_test.cpp
+++ b/tests/correctness/snapshot_test.cpp
@@ -205,6 +205,7 @@
             host_id self(fmt::format("h{}", i));
             liveness peers({.self = self, .domain = domain_id("d")});
             std::vector<listed_host> list;
+            list.reserve(9);
             for (int j = 0; j < 9; ++j)
             {
                 list.push_back({.name = fmt::format("h{}", j),
