shuntctl: publishing that may be repeated, where a ticket is in force, hosts, state

Cause: publishing appended blindly, so a lost answer left the operator unsure, and a loser of a race for a number was not told. Nothing showed where a ticket was in force.

Change: src/control follows the log like a host: it checks the ticket against the state in force, appends under a random record id, and reads on for that id before it repeats. The verdict it prints is the one every host comes to. Entry hosts answer /state and /state/objects at their admin address; shuntctl asks each host that any host names, and names those that have not confirmed. Exit codes 4 refused, 5 unsure, 6 unconfirmed.

Tests: nine rows of log faults, each followed by the operator's repeat; races; unconfirmed hosts.

--- a/programs/shuntctl.cpp
+++ b/programs/shuntctl.cpp
@@ -1,120 +1,45 @@
 /// \file
 /// The operators' command line.
 
-#include <fstream>
-#include <iostream>
 #include <sstream>
 
-#include <fmt/format.h>
 #include <gflags/gflags.h>
 
-#include "coordination/key_check.hpp"
-#include "coordination/random_source.hpp"
-#include "protocol/ticket_codec.hpp"
-#include "transport/daemon_main.hpp"
-#include "transport/platform_clients.hpp"
+#include "control/commands.hpp"
 
 DEFINE_string(log, "", "address of the platform's log service");
-DEFINE_int64(patience_ms, 2000, "longest wait for the log service, in milliseconds");
+DEFINE_string(entry, "", "admin addresses of some entry hosts, with commas between them");
+DEFINE_int64(patience_ms, 2000, "longest wait for one answer, in milliseconds");
+DEFINE_int64(wait_ms, 0, "how long to wait until every live host has the ticket in force");
+DEFINE_bool(json, false, "JSON instead of tables");
 
 namespace
 {
 
-using namespace banyanshunt;
-
-constexpr const char* usage = R"(drives banyanshunt by tickets.
-  shuntctl ticket check FILE            check a ticket's format
-  shuntctl --log=ADDR ticket publish FILE   append a ticket to the log
-  shuntctl key make ID WORKSPACE        make a key: the ticket's part and the secret)";
-
-std::optional<std::string> read_text(const std::string& path)
-{
-    std::ifstream in(path);
-    if (!in)
-    {
-        fmt::print(stderr, "{}: cannot be read\n", path);
-        return std::nullopt;
-    }
-    std::ostringstream text;
-    text << in.rdbuf();
-    return text.str();
-}
-
-int check_ticket(const std::string& path)
-{
-    auto text = read_text(path);
-    if (!text)
-    {
-        return exit_usage;
-    }
-    auto it = decode_ticket(*text);
-    if (!it)
-    {
-        fmt::print(stderr, "{}: {}\n", path, it.error().detail);
-        return exit_usage;
-    }
-    fmt::print("ticket {} is well formed\n", it->number.count());
-    return exit_good;
-}
-
-int publish_ticket(const std::string& path)
+std::vector<std::string> split(const std::string& list)
 {
-    int checked = check_ticket(path);
-    if (checked != exit_good)
-    {
-        return checked;
-    }
-    auto text = read_text(path);
-    http_client http;
-    http_log_service log(http, FLAGS_log, milliseconds(FLAGS_patience_ms));
-    auto number = decode_ticket(*text)->number;
-    log_entry entry{.id = record_id(fmt::format("ticket.{}", number.count())), .data = *text};
-    auto offset = log.append(tickets_stream, std::span(&entry, 1));
-    if (!offset)
-    {
-        fmt::print(stderr, "not published for sure ({}): {}\n", to_string(offset.error().run),
-                   offset.error().detail);
-        return exit_failed;
-    }
-    fmt::print("published ticket {} at offset {}\n", number.count(), offset->count());
-    return exit_good;
-}
-
-int make_key(const std::string& id, const std::string& workspace)
-{
-    auto random = system_seeded();
-    std::string salt = fmt::format("{:016x}", random());
-    std::string secret = fmt::format("{:016x}{:016x}", random(), random());
-    fmt::print("\"{}\": {{\"workspace\": \"{}\", \"salt\": \"{}\", \"hash\": \"{}\"}}\n", id,
-               workspace, salt, salted_hash(salt, secret));
-    fmt::print(stderr, "{}.{}\n", id, secret);
-    return exit_good;
-}
-
-int run(const std::vector<std::string>& words)
-{
-    if (words.size() == 3 && words[0] == "ticket" && words[1] == "check")
-    {
-        return check_ticket(words[2]);
-    }
-    if (words.size() == 3 && words[0] == "ticket" && words[1] == "publish")
-    {
-        return publish_ticket(words[2]);
-    }
-    if (words.size() == 4 && words[0] == "key" && words[1] == "make")
+    std::vector<std::string> items;
+    std::istringstream in(list);
+    for (std::string item; std::getline(in, item, ',');)
     {
-        return make_key(words[2], words[3]);
+        items.push_back(item);
     }
-    fmt::print(stderr, "{}\n", usage);
-    return exit_usage;
+    return items;
 }
 
 } // namespace
 
 int main(int argc, char** argv)
 {
-    gflags::SetUsageMessage(usage);
+    gflags::SetUsageMessage(banyanshunt::control_usage);
     gflags::SetVersionString(BANYANSHUNT_VERSION);
     gflags::ParseCommandLineFlags(&argc, &argv, true);
-    return run(std::vector<std::string>(argv + 1, argv + argc));
+    banyanshunt::control_options options{
+        .log = FLAGS_log,
+        .entries = split(FLAGS_entry),
+        .patience = banyanshunt::milliseconds(FLAGS_patience_ms),
+        .wait = banyanshunt::milliseconds(FLAGS_wait_ms),
+        .json = FLAGS_json,
+    };
+    return banyanshunt::run_control(std::vector<std::string>(argv + 1, argv + argc), options);
 }
--- /dev/null
+++ b/src/control/commands.hpp
@@ -0,0 +1,46 @@
+#pragma once
+
+/// \file
+/// Defines the commands of the operators' command line. Each prints to standard output, explains
+/// itself on standard error, and returns an exit code that scripts can tell apart.
+
+#include <string>
+#include <vector>
+
+#include "state/units.hpp"
+
+namespace banyanshunt
+{
+
+/// Exit codes beside those of all programs (0 done, 1 failed, 2 usage); docs/TICKETS.md lists them.
+enum control_exit : int
+{
+    /// The ticket is refused, or lost the race for its number.
+    exit_refused = 4,
+    /// The ticket may be in the log; publishing it again is safe.
+    exit_unsure = 5,
+    /// Not every live host confirmed in time.
+    exit_unconfirmed = 6,
+};
+
+struct control_options
+{
+    /// Address of the platform's log service.
+    std::string log;
+    /// Admin addresses of some entry hosts; the others are found from them.
+    std::vector<std::string> entries;
+    /// Longest wait for one answer.
+    milliseconds patience{2000};
+    /// How long `--wait` waits for every live host; zero does not wait.
+    milliseconds wait{0};
+    /// JSON for scripts instead of a table.
+    bool json = false;
+};
+
+/// Runs the command that `words` spell; returns the exit code.
+int run_control(const std::vector<std::string>& words, const control_options& options);
+
+/// What the command line can do, for people.
+extern const char* const control_usage;
+
+} // namespace banyanshunt
--- /dev/null
+++ b/src/control/publication.hpp
@@ -0,0 +1,176 @@
+#pragma once
+
+/// \file
+/// Defines the publishing of a ticket so that it may be repeated after a lost answer, and so that
+/// of two operators who race for one number the loser is told.
+///
+/// The tool follows the tickets' stream like a host does: acceptance is a pure function of the log,
+/// so it comes to the verdict that every host comes to.
+
+#include <optional>
+#include <string>
+
+#include "coordination/snapshot_store.hpp"
+#include "coordination/state_follower.hpp"
+
+namespace banyanshunt
+{
+
+/// How a publication ended.
+enum class publication_end
+{
+    /// The ticket is in the log and accepted.
+    accepted,
+    /// The same ticket, byte for byte, was accepted before.
+    repeated,
+    /// The ticket is refused: it is malformed, out of order, or lost the race for its number.
+    refused,
+    /// The ticket surely is not in the log.
+    not_published,
+    /// The ticket may be in the log, now or later. Publishing it again is safe.
+    unsure,
+};
+
+const char* to_string(publication_end end);
+
+struct publication
+{
+    publication_end end = publication_end::unsure;
+    ticket_number number = {};
+    /// Where the record that decided is; nothing when none was seen.
+    std::optional<log_offset> offset = {};
+    /// Why it ended otherwise than accepted.
+    std::string detail = {};
+};
+
+struct publication_options
+{
+    /// The record's own id, drawn at random for each call.
+    record_id id;
+    /// Times that an append whose answer was lost is repeated.
+    int repeats = 3;
+    /// The longest wait for the record to show in the log.
+    milliseconds patience{5000};
+};
+
+/// The state that the log tells, and what became of the record looked for.
+template <log_service Log>
+class log_reader
+{
+public:
+    log_reader(Log& log, const snapshot_codec& codec, const ticket_decoder& decode, record_id id)
+        : log_(log), codec_(codec), id_(std::move(id)),
+          follower_(log, cell_, decode, [this](const auto& it) { note(it); })
+    {
+    }
+
+    /// Reads from the newest snapshot, or else from the first ticket, to the end of the log.
+    verdict<done> read_all()
+    {
+        auto loaded = load_snapshot(log_, codec_, cell_);
+        if (!loaded)
+        {
+            return loaded.error();
+        }
+        return read_on(milliseconds(0));
+    }
+
+    /// Reads to the end of the log, waiting up to `wait` for a first new record.
+    verdict<done> read_on(milliseconds wait)
+    {
+        while (true)
+        {
+            auto step = follower_.step(wait);
+            if (!step)
+            {
+                return step.error();
+            }
+            if (step->records == 0 || cell_.get()->through >= step->end)
+            {
+                return done{};
+            }
+        }
+    }
+
+    fleet_state_ptr state() const { return cell_.get(); }
+    /// What became of the record with the id looked for, once it was read.
+    const std::optional<ticket_outcome>& outcome() const { return outcome_; }
+
+private:
+    void note(const ticket_outcome& it)
+    {
+        if (it.id == id_ && !outcome_)
+        {
+            outcome_ = it;
+        }
+    }
+
+    Log& log_;
+    const snapshot_codec& codec_;
+    record_id id_;
+    state_cell cell_;
+    std::optional<ticket_outcome> outcome_;
+    state_follower<Log> follower_;
+};
+
+/// Turns what became of the ticket's own record into the publication's end.
+publication ended(const ticket_outcome& it, ticket_number number);
+
+/// Decides, against the state in force, whether the ticket need or can be published at all.
+std::optional<publication> decide_before(const fleet_state& state, const ticket& it);
+
+/// Publishes the ticket written as `text`.
+template <log_service Log>
+publication publish_ticket(Log& log, const snapshot_codec& codec, const ticket_decoder& decode,
+                           const std::string& text, const publication_options& options)
+{
+    auto decoded = decode(text);
+    if (!decoded)
+    {
+        return {.end = publication_end::refused, .detail = decoded.error().detail};
+    }
+    ticket_number number = decoded->number;
+    log_reader<Log> reader(log, codec, decode, options.id);
+    auto read = reader.read_all();
+    if (!read)
+    {
+        return {.end = publication_end::not_published,
+                .number = number,
+                .detail = "the log cannot be read: " + read.error().detail};
+    }
+    if (auto early = decide_before(*reader.state(), *decoded))
+    {
+        return *early;
+    }
+    publication last{.end = publication_end::not_published, .number = number};
+    log_entry entry{.id = options.id, .data = text};
+    for (int i = 0; i <= options.repeats; ++i)
+    {
+        auto appended = log.append(tickets_stream, std::span(&entry, 1));
+        if (!appended)
+        {
+            last.detail = appended.error().detail;
+        }
+        if (appended || appended.error().run != run_state::not_run)
+        {
+            last.end = publication_end::unsure;
+        }
+        // Whatever the answer was, the log itself tells what became of the record.
+        (void)reader.read_on(appended ? options.patience : milliseconds(0));
+        if (reader.outcome())
+        {
+            return ended(*reader.outcome(), number);
+        }
+        if (appended)
+        {
+            break;
+        }
+    }
+    if (last.end == publication_end::unsure && reader.read_on(options.patience) && reader.outcome())
+    {
+        return ended(*reader.outcome(), number);
+    }
+    return last;
+}
+
+} // namespace banyanshunt
--- a/src/entry/entry_host.cpp
+++ b/src/entry/entry_host.cpp
@@ -88,6 +88,7 @@
 
     void add_admin_handlers()
     {
+        state_duties.add_admin_handlers(admin);
         admin.handle("GET", "/metrics",
                      [this](auto&)
                      {
--- a/src/entry/state_part.cpp
+++ b/src/entry/state_part.cpp
@@ -1,6 +1,7 @@
 #include "entry/state_part.hpp"
 
 #include "coordination/random_source.hpp"
+#include "protocol/admin_codec.hpp"
 #include "protocol/ticket_codec.hpp"
 #include "state/duty_thread.hpp"
 #include "state/errors.hpp"
@@ -53,6 +54,23 @@
 
 state_part::~state_part() = default;
 
+void state_part::add_admin_handlers(http_server& admin)
+{
+    admin.handle("GET", "/state",
+                 [this](auto&)
+                 {
+                     instant now = boot_clock().now();
+                     auto status = status_of(keeper_.self(now), keeper_.peers(), now);
+                     return http_reply{.headers = {}, .body = encode_status(status), .stream = {}};
+                 });
+    admin.handle("GET", "/state/objects",
+                 [this](auto&) {
+                     return http_reply{.headers = {},
+                                       .body = encode_objects(*keeper_.cell().get()),
+                                       .stream = {}};
+                 });
+}
+
 grpc::Service* state_part::service()
 {
     return service_.service();
--- a/src/entry/state_part.hpp
+++ b/src/entry/state_part.hpp
@@ -11,6 +11,7 @@
 #include "coordination/state_follower.hpp"
 #include "entry/entry_settings.hpp"
 #include "entry/snapshot_duty.hpp"
+#include "transport/http_server.hpp"
 #include "transport/metrics.hpp"
 #include "transport/platform_clients.hpp"
 #include "transport/state_relay.hpp"
@@ -29,6 +30,9 @@
                metrics& counters, list_sink told_list);
     ~state_part();
 
+    /// Adds /state and /state/objects, which operators ask.
+    void add_admin_handlers(http_server& admin);
+
     /// The service to offer to peers.
     grpc::Service* service();
 
--- /dev/null
+++ b/src/protocol/admin_codec.cpp
@@ -0,0 +1,158 @@
+#include "protocol/admin_codec.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include "protocol/object_codec.hpp"
+#include "state/errors.hpp"
+
+namespace banyanshunt
+{
+namespace
+{
+
+using nlohmann::json;
+
+constexpr std::size_t longest_text = 256;
+
+json write_peer(const peer_status& it)
+{
+    return {{"host", it.host.str()},
+            {"domain", it.domain.str()},
+            {"peer_address", it.peer_address},
+            {"admin_address", it.admin_address},
+            {"listed", it.listed},
+            {"heard", it.heard},
+            {"leaving", it.leaving},
+            {"ticket", it.last_ticket.count()}};
+}
+
+peer_status read_peer(json_reader& in)
+{
+    return {.host = host_id(in.text("host", longest_text)),
+            .domain = domain_id(in.text("domain", longest_text)),
+            .peer_address = in.text("peer_address", longest_text, ""),
+            .admin_address = in.text("admin_address", longest_text, ""),
+            .listed = in.boolean("listed"),
+            .heard = in.boolean("heard"),
+            .leaving = in.boolean("leaving"),
+            .last_ticket = ticket_number(in.integer("ticket", 0, INT64_MAX))};
+}
+
+template <class Id, class Object>
+void write_table(json& out, const char* kind, const state_table<Id, Object>& table)
+{
+    out[kind] = json::object();
+    for (const auto& [id, entry] : table)
+    {
+        if (!entry->value)
+        {
+            continue;
+        }
+        json it = write_object(*entry->value);
+        it.erase("salt");
+        it.erase("hash");
+        it["set_by_ticket"] = entry->ticket.count();
+        out[kind][id.str()] = std::move(it);
+    }
+}
+
+} // namespace
+
+host_status status_of(const heartbeat& self, const liveness& peers, instant now)
+{
+    host_status it{.host = self.host,
+                   .domain = self.domain,
+                   .life = self.life,
+                   .leaving = self.leaving,
+                   .through = self.through,
+                   .last_ticket = self.last_ticket,
+                   .view_age = self.view_age,
+                   .peers = {}};
+    for (const auto& [id, peer] : peers.peers())
+    {
+        it.peers.push_back({.host = id,
+                            .domain = peer.domain,
+                            .peer_address = peer.address,
+                            .admin_address = peer.said ? peer.said->admin_address : "",
+                            .listed = peer.listed,
+                            .heard = peer.heard_within(peers.patience(), now),
+                            .leaving = peer.leaving(),
+                            .last_ticket = peer.said ? peer.said->last_ticket : ticket_number()});
+    }
+    return it;
+}
+
+std::string encode_status(const host_status& it)
+{
+    json peers = json::array();
+    for (const auto& peer : it.peers)
+    {
+        peers.push_back(write_peer(peer));
+    }
+    json out = {{"host", it.host.str()},
+                {"domain", it.domain.str()},
+                {"life", it.life.count()},
+                {"leaving", it.leaving},
+                {"through", it.through.count()},
+                {"ticket", it.last_ticket.count()},
+                {"peers", peers}};
+    if (it.view_age)
+    {
+        out["view_age_ms"] = it.view_age->count();
+    }
+    return out.dump();
+}
+
+verdict<host_status> decode_status(const std::string& body)
+{
+    json_errors errors;
+    json document = parse_json(body, errors);
+    json_reader in(document, "", errors);
+    host_status it{.host = host_id(in.text("host", longest_text)),
+                   .domain = domain_id(in.text("domain", longest_text)),
+                   .life = incarnation(in.integer("life", 0, INT64_MAX)),
+                   .leaving = in.boolean("leaving"),
+                   .through = log_offset(in.integer("through", 0, INT64_MAX)),
+                   .last_ticket = ticket_number(in.integer("ticket", 0, INT64_MAX)),
+                   .view_age = {},
+                   .peers = {}};
+    if (in.has("view_age_ms"))
+    {
+        it.view_age = milliseconds(in.integer("view_age_ms", 0, INT64_MAX));
+    }
+    const json* peers = in.member("peers");
+    if (!peers || !peers->is_array())
+    {
+        errors.note("peers", "must be a list");
+    }
+    else
+    {
+        for (const auto& peer : *peers)
+        {
+            json_reader one(peer, "peers", errors);
+            it.peers.push_back(read_peer(one));
+        }
+    }
+    if (!errors.empty())
+    {
+        return failure{.run = run_state::may_have_run,
+                       .code = errc::bad_answer,
+                       .detail = errors.first(),
+                       .retry_after = {}};
+    }
+    return it;
+}
+
+std::string encode_objects(const fleet_state& state)
+{
+    json out = {{"ticket", state.last_ticket.count()}, {"through", state.through.count()}};
+    write_table(out, "models", state.models);
+    write_table(out, "adapters", state.adapters);
+    write_table(out, "workspaces", state.workspaces);
+    write_table(out, "keys", state.keys);
+    write_table(out, "routes", state.routes);
+    write_table(out, "servers", state.servers);
+    return out.dump();
+}
+
+} // namespace banyanshunt
--- /dev/null
+++ b/src/protocol/admin_codec.hpp
@@ -0,0 +1,57 @@
+#pragma once
+
+/// \file
+/// Defines what an entry host answers to operators at its admin address: its own status with its
+/// view of peers at /state, and the objects in force at /state/objects.
+
+#include <string>
+#include <vector>
+
+#include "coordination/liveness.hpp"
+#include "state/fleet_state.hpp"
+#include "state/verdict.hpp"
+
+namespace banyanshunt
+{
+
+/// One peer as a host sees it.
+struct peer_status
+{
+    host_id host;
+    domain_id domain;
+    std::string peer_address;
+    /// Empty until the peer was heard.
+    std::string admin_address;
+    bool listed = false;
+    bool heard = false;
+    bool leaving = false;
+    ticket_number last_ticket;
+    friend bool operator==(const peer_status&, const peer_status&) = default;
+};
+
+/// A host's own status.
+struct host_status
+{
+    host_id host;
+    domain_id domain;
+    incarnation life;
+    bool leaving = false;
+    log_offset through;
+    ticket_number last_ticket;
+    /// Time since the state was confirmed; nothing if it never was.
+    std::optional<milliseconds> view_age;
+    std::vector<peer_status> peers;
+    friend bool operator==(const host_status&, const host_status&) = default;
+};
+
+/// Puts a host's word of itself and its view of peers together.
+host_status status_of(const heartbeat& self, const liveness& peers, instant now);
+
+std::string encode_status(const host_status& it);
+/// Fails with `errc::bad_answer`.
+verdict<host_status> decode_status(const std::string& body);
+
+/// Writes the objects in force by kind and name. Keys come without salt and hash.
+std::string encode_objects(const fleet_state& state);
+
+} // namespace banyanshunt
--- /dev/null
+++ b/tests/correctness/publication_test.cpp
@@ -0,0 +1,182 @@
+/// \file
+/// A ticket is published once however often answers are lost, and of two operators who race for a
+/// number one wins and the other is told.
+
+#include <catch2/catch.hpp>
+#include <fmt/format.h>
+
+#include "control/fleet_view.hpp"
+#include "control/publication.hpp"
+#include "protocol/snapshot_codec.hpp"
+#include "protocol/ticket_codec.hpp"
+#include "stand_ins/memory_log.hpp"
+
+using namespace banyanshunt;
+
+namespace
+{
+
+std::string text_of(int number, const std::string& note)
+{
+    return fmt::format(R"({{"format":1,"ticket":{},"note":"{}"}})", number, note);
+}
+
+publication publish(memory_log& log, const std::string& text, const std::string& id)
+{
+    publication_options options{.id = record_id(id), .repeats = 3, .patience = milliseconds(1)};
+    return publish_ticket(log, json_snapshot_codec(), decode_ticket, text, options);
+}
+
+// What every host makes of the log: the number of accepted tickets, without repeats.
+fleet_state state_of(memory_log& log)
+{
+    state_cell cell;
+    state_follower<memory_log> follower(log, cell, decode_ticket, [](const auto&) {});
+    REQUIRE(follower.step(milliseconds(0)));
+    return *cell.get();
+}
+
+// Lets another operator append the moment this one has read the log.
+class racing_log
+{
+public:
+    racing_log(memory_log& log, std::string rival) : log_(log), rival_(std::move(rival)) {}
+
+    verdict<log_offset> append(const stream_name& stream, std::span<const log_entry> batch)
+    {
+        if (!rival_.empty())
+        {
+            log_entry entry{.id = record_id("rival"), .data = std::exchange(rival_, "")};
+            REQUIRE(log_.append(stream, std::span(&entry, 1)));
+        }
+        return log_.append(stream, batch);
+    }
+    verdict<log_page> read(const stream_name& stream, log_offset from, std::size_t limit,
+                           milliseconds wait)
+    {
+        return log_.read(stream, from, limit, wait);
+    }
+
+private:
+    memory_log& log_;
+    std::string rival_;
+};
+
+struct fault_case
+{
+    std::string name;
+    std::vector<fault_row> rows;
+    publication_end end;
+    std::int64_t last_ticket;
+};
+
+} // namespace
+
+TEST_CASE("publishing a ticket is safe through every fault of the log")
+{
+    const std::vector<fault_case> cases = {
+        {"no fault", {}, publication_end::accepted, 1},
+        {"the answer is lost",
+         {{.call = "append", .kind = fault_kind::lose_answer}},
+         publication_end::accepted,
+         1},
+        {"the append is repeated on its way",
+         {{.call = "append", .kind = fault_kind::repeat}},
+         publication_end::accepted,
+         1},
+        {"the append is lost, then its repeat's answer",
+         {{.call = "append", .kind = fault_kind::hang},
+          {.call = "append", .first = 2, .kind = fault_kind::lose_answer}},
+         publication_end::accepted,
+         1},
+        {"the log refuses twice",
+         {{.call = "append", .count = 2, .kind = fault_kind::refuse}},
+         publication_end::accepted,
+         1},
+        {"the log refuses for good",
+         {{.call = "append", .count = 99, .kind = fault_kind::refuse}},
+         publication_end::not_published,
+         0},
+        {"no append is ever answered",
+         {{.call = "append", .count = 99, .kind = fault_kind::hang}},
+         publication_end::unsure,
+         0},
+        {"the log cannot be read",
+         {{.call = "read", .count = 99, .kind = fault_kind::refuse}},
+         publication_end::not_published,
+         0},
+        {"the answer is lost, and the reads after it",
+         {{.call = "append", .kind = fault_kind::lose_answer},
+          {.call = "append", .first = 2, .count = 98, .kind = fault_kind::hang},
+          {.call = "read", .first = 4, .count = 99, .kind = fault_kind::refuse}},
+         publication_end::unsure,
+         1},
+    };
+    for (const auto& it : cases)
+    {
+        INFO(it.name);
+        memory_log log;
+        log.faults().set(it.rows);
+        auto end = publish(log, text_of(1, "a"), "mine");
+        CHECK(to_string(end.end) == std::string(to_string(it.end)));
+        log.faults().set({});
+        CHECK(state_of(log).last_ticket.count() == it.last_ticket);
+
+        // The operator repeats the same command: it ends well, and the ticket holds once.
+        auto again = publish(log, text_of(1, "a"), "mine-again");
+        CHECK((again.end == publication_end::accepted || again.end == publication_end::repeated));
+        CHECK(state_of(log).accepted.size() == 1);
+    }
+}
+
+TEST_CASE("of two operators who race for one number one wins")
+{
+    memory_log log;
+    SECTION("the loser is told who took it")
+    {
+        racing_log racing(log, text_of(1, "rival"));
+        auto lost =
+            publish_ticket(racing, json_snapshot_codec(), decode_ticket, text_of(1, "mine"),
+                           {.id = record_id("mine"), .repeats = 3, .patience = milliseconds(1)});
+        CHECK(lost.end == publication_end::refused);
+        CHECK(lost.detail == "ticket: number 1 was taken by another ticket, at offset 0");
+    }
+    SECTION("who publishes the very same ticket loses nothing")
+    {
+        racing_log racing(log, text_of(1, "same"));
+        auto same =
+            publish_ticket(racing, json_snapshot_codec(), decode_ticket, text_of(1, "same"),
+                           {.id = record_id("mine"), .repeats = 3, .patience = milliseconds(1)});
+        CHECK(same.end == publication_end::repeated);
+    }
+    SECTION("a number that is already taken does not even reach the log")
+    {
+        CHECK(publish(log, text_of(1, "first"), "a").end == publication_end::accepted);
+        CHECK(publish(log, text_of(1, "second"), "b").end == publication_end::refused);
+        CHECK(log.appends() == 1);
+    }
+}
+
+TEST_CASE("hosts that have not confirmed a ticket are named")
+{
+    std::map<host_id, host_report> hosts;
+    auto add = [&](const std::string& name, bool answered, std::int64_t ticket, bool leaving)
+    {
+        hosts[host_id(name)] = {.host = host_id(name),
+                                .domain = domain_id("d"),
+                                .admin_address = "",
+                                .listed = true,
+                                .leaving = leaving,
+                                .answered = answered,
+                                .last_ticket = ticket_number(ticket),
+                                .view_age = {}};
+    };
+    add("confirmed", true, 7, false);
+    add("behind", true, 6, false);
+    add("silent", false, 7, false);
+    add("leaving", true, 6, true);
+    auto missing = unconfirmed(hosts, ticket_number(7));
+    REQUIRE(missing.size() == 2);
+    CHECK(missing[0].host.str() == "behind");
+    CHECK(missing[1].host.str() == "silent");
+}
