--- /dev/null
+++ b/src/coordination/claim_desk.cpp
@@ -0,0 +1,43 @@
+#include "coordination/claim_desk.hpp"
+
+#include <xxhash.h>
+
+namespace banyanshunt
+{
+
+stream_name claims_stream(const claim_key& key, int streams)
+{
+    std::string text = key.scope + '\n' + key.key;
+    auto n = XXH3_64bits(text.data(), text.size()) % static_cast<std::uint64_t>(streams);
+    return stream_name(fmt::format("claims.{}", n));
+}
+
+verdict<claim_answer> judge_repeat(const live_claim& live, const std::string& digest)
+{
+    if (live.digest != digest)
+    {
+        return failure{.run = run_state::not_run,
+                       .code = errc::idempotency_mismatch,
+                       .detail = "another call was sent with this idempotency key",
+                       .retry_after = {}};
+    }
+    if (!live.outcome)
+    {
+        return failure{.run = run_state::may_have_run,
+                       .code = errc::already_claimed,
+                       .detail = "a call with this idempotency key is under way, or its outcome "
+                                 "was lost",
+                       .retry_after = milliseconds(1000)};
+    }
+    if (live.outcome->cut)
+    {
+        return failure{.run = run_state::ran,
+                       .code = errc::already_ran,
+                       .detail = fmt::format("the call ran with status {}; its answer is not kept",
+                                             live.outcome->status),
+                       .retry_after = {}};
+    }
+    return claim_answer{.claim = live.claim, .told = live.outcome};
+}
+
+} // namespace banyanshunt
--- /dev/null
+++ b/src/coordination/claim_desk.hpp
@@ -0,0 +1,252 @@
+#pragma once
+
+/// \file
+/// Defines the making of claims on idempotency keys in the log, so that a call with a key runs at
+/// most once over all hosts while the log keeps its claim.
+///
+/// A claim is appended before the call is sent, and the stream is then read on: the call is sent
+/// only if the book shows the own claim as the live one. If the append's answer was lost, reading
+/// on finds out; if that fails until the deadline, the claim is abandoned and nothing was sent.
+
+#include <atomic>
+#include <functional>
+#include <map>
+#include <mutex>
+#include <thread>
+
+#include <fmt/format.h>
+
+#include "coordination/claim_book.hpp"
+#include "coordination/log_batcher.hpp"
+
+namespace banyanshunt
+{
+
+/// The written form of records.
+struct claim_codec
+{
+    std::function<std::string(const claim_record&)> encode;
+    std::function<verdict<claim_record>(const std::string&)> decode;
+};
+
+struct claim_desk_options
+{
+    /// Names this process over all hosts and lives; claims' ids begin with it.
+    std::string writer;
+    claim_codec codec;
+    /// Streams that keys are spread over; alike on all hosts.
+    int streams = 4;
+    /// Answers' bodies above this size are not recorded.
+    std::size_t largest_body = 4096;
+    /// Bytes of answers' bodies that are kept in memory, for each stream.
+    std::size_t most_outcome_bytes = 8 * 1024 * 1024;
+};
+
+/// What a call with an idempotency key may do.
+struct claim_answer
+{
+    /// The claim under which the call may be sent once.
+    record_id claim;
+    /// The outcome of the same call sent earlier; then nothing is to be sent.
+    std::optional<call_outcome> told;
+};
+
+/// The stream that holds the claims on a key, of `streams` in all.
+stream_name claims_stream(const claim_key& key, int streams);
+
+/// The verdict on a call whose key is claimed by `live`, which is not the call's own claim.
+verdict<claim_answer> judge_repeat(const live_claim& live, const std::string& digest);
+
+/// Makes claims; safe from any thread. The batcher's duty must run.
+template <log_service Log>
+class claim_desk
+{
+public:
+    claim_desk(Log& log, log_batcher<Log>& batcher, claim_desk_options options)
+        : log_(log), batcher_(batcher), options_(std::move(options))
+    {
+        for (int i = 0; i < options_.streams; ++i)
+        {
+            readers_.try_emplace(stream_at(i), options_.most_outcome_bytes);
+        }
+    }
+
+    /// Claims the key for a call with this digest. Fails with
+    /// - `idempotency_mismatch`, `not_run`: another call was sent with the key;
+    /// - `already_claimed`, `may_have_run`: the same call was sent, and its outcome is unknown;
+    /// - `already_ran`, `ran`: it ran, and its answer is not kept;
+    /// - `claim_unavailable`, `not_run`: the log did not tell by `deadline`; nothing is sent.
+    verdict<claim_answer> claim(const claim_key& key, const std::string& digest, instant deadline)
+    {
+        stream_name stream = claims_stream(key, options_.streams);
+        reader& in = readers_.at(stream);
+        if (auto known = known_outcome(in, key, digest))
+        {
+            return *known;
+        }
+        record_id id(fmt::format("{}-{}", options_.writer, next_claim_++));
+        auto appended = batcher_.append(
+            stream, encoded({.step = claim_step::claim, .key = key, .claim = id, .digest = digest}),
+            deadline);
+        if (!appended && appended.error().run == run_state::not_run)
+        {
+            return unavailable(appended.error().detail);
+        }
+        do
+        {
+            if (auto answer = look(in, stream, key, id, digest, deadline))
+            {
+                return *answer;
+            }
+        } while (boot_clock().now() < deadline);
+        abandon(key, id);
+        return unavailable("the log did not show the claim in time");
+    }
+
+    /// Tells that the call under this claim was not sent, or surely did not run.
+    void abandon(const claim_key& key, const record_id& claim)
+    {
+        note({.step = claim_step::abandon, .key = key, .claim = claim});
+    }
+
+    /// Tells what came of the call under this claim.
+    void finish(const claim_key& key, const record_id& claim, call_outcome outcome)
+    {
+        if (outcome.body.size() > options_.largest_body)
+        {
+            outcome.body.clear();
+            outcome.cut = true;
+        }
+        note({.step = claim_step::outcome,
+              .key = key,
+              .claim = claim,
+              .outcome = std::move(outcome)});
+    }
+
+private:
+    struct reader
+    {
+        explicit reader(std::size_t most_bytes) : book(most_bytes) {}
+
+        std::timed_mutex mutex;
+        claim_book book;
+    };
+
+    static failure unavailable(const std::string& detail)
+    {
+        return {.run = run_state::not_run,
+                .code = errc::claim_unavailable,
+                .detail = detail,
+                .retry_after = milliseconds(1000)};
+    }
+
+    stream_name stream_at(int n) const { return stream_name(fmt::format("claims.{}", n)); }
+
+    log_entry encoded(const claim_record& record)
+    {
+        std::string id = record.claim.str();
+        id += record.step == claim_step::claim     ? ""
+              : record.step == claim_step::abandon ? ".abandon"
+                                                   : ".outcome";
+        return {.id = record_id(id), .data = options_.codec.encode(record)};
+    }
+
+    void note(const claim_record& record)
+    {
+        batcher_.note(claims_stream(record.key, options_.streams), encoded(record));
+    }
+
+    // A repeat of a call whose outcome was read before needs no log.
+    std::optional<verdict<claim_answer>> known_outcome(reader& in, const claim_key& key,
+                                                       const std::string& digest)
+    {
+        std::lock_guard lock(in.mutex);
+        const live_claim* live = in.book.find(key);
+        if (!live || (!live->outcome && live->digest == digest))
+        {
+            return std::nullopt;
+        }
+        return judge_repeat(*live, digest);
+    }
+
+    // Reads on until the book shows the own claim; nothing if it does not yet.
+    std::optional<verdict<claim_answer>> look(reader& in, const stream_name& stream,
+                                              const claim_key& key, const record_id& id,
+                                              const std::string& digest, instant deadline)
+    {
+        std::unique_lock lock(in.mutex, std::defer_lock);
+        auto left = std::max(deadline - boot_clock().now(), nanoseconds(0));
+        if (!lock.try_lock_for(left))
+        {
+            return std::nullopt;
+        }
+        if (!in.book.has_read(id))
+        {
+            read_on(in, stream);
+        }
+        if (!in.book.has_read(id))
+        {
+            return std::nullopt;
+        }
+        const live_claim* live = in.book.find(key);
+        if (!live)
+        {
+            return unavailable("another call with this key gave up meanwhile");
+        }
+        if (live->claim == id)
+        {
+            return claim_answer{.claim = id, .told = std::nullopt};
+        }
+        return judge_repeat(*live, digest);
+    }
+
+    void read_on(reader& in, const stream_name& stream)
+    {
+        constexpr std::size_t page_limit = 1000;
+        constexpr milliseconds wait(20);
+        constexpr milliseconds pause(10);
+        auto page = log_.read(stream, in.book.through(), page_limit, wait);
+        if (!page && page.error().code == errc::records_expired)
+        {
+            skip_expired(in, stream);
+            return;
+        }
+        if (!page)
+        {
+            std::this_thread::sleep_for(pause);
+            return;
+        }
+        for (const auto& record : page->records)
+        {
+            auto it = options_.codec.decode(record.data);
+            if (it)
+            {
+                in.book.apply(*it, record.offset);
+            }
+            else
+            {
+                in.book.skip(record.offset);
+            }
+        }
+        in.book.expire(page->first_kept);
+    }
+
+    // A read beyond the end is empty and tells what the log still keeps.
+    void skip_expired(reader& in, const stream_name& stream)
+    {
+        constexpr log_offset beyond(std::int64_t{1} << 62);
+        auto page = log_.read(stream, beyond, 1, milliseconds(0));
+        if (page)
+        {
+            in.book.restart(page->first_kept);
+        }
+    }
+
+    Log& log_;
+    log_batcher<Log>& batcher_;
+    claim_desk_options options_;
+    std::map<stream_name, reader> readers_;
+    std::atomic<std::uint64_t> next_claim_ = 0;
+};
+
+} // namespace banyanshunt
--- a/src/coordination/replica_board.cpp
+++ b/src/coordination/replica_board.cpp
@@ -5,101 +5,268 @@
 
 #include <fmt/format.h>
 
+#include "coordination/wait_estimate.hpp"
 #include "state/errors.hpp"
 
 namespace banyanshunt
 {
+namespace
+{
+
+constexpr milliseconds come_back(1000);
+
+failure refusal(errc code, std::string detail, std::optional<milliseconds> retry_after)
+{
+    return {.run = run_state::not_run,
+            .code = code,
+            .detail = std::move(detail),
+            .retry_after = retry_after};
+}
+
+} // namespace
+
+replica_board::replica_board(const replica_board_options& options)
+    : options_(options), queue_(options.most_waiting), health_(options.health),
+      random_(options.seed)
+{
+}
 
 void replica_board::replace(replica_table table)
 {
+    std::lock_guard lock(mutex_);
+    table_ = std::move(table);
+    since_report_.clear();
+    serve_waiting(boot_clock().now());
+}
+
+// A report is old: what this host has sent since comes on top of it, and no report can know less
+// than what this host has under way.
+int replica_board::load_of(const ready_replica& replica) const
+{
+    auto count = [&](const std::map<server_id, int>& from)
+    {
+        auto it = from.find(replica.server);
+        return it == from.end() ? 0 : it->second;
+    };
+    return std::max(count(in_flight_), replica.load + count(since_report_));
+}
+
+std::optional<ready_replica> replica_board::choose(const replica_filter& filter, instant now)
+{
+    replica_table usable;
+    for (const auto& replica : table_.replicas)
+    {
+        bool may = can_serve(replica, filter) && !leaving_.contains(replica.server) &&
+                   health_.usable(replica.server, now);
+        if (may)
+        {
+            usable.replicas.push_back(replica);
+            usable.replicas.back().load = load_of(replica);
+        }
+    }
+    return choose_replica(usable, filter, options_.choice, random_);
+}
+
+std::optional<failure> replica_board::refuse_at_door(const replica_wait& wait, instant now) const
+{
+    wait_facts facts;
+    queue_.for_each([&](const waiting_request& it)
+                    { facts.waiting += it.filter.model == wait.filter.model ? 1 : 0; });
+    facts.own_waiting = queue_.waiting_of(wait.workspace);
+    facts.workspaces = queue_.workspaces() + (facts.own_waiting == 0 ? 1 : 0);
+    for (const auto& replica : table_.replicas)
+    {
+        bool counts = can_serve(replica, wait.filter) && !leaving_.contains(replica.server);
+        facts.slots += counts ? static_cast<std::size_t>(options_.choice.slots) : 0;
+    }
+    auto held = holds_.find(wait.filter.model);
+    if (held != holds_.end())
+    {
+        facts.holds = std::chrono::ceil<milliseconds>(held->second);
+    }
+    auto expected = estimate_wait(facts);
+    if (!expected || now + *expected <= wait.deadline)
     {
-        std::lock_guard lock(mutex_);
-        table_ = std::move(table);
+        return std::nullopt;
     }
-    changed_.notify_all();
+    return refusal(
+        errc::deadline,
+        fmt::format("{} requests wait ahead, for about {} ms", facts.waiting, expected->count()),
+        std::max(come_back, *expected));
 }
 
-std::optional<ready_replica> replica_board::choose(const replica_filter& filter) const
+// Answers the waiting requests that a replica can take now, in fair order.
+void replica_board::serve_waiting(instant now)
 {
-    replica_table counted = table_;
-    for (auto& replica : counted.replicas)
+    std::optional<ready_replica> chosen;
+    std::vector<replica_filter> hopeless;
+    auto place = [&](const waiting_request& it)
     {
-        auto it = in_flight_.find(replica.server);
-        replica.load = it == in_flight_.end() ? 0 : it->second;
+        bool known = std::any_of(hopeless.begin(), hopeless.end(),
+                                 [&](const replica_filter& other) {
+                                     return other.model == it.filter.model &&
+                                            other.adapter == it.filter.adapter;
+                                 });
+        if (known || it.deadline <= now)
+        {
+            return false;
+        }
+        chosen = choose(it.filter, now);
+        if (!chosen)
+        {
+            hopeless.push_back(it.filter);
+        }
+        return chosen.has_value();
+    };
+    while (auto next = queue_.take_next(place))
+    {
+        ++in_flight_[chosen->server];
+        ++since_report_[chosen->server];
+        health_.begin(chosen->server);
+        answer(next->number, *chosen);
+    }
+}
+
+void replica_board::answer(std::uint64_t number, verdict<ready_replica> with)
+{
+    auto it = waiters_.find(number);
+    if (it != waiters_.end())
+    {
+        it->second->answer = std::move(with);
+        it->second->answered.notify_one();
     }
-    return choose_replica(counted, filter);
 }
 
 verdict<ready_replica> replica_board::wait_for(const replica_wait& wait)
 {
     std::unique_lock lock(mutex_);
-    auto found = choose(wait.filter);
-    if (found)
+    instant now = boot_clock().now();
+    if (auto why = refuse_at_door(wait, now))
+    {
+        return *why;
+    }
+    std::uint64_t number = next_number_++;
+    waiting_request it{.number = number,
+                       .filter = wait.filter,
+                       .workspace = wait.workspace,
+                       .key = wait.key,
+                       .cost = wait.cost,
+                       .deadline = wait.deadline};
+    if (!queue_.push(it))
+    {
+        return refusal(errc::queue_full, fmt::format("{} requests wait already", queue_.size()),
+                       come_back);
+    }
+    waiter self;
+    self.wait = &wait;
+    waiters_.emplace(number, &self);
+    serve_waiting(now);
+    if (!self.answer && wait.on_wait)
+    {
+        wait.on_wait();
+    }
+    while (!self.answer && now < wait.deadline)
+    {
+        self.answered.wait_for(lock, wait.deadline - now);
+        now = boot_clock().now();
+    }
+    waiters_.erase(number);
+    if (!self.answer)
     {
-        return *found;
+        queue_.remove(number);
+        return refusal(errc::deadline, "no replica became ready in time", come_back);
     }
-    if (waiting_.size() >= most_waiting_)
+    return *self.answer;
+}
+
+void replica_board::release(const ready_replica& replica, instant since, server_outcome outcome)
+{
+    std::lock_guard lock(mutex_);
+    instant now = boot_clock().now();
+    --in_flight_[replica.server];
+    health_.end(replica.server, outcome, now, random_);
+    if (outcome == server_outcome::answered)
     {
-        return failure{.run = run_state::not_run,
-                       .code = errc::queue_full,
-                       .detail = fmt::format("{} requests wait already", most_waiting_),
-                       .retry_after = milliseconds(1000)};
+        note_hold(replica.model, now - since);
     }
-    std::uint64_t ticket = next_wait_++;
-    waiting_.emplace(ticket, wait);
-    auto left = wait.deadline - boot_clock().now();
-    changed_.wait_for(lock, left,
-                      [&]
-                      {
-                          found = choose(wait.filter);
-                          return found.has_value();
-                      });
-    waiting_.erase(ticket);
-    if (!found)
-    {
-        return failure{.run = run_state::not_run,
-                       .code = errc::deadline,
-                       .detail = "no replica became ready in time",
-                       .retry_after = milliseconds(1000)};
+    serve_waiting(now);
+}
+
+void replica_board::note_hold(const model_id& model, std::chrono::nanoseconds held)
+{
+    constexpr int weight_of_past = 7;
+    auto [it, fresh] = holds_.try_emplace(model, held);
+    if (!fresh)
+    {
+        it->second = (it->second * weight_of_past + held) / (weight_of_past + 1);
     }
-    return *found;
+}
+
+void replica_board::sweep(const key_in_force& in_force, std::set<server_id> leaving)
+{
+    std::lock_guard lock(mutex_);
+    leaving_ = std::move(leaving);
+    auto withdrawn =
+        queue_.take_if([&](const waiting_request& it) { return !in_force(it.key, it.workspace); });
+    for (const auto& it : withdrawn)
+    {
+        answer(it.number, refusal(errc::key_refused, "the key was withdrawn", {}));
+    }
+    auto gone = queue_.take_if(
+        [&](const waiting_request& it)
+        {
+            const replica_wait& wait = *waiters_.at(it.number)->wait;
+            return wait.caller_gone && wait.caller_gone();
+        });
+    for (const auto& it : gone)
+    {
+        answer(it.number, refusal(errc::cancelled, "the caller went away", {}));
+    }
+    serve_waiting(boot_clock().now());
 }
 
 std::vector<replica_need> replica_board::needs() const
 {
     std::lock_guard lock(mutex_);
     std::vector<replica_need> needs;
-    for (const auto& waiting : waiting_)
-    {
-        const replica_wait& wait = waiting.second;
-        auto it = std::find_if(needs.begin(), needs.end(),
-                               [&](const replica_need& need) {
-                                   return need.model == wait.filter.model &&
-                                          need.adapter == wait.filter.adapter;
-                               });
-        if (it == needs.end())
+    queue_.for_each(
+        [&](const waiting_request& wait)
         {
-            needs.push_back({.model = wait.filter.model,
-                             .adapter = wait.filter.adapter,
-                             .waiting = 1,
-                             .deadline = wait.deadline,
-                             .workspace = wait.workspace});
-            continue;
-        }
-        ++it->waiting;
-        if (wait.deadline < it->deadline)
-        {
-            it->deadline = wait.deadline;
-            it->workspace = wait.workspace;
-        }
-    }
+            auto it = std::find_if(needs.begin(), needs.end(),
+                                   [&](const replica_need& need) {
+                                       return need.model == wait.filter.model &&
+                                              need.adapter == wait.filter.adapter;
+                                   });
+            if (it == needs.end())
+            {
+                needs.push_back({.model = wait.filter.model,
+                                 .adapter = wait.filter.adapter,
+                                 .waiting = 1,
+                                 .deadline = wait.deadline,
+                                 .workspace = wait.workspace});
+                return;
+            }
+            ++it->waiting;
+            if (wait.deadline < it->deadline)
+            {
+                it->deadline = wait.deadline;
+                it->workspace = wait.workspace;
+            }
+        });
     return needs;
 }
 
-void replica_board::add_in_flight(const server_id& server, int change)
+std::size_t replica_board::waiting() const
+{
+    std::lock_guard lock(mutex_);
+    return queue_.size();
+}
+
+int replica_board::in_flight(const server_id& server) const
 {
     std::lock_guard lock(mutex_);
-    in_flight_[server] += change;
+    auto it = in_flight_.find(server);
+    return it == in_flight_.end() ? 0 : it->second;
 }
 
 } // namespace banyanshunt
--- a/src/coordination/replica_board.hpp
+++ b/src/coordination/replica_board.hpp
@@ -2,57 +2,113 @@
 
 /// \file
 /// Defines the board on which an entry host keeps what it knows of replicas, and at which its
-/// requests wait for one.
+/// requests wait for one. It is the thread-safe shell around pure parts: the waiting queue, the
+/// choice of a replica and the health of servers.
 
 #include <condition_variable>
+#include <functional>
 #include <map>
 #include <mutex>
+#include <random>
+#include <set>
 #include <vector>
 
 #include "coordination/replica_choice.hpp"
 #include "coordination/replica_need.hpp"
+#include "coordination/server_health.hpp"
+#include "coordination/waiting_queue.hpp"
 #include "state/verdict.hpp"
 
 namespace banyanshunt
 {
 
+struct replica_board_options
+{
+    std::size_t most_waiting = 512;
+    choice_options choice = {};
+    server_health_options health = {};
+    /// Seed of the chance in choices.
+    std::uint64_t seed = 1;
+};
+
 /// Who waits, and until when.
 struct replica_wait
 {
     replica_filter filter;
     workspace_id workspace;
+    key_id key;
+    millitokens cost;
     instant deadline;
+    /// Whether the caller is gone; asked while the request waits.
+    std::function<bool()> caller_gone = {};
+    /// Called once if the request begins to wait.
+    std::function<void()> on_wait = {};
 };
 
+/// Whether a key still speaks for a workspace.
+using key_in_force = std::function<bool(const key_id&, const workspace_id&)>;
+
 /// Thread-safe; at most `most_waiting` requests wait at once.
 class replica_board
 {
 public:
-    explicit replica_board(std::size_t most_waiting) : most_waiting_(most_waiting) {}
+    explicit replica_board(const replica_board_options& options);
+    explicit replica_board(std::size_t most_waiting)
+        : replica_board(replica_board_options{.most_waiting = most_waiting})
+    {
+    }
 
-    /// Puts newer knowledge up and wakes all who wait for it.
+    /// Puts newer knowledge up and serves whom it can.
     void replace(replica_table table);
 
-    /// Returns a replica now if there is one, or waits for it. Fails with `errc::queue_full` at
-    /// once, or with `errc::deadline` when none came in time.
+    /// Returns a replica now if there is one, or waits for it in fair order. The caller must then
+    /// call `release` once. Fails with `not_run`: at once with `errc::queue_full`, or with
+    /// `errc::deadline` if the wait would be too long; later with `errc::deadline`,
+    /// `errc::key_refused` or `errc::cancelled`.
     verdict<ready_replica> wait_for(const replica_wait& wait);
 
+    /// Gives back the slot that was held since `since`, and tells what came of it.
+    void release(const ready_replica& replica, instant since, server_outcome outcome);
+
+    /// Refuses those whose key is withdrawn or whose caller is gone, and takes over which servers
+    /// are leaving. To be called several times a second.
+    void sweep(const key_in_force& in_force, std::set<server_id> leaving);
+
     /// What is waited for now.
     std::vector<replica_need> needs() const;
-
-    /// Counts one more or less request of this host on a server, between reports.
-    void add_in_flight(const server_id& server, int change);
+    std::size_t waiting() const;
+    /// Requests of this host that hold a slot of the server.
+    int in_flight(const server_id& server) const;
 
 private:
-    std::optional<ready_replica> choose(const replica_filter& filter) const;
+    /// One waiting thread, and what its wait came to.
+    struct waiter
+    {
+        std::condition_variable answered;
+        std::optional<verdict<ready_replica>> answer;
+        const replica_wait* wait = nullptr;
+    };
+
+    std::optional<failure> refuse_at_door(const replica_wait& wait, instant now) const;
+    std::optional<ready_replica> choose(const replica_filter& filter, instant now);
+    int load_of(const ready_replica& replica) const;
+    void serve_waiting(instant now);
+    void answer(std::uint64_t number, verdict<ready_replica> with);
+    void note_hold(const model_id& model, std::chrono::nanoseconds held);
 
+    replica_board_options options_;
     mutable std::mutex mutex_;
-    std::condition_variable changed_;
     replica_table table_;
+    std::set<server_id> leaving_;
+    /// Own requests that hold a slot, and those begun since the last report.
     std::map<server_id, int> in_flight_;
-    std::map<std::uint64_t, replica_wait> waiting_;
-    std::uint64_t next_wait_ = 0;
-    std::size_t most_waiting_;
+    std::map<server_id, int> since_report_;
+    waiting_queue queue_;
+    std::map<std::uint64_t, waiter*> waiters_;
+    std::uint64_t next_number_ = 0;
+    server_health health_;
+    std::map<model_id, std::chrono::nanoseconds> holds_;
+    std::mt19937_64 random_;
 };
 
 } // namespace banyanshunt
--- a/src/coordination/replica_choice.cpp
+++ b/src/coordination/replica_choice.cpp
@@ -1,37 +1,93 @@
 #include "coordination/replica_choice.hpp"
 
-#include <tuple>
+#include <algorithm>
+#include <array>
+
+#include "coordination/rendezvous.hpp"
 
 namespace banyanshunt
 {
 namespace
 {
 
+using replica_list = std::vector<const ready_replica*>;
+
+// Keeps those that satisfy `wanted`, unless none does.
+template <class Wanted>
+void prefer(replica_list& from, const Wanted& wanted)
+{
+    if (std::any_of(from.begin(), from.end(), wanted))
+    {
+        std::erase_if(from, [&](const ready_replica* it) { return !wanted(it); });
+    }
+}
+
+} // namespace
+
+std::string affinity_prefix(const std::string& prompt)
+{
+    constexpr std::size_t longest = 256;
+    return prompt.substr(0, longest);
+}
+
 bool can_serve(const ready_replica& replica, const replica_filter& filter)
 {
     bool has_adapter = filter.adapter.empty() || replica.adapters.contains(filter.adapter);
     return !replica.leaving && replica.model == filter.model && has_adapter;
 }
 
-bool better(const ready_replica& a, const ready_replica& b)
+replica_list candidates(const replica_table& table, const replica_filter& filter,
+                        const choice_options& options)
 {
-    return std::tuple(a.load, !a.near, a.server) < std::tuple(b.load, !b.near, b.server);
+    replica_list from;
+    for (const auto& replica : table.replicas)
+    {
+        if (can_serve(replica, filter) && replica.load < options.slots)
+        {
+            from.push_back(&replica);
+        }
+    }
+    prefer(from, [&](const ready_replica* it) { return !filter.refused_by.contains(it->server); });
+    prefer(from, [](const ready_replica* it) { return it->near; });
+    return from;
 }
 
-} // namespace
-
-std::optional<ready_replica> choose_replica(const replica_table& table,
-                                            const replica_filter& filter)
+const ready_replica* preferred_replica(const replica_list& from, const std::string& prefix,
+                                       const choice_options& options)
 {
-    const ready_replica* best = nullptr;
-    for (const auto& replica : table.replicas)
+    double sum = 0;
+    for (const auto* it : from)
+    {
+        sum += it->load;
+    }
+    double bound = sum / static_cast<double>(from.size()) * options.most_over_mean + 1;
+    // Only the first two are tried: further ones are unlikely to have the prefix cached.
+    std::array<const ready_replica*, 2> best{};
+    std::array<std::uint64_t, 2> weights{};
+    for (const auto* it : from)
+    {
+        std::uint64_t weight = rendezvous_weight(prefix, it->server.str());
+        if (!best[0] || weight > weights[0])
+        {
+            best[1] = best[0];
+            weights[1] = weights[0];
+            best[0] = it;
+            weights[0] = weight;
+        }
+        else if (!best[1] || weight > weights[1])
+        {
+            best[1] = it;
+            weights[1] = weight;
+        }
+    }
+    for (const auto* it : best)
     {
-        if (can_serve(replica, filter) && (!best || better(replica, *best)))
+        if (it && it->load <= bound)
         {
-            best = &replica;
+            return it;
         }
     }
-    return best ? std::optional(*best) : std::nullopt;
+    return nullptr;
 }
 
 } // namespace banyanshunt
--- a/src/coordination/replica_choice.hpp
+++ b/src/coordination/replica_choice.hpp
@@ -1,26 +1,79 @@
 #pragma once
 
 /// \file
-/// Defines the choice of a replica for a request: a pure function of what the host knows.
+/// Defines the choice of a replica for a request. Requests with the same beginning of their prompt
+/// go to the same replica, whose engine then has it cached, as long as that replica's load is near
+/// the mean; else chance spreads them. Pure: what the host knows and a source of chance come in.
 
 #include <optional>
+#include <set>
+#include <string>
+#include <vector>
 
+#include "coordination/random_source.hpp"
 #include "coordination/replica_table.hpp"
 
 namespace banyanshunt
 {
 
-/// Which replicas can serve a request.
+/// Which replicas can serve a request, and which it would like.
 struct replica_filter
 {
     model_id model;
     /// Empty when the base model is asked.
     adapter_id adapter;
+    /// The beginning of the prompt, by which requests are kept together.
+    std::string prefix;
+    /// Servers that have refused the request; they are asked again only when no other can serve.
+    std::set<server_id> refused_by;
 };
 
-/// Returns the least loaded replica that can serve, near ones first at equal load; nothing when
-/// none can. Leaving servers are never chosen.
+struct choice_options
+{
+    /// Requests that a replica takes at once; further ones wait here, where order is fair.
+    int slots = 32;
+    /// A replica is too loaded for affinity above the mean times this, plus one.
+    double most_over_mean = 1.25;
+};
+
+/// The part of a prompt that counts for affinity.
+std::string affinity_prefix(const std::string& prompt);
+
+/// Whether the replica holds what the request asks for and its server is not leaving.
+bool can_serve(const ready_replica& replica, const replica_filter& filter);
+
+/// Returns the replicas with a free slot that may serve the request: those in the request's own
+/// failure domain if there is one, and those that have not refused it if there is one.
+std::vector<const ready_replica*>
+candidates(const replica_table& table, const replica_filter& filter, const choice_options& options);
+
+/// Returns the best candidate for the prefix whose load is within the bound, or null.
+const ready_replica* preferred_replica(const std::vector<const ready_replica*>& from,
+                                       const std::string& prefix, const choice_options& options);
+
+/// Returns the less loaded of two drawn by chance. Precondition: `from` is not empty.
+template <random_source Random>
+const ready_replica* drawn_replica(const std::vector<const ready_replica*>& from, Random& random)
+{
+    std::uniform_int_distribution<std::size_t> any(0, from.size() - 1);
+    const ready_replica* a = from[any(random)];
+    const ready_replica* b = from[any(random)];
+    return b->load < a->load ? b : a;
+}
+
+/// Returns the replica to send the request to; nothing when none can take it now.
+template <random_source Random>
 std::optional<ready_replica> choose_replica(const replica_table& table,
-                                            const replica_filter& filter);
+                                            const replica_filter& filter,
+                                            const choice_options& options, Random& random)
+{
+    auto from = candidates(table, filter, options);
+    if (from.empty())
+    {
+        return std::nullopt;
+    }
+    const ready_replica* it = preferred_replica(from, filter.prefix, options);
+    return it ? *it : *drawn_replica(from, random);
+}
 
 } // namespace banyanshunt
--- /dev/null
+++ b/src/coordination/server_health.cpp
@@ -0,0 +1,77 @@
+#include "coordination/server_health.hpp"
+
+#include <algorithm>
+
+#include "state/errors.hpp"
+
+namespace banyanshunt
+{
+
+server_outcome outcome_of(const failure& why)
+{
+    if (why.code == errc::unreachable || why.code == errc::timeout || why.code == errc::bad_answer)
+    {
+        return server_outcome::failed;
+    }
+    return server_outcome::refused;
+}
+
+bool server_health::usable(const server_id& server, instant now) const
+{
+    auto it = records_.find(server);
+    if (it == records_.end() || it->second.ejections == 0)
+    {
+        return true;
+    }
+    return !it->second.probing && now >= it->second.probe_at;
+}
+
+bool server_health::ejected(const server_id& server) const
+{
+    auto it = records_.find(server);
+    return it != records_.end() && it->second.ejections > 0;
+}
+
+void server_health::begin(const server_id& server)
+{
+    auto it = records_.find(server);
+    if (it != records_.end() && it->second.ejections > 0)
+    {
+        it->second.probing = true;
+    }
+}
+
+void server_health::end_with(const server_id& server, server_outcome outcome, instant now,
+                             std::int64_t percent)
+{
+    if (outcome == server_outcome::answered)
+    {
+        records_.erase(server);
+        return;
+    }
+    if (outcome == server_outcome::refused)
+    {
+        auto it = records_.find(server);
+        if (it != records_.end())
+        {
+            it->second.probing = false;
+        }
+        return;
+    }
+    record& it = records_[server];
+    ++it.failures;
+    // Requests sent before the ejection may still fail; they must not lengthen it.
+    bool ejects = it.ejections == 0 ? it.failures >= options_.failures : it.probing;
+    if (!ejects)
+    {
+        return;
+    }
+    constexpr int most_doublings = 10;
+    auto length = options_.ejection * (1 << std::min(it.ejections, most_doublings));
+    length = std::min(length, options_.longest_ejection) * percent / 100;
+    ++it.ejections;
+    it.probing = false;
+    it.probe_at = now + length;
+}
+
+} // namespace banyanshunt
--- a/src/entry/entry_host.cpp
+++ b/src/entry/entry_host.cpp
@@ -6,6 +6,7 @@
 #include "coordination/state_follower.hpp"
 #include "entry/placement_follower.hpp"
 #include "entry/request_handler.hpp"
+#include "protocol/claim_codec.hpp"
 #include "protocol/ticket_codec.hpp"
 #include "state/duty_thread.hpp"
 #include "state/log_line.hpp"
@@ -20,6 +21,7 @@
 constexpr milliseconds failed_read_pause(200);
 constexpr milliseconds host_list_interval(500);
 constexpr milliseconds drain_poll(10);
+constexpr milliseconds sweep_interval(100);
 
 } // namespace
 
@@ -28,19 +30,35 @@
     explicit impl(const entry_settings& given)
         : settings(given), log(http, given.platform.log, given.platform.patience),
           hosts(http, given.platform.hosts), engine(http), service(http),
-          shares(state, given.entry_hosts), board(given.most_waiting), channels(given.peer_keys),
+          shares(state, given.entry_hosts), board({.most_waiting = given.most_waiting,
+                                                   .choice = {.slots = given.requests.slots},
+                                                   .health = {},
+                                                   .seed = system_seeded()()}),
+          line(given.threads / 8, given.threads / 4),
+          batcher(log, {.appends_per_second = given.requests.claim_appends}),
+          claims(log, batcher,
+                 {.writer = fmt::format("{}-{:x}", given.host.name, system_seeded()()),
+                  .codec = {.encode = encode_claim_record, .decode = decode_claim_record}}),
+          channels(given.peer_keys),
           placement(channels, board,
                     {.host = host_id(given.host.name), .domain = domain_id(given.host.domain)}),
           follower(log, state, decode_ticket, [this](const auto& it) { note_ticket(it); }),
           handler({.settings = settings,
                    .state = state,
                    .shares = shares,
+                   .line = line,
                    .board = board,
+                   .claims = claims,
                    .engine = engine,
                    .service = service,
                    .counters = counters,
                    .wake_demand = [this] { wake_demand(); }}),
-          callers({.address = given.listen, .threads = given.threads}),
+          callers({.address = given.listen,
+                   .threads = given.threads,
+                   .refusal = encode_failure({.run = run_state::not_run,
+                                              .code = errc::queue_full,
+                                              .detail = "too many requests are under way",
+                                              .retry_after = milliseconds(1000)})}),
           admin({.address = given.admin_listen, .threads = 4})
     {
     }
@@ -94,6 +112,22 @@
         return settings.demand_interval;
     }
 
+    milliseconds sweep_waiting()
+    {
+        handler.sweep();
+        return sweep_interval;
+    }
+
+    // Outcomes of claimed calls that wait for their append.
+    void flush_claims() const
+    {
+        instant limit = boot_clock().now() + settings.platform.patience;
+        while (batcher.waiting() > 0 && boot_clock().now() < limit)
+        {
+            std::this_thread::sleep_for(drain_poll);
+        }
+    }
+
     void wake_demand() const
     {
         if (placement_duty)
@@ -150,6 +184,9 @@
     http_plain_service service;
     fixed_shares shares;
     replica_board board;
+    token_line line;
+    log_batcher<http_log_service> batcher;
+    claim_desk<http_log_service> claims;
     peer_channels channels;
     placement_follower placement;
     state_follower<http_log_service> follower;
@@ -161,6 +198,8 @@
     std::unique_ptr<duty_thread> ticket_duty;
     std::unique_ptr<duty_thread> host_duty;
     std::unique_ptr<duty_thread> placement_duty;
+    std::unique_ptr<duty_thread> waiting_duty;
+    std::unique_ptr<duty_thread> claim_duty;
 };
 
 entry_host::entry_host(const entry_settings& settings) : impl_(std::make_unique<impl>(settings)) {}
@@ -179,6 +218,8 @@
     it.ticket_duty = std::make_unique<duty_thread>([&it] { return it.follow_tickets(); });
     it.host_duty = std::make_unique<duty_thread>([&it] { return it.follow_hosts(); });
     it.placement_duty = std::make_unique<duty_thread>([&it] { return it.follow_placement(); });
+    it.waiting_duty = std::make_unique<duty_thread>([&it] { return it.sweep_waiting(); });
+    it.claim_duty = std::make_unique<duty_thread>([&it] { return it.batcher.step(); });
     it.add_caller_handlers();
     it.add_admin_handlers();
     it.callers.start();
@@ -192,6 +233,8 @@
 {
     impl& it = *impl_;
     it.draining = true;
+    std::this_thread::sleep_for(it.settings.requests.drain_notice);
+    it.callers.drain();
     it.handler.drain();
     log_change("draining", "running={}", it.handler.running());
     instant limit = boot_clock().now() + it.settings.drain_limit;
@@ -201,6 +244,9 @@
     }
     bool clean = it.handler.running() == 0;
     it.callers.stop();
+    it.flush_claims();
+    it.claim_duty->stop();
+    it.waiting_duty->stop();
     it.placement_duty->stop();
     it.host_duty->stop();
     it.ticket_duty->stop();
--- a/src/entry/entry_settings.cpp
+++ b/src/entry/entry_settings.cpp
@@ -29,6 +29,7 @@
     it.service_limit = file.duration("limits", "service_ms", defaults.service_limit);
     it.demand_interval = file.duration("limits", "demand_interval_ms", defaults.demand_interval);
     it.drain_limit = file.duration("limits", "drain_ms", defaults.drain_limit);
+    it.requests = read_request_settings(file);
     return it;
 }
 
--- a/src/entry/entry_settings.hpp
+++ b/src/entry/entry_settings.hpp
@@ -5,6 +5,7 @@
 
 #include <optional>
 
+#include "entry/request_settings.hpp"
 #include "protocol/peer_settings.hpp"
 #include "transport/peer_node.hpp"
 
@@ -40,6 +41,7 @@
     milliseconds demand_interval{50};
     /// How long a stop waits for running requests.
     milliseconds drain_limit{60000};
+    request_settings requests;
 };
 
 /// Reads all settings; `file.mistakes()` then tells what is wrong.
--- a/src/entry/request_handler.cpp
+++ b/src/entry/request_handler.cpp
@@ -1,7 +1,7 @@
 #include "entry/request_handler.hpp"
 
 #include <algorithm>
-#include <charconv>
+#include <thread>
 
 #include <fmt/format.h>
 
@@ -10,46 +10,11 @@
 
 namespace banyanshunt
 {
-namespace
-{
-
-constexpr std::string_view bearer_prefix = "Bearer ";
-constexpr std::int64_t milliseconds_in_second = 1000;
-
-std::string bearer_of(const http_request& request)
-{
-    std::string value = request.header("authorization");
-    return value.starts_with(bearer_prefix) ? value.substr(bearer_prefix.size()) : std::string();
-}
-
-// A caller may name a shorter deadline than the host's own in X-Deadline-Ms.
-milliseconds deadline_of(const http_request& request, milliseconds longest)
-{
-    std::string text = request.header("x-deadline-ms");
-    std::int64_t n = 0;
-    auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), n);
-    bool good = ec == std::errc() && end == text.data() + text.size() && n > 0;
-    return good ? std::min(milliseconds(n), longest) : longest;
-}
 
-std::string retry_after_seconds(milliseconds after)
-{
-    auto rounded_up = (after.count() + milliseconds_in_second - 1) / milliseconds_in_second;
-    return std::to_string(std::max<std::int64_t>(rounded_up, 1));
-}
-
-// Counts a request as running from its construction to its end.
-class running_count
+namespace
 {
-public:
-    explicit running_count(std::atomic<int>& count) : count_(count) { ++count_; }
-    ~running_count() { --count_; }
-    running_count(const running_count&) = delete;
-    running_count& operator=(const running_count&) = delete;
 
-private:
-    std::atomic<int>& count_;
-};
+constexpr milliseconds come_back(1000);
 
 } // namespace
 
@@ -66,10 +31,14 @@
     bool stream = false;
     instant begun;
     instant deadline;
+    std::function<bool()> caller_gone;
+    bool first_token = true;
 };
 
 request_handler::request_handler(request_context context)
-    : context_(std::move(context)), next_request_(0), life_(system_seeded()())
+    : context_(std::move(context)), service_calls_(context_),
+      retries_({.percent = context_.settings.requests.retry_percent}), random_(system_seeded()),
+      next_request_(0), life_(system_seeded()())
 {
 }
 
@@ -79,29 +48,13 @@
         fmt::format("{}-{:x}-{}", context_.settings.host.name, life_, next_request_++));
 }
 
-http_reply request_handler::refuse(const failure& why)
-{
-    context_.counters.count("banyanshunt_refusals_total",
-                            {{"reason", why.code.message()}, {"run", to_string(why.run)}});
-    http_reply reply{
-        .status = status_of(why), .headers = {}, .body = encode_failure(why), .stream = {}};
-    if (why.retry_after)
-    {
-        reply.headers.push_back({"Retry-After", retry_after_seconds(*why.retry_after)});
-    }
-    return reply;
-}
-
 verdict<std::shared_ptr<request_handler::job>> request_handler::begin(const http_request& request,
                                                                       bool chat)
 {
     auto it = std::make_shared<job>(running_);
     if (draining_)
     {
-        return failure{.run = run_state::not_run,
-                       .code = errc::draining,
-                       .detail = "this host is stopping",
-                       .retry_after = milliseconds(milliseconds_in_second)};
+        return draining_refusal();
     }
     auto asked = decode_completion(request.body, chat);
     if (!asked)
@@ -118,7 +71,10 @@
         return admitted.error();
     }
     it->begun = boot_clock().now();
-    auto held = context_.shares.reserve(admitted->workspace, admitted->cost, it->begun);
+    it->deadline = deadline_of(request, context_.settings.deadline, it->begun);
+    it->caller_gone = request.caller_gone;
+    auto held = reserve_in_time(context_, {.key = admitted->key, .workspace = admitted->workspace},
+                                admitted->cost, it->deadline, request.caller_gone);
     if (!held)
     {
         return held.error();
@@ -126,7 +82,6 @@
     it->admitted = *admitted;
     it->held = *held;
     it->stream = asked->stream;
-    it->deadline = it->begun + deadline_of(request, context_.settings.deadline);
     it->header = {.id = new_request_id(), .name = asked->name, .chat = chat};
     it->request = {.id = it->header.id,
                    .model = admitted->model,
@@ -137,33 +92,83 @@
     return it;
 }
 
-// Waits for a replica and runs on it; a replica that refused did not run it, so another may.
-verdict<completion_end> request_handler::run(job& it, const token_sink& sink)
+verdict<completion_end> request_handler::run_on(job& it, const ready_replica& replica,
+                                                const token_sink& sink)
 {
-    replica_wait wait{.filter = {.model = it.admitted.model, .adapter = it.admitted.adapter},
-                      .workspace = it.admitted.workspace,
-                      .deadline = it.deadline};
-    context_.wake_demand();
-    auto replica = context_.board.wait_for(wait);
-    if (!replica)
-    {
-        context_.shares.settle(it.held, millitokens(0), boot_clock().now());
-        return replica.error();
-    }
-    bool first = true;
     auto note_first = [&](const stream_token& token)
     {
-        if (std::exchange(first, false))
+        if (std::exchange(it.first_token, false))
         {
             context_.counters.observe("banyanshunt_first_token_seconds",
                                       boot_clock().now() - it.begun);
         }
         return sink(token);
     };
-    context_.board.add_in_flight(replica->server, 1);
-    auto end = run_completion(context_.engine, replica->address, it.request,
-                              {.silence = context_.settings.silence}, note_first);
-    context_.board.add_in_flight(replica->server, -1);
+    instant since = boot_clock().now();
+    auto end = run_completion(context_.engine, replica.address, it.request,
+                              {.silence = context_.settings.silence, .first_token_by = it.deadline},
+                              note_first);
+    context_.board.release(replica, since,
+                           end ? server_outcome::answered : outcome_of(end.error()));
+    return end;
+}
+
+// The pause, or nothing when the budget of retries is spent.
+std::optional<milliseconds> request_handler::pause_before_retry(int attempt)
+{
+    std::lock_guard lock(retry_mutex_);
+    if (!retries_.take())
+    {
+        return std::nullopt;
+    }
+    return retry_pause(attempt, random_);
+}
+
+// Waits for a replica and runs on it; a replica that refused did not run it, so another may.
+verdict<completion_end> request_handler::run_with_retries(job& it, const token_sink& sink)
+{
+    replica_wait wait{.filter = {.model = it.admitted.model,
+                                 .adapter = it.admitted.adapter,
+                                 .prefix = affinity_prefix(it.request.prompt),
+                                 .refused_by = {}},
+                      .workspace = it.admitted.workspace,
+                      .key = it.admitted.key,
+                      .cost = it.admitted.cost,
+                      .deadline = it.deadline,
+                      .caller_gone = it.caller_gone,
+                      .on_wait = context_.wake_demand};
+    for (int attempt = 1;; ++attempt)
+    {
+        auto replica = context_.board.wait_for(wait);
+        if (!replica)
+        {
+            return replica.error();
+        }
+        auto end = run_on(it, *replica, sink);
+        if (end || end.error().run != run_state::not_run)
+        {
+            return end;
+        }
+        auto pause = pause_before_retry(attempt);
+        if (!pause || boot_clock().now() + *pause >= it.deadline)
+        {
+            failure why = end.error();
+            why.retry_after = come_back;
+            return why;
+        }
+        context_.counters.count("banyanshunt_retries_total");
+        wait.filter.refused_by.insert(replica->server);
+        std::this_thread::sleep_for(*pause);
+    }
+}
+
+verdict<completion_end> request_handler::run(job& it, const token_sink& sink)
+{
+    {
+        std::lock_guard lock(retry_mutex_);
+        retries_.note_request();
+    }
+    auto end = run_with_retries(it, sink);
     millitokens used = it.held.amount;
     if (end)
     {
@@ -182,14 +187,14 @@
 {
     std::string text;
     auto end = run(*it,
-                   [&text](const stream_token& token)
+                   [&](const stream_token& token)
                    {
                        text += token.text;
-                       return true;
+                       return !it->caller_gone || !it->caller_gone();
                    });
     if (!end)
     {
-        return refuse(end.error());
+        return refusal_reply(context_.counters, end.error());
     }
     return {.headers = {}, .body = encode_answer(it->header, text, *end), .stream = {}};
 }
@@ -201,7 +206,7 @@
     answer_item first = answer->next();
     if (auto* why = std::get_if<failure>(&first))
     {
-        return refuse(*why);
+        return refusal_reply(context_.counters, *why);
     }
     http_reply reply{.content_type = "text/event-stream", .headers = {}, .body = {}, .stream = {}};
     reply.stream = [it, answer, first](const piece_writer& write)
@@ -232,7 +237,7 @@
     auto it = begin(request, chat);
     if (!it)
     {
-        return refuse(it.error());
+        return refusal_reply(context_.counters, it.error());
     }
     return (*it)->stream ? streamed_answer(*it) : whole_answer(*it);
 }
@@ -243,7 +248,7 @@
     auto holder = check_key(*state, bearer_of(request));
     if (!holder)
     {
-        return refuse(holder.error());
+        return refusal_reply(context_.counters, holder.error());
     }
     std::vector<std::string> names;
     for (const auto& [id, entry] : state->models)
@@ -263,73 +268,31 @@
     return {.headers = {}, .body = encode_models(names), .stream = {}};
 }
 
-// Sends the call to one server of the route; the next is tried only after a sure `not_run`.
-verdict<service_answer> request_handler::call_service(const admitted_call& admitted,
-                                                      const http_request& request,
-                                                      const request_id& id)
-{
-    service_call call{.id = id,
-                      .method = request.method,
-                      .path = request.target,
-                      .headers = {},
-                      .body = request.body};
-    failure last{.run = run_state::not_run,
-                 .code = errc::no_replica,
-                 .detail = fmt::format("no server of route {} can be reached", admitted.id.str()),
-                 .retry_after = milliseconds(milliseconds_in_second)};
-    auto state = context_.state.get();
-    for (const auto& name : admitted.route.servers)
-    {
-        const server_object* server = find_object(state->servers, name);
-        if (!server || server->leaving)
-        {
-            continue;
-        }
-        auto answer = context_.service.call(server->address, call, context_.settings.service_limit);
-        if (answer || answer.error().run != run_state::not_run)
-        {
-            return answer;
-        }
-        last.detail = answer.error().detail;
-    }
-    return last;
-}
-
 http_reply request_handler::plain_call(const http_request& request)
 {
     context_.counters.count("banyanshunt_requests_total", {{"kind", "service"}});
     running_count counted(running_);
     if (draining_)
     {
-        return refuse({.run = run_state::not_run,
-                       .code = errc::draining,
-                       .detail = "this host is stopping",
-                       .retry_after = milliseconds(milliseconds_in_second)});
+        return refusal_reply(context_.counters, draining_refusal());
     }
-    auto admitted = admit_call(*context_.state.get(), request.path, bearer_of(request));
-    if (!admitted)
-    {
-        return refuse(admitted.error());
-    }
-    if (admitted->holder)
+    return service_calls_.handle(request, new_request_id());
+}
+
+void request_handler::sweep()
+{
+    auto state = context_.state.get();
+    std::set<server_id> leaving;
+    for (const auto& [id, entry] : state->servers)
     {
-        auto held = context_.shares.reserve(
-            admitted->holder->workspace, tokens(admitted->route.cost_tokens), boot_clock().now());
-        if (!held)
+        if (!entry->value || entry->value->leaving)
         {
-            return refuse(held.error());
+            leaving.insert(id);
         }
     }
-    auto answer = call_service(*admitted, request, new_request_id());
-    if (!answer)
-    {
-        return refuse(answer.error());
-    }
-    return {.status = answer->status,
-            .content_type = answer->content_type,
-            .headers = {},
-            .body = answer->body,
-            .stream = {}};
+    context_.board.sweep([&state](const key_id& key, const workspace_id& workspace)
+                         { return in_force(*state, key, workspace); },
+                         std::move(leaving));
 }
 
 } // namespace banyanshunt
--- a/src/entry/request_handler.hpp
+++ b/src/entry/request_handler.hpp
@@ -6,34 +6,16 @@
 #include <atomic>
 
 #include "coordination/admission.hpp"
-#include "coordination/any_token_source.hpp"
 #include "coordination/completion_run.hpp"
-#include "coordination/replica_board.hpp"
+#include "coordination/retry_budget.hpp"
 #include "entry/answer_stream.hpp"
-#include "entry/entry_settings.hpp"
+#include "entry/request_parts.hpp"
+#include "entry/service_calls.hpp"
 #include "protocol/completion_codec.hpp"
-#include "state/state_cell.hpp"
-#include "transport/backend_clients.hpp"
-#include "transport/http_server.hpp"
-#include "transport/metrics.hpp"
 
 namespace banyanshunt
 {
 
-/// What request handling works with; all of it outlives the handler.
-struct request_context
-{
-    const entry_settings& settings;
-    const state_cell& state;
-    any_token_source shares;
-    replica_board& board;
-    http_model_engine& engine;
-    http_plain_service& service;
-    metrics& counters;
-    /// Called when a request begins to wait for a replica.
-    std::function<void()> wake_demand;
-};
-
 /// Handles callers' requests; safe from any thread.
 class request_handler
 {
@@ -46,22 +28,29 @@
 
     /// Refuses new requests from now on.
     void drain() { draining_ = true; }
+    /// Refuses waiting requests whose key is withdrawn or whose caller is gone, and takes note of
+    /// leaving servers. To be called several times a second.
+    void sweep();
     /// Requests that have begun and not ended.
     int running() const { return running_; }
 
 private:
     struct job;
 
-    http_reply refuse(const failure& why);
     verdict<std::shared_ptr<job>> begin(const http_request& request, bool chat);
     verdict<completion_end> run(job& it, const token_sink& sink);
+    verdict<completion_end> run_with_retries(job& it, const token_sink& sink);
+    verdict<completion_end> run_on(job& it, const ready_replica& replica, const token_sink& sink);
+    std::optional<milliseconds> pause_before_retry(int attempt);
     http_reply whole_answer(const std::shared_ptr<job>& it);
     http_reply streamed_answer(const std::shared_ptr<job>& it);
-    verdict<service_answer> call_service(const admitted_call& admitted, const http_request& request,
-                                         const request_id& id);
     request_id new_request_id();
 
     request_context context_;
+    service_calls service_calls_;
+    std::mutex retry_mutex_;
+    retry_budget retries_;
+    std::mt19937_64 random_;
     std::atomic<bool> draining_ = false;
     std::atomic<int> running_ = 0;
     std::atomic<std::uint64_t> next_request_;
--- /dev/null
+++ b/src/entry/request_parts.hpp
@@ -0,0 +1,69 @@
+#pragma once
+
+/// \file
+/// Defines what completions and calls to plain services have in common on their way through an
+/// entry host.
+
+#include <atomic>
+#include <string>
+
+#include "coordination/any_token_source.hpp"
+#include "coordination/claim_desk.hpp"
+#include "coordination/key_check.hpp"
+#include "coordination/replica_board.hpp"
+#include "coordination/token_line.hpp"
+#include "entry/entry_settings.hpp"
+#include "state/state_cell.hpp"
+#include "transport/backend_clients.hpp"
+#include "transport/http_server.hpp"
+#include "transport/metrics.hpp"
+#include "transport/platform_clients.hpp"
+
+namespace banyanshunt
+{
+
+/// What request handling works with; all of it outlives the handler.
+struct request_context
+{
+    const entry_settings& settings;
+    const state_cell& state;
+    any_token_source shares;
+    token_line& line;
+    replica_board& board;
+    claim_desk<http_log_service>& claims;
+    http_model_engine& engine;
+    http_plain_service& service;
+    metrics& counters;
+    /// Called when a request begins to wait for a replica.
+    std::function<void()> wake_demand;
+};
+
+/// Counts a request as running from its construction to its end.
+class running_count
+{
+public:
+    explicit running_count(std::atomic<int>& count) : count_(count) { ++count_; }
+    ~running_count() { --count_; }
+    running_count(const running_count&) = delete;
+    running_count& operator=(const running_count&) = delete;
+
+private:
+    std::atomic<int>& count_;
+};
+
+/// The bearer key, or empty text.
+std::string bearer_of(const http_request& request);
+/// When the request's answer must have begun: the host's own limit or the caller's X-Deadline-Ms.
+instant deadline_of(const http_request& request, milliseconds longest, instant now);
+/// Counts and writes a refusal.
+http_reply refusal_reply(metrics& counters, const failure& why);
+/// The refusal of a host that is stopping.
+failure draining_refusal();
+/// Whether the key still speaks for the workspace.
+bool in_force(const fleet_state& state, const key_id& key, const workspace_id& workspace);
+/// Waits in line for the tokens; ends early when the key is withdrawn or the caller is gone.
+verdict<reservation> reserve_in_time(const request_context& context, const key_holder& holder,
+                                     millitokens cost, instant deadline,
+                                     const std::function<bool()>& caller_gone);
+
+} // namespace banyanshunt
--- /dev/null
+++ b/src/entry/service_calls.hpp
@@ -0,0 +1,52 @@
+#pragma once
+
+/// \file
+/// Defines the life of a call to a plain service on an entry host: at most once where the route may
+/// not be repeated, and once over all hosts with an idempotency key.
+
+#include <mutex>
+#include <random>
+
+#include "coordination/admission.hpp"
+#include "coordination/retry_budget.hpp"
+#include "coordination/server_health.hpp"
+#include "entry/request_parts.hpp"
+
+namespace banyanshunt
+{
+
+/// Handles callers' calls; safe from any thread.
+class service_calls
+{
+public:
+    explicit service_calls(request_context context);
+
+    /// Handles a request that has begun, under this id.
+    http_reply handle(const http_request& request, const request_id& id);
+
+private:
+    /// One admitted call on its way.
+    struct call
+    {
+        const http_request& request;
+        request_id id;
+        admitted_call admitted;
+        instant deadline;
+    };
+
+    verdict<service_answer> send(const call& it);
+    verdict<service_answer> send_claimed(const call& it);
+    verdict<service_answer> send_to_servers(const call& it);
+    std::vector<server_id> servers_in_order(const call& it);
+    verdict<service_answer> send_to(const call& it, const server_id& name,
+                                    const server_object& server);
+    bool may_retry();
+
+    request_context context_;
+    std::mutex mutex_;
+    server_health health_;
+    retry_budget retries_;
+    std::mt19937_64 random_;
+};
+
+} // namespace banyanshunt
--- /dev/null
+++ b/src/protocol/claim_codec.cpp
@@ -0,0 +1,140 @@
+#include "protocol/claim_codec.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include "coordination/key_check.hpp"
+#include "protocol/json_reader.hpp"
+
+namespace banyanshunt
+{
+namespace
+{
+
+using nlohmann::json;
+
+constexpr std::size_t longest_name = 512;
+constexpr std::size_t longest_body = 64 * 1024;
+constexpr std::int64_t highest_status = 999;
+
+const char* name_of(claim_step step)
+{
+    switch (step)
+    {
+    case claim_step::claim:
+        return "claim";
+    case claim_step::abandon:
+        return "abandon";
+    case claim_step::outcome:
+        return "outcome";
+    }
+    return "";
+}
+
+claim_step step_of(const std::string& name)
+{
+    if (name == "claim")
+    {
+        return claim_step::claim;
+    }
+    return name == "abandon" ? claim_step::abandon : claim_step::outcome;
+}
+
+// Bodies may hold any bytes, and JSON holds text only.
+std::string hexadecimal(const std::string& bytes)
+{
+    std::string text;
+    for (unsigned char c : bytes)
+    {
+        text += fmt::format("{:02x}", c);
+    }
+    return text;
+}
+
+int digit_of(char c)
+{
+    if (c >= '0' && c <= '9')
+    {
+        return c - '0';
+    }
+    return c >= 'a' && c <= 'f' ? c - 'a' + 10 : -1;
+}
+
+std::string bytes_of(const std::string& text, json_errors& errors)
+{
+    std::string bytes;
+    bool good = text.size() % 2 == 0;
+    for (std::size_t i = 0; good && i < text.size(); i += 2)
+    {
+        int high = digit_of(text[i]);
+        int low = digit_of(text[i + 1]);
+        good = high >= 0 && low >= 0;
+        bytes += static_cast<char>(high * 16 + low);
+    }
+    if (!good)
+    {
+        errors.note("body", "must be hexadecimal");
+    }
+    return bytes;
+}
+
+} // namespace
+
+std::string encode_claim_record(const claim_record& record)
+{
+    json out = {{"step", name_of(record.step)},
+                {"scope", record.key.scope},
+                {"key", hexadecimal(record.key.key)},
+                {"claim", record.claim.str()}};
+    if (record.step == claim_step::claim)
+    {
+        out["digest"] = record.digest;
+    }
+    if (record.step == claim_step::outcome)
+    {
+        out["status"] = record.outcome.status;
+        out["content_type"] = record.outcome.content_type;
+        out["body"] = hexadecimal(record.outcome.body);
+        out["cut"] = record.outcome.cut;
+    }
+    return out.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+verdict<claim_record> decode_claim_record(const std::string& text)
+{
+    json_errors errors;
+    auto document = parse_json(text, errors);
+    json_reader in(document, "", errors);
+    claim_record record;
+    record.step = step_of(in.word("step", {"claim", "abandon", "outcome"}));
+    record.key = {.scope = in.text("scope", longest_name),
+                  .key = bytes_of(in.text("key", 2 * longest_name), errors)};
+    record.claim = record_id(in.text("claim", longest_name));
+    if (record.step == claim_step::claim)
+    {
+        record.digest = in.text("digest", longest_name);
+    }
+    if (record.step == claim_step::outcome)
+    {
+        record.outcome.status = static_cast<int>(in.integer("status", 0, highest_status));
+        record.outcome.content_type = in.text("content_type", longest_name, "");
+        record.outcome.body = bytes_of(in.text("body", 2 * longest_body, ""), errors);
+        record.outcome.cut = in.boolean("cut", false);
+    }
+    in.refuse_others();
+    if (!errors.empty())
+    {
+        return failure{.run = run_state::not_run,
+                       .code = errc::bad_answer,
+                       .detail = errors.first(),
+                       .retry_after = {}};
+    }
+    return record;
+}
+
+std::string call_digest(const std::string& method, const std::string& target,
+                        const std::string& body)
+{
+    return salted_hash("", method + '\n' + target + '\n' + body);
+}
+
+} // namespace banyanshunt
--- /dev/null
+++ b/src/protocol/claim_codec.hpp
@@ -0,0 +1,21 @@
+#pragma once
+
+/// \file
+/// Defines the written form of claims on idempotency keys in the log.
+
+#include <string>
+
+#include "coordination/claim_desk.hpp"
+
+namespace banyanshunt
+{
+
+std::string encode_claim_record(const claim_record& record);
+/// Fails with `errc::bad_answer` on anything that is no such record.
+verdict<claim_record> decode_claim_record(const std::string& text);
+
+/// Digest of a call, by which a repeat is told from another call with the same key.
+std::string call_digest(const std::string& method, const std::string& target,
+                        const std::string& body);
+
+} // namespace banyanshunt
