--- /dev/null
+++ b/tests/error/claim_desk_test.cpp
@@ -0,0 +1,286 @@
+/// \file
+/// Hosts that race for one idempotency key while the log refuses, loses answers, is late and
+/// repeats: exactly one of them sends, or none and each says so.
+
+#include <atomic>
+#include <map>
+#include <random>
+#include <thread>
+
+#include <catch2/catch.hpp>
+
+#include "protocol/claim_codec.hpp"
+#include "stand_ins/memory_log.hpp"
+#include "state/duty_thread.hpp"
+
+using namespace banyanshunt;
+
+namespace
+{
+
+// A log whose appends may take effect after they have failed.
+class late_log
+{
+public:
+    explicit late_log(memory_log& log) : log_(log) {}
+
+    verdict<log_offset> append(const stream_name& stream, std::span<const log_entry> batch)
+    {
+        let_in();
+        if (hold_next_.exchange(false))
+        {
+            std::lock_guard lock(mutex_);
+            held_.push_back({.stream = stream, .batch = {batch.begin(), batch.end()}});
+            return failure{.run = run_state::may_have_run,
+                           .code = errc::timeout,
+                           .detail = "no answer",
+                           .retry_after = {}};
+        }
+        return log_.append(stream, batch);
+    }
+    verdict<log_page> read(const stream_name& stream, log_offset from, std::size_t limit,
+                           milliseconds wait)
+    {
+        return log_.read(stream, from, limit, wait);
+    }
+
+    void hold_next() { hold_next_ = true; }
+    void let_in()
+    {
+        std::lock_guard lock(mutex_);
+        for (const auto& it : held_)
+        {
+            (void)log_.append(it.stream, it.batch);
+        }
+        held_.clear();
+    }
+
+private:
+    struct held_append
+    {
+        stream_name stream;
+        std::vector<log_entry> batch;
+    };
+
+    memory_log& log_;
+    std::atomic<bool> hold_next_ = false;
+    std::mutex mutex_;
+    std::vector<held_append> held_;
+};
+
+// The claims' part of one host.
+struct host
+{
+    host(memory_log& it, const std::string& name)
+        : log(it), batcher(log, {.appends_per_second = 1000,
+                                 .burst = 100,
+                                 .pause_after_failure = milliseconds(5)}),
+          desk(log, batcher,
+               {.writer = name,
+                .codec = {.encode = encode_claim_record, .decode = decode_claim_record}}),
+          duty([this] { return batcher.step(); })
+    {
+    }
+
+    late_log log;
+    log_batcher<late_log> batcher;
+    claim_desk<late_log> desk;
+    duty_thread duty;
+};
+
+const claim_key order_key{.scope = "workspace clinics", .key = "order-7"};
+const call_outcome booked{.status = 200, .content_type = "application/json", .body = "booked"};
+
+verdict<claim_answer> ask(host& it, const claim_key& key, milliseconds patience)
+{
+    return it.desk.claim(key, "d", boot_clock().now() + patience);
+}
+
+// Sends the call if the claim allows it; counts it.
+void call_with_key(host& it, const claim_key& key, std::atomic<int>& runs)
+{
+    auto answer = ask(it, key, milliseconds(60));
+    if (answer && !answer->told)
+    {
+        ++runs;
+        it.desk.finish(key, answer->claim, booked);
+    }
+}
+
+std::vector<fault_row> random_faults(std::mt19937_64& random)
+{
+    constexpr std::array kinds = {fault_kind::refuse, fault_kind::lose_answer, fault_kind::late,
+                                  fault_kind::repeat, fault_kind::hang};
+    std::vector<fault_row> rows;
+    for (int i = 0; i < 4; ++i)
+    {
+        rows.push_back({.call = "append",
+                        .first = 1 + static_cast<int>(random() % 6),
+                        .count = 1 + static_cast<int>(random() % 2),
+                        .kind = kinds[random() % kinds.size()],
+                        .delay = milliseconds(random() % 20)});
+    }
+    rows.push_back({.call = "read",
+                    .first = 1 + static_cast<int>(random() % 4),
+                    .count = static_cast<int>(random() % 3),
+                    .kind = fault_kind::refuse});
+    return rows;
+}
+
+} // namespace
+
+TEST_CASE("a call with an idempotency key")
+{
+    memory_log log;
+    host north(log, "north");
+    host south(log, "south");
+    milliseconds patience(1000);
+
+    SECTION("is sent by the host that claims first, and its outcome is told by the others")
+    {
+        auto first = ask(north, order_key, patience);
+        REQUIRE(first);
+        CHECK(!first->told);
+        north.desk.finish(order_key, first->claim, booked);
+        while (north.batcher.waiting() > 0)
+        {
+            std::this_thread::sleep_for(milliseconds(1));
+        }
+        for (host* it : {&south, &north})
+        {
+            auto again = ask(*it, order_key, patience);
+            while (!again && again.error().code == errc::already_claimed)
+            {
+                again = ask(*it, order_key, patience);
+            }
+            REQUIRE(again);
+            CHECK(again->told == booked);
+        }
+    }
+    SECTION("with another body is refused on every host")
+    {
+        REQUIRE(ask(north, order_key, patience));
+        auto other = south.desk.claim(order_key, "other", boot_clock().now() + patience);
+        REQUIRE(!other);
+        CHECK(other.error().code == errc::idempotency_mismatch);
+    }
+    SECTION("in another workspace is another call")
+    {
+        REQUIRE(ask(north, order_key, patience));
+        auto other = ask(south, {.scope = "workspace schools", .key = "order-7"}, patience);
+        REQUIRE(other);
+        CHECK(!other->told);
+    }
+    SECTION("is not sent while the log is down, and is sent once it is back")
+    {
+        log.set_down(true);
+        auto refused = ask(north, order_key, milliseconds(50));
+        REQUIRE(!refused);
+        CHECK(refused.error().code == errc::claim_unavailable);
+        CHECK(refused.error().run == run_state::not_run);
+        CHECK(refused.error().retry_after);
+        log.set_down(false);
+        CHECK(ask(south, order_key, patience));
+    }
+    SECTION("is sent after the append's answer was lost, once the record was read back")
+    {
+        log.faults().set({{.call = "append", .kind = fault_kind::lose_answer}});
+        auto answer = ask(north, order_key, patience);
+        REQUIRE(answer);
+        CHECK(!answer->told);
+    }
+    SECTION("whose append takes effect after its host gave up is free for another host")
+    {
+        north.log.hold_next();
+        auto late = ask(north, order_key, milliseconds(50));
+        REQUIRE(!late);
+        CHECK(late.error().run == run_state::not_run);
+        north.log.let_in();
+        auto other = ask(south, order_key, patience);
+        while (!other && other.error().run != run_state::ran)
+        {
+            other = ask(south, order_key, patience);
+        }
+        CHECK(other);
+    }
+    SECTION("whose host died before the outcome is told that it may have run")
+    {
+        REQUIRE(ask(north, order_key, patience));
+        auto again = ask(south, order_key, patience);
+        REQUIRE(!again);
+        CHECK(again.error().code == errc::already_claimed);
+        CHECK(again.error().run == run_state::may_have_run);
+    }
+    SECTION("is claimed on a host that starts after old records have expired")
+    {
+        for (int i = 0; i < 20; ++i)
+        {
+            REQUIRE(ask(north, {.scope = "w", .key = std::to_string(i)}, patience));
+        }
+        log.expire_all_but(1);
+        CHECK(ask(south, order_key, patience));
+    }
+}
+
+TEST_CASE("hosts that race for a key under faults of the log send at most once")
+{
+    for (std::uint64_t seed = 1; seed <= 60; ++seed)
+    {
+        INFO("seed " << seed);
+        std::mt19937_64 random(seed);
+        memory_log log;
+        log.faults().set(random_faults(random));
+        host north(log, "north");
+        host south(log, "south");
+        if (random() % 2 == 0)
+        {
+            north.log.hold_next();
+        }
+        std::array<std::atomic<int>, 3> runs{};
+        std::vector<std::thread> callers;
+        for (std::size_t key = 0; key < runs.size(); ++key)
+        {
+            for (host* it : {&north, &south, &north})
+            {
+                callers.emplace_back(
+                    [it, key, &runs]
+                    {
+                        claim_key name{.scope = "w", .key = std::to_string(key)};
+                        call_with_key(*it, name, runs[key]);
+                        call_with_key(*it, name, runs[key]);
+                    });
+            }
+        }
+        for (auto& caller : callers)
+        {
+            caller.join();
+        }
+        for (const auto& n : runs)
+        {
+            REQUIRE(n <= 1);
+        }
+    }
+}
+
+TEST_CASE("many claims at once take few appends")
+{
+    memory_log log;
+    host north(log, "north");
+    std::vector<std::thread> callers;
+    std::atomic<int> granted = 0;
+    for (int i = 0; i < 64; ++i)
+    {
+        callers.emplace_back(
+            [&, i]
+            {
+                auto it = ask(north, {.scope = "w", .key = std::to_string(i)}, milliseconds(5000));
+                granted += it && !it->told ? 1 : 0;
+            });
+    }
+    for (auto& caller : callers)
+    {
+        caller.join();
+    }
+    CHECK(granted == 64);
+    CHECK(log.appends() < 64);
+}
--- /dev/null
+++ b/tests/stand_ins/raw_server.cpp
@@ -0,0 +1,115 @@
+#include "stand_ins/raw_server.hpp"
+
+#include <array>
+
+#include <arpa/inet.h>
+#include <fmt/format.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "transport/socket_io.hpp"
+
+namespace banyanshunt
+{
+namespace
+{
+
+constexpr milliseconds look_again(10);
+
+int listen_on_loopback()
+{
+    int listener = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in at{};
+    at.sin_family = AF_INET;
+    at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    bind(listener, reinterpret_cast<sockaddr*>(&at), sizeof(at));
+    constexpr int backlog = 64;
+    listen(listener, backlog);
+    return listener;
+}
+
+// Where the request that begins the text ends, or npos while it is not whole.
+std::size_t end_of_request(const std::string& text)
+{
+    auto head = text.find("\r\n\r\n");
+    if (head == std::string::npos)
+    {
+        return head;
+    }
+    std::size_t end = head + 4;
+    auto field = text.find("Content-Length: ");
+    if (field != std::string::npos && field < head)
+    {
+        end += std::stoul(text.substr(field + 16));
+    }
+    return end <= text.size() ? end : std::string::npos;
+}
+
+} // namespace
+
+std::string http_text(int status, const std::string& body, const std::string& more_fields)
+{
+    return fmt::format("HTTP/1.1 {} Text\r\nContent-Length: {}\r\n{}\r\n{}", status, body.size(),
+                       more_fields, body);
+}
+
+raw_server::raw_server(script it) : script_(std::move(it)), listener_(listen_on_loopback())
+{
+    address_ = fmt::format("127.0.0.1:{}", local_end(listener_).port);
+    acceptor_ = std::thread([this] { accept_all(); });
+}
+
+raw_server::~raw_server()
+{
+    stopping_ = true;
+    acceptor_.join();
+    close(listener_);
+    for (auto& thread : threads_)
+    {
+        thread.join();
+    }
+}
+
+void raw_server::accept_all()
+{
+    while (!stopping_)
+    {
+        if (wait_readable(listener_, look_again))
+        {
+            int socket = accept(listener_, nullptr, nullptr);
+            int n = ++connections_;
+            threads_.emplace_back([this, socket, n] { serve(socket, n); });
+        }
+    }
+}
+
+void raw_server::serve(int socket, int connection)
+{
+    std::string text;
+    std::array<char, 4096> buf{};
+    int n = 0;
+    bool open = true;
+    while (open && !stopping_)
+    {
+        if (!wait_readable(socket, look_again))
+        {
+            continue;
+        }
+        long got = read_some(socket, buf.data(), buf.size(), look_again);
+        open = got > 0;
+        text.append(buf.data(), open ? static_cast<std::size_t>(got) : 0);
+        for (auto end = end_of_request(text); open && end != std::string::npos;
+             end = end_of_request(text))
+        {
+            ++requests_;
+            raw_reply reply = script_(connection, ++n, text.substr(0, end));
+            text.erase(0, end);
+            write_all(socket, reply.bytes, milliseconds(1000));
+            open = !reply.close;
+        }
+    }
+    close(socket);
+}
+
+} // namespace banyanshunt
--- /dev/null
+++ b/tests/stand_ins/raw_server.hpp
@@ -0,0 +1,60 @@
+#pragma once
+
+/// \file
+/// Defines a TCP server that answers requests with bytes as a test wrote them, so that a test can
+/// break connections at any byte and count what arrived.
+
+#include <atomic>
+#include <functional>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace banyanshunt
+{
+
+/// What the server does after it has read one request.
+struct raw_reply
+{
+    std::string bytes;
+    /// Close the connection after the bytes.
+    bool close = false;
+};
+
+/// Serves from construction to destruction, each connection on a thread of its own.
+class raw_server
+{
+public:
+    /// Gets the number of the connection and of the request on it, from 1, and the request's text.
+    using script = std::function<raw_reply(int connection, int request, const std::string& text)>;
+
+    explicit raw_server(script it);
+    ~raw_server();
+    raw_server(const raw_server&) = delete;
+    raw_server& operator=(const raw_server&) = delete;
+
+    const std::string& address() const { return address_; }
+    /// Requests read so far, on all connections.
+    int requests() const { return requests_; }
+    int connections() const { return connections_; }
+
+private:
+    void accept_all();
+    void serve(int socket, int connection);
+
+    script script_;
+    std::string address_;
+    int listener_;
+    std::atomic<int> requests_ = 0;
+    std::atomic<int> connections_ = 0;
+    std::atomic<bool> stopping_ = false;
+    std::mutex mutex_;
+    std::vector<std::thread> threads_;
+    std::thread acceptor_;
+};
+
+/// A whole HTTP answer with this status and body.
+std::string http_text(int status, const std::string& body, const std::string& more_fields = "");
+
+} // namespace banyanshunt
