Owned shares: membership in the log, one host as a state machine, the bound as a property

A share moves inside its domain by records in the log; a cut holds on reading, a gain once every host that may act on an older record has read it or cannot act any more. share_host joins ledger, membership, waiting requests and the calls to peers without a clock or socket. share_fleet runs many of them under a test clock with lost, late and repeated messages, deaths, new lives, pauses past the lease, partitions, leaving hosts and tickets that change rates.

--- /dev/null
+++ b/src/coordination/share_host.cpp
@@ -0,0 +1,235 @@
+#include "coordination/share_host.hpp"
+
+#include <algorithm>
+
+namespace banyanshunt
+{
+namespace
+{
+
+constexpr std::int64_t milliseconds_in_second = 1000;
+/// The span over which demand is counted.
+constexpr milliseconds demand_span(500);
+
+} // namespace
+
+share_host::share_host(const share_host_options& options)
+    : options_(options), ledger_(options.ledger), membership_(options.self, options.lease)
+{
+}
+
+layered<share_size> share_host::own_size(const share_size& fleet) const
+{
+    layered<share_size> own;
+    for (auto layer : all_layers)
+    {
+        own[layer].places = fleet.places;
+        if (divisors_[layer] > 0)
+        {
+            std::int64_t parts = std::int64_t{2} * options_.domains * divisors_[layer];
+            own[layer].rate = millitokens_per_second(fleet.rate.count() / parts);
+            own[layer].depth = millitokens(fleet.depth.count() / parts);
+        }
+    }
+    return own;
+}
+
+void share_host::set_limits(const std::map<resource_id, share_size>& limits, instant now)
+{
+    for (const auto& resource : ledger_.resources())
+    {
+        if (!limits.contains(resource))
+        {
+            ledger_.forget(resource, now);
+        }
+    }
+    limits_ = limits;
+    for (const auto& [resource, fleet] : limits_)
+    {
+        ledger_.set_share(resource, own_size(fleet), now);
+    }
+}
+
+void share_host::set_peers(const std::vector<share_peer>& peers)
+{
+    std::erase_if(peers_,
+                  [&](const auto& it)
+                  {
+                      auto same = [&](const auto& peer) { return peer.host == it.first; };
+                      return std::ranges::none_of(peers, same);
+                  });
+    for (const auto& peer : peers)
+    {
+        if (peer.host != options_.self.host)
+        {
+            peers_.try_emplace(peer.host, peer.domain, options_.peers);
+        }
+    }
+}
+
+void share_host::confirm(instant now)
+{
+    bool moved = membership_.progress().read != last_read_;
+    last_read_ = membership_.progress().read;
+    for (auto layer : all_layers)
+    {
+        // What would have been refilled while this host could not act may be another's by now.
+        if (moved)
+        {
+            ledger_.discard_unconfirmed(layer, now);
+        }
+        ledger_.confirm_until(layer, membership_.usable_until(layer));
+    }
+}
+
+void share_host::refresh(instant now)
+{
+    membership_.settle(now);
+    confirm(now);
+    layered<int> divisors{0, 0};
+    for (auto layer : all_layers)
+    {
+        divisors[layer] = membership_.divisor(layer);
+    }
+    if (divisors != divisors_)
+    {
+        divisors_ = divisors;
+        set_limits(std::map(limits_), now);
+    }
+    if (ledger_.cut_is_complete(now))
+    {
+        membership_.note_cut();
+    }
+}
+
+void share_host::note_log_read(instant began, instant now)
+{
+    confirm(now);
+    membership_.note_log_read(began);
+    refresh(now);
+}
+
+void share_host::note_granted(demand& it, millitokens amount, instant now) const
+{
+    if (now - it.span_began >= demand_span)
+    {
+        bool stale = now - it.span_began >= 2 * demand_span;
+        it.granted_before = stale ? millitokens(0) : it.granted;
+        it.granted = millitokens(0);
+        it.span_began = now;
+    }
+    it.granted += amount;
+}
+
+bool share_host::take(const resource_id& resource, millitokens amount, instant now)
+{
+    demand& it = demands_[resource];
+    if (leaving_ || !it.queue.empty() || !ledger_.take(resource, amount, now))
+    {
+        return false;
+    }
+    note_granted(it, amount, now);
+    return true;
+}
+
+millitokens share_host::available(const resource_id& resource, instant now)
+{
+    return ledger_.available(resource, now);
+}
+
+std::optional<milliseconds> share_host::time_until(const resource_id& resource, millitokens amount,
+                                                   instant now)
+{
+    auto fleet = limits_.find(resource);
+    if (fleet == limits_.end() || amount > fleet->second.depth)
+    {
+        return std::nullopt;
+    }
+    // Peers that do not answer have tokens that cannot come here.
+    auto own_rate = ledger_.rate(resource, now);
+    auto others = std::max<std::int64_t>(static_cast<std::int64_t>(peers_.size()), 1);
+    auto each = (fleet->second.rate - own_rate).count() / others;
+    millitokens_per_second reach = own_rate;
+    millitokens there = ledger_.available(resource, now);
+    for (const auto& [host, peer] : peers_)
+    {
+        if (peer.answers())
+        {
+            reach += millitokens_per_second(each);
+            there += peer.guess(resource, millitokens_per_second(each),
+                                millitokens(fleet->second.depth.count() / (others + 1)), now);
+        }
+    }
+    millitokens missing = demands_[resource].queue.total() + amount - there;
+    if (missing <= millitokens(0))
+    {
+        return milliseconds(1);
+    }
+    if (reach.count() <= 0)
+    {
+        return std::nullopt;
+    }
+    return milliseconds(missing.count() * milliseconds_in_second / reach.count() + 1);
+}
+
+std::optional<share_number> share_host::wait(const resource_id& resource, millitokens amount,
+                                             instant deadline, instant now)
+{
+    demand& it = demands_[resource];
+    auto needed = time_until(resource, amount, now);
+    bool in_time = needed && now + *needed < deadline;
+    if (leaving_ || !in_time || it.queue.size() >= options_.most_waiting)
+    {
+        return std::nullopt;
+    }
+    next_ += share_number(1);
+    it.queue.push({.id = next_, .amount = amount, .since = now, .deadline = deadline});
+    return next_;
+}
+
+void share_host::cancel(const resource_id& resource, share_number id)
+{
+    demands_[resource].queue.remove(id);
+}
+
+std::vector<share_outcome> share_host::pump(instant now)
+{
+    std::vector<share_outcome> outcomes;
+    for (auto& [resource, it] : demands_)
+    {
+        for (const auto& late : it.queue.take_late(now))
+        {
+            outcomes.push_back({.id = late.id, .granted = false});
+        }
+        while (!it.queue.empty() && ledger_.take(resource, it.queue.front().amount, now))
+        {
+            note_granted(it, it.queue.front().amount, now);
+            outcomes.push_back({.id = it.queue.front().id, .granted = true});
+            it.queue.pop();
+        }
+    }
+    return outcomes;
+}
+
+void share_host::put_back(const resource_id& resource, millitokens amount, instant now)
+{
+    millitokens rest = ledger_.put_back(resource, amount, now);
+    if (rest > millitokens(0) && limits_.contains(resource))
+    {
+        refunds_[resource] += rest;
+    }
+}
+
+void share_host::leave(instant now)
+{
+    leaving_ = true;
+    left_at_ = now;
+    ledger_.return_loans(instant::max(), now);
+}
+
+bool share_host::may_resign(instant now)
+{
+    return leaving_ && now - left_at_ >= options_.handover && !ledger_.has_lent(now);
+}
+
+} // namespace banyanshunt
--- /dev/null
+++ b/src/coordination/share_host.hpp
@@ -0,0 +1,127 @@
+#pragma once
+
+/// \file
+/// Defines one host's part in the owned shares: ledger, membership, waiting requests and the calls
+/// to peers, as one state machine that reads no clock and opens no socket.
+
+#include "coordination/share_ledger.hpp"
+#include "coordination/share_membership.hpp"
+#include "coordination/share_peers.hpp"
+#include "coordination/share_queue.hpp"
+
+namespace banyanshunt
+{
+
+struct share_host_options
+{
+    share_life self;
+    domain_id domain;
+    /// How many failure domains there are. Each owns the same part, which never moves.
+    int domains = 1;
+    share_ledger_options ledger;
+    share_lease_options lease;
+    share_peer_options peers;
+    /// How often members of one domain call each other even with nothing to ask.
+    milliseconds heartbeat{500};
+    /// The longest that the end of a loan waits for another reason to call its lender.
+    milliseconds report_delay{20};
+    /// How long a leaving host lends its balance before it waits for the loans to end.
+    milliseconds handover{300};
+    /// How often a host in demand asks for what full peers would lose.
+    milliseconds top_up{50};
+    /// Requests that may wait for one resource.
+    std::size_t most_waiting = 512;
+};
+
+/// A call to make now.
+struct share_errand
+{
+    host_id to;
+    share_call call;
+};
+
+class share_host
+{
+public:
+    explicit share_host(const share_host_options& options);
+
+    /// Sets the limits over the whole fleet, as the state in force has them.
+    void set_limits(const std::map<resource_id, share_size>& limits, instant now);
+    /// Sets the other entry hosts, of all domains.
+    void set_peers(const std::vector<share_peer>& peers);
+
+    /// Takes now or never; requests that wait go first.
+    bool take(const resource_id& resource, millitokens amount, instant now);
+    /// Waits for tokens; the outcome comes from `pump`. Returns nothing when they cannot come by
+    /// the deadline, or too many wait.
+    std::optional<share_number> wait(const resource_id& resource, millitokens amount,
+                                     instant deadline, instant now);
+    void cancel(const resource_id& resource, share_number id);
+    /// Serves and refuses waiting requests.
+    std::vector<share_outcome> pump(instant now);
+    /// Puts back what was not used; what does not fit goes to peers.
+    void put_back(const resource_id& resource, millitokens amount, instant now);
+    /// When `amount` may be there, if the rate and burst over the fleet allow it at all.
+    std::optional<milliseconds> time_until(const resource_id& resource, millitokens amount,
+                                           instant now);
+    millitokens available(const resource_id& resource, instant now);
+
+    /// The membership, to apply records to; call `refresh` afterwards.
+    share_membership& membership() { return membership_; }
+    const share_membership& membership() const { return membership_; }
+    /// Puts the shares in force that the membership gives.
+    void refresh(instant now);
+    /// A fully read page of the domain's stream began to be read at `began`.
+    void note_log_read(instant began, instant now);
+    /// From now on nothing is granted, and peers take over the balance.
+    void leave(instant now);
+    bool leaving() const { return leaving_; }
+    /// Whether no loan of this host may be unspent, so that it may give up its share.
+    bool may_resign(instant now);
+
+    /// The calls to make now. Each is ended by `note_reply` or `note_failure`.
+    std::vector<share_errand> errands(instant now);
+    void note_reply(const host_id& from, const share_reply& reply, instant asked, instant now);
+    void note_failure(const host_id& from, instant now);
+    /// Answers a peer's call.
+    share_reply answer(const share_call& call, instant now);
+
+private:
+    struct demand
+    {
+        share_queue queue;
+        /// Tokens granted in the current and in the last whole span.
+        millitokens granted;
+        millitokens granted_before;
+        instant span_began;
+        instant topped_up;
+    };
+
+    void confirm(instant now);
+    void note_granted(demand& it, millitokens amount, instant now) const;
+    layered<share_size> own_size(const share_size& fleet) const;
+    void add_asks(instant now, std::map<host_id, share_call>& calls);
+    void ask_for_waiting(const resource_id& resource, demand& it, instant now,
+                         std::map<host_id, share_call>& calls);
+    void ask_for_overflow(const resource_id& resource, demand& it, instant now,
+                          std::map<host_id, share_call>& calls);
+    void add_duties(instant now, std::map<host_id, share_call>& calls);
+    millitokens asked(const resource_id& resource) const;
+    share_call& call_to(const host_id& peer, std::map<host_id, share_call>& calls) const;
+
+    share_host_options options_;
+    share_ledger ledger_;
+    share_membership membership_;
+    std::map<resource_id, share_size> limits_;
+    std::map<host_id, share_peer_view> peers_;
+    std::map<resource_id, demand> demands_;
+    std::map<resource_id, millitokens> refunds_;
+    std::map<share_life, share_number> refunds_seen_;
+    share_number next_;
+    log_offset last_read_;
+    layered<int> divisors_{0, 0};
+    bool leaving_ = false;
+    instant left_at_;
+};
+
+} // namespace banyanshunt
--- a/src/coordination/share_ledger.cpp
+++ b/src/coordination/share_ledger.cpp
@@ -34,7 +34,9 @@
     {
         if (share.buckets[layer].size() != size[layer])
         {
-            share.buckets[layer].resize(size[layer], counted(layer, now));
+            // The time for which this host could not act must not refill at the new rate.
+            share.buckets[layer].skip_refill(counted(layer, now), now);
+            share.buckets[layer].resize(size[layer], now);
         }
     }
 }
@@ -304,16 +306,19 @@
     }
 }
 
-void share_ledger::return_loans(instant now)
+void share_ledger::return_loans(instant limit, instant now)
 {
     expire(now);
     for (auto& [resource, share] : shares_)
     {
         for (const auto& loan : share.borrowed)
         {
-            report(loan);
+            if (loan.expires < limit)
+            {
+                report(loan);
+            }
         }
-        share.borrowed.clear();
+        std::erase_if(share.borrowed, [limit](const auto& it) { return it.expires < limit; });
     }
 }
 
--- a/src/coordination/share_ledger.hpp
+++ b/src/coordination/share_ledger.hpp
@@ -71,8 +71,8 @@
     void end_loan(const loan_report& report, instant now);
     /// Discards expired loans of both kinds.
     void expire(instant now);
-    /// Gives borrowed tokens back to their lenders, by reports.
-    void return_loans(instant now);
+    /// Gives back to their lenders, by reports, the loans that expire before `limit`.
+    void return_loans(instant limit, instant now);
     /// The ends of loans to tell to `lender`, each once.
     std::vector<loan_report> take_reports(const share_life& lender);
     /// Lenders for which there are reports.
--- a/src/coordination/share_messages.hpp
+++ b/src/coordination/share_messages.hpp
@@ -76,6 +76,8 @@
     share_life from;
     domain_id domain;
     share_progress progress;
+    /// The host is about to stop: its tokens are free to take.
+    bool leaving = false;
     std::vector<token_ask> asks;
     std::vector<loan_report> reports;
     std::vector<token_refund> refunds;
@@ -86,6 +88,7 @@
     share_life from;
     domain_id domain;
     share_progress progress;
+    bool leaving = false;
     std::vector<token_loan> loans;
 };
 
--- /dev/null
+++ b/tests/stand_ins/share_fleet.cpp
@@ -0,0 +1,438 @@
+#include "stand_ins/share_fleet.hpp"
+
+#include <algorithm>
+
+namespace banyanshunt
+{
+namespace
+{
+
+constexpr milliseconds read_interval(200);
+constexpr milliseconds proposal_interval(400);
+constexpr milliseconds log_delay(4);
+constexpr milliseconds call_limit(200);
+constexpr int thousand = 1000;
+
+} // namespace
+
+share_fleet::share_fleet(const share_fleet_options& options)
+    : options_(options), random_(options.seed), logs_(options.hosts_in_domain.size()),
+      limits_(options.limits)
+{
+    for (std::size_t domain = 0; domain < options.hosts_in_domain.size(); ++domain)
+    {
+        for (int n = 0; n < options.hosts_in_domain[domain]; ++n)
+        {
+            node it;
+            it.domain = domain;
+            it.name = host_id("h" + std::to_string(nodes_.size()));
+            nodes_.push_back(std::move(it));
+        }
+    }
+    for (const auto& [resource, fleet] : limits_)
+    {
+        checkers_.emplace(resource, grant_checker(fleet, now_));
+    }
+    for (std::size_t n = 0; n < nodes_.size(); ++n)
+    {
+        start(n);
+    }
+}
+
+instant share_fleet::local(std::size_t n) const
+{
+    const node& it = nodes_[n];
+    auto since = std::chrono::duration<double, std::nano>(now_.time_since_epoch());
+    auto run = std::chrono::duration_cast<nanoseconds>(since * it.clock_rate);
+    return instant(run - it.clock_lost);
+}
+
+bool share_fleet::running(std::size_t n) const
+{
+    return nodes_[n].host && now_ >= nodes_[n].paused_until;
+}
+
+bool share_fleet::chance(int per_thousand)
+{
+    return static_cast<int>(random_() % thousand) < per_thousand;
+}
+
+milliseconds share_fleet::delay(std::size_t a, std::size_t b)
+{
+    auto base = nodes_[a].domain == nodes_[b].domain ? options_.near_delay : options_.far_delay;
+    auto jitter = static_cast<std::int64_t>(random_() % (options_.jitter.count() + 1));
+    return base + milliseconds(jitter);
+}
+
+void share_fleet::start(std::size_t n)
+{
+    node& it = nodes_[n];
+    ++it.life;
+    it.paused_until = now_;
+    it.clock_lost = nanoseconds(0);
+    auto span = 2 * static_cast<std::uint64_t>(options_.drift) + 1;
+    auto parts = static_cast<double>(random_() % span) - options_.drift;
+    constexpr double ten_thousand = 10'000;
+    it.clock_rate = 1 + parts / ten_thousand;
+    share_host_options options = options_.host;
+    options.self = {.host = it.name, .life = incarnation(it.life)};
+    options.domain = domain_id("d" + std::to_string(it.domain));
+    options.domains = static_cast<int>(options_.hosts_in_domain.size());
+    it.host = std::make_unique<share_host>(options);
+    it.waits.clear();
+    it.limits = limits_;
+    it.host->set_limits(it.limits, local(n));
+    std::vector<share_peer> peers;
+    for (const auto& other : nodes_)
+    {
+        peers.push_back(
+            {.host = other.name, .domain = domain_id("d" + std::to_string(other.domain))});
+    }
+    it.host->set_peers(peers);
+    it.next_read = now_ + milliseconds(random_() % read_interval.count());
+    it.next_proposal = it.next_read + milliseconds(1);
+    judge_limits();
+}
+
+void share_fleet::kill(std::size_t n)
+{
+    nodes_[n].host.reset();
+    judge_limits();
+}
+
+void share_fleet::pause(std::size_t n, milliseconds length)
+{
+    nodes_[n].paused_until = now_ + length;
+    if (options_.clock_stops_in_pause)
+    {
+        nodes_[n].clock_lost += length;
+    }
+}
+
+void share_fleet::cut(std::size_t a, std::size_t b, bool is_cut)
+{
+    auto pair = std::minmax(a, b);
+    if (is_cut)
+    {
+        cuts_.insert(pair);
+    }
+    else
+    {
+        cuts_.erase(pair);
+    }
+}
+
+void share_fleet::post(milliseconds after, std::size_t to, std::function<void()> act)
+{
+    events_.emplace(now_ + after, event{.to = to, .life = nodes_[to].life, .act = std::move(act)});
+}
+
+void share_fleet::deliver()
+{
+    while (!events_.empty() && events_.begin()->first <= now_)
+    {
+        event it = std::move(events_.extract(events_.begin()).mapped());
+        if (!it.to)
+        {
+            it.act();
+            continue;
+        }
+        const node& to = nodes_[*it.to];
+        if (!to.host || to.life != it.life)
+        {
+            continue;
+        }
+        if (now_ < to.paused_until)
+        {
+            instant resumed = to.paused_until;
+            events_.emplace(resumed, std::move(it));
+            continue;
+        }
+        it.act();
+    }
+}
+
+void share_fleet::step()
+{
+    now_ += options_.tick;
+    deliver();
+    for (std::size_t n = 0; n < nodes_.size(); ++n)
+    {
+        if (running(n))
+        {
+            act(n);
+        }
+    }
+}
+
+void share_fleet::run(milliseconds length)
+{
+    for (milliseconds done(0); done < length; done += options_.tick)
+    {
+        step();
+    }
+}
+
+void share_fleet::act(std::size_t n)
+{
+    node& it = nodes_[n];
+    if (now_ >= it.next_read)
+    {
+        it.next_read = now_ + read_interval;
+        read_log(n);
+    }
+    if (now_ >= it.next_proposal)
+    {
+        it.next_proposal = now_ + proposal_interval;
+        append(n);
+    }
+    for (const auto& errand : it.host->errands(local(n)))
+    {
+        send(n, errand);
+    }
+    for (const auto& outcome : it.host->pump(local(n)))
+    {
+        auto [resource, amount] = it.waits.at(outcome.id);
+        it.waits.erase(outcome.id);
+        if (outcome.granted)
+        {
+            note(n, resource, amount);
+        }
+        if (outcome_)
+        {
+            outcome_(n, outcome);
+        }
+    }
+}
+
+void share_fleet::read_log(std::size_t n)
+{
+    if (nodes_[n].log_cut)
+    {
+        return;
+    }
+    instant began = local(n);
+    auto from = static_cast<std::size_t>(nodes_[n].host->membership().through().count());
+    post(log_delay / 2, n,
+         [this, n, began, from]
+         {
+             const auto& log = logs_[nodes_[n].domain];
+             std::size_t begin = std::min(from, log.size());
+             std::vector<share_record> page(log.begin() + static_cast<std::ptrdiff_t>(begin),
+                                            log.end());
+             auto back = log_delay / 2 + milliseconds(random_() % (options_.jitter.count() + 1));
+             post(back, n, [this, n, began, from, page] { take_page(n, began, from, page); });
+         });
+}
+
+void share_fleet::take_page(std::size_t n, instant began, std::size_t from,
+                            const std::vector<share_record>& page)
+{
+    share_host& host = *nodes_[n].host;
+    auto through = static_cast<std::size_t>(host.membership().through().count());
+    for (std::size_t at = from; at < from + page.size(); ++at)
+    {
+        if (at >= through)
+        {
+            host.membership().apply(page[at - from], log_offset(static_cast<std::int64_t>(at)),
+                                    local(n));
+            host.refresh(local(n));
+        }
+    }
+    host.note_log_read(began, local(n));
+}
+
+void share_fleet::append(std::size_t n)
+{
+    share_host& host = *nodes_[n].host;
+    if (nodes_[n].log_cut || (host.leaving() && !host.may_resign(local(n))))
+    {
+        return;
+    }
+    // A host that has not read the stream does not know what to follow.
+    if (host.membership().usable_until(share_layer::outage) == instant::min())
+    {
+        return;
+    }
+    auto record = host.membership().propose(host.leaving(), local(n));
+    if (!record)
+    {
+        return;
+    }
+    // An append may take effect after its writer died, and twice.
+    auto effect = [this, domain = nodes_[n].domain, record = *record]
+    { logs_[domain].push_back(record); };
+    int copies = chance(options_.repeated) ? 2 : 1;
+    for (int copy = 0; copy < copies; ++copy)
+    {
+        auto after = log_delay / 2 + milliseconds(random_() % (options_.jitter.count() + 1));
+        events_.emplace(now_ + after, event{.to = {}, .act = effect});
+    }
+}
+
+// A refund counts when it is there again, so that part is watched apart.
+share_reply share_fleet::deliver_call(std::size_t to, share_call call)
+{
+    share_host& host = *nodes_[to].host;
+    share_call refunds = call;
+    refunds.asks.clear();
+    refunds.reports.clear();
+    call.refunds.clear();
+    for (const auto& refund : refunds.refunds)
+    {
+        if (!limits_.contains(refund.resource))
+        {
+            continue;
+        }
+        millitokens before = host.available(refund.resource, local(to));
+        share_call one = refunds;
+        one.refunds = {refund};
+        host.answer(one, local(to));
+        note(to, refund.resource, before - host.available(refund.resource, local(to)));
+    }
+    return host.answer(call, local(to));
+}
+
+void share_fleet::send(std::size_t n, const share_errand& errand)
+{
+    std::size_t to = 0;
+    while (nodes_[to].name != errand.to)
+    {
+        ++to;
+    }
+    instant asked = local(n);
+    auto answered = std::make_shared<bool>(false);
+    post(call_limit, n,
+         [this, n, to, answered]
+         {
+             if (!*answered)
+             {
+                 nodes_[n].host->note_failure(nodes_[to].name, local(n));
+             }
+         });
+    int copies = chance(options_.repeated) ? 2 : 1;
+    for (int copy = 0; copy < copies; ++copy)
+    {
+        ++messages_;
+        if (chance(options_.lost) || cuts_.contains(std::minmax(n, to)))
+        {
+            continue;
+        }
+        post(delay(n, to), to,
+             [this, n, to, asked, answered, call = errand.call]
+             {
+                 auto reply = deliver_call(to, call);
+                 if (!nodes_[n].host || chance(options_.lost) || cuts_.contains(std::minmax(n, to)))
+                 {
+                     return;
+                 }
+                 ++messages_;
+                 int answers = chance(options_.repeated) ? 2 : 1;
+                 for (int n_answer = 0; n_answer < answers; ++n_answer)
+                 {
+                     post(delay(n, to), n,
+                          [this, n, to, asked, answered, reply, life = call.from.life]
+                          {
+                              if (life.count() != nodes_[n].life)
+                              {
+                                  return;
+                              }
+                              *answered = true;
+                              nodes_[n].host->note_reply(nodes_[to].name, reply, asked, local(n));
+                          });
+                 }
+             });
+    }
+}
+
+bool share_fleet::take(std::size_t n, const resource_id& resource, millitokens amount)
+{
+    if (!running(n) || !nodes_[n].host->take(resource, amount, local(n)))
+    {
+        return false;
+    }
+    note(n, resource, amount);
+    return true;
+}
+
+std::optional<share_number> share_fleet::wait(std::size_t n, const resource_id& resource,
+                                              millitokens amount, milliseconds patience)
+{
+    auto id = nodes_[n].host->wait(resource, amount, local(n) + patience, local(n));
+    if (id)
+    {
+        nodes_[n].waits[*id] = {resource, amount};
+    }
+    return id;
+}
+
+void share_fleet::put_back(std::size_t n, const resource_id& resource, millitokens amount)
+{
+    if (running(n))
+    {
+        share_host& host = *nodes_[n].host;
+        millitokens before = host.available(resource, local(n));
+        host.put_back(resource, amount, local(n));
+        note(n, resource, before - host.available(resource, local(n)));
+    }
+}
+
+void share_fleet::note(std::size_t n, const resource_id& resource, millitokens amount)
+{
+    grants_.push_back({.resource = resource, .amount = amount, .at = now_, .host = n});
+    checkers_.at(resource).note(amount, now_);
+}
+
+void share_fleet::set_limits(const std::map<resource_id, share_size>& limits)
+{
+    limits_ = limits;
+    constexpr int slowest = 2000;
+    for (std::size_t n = 0; n < nodes_.size(); ++n)
+    {
+        if (nodes_[n].host)
+        {
+            post(milliseconds(random_() % slowest), n,
+                 [this, n, limits]
+                 {
+                     nodes_[n].limits = limits;
+                     nodes_[n].host->set_limits(limits, local(n));
+                     judge_limits();
+                 });
+        }
+    }
+    judge_limits();
+}
+
+// The greatest limit that any live host has, as tickets reach hosts at different times.
+share_size share_fleet::in_force(const resource_id& resource) const
+{
+    share_size most = limits_.at(resource);
+    for (const auto& it : nodes_)
+    {
+        if (it.host)
+        {
+            most.rate = std::max(most.rate, it.limits.at(resource).rate);
+            most.depth = std::max(most.depth, it.limits.at(resource).depth);
+        }
+    }
+    return most;
+}
+
+void share_fleet::judge_limits()
+{
+    for (auto& [resource, checker] : checkers_)
+    {
+        share_size now_in_force = in_force(resource);
+        if (now_in_force != checker.fleet())
+        {
+            checker.restart(now_in_force, now_);
+        }
+    }
+}
+
+bool share_fleet::bound_held() const
+{
+    return std::ranges::none_of(checkers_, [](const auto& it) { return it.second.over(); });
+}
+
+} // namespace banyanshunt
