The state from log and peers is one class for both daemons; cuts tested with real hosts

Cause: placers followed the log alone, so one cut off from the platform missed tickets; a host that started in a cut domain was never found, as relays of other domains called only hosts already heard. The case that starts a host in a cut domain showed it (it waited 60 s in vain).

Change: transport/state_source follows log, list and peers for entry hosts and placers. A relay also tries one chance host of each other domain, heard or not. [state] seeds names peers for when the list is out of reach. A workspace's staleness choice is enforced before tokens are reserved.

Tests: whole entry hosts behind gates that cut a domain from the platform; liveness and plan of exchanges at 8, 32 and 410 hosts.

--- a/src/coordination/liveness.cpp
+++ b/src/coordination/liveness.cpp
@@ -16,7 +16,7 @@
     for (const auto& host : list)
     {
         host_id id(host.name);
-        if (host.role != "entry" || id == options_.self)
+        if (host.role != entry_role || id == options_.self)
         {
             continue;
         }
@@ -37,7 +37,7 @@
 
 void liveness::hear(const heartbeat& it, instant now)
 {
-    if (it.role != "entry" || it.host == options_.self)
+    if (it.role != entry_role || it.host == options_.self)
     {
         return;
     }
--- a/src/coordination/liveness.hpp
+++ b/src/coordination/liveness.hpp
@@ -17,12 +17,16 @@
 namespace banyanshunt
 {
 
+/// The roles that the platform's list and heartbeats name.
+inline constexpr const char* entry_role = "entry";
+inline constexpr const char* placer_role = "placer";
+
 /// What an entry host says of itself whenever it speaks to another.
 struct heartbeat
 {
     host_id host;
     /// "entry", or "placer" for one that only asks for the state.
-    std::string role = "entry";
+    std::string role = entry_role;
     incarnation life;
     domain_id domain;
     /// Where peers reach it over gRPC, and operators over HTTP.
--- a/src/coordination/relay_plan.cpp
+++ b/src/coordination/relay_plan.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <map>
 #include <random>
+#include <set>
 
 #include "coordination/rendezvous.hpp"
 
@@ -27,25 +28,29 @@
     return ranked;
 }
 
-// A domain's hosts that were heard lately; all of its hosts when none was.
-peer_names candidates(const std::vector<peer_view>& peers, const domain_id& domain,
-                      milliseconds patience, instant now)
+struct domain_members
 {
     peer_names heard;
     peer_names all;
+};
+
+domain_members members_of(const std::vector<peer_view>& peers, const domain_id& domain,
+                          milliseconds patience, instant now)
+{
+    domain_members it;
     for (const auto& peer : peers)
     {
         if (peer.domain != domain)
         {
             continue;
         }
-        all[peer.host.str()] = peer.address;
+        it.all[peer.host.str()] = peer.address;
         if (peer.heard_within(patience, now))
         {
-            heard[peer.host.str()] = peer.address;
+            it.heard[peer.host.str()] = peer.address;
         }
     }
-    return heard.empty() ? all : heard;
+    return it;
 }
 
 bool is_relay(const std::vector<peer_view>& peers, const relay_plan_options& options,
@@ -64,6 +69,30 @@
     return std::find(relays.begin(), relays.end(), options.self.str()) != relays.end();
 }
 
+// The relays of each other domain, and one host of it by chance, heard or not: all its relays may
+// be gone, and a host that has just started there may have no other way to be found.
+void add_far_peers(relay_round& round, const std::vector<peer_view>& known,
+                   const relay_plan_options& options, milliseconds patience, instant now,
+                   std::mt19937_64& random)
+{
+    std::set<domain_id> others;
+    for (const auto& peer : known)
+    {
+        others.insert(peer.domain);
+    }
+    others.erase(options.domain);
+    for (const auto& domain : others)
+    {
+        auto members = members_of(known, domain, patience, now);
+        for (const auto& name : relays_of(members.heard.empty() ? members.all : members.heard))
+        {
+            round.far.push_back(members.all[name]);
+        }
+        auto nth = static_cast<std::ptrdiff_t>(random() % members.all.size());
+        round.far.push_back(std::next(members.all.begin(), nth)->second);
+    }
+}
+
 } // namespace
 
 relay_round plan_round(const liveness& peers, const relay_plan_options& options, instant now,
@@ -72,34 +101,19 @@
     auto known = peers.reachable();
     milliseconds patience = peers.patience();
     relay_round round;
-    std::map<domain_id, bool> others;
     for (const auto& peer : known)
     {
         if (peer.domain == options.domain)
         {
             round.near.push_back(peer.address);
         }
-        else
-        {
-            others[peer.domain] = true;
-        }
     }
     std::mt19937_64 random(seed);
-    if (is_relay(known, options, patience, now))
+    bool reaches_far =
+        options.relays ? is_relay(known, options, patience, now) : round.near.empty();
+    if (reaches_far)
     {
-        for (const auto& [domain, present] : others)
-        {
-            auto members = candidates(known, domain, patience, now);
-            auto relays = relays_of(members);
-            // One that never answered may hide a domain whose relays are gone: try a chance host.
-            auto chance =
-                std::next(members.begin(), static_cast<std::ptrdiff_t>(random() % members.size()));
-            for (const auto& name : relays)
-            {
-                round.far.push_back(members[name]);
-            }
-            round.far.push_back(chance->second);
-        }
+        add_far_peers(round, known, options, patience, now, random);
     }
     std::shuffle(round.near.begin(), round.near.end(), random);
     std::shuffle(round.far.begin(), round.far.end(), random);
--- a/src/coordination/relay_plan.hpp
+++ b/src/coordination/relay_plan.hpp
@@ -22,6 +22,9 @@
 {
     host_id self;
     domain_id domain;
+    /// Whether this process may be a relay. One that may not asks other domains only when it knows
+    /// no host in its own.
+    bool relays = true;
     /// The shortest time between two exchanges that a host begins.
     milliseconds shortest_tick{100};
     /// The time in which a host would like to go through all its peers once.
--- a/src/coordination/state_keeper.cpp
+++ b/src/coordination/state_keeper.cpp
@@ -5,7 +5,10 @@
 
 state_keeper::state_keeper(const state_keeper_options& options)
     : options_(options),
-      peers_({.self = options.host, .domain = options.domain, .patience = options.peer_patience})
+      // A placer's name is that of the entry host beside it, which is its peer.
+      peers_({.self = options.role == entry_role ? options.host : host_id(),
+              .domain = options.domain,
+              .patience = options.peer_patience})
 {
 }
 
--- a/src/coordination/state_keeper.hpp
+++ b/src/coordination/state_keeper.hpp
@@ -28,7 +28,7 @@
 struct state_keeper_options
 {
     host_id host;
-    std::string role = "entry";
+    std::string role = entry_role;
     incarnation life;
     domain_id domain;
     /// A peer that was not heard for this long does not count as live.
--- a/src/entry/request_part.cpp
+++ b/src/entry/request_part.cpp
@@ -44,7 +44,8 @@
                 .engine = engine_,
                 .service = service_,
                 .counters = counters_,
-                .wake_demand = needs.wake_demand})
+                .wake_demand = needs.wake_demand,
+                .view_age = needs.view_age})
 {
 }
 
--- a/src/entry/request_part.hpp
+++ b/src/entry/request_part.hpp
@@ -23,6 +23,8 @@
     metrics& counters;
     /// Called when a request begins to wait for a replica.
     std::function<void()> wake_demand;
+    /// Time since the state was confirmed; nothing if it never was.
+    std::function<std::optional<milliseconds>()> view_age;
 };
 
 /// Runs from `start` to `stop`.
--- a/src/entry/request_parts.cpp
+++ b/src/entry/request_parts.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <charconv>
 
+#include "coordination/staleness.hpp"
 #include "protocol/completion_codec.hpp"
 #include "state/errors.hpp"
 
@@ -68,6 +69,10 @@
                                      millitokens cost, instant deadline,
                                      const std::function<bool()>& caller_gone)
 {
+    if (auto stale = refuse_if_stale(*context.state.get(), holder.workspace, context.view_age()))
+    {
+        return *stale;
+    }
     auto stop_waiting = [&]() -> std::optional<failure>
     {
         if (!in_force(*context.state.get(), holder.key, holder.workspace))
--- a/src/entry/request_parts.hpp
+++ b/src/entry/request_parts.hpp
@@ -36,6 +36,8 @@
     metrics& counters;
     /// Called when a request begins to wait for a replica.
     std::function<void()> wake_demand;
+    /// Time since the state was confirmed; nothing if it never was.
+    std::function<std::optional<milliseconds>()> view_age;
 };
 
 /// Counts a request as running from its construction to its end.
--- a/src/entry/state_part.hpp
+++ b/src/entry/state_part.hpp
@@ -1,20 +1,14 @@
 #pragma once
 
 /// \file
-/// Defines the part of an entry host that keeps the state in force and the view of its peers: it
-/// follows the tickets' stream and the platform's list, and exchanges heartbeats with peers.
+/// Defines the part of an entry host that keeps the state in force and the view of its peers,
+/// offers both to peers and operators, and writes snapshots.
 
-#include <functional>
-#include <memory>
-
-#include "coordination/relay_plan.hpp"
-#include "coordination/state_follower.hpp"
 #include "entry/entry_settings.hpp"
 #include "entry/snapshot_duty.hpp"
+#include "state/duty_thread.hpp"
 #include "transport/http_server.hpp"
-#include "transport/metrics.hpp"
-#include "transport/platform_clients.hpp"
-#include "transport/state_relay.hpp"
+#include "transport/state_source.hpp"
 
 namespace banyanshunt
 {
@@ -23,62 +17,34 @@
 class state_part
 {
 public:
-    /// Gets each newest list of the platform.
-    using list_sink = std::function<void(const std::vector<listed_host>&)>;
-
     state_part(const entry_settings& settings, http_client& http, peer_channels& channels,
-               metrics& counters, list_sink told_list);
-    ~state_part();
+               metrics& counters, state_source::list_sink told_list);
 
     /// Adds /state and /state/objects, which operators ask.
     void add_admin_handlers(http_server& admin);
-
     /// The service to offer to peers.
-    grpc::Service* service();
+    grpc::Service* service() { return service_.service(); }
 
     void start(const std::string& peer_address, const std::string& admin_address);
     /// Tells peers that this host is leaving.
-    void leave();
+    void leave() { source_.keeper().leave(); }
     void stop();
 
     /// The state in force; its changes can be listened to.
-    state_cell& cell() { return keeper_.cell(); }
+    state_cell& cell() { return source_.cell(); }
     /// A copy of the view of peers: who is listed, who was heard.
-    liveness peers() const { return keeper_.peers(); }
+    liveness peers() const { return source_.peers(); }
     /// This life of this host.
-    incarnation life() const { return keeper_.options().life; }
+    incarnation life() const { return source_.life(); }
     /// Time since the state in force was confirmed; nothing before the first time.
-    std::optional<milliseconds> age() const { return keeper_.age(boot_clock().now()); }
-    state_keeper& keeper() { return keeper_; }
+    std::optional<milliseconds> age() const { return source_.age(); }
 
 private:
-    struct duties;
-
-    void note_ticket(const ticket_outcome& it);
-    milliseconds follow_tickets();
-    verdict<done> read_tickets();
-    milliseconds follow_hosts();
-    milliseconds exchange_near();
-    milliseconds exchange_far();
-    milliseconds exchange_next(std::vector<std::string>& queue, bool near);
-    void exchange_with(const std::string& address);
-
-    const entry_settings& settings_;
-    peer_channels& channels_;
-    metrics& counters_;
-    list_sink told_list_;
-    state_keeper keeper_;
+    state_source source_;
     http_log_service log_;
-    http_host_list hosts_;
-    state_follower<http_log_service> follower_;
     snapshot_duty snapshots_;
     state_relay_service service_;
-    relay_plan_options plan_;
-    std::vector<std::string> near_;
-    std::vector<std::string> far_;
-    bool log_heard_ = true;
-    bool snapshot_wanted_ = true;
-    std::unique_ptr<duties> duties_;
+    std::unique_ptr<duty_thread> snapshot_thread_;
 };
 
 } // namespace banyanshunt
--- a/src/entry/state_settings.cpp
+++ b/src/entry/state_settings.cpp
@@ -1,5 +1,7 @@
 #include "entry/state_settings.hpp"
 
+#include <sstream>
+
 namespace banyanshunt
 {
 
@@ -15,6 +17,11 @@
     it.snapshots.records =
         file.integer("state", "snapshot_records", 1, most_records, it.snapshots.records);
     it.peer_patience = file.duration("state", "peer_patience_ms", it.peer_patience);
+    std::istringstream seeds(file.text("state", "seeds", ""));
+    for (std::string seed; std::getline(seeds, seed, ',');)
+    {
+        it.seeds.push_back(seed);
+    }
     return it;
 }
 
--- a/src/placer/placer_host.cpp
+++ b/src/placer/placer_host.cpp
@@ -4,27 +4,23 @@
 
 #include "coordination/placement_plan.hpp"
 #include "coordination/random_source.hpp"
-#include "coordination/state_follower.hpp"
 #include "placer/demand_board.hpp"
 #include "placer/lease_keeper.hpp"
 #include "protocol/platform_codec.hpp"
-#include "protocol/ticket_codec.hpp"
 #include "state/duty_thread.hpp"
 #include "state/log_line.hpp"
 #include "transport/backend_clients.hpp"
 #include "transport/http_server.hpp"
 #include "transport/metrics.hpp"
 #include "transport/placement_link.hpp"
-#include "transport/platform_clients.hpp"
+#include "transport/state_source.hpp"
 
 namespace banyanshunt
 {
 namespace
 {
 
-constexpr milliseconds log_wait(1000);
-constexpr milliseconds failed_read_pause(200);
-constexpr milliseconds host_list_interval(500);
+constexpr milliseconds exchange_interval(500);
 
 incarnation new_incarnation()
 {
@@ -36,15 +32,19 @@
 struct placer_host::impl
 {
     explicit impl(const placer_settings& given)
-        : settings(given), log(http, given.platform.log, given.platform.patience),
-          hosts(http, given.platform.hosts), engine(http), channels(given.peer_keys),
-          follower(log, state, decode_ticket, [](const auto&) {}),
-          leases(log, clock,
-                 {.holder = host_id(given.host.name),
-                  .life = new_incarnation(),
-                  .domain = domain_id(given.host.domain),
-                  .lease_length = given.lease_length,
-                  .longest_order = given.longest_order}),
+        : settings(given), log(http, given.platform.log, given.platform.patience), engine(http),
+          channels(given.peer_keys),
+          source({.host = given.host,
+                  .platform = given.platform,
+                  .role = placer_role,
+                  .shortest_tick = exchange_interval},
+                 http, channels, counters, [this](const auto& list) { take_list(list); }),
+          state(source.cell()), leases(log, clock,
+                                       {.holder = host_id(given.host.name),
+                                        .life = new_incarnation(),
+                                        .domain = domain_id(given.host.domain),
+                                        .lease_length = given.lease_length,
+                                        .longest_order = given.longest_order}),
           service([this](const demand& it) { return take_demand(it); }),
           admin({.address = given.admin_listen, .threads = 4}),
           peers({.address = given.peer_listen,
@@ -64,29 +64,18 @@
         return {.placer = host_id(settings.host.name), .servers = placed};
     }
 
-    milliseconds follow_tickets()
+    void take_list(const std::vector<listed_host>& list)
     {
-        auto step = follower.step(log_wait);
-        return step ? milliseconds(0) : failed_read_pause;
-    }
-
-    milliseconds follow_hosts()
-    {
-        auto listed = hosts.hosts();
-        if (listed)
+        std::lock_guard lock(mutex);
+        neighbours.clear();
+        for (const auto& host : list)
         {
-            std::lock_guard lock(mutex);
-            neighbours.clear();
-            for (const auto& host : *listed)
+            bool near = host.role == placer_role && host.domain.str() == settings.host.domain;
+            if (near && !host.leaving)
             {
-                bool near = host.role == "placer" && host.domain.str() == settings.host.domain;
-                if (near && !host.leaving)
-                {
-                    neighbours.push_back(host.name);
-                }
+                neighbours.push_back(host.name);
             }
         }
-        return host_list_interval;
     }
 
     // The servers of this domain that rendezvous gives to this placer among its listed neighbours.
@@ -203,20 +192,17 @@
     placer_settings settings;
     boot_clock clock;
     metrics counters;
-    state_cell state;
     http_client http;
     http_log_service log;
-    http_host_list hosts;
     http_model_engine engine;
     peer_channels channels;
-    state_follower<http_log_service> follower;
+    state_source source;
+    state_cell& state;
     lease_keeper<http_log_service, boot_clock> leases;
     demand_board demands;
     std::mutex mutex;
     std::vector<std::string> neighbours;
     std::vector<placed_server> placed;
-    std::unique_ptr<duty_thread> ticket_duty;
-    std::unique_ptr<duty_thread> host_duty;
     std::unique_ptr<duty_thread> place_duty;
     placement_service service;
     http_server admin;
@@ -238,8 +224,7 @@
                     it.settings.admin_listen);
         return false;
     }
-    it.ticket_duty = std::make_unique<duty_thread>([&it] { return it.follow_tickets(); });
-    it.host_duty = std::make_unique<duty_thread>([&it] { return it.follow_hosts(); });
+    it.source.start();
     it.place_duty = std::make_unique<duty_thread>([&it] { return it.place(); });
     it.admin.handle("GET", "/metrics",
                     [&it](auto&)
@@ -259,8 +244,7 @@
 {
     impl& it = *impl_;
     it.place_duty->stop();
-    it.host_duty->stop();
-    it.ticket_duty->stop();
+    it.source.stop();
     it.admin.stop();
     log_change("placer_stopped", "host={}", it.settings.host.name);
 }
--- /dev/null
+++ b/tests/correctness/liveness_test.cpp
@@ -0,0 +1,142 @@
+/// \file
+/// The view of peers keeps what was listed and what was heard apart, and the plan of exchanges
+/// costs each host the same however many hosts there are.
+
+#include <algorithm>
+#include <set>
+
+#include <catch2/catch.hpp>
+#include <fmt/format.h>
+
+#include "coordination/relay_plan.hpp"
+
+using namespace banyanshunt;
+
+namespace
+{
+
+std::vector<listed_host> list_of(int hosts, int domains)
+{
+    std::vector<listed_host> list;
+    list.reserve(static_cast<std::size_t>(hosts));
+    for (int i = 0; i < hosts; ++i)
+    {
+        list.push_back({.name = fmt::format("h{}", i),
+                        .role = entry_role,
+                        .domain = domain_id(fmt::format("d{}", i % domains)),
+                        .address = fmt::format("a{}", i)});
+    }
+    return list;
+}
+
+heartbeat beat(const std::string& host, std::int64_t life, std::int64_t through)
+{
+    return {.host = host_id(host),
+            .role = entry_role,
+            .life = incarnation(life),
+            .domain = domain_id("d0"),
+            .peer_address = "heard-" + host,
+            .admin_address = "",
+            .leaving = false,
+            .through = log_offset(through),
+            .last_ticket = ticket_number(through),
+            .view_age = {}};
+}
+
+} // namespace
+
+TEST_CASE("a peer is known by the list, by its heartbeats, or by both")
+{
+    test_clock clock;
+    liveness peers({.self = host_id("h0"), .domain = domain_id("d0")});
+    peers.take_list(list_of(2, 1), clock.now());
+    REQUIRE(peers.find(host_id("h1")));
+    CHECK(peers.find(host_id("h0")) == nullptr);
+
+    SECTION("listed alone, it is worth trying but does not count as live")
+    {
+        CHECK(peers.reachable().size() == 1);
+        CHECK(peers.live(clock.now()).empty());
+    }
+    SECTION("heard, it is live until its silence has lasted too long")
+    {
+        peers.hear(beat("h1", 1, 5), clock.now());
+        CHECK(peers.live_in(domain_id("d0"), clock.now()).size() == 1);
+        CHECK(peers.find(host_id("h1"))->address == "heard-h1");
+        clock.advance(peers.patience() + milliseconds(1));
+        CHECK(peers.live(clock.now()).empty());
+        CHECK(peers.find(host_id("h1"))->listed);
+    }
+    SECTION("heard but not listed, it is remembered for a while")
+    {
+        peers.hear(beat("h1", 1, 5), clock.now());
+        peers.take_list({}, clock.now());
+        CHECK_FALSE(peers.find(host_id("h1"))->listed);
+        CHECK(peers.live(clock.now()).size() == 1);
+        clock.advance(peers.options().memory + milliseconds(1));
+        peers.take_list({}, clock.now());
+        CHECK(peers.find(host_id("h1")) == nullptr);
+    }
+    SECTION("a late heartbeat of a replaced life changes nothing")
+    {
+        peers.hear(beat("h1", 1, 5), clock.now());
+        peers.hear(beat("h1", 2, 3), clock.now());
+        peers.hear(beat("h1", 1, 9), clock.now());
+        CHECK(peers.find(host_id("h1"))->said->life == incarnation(2));
+        CHECK(peers.find(host_id("h1"))->said->through == log_offset(3));
+    }
+    SECTION("within one life, what a peer has in force never goes back")
+    {
+        peers.hear(beat("h1", 1, 5), clock.now());
+        peers.hear(beat("h1", 1, 4), clock.now());
+        CHECK(peers.find(host_id("h1"))->said->through == log_offset(5));
+    }
+    SECTION("a peer that said or was told to be leaving is not live")
+    {
+        auto leaving = beat("h1", 1, 5);
+        leaving.leaving = true;
+        peers.hear(leaving, clock.now());
+        peers.hear(beat("h1", 1, 6), clock.now());
+        CHECK(peers.live(clock.now()).empty());
+    }
+}
+
+TEST_CASE("the plan of exchanges")
+{
+    constexpr int domains = 4;
+    test_clock clock;
+    auto hosts = GENERATE(8, 32, 410);
+    std::set<std::string> relays;
+    for (int i = 0; i < hosts; ++i)
+    {
+        host_id self(fmt::format("h{}", i));
+        domain_id domain(fmt::format("d{}", i % domains));
+        liveness peers({.self = self, .domain = domain});
+        peers.take_list(list_of(hosts, domains), clock.now());
+        for (int j = 0; j < hosts; ++j)
+        {
+            auto it = beat(fmt::format("h{}", j), j, 1);
+            it.domain = domain_id(fmt::format("d{}", j % domains));
+            it.peer_address = fmt::format("a{}", j);
+            peers.hear(it, clock.now());
+        }
+        relay_plan_options options{.self = self, .domain = domain};
+        auto round = plan_round(peers, options, clock.now(), 1);
+
+        // It goes to every peer of the domain, and never to itself.
+        std::set<std::string> near(round.near.begin(), round.near.end());
+        auto in_domain = static_cast<std::size_t>((hosts - 1 - i % domains) / domains);
+        CHECK(near.size() == in_domain);
+        CHECK_FALSE(near.contains(fmt::format("a{}", i)));
+
+        // Only relays go further, to a few hosts of each other domain.
+        CHECK(round.far.size() <= (domains - 1) * (relays_in_domain + 1));
+        if (!round.far.empty())
+        {
+            relays.insert(self.str());
+        }
+        // However many peers there are, exchanges begin no more often than the shortest tick.
+        CHECK(relay_tick(options, round.near.size()) >= options.shortest_tick);
+    }
+    CHECK(relays.size() == domains * relays_in_domain);
+}
--- /dev/null
+++ b/tests/stand_ins/entry_fleet.hpp
@@ -0,0 +1,51 @@
+#pragma once
+
+/// \file
+/// Defines several entry hosts in this process, spread over failure domains, each domain behind a
+/// gate to one platform.
+
+#include <memory>
+#include <vector>
+
+#include "entry/entry_host.hpp"
+#include "protocol/admin_codec.hpp"
+#include "stand_ins/platform_gate.hpp"
+#include "stand_ins/platform_stand_in.hpp"
+
+namespace banyanshunt
+{
+
+/// Hosts "h0", "h1", ... in domains "d0", "d1", ... by turns.
+class entry_fleet
+{
+public:
+    entry_fleet(std::size_t hosts, std::size_t domains);
+    ~entry_fleet();
+    entry_fleet(const entry_fleet&) = delete;
+    entry_fleet& operator=(const entry_fleet&) = delete;
+
+    platform_stand_in& platform() { return platform_; }
+    platform_gate& gate(std::size_t domain) { return *gates_.at(domain); }
+    std::size_t size() const { return hosts_.size(); }
+    entry_host& host(std::size_t i) { return *hosts_.at(i); }
+
+    /// Starts one more host, named after its place, in the next domain; returns its place.
+    std::size_t add_host(const std::vector<std::string>& seeds = {});
+    /// Writes all hosts into the platform's list.
+    void list_hosts();
+    /// Appends a ticket to the log; returns the offset behind it.
+    log_offset publish(const std::string& ticket);
+
+    /// A host's own word; nothing if it did not answer.
+    std::optional<host_status> status(std::size_t i);
+    /// Waits until the host reflects the prefix up to `through`; false once `patience` is over.
+    bool wait_for(std::size_t i, log_offset through, milliseconds patience);
+
+private:
+    platform_stand_in platform_;
+    std::vector<std::unique_ptr<platform_gate>> gates_;
+    std::vector<std::unique_ptr<entry_host>> hosts_;
+    http_client http_;
+};
+
+} // namespace banyanshunt
