--- a/src/coordination/relay_plan.hpp
+++ b/src/coordination/relay_plan.hpp
@@ -26,7 +26,7 @@
     /// no host in its own.
     bool relays = true;
     /// The shortest time between two exchanges that a host begins.
-    milliseconds shortest_tick{100};
+    milliseconds shortest_tick{125};
     /// The time in which a host would like to go through all its peers once.
     milliseconds wanted_round{250};
 };
--- a/src/coordination/state_keeper.cpp
+++ b/src/coordination/state_keeper.cpp
@@ -1,5 +1,7 @@
 #include "coordination/state_keeper.hpp"
 
+#include <utility>
+
 namespace banyanshunt
 {
 
@@ -48,6 +50,10 @@
     {
         std::lock_guard lock(mutex_);
         peers_.hear(from, now);
+        if (from.through > cell_.get()->through)
+        {
+            ahead_ = from.peer_address;
+        }
     }
     exchange_answer it{.said = self(now), .delta = {}};
     auto state = cell_.get();
@@ -58,6 +64,12 @@
     return it;
 }
 
+std::string state_keeper::take_ahead()
+{
+    std::lock_guard lock(mutex_);
+    return std::exchange(ahead_, "");
+}
+
 bool state_keeper::take(const exchange_answer& answer, instant asked, instant now)
 {
     bool moved = false;
--- a/src/coordination/state_keeper.hpp
+++ b/src/coordination/state_keeper.hpp
@@ -20,7 +20,7 @@
     heartbeat said;
     /// What the caller lacks, if anything.
     std::optional<state_delta> delta;
-    /// Bytes of the answer, without the transport's own.
+    /// Bytes of heartbeat and answer, without the transport's own.
     std::size_t bytes = 0;
 };
 
@@ -53,6 +53,9 @@
     heartbeat self(instant now) const;
     /// Takes a caller's heartbeat and returns this host's, with what the caller lacks.
     exchange_answer answer(const heartbeat& from, instant now);
+    /// The address of a caller that was seen to have more in force than this host, once; empty if
+    /// there was none since. Asking it is the quickest way forward.
+    std::string take_ahead();
     /// Takes the answer to an exchange that this host began at `asked`; returns whether it moved
     /// the state forward.
     bool take(const exchange_answer& answer, instant asked, instant now);
@@ -74,6 +77,7 @@
     view_age age_;
     std::string peer_address_;
     std::string admin_address_;
+    std::string ahead_;
     bool leaving_ = false;
 };
 
--- a/src/transport/state_relay.cpp
+++ b/src/transport/state_relay.cpp
@@ -96,14 +96,16 @@
     return &impl_->service;
 }
 
-verdict<exchange_answer> exchange(peer_channels& channels, const std::string& address,
-                                  const heartbeat& it, milliseconds limit)
+verdict<exchange_answer> exchange_heartbeats(peer_channels& channels, const std::string& address,
+                                             const heartbeat& it, milliseconds limit)
 {
     grpc::ClientContext context;
     set_deadline(context, limit);
     auto stub = wire::state_relay::NewStub(channels.to(address));
-    auto reader = stub->exchange(&context, to_wire(it));
+    auto request = to_wire(it);
+    auto reader = stub->exchange(&context, request);
     exchange_answer answer;
+    answer.bytes = request.ByteSizeLong();
     delta_joiner joiner;
     bool parts_good = true;
     wire::exchange_piece piece;
--- a/src/transport/state_relay.hpp
+++ b/src/transport/state_relay.hpp
@@ -32,7 +32,7 @@
 
 /// Sends a heartbeat to the host at `address`. A whole answer must come within `limit`; a delta
 /// that is cut off in the middle is dropped whole.
-verdict<exchange_answer> exchange(peer_channels& channels, const std::string& address,
-                                  const heartbeat& it, milliseconds limit);
+verdict<exchange_answer> exchange_heartbeats(peer_channels& channels, const std::string& address,
+                                             const heartbeat& it, milliseconds limit);
 
 } // namespace banyanshunt
--- a/src/transport/state_source.cpp
+++ b/src/transport/state_source.cpp
@@ -1,5 +1,7 @@
 #include "transport/state_source.hpp"
 
+#include <algorithm>
+
 #include "coordination/random_source.hpp"
 #include "protocol/snapshot_codec.hpp"
 #include "protocol/ticket_codec.hpp"
@@ -14,7 +16,10 @@
 
 constexpr milliseconds log_wait(1000);
 constexpr milliseconds failed_read_pause(200);
-constexpr milliseconds host_list_interval(500);
+constexpr milliseconds shortest_list_interval(500);
+// A long list is read less often, so that reading it takes about 3 KB/s at any length.
+constexpr milliseconds list_interval_per_host(30);
+constexpr milliseconds longest_list_interval(30000);
 constexpr milliseconds exchange_limit(500);
 // A host that starts from nothing may get the whole state in one answer.
 constexpr milliseconds first_exchange_limit(10000);
@@ -130,53 +135,78 @@
 milliseconds state_source::follow_hosts()
 {
     auto listed = hosts_.hosts();
-    if (listed)
+    if (!listed)
     {
-        keeper_.take_list(*listed, boot_clock().now());
-        told_list_(*listed);
+        return shortest_list_interval;
     }
-    return host_list_interval;
+    keeper_.take_list(*listed, boot_clock().now());
+    told_list_(*listed);
+    return std::clamp(list_interval_per_host * static_cast<int>(listed->size()),
+                      shortest_list_interval, longest_list_interval);
 }
 
-milliseconds state_source::exchange_near()
+relay_round state_source::plan() const
 {
-    return exchange_next(near_, true);
+    return plan_round(keeper_.peers(), plan_, boot_clock().now(), system_seeded()());
 }
 
-milliseconds state_source::exchange_far()
+// Takes the next peer of the round, and plans a new round after the last. A caller that was ahead
+// goes before.
+milliseconds state_source::exchange_near()
 {
-    return exchange_next(far_, false);
+    std::string ahead = keeper_.take_ahead();
+    if (!ahead.empty())
+    {
+        exchange_with(ahead);
+    }
+    if (near_.empty())
+    {
+        near_ = plan().near;
+        if (near_.empty() && keeper_.peers().reachable().empty())
+        {
+            near_ = options_.seeds;
+        }
+    }
+    std::size_t n = near_.size();
+    if (!near_.empty())
+    {
+        std::string address = std::move(near_.back());
+        near_.pop_back();
+        exchange_with(address);
+    }
+    return relay_tick(plan_, n);
 }
 
-// Takes the next peer of the round, and plans a new round after the last.
-milliseconds state_source::exchange_next(std::vector<std::string>& queue, bool near)
+// After a change of the state a new round begins at once and goes on without long pauses.
+milliseconds state_source::exchange_far()
 {
     instant now = boot_clock().now();
-    if (queue.empty())
+    log_offset through = keeper_.cell().get()->through;
+    bool changed = through > told_far_;
+    if (changed || far_.empty())
     {
-        auto round = plan_round(keeper_.peers(), plan_, now, system_seeded()());
-        queue = near ? std::move(round.near) : std::move(round.far);
-        if (near && queue.empty() && keeper_.peers().reachable().empty())
-        {
-            queue = options_.seeds;
-        }
+        far_ = plan().far;
+        hurry_ = changed ? far_.size() : 0;
+        told_far_ = through;
     }
-    std::size_t n = queue.size();
-    if (!queue.empty())
+    bool due = hurry_ > 0 || now >= next_far_;
+    if (due && !far_.empty())
     {
-        std::string address = std::move(queue.back());
-        queue.pop_back();
+        std::string address = std::move(far_.back());
+        far_.pop_back();
+        hurry_ -= hurry_ > 0 ? 1 : 0;
+        next_far_ = now + options_.far_tick;
         exchange_with(address);
     }
-    return relay_tick(plan_, n);
+    return plan_.shortest_tick;
 }
 
 void state_source::exchange_with(const std::string& address)
 {
     instant asked = boot_clock().now();
     bool first = !keeper_.cell().get()->known();
-    auto answer = exchange(channels_, address, keeper_.self(asked),
-                           first ? first_exchange_limit : exchange_limit);
+    auto answer = exchange_heartbeats(channels_, address, keeper_.self(asked),
+                                      first ? first_exchange_limit : exchange_limit);
     counters_.count("banyanshunt_exchanges_total",
                     {{"result", answer ? "answered" : answer.error().code.message()}});
     if (!answer)
--- a/src/transport/state_source.hpp
+++ b/src/transport/state_source.hpp
@@ -29,7 +29,9 @@
     /// Peer addresses to ask while no peer is known, as when the platform's list is out of reach.
     std::vector<std::string> seeds = {};
     /// The shortest time between two exchanges that this process begins.
-    milliseconds shortest_tick{100};
+    milliseconds shortest_tick{125};
+    /// The same towards other domains, except in the round after a change of the state.
+    milliseconds far_tick{500};
 };
 
 /// Runs from `start` to `stop`.
@@ -65,7 +67,7 @@
     milliseconds follow_hosts();
     milliseconds exchange_near();
     milliseconds exchange_far();
-    milliseconds exchange_next(std::vector<std::string>& queue, bool near);
+    relay_round plan() const;
     void exchange_with(const std::string& address);
 
     state_source_options options_;
@@ -79,6 +81,9 @@
     relay_plan_options plan_;
     std::vector<std::string> near_;
     std::vector<std::string> far_;
+    log_offset told_far_;
+    instant next_far_;
+    std::size_t hurry_ = 0;
     bool log_heard_ = true;
     bool snapshot_wanted_ = true;
     std::unique_ptr<duties> duties_;
