--- a/src/coordination/replica_board.cpp
+++ b/src/coordination/replica_board.cpp
@@ -35,12 +35,12 @@
 {
     std::lock_guard lock(mutex_);
     table_ = std::move(table);
-    since_report_.clear();
+    at_report_ = in_flight_;
     serve_waiting(boot_clock().now());
 }
 
-// A report is old: what this host has sent since comes on top of it, and no report can know less
-// than what this host has under way.
+// A report is old: it is corrected by what this host has begun and ended since, and the host knows
+// at least what it has under way itself.
 int replica_board::load_of(const ready_replica& replica) const
 {
     auto count = [&](const std::map<server_id, int>& from)
@@ -48,7 +48,8 @@
         auto it = from.find(replica.server);
         return it == from.end() ? 0 : it->second;
     };
-    return std::max(count(in_flight_), replica.load + count(since_report_));
+    int own = count(in_flight_);
+    return std::max(own, replica.load + own - count(at_report_));
 }
 
 std::optional<ready_replica> replica_board::choose(const replica_filter& filter, instant now)
@@ -121,7 +122,6 @@
     while (auto next = queue_.take_next(place))
     {
         ++in_flight_[chosen->server];
-        ++since_report_[chosen->server];
         health_.begin(chosen->server);
         answer(next->number, *chosen);
     }
--- a/src/coordination/replica_board.hpp
+++ b/src/coordination/replica_board.hpp
@@ -100,9 +100,9 @@
     mutable std::mutex mutex_;
     replica_table table_;
     std::set<server_id> leaving_;
-    /// Own requests that hold a slot, and those begun since the last report.
+    /// Own requests that hold a slot, now and when the last report came.
     std::map<server_id, int> in_flight_;
-    std::map<server_id, int> since_report_;
+    std::map<server_id, int> at_report_;
     waiting_queue queue_;
     std::map<std::uint64_t, waiter*> waiters_;
     std::uint64_t next_number_ = 0;
