--- a/src/entry/entry_settings.hpp
+++ b/src/entry/entry_settings.hpp
@@ -6,6 +6,7 @@
 #include <optional>
 
 #include "entry/request_settings.hpp"
+#include "entry/state_settings.hpp"
 #include "protocol/peer_settings.hpp"
 #include "transport/peer_node.hpp"
 
@@ -17,6 +18,7 @@
     host_settings host;
     platform_settings platform;
     std::optional<peer_credentials> peer_keys;
+    state_settings state;
 
     /// Where callers come in.
     std::string listen;
