--- /dev/null
+++ b/src/coordination/placement/load_draft.cpp
@@ -0,0 +1,113 @@
+#include "coordination/placement/load_draft.hpp"
+
+#include <algorithm>
+
+namespace banyanshunt
+{
+namespace
+{
+
+int adapters_in_transit(const served_server& server)
+{
+    int sum = 0;
+    for (const auto& replica : server.report.replicas)
+    {
+        sum += static_cast<int>(replica.adapters_loading.size());
+    }
+    for (const auto& order : server.unsettled)
+    {
+        sum += order.kind == order_kind::load_adapter ? 1 : 0;
+    }
+    return sum;
+}
+
+} // namespace
+
+std::vector<draft_server> draft_of(const placement_view& view)
+{
+    std::vector<draft_server> draft;
+    for (const auto& server : view.servers)
+    {
+        draft.push_back({.server = &server,
+                         .free = free_memory(server),
+                         .adapters_in_transit = adapters_in_transit(server)});
+    }
+    return draft;
+}
+
+model_progress progress_of(std::vector<draft_server>& draft, const model_id& model,
+                           const std::set<replica_place>& retiring)
+{
+    model_progress progress;
+    for (auto& it : draft)
+    {
+        const served_server& server = *it.server;
+        const held_replica* replica = find_replica(server.report, model);
+        bool goes = retiring.contains({.server = server.server, .model = model});
+        bool ordered = under_way(server, {.model = model, .adapter = {}});
+        if (replica && replica->phase == replica_phase::ready && !goes && !ordered)
+        {
+            progress.ready.push_back(&it);
+        }
+        else if ((replica && replica->phase == replica_phase::loading) || (!replica && ordered))
+        {
+            progress.loading = true;
+            progress.loading_on = server.server;
+        }
+    }
+    return progress;
+}
+
+std::vector<draft_server*> load_servers(std::vector<draft_server>& draft, const model_id& model,
+                                        const model_object& object, nanoseconds demand_age,
+                                        milliseconds spread_after)
+{
+    struct ranked
+    {
+        draft_server* it;
+        bool no_room;
+        checkpoint_tier tier;
+        int index;
+    };
+    std::vector<ranked> usable;
+    for (auto& it : draft)
+    {
+        const served_server& server = *it.server;
+        auto slot = server.slots.find(model);
+        bool may = slot != server.slots.end() && !server.leaving &&
+                   !find_replica(server.report, model) &&
+                   !under_way(server, {.model = model, .adapter = {}});
+        if (may && demand_age >= spread_after * slot->second)
+        {
+            usable.push_back({.it = &it,
+                              .no_room = it.free < object.memory,
+                              .tier = cached_tier(server.report, model, object.version),
+                              .index = slot->second});
+        }
+    }
+    std::sort(usable.begin(), usable.end(),
+              [](const ranked& a, const ranked& b) {
+                  return std::tie(a.no_room, a.tier, a.index) <
+                         std::tie(b.no_room, b.tier, b.index);
+              });
+    std::vector<draft_server*> servers;
+    for (const auto& it : usable)
+    {
+        servers.push_back(it.it);
+    }
+    return servers;
+}
+
+planned_order order_for(const served_server& server, order_kind kind, const model_id& model,
+                        const version_id& version, mebibytes memory)
+{
+    return {.server = server.server,
+            .order = {.kind = kind,
+                      .model = model,
+                      .version = version,
+                      .adapter = {},
+                      .memory = memory,
+                      .fencing = server.fencing}};
+}
+
+} // namespace banyanshunt
--- /dev/null
+++ b/src/coordination/placement/load_tracker.cpp
@@ -0,0 +1,77 @@
+#include "coordination/placement/load_tracker.hpp"
+
+namespace banyanshunt
+{
+
+void load_tracker::begin(const replica_place& place, checkpoint_tier tier, instant now)
+{
+    begun_[place] = {.tier = tier, .at = now};
+}
+
+void load_tracker::observe_server(const served_server& server, instant now)
+{
+    for (const auto& replica : server.report.replicas)
+    {
+        replica_place place{.server = server.server, .model = replica.model};
+        if (replica.phase == replica_phase::loading)
+        {
+            begun_.try_emplace(place, begun_load{.tier = checkpoint_tier::remote, .at = now});
+            continue;
+        }
+        auto it = begun_.find(place);
+        if (it != begun_.end() && replica.phase == replica_phase::ready)
+        {
+            times_.took(it->second.tier, now - it->second.at);
+        }
+    }
+}
+
+void load_tracker::observe(const placement_view& view)
+{
+    std::map<server_id, const served_server*> servers;
+    for (const auto& server : view.servers)
+    {
+        observe_server(server, view.now);
+        servers[server.server] = &server;
+    }
+    std::erase_if(begun_,
+                  [&](const auto& it)
+                  {
+                      auto found = servers.find(it.first.server);
+                      if (found == servers.end())
+                      {
+                          return true;
+                      }
+                      const served_server& server = *found->second;
+                      const held_replica* replica = find_replica(server.report, it.first.model);
+                      bool loading = replica && replica->phase == replica_phase::loading;
+                      bool ordered =
+                          !replica && under_way(server, {.model = it.first.model, .adapter = {}});
+                      return !loading && !ordered;
+                  });
+}
+
+std::vector<instant> load_tracker::remote_ready_times() const
+{
+    std::vector<instant> times;
+    for (const auto& [place, load] : begun_)
+    {
+        if (load.tier == checkpoint_tier::remote)
+        {
+            times.push_back(load.at + times_.expected(load.tier));
+        }
+    }
+    return times;
+}
+
+std::optional<instant> load_tracker::ready_time(const replica_place& place) const
+{
+    auto it = begun_.find(place);
+    if (it == begun_.end())
+    {
+        return std::nullopt;
+    }
+    return it->second.at + times_.expected(it->second.tier);
+}
+
+} // namespace banyanshunt
--- /dev/null
+++ b/src/coordination/placement/order_book.cpp
@@ -0,0 +1,103 @@
+#include "coordination/placement/order_book.hpp"
+
+#include <algorithm>
+
+namespace banyanshunt
+{
+namespace
+{
+
+bool lists(const std::vector<adapter_id>& adapters, const adapter_id& adapter)
+{
+    return std::find(adapters.begin(), adapters.end(), adapter) != adapters.end();
+}
+
+bool is_load(order_kind kind)
+{
+    return kind == order_kind::load_model || kind == order_kind::load_adapter;
+}
+
+} // namespace
+
+const held_replica* find_replica(const engine_report& report, const model_id& model)
+{
+    auto it = std::find_if(report.replicas.begin(), report.replicas.end(),
+                           [&](const held_replica& held) { return held.model == model; });
+    return it == report.replicas.end() ? nullptr : &*it;
+}
+
+bool shows_effect(const engine_report& report, const engine_order& order)
+{
+    const held_replica* replica = find_replica(report, order.model);
+    bool adapter = replica && (lists(replica->adapters, order.adapter) ||
+                               lists(replica->adapters_loading, order.adapter));
+    switch (order.kind)
+    {
+    case order_kind::load_model:
+        return replica && replica->phase != replica_phase::unloading;
+    case order_kind::unload_model:
+        return !replica;
+    case order_kind::load_adapter:
+        return adapter;
+    case order_kind::unload_adapter:
+        return !adapter;
+    }
+    return false;
+}
+
+void order_book::sent(const server_id& server, const engine_order& order, instant now)
+{
+    orders_[server][{.model = order.model, .adapter = order.adapter}] = {.order = order,
+                                                                         .sent_at = now};
+}
+
+void order_book::refused(const server_id& server, const engine_order& order)
+{
+    orders_[server].erase({.model = order.model, .adapter = order.adapter});
+}
+
+void order_book::settle(const server_id& server, const engine_report& report, instant asked_at)
+{
+    std::erase_if(orders_[server],
+                  [&](const auto& it)
+                  {
+                      const open_order& open = it.second;
+                      return shows_effect(report, open.order) ||
+                             asked_at - open.sent_at > longest_order_;
+                  });
+}
+
+bool order_book::under_way(const server_id& server, const order_subject& subject) const
+{
+    auto it = orders_.find(server);
+    return it != orders_.end() && it->second.contains(subject);
+}
+
+mebibytes order_book::memory(const server_id& server) const
+{
+    mebibytes sum;
+    for (const auto& order : orders(server))
+    {
+        if (is_load(order.kind))
+        {
+            sum += order.memory;
+        }
+    }
+    return sum;
+}
+
+std::vector<engine_order> order_book::orders(const server_id& server) const
+{
+    std::vector<engine_order> all;
+    auto it = orders_.find(server);
+    if (it != orders_.end())
+    {
+        for (const auto& [subject, open] : it->second)
+        {
+            all.push_back(open.order);
+        }
+    }
+    return all;
+}
+
+} // namespace banyanshunt
--- /dev/null
+++ b/src/coordination/placement/placement_policies.cpp
@@ -0,0 +1,68 @@
+#include "coordination/placement/placement_policies.hpp"
+
+#include <algorithm>
+
+namespace banyanshunt
+{
+namespace
+{
+
+double in_seconds(nanoseconds duration)
+{
+    return std::chrono::duration<double>(duration).count();
+}
+
+// The requests that one second of loading helps, less for a workspace that had many loads lately.
+double benefit(const load_choice& it)
+{
+    double cost = std::max(in_seconds(it.duration), 0.001);
+    return it.need.waiting / cost / (1.0 + it.workspace_loads);
+}
+
+// What it is expected to cost in reloading, for each mebibyte that evicting it frees.
+double eviction_cost(const idle_replica& it)
+{
+    double gap = std::max(in_seconds(std::max(it.mean_gap, it.idle)), 1.0);
+    return in_seconds(it.reload) / gap / static_cast<double>(std::max(it.memory.count(), 1L));
+}
+
+} // namespace
+
+bool first_come_policy::sooner(const load_choice& a, const load_choice& b, instant) const
+{
+    return a.since != b.since ? a.since < b.since : a.need.model < b.need.model;
+}
+
+bool first_come_policy::evict_sooner(const idle_replica& x, const idle_replica& y) const
+{
+    return x.idle != y.idle ? x.idle > y.idle : x.model < y.model;
+}
+
+bool expected_use_policy::sooner(const load_choice& a, const load_choice& b, instant) const
+{
+    double benefit_a = benefit(a);
+    double benefit_b = benefit(b);
+    return benefit_a != benefit_b ? benefit_a > benefit_b : a.need.model < b.need.model;
+}
+
+nanoseconds expected_use_policy::keep_for(const idle_replica& it) const
+{
+    if (it.mean_gap == nanoseconds(0))
+    {
+        return options_.keep_unknown;
+    }
+    nanoseconds wanted = it.mean_gap * options_.gaps_kept;
+    // A replica whose next use lies further off than it can be kept is not kept in vain.
+    bool too_rare = it.mean_gap > options_.keep_most;
+    return too_rare ? options_.keep_least
+                    : std::clamp<nanoseconds>(wanted, options_.keep_least, options_.keep_most);
+}
+
+bool expected_use_policy::evict_sooner(const idle_replica& x, const idle_replica& y) const
+{
+    double cost_x = eviction_cost(x);
+    double cost_y = eviction_cost(y);
+    return cost_x != cost_y ? cost_x < cost_y : x.model < y.model;
+}
+
+} // namespace banyanshunt
--- /dev/null
+++ b/src/coordination/placement/placement_policies.hpp
@@ -0,0 +1,80 @@
+#pragma once
+
+/// \file
+/// Defines the placement policies: the chosen one and the baselines that it is measured against.
+/// docs/PLACEMENT.md has the comparison.
+
+#include "coordination/placement/placement_policy.hpp"
+
+namespace banyanshunt
+{
+
+/// First come, first served, with one keep-alive for all; the longest idle replica makes room.
+class first_come_policy
+{
+public:
+    static constexpr bool holds_back = true;
+
+    explicit first_come_policy(milliseconds keep_alive = milliseconds(60'000))
+        : keep_alive_(keep_alive)
+    {
+    }
+
+    bool sooner(const load_choice& a, const load_choice& b, instant now) const;
+    bool helps(const load_choice&, instant) const { return true; }
+    nanoseconds keep_for(const idle_replica&) const { return keep_alive_; }
+    bool evict_sooner(const idle_replica& x, const idle_replica& y) const;
+
+private:
+    milliseconds keep_alive_;
+};
+
+/// The same, but whichever idle replica comes first makes room.
+class unordered_eviction_policy : public first_come_policy
+{
+public:
+    using first_come_policy::first_come_policy;
+
+    bool evict_sooner(const idle_replica& x, const idle_replica& y) const
+    {
+        return x.model < y.model;
+    }
+};
+
+struct expected_use_options
+{
+    /// Kept this many mean gaps, when the gap is known.
+    int gaps_kept = 2;
+    milliseconds keep_least{5000};
+    milliseconds keep_most{60'000};
+    /// Kept this long while the gap is unknown.
+    milliseconds keep_unknown{30'000};
+};
+
+/// Loads go by how many requests each second of loading helps, those first that cannot wait; one
+/// that is ready too late is not begun. Idle replicas stay as long as their next use is expected
+/// soon, and the one whose reload is expected to cost the least makes room.
+class expected_use_policy
+{
+public:
+    static constexpr bool holds_back = false;
+
+    explicit expected_use_policy(expected_use_options options = {}) : options_(options) {}
+
+    bool sooner(const load_choice& a, const load_choice& b, instant now) const;
+    bool helps(const load_choice& it, instant ready_at) const
+    {
+        return ready_at <= it.need.last_deadline;
+    }
+    nanoseconds keep_for(const idle_replica& it) const;
+    bool evict_sooner(const idle_replica& x, const idle_replica& y) const;
+
+private:
+    expected_use_options options_;
+};
+
+static_assert(placement_policy<first_come_policy>);
+static_assert(placement_policy<unordered_eviction_policy>);
+static_assert(placement_policy<expected_use_policy>);
+
+} // namespace banyanshunt
--- /dev/null
+++ b/src/coordination/placement/placement_view.cpp
@@ -0,0 +1,45 @@
+#include "coordination/placement/placement_view.hpp"
+
+#include <algorithm>
+
+namespace banyanshunt
+{
+
+mebibytes free_memory(const served_server& server)
+{
+    mebibytes free = server.report.memory_total - server.report.memory_used;
+    for (const auto& order : server.unsettled)
+    {
+        bool load =
+            order.kind == order_kind::load_model || order.kind == order_kind::load_adapter;
+        if (load)
+        {
+            free -= order.memory;
+        }
+    }
+    return free;
+}
+
+bool under_way(const served_server& server, const order_subject& subject)
+{
+    return std::any_of(server.unsettled.begin(), server.unsettled.end(),
+                       [&](const engine_order& order) {
+                           return order.model == subject.model && order.adapter == subject.adapter;
+                       });
+}
+
+checkpoint_tier cached_tier(const engine_report& report, const model_id& model,
+                            const version_id& version)
+{
+    checkpoint_tier best = checkpoint_tier::remote;
+    for (const auto& cached : report.cached)
+    {
+        if (cached.model == model && cached.version == version)
+        {
+            best = std::min(best, cached.tier);
+        }
+    }
+    return best;
+}
+
+} // namespace banyanshunt
--- /dev/null
+++ b/src/coordination/placement/slot_claims.cpp
@@ -0,0 +1,133 @@
+#include "coordination/placement/slot_claims.hpp"
+
+#include <algorithm>
+
+namespace banyanshunt
+{
+namespace
+{
+
+bool is_decided(const fleet_state& state, const replica_slot& slot)
+{
+    const model_object* model = find_object(state.models, slot.model);
+    return model && slot.index < model->replicas;
+}
+
+// Cached checkpoints let a server own at most this share, in percent, of the mean decided memory.
+constexpr std::int64_t fullest_by_cache = 150;
+constexpr std::int64_t percent = 100;
+
+// How long the slot must have been without an owner before the server may ask; nothing for never.
+std::optional<nanoseconds> wait_before_asking(const slot_claim_view& view,
+                                              const std::vector<server_id>& preferred,
+                                              const slot_claimant& claimant, const model_id& model,
+                                              bool room)
+{
+    auto place = std::find(preferred.begin(), preferred.end(), claimant.server);
+    if (place == preferred.end())
+    {
+        return std::nullopt;
+    }
+    auto cached = claimant.cached.find(model);
+    if (room && cached != claimant.cached.end())
+    {
+        return cached->second == checkpoint_tier::memory ? milliseconds(0) : view.cache_turn / 2;
+    }
+    return view.cache_turn + view.turn * (place - preferred.begin());
+}
+
+mebibytes memory_of(const fleet_state& state, const slot_set& slots)
+{
+    mebibytes sum;
+    for (const auto& slot : slots)
+    {
+        const model_object* model = find_object(state.models, slot.model);
+        sum += model ? model->memory : mebibytes();
+    }
+    return sum;
+}
+
+// The mean of decided memory over the engines that stay.
+mebibytes mean_memory(const slot_claim_view& view)
+{
+    std::int64_t engines = 0;
+    for (const auto& [id, entry] : view.state.servers)
+    {
+        bool stays = entry->value && entry->value->kind == server_kind::engine &&
+                     !entry->value->leaving;
+        engines += stays ? 1 : 0;
+    }
+    mebibytes sum;
+    for (const auto& [slot, servers] : view.preference)
+    {
+        sum += find_object(view.state.models, slot.model)->memory;
+    }
+    return mebibytes(engines == 0 ? 0 : sum.count() / engines);
+}
+
+// Adds the free slots that the server may ask for now.
+void ask_for_unowned(const slot_claim_view& view, const slot_claimant& claimant,
+                     std::set<model_id> models, slot_set& wanted)
+{
+    mebibytes most(mean_memory(view).count() * fullest_by_cache / percent);
+    mebibytes owned = memory_of(view.state, wanted);
+    for (const auto& [slot, since] : view.unowned)
+    {
+        auto preferred = view.preference.find(slot);
+        if (preferred == view.preference.end() || models.contains(slot.model) ||
+            !is_decided(view.state, slot))
+        {
+            continue;
+        }
+        mebibytes memory = find_object(view.state.models, slot.model)->memory;
+        auto wait = wait_before_asking(view, preferred->second, claimant, slot.model,
+                                       owned + memory <= most);
+        if (wait && view.now - since >= *wait)
+        {
+            wanted.insert(slot);
+            models.insert(slot.model);
+            owned += memory;
+        }
+    }
+}
+
+} // namespace
+
+void note_unowned(const slot_preference& preference, const slot_ledger& ledger, instant now,
+                  unowned_since& unowned)
+{
+    std::erase_if(unowned, [&](const auto& seen)
+                  { return ledger.owner(seen.first) || !preference.contains(seen.first); });
+    for (const auto& [slot, servers] : preference)
+    {
+        if (!ledger.owner(slot))
+        {
+            unowned.try_emplace(slot, now);
+        }
+    }
+}
+
+slot_set wanted_slots(const slot_claim_view& view, const slot_claimant& claimant)
+{
+    slot_set wanted;
+    std::set<model_id> models;
+    for (const auto& slot : view.ledger.slots_of(claimant.server))
+    {
+        bool holds = claimant.held.contains(slot.model);
+        bool useful = is_decided(view.state, slot) && !claimant.leaving;
+        // Of two slots for one model only the lower is of use: a server holds one replica of it.
+        if ((holds || useful) && !models.contains(slot.model))
+        {
+            wanted.insert(slot);
+            models.insert(slot.model);
+        }
+    }
+    if (claimant.leaving)
+    {
+        return wanted;
+    }
+    ask_for_unowned(view, claimant, std::move(models), wanted);
+    return wanted;
+}
+
+} // namespace banyanshunt
--- /dev/null
+++ b/src/coordination/placement/usage_book.cpp
@@ -0,0 +1,35 @@
+#include "coordination/placement/usage_book.hpp"
+
+namespace banyanshunt
+{
+namespace
+{
+
+// Two sightings closer than this belong to one use.
+constexpr milliseconds same_use(1000);
+// A new gap changes the mean by a quarter of the difference.
+constexpr int smoothing = 4;
+
+} // namespace
+
+void usage_book::used(const model_id& model, instant now)
+{
+    auto [it, first] = models_.try_emplace(model, model_usage{.last_used = now, .mean_gap = {}, .gaps = 0});
+    model_usage& usage = it->second;
+    nanoseconds gap = now - usage.last_used;
+    usage.last_used = now;
+    if (first || gap < same_use)
+    {
+        return;
+    }
+    usage.mean_gap = usage.gaps == 0 ? gap : usage.mean_gap + (gap - usage.mean_gap) / smoothing;
+    ++usage.gaps;
+}
+
+const model_usage* usage_book::find(const model_id& model) const
+{
+    auto it = models_.find(model);
+    return it == models_.end() ? nullptr : &it->second;
+}
+
+} // namespace banyanshunt
--- a/src/coordination/replica_need.hpp
+++ b/src/coordination/replica_need.hpp
@@ -21,6 +21,9 @@
     instant deadline;
     /// The workspace of that request.
     workspace_id workspace;
+    /// When the last of the requests must have its answer begun: a replica that is ready later
+    /// helps none of them.
+    instant last_deadline = deadline;
 };
 
 } // namespace banyanshunt
--- /dev/null
+++ b/tests/performance/placement_bench.cpp
@@ -0,0 +1,84 @@
+/// \file
+/// Compares the placement policies on the same requests, for both deployments and all scenarios.
+
+#include <fmt/format.h>
+#include <gflags/gflags.h>
+
+#include "stand_ins/placement/placement_run.hpp"
+
+DEFINE_uint64(seed, 7, "First seed; each trial takes the next one");
+DEFINE_int32(trials, 3, "Trials of each row; latencies are of all trials together");
+DEFINE_int32(seconds, 600, "Length of a trial, in the test clock's seconds");
+DEFINE_int32(remote_ms, 4000, "Time of one load from the weight store at full speed");
+
+using namespace banyanshunt;
+
+namespace
+{
+
+void add(run_result& sum, const run_result& it)
+{
+    sum.cold_seconds.insert(sum.cold_seconds.end(), it.cold_seconds.begin(),
+                            it.cold_seconds.end());
+    sum.idle_hours += it.idle_hours;
+    sum.requests += it.requests;
+    sum.cold += it.cold;
+    sum.served += it.served;
+    sum.refused += it.refused;
+    sum.refused_late += it.refused_late;
+    sum.dropped += it.dropped;
+    sum.loads += it.loads;
+    sum.wasted += it.wasted;
+    sum.violations.memory += it.violations.memory;
+    sum.violations.replicas += it.violations.replicas;
+    sum.violations.cut_requests += it.violations.cut_requests;
+}
+
+template <class Policy>
+void measure(const char* name, run_options options, const Policy& policy)
+{
+    run_result sum;
+    for (int trial = 0; trial < FLAGS_trials; ++trial)
+    {
+        options.seed = FLAGS_seed + static_cast<std::uint64_t>(trial);
+        add(sum, placement_run<Policy>(options, policy).run());
+    }
+    fmt::print("{:9} {:11} {:18} {:6} {:5} {:6.2f} {:6.2f} {:6.2f} {:7.3f} {:5} {:6} {:7} {:5} "
+               "{:4} {:4}\n",
+               options.fleet.name, to_string(options.what), name, sum.requests, sum.cold,
+               sum.percentile(0.5), sum.percentile(0.99), sum.percentile(1.0), sum.idle_hours,
+               sum.loads, sum.wasted, sum.refused, sum.refused_late, sum.dropped,
+               sum.violations.total());
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    fmt::print("seeds {} to {}, {} s each, {} ms for one load from the store\n", FLAGS_seed,
+               FLAGS_seed + static_cast<std::uint64_t>(FLAGS_trials) - 1, FLAGS_seconds,
+               FLAGS_remote_ms);
+    fmt::print("{:9} {:11} {:18} {:>6} {:>5} {:>6} {:>6} {:>6} {:>7} {:>5} {:>6} {:>7} {:>5} "
+               "{:>4} {:>4}\n",
+               "users", "scenario", "policy", "reqs", "cold", "p50 s", "p99 s", "max s", "idle h",
+               "loads", "wasted", "refused", "late", "drop", "viol");
+    for (const auto& fleet : {agency(), chautari()})
+    {
+        for (auto what :
+             {scenario::steady, scenario::burst, scenario::slow_store, scenario::lost_server})
+        {
+            run_options options{.fleet = fleet,
+                                .what = what,
+                                .faults = {},
+                                .length = seconds(FLAGS_seconds),
+                                .remote_time = milliseconds(FLAGS_remote_ms)};
+            options.claim_by_cache = false;
+            measure("first come", options, first_come_policy());
+            measure("unordered eviction", options, unordered_eviction_policy());
+            options.claim_by_cache = true;
+            measure("expected use", options, expected_use_policy());
+        }
+    }
+    return 0;
+}
--- /dev/null
+++ b/tests/stand_ins/placement/placement_load.hpp
@@ -0,0 +1,67 @@
+#pragma once
+
+/// \file
+/// Defines the deployments and the requests that placement is measured and tested with, drawn from
+/// a seed.
+
+#include <string>
+#include <vector>
+
+#include "coordination/placement/load_budget.hpp"
+#include "state/fleet_state.hpp"
+#include "stand_ins/placement/placement_fleet.hpp"
+
+namespace banyanshunt
+{
+
+struct deployment
+{
+    std::string name;
+    int domains = 4;
+    int servers = 12;
+    int models = 45;
+    int adapters = 60;
+    weight_store_limits limits;
+    milliseconds deadline{30'000};
+};
+
+/// Prairie Air Quality Services Agency.
+deployment agency();
+/// Chautari Fitout Quotes.
+deployment chautari();
+
+/// The state in force after the operators' tickets for a deployment.
+fleet_state_ptr state_of(const deployment& it, std::uint64_t seed);
+
+/// A request for a completion.
+struct placed_request
+{
+    instant arrival;
+    model_id model;
+    adapter_id adapter;
+    workspace_id workspace;
+    instant deadline;
+    milliseconds service{2000};
+};
+
+enum class scenario
+{
+    steady,
+    burst,
+    slow_store,
+    lost_server,
+};
+
+/// Returns the name that tables show.
+std::string to_string(scenario it);
+
+/// Requests of a run of `length` from `begin`, in the order of arrival. All scenarios have the same
+/// steady requests; all but the steady one have a burst of first requests for 20 idle models at
+/// all hosts half way.
+std::vector<placed_request> draw_requests(const deployment& it, scenario what, instant begin,
+                                          seconds length, std::uint64_t seed);
+
+/// Puts checkpoints unevenly into the servers' memory and disks.
+void draw_caches(const fleet_state& state, placement_fleet& fleet, std::uint64_t seed);
+
+} // namespace banyanshunt
--- /dev/null
+++ b/tests/stand_ins/placement/placement_run.hpp
@@ -0,0 +1,429 @@
+#pragma once
+
+/// \file
+/// Defines a run of the placement decisions against `placement_fleet` under a test clock: the
+/// product's own planners, one for each failure domain, with the slot ledger between them. There
+/// are no hosts and no messages in it.
+
+#include <algorithm>
+#include <chrono>
+#include <cmath>
+
+#include "coordination/placement/placement_planner.hpp"
+#include "coordination/placement/placement_policies.hpp"
+#include "coordination/placement/slot_claims.hpp"
+#include "coordination/placement/slot_writer.hpp"
+#include "stand_ins/placement/placement_load.hpp"
+
+namespace banyanshunt
+{
+
+struct run_options
+{
+    deployment fleet;
+    scenario what = scenario::steady;
+    fleet_faults faults;
+    seconds length{600};
+    std::uint64_t seed = 1;
+    milliseconds remote_time{4000};
+    /// Whether slots go to servers that have the checkpoint, or by the preference alone.
+    bool claim_by_cache = true;
+    /// Leaves unsettled orders out of what the planner sees; a planted fault for tests.
+    bool forget_unsettled = false;
+    /// Lets planners load without a slot; a planted fault for tests.
+    bool ignore_slots = false;
+};
+
+struct run_result
+{
+    std::vector<double> cold_seconds;
+    double idle_hours = 0;
+    int requests = 0;
+    int cold = 0;
+    int served = 0;
+    int refused = 0;
+    /// Refused when the deadline had come, not earlier.
+    int refused_late = 0;
+    /// Neither served nor refused when its deadline was over.
+    int dropped = 0;
+    int loads = 0;
+    int wasted = 0;
+    fleet_violations violations;
+    double slowest_plan_ms = 0;
+    double mean_plan_ms = 0;
+
+    double percentile(double part) const
+    {
+        if (cold_seconds.empty())
+        {
+            return 0;
+        }
+        auto sorted = cold_seconds;
+        std::sort(sorted.begin(), sorted.end());
+        auto at = static_cast<std::size_t>(std::ceil(part * static_cast<double>(sorted.size())));
+        return sorted[std::max<std::size_t>(at, 1) - 1];
+    }
+};
+
+/// One run; call `run` once.
+template <placement_policy Policy>
+class placement_run
+{
+public:
+    placement_run(run_options options, Policy policy)
+        : options_(std::move(options)), state_(state_of(options_.fleet, options_.seed)),
+          preference_(prefer_slots(*state_)),
+          fleet_({.limits = options_.fleet.limits,
+                  .remote_time = options_.remote_time,
+                  .faults = options_.faults,
+                  .seed = options_.seed})
+    {
+        for (const auto& [id, entry] : state_->servers)
+        {
+            fleet_.add(id, entry->value->memory);
+            std::string domain = entry->value->domain.str();
+            domains_.try_emplace(domain, policy, budget_of(domain_id(domain)));
+            domains_.at(domain).servers.push_back(id);
+            writers_.try_emplace(id, slot_writer_options{.server = id,
+                                                         .fencing = fencing_number(1)});
+        }
+        draw_caches(*state_, fleet_, options_.seed);
+    }
+
+    run_result run()
+    {
+        instant begin = clock_.now();
+        auto requests =
+            draw_requests(options_.fleet, options_.what, begin, options_.length, options_.seed);
+        constexpr seconds tail(120);
+        std::size_t next = 0;
+        for (instant end = begin + options_.length + tail; clock_.now() < end;)
+        {
+            clock_.advance(step);
+            strike(begin);
+            for (; next < requests.size() && requests[next].arrival <= clock_.now(); ++next)
+            {
+                arrive(requests[next]);
+            }
+            fleet_.step(clock_.now(), step, *state_);
+            finish_running();
+            serve_waiting();
+            plan_all();
+            result_.idle_hours += fleet_.idle_accelerators() * step.count() / 3.6e6;
+        }
+        result_.dropped = static_cast<int>(waiting_.size());
+        result_.loads = fleet_.loads_begun();
+        result_.wasted = fleet_.loads_wasted();
+        result_.violations = fleet_.violations();
+        result_.mean_plan_ms /= std::max(plans_, 1);
+        return result_;
+    }
+
+private:
+    static constexpr milliseconds step{50};
+    static constexpr milliseconds longest_order{2000};
+
+    struct domain_run
+    {
+        domain_run(Policy policy, fixed_load_budget budget)
+            : planner(std::move(policy), std::move(budget)), orders(longest_order)
+        {
+        }
+
+        placement_planner<Policy, fixed_load_budget> planner;
+        order_book orders;
+        std::vector<server_id> servers;
+        std::vector<expected_load> expected;
+    };
+
+    struct waiting_request
+    {
+        placed_request request;
+        bool cold = true;
+    };
+
+    struct running_request
+    {
+        server_id server;
+        model_id model;
+        instant end;
+    };
+
+    fixed_load_budget budget_of(const domain_id& own) const
+    {
+        std::vector<domain_id> domains;
+        for (int n = 0; n < options_.fleet.domains; ++n)
+        {
+            domains.emplace_back("domain-" + std::to_string(n));
+        }
+        return fixed_load_budget(split_limits(options_.fleet.limits, domains, own));
+    }
+
+    // The faults of the scenario.
+    void strike(instant begin)
+    {
+        instant burst = begin + options_.length / 2;
+        if (options_.what == scenario::slow_store && clock_.now() >= burst)
+        {
+            constexpr int slower = 3;
+            fleet_.set_remote_time(options_.remote_time * slower);
+        }
+        constexpr seconds into_burst(3);
+        if (options_.what == scenario::lost_server && clock_.now() >= burst + into_burst)
+        {
+            server_id victim("server-003");
+            std::erase_if(running_,
+                          [&](const running_request& it) { return it.server == victim; });
+            fleet_.lose(victim);
+        }
+    }
+
+    void arrive(const placed_request& request)
+    {
+        ++result_.requests;
+        auto server = find_ready(request);
+        if (server)
+        {
+            start(request, *server);
+            return;
+        }
+        ++result_.cold;
+        waiting_.push_back({.request = request});
+    }
+
+    // The ready replica with the fewest running requests that is not about to go.
+    std::optional<server_id> find_ready(const placed_request& request) const
+    {
+        for (const auto& [id, engine] : fleet_.engines())
+        {
+            bool goes = retiring_.contains({.server = id, .model = request.model});
+            if (!goes && fleet_.ready(id, request.model, request.adapter))
+            {
+                return id;
+            }
+        }
+        return std::nullopt;
+    }
+
+    void start(const placed_request& request, const server_id& server)
+    {
+        ++result_.served;
+        fleet_.add_running(server, request.model, 1);
+        running_.push_back(
+            {.server = server, .model = request.model, .end = clock_.now() + request.service});
+    }
+
+    void finish_running()
+    {
+        for (const auto& it : running_)
+        {
+            if (it.end <= clock_.now())
+            {
+                fleet_.add_running(it.server, it.model, -1);
+            }
+        }
+        std::erase_if(running_,
+                      [&](const running_request& it) { return it.end <= clock_.now(); });
+    }
+
+    // Refuses a request at once when its model is expected to be ready only after its deadline.
+    bool hopeless(const placed_request& request) const
+    {
+        std::optional<nanoseconds> soonest;
+        for (const auto& [name, domain] : domains_)
+        {
+            for (const auto& it : domain.expected)
+            {
+                if (it.model == request.model && (!soonest || it.ready_in < *soonest))
+                {
+                    soonest = it.ready_in;
+                }
+            }
+        }
+        return !Policy::holds_back && soonest && clock_.now() + *soonest > request.deadline;
+    }
+
+    void serve_waiting()
+    {
+        std::vector<waiting_request> still;
+        for (auto& it : waiting_)
+        {
+            auto server = find_ready(it.request);
+            if (server && clock_.now() <= it.request.deadline)
+            {
+                result_.cold_seconds.push_back(
+                    std::chrono::duration<double>(clock_.now() - it.request.arrival).count());
+                start(it.request, *server);
+            }
+            else if (clock_.now() >= it.request.deadline || hopeless(it.request))
+            {
+                ++result_.refused;
+                result_.refused_late += clock_.now() >= it.request.deadline ? 1 : 0;
+            }
+            else
+            {
+                still.push_back(std::move(it));
+            }
+        }
+        waiting_ = std::move(still);
+    }
+
+    std::vector<replica_need> needs() const
+    {
+        std::map<order_subject, replica_need> joined;
+        for (const auto& it : waiting_)
+        {
+            const placed_request& r = it.request;
+            auto [need, first] = joined.try_emplace({.model = r.model, .adapter = r.adapter},
+                                                    replica_need{.model = r.model,
+                                                                 .adapter = r.adapter,
+                                                                 .waiting = 0,
+                                                                 .deadline = r.deadline,
+                                                                 .workspace = r.workspace});
+            ++need->second.waiting;
+            need->second.last_deadline = std::max(need->second.last_deadline, r.deadline);
+        }
+        std::vector<replica_need> all;
+        for (auto& [subject, need] : joined)
+        {
+            all.push_back(std::move(need));
+        }
+        return all;
+    }
+
+    void claim_slots(domain_run& domain)
+    {
+        note_unowned(preference_, ledger_, clock_.now(), unowned_);
+        slot_claim_view view{.state = *state_,
+                             .preference = preference_,
+                             .ledger = ledger_,
+                             .unowned = unowned_,
+                             .now = clock_.now()};
+        for (const auto& id : domain.servers)
+        {
+            auto record = writers_.at(id).next(ledger_, wanted_slots(view, claimant(domain, id)),
+                                               clock_.now());
+            if (record)
+            {
+                ledger_.apply(*record, ledger_.through());
+            }
+        }
+    }
+
+    slot_claimant claimant(const domain_run& domain, const server_id& id) const
+    {
+        slot_claimant it{
+            .server = id, .leaving = !fleet_.alive(id), .held = {}, .cached = {}};
+        for (const auto& order : domain.orders.orders(id))
+        {
+            it.held.insert(order.model);
+        }
+        if (it.leaving)
+        {
+            it.held.clear();
+            return it;
+        }
+        const engine_report& engine = fleet_.engines().at(id);
+        for (const auto& replica : engine.replicas)
+        {
+            it.held.insert(replica.model);
+        }
+        for (const auto& cached : engine.cached)
+        {
+            if (options_.claim_by_cache && cached.tier != checkpoint_tier::remote)
+            {
+                auto [known, first] = it.cached.try_emplace(cached.model, cached.tier);
+                known->second = std::min(known->second, cached.tier);
+            }
+        }
+        return it;
+    }
+
+    std::map<model_id, int> usable_slots(const server_id& id) const
+    {
+        std::map<model_id, int> usable;
+        for (const auto& [slot, preferred] : preference_)
+        {
+            if (options_.ignore_slots || writers_.at(id).may_use(ledger_, slot))
+            {
+                usable.try_emplace(slot.model, slot.index);
+            }
+        }
+        return usable;
+    }
+
+    placement_view view_of(domain_run& domain, const std::vector<replica_need>& needed)
+    {
+        placement_view view{
+            .state = state_, .servers = {}, .needs = needed, .now = clock_.now()};
+        for (const auto& id : domain.servers)
+        {
+            auto report = fleet_.read_back(id);
+            if (!report)
+            {
+                continue;
+            }
+            domain.orders.settle(id, *report, clock_.now());
+            view.servers.push_back(
+                {.server = id,
+                 .fencing = fencing_number(1),
+                 .leaving = false,
+                 .report = std::move(*report),
+                 .slots = usable_slots(id),
+                 .unsettled = options_.forget_unsettled ? std::vector<engine_order>()
+                                                        : domain.orders.orders(id)});
+        }
+        return view;
+    }
+
+    void plan_all()
+    {
+        auto needed = needs();
+        retiring_.clear();
+        for (auto& [name, domain] : domains_)
+        {
+            claim_slots(domain);
+            auto view = view_of(domain, needed);
+            auto began = std::chrono::steady_clock::now();
+            auto plan = domain.planner.plan(view);
+            double ms = std::chrono::duration<double, std::milli>(
+                            std::chrono::steady_clock::now() - began)
+                            .count();
+            result_.slowest_plan_ms = std::max(result_.slowest_plan_ms, ms);
+            result_.mean_plan_ms += ms;
+            ++plans_;
+            domain.expected = plan.expected;
+            retiring_.insert(plan.retiring.begin(), plan.retiring.end());
+            send(domain, plan.orders);
+        }
+    }
+
+    void send(domain_run& domain, const std::vector<planned_order>& orders)
+    {
+        for (const auto& it : orders)
+        {
+            domain.orders.sent(it.server, it.order, clock_.now());
+            if (fleet_.order(it, clock_.now()) == order_answer::refused)
+            {
+                domain.orders.refused(it.server, it.order);
+            }
+        }
+    }
+
+    run_options options_;
+    fleet_state_ptr state_;
+    slot_preference preference_;
+    placement_fleet fleet_;
+    test_clock clock_;
+    std::map<std::string, domain_run> domains_;
+    std::map<server_id, slot_writer> writers_;
+    slot_ledger ledger_;
+    unowned_since unowned_;
+    std::set<replica_place> retiring_;
+    std::vector<waiting_request> waiting_;
+    std::vector<running_request> running_;
+    run_result result_;
+    int plans_ = 0;
+};
+
+} // namespace banyanshunt
