--- a/src/coordination/lease_book.cpp
+++ b/src/coordination/lease_book.cpp
@@ -8,7 +8,8 @@
     through_ = offset + log_offset(1);
     auto it = leases_.find(claim.server);
     fencing_number newest = it == leases_.end() ? fencing_number() : it->second.fencing;
-    if (claim.follows != newest)
+    bool unread = partial_ && it == leases_.end();
+    if (claim.follows != newest && !unread)
     {
         return false;
     }
@@ -23,4 +24,21 @@
     return it == leases_.end() ? std::nullopt : std::optional(it->second);
 }
 
+void lease_book::restart(log_offset first)
+{
+    leases_.clear();
+    through_ = first;
+    partial_ = true;
+}
+
+std::vector<server_id> lease_book::servers() const
+{
+    std::vector<server_id> all;
+    for (const auto& [server, it] : leases_)
+    {
+        all.push_back(server);
+    }
+    return all;
+}
+
 } // namespace banyanshunt
--- a/src/coordination/lease_book.hpp
+++ b/src/coordination/lease_book.hpp
@@ -5,13 +5,14 @@
 ///
 /// A claim names the claim that it follows; it counts only if that is still the newest one, so of
 /// two racing claimants every reader sees the same winner. The offset of the winning claim is the
-/// fencing number. Nothing is renewed: a holder acts only while a read of the log that began less
+/// fencing number. A holder acts only while a read of the log that began less
 /// than `lease_length` ago showed no later claim, and a new holder waits that long, and the longest
 /// that an order can be under way, before its first order.
 
 #include <map>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "state/clock.hpp"
 #include "state/ids.hpp"
@@ -52,9 +53,20 @@
     /// Counts a record that is no claim as read.
     void skip(log_offset offset) { through_ = offset + log_offset(1); }
 
+    /// Forgets all, for a reader whose place in the stream has expired; it reads on from `first`.
+    /// The first claim of each server that is read then counts whatever it follows: claims that did
+    /// not count are never renewed, and holders renew theirs before they expire.
+    void restart(log_offset first);
+    /// Whether a claim may be missing because it expired before it was read.
+    bool partial() const { return partial_; }
+
+    /// The servers that have a lease.
+    std::vector<server_id> servers() const;
+
 private:
     std::map<server_id, lease> leases_;
     log_offset through_;
+    bool partial_ = false;
 };
 
 } // namespace banyanshunt
--- a/src/coordination/placement/idle_tracker.cpp
+++ b/src/coordination/placement/idle_tracker.cpp
@@ -9,9 +9,9 @@
 
 bool is_quiet(const served_server& server, const held_replica& replica)
 {
-    bool ordered = std::any_of(server.unsettled.begin(), server.unsettled.end(),
-                               [&](const engine_order& order)
-                               { return order.model == replica.model; });
+    bool ordered =
+        std::any_of(server.unsettled.begin(), server.unsettled.end(),
+                    [&](const engine_order& order) { return order.model == replica.model; });
     return replica.phase == replica_phase::ready && replica.running == 0 &&
            replica.adapters_loading.empty() && !ordered;
 }
--- a/src/coordination/placement/load_draft.cpp
+++ b/src/coordination/placement/load_draft.cpp
@@ -7,7 +7,7 @@
 namespace
 {
 
-int adapters_in_transit(const served_server& server)
+int adapters_under_way(const served_server& server)
 {
     int sum = 0;
     for (const auto& replica : server.report.replicas)
@@ -26,15 +26,24 @@
 std::vector<draft_server> draft_of(const placement_view& view)
 {
     std::vector<draft_server> draft;
+    draft.reserve(view.servers.size());
     for (const auto& server : view.servers)
     {
-        draft.push_back({.server = &server,
-                         .free = free_memory(server),
-                         .adapters_in_transit = adapters_in_transit(server)});
+        draft.push_back({.server = &server, .free = free_memory(server)});
     }
     return draft;
 }
 
+int adapters_in_transit(const placement_view& view)
+{
+    int sum = 0;
+    for (const auto& server : view.servers)
+    {
+        sum += adapters_under_way(server);
+    }
+    return sum;
+}
+
 model_progress progress_of(std::vector<draft_server>& draft, const model_id& model,
                            const std::set<replica_place>& retiring)
 {
@@ -85,12 +94,12 @@
                               .index = slot->second});
         }
     }
-    std::sort(usable.begin(), usable.end(),
-              [](const ranked& a, const ranked& b) {
-                  return std::tie(a.no_room, a.tier, a.index) <
-                         std::tie(b.no_room, b.tier, b.index);
-              });
+    std::sort(
+        usable.begin(), usable.end(),
+        [](const ranked& a, const ranked& b)
+        { return std::tie(a.no_room, a.tier, a.index) < std::tie(b.no_room, b.tier, b.index); });
     std::vector<draft_server*> servers;
+    servers.reserve(usable.size());
     for (const auto& it : usable)
     {
         servers.push_back(it.it);
--- a/src/coordination/placement/load_draft.hpp
+++ b/src/coordination/placement/load_draft.hpp
@@ -15,8 +15,6 @@
     const served_server* server = nullptr;
     /// Below zero while replicas that make room are still loaded.
     mebibytes free;
-    /// Adapters on their way to it, reported and unsettled.
-    int adapters_in_transit = 0;
 };
 
 /// How far the servers here are with one model.
@@ -31,6 +29,9 @@
 
 std::vector<draft_server> draft_of(const placement_view& view);
 
+/// Adapters on their way to all servers of the view.
+int adapters_in_transit(const placement_view& view);
+
 /// Where `model` stands; replicas in `retiring` count as gone.
 model_progress progress_of(std::vector<draft_server>& draft, const model_id& model,
                            const std::set<replica_place>& retiring);
--- a/src/coordination/placement/load_lanes.hpp
+++ b/src/coordination/placement/load_lanes.hpp
@@ -20,7 +20,8 @@
     /// another.
     load_lanes(const load_share& share, std::vector<instant> busy_until, instant next_begin)
         : free_at_(std::move(busy_until)), next_begin_(next_begin),
-          spacing_(std::chrono::seconds(1000) / std::max<std::int64_t>(share.milliloads_per_second, 1))
+          spacing_(std::chrono::seconds(1000) /
+                   std::max<std::int64_t>(share.milliloads_per_second, 1))
     {
         auto lanes = static_cast<std::size_t>(std::max(share.loads_at_once, 1));
         full_ = free_at_.size() >= lanes;
--- a/src/coordination/placement/model_demand.cpp
+++ b/src/coordination/placement/model_demand.cpp
@@ -16,7 +16,8 @@
     std::map<model_id, model_demand> models;
     for (const auto& need : needs)
     {
-        auto [it, first] = models.try_emplace(need.model, model_demand{.need = need, .since = {}, .adapters = {}});
+        auto [it, first] =
+            models.try_emplace(need.model, model_demand{.need = need, .since = {}, .adapters = {}});
         model_demand& joined = it->second;
         joined.since = since_.try_emplace(need.model, now).first->second;
         if (!need.adapter.empty())
@@ -38,6 +39,7 @@
     }
     std::erase_if(since_, [&](const auto& it) { return !models.contains(it.first); });
     std::vector<model_demand> all;
+    all.reserve(models.size());
     for (auto& [model, joined] : models)
     {
         all.push_back(std::move(joined));
--- a/src/coordination/placement/order_book.cpp
+++ b/src/coordination/placement/order_book.cpp
@@ -45,6 +45,16 @@
     return false;
 }
 
+engine_order fencing_stamp(fencing_number fencing)
+{
+    return {.kind = order_kind::unload_model,
+            .model = model_id("-"),
+            .version = {},
+            .adapter = {},
+            .memory = {},
+            .fencing = fencing};
+}
+
 void order_book::sent(const server_id& server, const engine_order& order, instant now)
 {
     orders_[server][{.model = order.model, .adapter = order.adapter}] = {.order = order,
--- a/src/coordination/placement/order_book.hpp
+++ b/src/coordination/placement/order_book.hpp
@@ -57,6 +57,10 @@
     std::map<server_id, std::map<order_subject, open_order>> orders_;
 };
 
+/// An order that changes nothing, by which an engine comes to know a fencing number: it unloads a
+/// model that no ticket can name.
+engine_order fencing_stamp(fencing_number fencing);
+
 /// Whether `report` shows that `order` has taken effect.
 bool shows_effect(const engine_report& report, const engine_order& order);
 
--- a/src/coordination/placement/placement_planner.hpp
+++ b/src/coordination/placement/placement_planner.hpp
@@ -77,8 +77,7 @@
         {
             return true;
         }
-        nanoseconds turn =
-            2 * (loads_.expected(checkpoint_tier::remote) + options_.retire_grace);
+        nanoseconds turn = 2 * (loads_.expected(checkpoint_tier::remote) + options_.retire_grace);
         if (replica.version != object->version &&
             versions_.may_go(replica.model, slot->second, turn, view.now))
         {
@@ -110,8 +109,9 @@
         constexpr milliseconds patience(600'000);
         for (const auto& place : versions_.missing(view))
         {
-            bool known = std::any_of(demands.begin(), demands.end(), [&](const model_demand& it)
-                                     { return it.need.model == place.model; });
+            bool known =
+                std::any_of(demands.begin(), demands.end(),
+                            [&](const model_demand& it) { return it.need.model == place.model; });
             if (!known)
             {
                 replica_need need{.model = place.model,
@@ -169,17 +169,6 @@
         }
     }
 
-    int adapters_in_transit(const placement_view& view) const
-    {
-        placement_view copy = view;
-        int sum = 0;
-        for (const auto& it : draft_of(copy))
-        {
-            sum += it.adapters_in_transit;
-        }
-        return sum;
-    }
-
     void plan_adapter(const placement_view& view, const adapter_id& id,
                       const adapter_object& object, const model_progress& progress,
                       placement_plan& plan)
@@ -187,8 +176,12 @@
         draft_server* chosen = nullptr;
         for (draft_server* it : progress.ready)
         {
-            engine_order shown{.kind = order_kind::load_adapter, .model = object.base,
-                               .version = {}, .adapter = id, .memory = {}, .fencing = {}};
+            engine_order shown{.kind = order_kind::load_adapter,
+                               .model = object.base,
+                               .version = {},
+                               .adapter = id,
+                               .memory = {},
+                               .fencing = {}};
             if (shows_effect(it->server->report, shown) ||
                 under_way(*it->server, {.model = object.base, .adapter = id}))
             {
@@ -218,11 +211,9 @@
 
     static int adapters_planned(const placement_plan& plan)
     {
-        return static_cast<int>(std::count_if(plan.orders.begin(), plan.orders.end(),
-                                              [](const planned_order& it) {
-                                                  return it.order.kind ==
-                                                         order_kind::load_adapter;
-                                              }));
+        return static_cast<int>(std::count_if(
+            plan.orders.begin(), plan.orders.end(),
+            [](const planned_order& it) { return it.order.kind == order_kind::load_adapter; }));
     }
 
     // One load that is wanted, with the servers that may do it.
@@ -251,16 +242,15 @@
             {
                 continue;
             }
-            auto tier = cached_tier(servers.front()->server->report, demand.need.model,
-                                    object->version);
+            auto tier =
+                cached_tier(servers.front()->server->report, demand.need.model, object->version);
             load_choice choice{.need = demand.need,
                                .since = demand.since,
                                .tier = tier,
                                .duration = loads_.expected(tier),
                                .workspace_loads =
                                    workspaces_.lately(demand.need.workspace, view.now)};
-            wanted.push_back(
-                {.choice = choice, .object = object, .servers = std::move(servers)});
+            wanted.push_back({.choice = choice, .object = object, .servers = std::move(servers)});
         }
         std::sort(wanted.begin(), wanted.end(),
                   [&](const wanted_load& a, const wanted_load& b)
@@ -281,9 +271,8 @@
             instant begin = remote ? lanes.next(view.now) : view.now;
             instant ready = begin + choice.duration;
             bool helps = policy_.helps(choice, ready);
-            plan.expected.push_back({.model = choice.need.model,
-                                     .ready_in = ready - view.now,
-                                     .worth_it = helps});
+            plan.expected.push_back(
+                {.model = choice.need.model, .ready_in = ready - view.now, .worth_it = helps});
             if (!helps)
             {
                 continue;
@@ -404,9 +393,8 @@
                                           { return order.model == replica.model; });
                 if (quiet && idle_.retired(place, options_.retire_grace, view.now))
                 {
-                    plan.orders.push_back(order_for(server, order_kind::unload_model,
-                                                    replica.model, replica.version,
-                                                    replica.memory));
+                    plan.orders.push_back(order_for(server, order_kind::unload_model, replica.model,
+                                                    replica.version, replica.memory));
                 }
             }
         }
--- a/src/coordination/placement/placement_view.cpp
+++ b/src/coordination/placement/placement_view.cpp
@@ -10,8 +10,7 @@
     mebibytes free = server.report.memory_total - server.report.memory_used;
     for (const auto& order : server.unsettled)
     {
-        bool load =
-            order.kind == order_kind::load_model || order.kind == order_kind::load_adapter;
+        bool load = order.kind == order_kind::load_model || order.kind == order_kind::load_adapter;
         if (load)
         {
             free -= order.memory;
--- a/src/coordination/placement/slot_claims.cpp
+++ b/src/coordination/placement/slot_claims.cpp
@@ -53,8 +53,8 @@
     std::int64_t engines = 0;
     for (const auto& [id, entry] : view.state.servers)
     {
-        bool stays = entry->value && entry->value->kind == server_kind::engine &&
-                     !entry->value->leaving;
+        bool stays =
+            entry->value && entry->value->kind == server_kind::engine && !entry->value->leaving;
         engines += stays ? 1 : 0;
     }
     mebibytes sum;
--- a/src/coordination/placement/usage_book.cpp
+++ b/src/coordination/placement/usage_book.cpp
@@ -14,7 +14,8 @@
 
 void usage_book::used(const model_id& model, instant now)
 {
-    auto [it, first] = models_.try_emplace(model, model_usage{.last_used = now, .mean_gap = {}, .gaps = 0});
+    auto [it, first] =
+        models_.try_emplace(model, model_usage{.last_used = now, .mean_gap = {}, .gaps = 0});
     model_usage& usage = it->second;
     nanoseconds gap = now - usage.last_used;
     usage.last_used = now;
--- a/src/coordination/placement/usage_book.hpp
+++ b/src/coordination/placement/usage_book.hpp
@@ -7,8 +7,8 @@
 #include <map>
 
 #include "state/clock.hpp"
-#include "state/units.hpp"
 #include "state/ids.hpp"
+#include "state/units.hpp"
 
 namespace banyanshunt
 {
--- a/src/coordination/placement/version_turns.cpp
+++ b/src/coordination/placement/version_turns.cpp
@@ -12,8 +12,8 @@
             seen_.erase(id);
             continue;
         }
-        auto [it, first] = seen_.try_emplace(
-            id, seen_version{.version = entry->value->version, .at = now});
+        auto [it, first] =
+            seen_.try_emplace(id, seen_version{.version = entry->value->version, .at = now});
         if (!first && it->second.version != entry->value->version)
         {
             it->second = {.version = entry->value->version, .at = now};
--- a/src/coordination/replica_board.cpp
+++ b/src/coordination/replica_board.cpp
@@ -87,6 +87,7 @@
             continue;
         }
         ++it->waiting;
+        it->last_deadline = std::max(it->last_deadline, wait.deadline);
         if (wait.deadline < it->deadline)
         {
             it->deadline = wait.deadline;
--- a/src/placer/demand_board.cpp
+++ b/src/placer/demand_board.cpp
@@ -40,6 +40,7 @@
                 continue;
             }
             it->waiting += need.waiting;
+            it->last_deadline = std::max(it->last_deadline, need.last_deadline);
             if (need.deadline < it->deadline)
             {
                 it->deadline = need.deadline;
--- a/src/placer/lease_keeper.hpp
+++ b/src/placer/lease_keeper.hpp
@@ -1,15 +1,22 @@
 #pragma once
 
 /// \file
-/// Defines the keeping of leases: reading the domain's lease stream, claiming servers that are this
-/// placer's to serve, and telling whether it may act on one now.
+/// Defines the keeping of leases: reading the domain's lease stream, claiming servers, and telling
+/// whether this placer may act on one now.
+///
+/// Engines that check fencing numbers refuse a holder once its successor has shown them a higher
+/// number, so there a holder goes on while the log is silent, and a successor shows its number
+/// before it acts. With engines that ignore the numbers only time tells: a holder stops when its
+/// last read that reached the end of the stream began `lease_length` ago, and a successor waits
+/// that long and the longest order more.
 
+#include <limits>
 #include <map>
 
 #include "coordination/lease_book.hpp"
 #include "coordination/log_service.hpp"
-#include "coordination/rendezvous.hpp"
 #include "protocol/lease_codec.hpp"
+#include "state/errors.hpp"
 
 namespace banyanshunt
 {
@@ -21,6 +28,12 @@
     domain_id domain;
     milliseconds lease_length{3000};
     milliseconds longest_order{2000};
+    /// How long a successor waits after it has read that its claim won.
+    milliseconds successor_wait = lease_length + longest_order;
+    /// How long to look for a claim in the stream before claiming again.
+    milliseconds claim_retry{1000};
+    /// How often a held lease is claimed anew, so that its claim outlives the log's retention.
+    milliseconds renew_after{600'000};
 };
 
 /// Used by one thread.
@@ -33,15 +46,19 @@
     {
     }
 
-    /// Reads the stream to its end. Until the next successful read, leases lapse by the clock.
-    verdict<done> read()
+    /// Reads the stream to its end, waiting up to `wait` for a first record.
+    verdict<done> read(milliseconds wait = milliseconds(0))
     {
         constexpr std::size_t page_limit = 256;
         while (true)
         {
             instant began = clock_.now();
-            auto page = log_.read(lease_stream(options_.domain), book_.through(), page_limit,
-                                  milliseconds(0));
+            auto page = log_.read(stream(), book_.through(), page_limit, wait);
+            wait = milliseconds(0);
+            if (!page && page.error().code == errc::records_expired)
+            {
+                page = restart();
+            }
             if (!page)
             {
                 return page.error();
@@ -58,9 +75,19 @@
         }
     }
 
-    /// Appends a claim that follows the newest one. Whether it won shows at the next `read`.
+    /// Appends a claim that follows the newest one, unless one is being looked for. Whether it won
+    /// shows at a later `read`: an answer that was lost needs no other care, and a claim that lands
+    /// twice counts once.
     verdict<done> claim(const server_id& server)
     {
+        instant now = clock_.now();
+        auto asked = claimed_at_.find(server);
+        bool pending = asked != claimed_at_.end() && now - asked->second < options_.claim_retry;
+        if (pending || !current_at_ || may_be_missing(server, now))
+        {
+            return done{};
+        }
+        claimed_at_[server] = now;
         auto newest = book_.find(server);
         lease_claim it{.server = server,
                        .holder = options_.holder,
@@ -68,7 +95,7 @@
                        .follows = newest ? newest->fencing : fencing_number()};
         log_entry entry{.id = record_id("claim." + options_.holder.str()),
                         .data = encode_claim(it)};
-        auto appended = log_.append(lease_stream(options_.domain), std::span(&entry, 1));
+        auto appended = log_.append(stream(), std::span(&entry, 1));
         if (!appended)
         {
             return appended.error();
@@ -76,33 +103,71 @@
         return done{};
     }
 
+    /// Claims anew what is held and was claimed long ago.
+    void renew()
+    {
+        for (const auto& [server, ready] : ready_at_)
+        {
+            auto claimed = renewed_at_.find(server);
+            if (clock_.now() - claimed->second >= options_.renew_after)
+            {
+                (void)claim(server);
+            }
+        }
+    }
+
     std::optional<lease> find(const server_id& server) const { return book_.find(server); }
+    std::vector<server_id> servers() const { return book_.servers(); }
 
     bool is_mine(const lease& it) const
     {
         return it.holder == options_.holder && it.life == options_.life;
     }
 
-    /// The fencing number with which an order may go out now, if any: the lease is mine, a fresh
-    /// read shows no later claim, and every order of an earlier holder has ended.
-    std::optional<fencing_number> may_order(const server_id& server) const
+    /// The fencing number with which an order may go out now, if any.
+    std::optional<fencing_number> may_order(const server_id& server, bool checks_fencing) const
     {
         auto it = book_.find(server);
-        instant now = clock_.now();
-        bool fresh = current_at_ && now - *current_at_ < options_.lease_length;
-        if (!it || !is_mine(*it) || !fresh)
+        if (!it || !is_mine(*it))
         {
             return std::nullopt;
         }
-        auto won = won_at_.find(server);
-        if (won == won_at_.end() || now < won->second)
+        instant now = clock_.now();
+        bool fresh = current_at_ && now - *current_at_ < options_.lease_length;
+        bool alone = fresh && now >= ready_at_.at(server);
+        return checks_fencing || alone ? std::optional(it->fencing) : std::nullopt;
+    }
+
+    /// Whether the last read of the log's end began less than the lease length ago.
+    bool fresh() const
+    {
+        return current_at_ && clock_.now() - *current_at_ < options_.lease_length;
+    }
+
+private:
+    stream_name stream() const { return lease_stream(options_.domain); }
+
+    // An older claim may have expired unread; its holder shows itself when it renews.
+    bool may_be_missing(const server_id& server, instant now) const
+    {
+        return book_.partial() && !book_.find(server) &&
+               now - restarted_at_ < options_.renew_after + options_.lease_length;
+    }
+
+    // Where the log still keeps records shows in the answer to a read beyond its end.
+    verdict<log_page> restart()
+    {
+        log_offset beyond(std::numeric_limits<std::int64_t>::max() / 2);
+        auto page = log_.read(stream(), beyond, 1, milliseconds(0));
+        if (page)
         {
-            return std::nullopt;
+            book_.restart(page->first_kept);
+            ready_at_.clear();
+            restarted_at_ = clock_.now();
         }
-        return it->fencing;
+        return page;
     }
 
-private:
     void take(const log_record& record)
     {
         auto claim = decode_claim(record.data);
@@ -111,18 +176,26 @@
             book_.skip(record.offset);
             return;
         }
-        bool followed_another = claim->follows.count() > 0;
+        auto before = book_.find(claim->server);
         if (!book_.apply(*claim, record.offset))
         {
             return;
         }
-        won_at_.erase(claim->server);
         lease newest = *book_.find(claim->server);
-        if (is_mine(newest))
+        if (!is_mine(newest))
+        {
+            ready_at_.erase(claim->server);
+            return;
+        }
+        instant now = clock_.now();
+        renewed_at_[claim->server] = now;
+        claimed_at_.erase(claim->server);
+        bool renewed = before && is_mine(*before) && ready_at_.contains(claim->server);
+        bool first = claim->follows == fencing_number() && !book_.partial();
+        if (!renewed)
         {
-            auto wait =
-                followed_another ? options_.lease_length + options_.longest_order : milliseconds(0);
-            won_at_[claim->server] = clock_.now() + wait;
+            auto wait = first ? milliseconds(0) : options_.successor_wait;
+            ready_at_[claim->server] = now + wait;
         }
     }
 
@@ -132,8 +205,13 @@
     lease_book book_;
     /// When the last read that reached the stream's end began.
     std::optional<instant> current_at_;
-    /// From when on orders may go out under each lease of mine.
-    std::map<server_id, instant> won_at_;
+    /// From when on no order of an earlier holder can be under way, for each lease of mine.
+    std::map<server_id, instant> ready_at_;
+    /// When each claim that does not show yet was sent.
+    std::map<server_id, instant> claimed_at_;
+    /// When the newest claim of each lease of mine was read.
+    std::map<server_id, instant> renewed_at_;
+    instant restarted_at_;
 };
 
 } // namespace banyanshunt
--- a/src/placer/placer_host.cpp
+++ b/src/placer/placer_host.cpp
@@ -2,11 +2,11 @@
 
 #include <atomic>
 
-#include "coordination/placement_plan.hpp"
 #include "coordination/random_source.hpp"
 #include "coordination/state_follower.hpp"
 #include "placer/demand_board.hpp"
-#include "placer/lease_keeper.hpp"
+#include "placer/domain_placer.hpp"
+#include "placer/gone_servers.hpp"
 #include "protocol/platform_codec.hpp"
 #include "protocol/ticket_codec.hpp"
 #include "state/duty_thread.hpp"
@@ -31,6 +31,24 @@
     return incarnation(static_cast<std::int64_t>(system_seeded()() >> 1U));
 }
 
+domain_placer_options placer_options(const placer_settings& given)
+{
+    host_id self(given.host.name);
+    // Spreads the copies of a silent owner's records over some seconds.
+    constexpr std::uint64_t spread_ms = 10'000;
+    auto delay = static_cast<std::int64_t>(rendezvous_weight("copy", given.host.name) % spread_ms);
+    return {.lease = {.holder = self,
+                      .life = new_incarnation(),
+                      .domain = domain_id(given.host.domain),
+                      .lease_length = given.lease_length,
+                      .longest_order = given.longest_order,
+                      .renew_after = given.refresh_after},
+            .slots = {.writer = self,
+                      .refresh_after = given.refresh_after,
+                      .copy_delay = milliseconds(delay)},
+            .planner = {.times = {}, .retire_grace = given.retire_grace}};
+}
+
 } // namespace
 
 struct placer_host::impl
@@ -39,12 +57,8 @@
         : settings(given), log(http, given.platform.log, given.platform.patience),
           hosts(http, given.platform.hosts), engine(http), channels(given.peer_keys),
           follower(log, state, decode_ticket, [](const auto&) {}),
-          leases(log, clock,
-                 {.holder = host_id(given.host.name),
-                  .life = new_incarnation(),
-                  .domain = domain_id(given.host.domain),
-                  .lease_length = given.lease_length,
-                  .longest_order = given.longest_order}),
+          placer(log, engine, clock, placer_options(given),
+                 [this](const auto& it, const auto& sent) { note_order(it, sent); }),
           service([this](const demand& it) { return take_demand(it); }),
           admin({.address = given.admin_listen, .threads = 4}),
           peers({.address = given.peer_listen,
@@ -85,118 +99,72 @@
                     neighbours.push_back(host.name);
                 }
             }
+            gone = listed_servers.take(*listed, clock.now());
         }
         return host_list_interval;
     }
 
-    // The servers of this domain that rendezvous gives to this placer among its listed neighbours.
-    std::vector<server_id> own_servers(const fleet_state& it)
+    void note_order(const planned_order& it, const verdict<done>& sent)
     {
-        std::vector<std::string> placers;
-        {
-            std::lock_guard lock(mutex);
-            placers = neighbours;
-        }
-        std::vector<server_id> own;
-        for (const auto& [id, entry] : it.servers)
-        {
-            bool engine_here = entry->value && entry->value->kind == server_kind::engine &&
-                               entry->value->domain.str() == settings.host.domain;
-            if (!engine_here || placers.empty())
-            {
-                continue;
-            }
-            if (rendezvous_order(id.str(), placers).front() == settings.host.name)
-            {
-                own.push_back(id);
-            }
-        }
-        return own;
+        std::string result = sent ? "taken" : sent.error().code.message();
+        log_change("order_sent", "kind={} server={} model={} adapter={} result={}",
+                   to_string(it.order.kind), it.server.str(), it.order.model.str(),
+                   it.order.adapter.str(), result);
+        counters.count("banyanshunt_orders_total", {{"result", result}});
     }
 
-    void claim_missing(const std::vector<server_id>& own)
+    domain_view view_now()
     {
-        for (const auto& server : own)
-        {
-            auto it = leases.find(server);
-            if (it && leases.is_mine(*it))
-            {
-                continue;
-            }
-            log_change("lease_wanted", "server={}", server.str());
-            (void)leases.claim(server);
-        }
+        domain_view view{
+            .state = state.get(), .placers = {}, .gone = {}, .needs = demands.joined(clock.now())};
+        std::lock_guard lock(mutex);
+        view.placers = neighbours;
+        view.gone = gone;
+        return view;
     }
 
-    // Reads back every server that may be ordered now.
-    std::vector<held_server> read_servers(const fleet_state& it, const std::vector<server_id>& own)
+    void publish(const fleet_state& it, const domain_step& step)
     {
-        std::vector<held_server> held;
-        for (const auto& id : own)
+        std::vector<placed_server> now_placed;
+        for (const auto& engine_here : step.engines)
         {
-            auto fencing = leases.may_order(id);
-            if (!fencing)
-            {
-                continue;
-            }
-            auto report = engine.read_back(find_object(it.servers, id)->address);
-            if (report)
+            const server_object* object = find_object(it.servers, engine_here.server);
+            if (object)
             {
-                held.push_back({.server = id, .fencing = *fencing, .report = *report});
+                now_placed.push_back({.server = engine_here.server,
+                                      .address = object->address,
+                                      .domain = object->domain,
+                                      .fencing = engine_here.fencing,
+                                      .leaving = object->leaving,
+                                      .replicas = engine_here.report.replicas});
             }
         }
-        return held;
-    }
-
-    void publish(const fleet_state& it, const std::vector<held_server>& held)
-    {
-        std::vector<placed_server> now_placed;
-        for (const auto& server : held)
-        {
-            const server_object* object = find_object(it.servers, server.server);
-            now_placed.push_back({.server = server.server,
-                                  .address = object->address,
-                                  .domain = object->domain,
-                                  .fencing = server.fencing,
-                                  .leaving = object->leaving,
-                                  .replicas = server.report.replicas});
-        }
         std::lock_guard lock(mutex);
         placed = std::move(now_placed);
     }
 
-    // The lease is checked again right before each order: time has passed since the plan.
-    void send_orders(const fleet_state& it, const std::vector<planned_order>& orders)
+    // The domains that share the weight store's limits are those that have engines.
+    void split_store(const fleet_state& it)
     {
-        for (const auto& planned : orders)
+        std::vector<domain_id> domains;
+        for (const auto& [id, entry] : it.servers)
         {
-            auto fencing = leases.may_order(planned.server);
-            if (!fencing || *fencing != planned.order.fencing)
+            if (entry->value && entry->value->kind == server_kind::engine)
             {
-                continue;
+                domains.push_back(entry->value->domain);
             }
-            auto sent =
-                engine.order(find_object(it.servers, planned.server)->address, planned.order);
-            log_change("order_sent", "kind={} server={} model={} adapter={} result={}",
-                       to_string(planned.order.kind), planned.server.str(),
-                       planned.order.model.str(), planned.order.adapter.str(),
-                       sent ? "taken" : sent.error().code.message());
-            counters.count("banyanshunt_orders_total",
-                           {{"result", sent ? "taken" : sent.error().code.message()}});
         }
+        placer.set_share(split_limits(store_limits, domains, domain_id(settings.host.domain)));
     }
 
     milliseconds place()
     {
-        (void)leases.read();
-        auto it = state.get();
-        auto own = own_servers(*it);
-        claim_missing(own);
-        auto held = read_servers(*it, own);
-        publish(*it, held);
-        auto orders = plan_orders(
-            {.state = it, .servers = std::move(held), .needs = demands.joined(clock.now())});
-        send_orders(*it, orders);
+        auto view = view_now();
+        split_store(*view.state);
+        auto began = clock.now();
+        auto step = placer.step(view);
+        counters.observe("banyanshunt_placement_seconds", clock.now() - began);
+        publish(*view.state, step);
         return settings.interval;
     }
 
@@ -210,10 +178,13 @@
     http_model_engine engine;
     peer_channels channels;
     state_follower<http_log_service> follower;
-    lease_keeper<http_log_service, boot_clock> leases;
+    domain_placer<http_log_service, http_model_engine, boot_clock> placer;
     demand_board demands;
     std::mutex mutex;
     std::vector<std::string> neighbours;
+    gone_servers listed_servers;
+    std::set<server_id> gone;
+    weight_store_limits store_limits;
     std::vector<placed_server> placed;
     std::unique_ptr<duty_thread> ticket_duty;
     std::unique_ptr<duty_thread> host_duty;
--- a/src/placer/placer_settings.cpp
+++ b/src/placer/placer_settings.cpp
@@ -16,6 +16,8 @@
     it.admin_listen = file.address("admin", "listen");
     it.lease_length = file.duration("placement", "lease_ms", defaults.lease_length);
     it.longest_order = file.duration("placement", "longest_order_ms", defaults.longest_order);
+    it.refresh_after = file.duration("placement", "refresh_ms", defaults.refresh_after);
+    it.retire_grace = file.duration("placement", "retire_grace_ms", defaults.retire_grace);
     it.interval = file.duration("placement", "interval_ms", defaults.interval);
     return it;
 }
--- a/src/placer/placer_settings.hpp
+++ b/src/placer/placer_settings.hpp
@@ -26,6 +26,10 @@
     milliseconds lease_length{3000};
     /// The longest time that an order can be under way to an engine.
     milliseconds longest_order{2000};
+    /// How often what is kept in the log is written again; well under the log's retention.
+    milliseconds refresh_after{600'000};
+    /// How long a replica gets no requests before it is unloaded.
+    milliseconds retire_grace{1000};
     /// How often engines are read back and orders planned.
     milliseconds interval{100};
 };
--- /dev/null
+++ b/src/placer/slot_keeper.hpp
@@ -0,0 +1,211 @@
+#pragma once
+
+/// \file
+/// Defines the keeping of replica slots: reading their stream, and writing the records of the
+/// servers whose lease this placer holds.
+
+#include <limits>
+
+#include "coordination/log_service.hpp"
+#include "coordination/placement/slot_claims.hpp"
+#include "coordination/placement/slot_writer.hpp"
+#include "protocol/slot_codec.hpp"
+#include "state/errors.hpp"
+
+namespace banyanshunt
+{
+
+struct slot_keeper_options
+{
+    /// The writer's name in its records' ids.
+    host_id writer;
+    milliseconds retry_after{500};
+    milliseconds refresh_after{600'000};
+    /// Differs from placer to placer, so that not all copy the record of a silent owner at once.
+    milliseconds copy_delay{0};
+};
+
+/// Used by one thread.
+template <log_service Log, clock_source Clock>
+class slot_keeper
+{
+public:
+    slot_keeper(Log& log, const Clock& clock, slot_keeper_options options)
+        : log_(log), clock_(clock), options_(std::move(options))
+    {
+    }
+
+    /// Reads the stream to its end. A silent log changes nothing: what a server owns only its own
+    /// records take away.
+    verdict<done> read()
+    {
+        constexpr std::size_t page_limit = 256;
+        while (true)
+        {
+            auto page = log_.read(slots_stream, ledger_.through(), page_limit, milliseconds(0));
+            if (!page && page.error().code == errc::records_expired)
+            {
+                page = restart();
+            }
+            if (!page)
+            {
+                return page.error();
+            }
+            for (const auto& record : page->records)
+            {
+                take(record);
+            }
+            if (ledger_.through() >= page->end)
+            {
+                known_ = true;
+                return done{};
+            }
+        }
+    }
+
+    /// Drops the writers of all servers but those held under these fencing numbers.
+    void hold(const std::map<server_id, fencing_number>& held)
+    {
+        std::erase_if(writers_,
+                      [&](const auto& it)
+                      {
+                          auto now = held.find(it.first);
+                          return now == held.end() || now->second != it.second.fencing;
+                      });
+        for (const auto& [server, fencing] : held)
+        {
+            slot_writer_options options{.server = server,
+                                        .fencing = fencing,
+                                        .retry_after = options_.retry_after,
+                                        .refresh_after = options_.refresh_after};
+            writers_.try_emplace(server,
+                                 held_writer{.fencing = fencing, .writer = slot_writer(options)});
+        }
+    }
+
+    /// Appends what has to be written so that each held server comes to own what it wants.
+    verdict<done> write(const std::map<server_id, slot_set>& wanted)
+    {
+        if (!known_)
+        {
+            return done{};
+        }
+        std::vector<log_entry> batch;
+        for (const auto& [server, slots] : wanted)
+        {
+            auto it = writers_.find(server);
+            if (it == writers_.end())
+            {
+                continue;
+            }
+            auto record = it->second.writer.next(ledger_, slots, clock_.now());
+            if (record)
+            {
+                batch.push_back({.id = record_id("slots." + options_.writer.str()),
+                                 .data = encode_slots(*record)});
+            }
+        }
+        copy_old_records(batch);
+        if (batch.empty())
+        {
+            return done{};
+        }
+        auto appended = log_.append(slots_stream, batch);
+        if (!appended)
+        {
+            return appended.error();
+        }
+        return done{};
+    }
+
+    bool may_use(const server_id& server, const replica_slot& slot) const
+    {
+        auto it = writers_.find(server);
+        return known_ && it != writers_.end() && it->second.writer.may_use(ledger_, slot);
+    }
+
+    const slot_ledger& ledger() const { return ledger_; }
+
+    /// Whether slots without an owner may be asked for: not while an owner's record may have
+    /// expired unread.
+    bool may_claim() const
+    {
+        constexpr int rounds = 2;
+        return known_ &&
+               (!restarted_at_ || clock_.now() - *restarted_at_ >= options_.refresh_after * rounds);
+    }
+
+private:
+    struct held_writer
+    {
+        fencing_number fencing;
+        slot_writer writer;
+    };
+
+    verdict<log_page> restart()
+    {
+        log_offset beyond(std::numeric_limits<std::int64_t>::max() / 2);
+        auto page = log_.read(slots_stream, beyond, 1, milliseconds(0));
+        if (page)
+        {
+            ledger_.restart(page->first_kept);
+            newest_.clear();
+            restarted_at_ = clock_.now();
+        }
+        return page;
+    }
+
+    void take(const log_record& record)
+    {
+        auto slots = decode_slots(record.data);
+        if (!slots)
+        {
+            ledger_.skip(record.offset);
+            return;
+        }
+        slot_version version{.fencing = slots->fencing, .sequence = slots->sequence};
+        bool newest =
+            ledger_.apply(*slots, record.offset) || version == ledger_.version_of(slots->server);
+        if (newest)
+        {
+            newest_[slots->server] = {.data = record.data, .seen_at = clock_.now()};
+        }
+    }
+
+    // The newest record of an owner that is cut off must not expire, or a new reader would take its
+    // slots for free. Any reader may write it again as it is: a copy changes nothing.
+    void copy_old_records(std::vector<log_entry>& batch)
+    {
+        constexpr int overdue = 2;
+        instant now = clock_.now();
+        for (auto& [server, it] : newest_)
+        {
+            bool old = now - it.seen_at >= options_.refresh_after * overdue + options_.copy_delay;
+            if (old && !writers_.contains(server))
+            {
+                it.seen_at = now;
+                batch.push_back(
+                    {.id = record_id("slots.copy." + options_.writer.str()), .data = it.data});
+            }
+        }
+    }
+
+    struct seen_record
+    {
+        std::string data;
+        instant seen_at;
+    };
+
+    Log& log_;
+    const Clock& clock_;
+    slot_keeper_options options_;
+    slot_ledger ledger_;
+    std::map<server_id, held_writer> writers_;
+    /// Each server's newest record.
+    std::map<server_id, seen_record> newest_;
+    std::optional<instant> restarted_at_;
+    /// The stream was read to its end once.
+    bool known_ = false;
+};
+
+} // namespace banyanshunt
--- /dev/null
+++ b/src/protocol/slot_codec.hpp
@@ -0,0 +1,21 @@
+#pragma once
+
+/// \file
+/// Defines the written form of slot records in the log.
+
+#include <string>
+
+#include "coordination/placement/slot_ledger.hpp"
+#include "state/verdict.hpp"
+
+namespace banyanshunt
+{
+
+std::string encode_slots(const slot_record& record);
+/// Fails with `errc::bad_answer` on anything that is no slot record.
+verdict<slot_record> decode_slots(const std::string& text);
+
+/// The stream that holds the slots of all models, over all domains.
+inline const stream_name slots_stream{"slots"};
+
+} // namespace banyanshunt
--- /dev/null
+++ b/tests/correctness/domain_placer_test.cpp
@@ -0,0 +1,308 @@
+/// \file
+/// Placers side by side over one log: take-over after death and pause, lost claims, two claimants,
+/// a silent log, and the promises under random faults.
+
+#include <random>
+
+#include <catch2/catch.hpp>
+
+#include "stand_ins/placement/placer_group.hpp"
+
+using namespace banyanshunt;
+
+namespace
+{
+
+using fencing = placer_group_options::fencing;
+const model_id model("model-0");
+
+// Finds which of a domain's two placers holds the leases.
+int holder_of(placer_group& group, int domain)
+{
+    for (int place = 0; place < 2; ++place)
+    {
+        placer_member* it = group.member(domain, place);
+        if (it && it->placer.holder() == host_id(it->name))
+        {
+            return place;
+        }
+    }
+    return -1;
+}
+
+fleet_state_ptr with_model(const fleet_state& from, const model_id& id, model_object object)
+{
+    auto state = std::make_shared<fleet_state>(from);
+    state->models[id] = std::make_shared<const state_entry<model_object>>(state_entry<model_object>{
+        .ticket = ticket_number(2), .offset = log_offset(1), .value = std::move(object)});
+    return state;
+}
+
+} // namespace
+
+TEST_CASE("a need becomes one replica")
+{
+    for (auto checks : {fencing::all, fencing::none})
+    {
+        placer_group group({.domains = 2, .checks = checks});
+        group.steps(20);
+        group.need(model);
+        group.steps(40);
+        CHECK(group.engines.replicas_of(model) == 1);
+
+        SECTION("which stays while it is needed and goes when it is not")
+        {
+            group.steps(700);
+            CHECK(group.engines.replicas_of(model) == 1);
+            group.need_nothing();
+            group.steps(900);
+            CHECK(group.engines.replicas_of(model) == 0);
+        }
+    }
+}
+
+TEST_CASE("a placer that dies is succeeded")
+{
+    for (auto checks : {fencing::all, fencing::none})
+    {
+        placer_group group({.domains = 1, .checks = checks});
+        group.steps(20);
+        int first = holder_of(group, 0);
+        REQUIRE(first >= 0);
+        group.stop(0, first);
+        group.need(model);
+        group.steps(100);
+        CHECK(group.engines.replicas_of(model) == 1);
+        CHECK(group.engines.stale_orders() == 0);
+    }
+}
+
+TEST_CASE("a holder that was paused past its lease gives no order")
+{
+    for (auto checks : {fencing::all, fencing::none})
+    {
+        placer_group group({.domains = 1, .checks = checks});
+        group.steps(20);
+        int first = holder_of(group, 0);
+        REQUIRE(first >= 0);
+        group.pause(0, first, seconds(10));
+        group.steps(90);
+        group.need(model);
+        group.steps(100);
+        CHECK(group.engines.replicas_of(model) == 1);
+        CHECK(group.engines.stale_orders() == 0);
+        CHECK(holder_of(group, 0) == 1 - first);
+    }
+}
+
+TEST_CASE("lost claim answers are settled by reading")
+{
+    placer_group group({.domains = 1, .links = {.answer_lost = 1000}});
+    group.need(model);
+    group.steps(100);
+    CHECK(group.engines.replicas_of(model) == 1);
+    // One claim for each server: none was repeated although no answer came.
+    auto claims = group.log.read(stream_name("leases.domain-0"), log_offset(0), 100, {});
+    REQUIRE(claims);
+    CHECK(claims->records.size() == 2);
+}
+
+TEST_CASE("while the log is silent")
+{
+    SECTION("loads under owned slots go on where engines check fencing numbers")
+    {
+        placer_group group({.domains = 1, .checks = fencing::all});
+        group.steps(30);
+        group.log.set_down(true);
+        group.steps(100);
+        group.need(model);
+        group.steps(40);
+        CHECK(group.engines.replicas_of(model) == 1);
+    }
+    SECTION("they wait where engines ignore them, and go on when the log is back")
+    {
+        placer_group group({.domains = 1, .checks = fencing::none});
+        group.steps(30);
+        group.log.set_down(true);
+        group.steps(100);
+        group.need(model);
+        group.steps(40);
+        CHECK(group.engines.replicas_of(model) == 0);
+        group.log.set_down(false);
+        group.steps(40);
+        CHECK(group.engines.replicas_of(model) == 1);
+    }
+}
+
+TEST_CASE("a domain that is cut off serves within its own slots")
+{
+    placer_group group({.domains = 2, .checks = fencing::all});
+    group.steps(30);
+    for (int place = 0; place < 2; ++place)
+    {
+        group.member(0, place)->link.set_cut(true);
+    }
+    for (const auto& [id, entry] : group.state().models)
+    {
+        group.need(id);
+    }
+    int most = 0;
+    for (int n = 0; n < 300; ++n)
+    {
+        group.step();
+        most = std::max(most, group.excess());
+    }
+    CHECK(most == 0);
+    int loaded = 0;
+    for (const auto& [id, entry] : group.state().models)
+    {
+        loaded += group.engines.replicas_of(id);
+    }
+    CHECK(loaded == 4);
+}
+
+TEST_CASE("a ticket that changes a version reloads each slot in turn")
+{
+    placer_group group({.domains = 1, .replicas = 2, .checks = fencing::all});
+    group.steps(30);
+    group.need(model);
+    group.steps(60);
+    REQUIRE(group.engines.replicas_of(model) >= 1);
+    group.need_nothing();
+    model_object changed = *find_object(group.state().models, model);
+    changed.version = version_id("v2");
+    group.set_state(with_model(group.state(), model, changed));
+    int most = 0;
+    for (int n = 0; n < 300; ++n)
+    {
+        group.step();
+        most = std::max(most, group.excess());
+    }
+    CHECK(most == 0);
+    auto report = group.engines.read_back("engine-0");
+    auto other = group.engines.read_back("engine-1");
+    for (const auto* it : {&*report, &*other})
+    {
+        const held_replica* held = find_replica(*it, model);
+        CHECK((!held || held->version == version_id("v2")));
+    }
+}
+
+TEST_CASE("a ticket that lowers the number of replicas is followed")
+{
+    placer_group group({.domains = 2, .replicas = 2, .checks = fencing::all});
+    group.steps(30);
+    group.need(model);
+    group.steps(100);
+    REQUIRE(group.engines.replicas_of(model) >= 1);
+    model_object changed = *find_object(group.state().models, model);
+    changed.replicas = 0;
+    group.set_state(with_model(group.state(), model, changed));
+    group.steps(40);
+    CHECK(group.engines.replicas_of(model) == 0);
+}
+
+TEST_CASE("the promises hold under random faults of log, engines and placers")
+{
+    int loads = 0;
+    for (std::uint64_t seed = 1; seed <= 24; ++seed)
+    {
+        placer_group group(
+            {.domains = 2,
+             .models = 6,
+             .links = {.append_lost = 50, .answer_lost = 50, .append_late = 100, .read_lost = 100},
+             .orders = {.lost = 50, .late = 100, .answer_lost = 50, .report_lost = 50},
+             .seed = seed});
+        std::mt19937_64 random(seed);
+        int excess = 0;
+        for (int n = 0; n < 1500; ++n)
+        {
+            int domain = static_cast<int>(random() % 2);
+            int place = static_cast<int>(random() % 2);
+            switch (random() % 120)
+            {
+            case 0:
+                group.stop(domain, place);
+                break;
+            case 1:
+            case 2:
+                group.start(domain, place);
+                break;
+            case 3:
+                group.pause(domain, place,
+                            milliseconds(static_cast<std::int64_t>(random() % 9000)));
+                break;
+            case 4:
+            case 5:
+                if (placer_member* it = group.member(domain, place))
+                {
+                    it->link.set_cut(random() % 2 == 0);
+                }
+                break;
+            case 6:
+                group.log.set_down(random() % 3 == 0);
+                break;
+            case 7:
+                group.need_nothing();
+                break;
+            case 8:
+            case 9:
+            case 10:
+                group.need(model_id("model-" + std::to_string(random() % 6)));
+                break;
+            default:
+                break;
+            }
+            group.step();
+            excess += group.excess();
+        }
+        INFO("seed " << seed);
+        CHECK(excess == 0);
+        CHECK(group.engines.overcommits() == 0);
+        CHECK(group.engines.stale_orders() == 0);
+        loads += group.engines.orders();
+    }
+    // The runs did something.
+    CHECK(loads > 100);
+}
+
+TEST_CASE("the check for stale orders notices a successor that does not wait")
+{
+    int stale = 0;
+    for (std::uint64_t seed = 1; seed <= 24; ++seed)
+    {
+        placer_group group({.domains = 1,
+                            .models = 4,
+                            .checks = fencing::none,
+                            .orders = {.late = 600},
+                            .hasty = true,
+                            .seed = seed});
+        for (int n = 0; n < 400; ++n)
+        {
+            int holder = holder_of(group, 0);
+            if (n % 40 == 20)
+            {
+                group.need(model_id("model-" + std::to_string(n / 40 % 4)));
+            }
+            if (n % 40 == 22 && holder >= 0)
+            {
+                group.stop(0, holder);
+                group.need(model_id("model-" + std::to_string((n / 40 + 1) % 4)));
+            }
+            if (n % 40 == 0)
+            {
+                group.need_nothing();
+                for (int place = 0; place < 2; ++place)
+                {
+                    if (!group.member(0, place))
+                    {
+                        group.start(0, place);
+                    }
+                }
+            }
+            group.step();
+        }
+        stale += group.engines.stale_orders();
+    }
+    CHECK(stale > 0);
+}
--- /dev/null
+++ b/tests/correctness/placement_run_test.cpp
@@ -0,0 +1,114 @@
+/// \file
+/// The placement decisions against engines that lose orders, answers and reports, and restart: no
+/// replica beyond the decided number, no memory overcommitted, no running request cut, no request
+/// dropped.
+
+#include <catch2/catch.hpp>
+
+#include "stand_ins/placement/placement_run.hpp"
+
+using namespace banyanshunt;
+
+namespace
+{
+
+run_options small_run(std::uint64_t seed)
+{
+    run_options options;
+    options.fleet = agency();
+    options.what = scenario::burst;
+    options.length = seconds(60);
+    options.seed = seed;
+    return options;
+}
+
+template <class Policy>
+run_result run(const run_options& options)
+{
+    return placement_run<Policy>(options, Policy()).run();
+}
+
+struct fault_case
+{
+    const char* name;
+    fleet_faults faults;
+};
+
+const fault_case fault_cases[] = {
+    {.name = "none", .faults = {}},
+    {.name = "orders lost", .faults = {.order_lost = 300}},
+    {.name = "orders late", .faults = {.order_late = 400}},
+    {.name = "answers lost", .faults = {.answer_lost = 400}},
+    {.name = "reports lost", .faults = {.report_lost = 500}},
+    {.name = "engines restart", .faults = {.engine_restart = 30}},
+    {.name = "all at once",
+     .faults = {.order_lost = 100,
+                .order_late = 200,
+                .answer_lost = 200,
+                .report_lost = 200,
+                .engine_restart = 10}},
+};
+
+} // namespace
+
+TEST_CASE("placement keeps its promises under faults")
+{
+    for (const auto& it : fault_cases)
+    {
+        for (std::uint64_t seed = 1; seed <= 3; ++seed)
+        {
+            run_options options = small_run(seed);
+            options.faults = it.faults;
+            auto result = run<expected_use_policy>(options);
+            INFO(it.name << ", seed " << seed);
+            CHECK(result.violations.memory == 0);
+            CHECK(result.violations.replicas == 0);
+            CHECK(result.violations.cut_requests == 0);
+            CHECK(result.dropped == 0);
+            CHECK(result.served + result.refused == result.requests);
+            CHECK(result.served > 0);
+        }
+    }
+}
+
+TEST_CASE("every policy keeps the promises, as they are not the policy's to break")
+{
+    run_options options = small_run(5);
+    options.faults = fault_cases[6].faults;
+    CHECK(run<first_come_policy>(options).violations.total() == 0);
+    CHECK(run<unordered_eviction_policy>(options).violations.total() == 0);
+    CHECK(run<expected_use_policy>(options).violations.total() == 0);
+}
+
+TEST_CASE("the checks notice a planted fault")
+{
+    SECTION("orders forgotten before they are settled overcommit memory")
+    {
+        int violations = 0;
+        for (std::uint64_t seed = 1; seed <= 3; ++seed)
+        {
+            run_options options = small_run(seed);
+            options.forget_unsettled = true;
+            options.faults = {.order_late = 700};
+            violations += run<expected_use_policy>(options).violations.memory;
+        }
+        CHECK(violations > 0);
+    }
+    SECTION("loads without a slot exceed the decided number")
+    {
+        run_options options = small_run(1);
+        options.ignore_slots = true;
+        CHECK(run<expected_use_policy>(options).violations.replicas > 0);
+    }
+}
+
+TEST_CASE("a request that cannot be served is refused before its deadline")
+{
+    run_options options = small_run(2);
+    options.fleet.deadline = milliseconds(5000);
+    options.remote_time = milliseconds(4000);
+    auto result = run<expected_use_policy>(options);
+    CHECK(result.refused > 0);
+    CHECK(result.refused_late < result.refused);
+    CHECK(result.dropped == 0);
+}
--- a/tests/performance/placement_bench.cpp
+++ b/tests/performance/placement_bench.cpp
@@ -18,8 +18,7 @@
 
 void add(run_result& sum, const run_result& it)
 {
-    sum.cold_seconds.insert(sum.cold_seconds.end(), it.cold_seconds.begin(),
-                            it.cold_seconds.end());
+    sum.cold_seconds.insert(sum.cold_seconds.end(), it.cold_seconds.begin(), it.cold_seconds.end());
     sum.idle_hours += it.idle_hours;
     sum.requests += it.requests;
     sum.cold += it.cold;
--- /dev/null
+++ b/tests/stand_ins/placement/flaky_log.hpp
@@ -0,0 +1,115 @@
+#pragma once
+
+/// \file
+/// Defines one host's link to a shared log, with faults drawn from a seed: cut off, answers lost,
+/// and appends that land late.
+
+#include <random>
+
+#include "stand_ins/memory_log.hpp"
+#include "state/clock.hpp"
+
+namespace banyanshunt
+{
+
+/// Chances in thousandths.
+struct link_faults
+{
+    int append_lost = 0;
+    int answer_lost = 0;
+    int append_late = 0;
+    int read_lost = 0;
+};
+
+class flaky_log
+{
+public:
+    flaky_log(memory_log& log, const test_clock& clock, link_faults faults, std::uint64_t seed)
+        : log_(log), clock_(clock), faults_(faults), random_(seed)
+    {
+    }
+
+    void set_cut(bool cut) { cut_ = cut; }
+    void set_faults(link_faults faults) { faults_ = faults; }
+
+    verdict<log_offset> append(const stream_name& stream, std::span<const log_entry> batch)
+    {
+        if (cut_)
+        {
+            return lost(run_state::not_run);
+        }
+        if (chance(faults_.append_lost))
+        {
+            return lost(run_state::may_have_run);
+        }
+        if (chance(faults_.append_late))
+        {
+            constexpr std::uint64_t latest_ms = 8000;
+            late_.push_back({.stream = stream,
+                             .batch = {batch.begin(), batch.end()},
+                             .at = clock_.now() +
+                                   milliseconds(static_cast<std::int64_t>(random_() % latest_ms))});
+            return lost(run_state::may_have_run);
+        }
+        auto first = log_.append(stream, batch);
+        if (chance(faults_.answer_lost))
+        {
+            return lost(run_state::may_have_run);
+        }
+        return first;
+    }
+
+    verdict<log_page> read(const stream_name& stream, log_offset from, std::size_t limit,
+                           milliseconds)
+    {
+        if (cut_ || chance(faults_.read_lost))
+        {
+            return lost(run_state::not_run);
+        }
+        return log_.read(stream, from, limit, milliseconds(0));
+    }
+
+    /// Lets the late appends land whose time has come, whoever is cut off by now.
+    void land()
+    {
+        for (auto& it : late_)
+        {
+            if (it.at <= clock_.now())
+            {
+                (void)log_.append(it.stream, it.batch);
+            }
+        }
+        std::erase_if(late_, [&](const late_append& it) { return it.at <= clock_.now(); });
+    }
+
+private:
+    struct late_append
+    {
+        stream_name stream;
+        std::vector<log_entry> batch;
+        instant at;
+    };
+
+    static failure lost(run_state run)
+    {
+        return {.run = run,
+                .code = std::make_error_code(std::errc::timed_out),
+                .detail = "no answer",
+                .retry_after = {}};
+    }
+
+    bool chance(int thousandths)
+    {
+        constexpr std::uint64_t thousand = 1000;
+        return thousandths > 0 && random_() % thousand < static_cast<std::uint64_t>(thousandths);
+    }
+
+    memory_log& log_;
+    const test_clock& clock_;
+    link_faults faults_;
+    std::mt19937_64 random_;
+    bool cut_ = false;
+    std::vector<late_append> late_;
+};
+
+} // namespace banyanshunt
--- a/tests/stand_ins/placement/placement_fleet.cpp
+++ b/tests/stand_ins/placement/placement_fleet.cpp
@@ -191,8 +191,8 @@
         return;
     }
     replica->phase = replica_phase::ready;
-    std::erase_if(engine.cached, [&](const cached_checkpoint& it)
-                  { return it.model == load.subject.model; });
+    std::erase_if(engine.cached,
+                  [&](const cached_checkpoint& it) { return it.model == load.subject.model; });
     engine.cached.push_back({.model = load.subject.model,
                              .version = replica->version,
                              .tier = checkpoint_tier::memory});
@@ -208,7 +208,8 @@
         remote += it.tier == checkpoint_tier::remote && it.granted <= now ? 1 : 0;
         adapters += it.subject.adapter.empty() ? 0 : 1;
     }
-    double remote_speed = std::min(1.0, double(options_.limits.full_speed_loads) / std::max(remote, 1));
+    double remote_speed =
+        std::min(1.0, double(options_.limits.full_speed_loads) / std::max(remote, 1));
     double adapter_speed =
         std::min(1.0, double(options_.limits.full_speed_adapters) / std::max(adapters, 1));
     std::vector<moving_load> finished;
@@ -234,11 +235,10 @@
                             const adapter_id& adapter) const
 {
     auto it = engines_.find(server);
-    const held_replica* replica =
-        it == engines_.end() ? nullptr : find_replica(it->second, model);
+    const held_replica* replica = it == engines_.end() ? nullptr : find_replica(it->second, model);
     bool base = replica && replica->phase == replica_phase::ready;
-    return base && (adapter.empty() || std::count(replica->adapters.begin(),
-                                                  replica->adapters.end(), adapter) > 0);
+    return base && (adapter.empty() ||
+                    std::count(replica->adapters.begin(), replica->adapters.end(), adapter) > 0);
 }
 
 void placement_fleet::add_running(const server_id& server, const model_id& model, int change)
@@ -276,7 +276,8 @@
 
 int placement_fleet::replicas_of(const model_id& model) const
 {
-    return static_cast<int>(std::count_if(engines_.begin(), engines_.end(), [&](const auto& it)
+    return static_cast<int>(std::count_if(engines_.begin(), engines_.end(),
+                                          [&](const auto& it)
                                           { return find_replica(it.second, model) != nullptr; }));
 }
 
--- a/tests/stand_ins/placement/placement_fleet.hpp
+++ b/tests/stand_ins/placement/placement_fleet.hpp
@@ -32,7 +32,7 @@
     milliseconds adapter_time{6};
     /// An order that is late takes effect after up to this time.
     milliseconds longest_order{2000};
-    fleet_faults faults;
+    fleet_faults faults = {};
     std::uint64_t seed = 1;
 };
 
--- a/tests/stand_ins/placement/placement_load.cpp
+++ b/tests/stand_ins/placement/placement_load.cpp
@@ -50,9 +50,9 @@
         adapter_id adapter;
         if (adapted)
         {
-            adapter = adapter_id(fmt::format(
-                "adapter-{:04}", model + deployment_.models * static_cast<int>(
-                                                                 random_() % adapters)));
+            adapter = adapter_id(
+                fmt::format("adapter-{:04}",
+                            model + deployment_.models * static_cast<int>(random_() % adapters)));
         }
         return {.arrival = arrival,
                 .model = model_name(model),
@@ -114,9 +114,8 @@
 deployment agency()
 {
     return {.name = "agency",
-            .limits = {.milliloads_per_second = 3000,
-                       .full_speed_loads = 4,
-                       .full_speed_adapters = 30}};
+            .limits = {
+                .milliloads_per_second = 3000, .full_speed_loads = 4, .full_speed_adapters = 30}};
 }
 
 deployment chautari()
@@ -124,9 +123,8 @@
     return {.name = "chautari",
             .models = 25,
             .adapters = 75,
-            .limits = {.milliloads_per_second = 3900,
-                       .full_speed_loads = 4,
-                       .full_speed_adapters = 30}};
+            .limits = {
+                .milliloads_per_second = 3900, .full_speed_loads = 4, .full_speed_adapters = 30}};
 }
 
 fleet_state_ptr state_of(const deployment& it, std::uint64_t seed)
@@ -201,8 +199,8 @@
     {
         add_burst(it, begin + length / 2, source, requests);
     }
-    std::sort(requests.begin(), requests.end(), [](const auto& a, const auto& b)
-              { return a.arrival < b.arrival; });
+    std::sort(requests.begin(), requests.end(),
+              [](const auto& a, const auto& b) { return a.arrival < b.arrival; });
     return requests;
 }
 
@@ -220,11 +218,11 @@
         auto copies = random() % 3;
         for (std::uint64_t n = 0; n < copies; ++n)
         {
-            fleet.cache(servers[random() % servers.size()],
-                        {.model = id,
-                         .version = entry->value->version,
-                         .tier = random() % 3 == 0 ? checkpoint_tier::memory
-                                                   : checkpoint_tier::disk});
+            fleet.cache(
+                servers[random() % servers.size()],
+                {.model = id,
+                 .version = entry->value->version,
+                 .tier = random() % 3 == 0 ? checkpoint_tier::memory : checkpoint_tier::disk});
         }
     }
 }
--- a/tests/stand_ins/placement/placement_load.hpp
+++ b/tests/stand_ins/placement/placement_load.hpp
@@ -8,8 +8,8 @@
 #include <vector>
 
 #include "coordination/placement/load_budget.hpp"
-#include "state/fleet_state.hpp"
 #include "stand_ins/placement/placement_fleet.hpp"
+#include "state/fleet_state.hpp"
 
 namespace banyanshunt
 {
--- a/tests/stand_ins/placement/placement_run.hpp
+++ b/tests/stand_ins/placement/placement_run.hpp
@@ -22,7 +22,7 @@
 {
     deployment fleet;
     scenario what = scenario::steady;
-    fleet_faults faults;
+    fleet_faults faults = {};
     seconds length{600};
     std::uint64_t seed = 1;
     milliseconds remote_time{4000};
@@ -72,11 +72,10 @@
 public:
     placement_run(run_options options, Policy policy)
         : options_(std::move(options)), state_(state_of(options_.fleet, options_.seed)),
-          preference_(prefer_slots(*state_)),
-          fleet_({.limits = options_.fleet.limits,
-                  .remote_time = options_.remote_time,
-                  .faults = options_.faults,
-                  .seed = options_.seed})
+          preference_(prefer_slots(*state_)), fleet_({.limits = options_.fleet.limits,
+                                                      .remote_time = options_.remote_time,
+                                                      .faults = options_.faults,
+                                                      .seed = options_.seed})
     {
         for (const auto& [id, entry] : state_->servers)
         {
@@ -84,8 +83,8 @@
             std::string domain = entry->value->domain.str();
             domains_.try_emplace(domain, policy, budget_of(domain_id(domain)));
             domains_.at(domain).servers.push_back(id);
-            writers_.try_emplace(id, slot_writer_options{.server = id,
-                                                         .fencing = fencing_number(1)});
+            writers_.try_emplace(id,
+                                 slot_writer_options{.server = id, .fencing = fencing_number(1)});
         }
         draw_caches(*state_, fleet_, options_.seed);
     }
@@ -126,7 +125,7 @@
     struct domain_run
     {
         domain_run(Policy policy, fixed_load_budget budget)
-            : planner(std::move(policy), std::move(budget)), orders(longest_order)
+            : planner(std::move(policy), budget), orders(longest_order)
         {
         }
 
@@ -152,6 +151,7 @@
     fixed_load_budget budget_of(const domain_id& own) const
     {
         std::vector<domain_id> domains;
+        domains.reserve(static_cast<std::size_t>(options_.fleet.domains));
         for (int n = 0; n < options_.fleet.domains; ++n)
         {
             domains.emplace_back("domain-" + std::to_string(n));
@@ -172,8 +172,7 @@
         if (options_.what == scenario::lost_server && clock_.now() >= burst + into_burst)
         {
             server_id victim("server-003");
-            std::erase_if(running_,
-                          [&](const running_request& it) { return it.server == victim; });
+            std::erase_if(running_, [&](const running_request& it) { return it.server == victim; });
             fleet_.lose(victim);
         }
     }
@@ -222,8 +221,7 @@
                 fleet_.add_running(it.server, it.model, -1);
             }
         }
-        std::erase_if(running_,
-                      [&](const running_request& it) { return it.end <= clock_.now(); });
+        std::erase_if(running_, [&](const running_request& it) { return it.end <= clock_.now(); });
     }
 
     // Refuses a request at once when its model is expected to be ready only after its deadline.
@@ -284,6 +282,7 @@
             need->second.last_deadline = std::max(need->second.last_deadline, r.deadline);
         }
         std::vector<replica_need> all;
+        all.reserve(joined.size());
         for (auto& [subject, need] : joined)
         {
             all.push_back(std::move(need));
@@ -312,8 +311,7 @@
 
     slot_claimant claimant(const domain_run& domain, const server_id& id) const
     {
-        slot_claimant it{
-            .server = id, .leaving = !fleet_.alive(id), .held = {}, .cached = {}};
+        slot_claimant it{.server = id, .leaving = !fleet_.alive(id), .held = {}, .cached = {}};
         for (const auto& order : domain.orders.orders(id))
         {
             it.held.insert(order.model);
@@ -354,8 +352,7 @@
 
     placement_view view_of(domain_run& domain, const std::vector<replica_need>& needed)
     {
-        placement_view view{
-            .state = state_, .servers = {}, .needs = needed, .now = clock_.now()};
+        placement_view view{.state = state_, .servers = {}, .needs = needed, .now = clock_.now()};
         for (const auto& id : domain.servers)
         {
             auto report = fleet_.read_back(id);
@@ -364,14 +361,14 @@
                 continue;
             }
             domain.orders.settle(id, *report, clock_.now());
-            view.servers.push_back(
-                {.server = id,
-                 .fencing = fencing_number(1),
-                 .leaving = false,
-                 .report = std::move(*report),
-                 .slots = usable_slots(id),
-                 .unsettled = options_.forget_unsettled ? std::vector<engine_order>()
-                                                        : domain.orders.orders(id)});
+            view.servers.push_back({.server = id,
+                                    .fencing = fencing_number(1),
+                                    .leaving = false,
+                                    .report = std::move(*report),
+                                    .slots = usable_slots(id),
+                                    .unsettled = options_.forget_unsettled
+                                                     ? std::vector<engine_order>()
+                                                     : domain.orders.orders(id)});
         }
         return view;
     }
@@ -386,9 +383,9 @@
             auto view = view_of(domain, needed);
             auto began = std::chrono::steady_clock::now();
             auto plan = domain.planner.plan(view);
-            double ms = std::chrono::duration<double, std::milli>(
-                            std::chrono::steady_clock::now() - began)
-                            .count();
+            double ms =
+                std::chrono::duration<double, std::milli>(std::chrono::steady_clock::now() - began)
+                    .count();
             result_.slowest_plan_ms = std::max(result_.slowest_plan_ms, ms);
             result_.mean_plan_ms += ms;
             ++plans_;
--- /dev/null
+++ b/tests/stand_ins/placement/placer_group.cpp
@@ -0,0 +1,182 @@
+#include "stand_ins/placement/placer_group.hpp"
+
+#include <fmt/format.h>
+
+namespace banyanshunt
+{
+namespace
+{
+
+template <class Id, class Object>
+void put(state_table<Id, Object>& table, Id id, Object object)
+{
+    table[std::move(id)] = std::make_shared<const state_entry<Object>>(state_entry<Object>{
+        .ticket = ticket_number(1), .offset = log_offset(0), .value = std::move(object)});
+}
+
+domain_id domain_name(int domain)
+{
+    return domain_id(fmt::format("domain-{}", domain));
+}
+
+bool checks(placer_group_options::fencing which, int server)
+{
+    using fencing = placer_group_options::fencing;
+    return which == fencing::all || (which == fencing::mixed && server % 2 == 0);
+}
+
+fleet_state_ptr first_state(const placer_group_options& options)
+{
+    auto state = std::make_shared<fleet_state>();
+    for (int n = 0; n < options.domains * options.servers_in_domain; ++n)
+    {
+        put(state->servers, server_id(fmt::format("server-{}", n)),
+            server_object{.kind = server_kind::engine,
+                          .domain = domain_name(n % options.domains),
+                          .address = fmt::format("engine-{}", n),
+                          .memory = mebibytes(40),
+                          .checks_fencing = checks(options.checks, n / options.domains),
+                          .leaving = false});
+    }
+    for (int n = 0; n < options.models; ++n)
+    {
+        put(state->models, model_id(fmt::format("model-{}", n)),
+            model_object{.version = version_id("v1"),
+                         .memory = mebibytes(15),
+                         .replicas = options.replicas,
+                         .max_tokens = 100});
+    }
+    state->through = log_offset(1);
+    return state;
+}
+
+domain_placer_options placer_options(const placer_group_options& options, const std::string& name,
+                                     int domain, incarnation life)
+{
+    domain_placer_options it;
+    it.lease.holder = host_id(name);
+    it.lease.life = life;
+    it.lease.domain = domain_name(domain);
+    if (options.hasty)
+    {
+        it.lease.successor_wait = milliseconds(0);
+    }
+    it.slots.writer = host_id(name);
+    it.planner.spread_after = milliseconds(500);
+    return it;
+}
+
+} // namespace
+
+placer_member::placer_member(const placer_group_options& options, memory_log& log,
+                             order_sink& engines, const test_clock& clock, int domain_at, int place,
+                             incarnation life)
+    : name(fmt::format("d{}p{}", domain_at, place)), domain(domain_name(domain_at)),
+      link(log, clock, options.links,
+           options.seed * 1000 + static_cast<std::uint64_t>(life.count())),
+      placer(link, engines, clock, placer_options(options, name, domain_at, life))
+{
+    placer.set_share({.milliloads_per_second = 3000, .loads_at_once = 2, .adapters_at_once = 4});
+}
+
+placer_group::placer_group(const placer_group_options& options)
+    : engines(clock, {.faults = options.orders, .seed = options.seed}), options_(options),
+      state_(first_state(options))
+{
+    for (const auto& [id, entry] : state_->servers)
+    {
+        engines.add(entry->value->address, entry->value->memory, entry->value->checks_fencing);
+    }
+    for (int domain = 0; domain < options.domains; ++domain)
+    {
+        for (int place = 0; place < options.placers_in_domain; ++place)
+        {
+            start(domain, place);
+        }
+    }
+}
+
+std::string placer_group::key(int domain, int place) const
+{
+    return fmt::format("d{}p{}", domain, place);
+}
+
+void placer_group::start(int domain, int place)
+{
+    members_[key(domain, place)] = std::make_unique<placer_member>(
+        options_, log, engines, clock, domain, place, incarnation(next_life_++));
+}
+
+void placer_group::stop(int domain, int place)
+{
+    members_.erase(key(domain, place));
+}
+
+void placer_group::pause(int domain, int place, milliseconds length)
+{
+    if (placer_member* it = member(domain, place))
+    {
+        it->paused_until = clock.now() + length;
+    }
+}
+
+placer_member* placer_group::member(int domain, int place)
+{
+    auto it = members_.find(key(domain, place));
+    return it == members_.end() ? nullptr : it->second.get();
+}
+
+void placer_group::need(const model_id& model)
+{
+    needs_.push_back({.model = model,
+                      .adapter = {},
+                      .waiting = 1,
+                      .deadline = clock.now() + std::chrono::hours(1),
+                      .workspace = workspace_id("w")});
+}
+
+void placer_group::step(milliseconds by)
+{
+    clock.advance(by);
+    engines.move();
+    for (auto& [name, it] : members_)
+    {
+        it->link.land();
+        if (it->paused_until > clock.now())
+        {
+            continue;
+        }
+        domain_view view{.state = state_, .placers = {}, .gone = {}, .needs = needs_};
+        for (const auto& [other, that] : members_)
+        {
+            // A paused process looks dead to the others, and they take over.
+            bool heard = that->paused_until <= clock.now();
+            if (that->domain == it->domain && heard)
+            {
+                view.placers.push_back(that->name);
+            }
+        }
+        (void)it->placer.step(view);
+    }
+}
+
+void placer_group::steps(int n)
+{
+    for (int at = 0; at < n; ++at)
+    {
+        step();
+    }
+}
+
+int placer_group::excess() const
+{
+    int sum = 0;
+    for (const auto& [id, entry] : state_->models)
+    {
+        int decided = entry->value ? entry->value->replicas : 0;
+        sum += std::max(engines.replicas_of(id) - decided, 0);
+    }
+    return sum;
+}
+
+} // namespace banyanshunt
