--- a/src/tools/caller.cpp
+++ b/src/tools/caller.cpp
@@ -139,6 +139,7 @@
     reply.ended = boot_clock().now();
     if (!answer)
     {
+        reply.detail = answer.error().detail;
         return reply;
     }
     reply.status = answer->status;
--- a/src/tools/caller.hpp
+++ b/src/tools/caller.hpp
@@ -46,6 +46,8 @@
     std::string reason;
     /// "not_run", "may_have_run", "ran", or empty.
     std::string run;
+    /// Why no answer came, for people.
+    std::string detail;
     /// When to come back, if the refusal says so.
     std::optional<milliseconds> retry_after;
     /// Tokens of the prompt and the answer, as the answer's end tells them.
--- a/src/tools/load_plan.cpp
+++ b/src/tools/load_plan.cpp
@@ -69,7 +69,7 @@
         }
         double u = uniform();
         auto index = static_cast<std::int64_t>(u * u * static_cast<double>(it_.names));
-        return fmt::format("{}{}", it_.name_prefix, index);
+        return fmt::format("{}{:02}", it_.name_prefix, index + 1);
     }
 
     planned_request request_at(double s)
--- a/src/tools/workload.hpp
+++ b/src/tools/workload.hpp
@@ -25,7 +25,7 @@
     std::int64_t burst_factor = 1;
     /// A burst of a tenth of this length begins once in each; zero for none.
     seconds burst_every{0};
-    /// Names are `name_prefix` followed by 0 to `names` - 1, chosen with a few popular ones.
+    /// Names are `name_prefix` followed by 01, 02 and so on to `names`, a few of them popular.
     std::string name_prefix;
     std::int64_t names = 1;
     std::int64_t prompt_tokens = 50;
--- /dev/null
+++ b/tests/scenario_language/runner.cpp
@@ -0,0 +1,444 @@
+#include "scenario_language/runner.hpp"
+
+#include <thread>
+
+#include <fmt/format.h>
+
+#include "coordination/admission.hpp"
+#include "scenario_language/ticket_draft.hpp"
+#include "stand_ins/ticket_text.hpp"
+#include "tools/workload.hpp"
+
+namespace banyanshunt::scenario
+{
+namespace
+{
+
+// Guards against a run that hangs for good; no expectation is about time.
+constexpr seconds hang_guard(40);
+constexpr milliseconds poll_interval(5);
+
+milliseconds since(instant begun)
+{
+    return std::chrono::duration_cast<milliseconds>(boot_clock().now() - begun);
+}
+
+std::optional<fault_kind> fault_named(const std::string& name)
+{
+    static const std::map<std::string, fault_kind> kinds = {
+        {"refuse", fault_kind::refuse}, {"lose_answer", fault_kind::lose_answer},
+        {"late", fault_kind::late},     {"repeat", fault_kind::repeat},
+        {"hang", fault_kind::hang},     {"cut", fault_kind::cut},
+        {"cross", fault_kind::cross}};
+    auto it = kinds.find(name);
+    return it == kinds.end() ? std::nullopt : std::optional(it->second);
+}
+
+} // namespace
+
+scenario_result scenario_runner::run()
+{
+    scenario_result out;
+    out.complaints = scenario_.mistakes;
+    if (!out.complaints.empty())
+    {
+        return out;
+    }
+    begun_ = boot_clock().now();
+    for (const auto& it : scenario_.statements)
+    {
+        out.trace.push_back(fmt::format("{:6} ms  {}", since(begun_).count(), it.written));
+        complaint wrong;
+        try
+        {
+            wrong = step(it);
+        }
+        catch (const std::out_of_range&)
+        {
+            wrong = "names something that was not declared";
+        }
+        if (!wrong)
+        {
+            continue;
+        }
+        out.complaints.push_back(
+            fmt::format("{}:{}: {}: {}", scenario_.path, it.line, it.written, *wrong));
+        if (!it.written.starts_with("expect"))
+        {
+            break;
+        }
+    }
+    traffic_.reset();
+    watch_.reset();
+    fleet_.reset();
+    return out;
+}
+
+complaint scenario_runner::step(const statement& it)
+{
+    if (it.what < verb::model)
+    {
+        return declare(it);
+    }
+    if (it.what < verb::publish)
+    {
+        return draft(it);
+    }
+    if (it.what < verb::fault)
+    {
+        return drive(it);
+    }
+    return it.what < verb::expect_answered ? break_something(it) : expect(it);
+}
+
+complaint scenario_runner::declare(const statement& it)
+{
+    if (it.what == verb::seed)
+    {
+        random_.seed(static_cast<std::uint64_t>(it.number("COUNT")));
+        return std::nullopt;
+    }
+    if (it.what == verb::platform_load)
+    {
+        load_time_ = milliseconds(it.number("MS"));
+        return fleet_ ? complaint("comes after the fleet's first part") : std::nullopt;
+    }
+    if (!fleet_)
+    {
+        fleet_ = std::make_unique<fleet>(load_time_);
+    }
+    switch (it.what)
+    {
+    case verb::host:
+        fleet_->add_host(it.text("HOST"), it.text("DOMAIN"));
+        return std::nullopt;
+    case verb::engine:
+    case verb::engine_ignoring_fencing:
+        fleet_->add_engine(it.text("SERVER"), it.text("DOMAIN"), it.number("MIB"),
+                           it.what == verb::engine);
+        return std::nullopt;
+    case verb::service:
+        fleet_->add_service(it.text("SERVER"), it.text("DOMAIN"));
+        return std::nullopt;
+    default:
+        return start();
+    }
+}
+
+complaint scenario_runner::start()
+{
+    if (!fleet_->start())
+    {
+        return "a host could not listen";
+    }
+    traffic_ = std::make_unique<traffic>();
+    watch_ = std::make_unique<ticket_watch>(*fleet_);
+    begun_ = boot_clock().now();
+    return std::nullopt;
+}
+
+complaint scenario_runner::draft(const statement& it)
+{
+    switch (it.what)
+    {
+    case verb::model:
+        draft_.put("models", it.text("MODEL"),
+                   fmt::format(R"({{"version":"v1","memory_mib":{},"replicas":{}}})",
+                               it.number("MIB"), it.number("COUNT")));
+        break;
+    case verb::adapter:
+        draft_.put("adapters", it.text("ADAPTER"),
+                   fmt::format(R"({{"base":"{}","memory_mib":{}}})", it.text("MODEL"),
+                               it.number("MIB")));
+        break;
+    case verb::workspace:
+        workspaces_[it.text("WORKSPACE")] = {.rate = it.number("COUNT"),
+                                             .burst = it.number("COUNT2")};
+        draft_.put("workspaces", it.text("WORKSPACE"),
+                   fmt::format(R"({{"tokens_per_second":{},"burst_tokens":{}}})",
+                               it.number("COUNT"), it.number("COUNT2")));
+        break;
+    case verb::key:
+    {
+        keys_[it.text("KEY")] = {it.text("SECRET"), it.text("WORKSPACE")};
+        std::string member = key_text(it.text("KEY"), it.text("WORKSPACE"), it.text("SECRET"));
+        draft_.put("keys", it.text("KEY"), member.substr(member.find(':') + 1));
+        break;
+    }
+    case verb::withdraw_key:
+        draft_.put("keys", it.text("KEY"), "null");
+        break;
+    case verb::route:
+    case verb::route_repeatable:
+    case verb::route_open:
+        draft_route(it, it.what == verb::route_open, it.what != verb::route);
+        break;
+    default:
+        draft_server(it.text("SERVER"), it.what == verb::server_leaving);
+        break;
+    }
+    return std::nullopt;
+}
+
+void scenario_runner::draft_route(const statement& it, bool open, bool repeatable)
+{
+    std::vector<std::string> servers;
+    for (const auto& name : split_names(it.text("SERVERS")))
+    {
+        servers.push_back(fmt::format("\"{}\"", name));
+    }
+    draft_.put("routes", it.text("ROUTE"),
+               fmt::format(R"({{"prefix":"{}","open":{},"repeatable":{},"servers":[{}]}})",
+                           it.text("PATH"), open, repeatable, fmt::join(servers, ",")));
+}
+
+void scenario_runner::draft_server(const std::string& name, bool leaving)
+{
+    const fleet_server& it = fleet_->servers().at(name);
+    draft_.put("servers", name,
+               fmt::format(R"({{"kind":"{}","domain":"{}","address":"{}","memory_mib":{},)"
+                           R"("checks_fencing":{},"leaving":{}}})",
+                           it.engine ? "engine" : "service", it.domain, it.link->address(),
+                           it.memory_mib, it.checks_fencing, leaving));
+}
+
+// An operator repeats an append until the log has surely taken it; a second copy does no harm.
+complaint scenario_runner::publish(const std::string& text, const std::string& id)
+{
+    log_entry entry{.id = record_id(id), .data = text};
+    return wait_until(
+        [&]
+        { return fleet_->platform().log().append(tickets_stream, std::span(&entry, 1)).has_value(); });
+}
+
+complaint scenario_runner::drive(const statement& it)
+{
+    switch (it.what)
+    {
+    case verb::publish:
+        return publish(draft_.take(it.number("COUNT")), "ticket." + it.text("COUNT"));
+    case verb::publish_text:
+        return publish(it.text("TEXT"), "text");
+    case verb::send:
+    case verb::send_within:
+        return send_completions(it);
+    case verb::call_path:
+    case verb::call_path_idempotent:
+        return send_calls(it, it.what == verb::call_path_idempotent);
+    case verb::repeat:
+        return repeat(it);
+    case verb::await_end:
+        traffic_->join(it.text("LABEL"));
+        return std::nullopt;
+    case verb::await_start:
+        return wait_until(
+            [&]
+            {
+                auto all = observed(it.text("LABEL"));
+                return std::any_of(all.begin(), all.end(), [](auto& one) { return one.runs > 0; });
+            });
+    case verb::await_ready:
+        return wait_until([&] { return fleet_->is_ready(it.text("HOST")); });
+    case verb::await_ticket:
+        return wait_until([&] { return !check_ticket(it.number("COUNT"), it.text("HOST")); });
+    case verb::pause:
+        std::this_thread::sleep_for(milliseconds(it.number("MS")));
+        return std::nullopt;
+    default:
+        std::this_thread::sleep_for(milliseconds(it.number("MS")) - since(begun_));
+        return std::nullopt;
+    }
+}
+
+template <class Done>
+complaint scenario_runner::wait_until(Done done)
+{
+    instant guard = boot_clock().now() + hang_guard;
+    while (!done())
+    {
+        if (boot_clock().now() > guard)
+        {
+            return fmt::format("did not come about in {} s", hang_guard.count());
+        }
+        std::this_thread::sleep_for(poll_interval);
+    }
+    return std::nullopt;
+}
+
+complaint scenario_runner::send_completions(const statement& it)
+{
+    const auto& [secret, workspace] = keys_.at(it.text("KEY"));
+    std::vector<scenario_request> requests;
+    for (std::int64_t i = 0; i < it.number("COUNT"); ++i)
+    {
+        scenario_request request;
+        request.name = fmt::format("{}-{}", it.text("LABEL"), i);
+        request.mark = fmt::format("{} {}", request.name, random_());
+        request.workspace = workspace_id(workspace);
+        request.prompt_tokens = prompt_cost(request.mark);
+        request.answer_tokens = it.number("COUNT2");
+        request.call.address = entry_address(it.text("HOST"));
+        request.call.bearer = it.text("KEY") + "." + secret;
+        request.call.path = "/v1/completions";
+        request.call.body = completion_body(it.text("MODEL"), request.mark, it.number("COUNT2"));
+        if (it.what == verb::send_within)
+        {
+            request.call.deadline = milliseconds(it.number("MS"));
+        }
+        requests.push_back(std::move(request));
+    }
+    traffic_->send(it.text("LABEL"), std::move(requests));
+    return std::nullopt;
+}
+
+complaint scenario_runner::send_calls(const statement& it, bool idempotent)
+{
+    bool keyed = it.text("KEY") != "none";
+    std::vector<scenario_request> requests;
+    for (std::int64_t i = 0; i < it.number("COUNT"); ++i)
+    {
+        scenario_request request;
+        request.name = fmt::format("{}-{}", it.text("LABEL"), i);
+        request.mark = fmt::format(R"({{"unit":"{}-{}"}})", request.name, random_());
+        request.call.address = entry_address(it.text("HOST"));
+        request.call.path = it.text("PATH");
+        request.call.body = request.mark;
+        if (keyed)
+        {
+            const auto& [secret, workspace] = keys_.at(it.text("KEY"));
+            request.call.bearer = it.text("KEY") + "." + secret;
+            request.workspace = workspace_id(workspace);
+            request.prompt_tokens = 1;
+        }
+        if (idempotent)
+        {
+            request.call.idempotency_key = fmt::format("{}-{}", request.name, random_());
+        }
+        requests.push_back(std::move(request));
+    }
+    traffic_->send(it.text("LABEL"), std::move(requests));
+    return std::nullopt;
+}
+
+complaint scenario_runner::repeat(const statement& it)
+{
+    std::vector<scenario_request> again = traffic_->sent(it.text("LABEL"));
+    for (auto& request : again)
+    {
+        request.call.address = entry_address(it.text("HOST"));
+        request.name += " repeated";
+    }
+    traffic_->send(it.text("LABEL2"), std::move(again));
+    return std::nullopt;
+}
+
+complaint scenario_runner::break_something(const statement& it)
+{
+    auto& servers = fleet_->servers();
+    switch (it.what)
+    {
+    case verb::fault:
+    case verb::fault_delay:
+    {
+        auto kind = fault_named(it.text("KIND"));
+        if (!kind)
+        {
+            return "no fault is named so";
+        }
+        bool platform = it.text("TARGET") == "platform";
+        fault_table& table = platform ? fleet_->platform().log().faults()
+                                      : servers.at(it.text("TARGET")).faults();
+        milliseconds delay(it.what == verb::fault_delay ? it.number("MS") : 0);
+        table.set({{.call = it.text("CALL"),
+                    .first = static_cast<int>(it.number("COUNT")),
+                    .count = static_cast<int>(it.number("COUNT2")),
+                    .kind = *kind,
+                    .delay = delay}});
+        return std::nullopt;
+    }
+    case verb::platform_down:
+    case verb::platform_up:
+        fleet_->set_platform_down(it.what == verb::platform_down);
+        return std::nullopt;
+    case verb::expire_log:
+        fleet_->platform().log().expire_all_but(static_cast<std::size_t>(it.number("COUNT")));
+        return std::nullopt;
+    case verb::cut:
+        servers.at(it.text("SERVER")).link->cut();
+        return std::nullopt;
+    case verb::silence:
+        servers.at(it.text("SERVER")).link->silence();
+        return std::nullopt;
+    case verb::heal:
+        servers.at(it.text("SERVER")).link->heal();
+        return std::nullopt;
+    case verb::cut_from:
+        fleet_->change_link(it.text("HOST"), it.text("TARGET"), link_change::cut);
+        return std::nullopt;
+    case verb::silence_from:
+        fleet_->change_link(it.text("HOST"), it.text("TARGET"), link_change::silence);
+        return std::nullopt;
+    case verb::heal_from:
+        fleet_->change_link(it.text("HOST"), it.text("TARGET"), link_change::heal);
+        return std::nullopt;
+    case verb::cut_domain:
+        fleet_->change_domain(it.text("DOMAIN"), link_change::cut);
+        return std::nullopt;
+    case verb::heal_domain:
+        fleet_->change_domain(it.text("DOMAIN"), link_change::heal);
+        return std::nullopt;
+    case verb::stop:
+        fleet_->stop(it.text("HOST"));
+        return std::nullopt;
+    default:
+        marks_[it.text("SERVER")] = servers.at(it.text("SERVER")).runs();
+        return std::nullopt;
+    }
+}
+
+std::vector<observed_request> scenario_runner::observed(const std::string& label)
+{
+    return traffic_->observed(label, [this](const auto& it) { return runs_of(it); });
+}
+
+int scenario_runner::runs_of(const scenario_request& request)
+{
+    if (request.answer_tokens > 0)
+    {
+        return fleet_->ledger().runs_of(request.mark);
+    }
+    int n = 0;
+    for (const auto& [name, server] : fleet_->servers())
+    {
+        n += server.service ? server.service->runs_of(request.mark) : 0;
+    }
+    return n;
+}
+
+std::string scenario_runner::entry_address(const std::string& host)
+{
+    auto& hosts = fleet_->hosts();
+    if (host != "any")
+    {
+        return hosts.at(host)->entry->caller_address();
+    }
+    auto it = hosts.begin();
+    std::advance(it, static_cast<std::ptrdiff_t>(random_() % hosts.size()));
+    return it->second->entry->caller_address();
+}
+
+std::vector<std::string> scenario_runner::named_hosts(const std::string& host)
+{
+    std::vector<std::string> names;
+    for (const auto& [name, it] : fleet_->hosts())
+    {
+        bool running = !it->stopped_clean;
+        if (host == "all" ? running : name == host)
+        {
+            names.push_back(name);
+        }
+    }
+    return names;
+}
+
+} // namespace banyanshunt::scenario
--- /dev/null
+++ b/tests/scenario_language/runner.hpp
@@ -0,0 +1,85 @@
+#pragma once
+
+/// \file
+/// Defines the run of one scenario against the real hosts.
+
+#include <memory>
+#include <random>
+
+#include "scenario_language/fleet.hpp"
+#include "scenario_language/parser.hpp"
+#include "scenario_language/ticket_draft.hpp"
+#include "scenario_language/ticket_watch.hpp"
+#include "scenario_language/traffic.hpp"
+
+namespace banyanshunt::scenario
+{
+
+struct scenario_result
+{
+    /// "file:line: statement: what was seen", one for each statement that failed.
+    std::vector<std::string> complaints;
+    /// Each statement with the milliseconds from the start at which it began.
+    std::vector<std::string> trace;
+};
+
+/// Runs all statements in order. A wait that ends without its event ends the scenario.
+class scenario_runner
+{
+public:
+    explicit scenario_runner(const parsed_scenario& it) : scenario_(it) {}
+
+    scenario_result run();
+
+private:
+    struct declared_workspace
+    {
+        std::int64_t rate = 0;
+        std::int64_t burst = 0;
+    };
+
+    /// Returns what went wrong, if anything.
+    complaint step(const statement& it);
+    complaint declare(const statement& it);
+    complaint draft(const statement& it);
+    complaint drive(const statement& it);
+    complaint break_something(const statement& it);
+    complaint expect(const statement& it);
+    complaint expect_of_requests(const statement& it);
+
+    complaint start();
+    complaint publish(const std::string& text, const std::string& id);
+    complaint send_completions(const statement& it);
+    complaint send_calls(const statement& it, bool idempotent);
+    complaint repeat(const statement& it);
+    complaint check_tickets();
+    complaint check_ticket(std::int64_t number, const std::string& host);
+    complaint check_rate(const std::string& workspace);
+
+    /// Waits until `done` says so; a complaint when it does not within the guard against hanging.
+    template <class Done>
+    complaint wait_until(Done done);
+
+    std::vector<observed_request> observed(const std::string& label);
+    int runs_of(const scenario_request& request);
+    std::string entry_address(const std::string& host);
+    std::vector<std::string> named_hosts(const std::string& host);
+    std::vector<std::string> headers_at_backends();
+    void draft_route(const statement& it, bool open, bool repeatable);
+    void draft_server(const std::string& name, bool leaving);
+
+    const parsed_scenario& scenario_;
+    std::mt19937_64 random_;
+    milliseconds load_time_{20};
+    std::unique_ptr<fleet> fleet_;
+    std::unique_ptr<ticket_watch> watch_;
+    std::unique_ptr<traffic> traffic_;
+    ticket_draft draft_;
+    std::map<std::string, declared_workspace> workspaces_;
+    /// Secret and workspace by key.
+    std::map<std::string, std::pair<std::string, std::string>> keys_;
+    std::map<std::string, int> marks_;
+    instant begun_;
+};
+
+} // namespace banyanshunt::scenario
--- /dev/null
+++ b/tests/scenario_language/runner_expectations.cpp
@@ -0,0 +1,129 @@
+/// \file
+/// The expectations of a scenario: what is handed to which checker.
+
+#include <algorithm>
+
+#include <fmt/format.h>
+
+#include "scenario_language/runner.hpp"
+
+namespace banyanshunt::scenario
+{
+
+complaint scenario_runner::expect(const statement& it)
+{
+    switch (it.what)
+    {
+    case verb::expect_no_key:
+    {
+        std::vector<std::string> secrets;
+        for (const auto& [key, secret] : keys_)
+        {
+            secrets.push_back(secret.first);
+        }
+        return check_no_key(headers_at_backends(), secrets);
+    }
+    case verb::expect_memory:
+    {
+        int n = 0;
+        for (const auto& [name, server] : fleet_->servers())
+        {
+            n += server.engine ? server.engine->overcommits() : 0;
+        }
+        return check_memory(n);
+    }
+    case verb::expect_replicas:
+        return check_replicas(fleet_->ledger().most_replicas(model_id(it.text("MODEL"))),
+                              it.number("COUNT"));
+    case verb::expect_within_rate:
+        return check_rate(it.text("WORKSPACE"));
+    case verb::expect_no_revert:
+        return check_tickets();
+    case verb::expect_in_force:
+        return check_ticket(it.number("COUNT"), it.text("HOST"));
+    case verb::expect_no_new_work:
+        return check_no_new_work(it.text("SERVER"), marks_.at(it.text("SERVER")),
+                                 fleet_->servers().at(it.text("SERVER")).runs());
+    case verb::expect_clean_stop:
+        return check_clean_stop(it.text("HOST"), fleet_->hosts().at(it.text("HOST"))->stopped_clean);
+    default:
+        return expect_of_requests(it);
+    }
+}
+
+complaint scenario_runner::expect_of_requests(const statement& it)
+{
+    traffic_->join(it.text("LABEL"));
+    auto requests = observed(it.text("LABEL"));
+    switch (it.what)
+    {
+    case verb::expect_answered:
+        return check_answered(requests);
+    case verb::expect_settled:
+        return check_settled(requests);
+    case verb::expect_refused:
+        return check_refused(requests, "");
+    case verb::expect_reason:
+        return check_refused(requests, it.text("REASON"));
+    case verb::expect_whole:
+        return check_whole(requests);
+    case verb::expect_truthful:
+        return check_truthful(requests);
+    case verb::expect_at_most_once:
+        return check_at_most_once(requests);
+    default:
+        return check_once(requests);
+    }
+}
+
+std::vector<std::string> scenario_runner::headers_at_backends()
+{
+    std::vector<std::string> all;
+    for (const auto& [name, server] : fleet_->servers())
+    {
+        auto seen = server.headers_seen();
+        all.insert(all.end(), seen.begin(), seen.end());
+    }
+    return all;
+}
+
+complaint scenario_runner::check_tickets()
+{
+    for (const auto& [host, seen] : watch_->seen())
+    {
+        if (auto wrong = check_no_revert(host, seen))
+        {
+            return wrong;
+        }
+    }
+    return std::nullopt;
+}
+
+complaint scenario_runner::check_ticket(std::int64_t number, const std::string& host)
+{
+    for (const auto& name : named_hosts(host))
+    {
+        auto ticket = fleet_->ticket_on(name);
+        if (!ticket || *ticket < number)
+        {
+            return fmt::format("{} has ticket {} in force", name,
+                               ticket ? std::to_string(*ticket) : "unknown");
+        }
+    }
+    return std::nullopt;
+}
+
+complaint scenario_runner::check_rate(const std::string& workspace)
+{
+    std::vector<observed_request> all;
+    for (const auto& label : traffic_->labels())
+    {
+        traffic_->join(label);
+        auto some = observed(label);
+        all.insert(all.end(), some.begin(), some.end());
+    }
+    const declared_workspace& it = workspaces_.at(workspace);
+    return check_within_rate(all, workspace_id(workspace), it.rate, it.burst);
+}
+
+} // namespace banyanshunt::scenario
--- /dev/null
+++ b/tests/scenario_language/ticket_draft.cpp
@@ -0,0 +1,29 @@
+#include "scenario_language/ticket_draft.hpp"
+
+#include <fmt/format.h>
+
+namespace banyanshunt::scenario
+{
+
+void ticket_draft::put(const std::string& kind, const std::string& name, const std::string& object)
+{
+    parts_[kind][name] = object;
+}
+
+std::string ticket_draft::take(std::int64_t number)
+{
+    std::string text = fmt::format(R"({{"format":1,"ticket":{})", number);
+    for (const auto& [kind, objects] : parts_)
+    {
+        std::vector<std::string> members;
+        for (const auto& [name, object] : objects)
+        {
+            members.push_back(fmt::format(R"("{}":{})", name, object));
+        }
+        text += fmt::format(R"(,"{}":{{{}}})", kind, fmt::join(members, ","));
+    }
+    parts_.clear();
+    return text + "}";
+}
+
+} // namespace banyanshunt::scenario
--- /dev/null
+++ b/tests/stand_ins/cut_link.cpp
@@ -0,0 +1,202 @@
+#include "stand_ins/cut_link.hpp"
+
+#include <arpa/inet.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+#include <atomic>
+#include <mutex>
+#include <thread>
+#include <vector>
+
+namespace banyanshunt
+{
+namespace
+{
+
+constexpr int poll_ms = 10;
+constexpr int backlog = 128;
+constexpr std::size_t piece_size = 16384;
+
+sockaddr_in parse_address(const std::string& address)
+{
+    auto colon = address.rfind(':');
+    sockaddr_in out{};
+    out.sin_family = AF_INET;
+    out.sin_port = htons(static_cast<std::uint16_t>(std::stoi(address.substr(colon + 1))));
+    inet_pton(AF_INET, address.substr(0, colon).c_str(), &out.sin_addr);
+    return out;
+}
+
+// A socket that closes with its owner.
+class socket_handle
+{
+public:
+    explicit socket_handle(int fd) : fd_(fd) {}
+    ~socket_handle()
+    {
+        if (fd_ >= 0)
+        {
+            close(fd_);
+        }
+    }
+    socket_handle(const socket_handle&) = delete;
+    socket_handle& operator=(const socket_handle&) = delete;
+    int get() const { return fd_; }
+
+private:
+    int fd_;
+};
+
+bool send_all(int fd, const char* data, ssize_t size)
+{
+    while (size > 0)
+    {
+        ssize_t n = send(fd, data, static_cast<std::size_t>(size), MSG_NOSIGNAL);
+        if (n <= 0)
+        {
+            return false;
+        }
+        data += n;
+        size -= n;
+    }
+    return true;
+}
+
+} // namespace
+
+struct cut_link::impl
+{
+    explicit impl(const std::string& given)
+        : target(parse_address(given)), listener(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
+    {
+        sockaddr_in any = parse_address("127.0.0.1:0");
+        socklen_t size = sizeof(any);
+        bind(listener.get(), reinterpret_cast<sockaddr*>(&any), size);
+        listen(listener.get(), backlog);
+        getsockname(listener.get(), reinterpret_cast<sockaddr*>(&any), &size);
+        address = "127.0.0.1:" + std::to_string(ntohs(any.sin_port));
+        acceptor = std::thread([this] { accept_until_stopped(); });
+    }
+
+    ~impl()
+    {
+        stopping = true;
+        acceptor.join();
+        for (auto& it : pumps)
+        {
+            it.join();
+        }
+    }
+
+    void accept_until_stopped()
+    {
+        while (!stopping)
+        {
+            pollfd ready{.fd = listener.get(), .events = POLLIN, .revents = 0};
+            if (poll(&ready, 1, poll_ms) <= 0)
+            {
+                continue;
+            }
+            int fd = accept4(listener.get(), nullptr, nullptr, SOCK_CLOEXEC);
+            if (fd >= 0)
+            {
+                int generation_now = generation;
+                pumps.emplace_back([this, fd, generation_now] { pump(fd, generation_now); });
+            }
+        }
+    }
+
+    void pump(int fd, int my_generation)
+    {
+        socket_handle near(fd);
+        socket_handle far(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
+        if (is_cut ||
+            connect(far.get(), reinterpret_cast<const sockaddr*>(&target), sizeof(target)) != 0)
+        {
+            return;
+        }
+        std::array<pollfd, 2> ends = {pollfd{.fd = near.get(), .events = POLLIN, .revents = 0},
+                                      pollfd{.fd = far.get(), .events = POLLIN, .revents = 0}};
+        while (!stopping && !is_cut)
+        {
+            if (generation != my_generation)
+            {
+                std::this_thread::sleep_for(std::chrono::milliseconds(poll_ms));
+                continue;
+            }
+            if (poll(ends.data(), ends.size(), poll_ms) > 0 && !pass_on(ends, my_generation))
+            {
+                return;
+            }
+        }
+    }
+
+    // Passes what has come on each side to the other; false when a side has closed.
+    bool pass_on(const std::array<pollfd, 2>& ends, int my_generation)
+    {
+        std::array<char, piece_size> buf{};
+        for (std::size_t i = 0; i < ends.size(); ++i)
+        {
+            if (ends[i].revents == 0)
+            {
+                continue;
+            }
+            ssize_t n = recv(ends[i].fd, buf.data(), buf.size(), 0);
+            if (n <= 0)
+            {
+                return false;
+            }
+            // What came in the same instant as a silence is lost with the connection's state.
+            if (generation == my_generation && !send_all(ends[1 - i].fd, buf.data(), n))
+            {
+                return false;
+            }
+            passed += n;
+        }
+        return true;
+    }
+
+    sockaddr_in target;
+    socket_handle listener;
+    std::string address;
+    std::atomic<bool> stopping = false;
+    std::atomic<bool> is_cut = false;
+    /// Connections of an older generation are silent.
+    std::atomic<int> generation = 0;
+    std::atomic<long long> passed = 0;
+    std::vector<std::thread> pumps;
+    std::thread acceptor;
+};
+
+cut_link::cut_link(const std::string& target) : impl_(std::make_unique<impl>(target)) {}
+cut_link::~cut_link() = default;
+
+const std::string& cut_link::address() const
+{
+    return impl_->address;
+}
+
+void cut_link::cut()
+{
+    impl_->is_cut = true;
+}
+
+void cut_link::silence()
+{
+    ++impl_->generation;
+}
+
+void cut_link::heal()
+{
+    impl_->is_cut = false;
+}
+
+long long cut_link::bytes() const
+{
+    return impl_->passed;
+}
+
+} // namespace banyanshunt
--- a/tests/stand_ins/engine_stand_in.cpp
+++ b/tests/stand_ins/engine_stand_in.cpp
@@ -76,6 +76,14 @@
         return true;
     }
 
+    void note_replica(const model_id& model, int change)
+    {
+        if (options.ledger)
+        {
+            options.ledger->note_replica(model, change);
+        }
+    }
+
     void fetch(const char* kind)
     {
         if (!options.weight_store.empty())
@@ -139,6 +147,7 @@
                                    .adapters = {},
                                    .adapters_loading = {},
                                    .running = 0});
+        note_replica(order.model, 1);
         start_model_load(order);
         return json_body("{}");
     }
@@ -165,6 +174,7 @@
         if (held_replica* replica = find(order.model))
         {
             report.memory_used -= replica->memory;
+            note_replica(order.model, -1);
             std::erase_if(report.replicas,
                           [&](const held_replica& held) { return held.model == order.model; });
         }
@@ -245,6 +255,10 @@
             }
             note_headers(http_in);
             ++runs[request->id];
+            if (options.ledger)
+            {
+                options.ledger->note_run(request->prompt);
+            }
             ++running;
             answers[request->id] = {.request = *request};
         }
@@ -456,6 +470,17 @@
     return it == impl_->runs.end() ? 0 : it->second;
 }
 
+int engine_stand_in::runs() const
+{
+    std::lock_guard lock(impl_->mutex);
+    int n = 0;
+    for (const auto& [id, count] : impl_->runs)
+    {
+        n += count;
+    }
+    return n;
+}
+
 int engine_stand_in::overcommits() const
 {
     std::lock_guard lock(impl_->mutex);
--- a/tests/stand_ins/engine_stand_in.hpp
+++ b/tests/stand_ins/engine_stand_in.hpp
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "coordination/model_engine.hpp"
+#include "stand_ins/backend_ledger.hpp"
 #include "stand_ins/fault_table.hpp"
 
 namespace banyanshunt
@@ -23,6 +24,8 @@
     std::string weight_store;
     milliseconds time_per_token{2};
     incarnation life{1};
+    /// Where replicas and runs are noted, if anywhere; outlives the stand-in.
+    backend_ledger* ledger = nullptr;
 };
 
 /// Serves from construction to destruction. POST /control/faults takes rows of `fault_table` for
@@ -40,6 +43,8 @@
     std::vector<std::string> headers_seen() const;
     /// How often each request id was run.
     int runs_of(const request_id& id) const;
+    /// Completions begun so far.
+    int runs() const;
     /// Orders that would have overcommitted the memory; each one is a defect of the placer.
     int overcommits() const;
 
--- a/tests/stand_ins/service_stand_in.cpp
+++ b/tests/stand_ins/service_stand_in.cpp
@@ -107,6 +107,12 @@
     return it == impl_->runs.end() ? 0 : it->second;
 }
 
+int service_stand_in::runs() const
+{
+    std::lock_guard lock(impl_->mutex);
+    return impl_->total;
+}
+
 std::vector<std::string> service_stand_in::headers_seen() const
 {
     std::lock_guard lock(impl_->mutex);
--- a/tests/stand_ins/service_stand_in.hpp
+++ b/tests/stand_ins/service_stand_in.hpp
@@ -30,6 +30,8 @@
 
     /// How often a call with this body ran.
     int runs_of(const std::string& body) const;
+    /// Calls that ran so far.
+    int runs() const;
     /// Header fields that came with calls, as "name: value".
     std::vector<std::string> headers_seen() const;
 
