--- a/lessons/lesson_01_tickets.cpp
+++ b/lessons/lesson_01_tickets.cpp
@@ -21,7 +21,7 @@
     // Accepting it is a pure function: the state before, the ticket and its offset in the log give
     // the state after.
     fleet_state before;
-    fleet_state after = *accept(before, *first, log_offset(0));
+    fleet_state after = accept(before, *first, log_offset(0))->state;
     const workspace_object* clinics = find_object(after.workspaces, workspace_id("clinics"));
     fmt::print("clinics may use {} tokens a second\n",
                clinics->rate.count() / millitokens_in_token);
--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -245,12 +245,39 @@
     return it == query.end() ? otherwise : it->second;
 }
 
+namespace
+{
+
+// Only the address is reused, for a restart. The library's own options would let two processes
+// listen on one port, where each gets part of the other's callers.
+int prepare_socket(int socket)
+{
+    int on = 1;
+    setsockopt(socket, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+    return socket;
+}
+
+// The library listens with room for five connections; a burst of first requests needs more, or
+// callers wait a second for their connection's next attempt.
+void widen_backlog(int socket)
+{
+    constexpr int backlog = 1024;
+    if (socket >= 0)
+    {
+        listen(socket, backlog);
+    }
+}
+
+} // namespace
+
 struct http_server::impl
 {
     explicit impl(const http_server_options& options) : server(options) {}
 
     connection_server server;
     std::thread listener;
+    /// The listening socket, or -1.
+    int socket = -1;
 };
 
 http_server::http_server(const http_server_options& options)
@@ -258,6 +285,7 @@
 {
     auto& server = impl_->server;
     server.set_payload_max_length(options.largest_body);
+    server.set_socket_options([&it = *impl_](int fd) { it.socket = prepare_socket(fd); });
     server.set_tcp_nodelay(true);
     auto colon = options.address.rfind(':');
     std::string ip = options.address.substr(0, colon);
@@ -272,6 +300,7 @@
     {
         bound = server.bind_to_port(ip, port);
     }
+    widen_backlog(impl_->socket);
     address_ = bound ? ip + ":" + std::to_string(port) : "";
 }
 
