--- a/src/entry/entry_host.cpp
+++ b/src/entry/entry_host.cpp
@@ -1,41 +1,30 @@
 #include "entry/entry_host.hpp"
 
-#include <thread>
-
 #include "coordination/fixed_shares.hpp"
 #include "entry/placement_follower.hpp"
-#include "entry/request_handler.hpp"
+#include "entry/request_part.hpp"
 #include "entry/state_part.hpp"
 #include "state/duty_thread.hpp"
 #include "state/log_line.hpp"
 
 namespace banyanshunt
 {
-namespace
-{
-
-constexpr milliseconds drain_poll(10);
-
-} // namespace
-
 struct entry_host::impl
 {
     explicit impl(const entry_settings& given)
-        : settings(given), engine(http), service(http), channels(given.peer_keys),
+        : settings(given), channels(given.peer_keys),
           state_duties(settings, http, channels, counters,
                        [this](const auto& list) { take_list(list); }),
-          state(state_duties.cell()), shares(state, given.entry_hosts), board(given.most_waiting),
-          placement(channels, board,
+          state(state_duties.cell()), shares(state, given.entry_hosts),
+          requests({.settings = settings,
+                    .state = state,
+                    .shares = shares,
+                    .http = http,
+                    .counters = counters,
+                    .wake_demand = [this] { wake_demand(); }}),
+          placement(channels, requests.board(),
                     {.host = host_id(given.host.name), .domain = domain_id(given.host.domain)}),
-          handler({.settings = settings,
-                   .state = state,
-                   .shares = shares,
-                   .board = board,
-                   .engine = engine,
-                   .service = service,
-                   .counters = counters,
-                   .wake_demand = [this] { wake_demand(); }}),
-          callers({.address = given.listen, .threads = given.threads}),
+          callers(request_part::server_options(given)),
           admin({.address = given.admin_listen, .threads = 4}),
           peers({.address = given.peer_listen,
                  .credentials = given.peer_keys,
@@ -73,25 +62,12 @@
         }
     }
 
-    void add_caller_handlers()
-    {
-        callers.handle("POST", "/v1/completions",
-                       [this](auto& it) { return handler.completion(it, false); });
-        callers.handle("POST", "/v1/chat/completions",
-                       [this](auto& it) { return handler.completion(it, true); });
-        callers.handle("GET", "/v1/models", [this](auto& it) { return handler.models(it); });
-        for (const char* method : {"GET", "POST", "PUT", "DELETE"})
-        {
-            callers.handle(method, "/.*", [this](auto& it) { return handler.plain_call(it); });
-        }
-    }
-
     void add_admin_handlers()
     {
         admin.handle("GET", "/metrics",
                      [this](auto&)
                      {
-                         counters.set("banyanshunt_requests_running", handler.running());
+                         counters.set("banyanshunt_requests_running", requests.handler().running());
                          counters.set("banyanshunt_ticket_in_force",
                                       static_cast<double>(state.get()->last_ticket.count()));
                          return http_reply{.content_type = "text/plain; version=0.0.4",
@@ -114,15 +90,12 @@
     entry_settings settings;
     metrics counters;
     http_client http;
-    http_model_engine engine;
-    http_plain_service service;
     peer_channels channels;
     state_part state_duties;
     state_cell& state;
     fixed_shares shares;
-    replica_board board;
+    request_part requests;
     placement_follower placement;
-    request_handler handler;
     http_server callers;
     http_server admin;
     std::atomic<bool> draining = false;
@@ -145,7 +118,8 @@
     }
     it.state_duties.start(it.peers.address(), it.admin.address());
     it.placement_duty = std::make_unique<duty_thread>([&it] { return it.follow_placement(); });
-    it.add_caller_handlers();
+    it.requests.start();
+    it.requests.add_handlers(it.callers);
     it.add_admin_handlers();
     it.callers.start();
     it.admin.start();
@@ -160,15 +134,9 @@
     impl& it = *impl_;
     it.draining = true;
     it.state_duties.leave();
-    it.handler.drain();
-    log_change("draining", "running={}", it.handler.running());
-    instant limit = boot_clock().now() + it.settings.drain_limit;
-    while (it.handler.running() > 0 && boot_clock().now() < limit)
-    {
-        std::this_thread::sleep_for(drain_poll);
-    }
-    bool clean = it.handler.running() == 0;
+    bool clean = it.requests.drain(it.callers);
     it.callers.stop();
+    it.requests.stop();
     it.placement_duty->stop();
     it.state_duties.stop();
     it.admin.stop();
--- a/src/entry/entry_settings.cpp
+++ b/src/entry/entry_settings.cpp
@@ -12,6 +12,7 @@
     it.host = read_host_settings(file);
     it.platform = read_platform_settings(file);
     it.peer_keys = read_peer_keys(read_peer_settings(file), file);
+    it.state = read_state_settings(file);
     it.listen = file.address("callers", "listen");
     it.peer_listen = file.address("peers", "listen");
     it.admin_listen = file.address("admin", "listen");
@@ -29,6 +30,7 @@
     it.service_limit = file.duration("limits", "service_ms", defaults.service_limit);
     it.demand_interval = file.duration("limits", "demand_interval_ms", defaults.demand_interval);
     it.drain_limit = file.duration("limits", "drain_ms", defaults.drain_limit);
+    it.requests = read_request_settings(file);
     return it;
 }
 
--- /dev/null
+++ b/src/entry/request_part.cpp
@@ -0,0 +1,122 @@
+#include "entry/request_part.hpp"
+
+#include <thread>
+
+#include <fmt/format.h>
+
+#include "coordination/random_source.hpp"
+#include "protocol/claim_codec.hpp"
+#include "state/errors.hpp"
+#include "state/log_line.hpp"
+
+namespace banyanshunt
+{
+namespace
+{
+
+constexpr milliseconds drain_poll(10);
+constexpr milliseconds sweep_interval(100);
+
+// A workspace that waits for tokens may hold an eighth of the threads, all of them a quarter.
+constexpr std::size_t line_part = 8;
+constexpr std::size_t all_lines_part = 4;
+
+} // namespace
+
+request_part::request_part(const request_part_needs& needs)
+    : settings_(needs.settings), state_(needs.state), counters_(needs.counters),
+      engine_(needs.http), service_(needs.http),
+      log_(needs.http, settings_.platform.log, settings_.platform.patience),
+      board_({.most_waiting = settings_.most_waiting,
+              .choice = {.slots = settings_.requests.slots},
+              .seed = system_seeded()()}),
+      line_(settings_.threads / line_part, settings_.threads / all_lines_part),
+      batcher_(log_, {.appends_per_second = settings_.requests.claim_appends}),
+      claims_(log_, batcher_,
+              {.writer = fmt::format("{}-{:x}", settings_.host.name, system_seeded()()),
+               .codec = {.encode = encode_claim_record, .decode = decode_claim_record}}),
+      handler_({.settings = settings_,
+                .state = state_,
+                .shares = needs.shares,
+                .line = line_,
+                .board = board_,
+                .claims = claims_,
+                .engine = engine_,
+                .service = service_,
+                .counters = counters_,
+                .wake_demand = needs.wake_demand})
+{
+}
+
+http_server_options request_part::server_options(const entry_settings& settings)
+{
+    return {.address = settings.listen,
+            .threads = settings.threads,
+            .refusal = encode_failure({.run = run_state::not_run,
+                                       .code = errc::queue_full,
+                                       .detail = "too many requests are under way",
+                                       .retry_after = milliseconds(1000)})};
+}
+
+void request_part::add_handlers(http_server& callers)
+{
+    callers.handle("POST", "/v1/completions",
+                   [this](auto& it) { return handler_.completion(it, false); });
+    callers.handle("POST", "/v1/chat/completions",
+                   [this](auto& it) { return handler_.completion(it, true); });
+    callers.handle("GET", "/v1/models", [this](auto& it) { return handler_.models(it); });
+    for (const char* method : {"GET", "POST", "PUT", "DELETE"})
+    {
+        callers.handle(method, "/.*", [this](auto& it) { return handler_.plain_call(it); });
+    }
+}
+
+milliseconds request_part::sweep()
+{
+    handler_.sweep();
+    counters_.set("banyanshunt_requests_waiting", static_cast<double>(board_.waiting()));
+    return sweep_interval;
+}
+
+void request_part::start()
+{
+    waiting_duty_ = std::make_shared<duty_thread>([this] { return sweep(); });
+    claim_duty_ = std::make_unique<duty_thread>([this] { return batcher_.step(); });
+    // A ticket may withdraw keys of waiting requests or mark servers as leaving. Listeners stay
+    // after a stop.
+    state_.on_change(
+        [duty = std::weak_ptr(waiting_duty_)]
+        {
+            if (auto it = duty.lock())
+            {
+                it->wake();
+            }
+        });
+}
+
+bool request_part::drain(http_server& callers)
+{
+    std::this_thread::sleep_for(settings_.requests.drain_notice);
+    callers.drain();
+    handler_.drain();
+    log_change("draining", "running={}", handler_.running());
+    instant limit = boot_clock().now() + settings_.drain_limit;
+    while (handler_.running() > 0 && boot_clock().now() < limit)
+    {
+        std::this_thread::sleep_for(drain_poll);
+    }
+    return handler_.running() == 0;
+}
+
+void request_part::stop()
+{
+    instant limit = boot_clock().now() + settings_.platform.patience;
+    while (batcher_.waiting() > 0 && boot_clock().now() < limit)
+    {
+        std::this_thread::sleep_for(drain_poll);
+    }
+    claim_duty_->stop();
+    waiting_duty_->stop();
+}
+
+} // namespace banyanshunt
