--- a/src/coordination/state_keeper.cpp
+++ b/src/coordination/state_keeper.cpp
@@ -1,11 +1,16 @@
 #include "coordination/state_keeper.hpp"
 
+#include <utility>
+
 namespace banyanshunt
 {
 
 state_keeper::state_keeper(const state_keeper_options& options)
     : options_(options),
-      peers_({.self = options.host, .domain = options.domain, .patience = options.peer_patience})
+      // A placer's name is that of the entry host beside it, which is its peer.
+      peers_({.self = options.role == entry_role ? options.host : host_id(),
+              .domain = options.domain,
+              .patience = options.peer_patience})
 {
 }
 
@@ -45,6 +50,10 @@
     {
         std::lock_guard lock(mutex_);
         peers_.hear(from, now);
+        if (from.through > cell_.get()->through)
+        {
+            ahead_ = from.peer_address;
+        }
     }
     exchange_answer it{.said = self(now), .delta = {}};
     auto state = cell_.get();
@@ -55,6 +64,12 @@
     return it;
 }
 
+std::string state_keeper::take_ahead()
+{
+    std::lock_guard lock(mutex_);
+    return std::exchange(ahead_, "");
+}
+
 bool state_keeper::take(const exchange_answer& answer, instant asked, instant now)
 {
     bool moved = false;
