--- a/src/coordination/fair_places.hpp
+++ b/src/coordination/fair_places.hpp
@@ -5,6 +5,11 @@
 /// workspace that sends several times its rate must not fill them and have the others refused.
 
 #include <cstddef>
+#include <map>
+#include <memory>
+#include <mutex>
+
+#include "state/ids.hpp"
 
 namespace banyanshunt
 {
@@ -16,4 +21,44 @@
     return taken < capacity && own < capacity - taken;
 }
 
+/// A bounded number of places that workspaces share by that threshold; safe from any thread.
+class fair_places
+{
+public:
+    explicit fair_places(std::size_t capacity) : capacity_(capacity) {}
+
+    /// Holds one place until it is destroyed, at the latest when the places are.
+    using place = std::shared_ptr<void>;
+
+    /// Returns a place for the workspace, or null.
+    place take(const workspace_id& workspace)
+    {
+        std::lock_guard lock(mutex_);
+        std::size_t& own = taken_of_[workspace];
+        if (!may_take_place(own, taken_, capacity_))
+        {
+            return nullptr;
+        }
+        ++own;
+        ++taken_;
+        return {this, [workspace](fair_places* places) { places->give_back(workspace); }};
+    }
+
+private:
+    void give_back(const workspace_id& workspace)
+    {
+        std::lock_guard lock(mutex_);
+        --taken_;
+        if (--taken_of_[workspace] == 0)
+        {
+            taken_of_.erase(workspace);
+        }
+    }
+
+    std::size_t capacity_;
+    std::mutex mutex_;
+    std::size_t taken_ = 0;
+    std::map<workspace_id, std::size_t> taken_of_;
+};
+
 } // namespace banyanshunt
--- a/src/coordination/header_filter.cpp
+++ b/src/coordination/header_filter.cpp
@@ -16,7 +16,7 @@
     "range",
 };
 
-constexpr std::array<std::string_view, 10> towards_callers = {
+constexpr std::array<std::string_view, 9> towards_callers = {
     "cache-control", "content-disposition", "content-language", "content-range",
     "etag",          "last-modified",       "location",         "retry-after",
     "x-request-id",
--- a/src/entry/request_handler.cpp
+++ b/src/entry/request_handler.cpp
@@ -24,6 +24,7 @@
     explicit job(std::atomic<int>& count) : counted(count) {}
 
     running_count counted;
+    fair_places::place place;
     admitted_completion admitted;
     reservation held;
     answer_header header;
@@ -70,6 +71,11 @@
     {
         return admitted.error();
     }
+    it->place = context_.places.take(admitted->workspace);
+    if (!it->place)
+    {
+        return no_place_refusal();
+    }
     it->begun = boot_clock().now();
     it->deadline = deadline_of(request, context_.settings.deadline, it->begun);
     it->caller_gone = request.caller_gone;
--- a/src/entry/request_part.hpp
+++ b/src/entry/request_part.hpp
@@ -56,6 +56,7 @@
     http_log_service log_;
     replica_board board_;
     token_line line_;
+    fair_places places_;
     log_batcher<http_log_service> batcher_;
     claim_desk<http_log_service> claims_;
     request_handler handler_;
--- a/src/entry/request_parts.cpp
+++ b/src/entry/request_parts.cpp
@@ -58,6 +58,14 @@
             .retry_after = milliseconds(milliseconds_in_second)};
 }
 
+failure no_place_refusal()
+{
+    return {.run = run_state::not_run,
+            .code = errc::queue_full,
+            .detail = "too many requests of this workspace are under way on this host",
+            .retry_after = milliseconds(milliseconds_in_second)};
+}
+
 bool in_force(const fleet_state& state, const key_id& key, const workspace_id& workspace)
 {
     const key_object* object = find_object(state.keys, key);
--- a/src/entry/request_parts.hpp
+++ b/src/entry/request_parts.hpp
@@ -9,6 +9,7 @@
 
 #include "coordination/any_token_source.hpp"
 #include "coordination/claim_desk.hpp"
+#include "coordination/fair_places.hpp"
 #include "coordination/key_check.hpp"
 #include "coordination/replica_board.hpp"
 #include "coordination/token_line.hpp"
@@ -29,6 +30,8 @@
     const state_cell& state;
     any_token_source shares;
     token_line& line;
+    /// Places of requests under way.
+    fair_places& places;
     replica_board& board;
     claim_desk<http_log_service>& claims;
     http_model_engine& engine;
@@ -59,6 +62,8 @@
 http_reply refusal_reply(metrics& counters, const failure& why);
 /// The refusal of a host that is stopping.
 failure draining_refusal();
+/// The refusal of a request whose workspace has all the places that it may have.
+failure no_place_refusal();
 /// Whether the key still speaks for the workspace.
 bool in_force(const fleet_state& state, const key_id& key, const workspace_id& workspace);
 /// Waits in line for the tokens; ends early when the key is withdrawn or the caller is gone.
--- a/src/entry/service_calls.cpp
+++ b/src/entry/service_calls.cpp
@@ -119,7 +119,7 @@
     return last;
 }
 
-verdict<service_answer> service_calls::send_claimed(const call& it)
+verdict<service_answer> service_calls::send_claimed(call& it)
 {
     std::string idempotency_key = it.request.header("idempotency-key");
     if (idempotency_key.size() > longest_idempotency_key)
@@ -137,10 +137,10 @@
     }
     if (claimed->told)
     {
+        it.told_again = true;
         return service_answer{.status = claimed->told->status,
                               .content_type = claimed->told->content_type,
-                              .body = claimed->told->body,
-                              .headers = {{"Idempotent-Replayed", "true"}}};
+                              .body = claimed->told->body};
     }
     auto answer = send_to_servers(it);
     if (answer)
@@ -157,7 +157,7 @@
 }
 
 // A call that did not run costs nothing; neither does one whose outcome was only told again.
-verdict<service_answer> service_calls::send(const call& it)
+verdict<service_answer> service_calls::send(call& it)
 {
     bool claims = !it.admitted.route.repeatable && !it.request.header("idempotency-key").empty();
     std::optional<reservation> held;
@@ -175,10 +175,7 @@
     auto answer = claims ? send_claimed(it) : send_to_servers(it);
     if (held)
     {
-        bool told_again = answer && std::any_of(answer->headers.begin(), answer->headers.end(),
-                                                [](const http_field& field)
-                                                { return field.name == "Idempotent-Replayed"; });
-        bool ran_now = !told_again && (answer || answer.error().run == run_state::may_have_run);
+        bool ran_now = !it.told_again && (answer || answer.error().run == run_state::may_have_run);
         context_.shares.settle(*held, ran_now ? held->amount : millitokens(0), boot_clock().now());
     }
     return answer;
@@ -191,6 +188,13 @@
     {
         return refusal_reply(context_.counters, admitted.error());
     }
+    // Callers of routes open to all share places as one.
+    auto place =
+        context_.places.take(admitted->holder ? admitted->holder->workspace : workspace_id());
+    if (!place)
+    {
+        return refusal_reply(context_.counters, no_place_refusal());
+    }
     call it{.request = request,
             .id = id,
             .admitted = *admitted,
@@ -201,6 +205,10 @@
         return refusal_reply(context_.counters, answer.error());
     }
     auto fields = fields_for_caller(answer->headers);
+    if (it.told_again)
+    {
+        fields.push_back({.name = "Idempotent-Replayed", .value = "true"});
+    }
     return {.status = answer->status,
             .content_type = answer->content_type,
             .headers = std::move(fields),
--- a/src/entry/service_calls.hpp
+++ b/src/entry/service_calls.hpp
@@ -32,10 +32,12 @@
         request_id id;
         admitted_call admitted;
         instant deadline;
+        /// Nothing was sent: the answer is the outcome of an earlier call with the same key.
+        bool told_again = false;
     };
 
-    verdict<service_answer> send(const call& it);
-    verdict<service_answer> send_claimed(const call& it);
+    verdict<service_answer> send(call& it);
+    verdict<service_answer> send_claimed(call& it);
     verdict<service_answer> send_to_servers(const call& it);
     std::vector<server_id> servers_in_order(const call& it);
     verdict<service_answer> send_to(const call& it, const server_id& name,
--- a/tests/correctness/replica_board_test.cpp
+++ b/tests/correctness/replica_board_test.cpp
@@ -1,6 +1,7 @@
 /// \file
 /// Requests at the board: served in fair order, or refused in time with the true reason.
 
+#include <array>
 #include <atomic>
 #include <future>
 
@@ -120,10 +121,10 @@
     }
     SECTION("is refused at once when its workspace has filled its places, unlike another's")
     {
-        std::vector<std::future<answer>> waiting;
-        for (int i = 0; i < 4; ++i)
+        std::array<std::future<answer>, 4> waiting;
+        for (auto& it : waiting)
         {
-            waiting.push_back(begin_wait(board, wait_of("flood")));
+            it = begin_wait(board, wait_of("flood"));
         }
         auto refused = board.wait_for(wait_of("flood"));
         REQUIRE(!refused);
--- a/tests/correctness/waiting_queue_test.cpp
+++ b/tests/correctness/waiting_queue_test.cpp
@@ -116,6 +116,23 @@
     static_assert(!may_take_place(0, 64, 64));
 }
 
+TEST_CASE("places of requests under way")
+{
+    fair_places places(8);
+    std::vector<fair_places::place> flood;
+    for (auto it = places.take(workspace_id("flood")); it; it = places.take(workspace_id("flood")))
+    {
+        flood.push_back(it);
+    }
+    CHECK(flood.size() == 4);
+    auto quiet = places.take(workspace_id("quiet"));
+    CHECK(quiet);
+    flood.pop_back();
+    CHECK(!places.take(workspace_id("flood")));
+    quiet = nullptr;
+    CHECK(places.take(workspace_id("flood")));
+}
+
 TEST_CASE("every request that enters leaves exactly once")
 {
     for (std::uint64_t seed = 1; seed <= 200; ++seed)
--- a/tests/stand_ins/engine_stand_in.cpp
+++ b/tests/stand_ins/engine_stand_in.cpp
@@ -281,6 +281,7 @@
             return status_only(404);
         }
         it->second.cancelled = true;
+        ++cancelled;
         return json_body("{}");
     }
 
@@ -409,6 +410,7 @@
     std::vector<std::string> headers;
     int running = 0;
     int overcommitted = 0;
+    int cancelled = 0;
     fault_table faults;
     http_client http;
     http_server server;
@@ -456,6 +458,12 @@
     return it == impl_->runs.end() ? 0 : it->second;
 }
 
+int engine_stand_in::cancels() const
+{
+    std::lock_guard lock(impl_->mutex);
+    return impl_->cancelled;
+}
+
 int engine_stand_in::overcommits() const
 {
     std::lock_guard lock(impl_->mutex);
--- a/tests/stand_ins/engine_stand_in.hpp
+++ b/tests/stand_ins/engine_stand_in.hpp
@@ -40,6 +40,8 @@
     std::vector<std::string> headers_seen() const;
     /// How often each request id was run.
     int runs_of(const request_id& id) const;
+    /// Requests that were cancelled.
+    int cancels() const;
     /// Orders that would have overcommitted the memory; each one is a defect of the placer.
     int overcommits() const;
 
