--- a/src/coordination/replica_board.cpp
+++ b/src/coordination/replica_board.cpp
@@ -247,6 +247,7 @@
                 return;
             }
             ++it->waiting;
+            it->last_deadline = std::max(it->last_deadline, wait.deadline);
             if (wait.deadline < it->deadline)
             {
                 it->deadline = wait.deadline;
