--- a/tests/correctness/waiting_queue_test.cpp
+++ b/tests/correctness/waiting_queue_test.cpp
@@ -127,9 +127,10 @@
     CHECK(flood.size() == 4);
     auto quiet = places.take(workspace_id("quiet"));
     CHECK(quiet);
-    flood.pop_back();
     CHECK(!places.take(workspace_id("flood")));
     quiet = nullptr;
+    CHECK(!places.take(workspace_id("flood")));
+    flood.pop_back();
     CHECK(places.take(workspace_id("flood")));
 }
 
