--- a/src/entry/answer_stream.cpp
+++ b/src/entry/answer_stream.cpp
@@ -1,5 +1,9 @@
 #include "entry/answer_stream.hpp"
 
+#include <thread>
+
+#include "state/errors.hpp"
+
 namespace banyanshunt
 {
 namespace
@@ -10,16 +14,35 @@
 
 } // namespace
 
-answer_stream::answer_stream(runner run) : reader_([this, run = std::move(run)] { read(run); }) {}
+answer_stream::answer_stream(worker_pool& readers, runner run)
+{
+    auto read_here = [this, run = std::move(run), ended = ended_](bool found_worker)
+    {
+        read(run, found_worker);
+        ended->set_value();
+    };
+    if (!readers.add(read_here))
+    {
+        read_here(false);
+    }
+}
 
 answer_stream::~answer_stream()
 {
     abandon();
-    reader_.join();
+    ended_->get_future().wait();
 }
 
-void answer_stream::read(const runner& run)
+void answer_stream::read(const runner& run, bool found_worker)
 {
+    if (!found_worker)
+    {
+        put(failure{.run = run_state::not_run,
+                    .code = errc::queue_full,
+                    .detail = "too many streams are under way",
+                    .retry_after = milliseconds(1000)});
+        return;
+    }
     auto end = run([this](const stream_token& token) { return put(token); });
     if (end)
     {
--- a/src/entry/answer_stream.hpp
+++ b/src/entry/answer_stream.hpp
@@ -6,11 +6,13 @@
 
 #include <atomic>
 #include <functional>
-#include <thread>
+#include <future>
+#include <memory>
 #include <variant>
 
 #include "coordination/model_engine.hpp"
 #include "state/bounded_ring.hpp"
+#include "transport/worker_pool.hpp"
 
 namespace banyanshunt
 {
@@ -18,14 +20,15 @@
 /// A token, the end, or the failure of an answer.
 using answer_item = std::variant<stream_token, completion_end, failure>;
 
-/// Runs a completion on a thread of its own and passes on what comes.
+/// Runs a completion on a reader's thread and passes on what comes.
 class answer_stream
 {
 public:
     /// Runs with a sink for tokens and returns how the answer ended.
     using runner = std::function<verdict<completion_end>(const token_sink&)>;
 
-    explicit answer_stream(runner run);
+    /// Fails the answer with `errc::queue_full` if none of the readers is free in time.
+    answer_stream(worker_pool& readers, runner run);
     /// Stops the reading, if it still goes on, and waits for it.
     ~answer_stream();
     answer_stream(const answer_stream&) = delete;
@@ -37,14 +40,15 @@
     void abandon();
 
 private:
-    void read(const runner& run);
+    void read(const runner& run, bool found_worker);
     bool put(const answer_item& item);
 
     static constexpr std::size_t ring_capacity = 256;
 
     bounded_ring<answer_item> ring_{ring_capacity};
     std::atomic<bool> abandoned_ = false;
-    std::thread reader_;
+    /// Shared with the reader, which may still be setting it when the stream is destroyed.
+    std::shared_ptr<std::promise<void>> ended_ = std::make_shared<std::promise<void>>();
 };
 
 } // namespace banyanshunt
--- a/src/entry/request_handler.cpp
+++ b/src/entry/request_handler.cpp
@@ -34,12 +34,13 @@
     instant deadline;
     std::function<bool()> caller_gone;
     bool first_token = true;
+    bool settled = false;
 };
 
 request_handler::request_handler(request_context context)
     : context_(std::move(context)), service_calls_(context_),
       retries_({.percent = context_.settings.requests.retry_percent}), random_(system_seeded()),
-      next_request_(0), life_(system_seeded()())
+      next_request_(0), life_(system_seeded()()), readers_({.threads = context_.settings.threads})
 {
 }
 
@@ -185,10 +186,18 @@
     {
         used = millitokens(0);
     }
-    context_.shares.settle(it.held, used, boot_clock().now());
+    settle(it, used);
     return end;
 }
 
+void request_handler::settle(job& it, millitokens used)
+{
+    if (!std::exchange(it.settled, true))
+    {
+        context_.shares.settle(it.held, used, boot_clock().now());
+    }
+}
+
 http_reply request_handler::whole_answer(const std::shared_ptr<job>& it)
 {
     std::string text;
@@ -207,11 +216,13 @@
 
 http_reply request_handler::streamed_answer(const std::shared_ptr<job>& it)
 {
-    auto answer = std::make_shared<answer_stream>([this, it](const token_sink& sink)
+    auto answer = std::make_shared<answer_stream>(readers_, [this, it](const token_sink& sink)
                                                   { return run(*it, sink); });
     answer_item first = answer->next();
     if (auto* why = std::get_if<failure>(&first))
     {
+        // Without a reader it never began.
+        settle(*it, millitokens(0));
         return refusal_reply(context_.counters, *why);
     }
     http_reply reply{.content_type = "text/event-stream", .headers = {}, .body = {}, .stream = {}};
--- a/src/entry/request_handler.hpp
+++ b/src/entry/request_handler.hpp
@@ -41,6 +41,8 @@
     verdict<completion_end> run(job& it, const token_sink& sink);
     verdict<completion_end> run_with_retries(job& it, const token_sink& sink);
     verdict<completion_end> run_on(job& it, const ready_replica& replica, const token_sink& sink);
+    /// Gives back the unused part of the reservation, the first time.
+    void settle(job& it, millitokens used);
     std::optional<milliseconds> pause_before_retry(int attempt);
     http_reply whole_answer(const std::shared_ptr<job>& it);
     http_reply streamed_answer(const std::shared_ptr<job>& it);
@@ -55,6 +57,7 @@
     std::atomic<int> running_ = 0;
     std::atomic<std::uint64_t> next_request_;
     std::uint64_t life_;
+    worker_pool readers_;
 };
 
 } // namespace banyanshunt
--- a/tests/performance/overhead_bench.cpp
+++ b/tests/performance/overhead_bench.cpp
@@ -100,7 +100,7 @@
         return {.address = entry.caller_address(),
                 .method = "POST",
                 .path = "/v1/completions",
-                .headers = {{"Authorization", "Bearer k1.secret"}},
+                .headers = {{"Authorization", "Bearer k1.secret"}, {"Accept-Encoding", "identity"}},
                 .body =
                     fmt::format(R"({{"model":"{}","prompt":"swap","max_tokens":{},"stream":{}}})",
                                 model, tokens_asked, stream),
