--- a/src/entry/entry_settings.hpp
+++ b/src/entry/entry_settings.hpp
@@ -5,6 +5,8 @@
 
 #include <optional>
 
+#include "entry/request_settings.hpp"
+#include "entry/state_settings.hpp"
 #include "protocol/peer_settings.hpp"
 #include "transport/peer_node.hpp"
 
@@ -16,6 +18,7 @@
     host_settings host;
     platform_settings platform;
     std::optional<peer_credentials> peer_keys;
+    state_settings state;
 
     /// Where callers come in.
     std::string listen;
@@ -40,6 +43,7 @@
     milliseconds demand_interval{50};
     /// How long a stop waits for running requests.
     milliseconds drain_limit{60000};
+    request_settings requests;
 };
 
 /// Reads all settings; `file.mistakes()` then tells what is wrong.
