Demand goes through one placer of each host, and domains ask each other's holder

Cause: each entry host asked every placer 20 times a second, so traffic grew with hosts times placers. Change: an entry host asks its own host's placer; that one asks the holder of the domain's leases, and that one the other domains' holders. Answers carry a version, and what has not changed is not sent again. A request whose model is expected to be ready only after its deadline is refused at once.

--- a/src/coordination/model_engine.hpp
+++ b/src/coordination/model_engine.hpp
@@ -64,6 +64,7 @@
     std::vector<adapter_id> adapters_loading;
     /// Requests that run on it now.
     int running = 0;
+    friend bool operator==(const held_replica&, const held_replica&) = default;
 };
 
 /// A checkpoint that the engine's host has near.
--- a/src/coordination/placement/load_times.hpp
+++ b/src/coordination/placement/load_times.hpp
@@ -11,12 +11,12 @@
 namespace banyanshunt
 {
 
-/// What is expected before any load was seen.
+/// What is expected before any load was seen. Zero refuses nobody for a time that is only a guess.
 struct load_times_options
 {
-    milliseconds memory{500};
-    milliseconds disk{2000};
-    milliseconds remote{5000};
+    milliseconds memory{0};
+    milliseconds disk{0};
+    milliseconds remote{0};
 };
 
 /// Used by one thread.
@@ -33,7 +33,9 @@
     {
         constexpr int smoothing = 4;
         nanoseconds& it = expected_[static_cast<std::size_t>(tier)];
-        it += (duration - it) / smoothing;
+        bool& seen = seen_[static_cast<std::size_t>(tier)];
+        it = seen ? it + (duration - it) / smoothing : duration;
+        seen = true;
     }
 
     nanoseconds expected(checkpoint_tier tier) const
@@ -43,6 +45,7 @@
 
 private:
     std::array<nanoseconds, 3> expected_;
+    std::array<bool, 3> seen_{};
 };
 
 } // namespace banyanshunt
--- a/src/coordination/placement/placement_policies.cpp
+++ b/src/coordination/placement/placement_policies.cpp
@@ -23,7 +23,9 @@
 double eviction_cost(const idle_replica& it)
 {
     double gap = std::max(in_seconds(std::max(it.mean_gap, it.idle)), 1.0);
-    return in_seconds(it.reload) / gap / static_cast<double>(std::max(it.memory.count(), 1L));
+    // A reload whose time is not known yet counts as a short one.
+    double reload = std::max(in_seconds(it.reload), 0.001);
+    return reload / gap / static_cast<double>(std::max(it.memory.count(), 1L));
 }
 
 } // namespace
--- a/src/entry/entry_host.cpp
+++ b/src/entry/entry_host.cpp
@@ -23,7 +23,9 @@
                     .counters = counters,
                     .wake_demand = [this] { wake_demand(); }}),
           placement(channels, requests.board(),
-                    {.host = host_id(given.host.name), .domain = domain_id(given.host.domain)}),
+                    {.host = host_id(given.host.name),
+                     .domain = domain_id(given.host.domain),
+                     .busy_interval = given.demand_interval}),
           callers(request_part::server_options(given)),
           admin({.address = given.admin_listen, .threads = 4}),
           peers({.address = given.peer_listen,
@@ -35,24 +37,9 @@
     // Every part that answers peers adds its service here.
     std::vector<grpc::Service*> peer_services() { return {state_duties.service()}; }
 
-    void take_list(const std::vector<listed_host>& list)
-    {
-        std::vector<std::string> placers;
-        for (const auto& host : list)
-        {
-            if (host.role == "placer")
-            {
-                placers.push_back(host.address);
-            }
-        }
-        placement.set_placers(std::move(placers));
-    }
+    void take_list(const std::vector<listed_host>& list) { placement.set_hosts(list); }
 
-    milliseconds follow_placement()
-    {
-        placement.step();
-        return settings.demand_interval;
-    }
+    milliseconds follow_placement() { return placement.step(); }
 
     void wake_demand() const
     {
--- a/src/entry/placement_follower.cpp
+++ b/src/entry/placement_follower.cpp
@@ -1,6 +1,7 @@
 #include "entry/placement_follower.hpp"
 
 #include <algorithm>
+#include <map>
 
 namespace banyanshunt
 {
@@ -30,48 +31,80 @@
     return table;
 }
 
-void placement_follower::set_placers(std::vector<std::string> addresses)
+void placement_follower::set_hosts(const std::vector<listed_host>& hosts)
 {
+    auto distance = [this](const listed_host& it)
+    {
+        bool here = it.name == options_.host.str();
+        return here ? 0 : it.domain == options_.domain ? 1 : 2;
+    };
+    std::vector<listed_host> placers;
+    std::copy_if(hosts.begin(), hosts.end(), std::back_inserter(placers),
+                 [](const listed_host& it) { return it.role == "placer"; });
+    std::stable_sort(placers.begin(), placers.end(),
+                     [&](const auto& a, const auto& b) { return distance(a) < distance(b); });
     std::lock_guard lock(mutex_);
-    placers_ = std::move(addresses);
+    placers_.clear();
+    for (const auto& placer : placers)
+    {
+        placers_.push_back(placer.address);
+    }
 }
 
-// A server's newest lease wins: an older holder's word no longer counts.
-void placement_follower::take(const placement_answer& answer, const std::string& from)
+verdict<placement_answer> placement_follower::ask(const std::string& placer,
+                                                  std::vector<replica_need> needs)
 {
-    std::erase_if(servers_, [&](const auto& known) { return known.second.from == from; });
-    for (const auto& server : answer.servers)
+    if (placer != asked_last_)
     {
-        auto it = servers_.find(server.server);
-        if (it == servers_.end() || it->second.placed.fencing < server.fencing)
-        {
-            servers_[server.server] = {.placed = server, .from = from};
-        }
+        known_ = 0;
+        asked_last_ = placer;
+    }
+    demand it{.host = options_.host,
+              .domain = options_.domain,
+              .needs = std::move(needs),
+              .reach = demand_reach::from_entry,
+              .known = known_};
+    return send_demand(channels_, placer, it, boot_clock().now(), options_.patience);
+}
+
+void placement_follower::take(const placement_answer& answer)
+{
+    known_ = answer.version;
+    if (!answer.unchanged)
+    {
+        servers_ = answer.servers;
+    }
+    board_.replace(ready_replicas(servers_, options_.domain));
+    // Several domains may load a model; the first that is ready counts.
+    std::map<model_id, instant> ready_at;
+    for (const auto& it : answer.expected)
+    {
+        auto known = ready_at.try_emplace(it.model, it.at).first;
+        known->second = std::min(known->second, it.at);
     }
+    board_.refuse_too_late(ready_at);
 }
 
-void placement_follower::step()
+milliseconds placement_follower::step()
 {
     std::vector<std::string> placers;
     {
         std::lock_guard lock(mutex_);
         placers = placers_;
     }
-    demand it{.host = options_.host, .domain = options_.domain, .needs = board_.needs()};
-    for (const auto& placer : placers)
+    auto needs = board_.needs();
+    // A few are tried; the rest would only make the round longer.
+    constexpr std::size_t most_tried = 3;
+    for (std::size_t n = 0; n < std::min(placers.size(), most_tried); ++n)
     {
-        auto answer = send_demand(channels_, placer, it, boot_clock().now(), options_.patience);
+        auto answer = ask(placers[n], needs);
         if (answer)
         {
-            take(*answer, placer);
+            take(*answer);
+            break;
         }
     }
-    std::vector<placed_server> servers;
-    for (const auto& [id, known] : servers_)
-    {
-        servers.push_back(known.placed);
-    }
-    board_.replace(ready_replicas(servers, options_.domain));
+    return needs.empty() ? options_.idle_interval : options_.busy_interval;
 }
 
 } // namespace banyanshunt
--- a/src/entry/placement_follower.hpp
+++ b/src/entry/placement_follower.hpp
@@ -4,7 +4,8 @@
 /// Defines the duty that tells placers what this host's requests need, and keeps the board of
 /// replicas current from their answers.
 
-#include <map>
+#include <mutex>
+#include <vector>
 
 #include "coordination/host_list.hpp"
 #include "coordination/replica_board.hpp"
@@ -19,6 +20,9 @@
     host_id host;
     domain_id domain;
     milliseconds patience{500};
+    /// Between two rounds while something is needed, and otherwise.
+    milliseconds busy_interval{50};
+    milliseconds idle_interval{200};
 };
 
 /// One thread calls `step`.
@@ -31,28 +35,27 @@
     {
     }
 
-    /// The placers known to the platform, replaced when the host list changes.
-    void set_placers(std::vector<std::string> addresses);
+    /// The hosts known to the platform, replaced when the list changes. The placer of this host is
+    /// asked first, then those of its domain.
+    void set_hosts(const std::vector<listed_host>& hosts);
 
-    /// Asks every placer once and puts what they hold on the board.
-    void step();
+    /// Asks the first placer that answers, and puts what servers hold on the board. Returns how
+    /// long to pause.
+    milliseconds step();
 
 private:
-    void take(const placement_answer& answer, const std::string& from);
-
-    struct known_server
-    {
-        placed_server placed;
-        /// The placer that said so.
-        std::string from;
-    };
+    verdict<placement_answer> ask(const std::string& placer, std::vector<replica_need> needs);
+    void take(const placement_answer& answer);
 
     peer_channels& channels_;
     replica_board& board_;
     placement_follower_options options_;
     std::mutex mutex_;
+    /// Addresses, the nearest first.
     std::vector<std::string> placers_;
-    std::map<server_id, known_server> servers_;
+    std::string asked_last_;
+    std::int64_t known_ = 0;
+    std::vector<placed_server> servers_;
 };
 
 /// Turns servers' holdings into the table that requests choose from.
--- a/src/placer/demand_board.cpp
+++ b/src/placer/demand_board.cpp
@@ -7,23 +7,35 @@
 namespace
 {
 
-constexpr milliseconds word_valid_for(2000);
+constexpr milliseconds word_valid_for(3000);
+
+bool lists(const std::vector<replica_need>& needs, const replica_need& one)
+{
+    return std::any_of(needs.begin(), needs.end(),
+                       [&](const replica_need& it)
+                       { return it.model == one.model && it.adapter == one.adapter; });
+}
 
 } // namespace
 
-void demand_board::put(const host_id& host, std::vector<replica_need> needs, instant now)
+bool demand_board::put(const demand& it, instant now)
 {
     std::lock_guard lock(mutex_);
-    hosts_[host] = {.needs = std::move(needs), .at = now};
+    std::erase_if(hosts_, [&](const auto& old) { return now - old.second.at > word_valid_for; });
+    told& before = hosts_[{it.host, it.reach}];
+    bool more = std::any_of(it.needs.begin(), it.needs.end(),
+                            [&](const replica_need& need) { return !lists(before.needs, need); });
+    before = {.needs = it.needs, .at = now};
+    return more;
 }
 
-std::vector<replica_need> demand_board::joined(instant now) const
+std::vector<replica_need> demand_board::joined(demand_reach reach, instant now) const
 {
     std::lock_guard lock(mutex_);
     std::vector<replica_need> all;
     for (const auto& [host, word] : hosts_)
     {
-        if (now - word.at > word_valid_for)
+        if (now - word.at > word_valid_for || host.second > reach)
         {
             continue;
         }
--- a/src/placer/demand_board.hpp
+++ b/src/placer/demand_board.hpp
@@ -1,14 +1,14 @@
 #pragma once
 
 /// \file
-/// Defines what a placer knows of the needs of all entry hosts: each host's newest word replaces
-/// its older one, and an old word counts no more.
+/// Defines what a placer knows of the needs of other hosts: each host's newest word replaces its
+/// older one, and an old word counts no more.
 
 #include <map>
 #include <mutex>
 #include <vector>
 
-#include "coordination/replica_need.hpp"
+#include "transport/placement_link.hpp"
 
 namespace banyanshunt
 {
@@ -17,11 +17,12 @@
 class demand_board
 {
 public:
-    /// Replaces what `host` needs.
-    void put(const host_id& host, std::vector<replica_need> needs, instant now);
+    /// Replaces what a host needs; returns whether it now needs something that it did not before.
+    bool put(const demand& it, instant now);
 
-    /// All needs, those for the same replica joined, the earliest deadline first.
-    std::vector<replica_need> joined(instant now) const;
+    /// The needs that have come no further than `reach`, those for the same replica joined, the
+    /// earliest deadline first.
+    std::vector<replica_need> joined(demand_reach reach, instant now) const;
 
 private:
     struct told
@@ -31,7 +32,8 @@
     };
 
     mutable std::mutex mutex_;
-    std::map<host_id, told> hosts_;
+    /// By who said it and how far it has come.
+    std::map<std::pair<host_id, demand_reach>, told> hosts_;
 };
 
 } // namespace banyanshunt
--- /dev/null
+++ b/src/placer/placement_board.cpp
@@ -0,0 +1,69 @@
+#include "placer/placement_board.hpp"
+
+#include <algorithm>
+
+namespace banyanshunt
+{
+
+void placement_board::put(const domain_id& domain, domain_placement it)
+{
+    std::lock_guard lock(mutex_);
+    put_locked(domain, std::move(it));
+}
+
+void placement_board::put_locked(const domain_id& domain, domain_placement it)
+{
+    domain_placement& known = domains_[domain];
+    if (known.servers != it.servers)
+    {
+        ++version_;
+    }
+    known = std::move(it);
+}
+
+void placement_board::take(const placement_answer& answer, const std::optional<domain_id>& only)
+{
+    std::lock_guard lock(mutex_);
+    std::map<domain_id, domain_placement> said;
+    for (const auto& [domain, known] : domains_)
+    {
+        bool covered = !only || domain == *only;
+        if (covered)
+        {
+            said[domain].servers = answer.unchanged ? known.servers : std::vector<placed_server>();
+        }
+    }
+    for (const auto& server : answer.servers)
+    {
+        said[server.domain].servers.push_back(server);
+    }
+    for (const auto& it : answer.expected)
+    {
+        said[it.domain].expected.push_back(it);
+    }
+    for (auto& [domain, it] : said)
+    {
+        put_locked(domain, std::move(it));
+    }
+}
+
+void placement_board::fill(const demand& it, placement_answer& answer) const
+{
+    std::lock_guard lock(mutex_);
+    answer.version = version_;
+    answer.unchanged = it.known == version_;
+    for (const auto& [domain, known] : domains_)
+    {
+        if (it.reach == demand_reach::from_domain && domain != own_)
+        {
+            continue;
+        }
+        answer.expected.insert(answer.expected.end(), known.expected.begin(), known.expected.end());
+        if (!answer.unchanged)
+        {
+            answer.servers.insert(answer.servers.end(), known.servers.begin(), known.servers.end());
+        }
+    }
+}
+
+} // namespace banyanshunt
--- a/src/placer/placer_host.cpp
+++ b/src/placer/placer_host.cpp
@@ -4,7 +4,7 @@
 
 #include "coordination/random_source.hpp"
 #include "coordination/state_follower.hpp"
-#include "placer/demand_board.hpp"
+#include "placer/demand_relay.hpp"
 #include "placer/domain_placer.hpp"
 #include "placer/gone_servers.hpp"
 #include "protocol/platform_codec.hpp"
@@ -31,6 +31,13 @@
     return incarnation(static_cast<std::int64_t>(system_seeded()() >> 1U));
 }
 
+// Versions of the board of an earlier life must not look like this one's.
+std::int64_t new_version()
+{
+    constexpr unsigned keep_room = 16;
+    return static_cast<std::int64_t>(system_seeded()() >> keep_room) + 1;
+}
+
 domain_placer_options placer_options(const placer_settings& given)
 {
     host_id self(given.host.name);
@@ -59,6 +66,9 @@
           follower(log, state, decode_ticket, [](const auto&) {}),
           placer(log, engine, clock, placer_options(given),
                  [this](const auto& it, const auto& sent) { note_order(it, sent); }),
+          board(domain_id(given.host.domain), new_version()),
+          relay(channels, demands, board,
+                {.self = host_id(given.host.name), .domain = domain_id(given.host.domain)}),
           service([this](const demand& it) { return take_demand(it); }),
           admin({.address = given.admin_listen, .threads = 4}),
           peers({.address = given.peer_listen,
@@ -69,13 +79,32 @@
 
     placement_answer take_demand(const demand& it)
     {
-        demands.put(it.host, it.needs, clock.now());
-        if (!it.needs.empty() && place_duty)
+        bool more = demands.put(it, clock.now());
+        if (more && started)
         {
             place_duty->wake();
+            relay_duty->wake();
         }
+        placement_answer answer{.placer = host_id(settings.host.name),
+                                .holder = current_holder(),
+                                .version = 0,
+                                .unchanged = false,
+                                .servers = {},
+                                .expected = {}};
+        board.fill(it, answer);
+        return answer;
+    }
+
+    host_id current_holder()
+    {
         std::lock_guard lock(mutex);
-        return {.placer = host_id(settings.host.name), .servers = placed};
+        return holder.value_or(host_id());
+    }
+
+    milliseconds relay_demand()
+    {
+        host_id it = current_holder();
+        return relay.step(it.empty() ? std::nullopt : std::optional(it));
     }
 
     milliseconds follow_tickets()
@@ -89,6 +118,7 @@
         auto listed = hosts.hosts();
         if (listed)
         {
+            relay.set_hosts(*listed);
             std::lock_guard lock(mutex);
             neighbours.clear();
             for (const auto& host : *listed)
@@ -115,8 +145,10 @@
 
     domain_view view_now()
     {
-        domain_view view{
-            .state = state.get(), .placers = {}, .gone = {}, .needs = demands.joined(clock.now())};
+        domain_view view{.state = state.get(),
+                         .placers = {},
+                         .gone = {},
+                         .needs = demands.joined(demand_reach::from_domain, clock.now())};
         std::lock_guard lock(mutex);
         view.placers = neighbours;
         view.gone = gone;
@@ -125,22 +157,27 @@
 
     void publish(const fleet_state& it, const domain_step& step)
     {
-        std::vector<placed_server> now_placed;
+        domain_id own(settings.host.domain);
+        domain_placement now_placed;
         for (const auto& engine_here : step.engines)
         {
             const server_object* object = find_object(it.servers, engine_here.server);
             if (object)
             {
-                now_placed.push_back({.server = engine_here.server,
-                                      .address = object->address,
-                                      .domain = object->domain,
-                                      .fencing = engine_here.fencing,
-                                      .leaving = object->leaving,
-                                      .replicas = engine_here.report.replicas});
+                now_placed.servers.push_back({.server = engine_here.server,
+                                              .address = object->address,
+                                              .domain = object->domain,
+                                              .fencing = engine_here.fencing,
+                                              .leaving = object->leaving,
+                                              .replicas = engine_here.report.replicas});
             }
         }
-        std::lock_guard lock(mutex);
-        placed = std::move(now_placed);
+        for (const auto& load : step.expected)
+        {
+            now_placed.expected.push_back(
+                {.model = load.model, .domain = own, .at = clock.now() + load.ready_in});
+        }
+        board.put(own, std::move(now_placed));
     }
 
     // The domains that share the weight store's limits are those that have engines.
@@ -164,7 +201,16 @@
         auto began = clock.now();
         auto step = placer.step(view);
         counters.observe("banyanshunt_placement_seconds", clock.now() - began);
-        publish(*view.state, step);
+        auto holds = placer.holder();
+        {
+            std::lock_guard lock(mutex);
+            holder = holds;
+        }
+        // What another holder's servers hold comes from that holder.
+        if (holds == host_id(settings.host.name))
+        {
+            publish(*view.state, step);
+        }
         return settings.interval;
     }
 
@@ -180,15 +226,19 @@
     state_follower<http_log_service> follower;
     domain_placer<http_log_service, http_model_engine, boot_clock> placer;
     demand_board demands;
+    placement_board board;
+    demand_relay relay;
     std::mutex mutex;
     std::vector<std::string> neighbours;
     gone_servers listed_servers;
     std::set<server_id> gone;
     weight_store_limits store_limits;
-    std::vector<placed_server> placed;
+    std::optional<host_id> holder;
+    std::atomic<bool> started = false;
     std::unique_ptr<duty_thread> ticket_duty;
     std::unique_ptr<duty_thread> host_duty;
     std::unique_ptr<duty_thread> place_duty;
+    std::unique_ptr<duty_thread> relay_duty;
     placement_service service;
     http_server admin;
     peer_server peers;
@@ -212,6 +262,8 @@
     it.ticket_duty = std::make_unique<duty_thread>([&it] { return it.follow_tickets(); });
     it.host_duty = std::make_unique<duty_thread>([&it] { return it.follow_hosts(); });
     it.place_duty = std::make_unique<duty_thread>([&it] { return it.place(); });
+    it.relay_duty = std::make_unique<duty_thread>([&it] { return it.relay_demand(); });
+    it.started = true;
     it.admin.handle("GET", "/metrics",
                     [&it](auto&)
                     {
@@ -229,6 +281,7 @@
 void placer_host::stop()
 {
     impl& it = *impl_;
+    it.relay_duty->stop();
     it.place_duty->stop();
     it.host_duty->stop();
     it.ticket_duty->stop();
--- a/src/transport/placement_link.cpp
+++ b/src/transport/placement_link.cpp
@@ -11,34 +11,60 @@
 namespace
 {
 
+std::int64_t milliseconds_left(instant until, instant now)
+{
+    return std::max<std::int64_t>(std::chrono::duration_cast<milliseconds>(until - now).count(), 0);
+}
+
 wire::demand_request to_wire(const demand& it, instant now)
 {
     wire::demand_request out;
+    out.set_reach(static_cast<wire::demand_reach>(it.reach));
+    out.set_known(it.known);
     out.set_host(it.host.str());
     out.set_domain(it.domain.str());
     for (const auto& need : it.needs)
     {
-        auto left = std::chrono::duration_cast<milliseconds>(need.deadline - now);
         wire::need* to = out.add_needs();
         to->set_model(need.model.str());
         to->set_adapter(need.adapter.str());
         to->set_waiting(need.waiting);
-        to->set_patience_ms(std::max<std::int64_t>(left.count(), 0));
+        to->set_patience_ms(milliseconds_left(need.deadline, now));
+        to->set_last_patience_ms(milliseconds_left(need.last_deadline, now));
         to->set_workspace(need.workspace.str());
     }
     return out;
 }
 
+// A reach that this version does not know is passed on no further.
+demand_reach reach_of(wire::demand_reach in)
+{
+    switch (in)
+    {
+    case wire::DEMAND_FROM_ENTRY:
+        return demand_reach::from_entry;
+    case wire::DEMAND_IN_DOMAIN:
+        return demand_reach::in_domain;
+    default:
+        return demand_reach::from_domain;
+    }
+}
+
 demand from_wire(const wire::demand_request& in, instant now)
 {
-    demand out{.host = host_id(in.host()), .domain = domain_id(in.domain()), .needs = {}};
+    demand out{.host = host_id(in.host()),
+               .domain = domain_id(in.domain()),
+               .needs = {},
+               .reach = reach_of(in.reach()),
+               .known = in.known()};
     for (const auto& need : in.needs())
     {
         out.needs.push_back({.model = model_id(need.model()),
                              .adapter = adapter_id(need.adapter()),
                              .waiting = need.waiting(),
                              .deadline = now + milliseconds(need.patience_ms()),
-                             .workspace = workspace_id(need.workspace())});
+                             .workspace = workspace_id(need.workspace()),
+                             .last_deadline = now + milliseconds(need.last_patience_ms())});
     }
     return out;
 }
@@ -90,6 +116,46 @@
     return to;
 }
 
+void write_answer(wire::demand_reply& to, const placement_answer& from, instant now)
+{
+    to.set_placer(from.placer.str());
+    to.set_holder(from.holder.str());
+    to.set_version(from.version);
+    to.set_unchanged(from.unchanged);
+    for (const auto& server : from.servers)
+    {
+        write_server(*to.add_servers(), server);
+    }
+    for (const auto& it : from.expected)
+    {
+        wire::expected_load* load = to.add_expected();
+        load->set_model(it.model.str());
+        load->set_domain(it.domain.str());
+        load->set_ready_in_ms(milliseconds_left(it.at, now));
+    }
+}
+
+placement_answer read_answer(const wire::demand_reply& from, instant now)
+{
+    placement_answer to{.placer = host_id(from.placer()),
+                        .holder = host_id(from.holder()),
+                        .version = from.version(),
+                        .unchanged = from.unchanged(),
+                        .servers = {},
+                        .expected = {}};
+    for (const auto& server : from.servers())
+    {
+        to.servers.push_back(read_server(server));
+    }
+    for (const auto& it : from.expected())
+    {
+        to.expected.push_back({.model = model_id(it.model()),
+                               .domain = domain_id(it.domain()),
+                               .at = now + milliseconds(it.ready_in_ms())});
+    }
+    return to;
+}
+
 class placement_impl final : public wire::placement::Service
 {
 public:
@@ -98,12 +164,9 @@
     grpc::Status demand(grpc::ServerContext*, const wire::demand_request* request,
                         wire::demand_reply* reply) override
     {
-        auto answer = handler_(from_wire(*request, boot_clock().now()));
-        reply->set_placer(answer.placer.str());
-        for (const auto& server : answer.servers)
-        {
-            write_server(*reply->add_servers(), server);
-        }
+        instant now = boot_clock().now();
+        auto answer = handler_(from_wire(*request, now));
+        write_answer(*reply, answer, now);
         return grpc::Status::OK;
     }
 
@@ -144,12 +207,7 @@
     {
         return failure_of(status);
     }
-    placement_answer answer{.placer = host_id(reply.placer()), .servers = {}};
-    for (const auto& server : reply.servers())
-    {
-        answer.servers.push_back(read_server(server));
-    }
-    return answer;
+    return read_answer(reply, boot_clock().now());
 }
 
 } // namespace banyanshunt
--- a/src/transport/placement_link.hpp
+++ b/src/transport/placement_link.hpp
@@ -1,7 +1,12 @@
 #pragma once
 
 /// \file
-/// Defines how entry hosts tell placers what they need, and what comes back, over gRPC.
+/// Defines how entry hosts and placers tell each other what they need and what servers hold, over
+/// gRPC.
+///
+/// An entry host asks one placer, that of its own host if it is up. That placer asks the one that
+/// holds the leases of its domain, and that one asks those of the other domains. So each host has
+/// one conversation, and what has not changed is not sent again.
 
 #include <functional>
 #include <memory>
@@ -15,12 +20,23 @@
 namespace banyanshunt
 {
 
-/// The needs of one entry host.
+/// How far a demand has come.
+enum class demand_reach
+{
+    from_entry,
+    in_domain,
+    from_domain,
+};
+
+/// The needs of one host.
 struct demand
 {
     host_id host;
     domain_id domain;
     std::vector<replica_need> needs;
+    demand_reach reach = demand_reach::from_entry;
+    /// The version of the last answer that the sender has from this placer; 0 for none.
+    std::int64_t known = 0;
 };
 
 /// A backend server under a placer's lease, with what it was last seen to hold.
@@ -32,16 +48,31 @@
     fencing_number fencing;
     bool leaving = false;
     std::vector<held_replica> replicas;
+    friend bool operator==(const placed_server&, const placed_server&) = default;
+};
+
+/// When a model should be ready in a domain, on the clock of whoever holds this.
+struct expected_ready
+{
+    model_id model;
+    domain_id domain;
+    instant at;
 };
 
 /// What a placer answers to a demand.
 struct placement_answer
 {
     host_id placer;
+    /// Who holds the leases of the placer's domain; empty when it knows of none.
+    host_id holder;
+    std::int64_t version = 0;
+    /// The servers are those of the version that the demand named, and left out.
+    bool unchanged = false;
     std::vector<placed_server> servers;
+    std::vector<expected_ready> expected;
 };
 
-/// Answers demands; called from several threads. Deadlines in it are on this machine's clock.
+/// Answers demands; called from several threads. Times in it are on this machine's clock.
 using demand_handler = std::function<placement_answer(const demand&)>;
 
 /// The gRPC service of a placer.
@@ -58,7 +89,7 @@
     std::unique_ptr<impl> impl_;
 };
 
-/// Sends a demand to the placer at `address`. Deadlines travel as time left.
+/// Sends a demand to the placer at `address`. Times travel as time left.
 verdict<placement_answer> send_demand(peer_channels& channels, const std::string& address,
                                       const demand& it, instant now, milliseconds limit);
 
