--- a/tests/correctness/scenario_language_test.cpp
+++ b/tests/correctness/scenario_language_test.cpp
@@ -70,8 +70,9 @@
     CHECK(first_mistake("host n1 in north") == "none");
     CHECK(first_mistake("host n1 at north") == "x.scn:2: must be \"host HOST in DOMAIN\"");
     CHECK(first_mistake("pause long") == "x.scn:2: must be \"pause MS\"");
-    CHECK_THAT(first_mistake("hots n1"),
-               Catch::StartsWith("x.scn:2: \"hots\" begins no statement; allowed are adapter, at,"));
+    CHECK_THAT(
+        first_mistake("hots n1"),
+        Catch::StartsWith("x.scn:2: \"hots\" begins no statement; allowed are adapter, at,"));
     CHECK(parse_scenario("start\n", "x.scn").mistakes.front() ==
           "x.scn:1: the first statement must be \"seed COUNT\"");
 
@@ -114,7 +115,8 @@
         CHECK(check_answered({lost()}));
         CHECK(check_answered({}));
     }
-    SECTION("answered or refused: a dropped request, and a refusal that does not say whether it ran")
+    SECTION(
+        "answered or refused: a dropped request, and a refusal that does not say whether it ran")
     {
         CHECK_FALSE(check_settled({good, not_run}));
         CHECK(check_settled({good, lost()}));
--- a/tests/scenario_language/checkers.cpp
+++ b/tests/scenario_language/checkers.cpp
@@ -152,10 +152,12 @@
             }
             sum += it.tokens;
             double s = std::chrono::duration<double>(it.reply->ended - first.reply->sent).count();
-            if (static_cast<double>(sum) > static_cast<double>(burst) + static_cast<double>(rate) * s)
+            if (static_cast<double>(sum) >
+                static_cast<double>(burst) + static_cast<double>(rate) * s)
             {
-                return fmt::format("{} got {} tokens in {:.3f} s, but {} and {} a second are its own",
-                                   workspace.str(), sum, s, burst, rate);
+                return fmt::format(
+                    "{} got {} tokens in {:.3f} s, but {} and {} a second are its own",
+                    workspace.str(), sum, s, burst, rate);
             }
         }
     }
--- a/tests/scenario_language/fleet.hpp
+++ b/tests/scenario_language/fleet.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
 /// \file
-/// Defines the fleet of a scenario: the real hosts and the stand-ins around them, all in one process
-/// on loopback, joined by links that can be cut.
+/// Defines the fleet of a scenario: the real hosts and the stand-ins around them, all in one
+/// process on loopback, joined by links that can be cut.
 
 #include <map>
 #include <memory>
--- a/tests/scenario_language/parser.cpp
+++ b/tests/scenario_language/parser.cpp
@@ -77,8 +77,8 @@
             out.whole = true;
             return out;
         }
-        bool fits = is_value(form[i]) ? !wants_number(form[i]) || is_number(given[i])
-                                      : form[i] == given[i];
+        bool fits =
+            is_value(form[i]) ? !wants_number(form[i]) || is_number(given[i]) : form[i] == given[i];
         if (!fits)
         {
             return out;
@@ -147,7 +147,8 @@
             closest.push_back(&form);
         }
     }
-    out.mistakes.push_back(fmt::format("{}:{}: {}", out.path, number, complaint_about(given, closest)));
+    out.mistakes.push_back(
+        fmt::format("{}:{}: {}", out.path, number, complaint_about(given, closest)));
 }
 
 } // namespace
@@ -165,7 +166,8 @@
     bool seeded = !out.statements.empty() && out.statements.front().what == verb::seed;
     if (out.mistakes.empty() && !seeded)
     {
-        out.mistakes.push_back(fmt::format("{}:1: the first statement must be \"seed COUNT\"", path));
+        out.mistakes.push_back(
+            fmt::format("{}:1: the first statement must be \"seed COUNT\"", path));
     }
     return out;
 }
--- a/tests/scenario_language/runner.cpp
+++ b/tests/scenario_language/runner.cpp
@@ -147,9 +147,9 @@
                                it.number("MIB"), it.number("COUNT")));
         break;
     case verb::adapter:
-        draft_.put("adapters", it.text("ADAPTER"),
-                   fmt::format(R"({{"base":"{}","memory_mib":{}}})", it.text("MODEL"),
-                               it.number("MIB")));
+        draft_.put(
+            "adapters", it.text("ADAPTER"),
+            fmt::format(R"({{"base":"{}","memory_mib":{}}})", it.text("MODEL"), it.number("MIB")));
         break;
     case verb::workspace:
         workspaces_[it.text("WORKSPACE")] = {.rate = it.number("COUNT"),
@@ -207,8 +207,12 @@
 {
     log_entry entry{.id = record_id(id), .data = text};
     return wait_until(
-        [&]
-        { return fleet_->platform().log().append(tickets_stream, std::span(&entry, 1)).has_value(); });
+        [&] {
+            return fleet_->platform()
+                .log()
+                .append(tickets_stream, std::span(&entry, 1))
+                .has_value();
+        });
 }
 
 complaint scenario_runner::drive(const statement& it)
@@ -346,8 +350,8 @@
             return "no fault is named so";
         }
         bool platform = it.text("TARGET") == "platform";
-        fault_table& table = platform ? fleet_->platform().log().faults()
-                                      : servers.at(it.text("TARGET")).faults();
+        fault_table& table =
+            platform ? fleet_->platform().log().faults() : servers.at(it.text("TARGET")).faults();
         milliseconds delay(it.what == verb::fault_delay ? it.number("MS") : 0);
         table.set({{.call = it.text("CALL"),
                     .first = static_cast<int>(it.number("COUNT")),
--- a/tests/scenario_language/runner_expectations.cpp
+++ b/tests/scenario_language/runner_expectations.cpp
@@ -45,7 +45,8 @@
         return check_no_new_work(it.text("SERVER"), marks_.at(it.text("SERVER")),
                                  fleet_->servers().at(it.text("SERVER")).runs());
     case verb::expect_clean_stop:
-        return check_clean_stop(it.text("HOST"), fleet_->hosts().at(it.text("HOST"))->stopped_clean);
+        return check_clean_stop(it.text("HOST"),
+                                fleet_->hosts().at(it.text("HOST"))->stopped_clean);
     default:
         return expect_of_requests(it);
     }
--- a/tests/scenario_language/statement_forms.cpp
+++ b/tests/scenario_language/statement_forms.cpp
@@ -7,7 +7,8 @@
 {
     static const std::vector<statement_form> forms = {
         {verb::seed, "seed COUNT", "Seeds every choice of the run; the first statement."},
-        {verb::platform_load, "platform loads in MS", "How long the weight store takes for a load."},
+        {verb::platform_load, "platform loads in MS",
+         "How long the weight store takes for a load."},
         {verb::host, "host HOST in DOMAIN", "An entry host, with its placer."},
         {verb::engine, "engine SERVER in DOMAIN memory MIB", "A model engine that checks fencing."},
         {verb::engine_ignoring_fencing, "engine SERVER in DOMAIN memory MIB ignores fencing",
