--- a/src/entry/request_handler.cpp
+++ b/src/entry/request_handler.cpp
@@ -42,6 +42,12 @@
 {
 }
 
+void request_handler::count_outcome(const workspace_id& workspace, const char* result)
+{
+    context_.counters.count("banyanshunt_workspace_outcomes_total",
+                            {{"workspace", workspace.str()}, {"result", result}});
+}
+
 request_id request_handler::new_request_id()
 {
     return request_id(
@@ -77,6 +83,7 @@
                                 admitted->cost, it->deadline, request.caller_gone);
     if (!held)
     {
+        count_outcome(admitted->workspace, "refused");
         return held.error();
     }
     it->admitted = *admitted;
@@ -169,6 +176,7 @@
         retries_.note_request();
     }
     auto end = run_with_retries(it, sink);
+    count_outcome(it.admitted.workspace, end ? "answered" : "failed");
     millitokens used = it.held.amount;
     if (end)
     {
--- a/src/entry/request_handler.hpp
+++ b/src/entry/request_handler.hpp
@@ -44,6 +44,7 @@
     std::optional<milliseconds> pause_before_retry(int attempt);
     http_reply whole_answer(const std::shared_ptr<job>& it);
     http_reply streamed_answer(const std::shared_ptr<job>& it);
+    void count_outcome(const workspace_id& workspace, const char* result);
     request_id new_request_id();
 
     request_context context_;
--- a/tests/fuzz/mutator.cpp
+++ b/tests/fuzz/mutator.cpp
@@ -15,9 +15,22 @@
 
 constexpr std::size_t most_changes = 8;
 constexpr std::size_t longest_run = 24;
-constexpr std::array<const char*, 16> fragments = {
-    "9223372036854775808", "-1",   "1e400", "null", "{}",    "[]",     "\"",   "\\u0000",
-    "\\ud800",             "\xff", "\n\n",  "true", "[[[[[", "{\"a\":", "data: ", "="};
+constexpr std::array<const char*, 16> fragments = {"9223372036854775808",
+                                                   "-1",
+                                                   "1e400",
+                                                   "null",
+                                                   "{}",
+                                                   "[]",
+                                                   "\"",
+                                                   "\\u0000",
+                                                   "\\ud800",
+                                                   "\xff",
+                                                   "\n\n",
+                                                   "true",
+                                                   "[[[[[",
+                                                   "{\"a\":",
+                                                   "data: ",
+                                                   "="};
 
 } // namespace
 
@@ -25,8 +38,7 @@
 {
     std::vector<std::filesystem::path> files;
     std::error_code ec;
-    for (const auto& it :
-         std::filesystem::directory_iterator("tests/fuzz/corpus/" + folder, ec))
+    for (const auto& it : std::filesystem::directory_iterator("tests/fuzz/corpus/" + folder, ec))
     {
         files.push_back(it.path());
     }
--- a/tests/fuzz/mutator.hpp
+++ b/tests/fuzz/mutator.hpp
@@ -17,8 +17,8 @@
     /// `folder` is relative to tests/fuzz/corpus; an empty one fails the test.
     mutator(const std::string& folder, std::uint64_t seed);
 
-    /// A text of the corpus with up to eight changes: bytes flipped, runs cut out, doubled or moved,
-    /// numbers and brackets put in, or the rest of another text.
+    /// A text of the corpus with up to eight changes: bytes flipped, runs cut out, doubled or
+    /// moved, numbers and brackets put in, or the rest of another text.
     std::string next();
     /// The unchanged texts.
     const std::vector<std::string>& corpus() const { return corpus_; }
