--- a/src/coordination/replica_board.hpp
+++ b/src/coordination/replica_board.hpp
@@ -74,6 +74,9 @@
     /// are leaving. To be called several times a second.
     void sweep(const key_in_force& in_force, std::set<server_id> leaving);
 
+    /// Refuses those whose model is expected to be ready only after their deadline.
+    void refuse_too_late(const std::map<model_id, instant>& ready_at);
+
     /// What is waited for now.
     std::vector<replica_need> needs() const;
     std::size_t waiting() const;
