--- a/tests/performance/state_bench.cpp
+++ b/tests/performance/state_bench.cpp
@@ -93,7 +93,7 @@
 
 void measure_in_force()
 {
-    fmt::print("| in force on all of 9 hosts, ms | median | 99th | worst | missed |\n"
+    fmt::print("\n| in force on all of 9 hosts, ms | median | 99th | worst | missed |\n"
                "| --- | --- | --- | --- | --- |\n");
     entry_fleet fleet(fleet_size, domains);
     int number = 1;
