--- a/src/coordination/replica_board.cpp
+++ b/src/coordination/replica_board.cpp
@@ -225,6 +225,27 @@
     serve_waiting(boot_clock().now());
 }
 
+void replica_board::refuse_too_late(const std::map<model_id, instant>& ready_at)
+{
+    std::lock_guard lock(mutex_);
+    auto expected = [&](const waiting_request& it)
+    {
+        auto ready = ready_at.find(it.filter.model);
+        return ready == ready_at.end() ? instant() : ready->second;
+    };
+    auto hopeless =
+        queue_.take_if([&](const waiting_request& it) { return expected(it) > it.deadline; });
+    instant now = boot_clock().now();
+    for (const auto& it : hopeless)
+    {
+        auto left = std::chrono::ceil<milliseconds>(expected(it) - now);
+        answer(it.number,
+               refusal(errc::deadline,
+                       fmt::format("the model is expected to be ready in {} ms", left.count()),
+                       std::max(come_back, left)));
+    }
+}
+
 std::vector<replica_need> replica_board::needs() const
 {
     std::lock_guard lock(mutex_);
--- a/tests/stand_ins/engine_stand_in.cpp
+++ b/tests/stand_ins/engine_stand_in.cpp
@@ -472,12 +472,6 @@
     return it == impl_->runs.end() ? 0 : it->second;
 }
 
-int engine_stand_in::cancels() const
-{
-    std::lock_guard lock(impl_->mutex);
-    return impl_->cancelled;
-}
-
 int engine_stand_in::runs() const
 {
     std::lock_guard lock(impl_->mutex);
@@ -489,6 +483,12 @@
     return n;
 }
 
+int engine_stand_in::cancels() const
+{
+    std::lock_guard lock(impl_->mutex);
+    return impl_->cancelled;
+}
+
 int engine_stand_in::overcommits() const
 {
     std::lock_guard lock(impl_->mutex);
