Entry hosts own their shares: share stream, loans over gRPC, settings

admission's default token source is now share_part: it follows the domain's stream in the log, takes part in its membership, lends and borrows over gRPC and gives its share up in order at a stop.

A reply now tells what its lender would still lend, not what it holds for its own waiting request: askers kept asking hosts that kept their tokens.

--- a/src/coordination/share_host.cpp
+++ b/src/coordination/share_host.cpp
@@ -10,6 +10,10 @@
 constexpr std::int64_t milliseconds_in_second = 1000;
 /// The span over which demand is counted.
 constexpr milliseconds demand_span(500);
+/// When to come back to a host that has no share yet and knows of no peer that has.
+constexpr milliseconds no_share_pause(200);
+/// How long a want counts that is not repeated.
+constexpr milliseconds want_length(100);
 
 } // namespace
 
@@ -44,6 +48,8 @@
         }
     }
     limits_ = limits;
+    std::erase_if(demands_, [this](const auto& it)
+                  { return it.second.queue.empty() && !limits_.contains(it.first); });
     for (const auto& [resource, fleet] : limits_)
     {
         ledger_.set_share(resource, own_size(fleet), now);
@@ -129,6 +135,7 @@
         return false;
     }
     note_granted(it, amount, now);
+    it.wanted_until = instant();
     return true;
 }
 
@@ -153,7 +160,7 @@
     millitokens there = ledger_.available(resource, now);
     for (const auto& [host, peer] : peers_)
     {
-        if (peer.answers())
+        if (peer.answers() && options_.borrows)
         {
             reach += millitokens_per_second(each);
             there += peer.guess(resource, millitokens_per_second(each),
@@ -167,7 +174,7 @@
     }
     if (reach.count() <= 0)
     {
-        return std::nullopt;
+        return no_share_pause;
     }
     return milliseconds(missing.count() * milliseconds_in_second / reach.count() + 1);
 }
@@ -187,6 +194,33 @@
     return next_;
 }
 
+void share_host::want(const resource_id& resource, millitokens amount, instant now)
+{
+    demand& it = demands_[resource];
+    if (now >= it.wanted_until)
+    {
+        it.wanted_since = now;
+    }
+    it.wanted = amount;
+    it.wanted_until = now + want_length;
+}
+
+std::optional<share_wait> share_host::needed(const demand& it, instant now)
+{
+    if (!it.queue.empty())
+    {
+        share_wait all = it.queue.front();
+        all.amount = it.queue.total();
+        return all;
+    }
+    if (now < it.wanted_until)
+    {
+        return share_wait{
+            .id = {}, .amount = it.wanted, .since = it.wanted_since, .deadline = it.wanted_until};
+    }
+    return std::nullopt;
+}
+
 void share_host::cancel(const resource_id& resource, share_number id)
 {
     demands_[resource].queue.remove(id);
@@ -214,7 +248,7 @@
 void share_host::put_back(const resource_id& resource, millitokens amount, instant now)
 {
     millitokens rest = ledger_.put_back(resource, amount, now);
-    if (rest > millitokens(0) && limits_.contains(resource))
+    if (rest > millitokens(0) && limits_.contains(resource) && options_.borrows)
     {
         refunds_[resource] += rest;
     }
@@ -229,7 +263,8 @@
 
 bool share_host::may_resign(instant now)
 {
-    return leaving_ && now - left_at_ >= options_.handover && !ledger_.has_lent(now);
+    bool handed_over = peers_.empty() || now - left_at_ >= options_.handover;
+    return leaving_ && handed_over && !ledger_.has_lent(now);
 }
 
 } // namespace banyanshunt
--- a/src/coordination/share_host.hpp
+++ b/src/coordination/share_host.hpp
@@ -29,6 +29,8 @@
     milliseconds handover{300};
     /// How often a host in demand asks for what full peers would lose.
     milliseconds top_up{50};
+    /// Whether to ask peers for tokens; without it each host has its own share alone.
+    bool borrows = true;
     /// Requests that may wait for one resource.
     std::size_t most_waiting = 512;
 };
@@ -57,6 +59,9 @@
     std::optional<share_number> wait(const resource_id& resource, millitokens amount,
                                      instant deadline, instant now);
     void cancel(const resource_id& resource, share_number id);
+    /// Notes that a request outside the queue lacks `amount`, so that peers are asked for it. It
+    /// counts for a short while; a caller that still waits says it again.
+    void want(const resource_id& resource, millitokens amount, instant now);
     /// Serves and refuses waiting requests.
     std::vector<share_outcome> pump(instant now);
     /// Puts back what was not used; what does not fit goes to peers.
@@ -90,6 +95,10 @@
     struct demand
     {
         share_queue queue;
+        /// What a request outside the queue lacks, from when on, and until when that counts.
+        millitokens wanted;
+        instant wanted_since;
+        instant wanted_until;
         /// Tokens granted in the current and in the last whole span.
         millitokens granted;
         millitokens granted_before;
@@ -98,6 +107,8 @@
     };
 
     void confirm(instant now);
+    /// What all waiting requests need, and how long the first one has waited; nothing if none.
+    static std::optional<share_wait> needed(const demand& it, instant now);
     void note_granted(demand& it, millitokens amount, instant now) const;
     layered<share_size> own_size(const share_size& fleet) const;
     void add_asks(instant now, std::map<host_id, share_call>& calls);
--- a/src/coordination/share_host_calls.cpp
+++ b/src/coordination/share_host_calls.cpp
@@ -51,11 +51,12 @@
                                  std::map<host_id, share_call>& calls)
 {
     auto fleet = limits_.find(resource);
-    if (it.queue.empty() || fleet == limits_.end())
+    auto need = needed(it, now);
+    if (!need || fleet == limits_.end())
     {
         return;
     }
-    millitokens missing = std::min(it.queue.total(), fleet->second.depth) -
+    millitokens missing = std::min(need->amount, fleet->second.depth) -
                           ledger_.available(resource, now) - asked(resource);
     auto hosts = static_cast<std::int64_t>(peers_.size()) + 1;
     millitokens_per_second rate(fleet->second.rate.count() / hosts);
@@ -78,7 +79,7 @@
     }
     std::ranges::sort(order, [](const auto& a, const auto& b)
                       { return std::tie(a.guess, a.near) > std::tie(b.guess, b.near); });
-    auto waited = std::chrono::duration_cast<milliseconds>(now - it.queue.front().since);
+    auto waited = std::chrono::duration_cast<milliseconds>(now - need->since);
     for (const auto& next : order)
     {
         if (missing <= nothing)
@@ -122,7 +123,7 @@
 
 void share_host::add_asks(instant now, std::map<host_id, share_call>& calls)
 {
-    if (leaving_)
+    if (leaving_ || !options_.borrows)
     {
         return;
     }
@@ -254,9 +255,9 @@
     }
     for (token_ask ask : call.asks)
     {
-        const share_queue& queue = demands_[ask.resource].queue;
+        auto mine = needed(demands_[ask.resource], now);
         // Of two hosts that both wait, the one whose request came first gets the other's tokens.
-        bool mine_first = !queue.empty() && now - queue.front().since >= ask.waited;
+        bool mine_first = mine && now - mine->since >= ask.waited;
         ask.waited = leaving_ ? std::max(ask.waited, milliseconds(1)) : ask.waited;
         bool closed = leaving_ && now - left_at_ >= options_.handover;
         millitokens kept = mine_first || closed ? ledger_.available(ask.resource, now) : nothing;
--- a/src/coordination/share_ledger.cpp
+++ b/src/coordination/share_ledger.cpp
@@ -216,7 +216,7 @@
             std::max(kept, depth(asked.resource, now) - millitokens(soon / milliseconds_in_second));
     }
     millitokens amount = std::min(asked.amount, level - kept);
-    answer.left = level - std::max(amount, nothing);
+    answer.left = std::max(level - kept - std::max(amount, nothing), nothing);
     if (amount <= nothing)
     {
         return answer;
--- a/src/coordination/share_membership.cpp
+++ b/src/coordination/share_membership.cpp
@@ -59,6 +59,16 @@
     return true;
 }
 
+void share_membership::begin_late(log_offset first_kept)
+{
+    records_.clear();
+    unproven_.clear();
+    settled_ = {};
+    log_read_.reset();
+    started_late_ = true;
+    through_ = first_kept;
+}
+
 bool share_membership::find_proven(const share_record& record, log_offset offset, instant now)
 {
     for (const auto& it : unproven_)
--- a/src/coordination/share_membership.hpp
+++ b/src/coordination/share_membership.hpp
@@ -57,13 +57,10 @@
     {
     }
 
-    /// Begins in the middle of the stream, at the oldest record that the log still keeps. A record
-    /// then counts only once a later one follows it, which no host writes after a void one.
-    void begin_late(log_offset first_kept)
-    {
-        started_late_ = true;
-        through_ = first_kept;
-    }
+    /// Begins anew in the middle of the stream, at the oldest record that the log still keeps; what
+    /// was read before is forgotten, and with it the share. A record then counts only once a later
+    /// one follows it, which no host writes after a void one.
+    void begin_late(log_offset first_kept);
     /// Applies the record at `offset`, read at `now`; returns whether it is the new newest one.
     bool apply(const share_record& record, log_offset offset, instant now);
     /// Counts a record that cannot be read as applied.
--- a/src/coordination/share_messages.hpp
+++ b/src/coordination/share_messages.hpp
@@ -44,7 +44,7 @@
     share_number loan;
     resource_id resource;
     millitokens amount;
-    /// What the lender still has after it.
+    /// What the lender would still lend after it.
     millitokens left;
 };
 
--- a/src/entry/entry_host.cpp
+++ b/src/entry/entry_host.cpp
@@ -3,6 +3,7 @@
 #include "coordination/fixed_shares.hpp"
 #include "entry/placement_follower.hpp"
 #include "entry/request_part.hpp"
+#include "entry/share_part.hpp"
 #include "entry/state_part.hpp"
 #include "state/duty_thread.hpp"
 #include "state/log_line.hpp"
@@ -15,10 +16,11 @@
         : settings(given), channels(given.peer_keys),
           state_duties(settings, http, channels, counters,
                        [this](const auto& list) { take_list(list); }),
-          state(state_duties.cell()), shares(state, given.entry_hosts),
+          state(state_duties.cell()), equal_shares(state, given.entry_hosts),
+          shares(settings, http, channels, counters, state_duties),
           requests({.settings = settings,
                     .state = state,
-                    .shares = shares,
+                    .shares = token_owner(),
                     .http = http,
                     .counters = counters,
                     .wake_demand = [this] { wake_demand(); }}),
@@ -33,7 +35,17 @@
     }
 
     // Every part that answers peers adds its service here.
-    std::vector<grpc::Service*> peer_services() { return {state_duties.service()}; }
+    std::vector<grpc::Service*> peer_services()
+    {
+        return {state_duties.service(), shares.service()};
+    }
+
+    any_token_source token_owner()
+    {
+        return owns_shares() ? any_token_source(shares) : any_token_source(equal_shares);
+    }
+
+    bool owns_shares() const { return settings.shares.policy == "owned"; }
 
     void take_list(const std::vector<listed_host>& list)
     {
@@ -94,7 +106,8 @@
     peer_channels channels;
     state_part state_duties;
     state_cell& state;
-    fixed_shares shares;
+    fixed_shares equal_shares;
+    share_part shares;
     request_part requests;
     placement_follower placement;
     http_server callers;
@@ -119,6 +132,10 @@
     }
     it.state_duties.start(it.peers.address(), it.admin.address());
     it.placement_duty = std::make_unique<duty_thread>([&it] { return it.follow_placement(); });
+    if (it.owns_shares())
+    {
+        it.shares.start();
+    }
     it.requests.start();
     it.requests.add_handlers(it.callers);
     it.add_admin_handlers();
@@ -138,6 +155,10 @@
     bool clean = it.requests.drain(it.callers);
     it.callers.stop();
     it.requests.stop();
+    if (it.owns_shares())
+    {
+        it.shares.stop();
+    }
     it.placement_duty->stop();
     it.state_duties.stop();
     it.admin.stop();
--- a/src/entry/entry_settings.cpp
+++ b/src/entry/entry_settings.cpp
@@ -19,6 +19,7 @@
     constexpr std::int64_t most_hosts = 1000;
     constexpr std::int64_t most_requests = 100'000;
     constexpr std::int64_t most_threads = 4096;
+    it.shares = read_share_settings(file);
     it.entry_hosts = static_cast<int>(
         file.integer("shares", "entry_hosts", 1, most_hosts, defaults.entry_hosts));
     it.most_waiting = static_cast<std::size_t>(file.integer(
--- a/src/entry/entry_settings.hpp
+++ b/src/entry/entry_settings.hpp
@@ -6,6 +6,7 @@
 #include <optional>
 
 #include "entry/request_settings.hpp"
+#include "entry/share_settings.hpp"
 #include "entry/state_settings.hpp"
 #include "protocol/peer_settings.hpp"
 #include "transport/peer_node.hpp"
@@ -44,6 +45,7 @@
     /// How long a stop waits for running requests.
     milliseconds drain_limit{60000};
     request_settings requests;
+    share_settings shares;
 };
 
 /// Reads all settings; `file.mistakes()` then tells what is wrong.
--- /dev/null
+++ b/src/entry/share_part.cpp
@@ -0,0 +1,338 @@
+#include "entry/share_part.hpp"
+
+#include <thread>
+
+#include <fmt/format.h>
+
+#include "coordination/random_source.hpp"
+#include "protocol/share_codec.hpp"
+#include "state/errors.hpp"
+#include "state/log_line.hpp"
+
+namespace banyanshunt
+{
+namespace
+{
+
+constexpr milliseconds log_wait(300);
+constexpr milliseconds failed_read_pause(200);
+/// Between two rounds of planning when nothing wakes the planner.
+constexpr milliseconds plan_interval(20);
+constexpr milliseconds peers_interval(500);
+constexpr milliseconds stop_poll(10);
+constexpr std::size_t call_threads = 4;
+constexpr std::size_t most_calls = 64;
+/// A grant that took longer than this may have outlived its lease between check and act.
+constexpr milliseconds longest_grant(500);
+constexpr milliseconds loan_margin(500);
+
+share_host_options host_options(const entry_settings& settings, incarnation life)
+{
+    share_host_options it;
+    it.self = {.host = host_id(settings.host.name), .life = life};
+    it.domain = domain_id(settings.host.domain);
+    it.domains = settings.shares.domains;
+    it.ledger.loan_length = settings.shares.loan;
+    it.ledger.loan_margin = loan_margin;
+    it.lease.lease = settings.shares.lease;
+    it.lease.outage = settings.shares.outage;
+    it.lease.loan_wait = settings.shares.loan + loan_margin + longest_grant;
+    return it;
+}
+
+std::map<resource_id, share_size> limits_of(const fleet_state& state)
+{
+    std::map<resource_id, share_size> limits;
+    for (const auto& [id, entry] : state.workspaces)
+    {
+        if (entry->value)
+        {
+            limits[resource_id(id.str())] = {.rate = entry->value->rate,
+                                             .depth = entry->value->burst};
+        }
+    }
+    return limits;
+}
+
+} // namespace
+
+share_part::share_part(const entry_settings& settings, http_client& http, peer_channels& channels,
+                       metrics& counters, state_part& state)
+    : settings_(settings), channels_(channels), counters_(counters), state_(state),
+      log_(http, settings.platform.log, settings.platform.patience),
+      stream_(share_stream(domain_id(settings.host.domain))),
+      host_(host_options(settings, state.life())), record_seed_(system_seeded()()),
+      service_([this](const share_call& it) { return answer(it); }), outbox_(most_calls)
+{
+}
+
+share_part::~share_part() = default;
+
+void share_part::start()
+{
+    log_duty_ = std::make_unique<duty_thread>([this] { return follow_log(); });
+    plan_duty_ = std::make_unique<duty_thread>([this] { return plan_calls(); });
+    for (std::size_t n = 0; n < call_threads; ++n)
+    {
+        callers_.push_back(std::make_unique<duty_thread>(
+            [this]
+            {
+                make_calls();
+                return milliseconds(0);
+            }));
+    }
+}
+
+void share_part::stop()
+{
+    bool has_peers = false;
+    {
+        std::lock_guard lock(mutex_);
+        host_.leave(boot_clock().now());
+        has_peers = !addresses_.empty();
+    }
+    instant limit = boot_clock().now() + settings_.shares.resign_limit;
+    while (!has_resigned() && boot_clock().now() < limit)
+    {
+        std::this_thread::sleep_for(stop_poll);
+    }
+    log_change("shares_given_up", "in_order={}", has_resigned());
+    if (has_peers)
+    {
+        // The next heartbeat tells the others that they need not wait this host out.
+        std::this_thread::sleep_for(share_host_options().heartbeat);
+    }
+    plan_duty_->stop();
+    outbox_.close();
+    callers_.clear();
+    log_duty_->stop();
+}
+
+bool share_part::has_resigned()
+{
+    std::lock_guard lock(mutex_);
+    return !host_.membership().is_member();
+}
+
+milliseconds share_part::follow_log()
+{
+    auto read = read_log();
+    if (!read)
+    {
+        return failed_read_pause;
+    }
+    propose();
+    return milliseconds(0);
+}
+
+// Reads on without waiting: a read that reached the stream's end renews the lease from its begin.
+verdict<done> share_part::read_log()
+{
+    constexpr std::size_t page_limit = 256;
+    log_offset from;
+    {
+        std::lock_guard lock(mutex_);
+        from = host_.membership().through();
+    }
+    instant began = boot_clock().now();
+    auto page = log_.read(stream_, from, page_limit, milliseconds(0));
+    if (!page)
+    {
+        return page.error().code == errc::records_expired ? begin_late() : page.error();
+    }
+    std::lock_guard lock(mutex_);
+    for (const auto& it : page->records)
+    {
+        auto record = decode_share_record(it.data);
+        if (record)
+        {
+            host_.membership().apply(*record, it.offset, boot_clock().now());
+        }
+        else
+        {
+            host_.membership().skip(it.offset);
+        }
+        host_.refresh(boot_clock().now());
+    }
+    if (host_.membership().through() >= page->end)
+    {
+        host_.note_log_read(began, boot_clock().now());
+    }
+    bool member = host_.membership().is_member();
+    if (member != was_member_)
+    {
+        log_change(member ? "share_joined" : "share_left", "members={}",
+                   host_.membership().members().size());
+        was_member_ = member;
+    }
+    return done{};
+}
+
+// Where the log still keeps records shows in the answer to a read beyond its end.
+verdict<done> share_part::begin_late()
+{
+    constexpr log_offset beyond(INT64_MAX / 2);
+    auto page = log_.read(stream_, beyond, 1, milliseconds(0));
+    if (!page)
+    {
+        return page.error();
+    }
+    std::lock_guard lock(mutex_);
+    host_.membership().begin_late(page->first_kept);
+    host_.refresh(boot_clock().now());
+    log_warning("share_records_expired", "first_kept={}", page->first_kept.count());
+    return done{};
+}
+
+void share_part::propose()
+{
+    std::optional<share_record> record;
+    {
+        std::lock_guard lock(mutex_);
+        instant now = boot_clock().now();
+        if (!host_.leaving() || host_.may_resign(now))
+        {
+            record = host_.membership().propose(host_.leaving(), now);
+        }
+    }
+    if (!record)
+    {
+        std::this_thread::sleep_for(log_wait);
+        return;
+    }
+    log_entry entry{.id = record_id(fmt::format("share.{}.{:x}.{}", settings_.host.name,
+                                                record_seed_, next_record_++)),
+                    .data = encode_share_record(*record)};
+    // A lost answer needs no care: what took effect shows at the next read, and a second copy
+    // follows an older record and is void.
+    auto appended = log_.append(stream_, std::span(&entry, 1));
+    counters_.count("banyanshunt_share_records_total",
+                    {{"result", appended ? "appended" : "failed"}});
+}
+
+void share_part::take_state(instant now)
+{
+    auto state = state_.cell().get();
+    if (state != limits_from_)
+    {
+        limits_from_ = state;
+        host_.set_limits(limits_of(*state), now);
+    }
+}
+
+void share_part::take_peers()
+{
+    std::vector<share_peer> peers;
+    std::map<host_id, std::string> addresses;
+    for (const auto& it : state_.peers().reachable())
+    {
+        bool entry = !it.said || it.said->role == "entry";
+        if (entry && !it.address.empty())
+        {
+            peers.push_back({.host = it.host, .domain = it.domain});
+            addresses[it.host] = it.address;
+        }
+    }
+    std::lock_guard lock(mutex_);
+    host_.set_peers(peers);
+    addresses_ = std::move(addresses);
+}
+
+milliseconds share_part::plan_calls()
+{
+    instant now = boot_clock().now();
+    if (now - peers_taken_ >= peers_interval)
+    {
+        take_peers();
+        peers_taken_ = now;
+    }
+    std::lock_guard lock(mutex_);
+    now = boot_clock().now();
+    take_state(now);
+    for (auto& errand : host_.errands(now))
+    {
+        host_id to = errand.to;
+        std::string address = addresses_[to];
+        if (!outbox_.try_push({.address = std::move(address), .errand = std::move(errand)}))
+        {
+            host_.note_failure(to, now);
+        }
+    }
+    return plan_interval;
+}
+
+void share_part::make_calls()
+{
+    if (auto it = outbox_.pop(log_wait))
+    {
+        make_call(*it);
+    }
+}
+
+void share_part::make_call(const errand_to& it)
+{
+    instant asked = boot_clock().now();
+    auto reply =
+        send_share_call(channels_, it.address, it.errand.call, settings_.shares.call_limit);
+    counters_.count("banyanshunt_share_calls_total", {{"result", reply ? "answered" : "failed"}});
+    std::lock_guard lock(mutex_);
+    if (!reply)
+    {
+        host_.note_failure(it.errand.to, boot_clock().now());
+        return;
+    }
+    host_.note_reply(it.errand.to, *reply, asked, boot_clock().now());
+    for (const auto& loan : reply->loans)
+    {
+        if (loan.amount > millitokens(0))
+        {
+            counters_.count("banyanshunt_share_loans_total");
+        }
+    }
+}
+
+share_reply share_part::answer(const share_call& call)
+{
+    std::lock_guard lock(mutex_);
+    instant now = boot_clock().now();
+    take_state(now);
+    return host_.answer(call, now);
+}
+
+verdict<reservation> share_part::reserve(const workspace_id& workspace, millitokens amount, instant)
+{
+    resource_id resource(workspace.str());
+    std::unique_lock lock(mutex_);
+    // The clock is read under the lock, as close to the grant as can be.
+    instant now = boot_clock().now();
+    take_state(now);
+    if (host_.take(resource, amount, now))
+    {
+        if (boot_clock().now() - now < longest_grant)
+        {
+            return reservation{.workspace = workspace, .amount = amount};
+        }
+        host_.put_back(resource, amount, boot_clock().now());
+    }
+    host_.want(resource, amount, now);
+    auto retry_after = host_.time_until(resource, amount, now);
+    lock.unlock();
+    if (plan_duty_)
+    {
+        plan_duty_->wake();
+    }
+    return failure{.run = run_state::not_run,
+                   .code = errc::over_rate,
+                   .detail =
+                       fmt::format("workspace {} is above its rate and burst", workspace.str()),
+                   .retry_after = retry_after};
+}
+
+void share_part::settle(const reservation& held, millitokens used, instant)
+{
+    check_invariant(used <= held.amount, "more was used than reserved");
+    std::lock_guard lock(mutex_);
+    host_.put_back(resource_id(held.workspace.str()), held.amount - used, boot_clock().now());
+}
+
+} // namespace banyanshunt
--- /dev/null
+++ b/src/entry/share_part.hpp
@@ -0,0 +1,82 @@
+#pragma once
+
+/// \file
+/// Defines the part of an entry host that owns its shares of rates and bursts: it follows the
+/// domain's share stream, lends and borrows, and is the token source of admission.
+
+#include <memory>
+#include <mutex>
+
+#include "coordination/share_host.hpp"
+#include "coordination/token_source.hpp"
+#include "entry/share_settings.hpp"
+#include "entry/state_part.hpp"
+#include "state/bounded_ring.hpp"
+#include "state/duty_thread.hpp"
+#include "transport/share_link.hpp"
+
+namespace banyanshunt
+{
+
+/// A token source from construction; it grants between `start` and `stop`.
+class share_part
+{
+public:
+    share_part(const entry_settings& settings, http_client& http, peer_channels& channels,
+               metrics& counters, state_part& state);
+    ~share_part();
+    share_part(const share_part&) = delete;
+    share_part& operator=(const share_part&) = delete;
+
+    grpc::Service* service() { return service_.service(); }
+
+    void start();
+    /// Hands the balance over and gives up the share, as far as the log allows in time.
+    void stop();
+
+    verdict<reservation> reserve(const workspace_id& workspace, millitokens amount, instant now);
+    void settle(const reservation& held, millitokens used, instant now);
+
+private:
+    struct errand_to
+    {
+        std::string address;
+        share_errand errand;
+    };
+
+    milliseconds follow_log();
+    verdict<done> read_log();
+    verdict<done> begin_late();
+    void propose();
+    milliseconds plan_calls();
+    void make_calls();
+    void make_call(const errand_to& it);
+    share_reply answer(const share_call& call);
+    void take_state(instant now);
+    void take_peers();
+    bool has_resigned();
+
+    const entry_settings& settings_;
+    peer_channels& channels_;
+    metrics& counters_;
+    state_part& state_;
+    http_log_service log_;
+    stream_name stream_;
+    std::mutex mutex_;
+    share_host host_;
+    fleet_state_ptr limits_from_;
+    std::map<host_id, std::string> addresses_;
+    instant peers_taken_;
+    bool was_member_ = false;
+    std::uint64_t next_record_ = 0;
+    std::uint64_t record_seed_;
+    share_service service_;
+    bounded_ring<errand_to> outbox_;
+    std::unique_ptr<duty_thread> log_duty_;
+    std::unique_ptr<duty_thread> plan_duty_;
+    std::vector<std::unique_ptr<duty_thread>> callers_;
+};
+
+static_assert(token_source<share_part>);
+
+} // namespace banyanshunt
--- /dev/null
+++ b/src/transport/share_link.cpp
@@ -0,0 +1,189 @@
+#include "transport/share_link.hpp"
+
+#include <grpcpp/grpcpp.h>
+
+#include "shares.grpc.pb.h"
+
+namespace banyanshunt
+{
+namespace
+{
+
+void write_life(wire::share_life& to, const share_life& from)
+{
+    to.set_host(from.host.str());
+    to.set_life(from.life.count());
+}
+
+share_life read_life(const wire::share_life& from)
+{
+    return {.host = host_id(from.host()), .life = incarnation(from.life())};
+}
+
+// Both messages begin with who speaks and how far it has read.
+template <class Wire, class Message>
+void write_head(Wire& to, const Message& from)
+{
+    write_life(*to.mutable_from(), from.from);
+    to.set_domain(from.domain.str());
+    to.set_read(from.progress.read.count());
+    to.set_cut(from.progress.cut.count());
+    to.set_leaving(from.leaving);
+}
+
+template <class Message, class Wire>
+Message read_head(const Wire& from)
+{
+    Message to;
+    to.from = read_life(from.from());
+    to.domain = domain_id(from.domain());
+    to.progress = {.read = log_offset(from.read()), .cut = log_offset(from.cut())};
+    to.leaving = from.leaving();
+    return to;
+}
+
+wire::share_call to_wire(const share_call& from)
+{
+    wire::share_call to;
+    write_head(to, from);
+    for (const auto& it : from.asks)
+    {
+        auto* ask = to.add_asks();
+        ask->set_number(it.number.count());
+        ask->set_resource(it.resource.str());
+        ask->set_amount(it.amount.count());
+        ask->set_waited_ms(it.waited.count());
+    }
+    for (const auto& it : from.reports)
+    {
+        auto* report = to.add_reports();
+        report->set_loan(it.loan.count());
+        report->set_returned(it.returned.count());
+    }
+    for (const auto& it : from.refunds)
+    {
+        auto* refund = to.add_refunds();
+        refund->set_number(it.number.count());
+        refund->set_resource(it.resource.str());
+        refund->set_amount(it.amount.count());
+    }
+    return to;
+}
+
+share_call from_wire(const wire::share_call& from)
+{
+    auto to = read_head<share_call>(from);
+    for (const auto& it : from.asks())
+    {
+        to.asks.push_back({.number = share_number(it.number()),
+                           .resource = resource_id(it.resource()),
+                           .amount = millitokens(it.amount()),
+                           .waited = milliseconds(it.waited_ms())});
+    }
+    for (const auto& it : from.reports())
+    {
+        to.reports.push_back(
+            {.loan = share_number(it.loan()), .returned = millitokens(it.returned())});
+    }
+    for (const auto& it : from.refunds())
+    {
+        to.refunds.push_back({.number = share_number(it.number()),
+                              .resource = resource_id(it.resource()),
+                              .amount = millitokens(it.amount())});
+    }
+    return to;
+}
+
+void write_reply(wire::share_reply& to, const share_reply& from)
+{
+    write_head(to, from);
+    for (const auto& it : from.loans)
+    {
+        auto* loan = to.add_loans();
+        loan->set_ask(it.ask.count());
+        loan->set_loan(it.loan.count());
+        loan->set_resource(it.resource.str());
+        loan->set_amount(it.amount.count());
+        loan->set_left(it.left.count());
+    }
+}
+
+share_reply from_wire(const wire::share_reply& from)
+{
+    auto to = read_head<share_reply>(from);
+    for (const auto& it : from.loans())
+    {
+        to.loans.push_back({.ask = share_number(it.ask()),
+                            .loan = share_number(it.loan()),
+                            .resource = resource_id(it.resource()),
+                            .amount = millitokens(it.amount()),
+                            .left = millitokens(it.left())});
+    }
+    return to;
+}
+
+class service_impl final : public wire::shares::Service
+{
+public:
+    explicit service_impl(share_call_handler handler) : handler_(std::move(handler)) {}
+
+    grpc::Status call(grpc::ServerContext*, const wire::share_call* request,
+                      wire::share_reply* reply) override
+    {
+        write_reply(*reply, handler_(from_wire(*request)));
+        return grpc::Status::OK;
+    }
+
+private:
+    share_call_handler handler_;
+};
+
+} // namespace
+
+struct share_service::impl
+{
+    explicit impl(share_call_handler handler) : service(std::move(handler)) {}
+
+    service_impl service;
+};
+
+share_service::share_service(share_call_handler handler)
+    : impl_(std::make_unique<impl>(std::move(handler)))
+{
+}
+
+share_service::~share_service() = default;
+
+grpc::Service* share_service::service()
+{
+    return &impl_->service;
+}
+
+std::size_t encoded_size(const share_call& it)
+{
+    return to_wire(it).ByteSizeLong();
+}
+
+std::size_t encoded_size(const share_reply& it)
+{
+    wire::share_reply to;
+    write_reply(to, it);
+    return to.ByteSizeLong();
+}
+
+verdict<share_reply> send_share_call(peer_channels& channels, const std::string& address,
+                                     const share_call& it, milliseconds limit)
+{
+    grpc::ClientContext context;
+    set_deadline(context, limit);
+    wire::share_reply reply;
+    auto stub = wire::shares::NewStub(channels.to(address));
+    auto status = stub->call(&context, to_wire(it), &reply);
+    if (!status.ok())
+    {
+        return failure_of(status);
+    }
+    return from_wire(reply);
+}
+
+} // namespace banyanshunt
--- /dev/null
+++ b/src/transport/share_link.hpp
@@ -0,0 +1,43 @@
+#pragma once
+
+/// \file
+/// Defines the call by which entry hosts lend tokens to each other, over gRPC. It is sent once:
+/// what a lost answer lent is lost until the lender's loan expires, and never doubled.
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "coordination/share_messages.hpp"
+#include "state/verdict.hpp"
+#include "transport/peer_node.hpp"
+
+namespace banyanshunt
+{
+
+/// Answers calls; called from several threads.
+using share_call_handler = std::function<share_reply(const share_call&)>;
+
+/// The gRPC service of an entry host.
+class share_service
+{
+public:
+    explicit share_service(share_call_handler handler);
+    ~share_service();
+
+    grpc::Service* service();
+
+private:
+    struct impl;
+    std::unique_ptr<impl> impl_;
+};
+
+/// The encoded size in bytes, without the framing of gRPC.
+std::size_t encoded_size(const share_call& it);
+std::size_t encoded_size(const share_reply& it);
+
+/// Sends a call to the host at `address` and waits up to `limit` for its answer.
+verdict<share_reply> send_share_call(peer_channels& channels, const std::string& address,
+                                     const share_call& it, milliseconds limit);
+
+} // namespace banyanshunt
--- a/tests/scenario_language/fleet.cpp
+++ b/tests/scenario_language/fleet.cpp
@@ -1,5 +1,7 @@
 #include "scenario_language/fleet.hpp"
 
+#include <set>
+
 #include <charconv>
 
 namespace banyanshunt::scenario
@@ -39,7 +41,7 @@
     return it;
 }
 
-entry_settings entry_settings_of(const fleet_host& host, std::size_t hosts)
+entry_settings entry_settings_of(const fleet_host& host, std::size_t hosts, std::size_t domains)
 {
     entry_settings it;
     it.host = {.name = host.name, .domain = host.domain};
@@ -51,6 +53,7 @@
     it.silence = engine_silence;
     it.drain_limit = drain_limit;
     it.entry_hosts = static_cast<int>(hosts);
+    it.shares.domains = static_cast<int>(domains);
     return it;
 }
 
@@ -128,10 +131,16 @@
 bool fleet::start()
 {
     bool good = true;
+    std::set<std::string> domains;
+    for (const auto& [name, host] : hosts_)
+    {
+        domains.insert(host->domain);
+    }
     for (auto& [name, host] : hosts_)
     {
         host->placer = std::make_unique<placer_host>(placer_settings_of(*host));
-        host->entry = std::make_unique<entry_host>(entry_settings_of(*host, hosts_.size()));
+        host->entry =
+            std::make_unique<entry_host>(entry_settings_of(*host, hosts_.size(), domains.size()));
         good = host->placer->start() && host->entry->start() && good;
     }
     tell_hosts();
--- a/tests/stand_ins/share_fleet.cpp
+++ b/tests/stand_ins/share_fleet.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "transport/share_link.hpp"
+
 namespace banyanshunt
 {
 namespace
@@ -314,6 +316,7 @@
     for (int copy = 0; copy < copies; ++copy)
     {
         ++messages_;
+        bytes_ += encoded_size(errand.call);
         if (chance(options_.lost) || cuts_.contains(std::minmax(n, to)))
         {
             continue;
@@ -327,6 +330,7 @@
                      return;
                  }
                  ++messages_;
+                 bytes_ += encoded_size(reply);
                  int answers = chance(options_.repeated) ? 2 : 1;
                  for (int n_answer = 0; n_answer < answers; ++n_answer)
                  {
--- a/tests/stand_ins/share_fleet.hpp
+++ b/tests/stand_ins/share_fleet.hpp
@@ -88,6 +88,8 @@
     /// Whether the bound held for each resource, changes of limits counted.
     bool bound_held() const;
     std::int64_t messages() const { return messages_; }
+    /// Encoded bytes of all messages.
+    std::size_t bytes() const { return bytes_; }
 
 private:
     struct node
@@ -140,6 +142,7 @@
     std::vector<granted_amount> grants_;
     outcome_sink outcome_;
     std::int64_t messages_ = 0;
+    std::size_t bytes_ = 0;
 };
 
 } // namespace banyanshunt
--- /dev/null
+++ b/tests/stand_ins/share_trial.cpp
@@ -0,0 +1,311 @@
+#include "stand_ins/share_trial.hpp"
+
+#include <algorithm>
+
+#include "stand_ins/share_fleet.hpp"
+
+namespace banyanshunt
+{
+namespace
+{
+
+constexpr std::int64_t rate_tokens = 1000;
+constexpr std::int64_t burst_tokens = 4000;
+/// Answers take this long; the unused half of a reservation comes back then.
+constexpr milliseconds answer_time(400);
+constexpr milliseconds patience(1000);
+constexpr milliseconds start_up(20'000);
+constexpr milliseconds far_delay(1);
+/// Mean of what requests use; they reserve twice this.
+constexpr std::int64_t mean_cost = 50;
+constexpr double milliseconds_in_second = 1000;
+
+struct arrival
+{
+    int workspace = 0;
+    std::size_t host = 0;
+    millitokens reserved;
+    instant at;
+    share_number wait;
+};
+
+// One trial under way.
+class trial
+{
+public:
+    explicit trial(const trial_options& options)
+        : options_(options), random_(options.seed), fleet_(fleet_options(options))
+    {
+        result_.requests_of.resize(options.workspaces);
+        result_.within_rate_of.resize(options.workspaces);
+        result_.granted_of.resize(options.workspaces);
+        for (int n = 0; n < options.workspaces; ++n)
+        {
+            references_.emplace_back(limit().rate, limit().depth, fleet_.now());
+            homes_.emplace_back(limit().rate, limit().depth, fleet_.now());
+        }
+        fleet_.on_outcome([this](std::size_t host, const share_outcome& it) { end(host, it); });
+    }
+
+    trial_result run()
+    {
+        fleet_.run(start_up);
+        auto messages = fleet_.messages();
+        auto bytes = fleet_.bytes();
+        instant began = fleet_.now();
+        instant cut_at = began + options_.length / 3;
+        bool is_cut = false;
+        while (fleet_.now() < began + options_.length)
+        {
+            if (options_.cut_domain && !is_cut && fleet_.now() >= cut_at)
+            {
+                is_cut = true;
+                cut_last_domain();
+            }
+            give_back();
+            arrive();
+            serve_homes();
+            fleet_.step();
+        }
+        auto span = static_cast<double>(options_.length.count() * fleet_.hosts());
+        result_.messages_per_host_second = static_cast<double>(fleet_.messages() - messages) / span;
+        result_.bytes_per_host_second = static_cast<double>(fleet_.bytes() - bytes) / span;
+        result_.over_grants = fleet_.bound_held() ? 0 : 1;
+        return result_;
+    }
+
+private:
+    static share_size limit()
+    {
+        return {.rate = millitokens_per_second(tokens(rate_tokens).count()),
+                .depth = tokens(burst_tokens)};
+    }
+
+    static resource_id name(int workspace) { return resource_id("w" + std::to_string(workspace)); }
+
+    static share_fleet_options fleet_options(const trial_options& options)
+    {
+        share_fleet_options it;
+        it.hosts_in_domain = options.hosts_in_domain;
+        it.seed = options.seed;
+        it.far_delay = far_delay;
+        it.lost = options.lost;
+        for (int n = 0; n < options.workspaces; ++n)
+        {
+            it.limits[name(n)] = limit();
+        }
+        if (options.policy == share_policy::fixed)
+        {
+            it.host.borrows = false;
+        }
+        return it;
+    }
+
+    bool is_cut_off(std::size_t a, std::size_t b) const
+    {
+        return cut_ &&
+               (fleet_.domain_of(a) == last_domain()) != (fleet_.domain_of(b) == last_domain());
+    }
+
+    std::size_t last_domain() const { return options_.hosts_in_domain.size() - 1; }
+
+    void cut_last_domain()
+    {
+        cut_ = true;
+        for (std::size_t a = 0; a < fleet_.hosts(); ++a)
+        {
+            fleet_.cut_log(a, fleet_.domain_of(a) == last_domain());
+            for (std::size_t b = 0; b < a; ++b)
+            {
+                if (is_cut_off(a, b))
+                {
+                    fleet_.cut(a, b, true);
+                }
+            }
+        }
+    }
+
+    // A Poisson arrival of each workspace within this millisecond, at most one.
+    void arrive()
+    {
+        std::uniform_real_distribution<double> uniform(0, 1);
+        for (int n = 0; n < options_.workspaces; ++n)
+        {
+            double per_second = options_.load * rate_tokens / mean_cost;
+            per_second *= n == 0 ? options_.greedy_factor : 1;
+            if (uniform(random_) >= per_second / milliseconds_in_second)
+            {
+                continue;
+            }
+            bool skewed = static_cast<int>(random_() % 100) < options_.skew_percent;
+            std::size_t hot = static_cast<std::size_t>(n) % fleet_.hosts();
+            std::size_t host = skewed ? hot : random_() % fleet_.hosts();
+            auto used = 1 + static_cast<std::int64_t>(random_() % (2 * mean_cost));
+            begin({.workspace = n,
+                   .host = host,
+                   .reserved = tokens(2 * used),
+                   .at = fleet_.now(),
+                   .wait = {}});
+        }
+    }
+
+    void begin(arrival it)
+    {
+        ++result_.requests;
+        ++result_.requests_of[it.workspace];
+        if (options_.policy == share_policy::home)
+        {
+            std::size_t home = static_cast<std::size_t>(it.workspace + 3) % fleet_.hosts();
+            if (is_cut_off(it.host, home))
+            {
+                refused(it);
+                return;
+            }
+            at_home_[it.workspace].push_back(it);
+            return;
+        }
+        if (fleet_.take(it.host, name(it.workspace), it.reserved))
+        {
+            granted(it);
+            return;
+        }
+        auto id = fleet_.wait(it.host, name(it.workspace), it.reserved, patience);
+        if (!id)
+        {
+            refused(it);
+            return;
+        }
+        it.wait = *id;
+        waiting_.push_back(it);
+    }
+
+    // The home host serves in order, and refuses what it cannot serve within its patience.
+    void serve_homes()
+    {
+        for (auto& [workspace, line] : at_home_)
+        {
+            while (!line.empty() && homes_[workspace].take(line.front().reserved, fleet_.now()))
+            {
+                granted(line.front());
+                line.pop_front();
+            }
+            while (!line.empty() && fleet_.now() >= line.front().at + patience)
+            {
+                refused(line.front());
+                line.pop_front();
+            }
+        }
+    }
+
+    void end(std::size_t host, const share_outcome& outcome)
+    {
+        auto same = [&](const auto& it) { return it.host == host && it.wait == outcome.id; };
+        auto found = std::find_if(waiting_.begin(), waiting_.end(), same);
+        arrival it = *found;
+        waiting_.erase(found);
+        if (!outcome.granted)
+        {
+            refused(it);
+            return;
+        }
+        auto waited = std::chrono::duration<double, std::milli>(fleet_.now() - it.at);
+        result_.longest_wait_ms = std::max(result_.longest_wait_ms, waited.count());
+        granted(it);
+    }
+
+    void granted(const arrival& it)
+    {
+        ++result_.granted_of[it.workspace];
+        references_[it.workspace].take(it.reserved, fleet_.now());
+        running_.emplace(fleet_.now() + answer_time, it);
+    }
+
+    void refused(const arrival& it)
+    {
+        ++result_.refused;
+        bool within = references_[it.workspace].level(fleet_.now()) >= it.reserved;
+        result_.refused_within_rate += within ? 1 : 0;
+        result_.within_rate_of[it.workspace] += within ? 1 : 0;
+    }
+
+    void give_back()
+    {
+        while (!running_.empty() && running_.begin()->first <= fleet_.now())
+        {
+            arrival it = running_.begin()->second;
+            running_.erase(running_.begin());
+            millitokens unused(it.reserved.count() / 2);
+            references_[it.workspace].put_back(unused, fleet_.now());
+            if (options_.policy == share_policy::home)
+            {
+                homes_[it.workspace].put_back(unused, fleet_.now());
+            }
+            else
+            {
+                fleet_.put_back(it.host, name(it.workspace), unused);
+            }
+        }
+    }
+
+    trial_options options_;
+    std::mt19937_64 random_;
+    share_fleet fleet_;
+    std::vector<token_bucket> references_;
+    std::vector<token_bucket> homes_;
+    std::vector<arrival> waiting_;
+    std::map<int, std::deque<arrival>> at_home_;
+    std::multimap<instant, arrival> running_;
+    trial_result result_;
+    bool cut_ = false;
+};
+
+} // namespace
+
+const char* to_string(share_policy policy)
+{
+    switch (policy)
+    {
+    case share_policy::owned:
+        return "owned";
+    case share_policy::fixed:
+        return "fixed";
+    case share_policy::home:
+        return "home";
+    }
+    return "unknown";
+}
+
+double trial_result::refused_within_rate_part() const
+{
+    return requests == 0 ? 0
+                         : static_cast<double>(refused_within_rate) / static_cast<double>(requests);
+}
+
+double trial_result::worst_within_rate_part() const
+{
+    double worst = 0;
+    for (std::size_t n = 0; n < requests_of.size(); ++n)
+    {
+        auto all = std::max<std::int64_t>(requests_of[n], 1);
+        worst = std::max(worst, static_cast<double>(within_rate_of[n]) / static_cast<double>(all));
+    }
+    return worst;
+}
+
+double trial_result::worst_served_part() const
+{
+    double worst = 1;
+    for (std::size_t n = 0; n < requests_of.size(); ++n)
+    {
+        auto all = std::max<std::int64_t>(requests_of[n], 1);
+        worst = std::min(worst, static_cast<double>(granted_of[n]) / static_cast<double>(all));
+    }
+    return worst;
+}
+
+trial_result run_trial(const trial_options& options)
+{
+    return trial(options).run();
+}
+
+} // namespace banyanshunt
