--- a/src/entry/entry_host.cpp
+++ b/src/entry/entry_host.cpp
@@ -23,9 +23,12 @@
                     .shares = token_owner(),
                     .http = http,
                     .counters = counters,
-                    .wake_demand = [this] { wake_demand(); }}),
+                    .wake_demand = [this] { wake_demand(); },
+                    .view_age = [this] { return state_duties.age(); }}),
           placement(channels, requests.board(),
-                    {.host = host_id(given.host.name), .domain = domain_id(given.host.domain)}),
+                    {.host = host_id(given.host.name),
+                     .domain = domain_id(given.host.domain),
+                     .busy_interval = given.demand_interval}),
           callers(request_part::server_options(given)),
           admin({.address = given.admin_listen, .threads = 4}),
           peers({.address = given.peer_listen,
@@ -47,24 +50,9 @@
 
     bool owns_shares() const { return settings.shares.policy == "owned"; }
 
-    void take_list(const std::vector<listed_host>& list)
-    {
-        std::vector<std::string> placers;
-        for (const auto& host : list)
-        {
-            if (host.role == "placer")
-            {
-                placers.push_back(host.address);
-            }
-        }
-        placement.set_placers(std::move(placers));
-    }
+    void take_list(const std::vector<listed_host>& list) { placement.set_hosts(list); }
 
-    milliseconds follow_placement()
-    {
-        placement.step();
-        return settings.demand_interval;
-    }
+    milliseconds follow_placement() { return placement.step(); }
 
     void wake_demand() const
     {
--- a/tests/stand_ins/engine_stand_in.hpp
+++ b/tests/stand_ins/engine_stand_in.hpp
@@ -45,6 +45,8 @@
     int runs_of(const request_id& id) const;
     /// Completions begun so far.
     int runs() const;
+    /// Requests that were cancelled.
+    int cancels() const;
     /// Orders that would have overcommitted the memory; each one is a defect of the placer.
     int overcommits() const;
 
