--- a/src/entry/request_part.cpp
+++ b/src/entry/request_part.cpp
@@ -31,6 +31,7 @@
               .choice = {.slots = settings_.requests.slots},
               .seed = system_seeded()()}),
       line_(settings_.threads / line_part, settings_.threads / all_lines_part),
+      places_(settings_.threads),
       batcher_(log_, {.appends_per_second = settings_.requests.claim_appends}),
       claims_(log_, batcher_,
               {.writer = fmt::format("{}-{:x}", settings_.host.name, system_seeded()()),
@@ -39,12 +40,14 @@
                 .state = state_,
                 .shares = needs.shares,
                 .line = line_,
+                .places = places_,
                 .board = board_,
                 .claims = claims_,
                 .engine = engine_,
                 .service = service_,
                 .counters = counters_,
-                .wake_demand = needs.wake_demand})
+                .wake_demand = needs.wake_demand,
+                .view_age = needs.view_age})
 {
 }
 
--- a/src/entry/request_parts.cpp
+++ b/src/entry/request_parts.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <charconv>
 
+#include "coordination/staleness.hpp"
 #include "protocol/completion_codec.hpp"
 #include "state/errors.hpp"
 
@@ -58,6 +59,14 @@
             .retry_after = milliseconds(milliseconds_in_second)};
 }
 
+failure no_place_refusal()
+{
+    return {.run = run_state::not_run,
+            .code = errc::queue_full,
+            .detail = "too many requests of this workspace are under way on this host",
+            .retry_after = milliseconds(milliseconds_in_second)};
+}
+
 bool in_force(const fleet_state& state, const key_id& key, const workspace_id& workspace)
 {
     const key_object* object = find_object(state.keys, key);
@@ -68,6 +77,10 @@
                                      millitokens cost, instant deadline,
                                      const std::function<bool()>& caller_gone)
 {
+    if (auto stale = refuse_if_stale(*context.state.get(), holder.workspace, context.view_age()))
+    {
+        return *stale;
+    }
     auto stop_waiting = [&]() -> std::optional<failure>
     {
         if (!in_force(*context.state.get(), holder.key, holder.workspace))
--- a/src/placer/placer_host.cpp
+++ b/src/placer/placer_host.cpp
@@ -3,28 +3,26 @@
 #include <atomic>
 
 #include "coordination/random_source.hpp"
-#include "coordination/state_follower.hpp"
+#include "placer/demand_board.hpp"
 #include "placer/demand_relay.hpp"
 #include "placer/domain_placer.hpp"
 #include "placer/gone_servers.hpp"
 #include "protocol/platform_codec.hpp"
-#include "protocol/ticket_codec.hpp"
 #include "state/duty_thread.hpp"
 #include "state/log_line.hpp"
 #include "transport/backend_clients.hpp"
 #include "transport/http_server.hpp"
 #include "transport/metrics.hpp"
 #include "transport/placement_link.hpp"
-#include "transport/platform_clients.hpp"
+#include "transport/state_source.hpp"
 
 namespace banyanshunt
 {
 namespace
 {
 
-constexpr milliseconds log_wait(1000);
-constexpr milliseconds failed_read_pause(200);
-constexpr milliseconds host_list_interval(500);
+constexpr milliseconds limits_interval(5000);
+constexpr milliseconds exchange_interval(500);
 
 incarnation new_incarnation()
 {
@@ -62,8 +60,13 @@
 {
     explicit impl(const placer_settings& given)
         : settings(given), log(http, given.platform.log, given.platform.patience),
-          hosts(http, given.platform.hosts), engine(http), channels(given.peer_keys),
-          follower(log, state, decode_ticket, [](const auto&) {}),
+          weights(http, given.platform.weights), engine(http), channels(given.peer_keys),
+          source({.host = given.host,
+                  .platform = given.platform,
+                  .role = placer_role,
+                  .shortest_tick = exchange_interval},
+                 http, channels, counters, [this](const auto& list) { take_list(list); }),
+          state(source.cell()),
           placer(log, engine, clock, placer_options(given),
                  [this](const auto& it, const auto& sent) { note_order(it, sent); }),
           board(domain_id(given.host.domain), new_version()),
@@ -107,31 +110,32 @@
         return relay.step(it.empty() ? std::nullopt : std::optional(it));
     }
 
-    milliseconds follow_tickets()
+    // The limits of the platform's weight store; until they were read, those of the defaults hold.
+    milliseconds follow_limits()
     {
-        auto step = follower.step(log_wait);
-        return step ? milliseconds(0) : failed_read_pause;
+        auto limits = weights.limits();
+        if (limits)
+        {
+            std::lock_guard lock(mutex);
+            store_limits = *limits;
+        }
+        return limits_interval;
     }
 
-    milliseconds follow_hosts()
+    void take_list(const std::vector<listed_host>& list)
     {
-        auto listed = hosts.hosts();
-        if (listed)
+        relay.set_hosts(list);
+        std::lock_guard lock(mutex);
+        neighbours.clear();
+        for (const auto& host : list)
         {
-            relay.set_hosts(*listed);
-            std::lock_guard lock(mutex);
-            neighbours.clear();
-            for (const auto& host : *listed)
+            bool near = host.role == placer_role && host.domain.str() == settings.host.domain;
+            if (near && !host.leaving)
             {
-                bool near = host.role == "placer" && host.domain.str() == settings.host.domain;
-                if (near && !host.leaving)
-                {
-                    neighbours.push_back(host.name);
-                }
+                neighbours.push_back(host.name);
             }
-            gone = listed_servers.take(*listed, clock.now());
         }
-        return host_list_interval;
+        gone = listed_servers.take(list, clock.now());
     }
 
     void note_order(const planned_order& it, const verdict<done>& sent)
@@ -191,7 +195,12 @@
                 domains.push_back(entry->value->domain);
             }
         }
-        placer.set_share(split_limits(store_limits, domains, domain_id(settings.host.domain)));
+        weight_store_limits limits;
+        {
+            std::lock_guard lock(mutex);
+            limits = store_limits;
+        }
+        placer.set_share(split_limits(limits, domains, domain_id(settings.host.domain)));
     }
 
     milliseconds place()
@@ -217,13 +226,13 @@
     placer_settings settings;
     boot_clock clock;
     metrics counters;
-    state_cell state;
     http_client http;
     http_log_service log;
-    http_host_list hosts;
+    http_weight_store weights;
     http_model_engine engine;
     peer_channels channels;
-    state_follower<http_log_service> follower;
+    state_source source;
+    state_cell& state;
     domain_placer<http_log_service, http_model_engine, boot_clock> placer;
     demand_board demands;
     placement_board board;
@@ -235,8 +244,7 @@
     weight_store_limits store_limits;
     std::optional<host_id> holder;
     std::atomic<bool> started = false;
-    std::unique_ptr<duty_thread> ticket_duty;
-    std::unique_ptr<duty_thread> host_duty;
+    std::unique_ptr<duty_thread> limits_duty;
     std::unique_ptr<duty_thread> place_duty;
     std::unique_ptr<duty_thread> relay_duty;
     placement_service service;
@@ -259,8 +267,8 @@
                     it.settings.admin_listen);
         return false;
     }
-    it.ticket_duty = std::make_unique<duty_thread>([&it] { return it.follow_tickets(); });
-    it.host_duty = std::make_unique<duty_thread>([&it] { return it.follow_hosts(); });
+    it.source.start();
+    it.limits_duty = std::make_unique<duty_thread>([&it] { return it.follow_limits(); });
     it.place_duty = std::make_unique<duty_thread>([&it] { return it.place(); });
     it.relay_duty = std::make_unique<duty_thread>([&it] { return it.relay_demand(); });
     it.started = true;
@@ -284,8 +292,8 @@
     it.relay_duty->stop();
     it.place_duty->stop();
     it.placer.release();
-    it.host_duty->stop();
-    it.ticket_duty->stop();
+    it.limits_duty->stop();
+    it.source.stop();
     it.admin.stop();
     log_change("placer_stopped", "host={}", it.settings.host.name);
 }
