--- a/src/placer/placer_host.cpp
+++ b/src/placer/placer_host.cpp
@@ -291,6 +291,7 @@
     impl& it = *impl_;
     it.relay_duty->stop();
     it.place_duty->stop();
+    it.placer.release();
     it.limits_duty->stop();
     it.source.stop();
     it.admin.stop();
