Claims: one thread reads a stream, the others wait for what it reads

Cause: readers queued on a timed mutex, each to read for itself under a slow log; the thread sanitizer does not know that mutex and hid what else it might find. Change: a flag and a condition variable; the read runs without the mutex.

--- a/src/coordination/claim_desk.hpp
+++ b/src/coordination/claim_desk.hpp
@@ -9,6 +9,7 @@
 /// on finds out; if that fails until the deadline, the claim is abandoned and nothing was sent.
 
 #include <atomic>
+#include <condition_variable>
 #include <functional>
 #include <map>
 #include <mutex>
@@ -128,8 +129,11 @@
     {
         explicit reader(std::size_t most_bytes) : book(most_bytes) {}
 
-        std::timed_mutex mutex;
+        std::mutex mutex;
         claim_book book;
+        /// One thread at a time reads on, without the mutex; the others wait for what it reads.
+        bool reading = false;
+        std::condition_variable read;
     };
 
     static failure unavailable(const std::string& detail)
@@ -174,15 +178,12 @@
                                               const claim_key& key, const record_id& id,
                                               const std::string& digest, instant deadline)
     {
-        std::unique_lock lock(in.mutex, std::defer_lock);
+        std::unique_lock lock(in.mutex);
         auto left = std::max(deadline - boot_clock().now(), nanoseconds(0));
-        if (!lock.try_lock_for(left))
+        in.read.wait_for(lock, left, [&] { return !in.reading || in.book.has_read(id); });
+        if (!in.reading && !in.book.has_read(id))
         {
-            return std::nullopt;
-        }
-        if (!in.book.has_read(id))
-        {
-            read_on(in, stream);
+            read_on(in, stream, lock);
         }
         if (!in.book.has_read(id))
         {
@@ -200,22 +201,48 @@
         return judge_repeat(*live, digest);
     }
 
-    void read_on(reader& in, const stream_name& stream)
+    void read_on(reader& in, const stream_name& stream, std::unique_lock<std::mutex>& lock)
+    {
+        in.reading = true;
+        log_offset from = in.book.through();
+        lock.unlock();
+        auto page = read_page(stream, from);
+        lock.lock();
+        in.reading = false;
+        take(in, page);
+        in.read.notify_all();
+    }
+
+    // The next page, or the first one that is kept if that is gone. A read beyond the end is empty
+    // and tells what the log still keeps.
+    verdict<log_page> read_page(const stream_name& stream, log_offset from)
     {
         constexpr std::size_t page_limit = 1000;
         constexpr milliseconds wait(20);
         constexpr milliseconds pause(10);
-        auto page = log_.read(stream, in.book.through(), page_limit, wait);
+        constexpr log_offset beyond(std::int64_t{1} << 62);
+        auto page = log_.read(stream, from, page_limit, wait);
         if (!page && page.error().code == errc::records_expired)
         {
-            skip_expired(in, stream);
-            return;
+            page = log_.read(stream, beyond, 1, milliseconds(0));
         }
         if (!page)
         {
             std::this_thread::sleep_for(pause);
+        }
+        return page;
+    }
+
+    void take(reader& in, const verdict<log_page>& page)
+    {
+        if (!page)
+        {
             return;
         }
+        if (in.book.through() < page->first_kept)
+        {
+            in.book.restart(page->first_kept);
+        }
         for (const auto& record : page->records)
         {
             auto it = options_.codec.decode(record.data);
@@ -231,17 +258,6 @@
         in.book.expire(page->first_kept);
     }
 
-    // A read beyond the end is empty and tells what the log still keeps.
-    void skip_expired(reader& in, const stream_name& stream)
-    {
-        constexpr log_offset beyond(std::int64_t{1} << 62);
-        auto page = log_.read(stream, beyond, 1, milliseconds(0));
-        if (page)
-        {
-            in.book.restart(page->first_kept);
-        }
-    }
-
     Log& log_;
     log_batcher<Log>& batcher_;
     claim_desk_options options_;
