--- a/tests/stand_ins/share_trial.cpp
+++ b/tests/stand_ins/share_trial.cpp
@@ -208,13 +208,13 @@
             refused(it);
             return;
         }
-        auto waited = std::chrono::duration<double, std::milli>(fleet_.now() - it.at);
-        result_.longest_wait_ms = std::max(result_.longest_wait_ms, waited.count());
         granted(it);
     }
 
     void granted(const arrival& it)
     {
+        auto waited = std::chrono::duration<double, std::milli>(fleet_.now() - it.at);
+        result_.longest_wait_ms = std::max(result_.longest_wait_ms, waited.count());
         ++result_.granted_of[it.workspace];
         references_[it.workspace].take(it.reserved, fleet_.now());
         running_.emplace(fleet_.now() + answer_time, it);
