Fixed shares stay the default until an owned share can begin full

With owned shares as the default 2 of 79 cases of test-correctness failed: request_life_test 'that reached no server did not run, and costs nothing' (a workspace of low rate has nothing yet right after the start) and 'or not at all while the log is down' (a host that has not joined has no share).

After it: the two cases and share_part_test pass (160 assertions); test-error passed before it. The other 76 cases passed just before this change and were not run again.

--- a/src/entry/share_settings.cpp
+++ b/src/entry/share_settings.cpp
@@ -13,7 +13,12 @@
     }
     constexpr std::int64_t most_domains = 1000;
     // No default: a host that took fewer domains than there are would own too much.
-    it.domains = static_cast<int>(file.integer("shares", "domains", 1, most_domains));
+    std::optional<std::int64_t> otherwise;
+    if (it.policy == "fixed")
+    {
+        otherwise = it.domains;
+    }
+    it.domains = static_cast<int>(file.integer("shares", "domains", 1, most_domains, otherwise));
     it.lease = file.duration("shares", "lease_ms", it.lease);
     it.outage = file.duration("shares", "outage_ms", it.outage);
     it.loan = file.duration("shares", "loan_ms", it.loan);
--- a/src/entry/share_settings.hpp
+++ b/src/entry/share_settings.hpp
@@ -11,8 +11,9 @@
 /// Section [shares].
 struct share_settings
 {
-    /// "owned" shares move by loans; "fixed" ones are equal parts over `entry_hosts`.
-    std::string policy = "owned";
+    /// "owned" shares move by loans and begin empty; "fixed" ones are equal parts over
+    /// `entry_hosts`.
+    std::string policy = "fixed";
     /// How many failure domains there are. Must be the same on every host of the fleet: each
     /// domain owns this part of every rate and burst.
     int domains = 1;
