--- a/src/coordination/placement/placement_planner.hpp
+++ b/src/coordination/placement/placement_planner.hpp
@@ -277,6 +277,10 @@
             {
                 continue;
             }
+            if (remote && begin - view.now >= choice.duration && choice.duration > nanoseconds(0))
+            {
+                plan.crowded.insert(choice.need.model);
+            }
             if (remote)
             {
                 lanes.take(begin, choice.duration);
@@ -285,6 +289,7 @@
                          begin_load(view, wanted, begin <= view.now, plan);
             held_back = held_back || (Policy::holds_back && !begun);
         }
+        plan.lane_free = lanes.next(view.now) <= view.now;
     }
 
     // Orders the load on the first server with room; else makes room on one. `now` tells whether
--- a/src/coordination/placement/placement_view.hpp
+++ b/src/coordination/placement/placement_view.hpp
@@ -67,6 +67,11 @@
     /// Replicas about to be unloaded, which are to get no further requests.
     std::set<replica_place> retiring;
     std::vector<expected_load> expected;
+    /// Models whose load has to wait here for at least the time of another load: a domain that can
+    /// begin at once would have them ready sooner.
+    std::set<model_id> crowded;
+    /// Another load from the weight store could begin now.
+    bool lane_free = false;
 };
 
 /// Memory that a load may still take: neither used nor claimed by an unsettled order.
--- a/src/coordination/placement/slot_claims.cpp
+++ b/src/coordination/placement/slot_claims.cpp
@@ -28,6 +28,11 @@
     {
         return std::nullopt;
     }
+    if (claimant.could_begin.contains(model))
+    {
+        constexpr milliseconds apart(20);
+        return apart * (place - preferred.begin());
+    }
     auto cached = claimant.cached.find(model);
     if (room && cached != claimant.cached.end())
     {
@@ -75,7 +80,7 @@
     {
         auto preferred = view.preference.find(slot);
         if (preferred == view.preference.end() || models.contains(slot.model) ||
-            !is_decided(view.state, slot))
+            claimant.left_to_others.contains(slot.model) || !is_decided(view.state, slot))
         {
             continue;
         }
@@ -87,12 +92,36 @@
             wanted.insert(slot);
             models.insert(slot.model);
             owned += memory;
+            if (claimant.could_begin.contains(slot.model))
+            {
+                return; // One at a time: the next may be begun sooner elsewhere.
+            }
         }
     }
 }
 
 } // namespace
 
+void crowded_models::note(const std::set<model_id>& crowded, instant now)
+{
+    for (const auto& model : crowded)
+    {
+        noted_[model] = now;
+    }
+}
+
+std::set<model_id> crowded_models::lately(instant now)
+{
+    constexpr milliseconds valid_for(3000);
+    std::erase_if(noted_, [&](const auto& it) { return now - it.second > valid_for; });
+    std::set<model_id> models;
+    for (const auto& [model, at] : noted_)
+    {
+        models.insert(model);
+    }
+    return models;
+}
+
 void note_unowned(const slot_preference& preference, const slot_ledger& ledger, instant now,
                   unowned_since& unowned)
 {
@@ -114,7 +143,8 @@
     for (const auto& slot : view.ledger.slots_of(claimant.server))
     {
         bool holds = claimant.held.contains(slot.model);
-        bool useful = is_decided(view.state, slot) && !claimant.leaving;
+        bool useful = is_decided(view.state, slot) && !claimant.leaving &&
+                      !claimant.left_to_others.contains(slot.model);
         // Of two slots for one model only the lower is of use: a server holds one replica of it.
         if ((holds || useful) && !models.contains(slot.model))
         {
--- a/src/coordination/placement/slot_claims.hpp
+++ b/src/coordination/placement/slot_claims.hpp
@@ -23,6 +23,22 @@
     /// Models whose checkpoint the server has in memory or on disk. It may ask for their slots
     /// before the preferred servers, as long as its share of decided memory allows.
     std::map<model_id, checkpoint_tier> cached;
+    /// Models whose slots the domain leaves to others for a while, as its own loads are crowded.
+    std::set<model_id> left_to_others;
+    /// Models that are waited for and that this server could begin to load at once; it asks for
+    /// one free slot of them before its turn.
+    std::set<model_id> could_begin;
+};
+
+/// Remembers for some seconds which models the domain has left to others. Used by one thread.
+class crowded_models
+{
+public:
+    void note(const std::set<model_id>& crowded, instant now);
+    std::set<model_id> lately(instant now);
+
+private:
+    std::map<model_id, instant> noted_;
 };
 
 /// Since when each slot has been seen without an owner.
--- a/src/placer/domain_placer.hpp
+++ b/src/placer/domain_placer.hpp
@@ -97,6 +97,8 @@
         read_servers(view);
         write_slots(view);
         auto plan = planner_.plan(planned_from(view));
+        crowded_.note(plan.crowded, clock_.now());
+        lane_free_ = plan.lane_free;
         send(view, plan.orders);
         return {.engines = placed(plan),
                 .expected = std::move(plan.expected),
@@ -267,8 +269,12 @@
     {
         const server_object* object = find_object(view.state->servers, server);
         bool gone = is_gone(view, server);
-        slot_claimant it{
-            .server = server, .leaving = gone || object->leaving, .held = {}, .cached = {}};
+        slot_claimant it{.server = server,
+                         .leaving = gone || object->leaving,
+                         .held = {},
+                         .cached = {},
+                         .left_to_others = {},
+                         .could_begin = {}};
         if (gone)
         {
             return it;
@@ -293,6 +299,37 @@
         return it;
     }
 
+    static std::set<model_id> waited_for(const std::vector<replica_need>& needs)
+    {
+        std::set<model_id> models;
+        for (const auto& need : needs)
+        {
+            models.insert(need.model);
+        }
+        return models;
+    }
+
+    // The server with the most free memory among those just read back.
+    server_id roomiest_server() const
+    {
+        server_id best;
+        mebibytes most;
+        for (const auto& [server, known] : known_)
+        {
+            if (!known.fresh)
+            {
+                continue;
+            }
+            mebibytes free = known.report->memory_total - known.report->memory_used;
+            if (best.empty() || free > most)
+            {
+                best = server;
+                most = free;
+            }
+        }
+        return best;
+    }
+
     void write_slots(const domain_view& view)
     {
         if (preferred_for_ != view.state)
@@ -307,12 +344,24 @@
                                .ledger = slots_.ledger(),
                                .unowned = slots_.may_claim() ? unowned_ : none,
                                .now = clock_.now()};
+        auto left = crowded_.lately(clock_.now());
+        auto roomiest = roomiest_server();
         std::map<server_id, slot_set> wanted;
         for (const auto& [server, known] : known_)
         {
             bool sure = known.fresh || is_gone(view, server);
-            wanted[server] = sure ? wanted_slots(claims, claimant(view, server, known))
-                                  : slots_.ledger().slots_of(server);
+            if (!sure)
+            {
+                wanted[server] = slots_.ledger().slots_of(server);
+                continue;
+            }
+            auto it = claimant(view, server, known);
+            it.left_to_others = left;
+            if (lane_free_ && server == roomiest)
+            {
+                it.could_begin = waited_for(view.needs);
+            }
+            wanted[server] = wanted_slots(claims, it);
         }
         (void)slots_.write(wanted);
     }
@@ -407,6 +456,8 @@
     slot_preference preference_;
     fleet_state_ptr preferred_for_;
     unowned_since unowned_;
+    crowded_models crowded_;
+    bool lane_free_ = false;
 };
 
 } // namespace banyanshunt
--- a/tests/stand_ins/placement/placement_run.hpp
+++ b/tests/stand_ins/placement/placement_run.hpp
@@ -133,6 +133,8 @@
         order_book orders;
         std::vector<server_id> servers;
         std::vector<expected_load> expected;
+        crowded_models crowded;
+        bool lane_free = false;
     };
 
     struct waiting_request
@@ -298,10 +300,18 @@
                              .ledger = ledger_,
                              .unowned = unowned_,
                              .now = clock_.now()};
+        std::set<model_id> left = domain.crowded.lately(clock_.now());
+        auto roomiest = roomiest_server(domain);
         for (const auto& id : domain.servers)
         {
-            auto record = writers_.at(id).next(ledger_, wanted_slots(view, claimant(domain, id)),
-                                               clock_.now());
+            auto it = claimant(domain, id);
+            if (options_.claim_by_cache)
+            {
+                it.left_to_others = left;
+                it.could_begin =
+                    domain.lane_free && id == roomiest ? waited_for() : std::set<model_id>();
+            }
+            auto record = writers_.at(id).next(ledger_, wanted_slots(view, it), clock_.now());
             if (record)
             {
                 ledger_.apply(*record, ledger_.through());
@@ -309,9 +319,45 @@
         }
     }
 
+    std::set<model_id> waited_for() const
+    {
+        std::set<model_id> models;
+        for (const auto& it : waiting_)
+        {
+            models.insert(it.request.model);
+        }
+        return models;
+    }
+
+    server_id roomiest_server(const domain_run& domain) const
+    {
+        server_id best;
+        mebibytes most;
+        for (const auto& id : domain.servers)
+        {
+            auto engine = fleet_.engines().find(id);
+            if (engine == fleet_.engines().end())
+            {
+                continue;
+            }
+            mebibytes free = engine->second.memory_total - engine->second.memory_used;
+            if (best.empty() || free > most)
+            {
+                best = id;
+                most = free;
+            }
+        }
+        return best;
+    }
+
     slot_claimant claimant(const domain_run& domain, const server_id& id) const
     {
-        slot_claimant it{.server = id, .leaving = !fleet_.alive(id), .held = {}, .cached = {}};
+        slot_claimant it{.server = id,
+                         .leaving = !fleet_.alive(id),
+                         .held = {},
+                         .cached = {},
+                         .left_to_others = {},
+                         .could_begin = {}};
         for (const auto& order : domain.orders.orders(id))
         {
             it.held.insert(order.model);
@@ -390,6 +436,8 @@
             result_.mean_plan_ms += ms;
             ++plans_;
             domain.expected = plan.expected;
+            domain.crowded.note(plan.crowded, clock_.now());
+            domain.lane_free = plan.lane_free;
             retiring_.insert(plan.retiring.begin(), plan.retiring.end());
             send(domain, plan.orders);
         }
