--- a/src/transport/state_source.cpp
+++ b/src/transport/state_source.cpp
@@ -17,9 +17,9 @@
 constexpr milliseconds log_wait(1000);
 constexpr milliseconds failed_read_pause(200);
 constexpr milliseconds shortest_list_interval(500);
-// A long list is read less often, so that reading it takes about 3 KB/s at any length.
+// A long list is read less often, but a leaving server must be known within a few seconds.
 constexpr milliseconds list_interval_per_host(30);
-constexpr milliseconds longest_list_interval(30000);
+constexpr milliseconds longest_list_interval(3000);
 constexpr milliseconds exchange_limit(500);
 // A host that starts from nothing may get the whole state in one answer.
 constexpr milliseconds first_exchange_limit(10000);
