--- a/tests/correctness/placement_path_test.cpp
+++ b/tests/correctness/placement_path_test.cpp
@@ -128,13 +128,12 @@
 
     http_answer complete()
     {
-        auto answer =
-            http.send({.address = entry.caller_address(),
-                       .method = "POST",
-                       .path = "/v1/completions",
-                       .headers = {{"Authorization", "Bearer k1.secret"}},
-                       .body = R"({"model":"guide-7b","prompt":"swap","max_tokens":3})",
-                       .silence = milliseconds(60000)});
+        auto answer = http.send({.address = entry.caller_address(),
+                                 .method = "POST",
+                                 .path = "/v1/completions",
+                                 .headers = {{"Authorization", "Bearer k1.secret"}},
+                                 .body = R"({"model":"guide-7b","prompt":"swap","max_tokens":3})",
+                                 .silence = milliseconds(60000)});
         REQUIRE(answer);
         return *answer;
     }
