--- a/src/protocol/settings_file.cpp
+++ b/src/protocol/settings_file.cpp
@@ -86,6 +86,7 @@
 
 settings_file::value_at* settings_file::find(const std::string& section, const std::string& name)
 {
+    asked_.insert(fmt::format("[{}] {}", section, name));
     auto it = sections_.find(section);
     if (it == sections_.end())
     {
--- a/src/protocol/settings_file.hpp
+++ b/src/protocol/settings_file.hpp
@@ -7,6 +7,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -43,6 +44,9 @@
     /// Notes a mistake about a value that was read, for checks that span several values.
     void mistake(const std::string& section, const std::string& name, const std::string& message);
 
+    /// Every "[section] name" that was asked for so far, whether it was set or not.
+    const std::set<std::string>& asked() const { return asked_; }
+
     /// All mistakes, unknown names among them. Call it after the last value was asked for.
     std::vector<std::string> mistakes() const;
 
@@ -62,6 +66,7 @@
     std::string path_;
     std::map<std::string, std::map<std::string, value_at>> sections_;
     std::vector<std::string> mistakes_;
+    std::set<std::string> asked_;
 
     friend struct settings_parser;
 };
--- a/src/tools/service_level.cpp
+++ b/src/tools/service_level.cpp
@@ -16,8 +16,8 @@
 
 // Refusals that are right whatever state the system is in.
 const std::set<std::string> callers_own = {
-    "bad_request", "key_missing", "key_refused",          "not_found",
-    "over_rate",   "cancelled",   "idempotency_mismatch", "already_claimed"};
+    "bad_request", "key_missing",          "key_refused",     "not_found",  "over_rate",
+    "cancelled",   "idempotency_mismatch", "already_claimed", "already_ran"};
 
 double sum_of(const samples& in, const std::string& metric)
 {
--- /dev/null
+++ b/tests/correctness/pages_test.cpp
@@ -0,0 +1,68 @@
+/// \file
+/// The operators' pages name all that the code reads and answers.
+
+#include <fstream>
+#include <sstream>
+
+#include <catch2/catch.hpp>
+
+#include "entry/entry_settings.hpp"
+#include "placer/placer_settings.hpp"
+#include "scenario_language/parser.hpp"
+#include "state/errors.hpp"
+
+using namespace banyanshunt;
+
+namespace
+{
+
+std::string page(const std::string& name)
+{
+    std::ifstream in("docs/" + name);
+    std::ostringstream text;
+    text << in.rdbuf();
+    return text.str();
+}
+
+bool has_row(const std::string& text, const std::string& name)
+{
+    return text.find("| `" + name + "` |") != std::string::npos;
+}
+
+} // namespace
+
+TEST_CASE("docs/SETTINGS.md has every setting that the daemons read")
+{
+    std::string text = page("SETTINGS.md");
+    settings_file file = settings_file::parse("", "x.ini");
+    (void)read_entry_settings(file);
+    (void)read_placer_settings(file);
+    CHECK(file.asked().size() > 30);
+    for (const auto& name : file.asked())
+    {
+        INFO(name);
+        CHECK(has_row(text, name));
+    }
+    CHECK_FALSE(has_row(text, "[limits] no_such_setting"));
+}
+
+TEST_CASE("docs/OPERATORS.md has every reason of a refusal")
+{
+    std::string text = page("OPERATORS.md");
+    for (int i = 1; i <= static_cast<int>(errc::already_ran); ++i)
+    {
+        std::string reason = make_error_code(static_cast<errc>(i)).message();
+        INFO(reason);
+        CHECK(has_row(text, reason));
+    }
+}
+
+TEST_CASE("docs/SCENARIOS.md has every form of statement")
+{
+    std::string text = page("SCENARIOS.md");
+    for (const auto& form : scenario::statement_forms())
+    {
+        INFO(form.form);
+        CHECK(has_row(text, form.form));
+    }
+}
--- a/tests/scenario_language/fleet.hpp
+++ b/tests/scenario_language/fleet.hpp
@@ -44,7 +44,7 @@
     std::unique_ptr<service_stand_in> service;
     std::unique_ptr<cut_link> link;
 
-    fault_table& faults() { return engine ? engine->faults() : service->faults(); }
+    fault_table& faults() const { return engine ? engine->faults() : service->faults(); }
     int runs() const;
     std::vector<std::string> headers_seen() const;
 };
--- a/tests/scenario_language/parser.cpp
+++ b/tests/scenario_language/parser.cpp
@@ -112,6 +112,7 @@
                            first_words());
     }
     std::vector<std::string> forms;
+    forms.reserve(closest.size());
     for (const auto* form : closest)
     {
         forms.push_back(fmt::format("\"{}\"", form->form));
