--- a/src/entry/request_part.hpp
+++ b/src/entry/request_part.hpp
@@ -23,6 +23,8 @@
     metrics& counters;
     /// Called when a request begins to wait for a replica.
     std::function<void()> wake_demand;
+    /// Time since the state was confirmed; nothing if it never was.
+    std::function<std::optional<milliseconds>()> view_age;
 };
 
 /// Runs from `start` to `stop`.
@@ -56,6 +58,7 @@
     http_log_service log_;
     replica_board board_;
     token_line line_;
+    fair_places places_;
     log_batcher<http_log_service> batcher_;
     claim_desk<http_log_service> claims_;
     request_handler handler_;
--- a/src/placer/placer_host.cpp
+++ b/src/placer/placer_host.cpp
@@ -3,34 +3,39 @@
 #include <atomic>
 
 #include "coordination/random_source.hpp"
-#include "coordination/state_follower.hpp"
 #include "placer/demand_board.hpp"
+#include "placer/demand_relay.hpp"
 #include "placer/domain_placer.hpp"
 #include "placer/gone_servers.hpp"
 #include "protocol/platform_codec.hpp"
-#include "protocol/ticket_codec.hpp"
 #include "state/duty_thread.hpp"
 #include "state/log_line.hpp"
 #include "transport/backend_clients.hpp"
 #include "transport/http_server.hpp"
 #include "transport/metrics.hpp"
 #include "transport/placement_link.hpp"
-#include "transport/platform_clients.hpp"
+#include "transport/state_source.hpp"
 
 namespace banyanshunt
 {
 namespace
 {
 
-constexpr milliseconds log_wait(1000);
-constexpr milliseconds failed_read_pause(200);
-constexpr milliseconds host_list_interval(500);
+constexpr milliseconds limits_interval(5000);
+constexpr milliseconds exchange_interval(500);
 
 incarnation new_incarnation()
 {
     return incarnation(static_cast<std::int64_t>(system_seeded()() >> 1U));
 }
 
+// Versions of the board of an earlier life must not look like this one's.
+std::int64_t new_version()
+{
+    constexpr unsigned keep_room = 16;
+    return static_cast<std::int64_t>(system_seeded()() >> keep_room) + 1;
+}
+
 domain_placer_options placer_options(const placer_settings& given)
 {
     host_id self(given.host.name);
@@ -55,10 +60,18 @@
 {
     explicit impl(const placer_settings& given)
         : settings(given), log(http, given.platform.log, given.platform.patience),
-          hosts(http, given.platform.hosts), engine(http), channels(given.peer_keys),
-          follower(log, state, decode_ticket, [](const auto&) {}),
+          weights(http, given.platform.weights), engine(http), channels(given.peer_keys),
+          source({.host = given.host,
+                  .platform = given.platform,
+                  .role = placer_role,
+                  .shortest_tick = exchange_interval},
+                 http, channels, counters, [this](const auto& list) { take_list(list); }),
+          state(source.cell()),
           placer(log, engine, clock, placer_options(given),
                  [this](const auto& it, const auto& sent) { note_order(it, sent); }),
+          board(domain_id(given.host.domain), new_version()),
+          relay(channels, demands, board,
+                {.self = host_id(given.host.name), .domain = domain_id(given.host.domain)}),
           service([this](const demand& it) { return take_demand(it); }),
           admin({.address = given.admin_listen, .threads = 4}),
           peers({.address = given.peer_listen,
@@ -69,39 +82,60 @@
 
     placement_answer take_demand(const demand& it)
     {
-        demands.put(it.host, it.needs, clock.now());
-        if (!it.needs.empty() && place_duty)
+        bool more = demands.put(it, clock.now());
+        if (more && started)
         {
             place_duty->wake();
+            relay_duty->wake();
         }
+        placement_answer answer{.placer = host_id(settings.host.name),
+                                .holder = current_holder(),
+                                .version = 0,
+                                .unchanged = false,
+                                .servers = {},
+                                .expected = {}};
+        board.fill(it, answer);
+        return answer;
+    }
+
+    host_id current_holder()
+    {
         std::lock_guard lock(mutex);
-        return {.placer = host_id(settings.host.name), .servers = placed};
+        return holder.value_or(host_id());
     }
 
-    milliseconds follow_tickets()
+    milliseconds relay_demand()
     {
-        auto step = follower.step(log_wait);
-        return step ? milliseconds(0) : failed_read_pause;
+        host_id it = current_holder();
+        return relay.step(it.empty() ? std::nullopt : std::optional(it));
     }
 
-    milliseconds follow_hosts()
+    // The limits of the platform's weight store; until they were read, those of the defaults hold.
+    milliseconds follow_limits()
     {
-        auto listed = hosts.hosts();
-        if (listed)
+        auto limits = weights.limits();
+        if (limits)
         {
             std::lock_guard lock(mutex);
-            neighbours.clear();
-            for (const auto& host : *listed)
+            store_limits = *limits;
+        }
+        return limits_interval;
+    }
+
+    void take_list(const std::vector<listed_host>& list)
+    {
+        relay.set_hosts(list);
+        std::lock_guard lock(mutex);
+        neighbours.clear();
+        for (const auto& host : list)
+        {
+            bool near = host.role == placer_role && host.domain.str() == settings.host.domain;
+            if (near && !host.leaving)
             {
-                bool near = host.role == "placer" && host.domain.str() == settings.host.domain;
-                if (near && !host.leaving)
-                {
-                    neighbours.push_back(host.name);
-                }
+                neighbours.push_back(host.name);
             }
-            gone = listed_servers.take(*listed, clock.now());
         }
-        return host_list_interval;
+        gone = listed_servers.take(list, clock.now());
     }
 
     void note_order(const planned_order& it, const verdict<done>& sent)
@@ -115,8 +149,10 @@
 
     domain_view view_now()
     {
-        domain_view view{
-            .state = state.get(), .placers = {}, .gone = {}, .needs = demands.joined(clock.now())};
+        domain_view view{.state = state.get(),
+                         .placers = {},
+                         .gone = {},
+                         .needs = demands.joined(demand_reach::from_domain, clock.now())};
         std::lock_guard lock(mutex);
         view.placers = neighbours;
         view.gone = gone;
@@ -125,22 +161,27 @@
 
     void publish(const fleet_state& it, const domain_step& step)
     {
-        std::vector<placed_server> now_placed;
+        domain_id own(settings.host.domain);
+        domain_placement now_placed;
         for (const auto& engine_here : step.engines)
         {
             const server_object* object = find_object(it.servers, engine_here.server);
             if (object)
             {
-                now_placed.push_back({.server = engine_here.server,
-                                      .address = object->address,
-                                      .domain = object->domain,
-                                      .fencing = engine_here.fencing,
-                                      .leaving = object->leaving,
-                                      .replicas = engine_here.report.replicas});
+                now_placed.servers.push_back({.server = engine_here.server,
+                                              .address = object->address,
+                                              .domain = object->domain,
+                                              .fencing = engine_here.fencing,
+                                              .leaving = object->leaving,
+                                              .replicas = engine_here.report.replicas});
             }
         }
-        std::lock_guard lock(mutex);
-        placed = std::move(now_placed);
+        for (const auto& load : step.expected)
+        {
+            now_placed.expected.push_back(
+                {.model = load.model, .domain = own, .at = clock.now() + load.ready_in});
+        }
+        board.put(own, std::move(now_placed));
     }
 
     // The domains that share the weight store's limits are those that have engines.
@@ -154,7 +195,12 @@
                 domains.push_back(entry->value->domain);
             }
         }
-        placer.set_share(split_limits(store_limits, domains, domain_id(settings.host.domain)));
+        weight_store_limits limits;
+        {
+            std::lock_guard lock(mutex);
+            limits = store_limits;
+        }
+        placer.set_share(split_limits(limits, domains, domain_id(settings.host.domain)));
     }
 
     milliseconds place()
@@ -164,31 +210,43 @@
         auto began = clock.now();
         auto step = placer.step(view);
         counters.observe("banyanshunt_placement_seconds", clock.now() - began);
-        publish(*view.state, step);
+        auto holds = placer.holder();
+        {
+            std::lock_guard lock(mutex);
+            holder = holds;
+        }
+        // What another holder's servers hold comes from that holder.
+        if (holds == host_id(settings.host.name))
+        {
+            publish(*view.state, step);
+        }
         return settings.interval;
     }
 
     placer_settings settings;
     boot_clock clock;
     metrics counters;
-    state_cell state;
     http_client http;
     http_log_service log;
-    http_host_list hosts;
+    http_weight_store weights;
     http_model_engine engine;
     peer_channels channels;
-    state_follower<http_log_service> follower;
+    state_source source;
+    state_cell& state;
     domain_placer<http_log_service, http_model_engine, boot_clock> placer;
     demand_board demands;
+    placement_board board;
+    demand_relay relay;
     std::mutex mutex;
     std::vector<std::string> neighbours;
     gone_servers listed_servers;
     std::set<server_id> gone;
     weight_store_limits store_limits;
-    std::vector<placed_server> placed;
-    std::unique_ptr<duty_thread> ticket_duty;
-    std::unique_ptr<duty_thread> host_duty;
+    std::optional<host_id> holder;
+    std::atomic<bool> started = false;
+    std::unique_ptr<duty_thread> limits_duty;
     std::unique_ptr<duty_thread> place_duty;
+    std::unique_ptr<duty_thread> relay_duty;
     placement_service service;
     http_server admin;
     peer_server peers;
@@ -209,9 +267,11 @@
                     it.settings.admin_listen);
         return false;
     }
-    it.ticket_duty = std::make_unique<duty_thread>([&it] { return it.follow_tickets(); });
-    it.host_duty = std::make_unique<duty_thread>([&it] { return it.follow_hosts(); });
+    it.source.start();
+    it.limits_duty = std::make_unique<duty_thread>([&it] { return it.follow_limits(); });
     it.place_duty = std::make_unique<duty_thread>([&it] { return it.place(); });
+    it.relay_duty = std::make_unique<duty_thread>([&it] { return it.relay_demand(); });
+    it.started = true;
     it.admin.handle("GET", "/metrics",
                     [&it](auto&)
                     {
@@ -229,9 +289,11 @@
 void placer_host::stop()
 {
     impl& it = *impl_;
+    it.relay_duty->stop();
     it.place_duty->stop();
-    it.host_duty->stop();
-    it.ticket_duty->stop();
+    it.placer.release();
+    it.limits_duty->stop();
+    it.source.stop();
     it.admin.stop();
     log_change("placer_stopped", "host={}", it.settings.host.name);
 }
--- a/tests/stand_ins/engine_stand_in.cpp
+++ b/tests/stand_ins/engine_stand_in.cpp
@@ -295,6 +295,7 @@
             return status_only(404);
         }
         it->second.cancelled = true;
+        ++cancelled;
         return json_body("{}");
     }
 
@@ -423,6 +424,7 @@
     std::vector<std::string> headers;
     int running = 0;
     int overcommitted = 0;
+    int cancelled = 0;
     fault_table faults;
     http_client http;
     http_server server;
@@ -481,6 +483,12 @@
     return n;
 }
 
+int engine_stand_in::cancels() const
+{
+    std::lock_guard lock(impl_->mutex);
+    return impl_->cancelled;
+}
+
 int engine_stand_in::overcommits() const
 {
     std::lock_guard lock(impl_->mutex);
