Owned shares are the default: the first share of a resource begins full where that is safe

Cause: owned shares began empty, since a host cannot tell whether an older owner spent them; so two cases of request_life_test failed with them (refused over_rate right after the start, and before a host had joined), and fixed shares, which a replaced host begins full above the burst, stayed the default. Change: the only member of the stream's very first record begins full, once for a resource, while its part has not grown; a host is ready once it is a member or the log is silent. owned is the default. Ruled out: beginning full at every join (a part that was another's may be spent). Conclusion: right after a fleet's first start bursts are there; a later joiner fills at its rate and borrows.

--- a/src/coordination/share_bucket.cpp
+++ b/src/coordination/share_bucket.cpp
@@ -23,6 +23,11 @@
     }
 }
 
+void share_bucket::fill(instant now)
+{
+    put_back_some(depth(), now);
+}
+
 millitokens share_bucket::take_some(millitokens amount, instant now)
 {
     millitokens part = std::min(amount, level(now));
--- a/src/coordination/share_bucket.hpp
+++ b/src/coordination/share_bucket.hpp
@@ -60,6 +60,8 @@
     explicit share_bucket(instant now);
 
     void resize(const share_size& size, instant now);
+    /// Fills the bucket up to the depth in force.
+    void fill(instant now);
     /// Takes what is there of `amount` and returns it.
     millitokens take_some(millitokens amount, instant now);
     /// Puts back what fits of `amount` and returns it.
--- a/src/coordination/share_host.cpp
+++ b/src/coordination/share_host.cpp
@@ -52,7 +52,7 @@
                   { return it.second.queue.empty() && !limits_.contains(it.first); });
     for (const auto& [resource, fleet] : limits_)
     {
-        ledger_.set_share(resource, own_size(fleet), now);
+        ledger_.set_share(resource, own_size(fleet), membership_.held_from_first(), now);
     }
 }
 
--- a/src/coordination/share_ledger.cpp
+++ b/src/coordination/share_ledger.cpp
@@ -25,8 +25,20 @@
     return it == shares_.end() ? nullptr : &it->second;
 }
 
+void share_ledger::fill_if_first(const resource_id& resource, share_layer layer, bool is_new,
+                                 instant now)
+{
+    share_bucket& bucket = shares_.at(resource).buckets[layer];
+    bool owns = bucket.size().depth > nothing && !bucket.size().places;
+    bool first = owns && begun_[layer].insert(resource).second;
+    if (first && is_new)
+    {
+        bucket.fill(now);
+    }
+}
+
 void share_ledger::set_share(const resource_id& resource, const layered<share_size>& size,
-                             instant now)
+                             bool is_new, instant now)
 {
     owned_share& share = shares_.try_emplace(resource, now).first->second;
     share.forgotten = false;
@@ -37,6 +49,7 @@
             // The time for which this host could not act must not refill at the new rate.
             share.buckets[layer].skip_refill(counted(layer, now), now);
             share.buckets[layer].resize(size[layer], now);
+            fill_if_first(resource, layer, is_new, now);
         }
     }
 }
@@ -49,7 +62,7 @@
         return;
     }
     share_size none{.rate = {}, .depth = {}, .places = share->buckets.confirmed.size().places};
-    set_share(resource, {.confirmed = none, .outage = none}, now);
+    set_share(resource, {.confirmed = none, .outage = none}, false, now);
     share->borrowed.clear();
     share->forgotten = true;
     bool owes = share->buckets.confirmed.out() + share->buckets.outage.out() > nothing;
--- a/src/coordination/share_ledger.hpp
+++ b/src/coordination/share_ledger.hpp
@@ -11,6 +11,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 #include "coordination/share_bucket.hpp"
@@ -36,8 +37,10 @@
     explicit share_ledger(const share_ledger_options& options) : options_(options) {}
 
     /// Sets this host's own share of both layers. A cut takes effect at once. A gain in depth comes
-    /// empty, as the old owner may have spent what was in it.
-    void set_share(const resource_id& resource, const layered<share_size>& size, instant now);
+    /// empty, as the old owner may have spent what was in it; only the first share of a resource
+    /// in this life comes full, if it `is_new`: nobody else can have spent from it.
+    void set_share(const resource_id& resource, const layered<share_size>& size, bool is_new,
+                   instant now);
     /// Gives up the share of a resource, and drops it once its loans have ended.
     void forget(const resource_id& resource, instant now);
     std::vector<resource_id> resources() const;
@@ -122,8 +125,12 @@
     void report(const borrowed_loan& loan);
 
     share_ledger_options options_;
+    void fill_if_first(const resource_id& resource, share_layer layer, bool is_new, instant now);
+
     layered<instant> confirmed_until_{instant::min(), instant::min()};
     std::map<resource_id, owned_share> shares_;
+    /// The resources of which this life has had a share, be it given up since.
+    layered<std::set<resource_id>> begun_;
     std::map<share_number, lent_loan> lent_;
     std::map<share_number, open_ask> asked_;
     std::map<share_life, std::vector<loan_report>> reports_;
--- a/src/coordination/share_membership.cpp
+++ b/src/coordination/share_membership.cpp
@@ -48,6 +48,7 @@
             peers_[life].removals += contains(record.members, life) ? 0 : 1;
         }
     }
+    note_held(record, offset);
     for (const auto& life : record.members)
     {
         peer_view& peer = peers_[life];
@@ -59,8 +60,22 @@
     return true;
 }
 
+// The only member of the very first record holds a part that nobody held before. The part shrinks as
+// others join; when one leaves it grows, by what that one may have spent.
+void share_membership::note_held(const share_record& record, log_offset offset)
+{
+    if (offset == log_offset())
+    {
+        held_from_first_ = record.members == std::vector{self_};
+        return;
+    }
+    bool grown = record.members.size() < records_.back().record.members.size();
+    held_from_first_ = held_from_first_ && contains(record.members, self_) && !grown;
+}
+
 void share_membership::begin_late(log_offset first_kept)
 {
+    held_from_first_ = false;
     records_.clear();
     unproven_.clear();
     settled_ = {};
--- a/src/coordination/share_membership.hpp
+++ b/src/coordination/share_membership.hpp
@@ -89,6 +89,9 @@
     bool is_member() const;
     /// The members in the newest record.
     std::vector<share_life> members() const;
+    /// Whether this life has held its part since the stream's first record, so that nobody else
+    /// can have spent from it.
+    bool held_from_first() const { return held_from_first_; }
     /// Whether every life that might act on an older record is done with it.
     bool settled(share_layer layer) const;
 
@@ -113,6 +116,7 @@
         int removals = 0;
     };
 
+    void note_held(const share_record& record, log_offset offset);
     bool find_proven(const share_record& record, log_offset offset, instant now);
     bool cleared(std::size_t index, const share_life& life, share_layer layer, instant now) const;
     bool lapsed(std::size_t index, const share_life& life, share_layer layer, instant now) const;
@@ -132,6 +136,7 @@
     share_progress progress_;
     log_offset through_;
     bool started_late_ = false;
+    bool held_from_first_ = false;
     std::deque<applied_record> unproven_;
 };
 
--- a/src/entry/entry_host.cpp
+++ b/src/entry/entry_host.cpp
@@ -50,6 +50,9 @@
 
     bool owns_shares() const { return settings.shares.policy == "owned"; }
 
+    // A host that cannot join while the log is silent serves on what it can borrow.
+    bool has_shares() { return !owns_shares() || shares.has_joined_or_cannot(); }
+
     void take_list(const std::vector<listed_host>& list) { placement.set_hosts(list); }
 
     milliseconds follow_placement() { return placement.step(); }
@@ -79,7 +82,7 @@
         admin.handle("GET", "/ready",
                      [this](auto&)
                      {
-                         bool ready = !draining && state.get()->known();
+                         bool ready = !draining && state.get()->known() && has_shares();
                          return http_reply{.status = ready ? 200 : 503,
                                            .content_type = "text/plain",
                                            .headers = {},
--- a/src/entry/request_handler.cpp
+++ b/src/entry/request_handler.cpp
@@ -198,7 +198,7 @@
     return end;
 }
 
-void request_handler::settle(job& it, millitokens used)
+void request_handler::settle(job& it, millitokens used) const
 {
     if (!std::exchange(it.settled, true))
     {
--- a/src/entry/request_handler.hpp
+++ b/src/entry/request_handler.hpp
@@ -42,7 +42,7 @@
     verdict<completion_end> run_with_retries(job& it, const token_sink& sink);
     verdict<completion_end> run_on(job& it, const ready_replica& replica, const token_sink& sink);
     /// Gives back the unused part of the reservation, the first time.
-    void settle(job& it, millitokens used);
+    void settle(job& it, millitokens used) const;
     std::optional<milliseconds> pause_before_retry(int attempt);
     http_reply whole_answer(const std::shared_ptr<job>& it);
     http_reply streamed_answer(const std::shared_ptr<job>& it);
--- a/src/entry/share_part.cpp
+++ b/src/entry/share_part.cpp
@@ -114,9 +114,19 @@
     return !host_.membership().is_member();
 }
 
+bool share_part::has_joined_or_cannot()
+{
+    std::lock_guard lock(mutex_);
+    return log_silent_ || host_.membership().is_member();
+}
+
 milliseconds share_part::follow_log()
 {
     auto read = read_log();
+    {
+        std::lock_guard lock(mutex_);
+        log_silent_ = !read;
+    }
     if (!read)
     {
         return failed_read_pause;
--- a/src/entry/share_part.hpp
+++ b/src/entry/share_part.hpp
@@ -37,6 +37,9 @@
     verdict<reservation> reserve(const workspace_id& workspace, millitokens amount, instant now);
     void settle(const reservation& held, millitokens used, instant now);
 
+    /// Whether this host owns a share of its domain, or the log is silent, so that it cannot join.
+    bool has_joined_or_cannot();
+
 private:
     struct errand_to
     {
@@ -68,6 +71,7 @@
     std::map<host_id, std::string> addresses_;
     instant peers_taken_;
     bool was_member_ = false;
+    bool log_silent_ = false;
     std::uint64_t next_record_ = 0;
     std::uint64_t record_seed_;
     share_service service_;
--- a/src/entry/share_settings.hpp
+++ b/src/entry/share_settings.hpp
@@ -11,9 +11,9 @@
 /// Section [shares].
 struct share_settings
 {
-    /// "owned" shares move by loans and begin empty; "fixed" ones are equal parts over
-    /// `entry_hosts`.
-    std::string policy = "fixed";
+    /// "owned" shares move by loans; "fixed" ones are equal parts over `entry_hosts`, which a
+    /// replaced host begins full, above the workspace's burst.
+    std::string policy = "owned";
     /// How many failure domains there are. Must be the same on every host of the fleet: each
     /// domain owns this part of every rate and burst.
     int domains = 1;
--- a/tests/correctness/share_ledger_test.cpp
+++ b/tests/correctness/share_ledger_test.cpp
@@ -29,7 +29,7 @@
     one_host()
     {
         confirm(seconds(1000));
-        ledger.set_share(clinics, share_of(100, 400), clock.now());
+        ledger.set_share(clinics, share_of(100, 400), false, clock.now());
     }
 
     void confirm(nanoseconds length)
@@ -75,9 +75,9 @@
     }
     SECTION("a gained share comes empty and a cut takes effect at once")
     {
-        host.ledger.set_share(clinics, share_of(100, 800), host.clock.now());
+        host.ledger.set_share(clinics, share_of(100, 800), false, host.clock.now());
         CHECK(host.available() == 400);
-        host.ledger.set_share(clinics, share_of(100, 200), host.clock.now());
+        host.ledger.set_share(clinics, share_of(100, 200), false, host.clock.now());
         CHECK(host.available() == 200);
     }
     SECTION("past the confirmed time nothing is granted, lent or refilled")
@@ -105,6 +105,30 @@
     }
 }
 
+TEST_CASE("the first share of a resource comes full when nobody else can have spent from it")
+{
+    one_host host;
+    host.ledger.set_share(resource_id("schools"), share_of(100, 400), true, host.clock.now());
+    auto schools = [&]
+    {
+        return host.ledger.available(resource_id("schools"), host.clock.now()).count() /
+               millitokens_in_token;
+    };
+    CHECK(schools() == 400);
+
+    SECTION("a gain after it comes empty all the same")
+    {
+        host.ledger.set_share(resource_id("schools"), share_of(100, 800), true, host.clock.now());
+        CHECK(schools() == 400);
+    }
+    SECTION("a workspace that was withdrawn and comes back begins empty")
+    {
+        host.ledger.forget(resource_id("schools"), host.clock.now());
+        host.ledger.set_share(resource_id("schools"), share_of(100, 400), true, host.clock.now());
+        CHECK(schools() == 0);
+    }
+}
+
 TEST_CASE("a loan is debited before it is answered and lowers the lender's depth until it ends")
 {
     one_host host;
@@ -142,7 +166,7 @@
     }
     SECTION("a cut below the loan is complete only when the loan has ended")
     {
-        host.ledger.set_share(clinics, share_of(100, 200), host.clock.now());
+        host.ledger.set_share(clinics, share_of(100, 200), false, host.clock.now());
         CHECK_FALSE(host.ledger.cut_is_complete(host.clock.now()));
         host.ledger.end_loan({.loan = loan.loan, .returned = {}}, host.clock.now());
         CHECK(host.ledger.cut_is_complete(host.clock.now()));
@@ -192,10 +216,10 @@
     share_ledger& ledger = host.ledger;
     instant now = host.clock.now();
     const resource_id loads("loads_at_once");
-    ledger.set_share(loads, share_of(0, 4, true), now);
+    ledger.set_share(loads, share_of(0, 4, true), false, now);
     REQUIRE(ledger.take(loads, tokens(4), now));
     CHECK_FALSE(ledger.take(loads, tokens(1), now));
-    ledger.set_share(loads, share_of(0, 2, true), now);
+    ledger.set_share(loads, share_of(0, 2, true), false, now);
     CHECK_FALSE(ledger.cut_is_complete(now));
     CHECK(ledger.put_back(loads, tokens(2), now) == tokens(0));
     CHECK(ledger.cut_is_complete(now));
--- a/tests/correctness/share_membership_test.cpp
+++ b/tests/correctness/share_membership_test.cpp
@@ -81,6 +81,43 @@
     }
 }
 
+TEST_CASE("only the first member of the first record has held its part from the first")
+{
+    test_clock clock;
+    share_membership first(a, {});
+    REQUIRE(first.apply(first_of(a), log_offset(0), clock.now()));
+    CHECK(first.held_from_first());
+
+    SECTION("another life of the same host has not")
+    {
+        share_membership next(life_of("a", 2), {});
+        REQUIRE(next.apply(first_of(a), log_offset(0), clock.now()));
+        CHECK_FALSE(next.held_from_first());
+    }
+    SECTION("it still has when another joins, who has not")
+    {
+        share_membership second(b, {});
+        REQUIRE(second.apply(first_of(a), log_offset(0), clock.now()));
+        REQUIRE(first.apply(joined_by_b(), log_offset(1), clock.now()));
+        REQUIRE(second.apply(joined_by_b(), log_offset(1), clock.now()));
+        CHECK(first.held_from_first());
+        CHECK_FALSE(second.held_from_first());
+
+        SECTION("but not when that one leaves, and its part comes back")
+        {
+            share_record alone{
+                .follows = log_offset(2), .members = {a}, .former = {a, b}, .witnesses = {a}};
+            REQUIRE(first.apply(alone, log_offset(2), clock.now()));
+            CHECK_FALSE(first.held_from_first());
+        }
+    }
+    SECTION("nor one that began in the middle of the stream")
+    {
+        first.begin_late(log_offset(5));
+        CHECK_FALSE(first.held_from_first());
+    }
+}
+
 TEST_CASE("a host without the log lives on the promises of all other members")
 {
     test_clock clock;
--- a/tests/correctness/waiting_queue_test.cpp
+++ b/tests/correctness/waiting_queue_test.cpp
@@ -82,6 +82,7 @@
         REQUIRE(queue.push(request_of(100, "late")));
         REQUIRE(queue.push(request_of(101, "late")));
         std::vector<std::string> order;
+        order.reserve(4);
         for (int taken = 0; taken < 4; ++taken)
         {
             order.push_back(queue.take_next(any)->workspace.str());
