--- a/src/coordination/share_membership.cpp
+++ b/src/coordination/share_membership.cpp
@@ -60,8 +60,8 @@
     return true;
 }
 
-// The only member of the very first record holds a part that nobody held before. The part shrinks as
-// others join; when one leaves it grows, by what that one may have spent.
+// The only member of the very first record holds a part that nobody held before. The part shrinks
+// as others join; when one leaves it grows, by what that one may have spent.
 void share_membership::note_held(const share_record& record, log_offset offset)
 {
     if (offset == log_offset())
