--- a/src/protocol/admin_codec.cpp
+++ b/src/protocol/admin_codec.cpp
@@ -135,10 +135,7 @@
     }
     if (!errors.empty())
     {
-        return failure{.run = run_state::may_have_run,
-                       .code = errc::bad_answer,
-                       .detail = errors.first(),
-                       .retry_after = {}};
+        return errors.as_bad_answer(run_state::may_have_run);
     }
     return it;
 }
--- a/src/protocol/json_reader.cpp
+++ b/src/protocol/json_reader.cpp
@@ -6,6 +6,8 @@
 #include <fmt/ranges.h>
 #include <nlohmann/json.hpp>
 
+#include "state/errors.hpp"
+
 namespace banyanshunt
 {
 
@@ -17,6 +19,11 @@
     }
 }
 
+failure json_errors::as_bad_answer(run_state run) const
+{
+    return {.run = run, .code = errc::bad_answer, .detail = first_, .retry_after = {}};
+}
+
 nlohmann::json parse_json(const std::string& text, json_errors& errors)
 {
     auto document = nlohmann::json::parse(text, nullptr, false);
--- a/src/protocol/json_reader.hpp
+++ b/src/protocol/json_reader.hpp
@@ -13,6 +13,8 @@
 
 #include <nlohmann/json_fwd.hpp>
 
+#include "state/verdict.hpp"
+
 namespace banyanshunt
 {
 
@@ -26,6 +28,9 @@
     bool empty() const { return first_.empty(); }
     /// "path: message", or empty.
     const std::string& first() const { return first_; }
+    /// The first error as a failure with `errc::bad_answer`; `run` says what is known of the call
+    /// whose answer was read.
+    failure as_bad_answer(run_state run) const;
 
 private:
     std::string first_;
--- a/src/protocol/lease_codec.cpp
+++ b/src/protocol/lease_codec.cpp
@@ -32,10 +32,7 @@
     in.refuse_others();
     if (!errors.empty())
     {
-        return failure{.run = run_state::not_run,
-                       .code = errc::bad_answer,
-                       .detail = errors.first(),
-                       .retry_after = {}};
+        return errors.as_bad_answer(run_state::not_run);
     }
     return claim;
 }
--- a/src/protocol/platform_codec.cpp
+++ b/src/protocol/platform_codec.cpp
@@ -29,10 +29,7 @@
     Value value = read(in, errors);
     if (!errors.empty())
     {
-        return failure{.run = run_state::may_have_run,
-                       .code = errc::bad_answer,
-                       .detail = errors.first(),
-                       .retry_after = {}};
+        return errors.as_bad_answer(run_state::may_have_run);
     }
     return value;
 }
--- a/src/protocol/share_codec.cpp
+++ b/src/protocol/share_codec.cpp
@@ -64,10 +64,7 @@
     in.refuse_others();
     if (!errors.empty())
     {
-        return failure{.run = run_state::not_run,
-                       .code = errc::bad_answer,
-                       .detail = errors.first(),
-                       .retry_after = {}};
+        return errors.as_bad_answer(run_state::not_run);
     }
     return record;
 }
--- a/tests/correctness/placement_path_test.cpp
+++ b/tests/correctness/placement_path_test.cpp
@@ -10,6 +10,7 @@
 #include "placer/placer_host.hpp"
 #include "protocol/platform_codec.hpp"
 #include "stand_ins/engine_stand_in.hpp"
+#include "stand_ins/loopback_settings.hpp"
 #include "stand_ins/platform_stand_in.hpp"
 #include "stand_ins/ticket_text.hpp"
 #include "transport/http_client.hpp"
@@ -24,10 +25,10 @@
 {
     platform_stand_in platform{{.limits = {}, .load_time = milliseconds(20)}};
     engine_stand_in engine{{.checks_fencing = false, .weight_store = platform.address()}};
-    placer_host north_1{placer_options("n1", "north")};
-    placer_host north_2{placer_options("n2", "north")};
-    placer_host south_1{placer_options("s1", "south")};
-    entry_host entry{entry_options()};
+    placer_host north_1{loopback_placer(host_of("n1", "north"))};
+    placer_host north_2{loopback_placer(host_of("n2", "north"))};
+    placer_host south_1{loopback_placer(host_of("s1", "south"))};
+    entry_host entry{loopback_entry(host_of("n2", "north"))};
     http_client http;
 
     two_domains()
@@ -49,32 +50,9 @@
         south_1.stop();
     }
 
-    platform_settings platform_options() const
+    loopback_host host_of(const char* name, const char* domain) const
     {
-        return {
-            .log = platform.address(), .hosts = platform.address(), .weights = platform.address()};
-    }
-
-    placer_settings placer_options(const char* name, const char* domain) const
-    {
-        placer_settings it;
-        it.host = {.name = name, .domain = domain};
-        it.platform = platform_options();
-        it.peer_listen = "127.0.0.1:0";
-        it.admin_listen = "127.0.0.1:0";
-        it.interval = milliseconds(10);
-        return it;
-    }
-
-    entry_settings entry_options() const
-    {
-        entry_settings it;
-        it.host = {.name = "n2", .domain = "north"};
-        it.platform = platform_options();
-        it.listen = "127.0.0.1:0";
-        it.peer_listen = "127.0.0.1:0";
-        it.admin_listen = "127.0.0.1:0";
-        return it;
+        return {.name = name, .domain = domain, .platform = platform.address()};
     }
 
     static listed_host listed(const placer_host& it, const char* name, const char* domain)
--- a/tests/correctness/request_fleet.hpp
+++ b/tests/correctness/request_fleet.hpp
@@ -12,6 +12,7 @@
 #include "placer/placer_host.hpp"
 #include "protocol/platform_codec.hpp"
 #include "stand_ins/engine_stand_in.hpp"
+#include "stand_ins/loopback_settings.hpp"
 #include "stand_ins/platform_stand_in.hpp"
 #include "stand_ins/service_stand_in.hpp"
 #include "stand_ins/ticket_text.hpp"
@@ -25,9 +26,9 @@
     platform_stand_in platform{{.limits = {}, .load_time = milliseconds(20)}};
     engine_stand_in engine{{.weight_store = platform.address()}};
     service_stand_in service{{}};
-    placer_host placer{placer_options()};
-    entry_host north{entry_options("n1")};
-    entry_host south{entry_options("n2")};
+    placer_host placer{loopback_placer(host_of("n1"))};
+    entry_host north{loopback_entry(host_of("n1"))};
+    entry_host south{loopback_entry(host_of("n2"))};
     http_client http;
 
     request_fleet()
@@ -65,33 +66,9 @@
         return north.stop();
     }
 
-    platform_settings platform_options() const
+    loopback_host host_of(const std::string& name) const
     {
-        return {
-            .log = platform.address(), .hosts = platform.address(), .weights = platform.address()};
-    }
-
-    placer_settings placer_options() const
-    {
-        placer_settings it;
-        it.host = {.name = "n1", .domain = "north"};
-        it.platform = platform_options();
-        it.peer_listen = "127.0.0.1:0";
-        it.admin_listen = "127.0.0.1:0";
-        it.interval = milliseconds(10);
-        return it;
-    }
-
-    entry_settings entry_options(const std::string& name) const
-    {
-        entry_settings it;
-        it.host = {.name = name, .domain = "north"};
-        it.platform = platform_options();
-        it.listen = "127.0.0.1:0";
-        it.peer_listen = "127.0.0.1:0";
-        it.admin_listen = "127.0.0.1:0";
-        it.demand_interval = milliseconds(10);
-        return it;
+        return {.name = name, .domain = "north", .platform = platform.address()};
     }
 
     // The model "huge" fits on no server, so requests for it wait.
--- a/tests/correctness/whole_path_test.cpp
+++ b/tests/correctness/whole_path_test.cpp
@@ -10,6 +10,7 @@
 #include "placer/placer_host.hpp"
 #include "protocol/platform_codec.hpp"
 #include "stand_ins/engine_stand_in.hpp"
+#include "stand_ins/loopback_settings.hpp"
 #include "stand_ins/platform_stand_in.hpp"
 #include "stand_ins/service_stand_in.hpp"
 #include "stand_ins/ticket_text.hpp"
@@ -26,8 +27,8 @@
     platform_stand_in platform{{.limits = {}, .load_time = milliseconds(20)}};
     engine_stand_in engine{{.weight_store = platform.address()}};
     service_stand_in service{{}};
-    placer_host placer{placer_options()};
-    entry_host entry{entry_options()};
+    placer_host placer{loopback_placer(self())};
+    entry_host entry{loopback_entry(self())};
     http_client http;
 
     small_fleet()
@@ -44,33 +45,9 @@
         placer.stop();
     }
 
-    platform_settings platform_options() const
+    loopback_host self() const
     {
-        return {
-            .log = platform.address(), .hosts = platform.address(), .weights = platform.address()};
-    }
-
-    placer_settings placer_options() const
-    {
-        placer_settings it;
-        it.host = {.name = "n1", .domain = "north"};
-        it.platform = platform_options();
-        it.peer_listen = "127.0.0.1:0";
-        it.admin_listen = "127.0.0.1:0";
-        it.interval = milliseconds(10);
-        return it;
-    }
-
-    entry_settings entry_options() const
-    {
-        entry_settings it;
-        it.host = {.name = "n1", .domain = "north"};
-        it.platform = platform_options();
-        it.listen = "127.0.0.1:0";
-        it.peer_listen = "127.0.0.1:0";
-        it.admin_listen = "127.0.0.1:0";
-        it.demand_interval = milliseconds(10);
-        return it;
+        return {.name = "n1", .domain = "north", .platform = platform.address()};
     }
 
     void list_hosts()
--- a/tests/performance/overhead_bench.cpp
+++ b/tests/performance/overhead_bench.cpp
@@ -16,6 +16,7 @@
 #include "placer/placer_host.hpp"
 #include "protocol/platform_codec.hpp"
 #include "stand_ins/engine_stand_in.hpp"
+#include "stand_ins/loopback_settings.hpp"
 #include "stand_ins/platform_stand_in.hpp"
 #include "stand_ins/ticket_text.hpp"
 #include "transport/http_client.hpp"
@@ -37,7 +38,7 @@
     platform_stand_in platform{{.limits = {}, .load_time = milliseconds(20)}};
     engine_stand_in engine{
         {.weight_store = platform.address(), .time_per_token = milliseconds(FLAGS_token_ms)}};
-    placer_host placer{placer_options()};
+    placer_host placer{loopback_placer(self())};
     entry_host entry{entry_options()};
     http_client http;
 
@@ -65,30 +66,14 @@
         (void)platform.log().append(tickets_stream, std::span(&it, 1));
     }
 
-    platform_settings platform_options() const
+    loopback_host self() const
     {
-        return {
-            .log = platform.address(), .hosts = platform.address(), .weights = platform.address()};
-    }
-
-    placer_settings placer_options() const
-    {
-        placer_settings it;
-        it.host = {.name = "n1", .domain = "north"};
-        it.platform = platform_options();
-        it.peer_listen = "127.0.0.1:0";
-        it.admin_listen = "127.0.0.1:0";
-        return it;
+        return {.name = "n1", .domain = "north", .platform = platform.address()};
     }
 
     entry_settings entry_options() const
     {
-        entry_settings it;
-        it.host = {.name = "n1", .domain = "north"};
-        it.platform = platform_options();
-        it.listen = "127.0.0.1:0";
-        it.peer_listen = "127.0.0.1:0";
-        it.admin_listen = "127.0.0.1:0";
+        entry_settings it = loopback_entry(self());
         it.threads = 3 * static_cast<std::size_t>(FLAGS_held);
         it.most_waiting = 3 * static_cast<std::size_t>(FLAGS_held);
         it.requests.slots = 2 * FLAGS_held;
--- a/tests/stand_ins/cut_link.cpp
+++ b/tests/stand_ins/cut_link.cpp
@@ -74,7 +74,7 @@
     {
         sockaddr_in any = parse_address("127.0.0.1:0");
         socklen_t size = sizeof(any);
-        bind(listener.get(), reinterpret_cast<sockaddr*>(&any), size);
+        (void)bind(listener.get(), reinterpret_cast<sockaddr*>(&any), size);
         listen(listener.get(), backlog);
         getsockname(listener.get(), reinterpret_cast<sockaddr*>(&any), &size);
         address = "127.0.0.1:" + std::to_string(ntohs(any.sin_port));
--- a/tests/stand_ins/engine_stand_in.cpp
+++ b/tests/stand_ins/engine_stand_in.cpp
@@ -76,7 +76,7 @@
         return true;
     }
 
-    void note_replica(const model_id& model, int change)
+    void note_replica(const model_id& model, int change) const
     {
         if (options.ledger)
         {
--- /dev/null
+++ b/tests/stand_ins/loopback_settings.cpp
@@ -0,0 +1,42 @@
+#include "stand_ins/loopback_settings.hpp"
+
+namespace banyanshunt
+{
+namespace
+{
+
+const std::string free_port = "127.0.0.1:0";
+/// Shorter than in production, so that tests wait less.
+constexpr milliseconds quick(10);
+
+platform_settings platform_of(const loopback_host& host)
+{
+    return {.log = host.platform, .hosts = host.platform, .weights = host.platform};
+}
+
+} // namespace
+
+entry_settings loopback_entry(const loopback_host& host)
+{
+    entry_settings it;
+    it.host = {.name = host.name, .domain = host.domain};
+    it.platform = platform_of(host);
+    it.listen = free_port;
+    it.peer_listen = free_port;
+    it.admin_listen = free_port;
+    it.demand_interval = quick;
+    return it;
+}
+
+placer_settings loopback_placer(const loopback_host& host)
+{
+    placer_settings it;
+    it.host = {.name = host.name, .domain = host.domain};
+    it.platform = platform_of(host);
+    it.peer_listen = free_port;
+    it.admin_listen = free_port;
+    it.interval = quick;
+    return it;
+}
+
+} // namespace banyanshunt
--- a/tests/stand_ins/raw_server.cpp
+++ b/tests/stand_ins/raw_server.cpp
@@ -23,7 +23,7 @@
     sockaddr_in at{};
     at.sin_family = AF_INET;
     at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    bind(listener, reinterpret_cast<sockaddr*>(&at), sizeof(at));
+    (void)bind(listener, reinterpret_cast<sockaddr*>(&at), sizeof(at));
     constexpr int backlog = 64;
     listen(listener, backlog);
     return listener;
