--- a/tests/error/claim_desk_test.cpp
+++ b/tests/error/claim_desk_test.cpp
@@ -112,6 +112,7 @@
     constexpr std::array kinds = {fault_kind::refuse, fault_kind::lose_answer, fault_kind::late,
                                   fault_kind::repeat, fault_kind::hang};
     std::vector<fault_row> rows;
+    rows.reserve(5);
     for (int i = 0; i < 4; ++i)
     {
         rows.push_back({.call = "append",
@@ -267,6 +268,7 @@
     memory_log log;
     host north(log, "north");
     std::vector<std::thread> callers;
+    callers.reserve(64);
     std::atomic<int> granted = 0;
     for (int i = 0; i < 64; ++i)
     {
