--- /dev/null
+++ b/programs/shunt_serve.cpp
@@ -0,0 +1,59 @@
+// The entry host daemon for the prepared platform: one process on one event loop.
+
+#include <cstdlib>
+#include <fstream>
+#include <iostream>
+#include <sstream>
+
+#include <gflags/gflags.h>
+
+#include "platform/settings.hpp"
+#include "serve/serve_host.hpp"
+
+DEFINE_string(settings, "", "path of the settings file; by default the one the platform names");
+DEFINE_bool(check, false, "check the settings and exit");
+
+namespace
+{
+
+constexpr int usage_error = 2;
+
+std::string settings_path()
+{
+    if (!FLAGS_settings.empty())
+    {
+        return FLAGS_settings;
+    }
+    const char* named = std::getenv(banyanshunt::platform::settings_variable);
+    return named ? named : "";
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    gflags::SetUsageMessage("serves callers on the prepared platform");
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    std::string path = settings_path();
+    std::ifstream file(path);
+    if (path.empty() || !file)
+    {
+        std::cerr << "shunt-serve: cannot read the settings file \"" << path
+                  << "\"; name one with --settings\n";
+        return usage_error;
+    }
+    std::ostringstream text;
+    text << file.rdbuf();
+    auto settings = banyanshunt::platform::parse_settings(text.str());
+    if (!settings)
+    {
+        std::cerr << "shunt-serve: " << path << ": " << settings.error().detail << "\n";
+        return usage_error;
+    }
+    if (FLAGS_check)
+    {
+        std::cout << "settings are in order\n";
+        return 0;
+    }
+    return banyanshunt::serve_host(std::move(*settings)).run();
+}
--- /dev/null
+++ b/src/coordination/backend_table.cpp
@@ -0,0 +1,362 @@
+#include "coordination/backend_table.hpp"
+
+#include <algorithm>
+#include <limits>
+
+#include "coordination/rendezvous.hpp"
+
+namespace banyanshunt
+{
+
+namespace
+{
+
+/// Weight of a request's outcome in the moving part of failures: some ten requests' memory.
+constexpr double outcome_weight = 0.12;
+/// What the choice adds for a server that fails all its requests, in parts of a full server.
+constexpr double failing_cost = 1.5;
+/// What it adds for a server in another failure domain: bytes between domains have a price.
+constexpr double other_domain_cost = 0.02;
+/// A server that paused because of failures costs as much as a full one.
+constexpr double avoided_cost = 4.0;
+/// How long a unit counts as not held after the server said so.
+constexpr milliseconds denied_for{120};
+/// Loads by `rendezvous_weight` differ by this much at most, so that hosts agree on one server
+/// where servers are alike.
+constexpr double tie_break_ms = 60;
+constexpr int most_doublings = 6;
+
+} // namespace
+
+bool backend_table::apply_entry(const backend_entry& entry, instant now)
+{
+    auto [it, is_new] = servers_.try_emplace(entry.id);
+    record& known = it->second;
+    if (is_new)
+    {
+        known.entry = entry;
+        known.heard_at = now;
+        return true;
+    }
+    if (entry.born_ms < known.entry.born_ms)
+    {
+        return false;
+    }
+    if (entry.born_ms == known.entry.born_ms &&
+        (entry.orders_accepted < known.entry.orders_accepted ||
+         (known.entry.draining && !entry.draining)))
+    {
+        return false;
+    }
+    if (entry.born_ms > known.entry.born_ms)
+    {
+        known.placement.reset();
+        known.denied_until.clear();
+        known.failures = 0;
+        known.failing_part = 0;
+        known.avoid_until = now;
+    }
+    known.entry = entry;
+    known.gone = false;
+    return true;
+}
+
+void backend_table::remove(const server_id& server)
+{
+    auto it = servers_.find(server);
+    if (it == servers_.end())
+    {
+        return;
+    }
+    if (it->second.running == 0)
+    {
+        servers_.erase(it);
+        return;
+    }
+    it->second.gone = true;
+}
+
+void backend_table::apply_placement(const server_id& server, server_placement placement)
+{
+    auto it = servers_.find(server);
+    if (it == servers_.end() || it->second.entry.born_ms > placement.born_ms)
+    {
+        return;
+    }
+    auto& known = it->second.placement;
+    if (!known || placement.fence >= known->fence)
+    {
+        known = std::move(placement);
+    }
+}
+
+void backend_table::apply_peer_use(const host_id& host, const server_id& server, int running,
+                                   instant now)
+{
+    auto it = servers_.find(server);
+    if (it != servers_.end())
+    {
+        it->second.told[host] = {.running = running, .at = now};
+    }
+}
+
+void backend_table::note_sent(const server_id& server, const engine_unit& unit)
+{
+    auto it = servers_.find(server);
+    if (it != servers_.end())
+    {
+        ++it->second.running;
+        ++it->second.running_units[unit];
+        ++it->second.asked_units[unit];
+    }
+}
+
+void backend_table::note_ended(const server_id& server, const engine_unit& unit,
+                               backend_outcome outcome, instant now)
+{
+    auto found = servers_.find(server);
+    if (found == servers_.end())
+    {
+        return;
+    }
+    record& it = found->second;
+    it.running = std::max(0, it.running - 1);
+    auto running = it.running_units.find(unit);
+    if (running != it.running_units.end() && --running->second <= 0)
+    {
+        it.running_units.erase(running);
+    }
+    if (outcome == backend_outcome::failed)
+    {
+        ++it.failures;
+        it.failing_part += outcome_weight * (1 - it.failing_part);
+        if (it.failures >= 2)
+        {
+            auto pause = options_.first_pause * (1 << std::min(it.failures - 2, most_doublings));
+            it.avoid_until = now + std::min<milliseconds>(pause, options_.longest_pause);
+        }
+    }
+    else if (outcome == backend_outcome::answered)
+    {
+        it.failures = 0;
+        it.failing_part -= outcome_weight * it.failing_part;
+    }
+    else if (outcome == backend_outcome::not_held)
+    {
+        it.denied_until[unit] = now + denied_for;
+    }
+    if (it.gone && it.running == 0)
+    {
+        servers_.erase(found);
+    }
+}
+
+void backend_table::note_heard(const server_id& server, instant now)
+{
+    auto it = servers_.find(server);
+    if (it != servers_.end())
+    {
+        it->second.heard_at = now;
+    }
+}
+
+const backend_table::record* backend_table::find(const server_id& server) const
+{
+    auto it = servers_.find(server);
+    return it == servers_.end() ? nullptr : &it->second;
+}
+
+int backend_table::load(const record& it, instant now) const
+{
+    int sum = it.running;
+    for (const auto& [host, use] : it.told)
+    {
+        if (now - use.at < options_.told_for)
+        {
+            sum += use.running;
+        }
+    }
+    return sum;
+}
+
+bool backend_table::placement_counts(const record& it, instant now) const
+{
+    return it.placement && it.placement->born_ms == it.entry.born_ms &&
+           now - it.placement->told_at < options_.placement_for;
+}
+
+bool backend_table::holds(const record& it, const engine_unit& unit, instant now) const
+{
+    auto denied = it.denied_until.find(unit);
+    if (denied != it.denied_until.end() && now < denied->second)
+    {
+        return false;
+    }
+    if (placement_counts(it, now))
+    {
+        auto model = it.placement->models.find(unit.model);
+        return model != it.placement->models.end() && !model->second.leaving &&
+               model->second.ready_at <= now &&
+               (unit.adapter.empty() || model->second.adapters.contains(unit.adapter));
+    }
+    auto model = it.entry.models.find(unit.model);
+    return model != it.entry.models.end() &&
+           (unit.adapter.empty() || model->second.contains(unit.adapter));
+}
+
+int backend_table::other_holders(const server_id& server, const model_id& model, instant now) const
+{
+    return static_cast<int>(std::count_if(
+        servers_.begin(), servers_.end(),
+        [&](const auto& it)
+        {
+            return it.first != server && !it.second.gone && !it.second.entry.draining &&
+                   it.second.avoid_until <= now &&
+                   holds(it.second, {.model = model, .adapter = {}}, now);
+        }));
+}
+
+bool backend_table::usable(const record& it, const server_need& need) const
+{
+    return !it.gone && !it.entry.draining && it.entry.service == need.service &&
+           !need.tried.contains(it.entry.id);
+}
+
+double backend_table::cost(const record& it, instant now) const
+{
+    double sum = static_cast<double>(load(it, now)) / std::max(1, it.entry.slots);
+    sum += failing_cost * it.failing_part;
+    sum += it.entry.domain == options_.own_domain ? 0 : other_domain_cost;
+    sum += it.avoid_until > now ? avoided_cost : 0;
+    sum += it.entry.cold_left.count() > 0 ? other_domain_cost : 0;
+    return sum;
+}
+
+server_choice backend_table::choose(const server_need& need, const engine_spec* engine,
+                                    instant now) const
+{
+    const record* best = nullptr;
+    double best_cost = std::numeric_limits<double>::max();
+    const record* best_without_adapter = nullptr;
+    double best_without_cost = best_cost;
+    bool any_full = false;
+    const bool wants_model = engine != nullptr && !need.unit.model.empty();
+    for (const auto& [id, it] : servers_)
+    {
+        if (!usable(it, need))
+        {
+            continue;
+        }
+        double its_cost = cost(it, now);
+        bool held = !wants_model || holds(it, need.unit, now);
+        bool model_held = held || holds(it, {.model = need.unit.model, .adapter = {}}, now);
+        if (!model_held)
+        {
+            continue;
+        }
+        if (load(it, now) >= it.entry.slots)
+        {
+            any_full = true;
+            continue;
+        }
+        if (held && its_cost < best_cost)
+        {
+            best = &it;
+            best_cost = its_cost;
+        }
+        if (!held && its_cost < best_without_cost)
+        {
+            best_without_adapter = &it;
+            best_without_cost = its_cost;
+        }
+    }
+    if (best && (best_cost < avoided_cost || !best_without_adapter ||
+                 best_without_cost >= avoided_cost))
+    {
+        return {.what = server_choice::kind::send, .server = best->entry.id, .expected = {}};
+    }
+    if (best_without_adapter)
+    {
+        return {.what = server_choice::kind::load,
+                .server = best_without_adapter->entry.id,
+                .expected = milliseconds(10)};
+    }
+    if (any_full)
+    {
+        return {.what = server_choice::kind::full, .server = {}, .expected = {}};
+    }
+    if (wants_model)
+    {
+        if (auto load_there = choose_load(need, *engine, now))
+        {
+            return *load_there;
+        }
+    }
+    return {};
+}
+
+std::optional<server_choice> backend_table::choose_load(const server_need& need,
+                                                        const engine_spec& engine,
+                                                        instant now) const
+{
+    auto model = engine.models.find(need.unit.model);
+    if (model == engine.models.end())
+    {
+        return std::nullopt;
+    }
+    const record* best = nullptr;
+    double best_ms = std::numeric_limits<double>::max();
+    double best_wait = 0;
+    for (const auto& [id, it] : servers_)
+    {
+        if (!usable(it, need) || it.avoid_until > now)
+        {
+            continue;
+        }
+        milliseconds length = model->second.load_from_store;
+        if (it.entry.in_memory.contains(model->first))
+        {
+            length = model->second.load_from_memory;
+        }
+        else if (it.entry.on_disk.contains(model->first))
+        {
+            length = model->second.load_from_disk;
+        }
+        auto ms = static_cast<double>(length.count());
+        if (placement_counts(it, now))
+        {
+            auto coming = it.placement->models.find(model->first);
+            if (coming != it.placement->models.end() && !coming->second.leaving)
+            {
+                // It is being loaded there already.
+                std::chrono::duration<double, std::milli> left = coming->second.ready_at - now;
+                return server_choice{.what = server_choice::kind::load,
+                                     .server = id,
+                                     .expected = milliseconds(std::max<std::int64_t>(
+                                         static_cast<std::int64_t>(left.count()), 0))};
+            }
+            std::chrono::duration<double, std::milli> wait = it.placement->room_at - now;
+            ms += std::max(0.0, wait.count());
+        }
+        double wait = ms;
+        ms += 300.0 * load(it, now) / std::max(1, it.entry.slots);
+        auto weight = rendezvous_weight(need.unit.model.str(), id.str());
+        ms += tie_break_ms * static_cast<double>(weight) /
+              static_cast<double>(std::numeric_limits<std::uint64_t>::max());
+        if (ms < best_ms)
+        {
+            best = &it;
+            best_ms = ms;
+            best_wait = wait;
+        }
+    }
+    if (!best)
+    {
+        return std::nullopt;
+    }
+    return server_choice{.what = server_choice::kind::load,
+                         .server = best->entry.id,
+                         .expected = milliseconds(static_cast<std::int64_t>(best_wait))};
+}
+
+} // namespace banyanshunt
--- /dev/null
+++ b/src/coordination/backend_table.hpp
@@ -0,0 +1,174 @@
+#pragma once
+
+/// \file
+/// Defines the table of backend servers as one entry host sees them, and the choice of a server for
+/// a request.
+///
+/// The choice answers the pattern in which many hosts send at once to servers whose load they know
+/// only from what they sent themselves and from what peers told a moment ago: it counts both, turns
+/// away from servers whose answers fail, and never uses a model that a server does not hold.
+
+#include <map>
+#include <optional>
+#include <set>
+#include <vector>
+
+#include "state/backend_entry.hpp"
+#include "state/clock.hpp"
+
+namespace banyanshunt
+{
+
+/// A model, or one adapter of it. Both empty for requests to plain services.
+struct engine_unit
+{
+    model_id model;
+    adapter_id adapter;
+
+    friend bool operator==(const engine_unit&, const engine_unit&) = default;
+    friend auto operator<=>(const engine_unit&, const engine_unit&) = default;
+};
+
+/// A model on a server, by the host that gives the server its orders.
+struct held_model
+{
+    instant ready_at;
+    std::set<adapter_id> adapters;
+    /// About to be unloaded.
+    bool leaving = false;
+};
+
+/// What a server holds, by the host that gives it its orders.
+struct server_placement
+{
+    host_id owner;
+    fencing_number fence;
+    std::int64_t born_ms = 0;
+    std::map<model_id, held_model> models;
+    /// When it could begin to load another model.
+    instant room_at;
+    instant told_at;
+};
+
+/// How a request ended at a server, for the server's health.
+enum class backend_outcome
+{
+    answered,
+    /// Refused in good order: it is full.
+    full,
+    /// Does not hold the model or adapter.
+    not_held,
+    /// An error of its own, a broken answer or a lost connection.
+    failed,
+    /// Given up for reasons that say nothing of the server.
+    abandoned,
+};
+
+struct backend_table_options
+{
+    domain_id own_domain;
+    /// Reports of peers older than this no longer count.
+    milliseconds told_for{2500};
+    /// A placement that was not told again for this long gives way to the server's own entry.
+    milliseconds placement_for{6000};
+    /// First pause after a failure; doubles with each in a row.
+    milliseconds first_pause{150};
+    milliseconds longest_pause{4000};
+};
+
+struct server_need
+{
+    service_id service;
+    engine_unit unit;
+    /// Tried already.
+    std::set<server_id> tried;
+};
+
+/// Where a request can go.
+struct server_choice
+{
+    enum class kind
+    {
+        /// Send it to `server` now.
+        send,
+        /// `server` should load the adapter or model first.
+        load,
+        /// All servers that could serve it are full.
+        full,
+        /// No server could serve it.
+        none,
+    };
+    kind what = kind::none;
+    server_id server;
+    /// For `load`: when it should be there.
+    milliseconds expected{0};
+};
+
+class backend_table
+{
+public:
+    explicit backend_table(backend_table_options options) : options_(std::move(options)) {}
+
+    struct record
+    {
+        backend_entry entry;
+        std::optional<server_placement> placement;
+        /// Own requests in flight, in all and by unit.
+        int running = 0;
+        std::map<engine_unit, int> running_units;
+        /// Own requests since the last report to peers.
+        std::map<engine_unit, int> asked_units;
+        struct told_use
+        {
+            int running = 0;
+            instant at;
+        };
+        std::map<host_id, told_use> told;
+        /// Requests that failed in a row, and a moving part of failures.
+        int failures = 0;
+        double failing_part = 0;
+        instant avoid_until;
+        /// The last byte received.
+        instant heard_at;
+        /// Units that the server has just said it does not hold.
+        std::map<engine_unit, instant> denied_until;
+        /// Gone from the registry; kept while requests run there.
+        bool gone = false;
+    };
+
+    /// Takes a server's entry; returns false for one older than what is known.
+    bool apply_entry(const backend_entry& entry, instant now);
+    void remove(const server_id& server);
+    void apply_placement(const server_id& server, server_placement placement);
+    void apply_peer_use(const host_id& host, const server_id& server, int running, instant now);
+
+    void note_sent(const server_id& server, const engine_unit& unit);
+    void note_ended(const server_id& server, const engine_unit& unit, backend_outcome outcome,
+                    instant now);
+    void note_heard(const server_id& server, instant now);
+
+    /// The server for a request, by what is known at `now`.
+    server_choice choose(const server_need& need, const engine_spec* engine, instant now) const;
+
+    const record* find(const server_id& server) const;
+    const std::map<server_id, record>& servers() const { return servers_; }
+    std::map<server_id, record>& servers() { return servers_; }
+    /// Requests at the server, own and told.
+    int load(const record& it, instant now) const;
+    /// What the server holds by the freshest source.
+    bool holds(const record& it, const engine_unit& unit, instant now) const;
+    /// How many servers other than `server` can serve the model.
+    int other_holders(const server_id& server, const model_id& model, instant now) const;
+
+private:
+    bool usable(const record& it, const server_need& need) const;
+    bool placement_counts(const record& it, instant now) const;
+    double cost(const record& it, instant now) const;
+    std::optional<server_choice> choose_load(const server_need& need, const engine_spec& engine,
+                                             instant now) const;
+
+    backend_table_options options_;
+    std::map<server_id, record> servers_;
+};
+
+} // namespace banyanshunt
--- /dev/null
+++ b/src/coordination/repeat_budget.hpp
@@ -0,0 +1,47 @@
+#pragma once
+
+/// \file
+/// Defines this host's part of the budget of repeats that all hosts share. It answers the pattern
+/// in which many requests fail at once: without a bound their repeats would add to the load that
+/// made them fail.
+
+#include "state/clock.hpp"
+#include "state/units.hpp"
+
+namespace banyanshunt
+{
+
+struct repeat_budget_options
+{
+    /// Repeats allowed for each request.
+    double ratio = 0.2;
+    /// Repeats allowed besides in each window, over all hosts.
+    double extra = 20;
+    milliseconds window{10000};
+};
+
+/// The budget towards one service. Half of this host's part of the extra repeats is there at once,
+/// the other half comes over a window, so no window holds more than the whole.
+class repeat_budget
+{
+public:
+    repeat_budget(const repeat_budget_options& options, instant now)
+        : options_(options), filled_at_(now)
+    {
+    }
+
+    /// Counts a request's first send.
+    void note_request(std::size_t hosts, instant now);
+    /// Takes one repeat; false if there is none.
+    bool take(std::size_t hosts, instant now);
+
+private:
+    void refill(std::size_t hosts, instant now);
+
+    repeat_budget_options options_;
+    double left_ = 0;
+    instant filled_at_;
+    bool begun_ = false;
+};
+
+} // namespace banyanshunt
--- /dev/null
+++ b/src/serve/caller_session.cpp
@@ -0,0 +1,157 @@
+#include "serve/caller_session.hpp"
+
+#include <boost/beast/http.hpp>
+#include <fmt/format.h>
+
+#include "platform/headers.hpp"
+#include "serve/request_run.hpp"
+
+namespace banyanshunt
+{
+
+namespace
+{
+
+/// How long a host that stops waits on an idle connection for one more request, which may be on its
+/// way.
+constexpr milliseconds stop_idle{300};
+/// How long the balancer's connection stays open without a question; it asks once a second.
+constexpr milliseconds ready_idle{5000};
+
+int status_of(boost::system::error_code ec)
+{
+    if (ec == http::error::body_limit)
+    {
+        return 413;
+    }
+    if (ec == http::error::header_limit || ec == http::error::buffer_overflow)
+    {
+        return 431;
+    }
+    return 400;
+}
+
+task<void> refuse_bad_request(caller_link& caller, int status, host_core& core)
+{
+    core.log.write("bad_request", "status={}", status);
+    auto reason = http::obsolete_reason(http::int_to_status(static_cast<unsigned>(status)));
+    std::string text =
+        fmt::format("HTTP/1.1 {} {}\r\nContent-Length: 0\r\nConnection: close\r\n\r\n", status,
+                    std::string_view(reason.data(), reason.size()));
+    co_await caller.write(text);
+}
+
+/// Waits until a request begins; false if the connection ended or was idle for too long.
+task<bool> await_request(host_core& core, caller_link& caller, milliseconds limit)
+{
+    if (caller.buffer.size() > 0)
+    {
+        co_return true;
+    }
+    asio::steady_timer timer(caller.stream.get_executor());
+    instant since = core.now();
+    bool ready = false;
+    bool ended = false;
+    caller.stream.socket().async_wait(
+        tcp::socket::wait_read,
+        [&](boost::system::error_code ec)
+        {
+            ready = !ec;
+            ended = true;
+            timer.cancel();
+        });
+    while (!ended)
+    {
+        auto longest = core.stopping ? stop_idle : limit;
+        if (core.now() - since > longest)
+        {
+            boost::system::error_code ec;
+            caller.stream.socket().cancel(ec);
+        }
+        timer.expires_after(std::min<milliseconds>(longest, milliseconds(1000)));
+        co_await timer.async_wait(as_result);
+    }
+    co_return ready;
+}
+
+} // namespace
+
+task<void> serve_caller(host_core& core, tcp::socket socket)
+{
+    auto caller = std::make_shared<caller_link>(std::move(socket));
+    while (!caller->gone)
+    {
+        const caller_limits limits = core.config ? core.config->limits : caller_limits();
+        if (!co_await await_request(core, *caller, limits.idle_timeout))
+        {
+            break;
+        }
+        http::request_parser<http::string_body> parser;
+        parser.header_limit(static_cast<std::uint32_t>(limits.header_bytes));
+        parser.body_limit(limits.body_bytes);
+        caller->stream.expires_after(limits.header_timeout);
+        auto [head_ec, n] = co_await http::async_read_header(caller->stream, caller->buffer,
+                                                             parser, as_result);
+        if (!head_ec && parser.get()[http::field::expect] == "100-continue")
+        {
+            co_await caller->write("HTTP/1.1 100 Continue\r\n\r\n");
+        }
+        auto ec = head_ec;
+        if (!ec)
+        {
+            caller->stream.expires_after(limits.idle_timeout);
+            auto [body_ec, m] = co_await http::async_read(caller->stream, caller->buffer, parser,
+                                                          as_result);
+            ec = body_ec;
+        }
+        caller->stream.expires_never();
+        if (ec)
+        {
+            bool spoke = ec.category() == http::make_error_code(http::error::bad_method).category();
+            if (spoke && ec != http::error::end_of_stream && ec != http::error::partial_message)
+            {
+                co_await refuse_bad_request(*caller, status_of(ec), core);
+            }
+            break;
+        }
+        auto run = std::make_shared<request_run>(core, caller, parser.release());
+        if (!co_await run->run())
+        {
+            break;
+        }
+    }
+    boost::system::error_code ec;
+    caller->stream.socket().shutdown(tcp::socket::shutdown_send, ec);
+    caller->stream.socket().close(ec);
+}
+
+task<void> serve_ready(host_core& core, tcp::socket socket)
+{
+    boost::beast::tcp_stream stream(std::move(socket));
+    boost::beast::flat_buffer buffer;
+    while (true)
+    {
+        stream.expires_after(ready_idle);
+        http::request<http::empty_body> request;
+        auto [ec, n] = co_await http::async_read(stream, buffer, request, as_result);
+        if (ec)
+        {
+            co_return;
+        }
+        bool ready = !core.stopping && core.servers_known && core.config_is_fresh(core.now());
+        http::response<http::string_body> answer;
+        answer.version(11);
+        answer.result(request.target() != platform::ready_path ? http::status::not_found
+                      : ready                                  ? http::status::ok
+                                                               : http::status::service_unavailable);
+        answer.keep_alive(request.keep_alive());
+        answer.prepare_payload();
+        auto [write_ec, m] = co_await http::async_write(stream, answer, as_result);
+        if (write_ec || !request.keep_alive())
+        {
+            co_return;
+        }
+    }
+}
+
+} // namespace banyanshunt
--- /dev/null
+++ b/src/serve/caller_session.hpp
@@ -0,0 +1,18 @@
+#pragma once
+
+/// \file
+/// Defines the session of one caller's connection: requests are read one after the other, within
+/// the caller's limits, and each is run to its answer.
+
+#include "serve/host_core.hpp"
+
+namespace banyanshunt
+{
+
+/// Serves the connection until it ends.
+task<void> serve_caller(host_core& core, tcp::socket socket);
+
+/// Answers the balancer's question whether this host takes new connections.
+task<void> serve_ready(host_core& core, tcp::socket socket);
+
+} // namespace banyanshunt
--- /dev/null
+++ b/src/serve/host_core.hpp
@@ -0,0 +1,109 @@
+#pragma once
+
+/// \file
+/// Defines what the duties of one entry host share. All of it belongs to the event loop's thread.
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+
+#include "coordination/backend_table.hpp"
+#include "coordination/random_source.hpp"
+#include "coordination/repeat_budget.hpp"
+#include "coordination/share_ledger.hpp"
+#include "serve/event_log.hpp"
+#include "serve/wake_list.hpp"
+#include "state/host_settings.hpp"
+#include "state/serving_config.hpp"
+#include "transport/loop/backend_pool.hpp"
+
+namespace banyanshunt
+{
+
+/// Counters since start, for the metrics.
+struct host_counters
+{
+    std::uint64_t requests = 0;
+    std::uint64_t answered = 0;
+    std::uint64_t refused = 0;
+    std::uint64_t failed = 0;
+    std::uint64_t cut = 0;
+    std::uint64_t repeats = 0;
+    std::uint64_t resumed = 0;
+    std::uint64_t orders = 0;
+    std::uint64_t loans = 0;
+};
+
+/// Asks for loads and tokens on behalf of requests. Implemented by the duty that talks to peers.
+class request_helper
+{
+public:
+    virtual ~request_helper() = default;
+    /// Tells whoever orders the server that a request waits for a unit there.
+    virtual void wish(const server_id& server, const engine_unit& unit, milliseconds waited) = 0;
+    /// Takes tokens of a workspace, borrowing from peers if need be.
+    virtual task<bool> take_tokens(workspace_id workspace, millitokens amount) = 0;
+};
+
+struct host_core
+{
+    host_core(host_settings given, asio::any_io_executor loop)
+        : settings(std::move(given)), executor(std::move(loop)), random(system_seeded()),
+          life(static_cast<std::int64_t>(random() >> 1)),
+          servers({.own_domain = settings.domain}), pool(backend_pool_options{}),
+          ledger({.loan_length = milliseconds(600),
+                  .loan_margin = milliseconds(200),
+                  .full_within = milliseconds(200)}),
+          log(event_log_options{})
+    {
+    }
+
+    instant now() const { return boot_clock().now(); }
+    /// The part of the key withdrawal's bound within which the configuration must be confirmed. The
+    /// rest covers the way of a request to its server.
+    static constexpr double confirmed_part = 0.88;
+    /// Whether the configuration was surely in force a short while ago, so that keys and refusals
+    /// can be judged by it.
+    bool config_is_fresh(instant at) const
+    {
+        return config && config_confirmed &&
+               at - *config_confirmed < settings.bounds.key_withdrawal * confirmed_part;
+    }
+    repeat_budget& budget(const service_id& service)
+    {
+        return budgets
+            .try_emplace(service,
+                         repeat_budget({.ratio = settings.bounds.retry_ratio,
+                                        .extra = settings.bounds.retry_extra,
+                                        .window = settings.bounds.retry_window},
+                                       now()))
+            .first->second;
+    }
+
+    host_settings settings;
+    asio::any_io_executor executor;
+    std::mt19937_64 random;
+    incarnation life;
+    serving_config_ptr config;
+    /// When the call that confirmed the configuration was sent.
+    std::optional<instant> config_confirmed;
+    bool servers_known = false;
+    backend_table servers;
+    backend_pool pool;
+    share_ledger ledger;
+    /// Entry hosts that share rates and budgets, this one included.
+    std::size_t hosts = 1;
+    std::map<service_id, repeat_budget> budgets;
+    wake_list waiting;
+    event_log log;
+    host_counters counters;
+    request_helper* helper = nullptr;
+    /// Runs when another configuration is in force.
+    std::function<void()> on_config = [] {};
+    bool stopping = false;
+    int requests_open = 0;
+};
+
+} // namespace banyanshunt
--- /dev/null
+++ b/src/serve/request_attempt.cpp
@@ -0,0 +1,325 @@
+// The part of a request's run that sends it to one server and passes the answer on.
+
+#include <algorithm>
+
+#include <boost/beast/http/status.hpp>
+#include <fmt/format.h>
+
+#include "serve/request_run.hpp"
+
+namespace banyanshunt
+{
+
+namespace
+{
+
+/// Answers up to this size, in bytes, are read whole before the caller gets them, so that one that
+/// breaks off can be asked for again.
+constexpr std::size_t whole_answer_bytes = 65536;
+/// How often a request looks whether its server went silent.
+constexpr milliseconds guard_period{250};
+/// A server from which nothing came for this long, on any connection, counts as lost.
+constexpr milliseconds server_silence{900};
+/// A request that can be repeated is not left waiting longer than this without a byte.
+constexpr milliseconds request_silence{2200};
+constexpr int first_server_error = 500;
+
+std::string chunk(std::string_view bytes)
+{
+    std::string framed = fmt::format("{:x}\r\n", bytes.size());
+    framed += bytes;
+    framed += "\r\n";
+    return framed;
+}
+
+} // namespace
+
+std::string request_run::server_request(const server_id& server)
+{
+    std::string text = fmt::format(
+        "{} {} HTTP/1.1\r\n",
+        std::string_view(request_.method_string().data(), request_.method_string().size()),
+        std::string_view(request_.target().data(), request_.target().size()));
+    // Fields that the caller's Connection field names belong to that connection alone.
+    const auto named = request_[http::field::connection];
+    http::token_list connection_names(named);
+    for (const auto& field : request_)
+    {
+        std::string_view name(field.name_string().data(), field.name_string().size());
+        if (platform::passes_to_server(name) && !connection_names.exists(field.name_string()))
+        {
+            fmt::format_to(std::back_inserter(text), "{}: {}\r\n", name,
+                           std::string_view(field.value().data(), field.value().size()));
+        }
+    }
+    const auto& last = events_.last_id().empty() ? fields_.last_event : events_.last_id();
+    platform::write_forwarded_fields(
+        {.deadline = std::max(left(), milliseconds(1)),
+         .server = server,
+         .workspace = workspace_ ? workspace_->name : workspace_id(),
+         .priority = route_->kind == request_kind::stream ? std::optional<int>(priority_)
+                                                          : std::nullopt,
+         .last_event = last},
+        text);
+    bool has_body = !request_.body().empty() ||
+                    request_.find(http::field::content_length) != request_.end() ||
+                    request_.chunked();
+    if (has_body)
+    {
+        fmt::format_to(std::back_inserter(text), "Content-Length: {}\r\n",
+                       request_.body().size());
+    }
+    text += "\r\n";
+    text += request_.body();
+    return text;
+}
+
+std::string request_run::answer_head(const server_exchange& exchange,
+                                     std::optional<std::size_t> length)
+{
+    std::string head = fmt::format(
+        "HTTP/1.1 {} {}\r\n", exchange.status(),
+        std::string_view(exchange.head().reason().data(), exchange.head().reason().size()));
+    for (const auto& field : exchange.head())
+    {
+        std::string_view name(field.name_string().data(), field.name_string().size());
+        if (platform::passes_to_caller(name))
+        {
+            fmt::format_to(std::back_inserter(head), "{}: {}\r\n", name,
+                           std::string_view(field.value().data(), field.value().size()));
+        }
+    }
+    if (length)
+    {
+        fmt::format_to(std::back_inserter(head), "Content-Length: {}\r\n", *length);
+    }
+    else
+    {
+        head += "Transfer-Encoding: chunked\r\n";
+    }
+    keep_alive_ = keep_alive_ && !core_.stopping;
+    head += keep_alive_ ? "\r\n" : "Connection: close\r\n\r\n";
+    return head;
+}
+
+void request_run::guard_silence()
+{
+    guard_timer_.expires_after(guard_period);
+    guard_timer_.async_wait(
+        [weak = weak_from_this()](boost::system::error_code ec)
+        {
+            auto self = weak.lock();
+            if (ec || !self || !self->active_)
+            {
+                return;
+            }
+            instant now = self->core_.now();
+            auto* exchange = self->active_;
+            const auto* server = self->core_.servers.find(exchange->server());
+            auto silence = now - exchange->heard_at();
+            bool lost = silence > server_silence &&
+                        (!server || now - server->heard_at > server_silence);
+            if (self->repeatable() && (lost || silence > request_silence))
+            {
+                exchange->close();
+                return;
+            }
+            self->guard_silence();
+        });
+}
+
+task<request_run::attempt_end> request_run::attempt(server_id server)
+{
+    const engine_unit unit{.model = fields_.model, .adapter = fields_.adapter};
+    server_exchange exchange(core_, server);
+    std::string text = server_request(server);
+    last_server_ = server;
+    ++sends_;
+    core_.servers.note_sent(server, unit);
+    active_ = &exchange;
+    guard_silence();
+    auto state = co_await exchange.send(std::move(text), fields_.id);
+    auto end = attempt_end::not_run;
+    auto outcome = backend_outcome::failed;
+    if (state == exchange_state::no_answer)
+    {
+        ++runs_;
+        may_have_run_ = true;
+        end = attempt_end::may_have_run;
+        last_reason_ = "bad_answer";
+    }
+    else if (state == exchange_state::not_sent)
+    {
+        last_reason_ = "unreachable";
+        tried_.insert(server);
+    }
+    else if (platform::promises_not_run(exchange.status(), exchange.fields()))
+    {
+        bool not_held = exchange.status() == platform::other_server_status;
+        outcome = not_held ? backend_outcome::not_held : backend_outcome::full;
+        last_reason_ = not_held ? "not_held" : "server_full";
+        // A refusal by a server that is about to hold the unit is soon over; others are asked first.
+        while (co_await exchange.read_piece())
+        {
+        }
+        if (unit.model.empty())
+        {
+            tried_.insert(server);
+        }
+        else
+        {
+            outcome = backend_outcome::not_held;
+        }
+    }
+    else
+    {
+        ++runs_;
+        may_have_run_ = true;
+        end = co_await relay(exchange);
+        outcome = end == attempt_end::delivered ? backend_outcome::answered
+                                                : backend_outcome::failed;
+    }
+    guard_timer_.cancel();
+    active_ = nullptr;
+    if (caller_->gone || expired_)
+    {
+        outcome = backend_outcome::abandoned;
+        if (caller_->gone)
+        {
+            end = attempt_end::caller_left;
+        }
+    }
+    exchange.finish();
+    core_.servers.note_ended(server, unit, outcome, core_.now());
+    core_.waiting.wake();
+    if (end != attempt_end::delivered)
+    {
+        core_.log.write("attempt_end",
+                        "request={} server={} outcome={} reason={} send={} held_ms={}",
+                        fields_.id.str(), server.str(), static_cast<int>(end), last_reason_, sends_,
+                        std::chrono::floor<milliseconds>(core_.now() - arrived_).count());
+    }
+    co_return end;
+}
+
+task<request_run::attempt_end> request_run::relay(server_exchange& exchange)
+{
+    int status = exchange.status();
+    bool success = status >= 200 && status < 300;
+    if (success && (!exchange.fields().stamped || exchange.fields().id.empty()))
+    {
+        // Not an answer of a sound server; what it holds cannot be told from another request's.
+        last_reason_ = "bad_answer";
+        co_return attempt_end::may_have_run;
+    }
+    if (head_sent_ && !success)
+    {
+        last_reason_ = "resume_refused";
+        co_return attempt_end::stream_broken;
+    }
+    if (success && route_->kind == request_kind::stream)
+    {
+        co_return co_await relay_stream(exchange);
+    }
+    co_return co_await relay_whole(exchange);
+}
+
+task<request_run::attempt_end> request_run::relay_whole(server_exchange& exchange)
+{
+    std::string body;
+    while (body.size() < whole_answer_bytes)
+    {
+        auto piece = co_await exchange.read_piece();
+        if (!piece)
+        {
+            break;
+        }
+        body += *piece;
+    }
+    if (exchange.complete())
+    {
+        std::string answer = answer_head(exchange, body.size()) + body;
+        if (exchange.status() >= first_server_error)
+        {
+            last_reason_ = "server_error";
+            kept_answer_ = std::move(answer);
+            kept_status_ = exchange.status();
+            co_return attempt_end::server_failure;
+        }
+        kept_answer_.clear();
+        co_return co_await caller_->write(answer) ? attempt_end::delivered
+                                                  : attempt_end::caller_left;
+    }
+    last_reason_ = "bad_answer";
+    if (body.size() < whole_answer_bytes)
+    {
+        co_return attempt_end::may_have_run;
+    }
+    kept_answer_.clear();
+    head_sent_ = true;
+    std::string text = answer_head(exchange, exchange.content_length());
+    bool framed = !exchange.content_length();
+    text += framed ? chunk(body) : body;
+    if (!co_await caller_->write(text))
+    {
+        co_return attempt_end::caller_left;
+    }
+    while (auto piece = co_await exchange.read_piece())
+    {
+        text = framed ? chunk(*piece) : std::string(*piece);
+        if (!co_await caller_->write(text))
+        {
+            co_return attempt_end::caller_left;
+        }
+    }
+    if (!exchange.complete())
+    {
+        co_return attempt_end::may_have_run;
+    }
+    if (framed && !co_await caller_->write("0\r\n\r\n"))
+    {
+        co_return attempt_end::caller_left;
+    }
+    co_return attempt_end::delivered;
+}
+
+task<request_run::attempt_end> request_run::relay_stream(server_exchange& exchange)
+{
+    bool resumed = head_sent_;
+    events_.drop_rest();
+    kept_answer_.clear();
+    std::string text;
+    if (!resumed)
+    {
+        text = answer_head(exchange, std::nullopt);
+    }
+    else
+    {
+        ++core_.counters.resumed;
+    }
+    while (auto piece = co_await exchange.read_piece())
+    {
+        auto events = events_.take(*piece);
+        if (events.empty())
+        {
+            continue;
+        }
+        text += chunk(events);
+        head_sent_ = true;
+        if (!co_await caller_->write(text))
+        {
+            co_return attempt_end::caller_left;
+        }
+        text.clear();
+    }
+    if (!exchange.complete() || events_.in_event())
+    {
+        last_reason_ = "stream_broken";
+        co_return head_sent_ ? attempt_end::stream_broken : attempt_end::may_have_run;
+    }
+    head_sent_ = true;
+    text += "0\r\n\r\n";
+    co_return co_await caller_->write(text) ? attempt_end::delivered : attempt_end::caller_left;
+}
+
+} // namespace banyanshunt
--- /dev/null
+++ b/src/serve/server_exchange.hpp
@@ -0,0 +1,72 @@
+#pragma once
+
+/// \file
+/// Defines one exchange with a backend server: a request sent, and the head of the answer that
+/// belongs to it. What follows of the answer is read by its user.
+
+#include <memory>
+#include <optional>
+#include <string>
+
+#include <boost/beast/http.hpp>
+
+#include "platform/headers.hpp"
+#include "serve/host_core.hpp"
+
+namespace banyanshunt
+{
+
+namespace http = boost::beast::http;
+
+/// How far an exchange came.
+enum class exchange_state
+{
+    /// The answer's head is here.
+    answered,
+    /// Nothing was sent.
+    not_sent,
+    /// The request was sent, or a part of it, and no answer to it came.
+    no_answer,
+};
+
+class server_exchange
+{
+public:
+    server_exchange(host_core& core, server_id server) : core_(core), server_(std::move(server)) {}
+
+    /// Sends `request`, a whole request with its head, and reads the head of the answer to `id`.
+    /// Answers to other requests are read and dropped.
+    task<exchange_state> send(std::string request, request_id id);
+    /// Reads the next piece of the answer's body. Nothing at its end or when it breaks off;
+    /// `complete` tells which.
+    task<std::optional<std::string_view>> read_piece();
+    bool complete() const { return parser_ && parser_->is_done(); }
+    /// Gives the connection back for reuse if the answer was read whole.
+    void finish();
+    /// Closes the connection, which ends what waits on it; the server stops its work.
+    void close();
+
+    int status() const { return static_cast<int>(parser_->get().result_int()); }
+    const http::response<http::buffer_body>& head() const { return parser_->get(); }
+    const platform::server_answer_fields& fields() const { return fields_; }
+    std::optional<std::uint64_t> content_length() const;
+    /// When the last byte came.
+    instant heard_at() const { return heard_at_; }
+    const server_id& server() const { return server_; }
+
+private:
+    task<bool> read_head();
+    task<bool> skip_body();
+    void heard();
+
+    host_core& core_;
+    server_id server_;
+    backend_connection_ptr connection_;
+    std::optional<http::response_parser<http::buffer_body>> parser_;
+    platform::server_answer_fields fields_;
+    instant heard_at_;
+    bool closed_ = false;
+    std::array<char, 8192> piece_;
+};
+
+} // namespace banyanshunt
--- /dev/null
+++ b/src/serve/store_reader.cpp
@@ -0,0 +1,301 @@
+#include "serve/store_reader.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include "platform/manifest.hpp"
+#include "platform/registry.hpp"
+
+namespace banyanshunt
+{
+
+namespace
+{
+
+/// What a call may take beyond the wait that it asks for. The store answers in some milliseconds;
+/// a slow one takes a second. Short, as a connection can go silent without an error.
+constexpr milliseconds answer_patience{1200};
+/// The pause after a failed call, doubled while failures go on.
+constexpr milliseconds first_pause{50};
+constexpr milliseconds longest_pause{400};
+/// If the store was out of reach for so long, entries may have lapsed though their servers live;
+/// three times the usual period of servers' heartbeats.
+constexpr milliseconds store_away{3000};
+/// By then lapsed entries of live servers are back.
+constexpr milliseconds entries_back{2000};
+
+} // namespace
+
+topic_reader::topic_reader(host_core& core, topic_reader_options options, handlers given)
+    : core_(core), options_(std::move(options)), handlers_(std::move(given)),
+      link_(core.settings.log.address)
+{
+}
+
+task<void> topic_reader::run()
+{
+    milliseconds after_failure = first_pause;
+    while (true)
+    {
+        bool good = false;
+        if (next_)
+        {
+            good = co_await read_on();
+        }
+        else
+        {
+            good = co_await read_whole();
+        }
+        if (good != reached_)
+        {
+            core_.log.write(good ? "store_regained" : "store_lost", "topic={}", options_.topic);
+            reached_ = good;
+        }
+        if (good)
+        {
+            after_failure = first_pause;
+            if (options_.gap.count() > 0)
+            {
+                co_await pause(options_.gap);
+            }
+            continue;
+        }
+        co_await pause(after_failure);
+        after_failure = std::min(after_failure * 2, longest_pause);
+    }
+}
+
+task<bool> topic_reader::read_whole()
+{
+    instant asked = core_.now();
+    std::vector<platform::keyed_record> all;
+    std::optional<log_offset> begin;
+    std::string after;
+    while (true)
+    {
+        auto call = platform::newest_call(options_.topic, after);
+        auto answer = co_await link_.call(call.method, call.target, call.body, answer_patience);
+        if (!answer || answer->status != 200)
+        {
+            co_return false;
+        }
+        auto page = platform::parse_newest(answer->body);
+        if (!page)
+        {
+            core_.log.write("store_answer_bad", "topic={} detail=\"{}\"", options_.topic,
+                            page.error().detail);
+            co_return false;
+        }
+        // Pages are no snapshot: what changed since the first is read again from its end.
+        begin = begin ? begin : page->end;
+        std::move(page->records.begin(), page->records.end(), std::back_inserter(all));
+        if (!page->more || all.empty())
+        {
+            break;
+        }
+        after = all.back().key;
+    }
+    next_ = begin;
+    note_answer();
+    handlers_.whole(all);
+    handlers_.confirmed(asked);
+    co_return true;
+}
+
+task<bool> topic_reader::read_on()
+{
+    instant asked = core_.now();
+    // Behind a failure the first call does not wait: what matters is to be confirmed again.
+    milliseconds wait = reached_ ? options_.wait : milliseconds(0);
+    auto call = platform::read_call(options_.topic, *next_, wait);
+    auto answer = co_await link_.call(call.method, call.target, call.body, wait + answer_patience);
+    if (!answer)
+    {
+        co_return false;
+    }
+    if (answer->status == platform::expired_status)
+    {
+        core_.log.write("store_history_expired", "topic={} offset={}", options_.topic,
+                        next_->count());
+        next_.reset();
+        co_return co_await read_whole();
+    }
+    if (answer->status != 200)
+    {
+        co_return false;
+    }
+    auto page = platform::parse_records(answer->body, *next_);
+    if (!page)
+    {
+        core_.log.write("store_answer_bad", "topic={} detail=\"{}\"", options_.topic,
+                        page.error().detail);
+        co_return false;
+    }
+    next_ = page->end;
+    note_answer();
+    for (const auto& record : page->records)
+    {
+        handlers_.record(record);
+    }
+    handlers_.confirmed(asked);
+    co_return true;
+}
+
+void topic_reader::note_answer()
+{
+    instant now = core_.now();
+    if (answered_at_ && now - *answered_at_ > store_away)
+    {
+        handlers_.regained();
+    }
+    answered_at_ = now;
+}
+
+state_follower_duty::state_follower_duty(host_core& core)
+    : core_(core), config_(core, {.topic = platform::config_topic,
+                                  .wait = milliseconds(1000),
+                                  .gap = milliseconds(0)},
+                           {.whole =
+                                [this](const auto& records)
+                            {
+                                for (const auto& record : records)
+                                {
+                                    take_config(record);
+                                }
+                            },
+                            .record = [this](const auto& record) { take_config(record); },
+                            .confirmed =
+                                [this](instant asked)
+                            {
+                                if (core_.config)
+                                {
+                                    core_.config_confirmed = asked;
+                                }
+                            }}),
+      servers_(core, {.topic = platform::server_topic,
+                      .wait = milliseconds(1000),
+                      .gap = milliseconds(60)},
+               {.whole = [this](const auto& records) { take_all_servers(records); },
+                .record = [this](const auto& record) { take_server(record); },
+                .regained = [this] { doubtful_until_ = core_.now() + entries_back; },
+                .confirmed = [this](instant) { core_.servers_known = true; }})
+{
+}
+
+void state_follower_duty::take_config(const platform::keyed_record& record)
+{
+    if (record.key != platform::config_key || !record.value)
+    {
+        return;
+    }
+    auto parsed = platform::parse_manifest(*record.value);
+    if (!parsed)
+    {
+        core_.log.write("config_refused", "detail=\"{}\"", parsed.error().detail);
+        return;
+    }
+    if (core_.config && (*parsed)->version <= core_.config->version)
+    {
+        return;
+    }
+    core_.config = *parsed;
+    core_.log.write("config_in_force", "version={} routes={} workspaces={}",
+                    core_.config->version, core_.config->routes.size(),
+                    core_.config->workspaces.size());
+    core_.on_config();
+    core_.waiting.wake();
+}
+
+void state_follower_duty::take_server(const platform::keyed_record& record)
+{
+    server_id id(record.key);
+    if (!record.value)
+    {
+        remove_server(id);
+        return;
+    }
+    auto parsed = platform::parse_server_entry(id, *record.value);
+    if (!parsed)
+    {
+        core_.log.write("server_entry_refused", "server={} detail=\"{}\"", id.str(),
+                        parsed.error().detail);
+        return;
+    }
+    doubtful_.erase(id);
+    const auto* known = core_.servers.find(id);
+    if (known && known->entry == *parsed && !known->gone)
+    {
+        return;
+    }
+    bool fresh_life = known && known->entry.born_ms != parsed->born_ms;
+    bool leaving = parsed->draining && (!known || !known->entry.draining);
+    endpoint_text old_address = known ? known->entry.address : parsed->address;
+    if (!core_.servers.apply_entry(*parsed, core_.now()))
+    {
+        return;
+    }
+    if (fresh_life || leaving)
+    {
+        core_.pool.forget(old_address);
+    }
+    core_.log.write("server_entry", "server={} service={} draining={} orders={} models={} born={}",
+                    id.str(), parsed->service.str(), parsed->draining, parsed->orders_accepted,
+                    parsed->models.size(), parsed->born_ms);
+    core_.waiting.wake();
+}
+
+void state_follower_duty::take_all_servers(const std::vector<platform::keyed_record>& records)
+{
+    std::set<server_id> listed;
+    for (const auto& record : records)
+    {
+        take_server(record);
+        listed.insert(server_id(record.key));
+    }
+    std::vector<server_id> missing;
+    for (const auto& [id, it] : core_.servers.servers())
+    {
+        if (!listed.contains(id) && !it.gone)
+        {
+            missing.push_back(id);
+        }
+    }
+    for (const auto& id : missing)
+    {
+        remove_server(id);
+    }
+}
+
+void state_follower_duty::remove_server(const server_id& server)
+{
+    const auto* known = core_.servers.find(server);
+    if (!known || known->gone)
+    {
+        return;
+    }
+    if (core_.now() < doubtful_until_ && !known->entry.draining)
+    {
+        doubtful_[server] = ++next_doubt_;
+        asio::co_spawn(core_.executor, remove_later(server), asio::detached);
+        return;
+    }
+    core_.log.write("server_gone", "server={}", server.str());
+    core_.pool.forget(known->entry.address);
+    core_.servers.remove(server);
+    core_.waiting.wake();
+}
+
+task<void> state_follower_duty::remove_later(server_id server)
+{
+    auto doubt = doubtful_[server];
+    co_await pause(entries_back);
+    auto it = doubtful_.find(server);
+    if (it != doubtful_.end() && it->second == doubt)
+    {
+        doubtful_.erase(it);
+        doubtful_until_ = instant::min();
+        remove_server(server);
+    }
+}
+
+} // namespace banyanshunt
--- /dev/null
+++ b/src/state/serving_config.cpp
@@ -0,0 +1,55 @@
+#include "state/serving_config.hpp"
+
+namespace banyanshunt
+{
+
+namespace
+{
+
+std::string prefix_key(const std::string& host, std::string_view prefix)
+{
+    std::string key = host;
+    key += '\n';
+    key += prefix;
+    return key;
+}
+
+} // namespace
+
+void serving_config::index()
+{
+    by_prefix_.clear();
+    for (std::size_t n = 0; n < routes.size(); ++n)
+    {
+        by_prefix_[prefix_key(routes[n].host, routes[n].path_prefix)] = n;
+    }
+}
+
+const serving_route* serving_config::find_route(const std::string& host,
+                                                const std::string& path) const
+{
+    std::string_view left = path;
+    left = left.substr(0, left.find_first_of("?#"));
+    for (auto slash = left.rfind('/'); slash != std::string_view::npos;)
+    {
+        auto it = by_prefix_.find(prefix_key(host, left.substr(0, slash + 1)));
+        if (it != by_prefix_.end())
+        {
+            return &routes[it->second];
+        }
+        if (slash == 0)
+        {
+            break;
+        }
+        slash = left.rfind('/', slash - 1);
+    }
+    return nullptr;
+}
+
+const service_spec* serving_config::find_service(const service_id& service) const
+{
+    auto it = services.find(service);
+    return it == services.end() ? nullptr : &it->second;
+}
+
+} // namespace banyanshunt
--- /dev/null
+++ b/src/transport/loop/backend_pool.cpp
@@ -0,0 +1,93 @@
+#include "transport/loop/backend_pool.hpp"
+
+#include <algorithm>
+
+#include <sys/socket.h>
+
+#include <boost/asio/this_coro.hpp>
+
+namespace banyanshunt
+{
+
+namespace
+{
+
+/// The part of a server's idle limit after which a connection is not reused, so that the request
+/// does not cross the server's close.
+constexpr double trusted_part = 0.6;
+
+} // namespace
+
+bool backend_pool::usable(backend_connection& it, instant now) const
+{
+    if (now - it.idle_since > it.idle_limit || it.buffer.size() > 0)
+    {
+        return false;
+    }
+    char byte = 0;
+    auto n = ::recv(it.stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+task<backend_connection_ptr> backend_pool::acquire(endpoint_text address)
+{
+    auto kept = idle_.find(address);
+    while (kept != idle_.end() && !kept->second.empty())
+    {
+        backend_connection_ptr it = std::move(kept->second.back());
+        kept->second.pop_back();
+        if (usable(*it, boot_clock().now()))
+        {
+            it->reused = true;
+            co_return it;
+        }
+    }
+    auto executor = co_await asio::this_coro::executor;
+    auto it = std::make_unique<backend_connection>(executor);
+    it->address = address;
+    it->stream.expires_after(options_.connect_timeout);
+    auto [ec] = co_await it->stream.async_connect(to_endpoint(address), as_result);
+    if (ec)
+    {
+        co_return nullptr;
+    }
+    it->stream.expires_never();
+    tune(it->stream.socket());
+    ++opened_;
+    co_return it;
+}
+
+void backend_pool::release(backend_connection_ptr connection,
+                           std::optional<milliseconds> keep_alive)
+{
+    auto limit = static_cast<double>(keep_alive.value_or(options_.idle_limit).count());
+    connection->idle_limit = milliseconds(static_cast<std::int64_t>(trusted_part * limit));
+    connection->idle_since = boot_clock().now();
+    auto& kept = idle_[connection->address];
+    if (kept.size() < options_.most_idle && connection->buffer.size() == 0)
+    {
+        kept.push_back(std::move(connection));
+    }
+}
+
+void backend_pool::forget(const endpoint_text& address)
+{
+    idle_.erase(address);
+}
+
+void backend_pool::prune(instant now)
+{
+    for (auto it = idle_.begin(); it != idle_.end();)
+    {
+        std::erase_if(it->second, [&](const auto& c) { return now - c->idle_since > c->idle_limit; });
+        it = it->second.empty() ? idle_.erase(it) : std::next(it);
+    }
+}
+
+std::size_t backend_pool::open_to(const endpoint_text& address) const
+{
+    auto it = idle_.find(address);
+    return it == idle_.end() ? 0 : it->second.size();
+}
+
+} // namespace banyanshunt
--- /dev/null
+++ b/src/transport/loop/backend_pool.hpp
@@ -0,0 +1,71 @@
+#pragma once
+
+/// \file
+/// Defines the pool of connections to backend servers. Connections are kept for reuse, because new
+/// ones cost the server a place; one is reused only if nothing came on it while it was idle.
+
+#include <map>
+#include <memory>
+#include <vector>
+
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+
+#include "state/clock.hpp"
+#include "transport/loop/loop.hpp"
+
+namespace banyanshunt
+{
+
+/// A connection to a backend server, with what was read beyond the last answer.
+struct backend_connection
+{
+    explicit backend_connection(const asio::any_io_executor& executor) : stream(executor) {}
+
+    boost::beast::tcp_stream stream;
+    boost::beast::flat_buffer buffer;
+    endpoint_text address;
+    /// Carried a request before; its server may have closed it meanwhile.
+    bool reused = false;
+    instant idle_since;
+    /// How long the server says that it keeps the connection idle.
+    milliseconds idle_limit{0};
+};
+using backend_connection_ptr = std::unique_ptr<backend_connection>;
+
+struct backend_pool_options
+{
+    /// How long a new connection may take. A server across failure domains answers in
+    /// milliseconds; a lost opening packet is sent again after a second.
+    milliseconds connect_timeout{500};
+    /// The longest that a connection stays idle, if its server names no limit.
+    milliseconds idle_limit{4000};
+    /// Idle connections kept for one server.
+    std::size_t most_idle = 16;
+};
+
+class backend_pool
+{
+public:
+    explicit backend_pool(const backend_pool_options& options) : options_(options) {}
+
+    /// A connection to the address, new or kept; null if none can be made.
+    task<backend_connection_ptr> acquire(endpoint_text address);
+    /// Keeps the connection for reuse. Precondition: its last answer was read to the end.
+    void release(backend_connection_ptr connection, std::optional<milliseconds> keep_alive);
+    /// Closes idle connections to an address, because another server may have it now.
+    void forget(const endpoint_text& address);
+    /// Closes connections that were idle for too long.
+    void prune(instant now);
+    std::size_t open_to(const endpoint_text& address) const;
+    std::uint64_t opened() const { return opened_; }
+
+private:
+    bool usable(backend_connection& it, instant now) const;
+
+    backend_pool_options options_;
+    std::map<endpoint_text, std::vector<backend_connection_ptr>> idle_;
+    std::uint64_t opened_ = 0;
+};
+
+} // namespace banyanshunt
--- /dev/null
+++ b/src/transport/loop/call_link.cpp
@@ -0,0 +1,84 @@
+#include "transport/loop/call_link.hpp"
+
+#include <boost/asio/this_coro.hpp>
+#include <boost/beast/http.hpp>
+
+namespace banyanshunt
+{
+
+namespace http = boost::beast::http;
+
+namespace
+{
+
+/// The largest answer taken, in bytes: a page of newest records with base64 and room to spare.
+constexpr std::uint64_t most_answer_bytes = 8 * 1024 * 1024;
+
+} // namespace
+
+task<std::optional<call_answer>> call_link::call(std::string method, std::string target,
+                                                 std::string body, milliseconds timeout)
+{
+    if (!stream_)
+    {
+        buffer_.clear();
+        stream_ = std::make_unique<boost::beast::tcp_stream>(co_await asio::this_coro::executor);
+        stream_->expires_after(timeout);
+        auto [ec] = co_await stream_->async_connect(to_endpoint(address_), as_result);
+        if (ec)
+        {
+            stream_.reset();
+            co_return std::nullopt;
+        }
+        tune(stream_->socket());
+    }
+    http::request<http::string_body> request;
+    request.version(11);
+    request.method_string(method);
+    request.target(target);
+    request.set(http::field::host, address_.str());
+    if (!body.empty())
+    {
+        bool json = body.front() == '{';
+        request.set(http::field::content_type,
+                    json ? "application/json" : "application/octet-stream");
+    }
+    request.body() = std::move(body);
+    request.prepare_payload();
+    stream_->expires_after(timeout);
+    auto [write_ec, written] = co_await http::async_write(*stream_, request, as_result);
+    if (write_ec)
+    {
+        stream_.reset();
+        co_return std::nullopt;
+    }
+    http::response_parser<http::string_body> parser;
+    parser.body_limit(most_answer_bytes);
+    auto [read_ec, n] = co_await http::async_read(*stream_, buffer_, parser, as_result);
+    if (read_ec)
+    {
+        stream_.reset();
+        co_return std::nullopt;
+    }
+    auto& answer = parser.get();
+    call_answer result{.status = static_cast<int>(answer.result_int()), .body = std::move(answer.body())};
+    if (!answer.keep_alive())
+    {
+        stream_.reset();
+    }
+    else
+    {
+        stream_->expires_never();
+    }
+    co_return result;
+}
+
+void call_link::cancel()
+{
+    if (stream_)
+    {
+        stream_->cancel();
+    }
+}
+
+} // namespace banyanshunt
--- /dev/null
+++ b/src/transport/loop/loop.hpp
@@ -0,0 +1,40 @@
+#pragma once
+
+/// \file
+/// Names of the event loop on which an entry host's request path runs. One thread runs the loop, so
+/// what it owns needs no locks.
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include "state/backend_entry.hpp"
+#include "state/units.hpp"
+
+namespace banyanshunt
+{
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+/// What a coroutine of the loop returns.
+template <class Value>
+using task = asio::awaitable<Value>;
+
+/// Completion as a tuple that begins with the error code, so that errors are values.
+inline constexpr auto as_result = asio::as_tuple(asio::use_awaitable);
+
+/// Waits; a cancelled wait ends early.
+task<void> pause(nanoseconds length);
+
+/// The TCP endpoint that a text like "10.1.0.2:8080" names; port 0 if it names none.
+tcp::endpoint to_endpoint(const endpoint_text& text);
+
+/// Sets the options that each connection of an entry host has: no delay, and probes that find a
+/// peer that went silent.
+void tune(tcp::socket& socket);
+
+} // namespace banyanshunt
