--- a/src/coordination/backend_table.cpp
+++ b/src/coordination/backend_table.cpp
@@ -25,6 +25,8 @@
 /// where servers are alike.
 constexpr double tie_break_ms = 60;
 constexpr int most_doublings = 6;
+/// How long an adapter is on its way, as the platform's sheets state it.
+constexpr milliseconds usual_adapter_load{10};
 
 } // namespace
 
@@ -43,7 +45,7 @@
         return false;
     }
     if (entry.born_ms == known.entry.born_ms &&
-        (entry.orders_accepted < known.entry.orders_accepted ||
+        (entry.announcement < known.entry.announcement ||
          (known.entry.draining && !entry.draining)))
     {
         return false;
@@ -160,6 +162,27 @@
     }
 }
 
+void backend_table::note_reported()
+{
+    for (auto& [id, it] : servers_)
+    {
+        it.told_running = it.running;
+    }
+}
+
+void backend_table::forget_asked()
+{
+    for (auto& [id, it] : servers_)
+    {
+        std::erase_if(it.asked_units, [&, &running = it.running_units](const auto& unit)
+                      { return unit.second == 0 && !running.contains(unit.first); });
+        for (auto& [unit, asked] : it.asked_units)
+        {
+            asked = 0;
+        }
+    }
+}
+
 const backend_table::record* backend_table::find(const server_id& server) const
 {
     auto it = servers_.find(server);
@@ -185,23 +208,38 @@
            now - it.placement->told_at < options_.placement_for;
 }
 
-bool backend_table::holds(const record& it, const engine_unit& unit, instant now) const
+std::optional<nanoseconds> backend_table::ready_in(const record& it, const engine_unit& unit,
+                                                   instant now) const
 {
+    constexpr nanoseconds at_once(0);
     auto denied = it.denied_until.find(unit);
     if (denied != it.denied_until.end() && now < denied->second)
     {
-        return false;
+        return std::nullopt;
+    }
+    if (!placement_counts(it, now))
+    {
+        auto model = it.entry.models.find(unit.model);
+        bool held = model != it.entry.models.end() &&
+                    (unit.adapter.empty() || model->second.contains(unit.adapter));
+        return held ? std::optional(at_once) : std::nullopt;
+    }
+    auto model = it.placement->models.find(unit.model);
+    if (model == it.placement->models.end() || model->second.leaving)
+    {
+        return std::nullopt;
     }
-    if (placement_counts(it, now))
+    nanoseconds wait = std::max(at_once, model->second.ready_at - now);
+    if (!unit.adapter.empty())
     {
-        auto model = it.placement->models.find(unit.model);
-        return model != it.placement->models.end() && !model->second.leaving &&
-               model->second.ready_at <= now &&
-               (unit.adapter.empty() || model->second.adapters.contains(unit.adapter));
+        auto adapter = model->second.adapters.find(unit.adapter);
+        if (adapter == model->second.adapters.end())
+        {
+            return std::nullopt;
+        }
+        wait = std::max(wait, adapter->second - now);
     }
-    auto model = it.entry.models.find(unit.model);
-    return model != it.entry.models.end() &&
-           (unit.adapter.empty() || model->second.contains(unit.adapter));
+    return wait;
 }
 
 int backend_table::other_holders(const server_id& server, const model_id& model, instant now) const
@@ -235,10 +273,11 @@
 server_choice backend_table::choose(const server_need& need, const engine_spec* engine,
                                     instant now) const
 {
-    const record* best = nullptr;
-    double best_cost = std::numeric_limits<double>::max();
-    const record* best_without_adapter = nullptr;
-    double best_without_cost = best_cost;
+    constexpr double never = std::numeric_limits<double>::max();
+    candidate held{.it = nullptr, .cost = never};
+    candidate coming{.it = nullptr, .cost = never};
+    candidate without_adapter{.it = nullptr, .cost = never};
+    nanoseconds soonest = nanoseconds::max();
     bool any_full = false;
     const bool wants_model = engine != nullptr && !need.unit.model.empty();
     for (const auto& [id, it] : servers_)
@@ -247,9 +286,8 @@
         {
             continue;
         }
-        double its_cost = cost(it, now);
-        bool held = !wants_model || holds(it, need.unit, now);
-        bool model_held = held || holds(it, {.model = need.unit.model, .adapter = {}}, now);
+        auto wait = wants_model ? ready_in(it, need.unit, now) : nanoseconds(0);
+        bool model_held = wait || holds(it, {.model = need.unit.model, .adapter = {}}, now);
         if (!model_held)
         {
             continue;
@@ -259,31 +297,36 @@
             any_full = true;
             continue;
         }
-        if (held && its_cost < best_cost)
-        {
-            best = &it;
-            best_cost = its_cost;
-        }
-        if (!held && its_cost < best_without_cost)
+        double its_cost = cost(it, now);
+        candidate& place = !wait ? without_adapter : wait->count() == 0 ? held : coming;
+        if (its_cost < place.cost)
         {
-            best_without_adapter = &it;
-            best_without_cost = its_cost;
+            place = {.it = &it, .cost = its_cost};
+            soonest = wait && wait->count() > 0 ? *wait : soonest;
         }
     }
-    if (best && (best_cost < avoided_cost || !best_without_adapter ||
-                 best_without_cost >= avoided_cost))
+    bool other_is_better = held.cost >= avoided_cost &&
+                           std::min(coming.cost, without_adapter.cost) < avoided_cost;
+    if (held.it && !other_is_better)
     {
-        return {.what = server_choice::kind::send, .server = best->entry.id, .expected = {}};
+        return {.what = server_choice::kind::send, .server = held.it->entry.id};
+    }
+    if (coming.it)
+    {
+        return {.what = server_choice::kind::load,
+                .server = coming.it->entry.id,
+                .expected = std::chrono::ceil<milliseconds>(soonest),
+                .coming = true};
     }
-    if (best_without_adapter)
+    if (without_adapter.it)
     {
         return {.what = server_choice::kind::load,
-                .server = best_without_adapter->entry.id,
-                .expected = milliseconds(10)};
+                .server = without_adapter.it->entry.id,
+                .expected = usual_adapter_load};
     }
     if (any_full)
     {
-        return {.what = server_choice::kind::full, .server = {}, .expected = {}};
+        return {.what = server_choice::kind::full};
     }
     if (wants_model)
     {
@@ -328,12 +371,12 @@
             auto coming = it.placement->models.find(model->first);
             if (coming != it.placement->models.end() && !coming->second.leaving)
             {
-                // It is being loaded there already.
-                std::chrono::duration<double, std::milli> left = coming->second.ready_at - now;
+                // It is being loaded there already, or was and has to prove itself.
+                auto left = std::chrono::ceil<milliseconds>(coming->second.ready_at - now);
                 return server_choice{.what = server_choice::kind::load,
                                      .server = id,
-                                     .expected = milliseconds(std::max<std::int64_t>(
-                                         static_cast<std::int64_t>(left.count()), 0))};
+                                     .expected = std::max(left, usual_adapter_load),
+                                     .coming = true};
             }
             std::chrono::duration<double, std::milli> wait = it.placement->room_at - now;
             ms += std::max(0.0, wait.count());
--- a/src/coordination/backend_table.hpp
+++ b/src/coordination/backend_table.hpp
@@ -33,7 +33,8 @@
 struct held_model
 {
     instant ready_at;
-    std::set<adapter_id> adapters;
+    /// Its adapters, each with the time from which it can serve.
+    std::map<adapter_id, instant> adapters;
     /// About to be unloaded.
     bool leaving = false;
 };
@@ -99,9 +100,10 @@
         none,
     };
     kind what = kind::none;
-    server_id server;
-    /// For `load`: when it should be there.
+    server_id server = {};
+    /// For `load`: in how long it should be there, and whether it is on its way already.
     milliseconds expected{0};
+    bool coming = false;
 };
 
 class backend_table
@@ -116,6 +118,8 @@
         /// Own requests in flight, in all and by unit.
         int running = 0;
         std::map<engine_unit, int> running_units;
+        /// What peers were last told of `running`.
+        int told_running = 0;
         /// Own requests since the last report to peers.
         std::map<engine_unit, int> asked_units;
         struct told_use
@@ -145,6 +149,10 @@
     void note_sent(const server_id& server, const engine_unit& unit);
     void note_ended(const server_id& server, const engine_unit& unit, backend_outcome outcome,
                     instant now);
+    /// Peers know the present numbers of running requests.
+    void note_reported();
+    /// Begins to count requests by unit anew; units with running requests stay listed.
+    void forget_asked();
     void note_heard(const server_id& server, instant now);
 
     /// The server for a request, by what is known at `now`.
@@ -155,12 +163,23 @@
     std::map<server_id, record>& servers() { return servers_; }
     /// Requests at the server, own and told.
     int load(const record& it, instant now) const;
-    /// What the server holds by the freshest source.
-    bool holds(const record& it, const engine_unit& unit, instant now) const;
+    /// In how long the server can serve the unit, by the freshest source: 0 if it holds it, nothing
+    /// if it is not even on its way.
+    std::optional<nanoseconds> ready_in(const record& it, const engine_unit& unit,
+                                        instant now) const;
+    bool holds(const record& it, const engine_unit& unit, instant now) const
+    {
+        return ready_in(it, unit, now) == nanoseconds(0);
+    }
     /// How many servers other than `server` can serve the model.
     int other_holders(const server_id& server, const model_id& model, instant now) const;
 
 private:
+    struct candidate
+    {
+        const record* it;
+        double cost;
+    };
     bool usable(const record& it, const server_need& need) const;
     bool placement_counts(const record& it, instant now) const;
     double cost(const record& it, instant now) const;
--- /dev/null
+++ b/src/serve/order_duty.cpp
@@ -0,0 +1,359 @@
+#include "serve/order_duty.hpp"
+
+#include <algorithm>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <fmt/format.h>
+
+#include "coordination/rendezvous.hpp"
+#include "platform/orders.hpp"
+#include "platform/registry.hpp"
+#include "platform/store.hpp"
+#include "serve/server_exchange.hpp"
+
+namespace banyanshunt
+{
+
+namespace
+{
+
+/// How often a member tells the store that it lives: four times in a lease.
+constexpr milliseconds join_period{700};
+constexpr milliseconds store_timeout{1000};
+/// What is taken off a lease for the way of the call and the drift of two clocks.
+constexpr milliseconds lease_margin{300};
+/// Added to the lease before a new holder orders: the one before may learn of its loss only at its
+/// next call, and its last order may be on its way.
+constexpr milliseconds handover_margin{1200};
+/// An engine answers an order in milliseconds; a lost packet is sent again after 200 ms or more.
+constexpr milliseconds order_timeout{1000};
+
+} // namespace
+
+order_duty::order_duty(host_core& core, teller tell)
+    : core_(core), tell_(std::move(tell)),
+      member_(fmt::format("{}-{:x}", core.settings.name.str(), core.life.count())),
+      link_(core.settings.log.address), store_loads_at_(core.now())
+{
+}
+
+void order_duty::start()
+{
+    asio::co_spawn(core_.executor, keep_membership(), asio::detached);
+}
+
+task<void> order_duty::keep_membership()
+{
+    while (!leaving_)
+    {
+        bool joined = co_await join();
+        if (joined != member_now_)
+        {
+            core_.log.write(joined ? "duty_joined" : "duty_call_failed", "generation={}",
+                            generation_);
+            member_now_ = joined;
+        }
+        match_servers();
+        co_await pause(joined ? join_period : join_period / 3);
+    }
+}
+
+task<bool> order_duty::join()
+{
+    instant asked = core_.now();
+    milliseconds lease = std::max(core_.settings.bounds.lease, core_.settings.log.least_lease);
+    auto call = platform::join_call(member_, lease, generation_);
+    auto answer = co_await link_.call(call.method, call.target, call.body, store_timeout);
+    if (!answer || answer->status != 200)
+    {
+        co_return false;
+    }
+    auto share = platform::parse_join(answer->body);
+    if (!share)
+    {
+        core_.log.write("store_answer_bad", "call=join detail=\"{}\"", share.error().detail);
+        co_return false;
+    }
+    // Behind a gap in which the membership may have lapsed, nothing held before counts.
+    bool lapsed = core_.now() >= held_until_;
+    generation_ = share->generation;
+    std::set<int> listed(share->partitions.begin(), share->partitions.end());
+    std::erase_if(partitions_,
+                  [&](const auto& it) { return lapsed || !listed.contains(it.first); });
+    held_until_ = asked + lease - lease_margin;
+    for (int partition : listed)
+    {
+        if (!partitions_.contains(partition))
+        {
+            co_await claim(partition);
+        }
+    }
+    co_return true;
+}
+
+task<void> order_duty::claim(int partition)
+{
+    instant taken = core_.now();
+    auto call = platform::claim_call(partition, member_);
+    auto answer = co_await link_.call(call.method, call.target, call.body, store_timeout);
+    if (!answer || answer->status != 200)
+    {
+        co_return;
+    }
+    auto offset = platform::parse_append(answer->body);
+    if (!offset)
+    {
+        co_return;
+    }
+    // Offsets grow with each claim, so the fencing number of a later holder is higher.
+    fencing_number fence(offset->count() + 1);
+    partitions_[partition] = {.fence = fence,
+                              .may_order_at =
+                                  taken + core_.settings.bounds.lease + handover_margin};
+    core_.log.write("duty_taken", "partition={} fence={} generation={}", partition, fence.count(),
+                    generation_);
+}
+
+int order_duty::partition_of(const server_id& server) const
+{
+    auto weight = rendezvous_weight("partition", server.str());
+    return static_cast<int>(weight % static_cast<std::uint64_t>(core_.settings.log.partitions));
+}
+
+const engine_spec* order_duty::engine_of(const server_id& server) const
+{
+    const auto* known = core_.servers.find(server);
+    if (!known || !core_.config)
+    {
+        return nullptr;
+    }
+    const auto* service = core_.config->find_service(known->entry.service);
+    return service && service->engine ? &*service->engine : nullptr;
+}
+
+void order_duty::match_servers()
+{
+    for (auto it = duties_.begin(); it != duties_.end();)
+    {
+        const auto* known = core_.servers.find(it->first);
+        bool keep = known && !known->gone && partitions_.contains(it->second->partition);
+        if (!keep)
+        {
+            it->second->ended = true;
+            it->second->poke.cancel();
+            it = duties_.erase(it);
+        }
+        else
+        {
+            ++it;
+        }
+    }
+    for (const auto& [server, known] : core_.servers.servers())
+    {
+        int partition = partition_of(server);
+        if (duties_.contains(server) || known.gone || !partitions_.contains(partition) ||
+            !engine_of(server))
+        {
+            continue;
+        }
+        auto held = std::make_shared<held_duty>(
+            held_duty{.duty = server_duty(known.entry, server_duty_options{}, core_.now()),
+                      .partition = partition,
+                      .poke = asio::steady_timer(core_.executor)});
+        duties_.emplace(server, held);
+        asio::co_spawn(core_.executor, run_server(server, held), asio::detached);
+    }
+}
+
+bool order_duty::may_order(int partition, instant now) const
+{
+    auto it = partitions_.find(partition);
+    return !leaving_ && it != partitions_.end() && now < held_until_ &&
+           now >= it->second.may_order_at;
+}
+
+bool order_duty::take_store_load(const engine_spec& engine)
+{
+    // Each host that orders may begin one load at once; the rest of the bound comes as a rate.
+    const auto& bounds = core_.settings.bounds;
+    double window_s = std::chrono::duration<double>(bounds.load_window).count();
+    double allowed = engine.store_loads_per_s * window_s * bounds.load_over + 3;
+    double all = core_.settings.log.partitions;
+    double owners = std::min(all, static_cast<double>(core_.hosts));
+    double fleet_rate = std::max(0.2 * engine.store_loads_per_s, (allowed - owners - 1) / window_s);
+    double own_part = static_cast<double>(partitions_.size()) / all;
+    instant now = core_.now();
+    std::chrono::duration<double> passed = now - store_loads_at_;
+    store_loads_at_ = now;
+    store_loads_ = std::min(1.0, store_loads_ + passed.count() * fleet_rate * own_part);
+    if (store_loads_ < 1)
+    {
+        return false;
+    }
+    store_loads_ -= 1;
+    return true;
+}
+
+task<void> order_duty::run_server(server_id server, std::shared_ptr<held_duty> held)
+{
+    while (!held->ended)
+    {
+        const auto* known = core_.servers.find(server);
+        const engine_spec* engine = engine_of(server);
+        instant now = core_.now();
+        if (!known || !engine || !may_order(held->partition, now))
+        {
+            co_await pause(milliseconds(100));
+            continue;
+        }
+        held->duty.adopt(known->entry, now);
+        auto step = held->duty.decide(
+            *engine,
+            {.other_holders = [&](const model_id& model)
+             { return core_.servers.other_holders(server, model, now); },
+             .take_store_load = [&] { return take_store_load(*engine); }},
+            now);
+        if (step.what == server_duty::step::kind::ask_report)
+        {
+            co_await ask_report(server, held);
+            tell(server, *held);
+        }
+        else if (step.what == server_duty::step::kind::order)
+        {
+            co_await give_order(server, held, step.order);
+            tell(server, *held);
+        }
+        else
+        {
+            held->poke.expires_after(std::max<nanoseconds>(step.again_at - now, milliseconds(1)));
+            co_await held->poke.async_wait(as_result);
+        }
+    }
+}
+
+task<void> order_duty::ask_report(server_id server, std::shared_ptr<held_duty> held)
+{
+    const auto* known = core_.servers.find(server);
+    std::string text = platform::encode_report_call(server, known->entry.address);
+    server_exchange exchange(core_, server);
+    exchange_deadline deadline(exchange, core_.executor, order_timeout);
+    auto state = co_await exchange.send(std::move(text), request_id(), [] { return true; });
+    bool adopted = false;
+    if (state == exchange_state::answered)
+    {
+        std::string body = co_await exchange.read_rest();
+        auto report = platform::parse_server_report(body);
+        if (exchange.complete() && exchange.status() == 200 && report)
+        {
+            if (report->born_ms == 0)
+            {
+                report->born_ms = held->duty.born_ms();
+            }
+            held->duty.adopt(*report, core_.now());
+            adopted = true;
+        }
+        else
+        {
+            core_.log.write("report_bad", "server={} status={} detail=\"{}\"", server.str(),
+                            exchange.status(), report ? "" : report.error().detail);
+        }
+        exchange.finish();
+    }
+    core_.log.write("report", "server={} adopted={}", server.str(), adopted);
+}
+
+task<void> order_duty::give_order(server_id server, std::shared_ptr<held_duty> held,
+                                  engine_order order)
+{
+    const auto* known = core_.servers.find(server);
+    fencing_number fence = partitions_.at(held->partition).fence;
+    std::string text =
+        platform::encode_order(order, server, known->entry.address, member_, fence);
+    server_exchange exchange(core_, server);
+    exchange_deadline deadline(exchange, core_.executor, order_timeout);
+    auto state = co_await exchange.send(
+        std::move(text), request_id(),
+        [&] { return !held->ended && may_order(held->partition, core_.now()); });
+    auto answer = order_answer::unknown;
+    int status = 0;
+    if (state == exchange_state::answered)
+    {
+        status = exchange.status();
+        answer = platform::order_answer_of(status);
+        co_await exchange.read_rest();
+        exchange.finish();
+    }
+    ++core_.counters.orders;
+    core_.log.write("order", "server={} what={} model={}{}{} expected={} fence={} status={}",
+                    server.str(),
+                    order.what == engine_order::action::load ? "load" : "unload",
+                    order.model.str(), order.adapter.empty() ? "" : "/", order.adapter.str(),
+                    order.expected_orders, fence.count(), status);
+    const engine_spec* engine = engine_of(server);
+    if (engine)
+    {
+        held->duty.answered(order, answer, *engine, core_.now());
+    }
+}
+
+void order_duty::tell(const server_id& server, const held_duty& held)
+{
+    const engine_spec* engine = engine_of(server);
+    auto partition = partitions_.find(held.partition);
+    if (!engine || partition == partitions_.end() || held.ended)
+    {
+        return;
+    }
+    auto placement = held.duty.placement(*engine, core_.now());
+    placement.owner = core_.settings.name;
+    placement.fence = partition->second.fence;
+    core_.servers.apply_placement(server, placement);
+    core_.waiting.wake();
+    tell_(server, placement);
+}
+
+void order_duty::tell_all()
+{
+    for (const auto& [server, held] : duties_)
+    {
+        if (may_order(held->partition, core_.now()))
+        {
+            tell(server, *held);
+        }
+    }
+}
+
+void order_duty::wish(const server_id& server, const engine_unit& unit, milliseconds waited)
+{
+    auto it = duties_.find(server);
+    if (it != duties_.end())
+    {
+        it->second->duty.wish(unit, waited, core_.now());
+        it->second->poke.cancel();
+    }
+}
+
+void order_duty::note_use(const host_id& host, const server_id& server, const engine_unit& unit,
+                          int running, int asked)
+{
+    auto it = duties_.find(server);
+    if (it != duties_.end())
+    {
+        it->second->duty.note_use(host, unit, running, asked, core_.now());
+    }
+}
+
+task<void> order_duty::leave()
+{
+    leaving_ = true;
+    for (auto& [server, held] : duties_)
+    {
+        held->ended = true;
+        held->poke.cancel();
+    }
+    auto call = platform::leave_call(member_);
+    co_await link_.call(call.method, call.target, call.body, store_timeout);
+}
+
+} // namespace banyanshunt
--- /dev/null
+++ b/src/serve/order_duty.hpp
@@ -0,0 +1,79 @@
+#pragma once
+
+/// \file
+/// Defines the duty of giving orders to model engines. Engines are dealt to entry hosts by the
+/// platform's groups, so that each has one host that orders it; a host orders only while its
+/// membership surely lasts, and a new one waits until the last order of the one before is long past.
+
+#include <map>
+#include <memory>
+
+#include "coordination/server_duty.hpp"
+#include "serve/host_core.hpp"
+#include "transport/loop/call_link.hpp"
+
+namespace banyanshunt
+{
+
+class order_duty
+{
+public:
+    /// Tells the other hosts of a change at a server.
+    using teller = std::function<void(const server_id&, const server_placement&)>;
+
+    order_duty(host_core& core, teller tell);
+
+    void start();
+    /// Gives the duty up, for a planned stop.
+    task<void> leave();
+
+    bool orders(const server_id& server) const { return duties_.contains(server); }
+    void wish(const server_id& server, const engine_unit& unit, milliseconds waited);
+    void note_use(const host_id& host, const server_id& server, const engine_unit& unit,
+                  int running, int asked);
+    /// Tells the placements of all engines that this host orders.
+    void tell_all();
+
+private:
+    struct held_partition
+    {
+        fencing_number fence;
+        instant may_order_at;
+    };
+    struct held_duty
+    {
+        server_duty duty;
+        int partition;
+        asio::steady_timer poke;
+        bool ended = false;
+    };
+
+    task<void> keep_membership();
+    task<bool> join();
+    task<void> claim(int partition);
+    void match_servers();
+    task<void> run_server(server_id server, std::shared_ptr<held_duty> held);
+    task<void> ask_report(server_id server, std::shared_ptr<held_duty> held);
+    task<void> give_order(server_id server, std::shared_ptr<held_duty> held, engine_order order);
+    bool may_order(int partition, instant now) const;
+    bool take_store_load(const engine_spec& engine);
+    const engine_spec* engine_of(const server_id& server) const;
+    int partition_of(const server_id& server) const;
+    void tell(const server_id& server, const held_duty& held);
+
+    host_core& core_;
+    teller tell_;
+    std::string member_;
+    call_link link_;
+    std::int64_t generation_ = 0;
+    bool member_now_ = false;
+    bool leaving_ = false;
+    /// Until when the membership surely lasts.
+    instant held_until_;
+    std::map<int, held_partition> partitions_;
+    std::map<server_id, std::shared_ptr<held_duty>> duties_;
+    double store_loads_ = 0;
+    instant store_loads_at_;
+};
+
+} // namespace banyanshunt
--- a/src/serve/request_attempt.cpp
+++ b/src/serve/request_attempt.cpp
@@ -128,6 +128,13 @@
         });
 }
 
+bool request_run::may_still_send() const
+{
+    return core_.config == config_ && !expired_ && !caller_->gone &&
+           (!workspace_ || !core_.settings.bounds.refuse_when_stale ||
+            core_.config_is_fresh(core_.now()));
+}
+
 task<request_run::attempt_end> request_run::attempt(server_id server)
 {
     const engine_unit unit{.model = fields_.model, .adapter = fields_.adapter};
@@ -138,7 +145,8 @@
     core_.servers.note_sent(server, unit);
     active_ = &exchange;
     guard_silence();
-    auto state = co_await exchange.send(std::move(text), fields_.id);
+    auto state = co_await exchange.send(std::move(text), fields_.id,
+                                        [this] { return may_still_send(); });
     auto end = attempt_end::not_run;
     auto outcome = backend_outcome::failed;
     if (state == exchange_state::no_answer)
@@ -148,6 +156,11 @@
         end = attempt_end::may_have_run;
         last_reason_ = "bad_answer";
     }
+    else if (state == exchange_state::withheld)
+    {
+        outcome = backend_outcome::abandoned;
+        --sends_;
+    }
     else if (state == exchange_state::not_sent)
     {
         last_reason_ = "unreachable";
@@ -159,9 +172,7 @@
         outcome = not_held ? backend_outcome::not_held : backend_outcome::full;
         last_reason_ = not_held ? "not_held" : "server_full";
         // A refusal by a server that is about to hold the unit is soon over; others are asked first.
-        while (co_await exchange.read_piece())
-        {
-        }
+        co_await exchange.read_rest();
         if (unit.model.empty())
         {
             tried_.insert(server);
--- a/src/serve/request_run.cpp
+++ b/src/serve/request_run.cpp
@@ -242,6 +242,8 @@
 task<std::optional<server_id>> request_run::find_server()
 {
     instant began = core_.now();
+    server_id wished_at;
+    instant wished_since;
     while (!caller_->gone && !expired_)
     {
         server_need need{.service = service_,
@@ -265,11 +267,19 @@
         {
             co_return std::nullopt;
         }
-        if (choice.what == server_choice::kind::load)
+        nanoseconds wait = look_again;
+        if (choice.what == server_choice::kind::load && choice.coming)
         {
+            wait = std::clamp(choice.expected, milliseconds(1), look_again);
+        }
+        else if (choice.what == server_choice::kind::load &&
+                 (choice.server != wished_at || core_.now() - wished_since >= look_again))
+        {
+            wished_at = choice.server;
+            wished_since = core_.now();
             core_.helper->wish(choice.server, need.unit, waited_);
         }
-        co_await core_.waiting.wait(priority_, arrived_, look_again);
+        co_await core_.waiting.wait(priority_, arrived_, wait);
     }
     co_return std::nullopt;
 }
--- a/src/serve/request_run.hpp
+++ b/src/serve/request_run.hpp
@@ -62,6 +62,8 @@
     task<std::optional<refusal>> take_tokens();
     task<std::optional<server_id>> find_server();
     bool out_of_time(milliseconds expected) const;
+    /// Whether what allowed the request is still in force.
+    bool may_still_send() const;
     task<attempt_end> attempt(server_id server);
     task<attempt_end> relay(server_exchange& exchange);
     task<attempt_end> relay_whole(server_exchange& exchange);
--- a/src/serve/server_exchange.cpp
+++ b/src/serve/server_exchange.cpp
@@ -19,7 +19,8 @@
     core_.servers.note_heard(server_, heard_at_);
 }
 
-task<exchange_state> server_exchange::send(std::string request, request_id id)
+task<exchange_state> server_exchange::send(std::string request, request_id id,
+                                           std::function<bool()> may_send)
 {
     const auto* known = core_.servers.find(server_);
     if (!known)
@@ -31,6 +32,11 @@
     {
         co_return exchange_state::not_sent;
     }
+    if (!may_send())
+    {
+        core_.pool.release(std::move(connection_), std::nullopt);
+        co_return exchange_state::withheld;
+    }
     heard_at_ = core_.now();
     auto [ec, n] = co_await asio::async_write(connection_->stream.socket(),
                                               asio::buffer(request), as_result);
@@ -80,11 +86,19 @@
     co_return true;
 }
 
-task<bool> server_exchange::skip_body()
+task<std::string> server_exchange::read_rest()
 {
-    while (co_await read_piece())
+    std::string rest;
+    while (auto piece = co_await read_piece())
     {
+        rest += *piece;
     }
+    co_return rest;
+}
+
+task<bool> server_exchange::skip_body()
+{
+    co_await read_rest();
     co_return complete() && parser_->keep_alive();
 }
 
@@ -135,4 +149,19 @@
     return length ? std::optional<std::uint64_t>(*length) : std::nullopt;
 }
 
+exchange_deadline::exchange_deadline(server_exchange& exchange,
+                                     const asio::any_io_executor& executor, milliseconds length)
+    : exchange_(std::make_shared<server_exchange*>(&exchange)), timer_(executor)
+{
+    timer_.expires_after(length);
+    timer_.async_wait(
+        [it = exchange_](boost::system::error_code ec)
+        {
+            if (!ec && *it)
+            {
+                (*it)->close();
+            }
+        });
+}
+
 } // namespace banyanshunt
--- a/src/serve/server_exchange.hpp
+++ b/src/serve/server_exchange.hpp
@@ -4,6 +4,8 @@
 /// Defines one exchange with a backend server: a request sent, and the head of the answer that
 /// belongs to it. What follows of the answer is read by its user.
 
+#include <array>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -23,8 +25,10 @@
 {
     /// The answer's head is here.
     answered,
-    /// Nothing was sent.
+    /// No connection could be made; nothing was sent.
     not_sent,
+    /// `may_send` said no; nothing was sent.
+    withheld,
     /// The request was sent, or a part of it, and no answer to it came.
     no_answer,
 };
@@ -36,7 +40,10 @@
 
     /// Sends `request`, a whole request with its head, and reads the head of the answer to `id`.
     /// Answers to other requests are read and dropped.
-    task<exchange_state> send(std::string request, request_id id);
+    /// `may_send` is asked when the connection stands, right before the first byte goes out.
+    task<exchange_state> send(std::string request, request_id id, std::function<bool()> may_send);
+    /// Reads what is left of the body.
+    task<std::string> read_rest();
     /// Reads the next piece of the answer's body. Nothing at its end or when it breaks off;
     /// `complete` tells which.
     task<std::optional<std::string_view>> read_piece();
@@ -69,4 +76,19 @@
     std::array<char, 8192> piece_;
 };
 
+/// Closes an exchange when its time is over, unless it is destroyed before.
+class exchange_deadline
+{
+public:
+    exchange_deadline(server_exchange& exchange, const asio::any_io_executor& executor,
+                      milliseconds length);
+    ~exchange_deadline() { *exchange_ = nullptr; }
+    exchange_deadline(const exchange_deadline&) = delete;
+    exchange_deadline& operator=(const exchange_deadline&) = delete;
+
+private:
+    std::shared_ptr<server_exchange*> exchange_;
+    asio::steady_timer timer_;
+};
+
 } // namespace banyanshunt
--- a/src/serve/store_reader.cpp
+++ b/src/serve/store_reader.cpp
@@ -174,7 +174,7 @@
                             }}),
       servers_(core, {.topic = platform::server_topic,
                       .wait = milliseconds(1000),
-                      .gap = milliseconds(60)},
+                      .gap = milliseconds(400)},
                {.whole = [this](const auto& records) { take_all_servers(records); },
                 .record = [this](const auto& record) { take_server(record); },
                 .regained = [this] { doubtful_until_ = core_.now() + entries_back; },
@@ -238,8 +238,8 @@
     {
         core_.pool.forget(old_address);
     }
-    core_.log.write("server_entry", "server={} service={} draining={} orders={} models={} born={}",
-                    id.str(), parsed->service.str(), parsed->draining, parsed->orders_accepted,
+    core_.log.write("server_entry", "server={} service={} draining={} announcement={} models={} born={}",
+                    id.str(), parsed->service.str(), parsed->draining, parsed->announcement,
                     parsed->models.size(), parsed->born_ms);
     core_.waiting.wake();
 }
--- a/src/state/backend_entry.hpp
+++ b/src/state/backend_entry.hpp
@@ -34,8 +34,8 @@
     bool draining = false;
     /// When it started, by its own clock; tells one life from the next under the same id.
     std::int64_t born_ms = 0;
-    /// How many orders it had accepted in this life.
-    std::int64_t orders_accepted = 0;
+    /// Counts what it has told of itself in this life.
+    std::int64_t announcement = 0;
     /// How much longer it is slow after its start.
     milliseconds cold_left{0};
     model_holdings models;
