--- a/src/coordination/backend_table.cpp
+++ b/src/coordination/backend_table.cpp
@@ -297,6 +297,12 @@
             any_full = true;
             continue;
         }
+        if (!wait && placement_counts(it, now) && !it.placement->adapter_room)
+        {
+            // All its adapters are in use; another server has to take the model as well.
+            any_full = true;
+            continue;
+        }
         double its_cost = cost(it, now);
         candidate& place = !wait ? without_adapter : wait->count() == 0 ? held : coming;
         if (its_cost < place.cost)
@@ -324,10 +330,6 @@
                 .server = without_adapter.it->entry.id,
                 .expected = usual_adapter_load};
     }
-    if (any_full)
-    {
-        return {.what = server_choice::kind::full};
-    }
     if (wants_model)
     {
         if (auto load_there = choose_load(need, *engine, now))
@@ -335,7 +337,7 @@
             return *load_there;
         }
     }
-    return {};
+    return {.what = any_full ? server_choice::kind::full : server_choice::kind::none};
 }
 
 std::optional<server_choice> backend_table::choose_load(const server_need& need,
@@ -352,7 +354,8 @@
     double best_wait = 0;
     for (const auto& [id, it] : servers_)
     {
-        if (!usable(it, need) || it.avoid_until > now)
+        bool held = holds(it, {.model = need.unit.model, .adapter = {}}, now);
+        if (!usable(it, need) || it.avoid_until > now || held)
         {
             continue;
         }
--- a/src/coordination/backend_table.hpp
+++ b/src/coordination/backend_table.hpp
@@ -48,6 +48,8 @@
     std::map<model_id, held_model> models;
     /// When it could begin to load another model.
     instant room_at;
+    /// It could load another adapter now: a place is free, or an idle adapter can make way.
+    bool adapter_room = true;
     instant told_at;
 };
 
--- a/src/coordination/server_duty.cpp
+++ b/src/coordination/server_duty.cpp
@@ -26,7 +26,7 @@
 } // namespace
 
 server_duty::server_duty(const backend_entry& entry, server_duty_options options, instant now)
-    : options_(options), entry_(entry), report_at_(now), retry_at_(now)
+    : options_(options), entry_(entry), report_at_(now), retry_at_(now), begun_at_(now)
 {
     take_models(entry.models, now);
 }
@@ -94,6 +94,11 @@
     if (report.busy)
     {
         report_at_ = now + options_.report_lag;
+        retry_at_ = now + options_.longest_conflict_pause;
+        if (unloading_)
+        {
+            orders_ = report.orders_accepted;
+        }
         return;
     }
     unloading_.reset();
@@ -239,7 +244,7 @@
     }
     if (unloading_)
     {
-        return load_model(after_unload_, around, now);
+        return load_model(next_model(now), around, now);
     }
     if (auto next = adapter_step(engine, now))
     {
@@ -317,6 +322,25 @@
                 .again_at = {}};
 }
 
+model_id server_duty::next_model(instant now) const
+{
+    const engine_unit* oldest = nullptr;
+    instant oldest_at = now;
+    for (const auto& [unit, wish] : wishes_)
+    {
+        if (unit.model == after_unload_)
+        {
+            return after_unload_;
+        }
+        if (!models_.contains(unit.model) && wish.first <= oldest_at)
+        {
+            oldest = &unit;
+            oldest_at = wish.first;
+        }
+    }
+    return oldest ? oldest->model : after_unload_;
+}
+
 std::optional<server_duty::step> server_duty::model_step(const engine_spec& engine,
                                                          const surroundings& around, instant now)
 {
@@ -362,6 +386,10 @@
                                             instant now) const
 {
     std::optional<model_id> best;
+    if (now - begun_at_ < options_.use_known_after)
+    {
+        return best;
+    }
     double least = std::numeric_limits<double>::max();
     for (const auto& [id, model] : models_)
     {
@@ -420,7 +448,11 @@
     }
     if (answer == order_answer::conflict)
     {
-        if (unloading_)
+        if (conflict_pause_.count() == 0)
+        {
+            conflict_since_ = now;
+        }
+        if (unloading_ && now - conflict_since_ < options_.longest_conflict)
         {
             // It waits for the runs of the model that leaves.
             conflict_pause_ = std::clamp(conflict_pause_ * 2, options_.conflict_pause,
@@ -428,8 +460,9 @@
             retry_at_ = now + conflict_pause_;
             return;
         }
+        conflict_pause_ = milliseconds(0);
         orders_.reset();
-        report_at_ = now + options_.report_lag;
+        report_at_ = unloading_ ? now : now + options_.report_lag;
         return;
     }
     conflict_pause_ = milliseconds(0);
@@ -487,17 +520,21 @@
     told.told_at = now;
     told.room_at = now;
     bool any_idle = false;
+    bool idle_adapter = false;
     for (const auto& [id, model] : models_)
     {
         held_model held{.ready_at = model.ready_at, .adapters = {}, .leaving = model.leaving};
         for (const auto& [adapter, state] : model.adapters)
         {
             held.adapters.emplace(adapter, state.ready_at);
+            idle_adapter = idle_adapter || (state.ready_at <= now &&
+                                            running({.model = id, .adapter = adapter}, now) == 0);
         }
         told.models.emplace(id, std::move(held));
         told.room_at = std::max(told.room_at, model.ready_at);
         any_idle = any_idle || running_model(id, now) == 0;
     }
+    told.adapter_room = idle_adapter || adapters() < engine.adapter_slots;
     double largest = 0;
     for (const auto& [id, spec] : engine.models)
     {
--- a/src/coordination/server_duty.hpp
+++ b/src/coordination/server_duty.hpp
@@ -77,8 +77,14 @@
     /// Pause after a conflict while another order is under way.
     milliseconds conflict_pause{40};
     milliseconds longest_conflict_pause{160};
-    /// A model that runs requests makes way only for one that has been wished for so long.
-    milliseconds wait_for_running{400};
+    /// A model that runs requests makes way only for one that has been wished for so long, as the
+    /// engine takes no other order until the runs have ended; three times as long if no other
+    /// server holds it.
+    milliseconds wait_for_running{1000};
+    /// How long the first reports of use take after this host began to order.
+    milliseconds use_known_after{700};
+    /// Conflicts that last longer than this are no sign of an order under way.
+    milliseconds longest_conflict{500};
     /// A model that was just loaded is not unloaded again before this.
     milliseconds least_stay{700};
 };
@@ -158,6 +164,7 @@
                                    instant now);
     std::optional<model_id> victim(const surroundings& around, milliseconds waited,
                                    instant now) const;
+    model_id next_model(instant now) const;
     step load_model(const model_id& model, const surroundings& around, instant now);
     double weights(const engine_spec& engine) const;
     int adapters() const;
@@ -181,6 +188,8 @@
     std::optional<model_id> store_load_for_;
     instant retry_at_;
     milliseconds conflict_pause_{0};
+    instant conflict_since_;
+    instant begun_at_;
     std::map<engine_unit, wished> wishes_;
     std::map<engine_unit, std::map<host_id, unit_use>> uses_;
 };
--- a/src/serve/host_core.hpp
+++ b/src/serve/host_core.hpp
@@ -103,6 +103,8 @@
     /// Runs when another configuration is in force.
     std::function<void()> on_config = [] {};
     bool stopping = false;
+    /// From when on a host that stops refuses new requests.
+    instant refuse_from;
     int requests_open = 0;
 };
 
--- a/src/serve/order_duty.cpp
+++ b/src/serve/order_duty.cpp
@@ -204,9 +204,17 @@
         instant now = core_.now();
         if (!known || !engine || !may_order(held->partition, now))
         {
+            held->told = false;
             co_await pause(milliseconds(100));
             continue;
         }
+        if (!held->told)
+        {
+            // From now on the others tell this host how they use the server.
+            held->told = true;
+            held->duty = server_duty(known->entry, server_duty_options{}, now);
+            tell(server, *held);
+        }
         held->duty.adopt(known->entry, now);
         auto step = held->duty.decide(
             *engine,
--- a/src/serve/order_duty.hpp
+++ b/src/serve/order_duty.hpp
@@ -46,6 +46,7 @@
         int partition;
         asio::steady_timer poke;
         bool ended = false;
+        bool told = false;
     };
 
     task<void> keep_membership();
--- a/src/serve/peer_duty.cpp
+++ b/src/serve/peer_duty.cpp
@@ -55,6 +55,7 @@
     to.set_born_ms(from.born_ms);
     to.set_fence(from.fence.count());
     to.set_room_in_ms(ms_until(from.room_at, now));
+    to.set_adapter_room(from.adapter_room);
     for (const auto& [id, model] : from.models)
     {
         auto& held = *to.add_models();
@@ -77,6 +78,7 @@
     to.fence = fencing_number(from.fence());
     to.born_ms = from.born_ms();
     to.room_at = now + milliseconds(from.room_in_ms());
+    to.adapter_room = from.adapter_room();
     to.told_at = now;
     for (const auto& it : from.models())
     {
--- a/src/serve/request_attempt.cpp
+++ b/src/serve/request_attempt.cpp
@@ -315,6 +315,10 @@
         {
             continue;
         }
+        if (first_byte_.count() == 0)
+        {
+            first_byte_ = core_.now() - arrived_;
+        }
         text += chunk(events);
         head_sent_ = true;
         if (!co_await caller_->write(text))
--- a/src/serve/request_run.cpp
+++ b/src/serve/request_run.cpp
@@ -17,6 +17,13 @@
 constexpr milliseconds default_deadline{30000};
 /// A request waits this part of its time at most for a server; later ones seldom end in time.
 constexpr double longest_wait_part = 0.45;
+/// Callers abandon a stream whose first event is not there after the longest of these: a fixed time,
+/// and multiples of the route's objective and of the longest pause between events.
+constexpr milliseconds least_patience{2000};
+constexpr int objectives_of_patience = 4;
+constexpr int gaps_of_patience = 8;
+/// The part of a caller's patience that a request may wait for a server.
+constexpr double patience_part = 0.85;
 /// How often a request that waits looks again, if nothing woke it before.
 constexpr milliseconds look_again{100};
 /// Sends of one request that servers refused; beyond it the fleet is too full to go on.
@@ -152,6 +159,14 @@
     ++core_.counters.requests;
     ++core_.requests_open;
     auto self = shared_from_this();
+    if (core_.stopping && core_.now() > core_.refuse_from)
+    {
+        // There is no time left to see it through.
+        co_await refuse({.status = 503, .reason = "draining",
+                         .retry_after = milliseconds(100)});
+        --core_.requests_open;
+        co_return false;
+    }
     auto refused = admit();
     if (!refused)
     {
@@ -174,7 +189,6 @@
             break;
         }
         // The configuration may have changed while the request waited; what counts is now.
-        std::string before = route_->name.str();
         if (auto why = check_allowed(); why && sends_ == 0)
         {
             stop_waiting();
@@ -232,6 +246,13 @@
 {
     auto whole = std::chrono::duration<double, std::milli>(deadline_ - arrived_);
     auto latest = arrived_ + std::chrono::duration_cast<nanoseconds>(whole * longest_wait_part);
+    if (route_->kind == request_kind::stream && !head_sent_)
+    {
+        auto patience = std::max({least_patience, objectives_of_patience * route_->objective,
+                                  gaps_of_patience * route_->event_gap});
+        latest = std::min(latest, arrived_ + std::chrono::duration_cast<nanoseconds>(
+                                                 patience * patience_part));
+    }
     if (sends_ > 0)
     {
         latest = deadline_ - least_left;
@@ -329,12 +350,13 @@
 {
     core_.log.write("request_end",
                     "request={} outcome={} status={} reason={} route={} workspace={} model={}{}{} "
-                    "server={} sends={} waited_ms={} took_ms={} config={} config_age_ms={}",
+                    "server={} sends={} waited_ms={} first_ms={} took_ms={} config={} config_age_ms={}",
                     fields_.id.str(), outcome, status, last_reason_,
                     route_ ? route_->name.str() : "-", workspace_ ? workspace_->name.str() : "-",
                     fields_.model.empty() ? "-" : fields_.model.str(),
                     fields_.adapter.empty() ? "" : "/", fields_.adapter.str(),
                     last_server_.empty() ? "-" : last_server_.str(), sends_, waited_.count(),
+                    std::chrono::floor<milliseconds>(first_byte_).count(),
                     std::chrono::floor<milliseconds>(core_.now() - arrived_).count(),
                     config_ ? config_->version : 0,
                     core_.config_confirmed
@@ -348,6 +370,7 @@
     if (end == attempt_end::delivered)
     {
         ++core_.counters.answered;
+        log_end("answered", kept_status_);
         co_return;
     }
     if (caller_->gone)
--- a/src/serve/request_run.hpp
+++ b/src/serve/request_run.hpp
@@ -110,6 +110,8 @@
     const char* last_reason_ = "no_replica";
     server_id last_server_;
     milliseconds waited_{0};
+    /// From arrival to the first byte of the answer; 0 before.
+    nanoseconds first_byte_{0};
     bool keep_alive_ = true;
 };
 
--- a/src/serve/serve_host.cpp
+++ b/src/serve/serve_host.cpp
@@ -20,6 +20,9 @@
 
 /// The balancer asks once a second and needs two misses; it sends no new connections after this.
 constexpr milliseconds balancer_notices{2600};
+/// Requests that come later after the request to stop are refused: a third of the usual grace, so
+/// that the rest is there for those that run.
+constexpr milliseconds still_served{3200};
 /// What is left of the grace for the last requests' answers to reach their callers.
 constexpr milliseconds stop_margin{400};
 constexpr milliseconds tick_period{500};
@@ -123,6 +126,7 @@
 task<void> serve_host::parts::stop()
 {
     instant asked = core.now();
+    core.refuse_from = asked + still_served;
     core.log.write("stop_begun", "requests_open={}", core.requests_open);
     instant latest = asked + core.settings.bounds.stop_grace - stop_margin;
     while (core.now() < latest)
--- a/src/state/serving_config.hpp
+++ b/src/state/serving_config.hpp
@@ -48,6 +48,10 @@
     request_kind kind = request_kind::once;
     /// The longest that a request may be kept without its final answer.
     milliseconds timeout{30000};
+    /// Within this time an answer, or a stream's first event, is on time; 0 if not stated.
+    milliseconds objective{0};
+    /// The longest pause between a stream's events that is still on time; 0 if not stated.
+    milliseconds event_gap{0};
     /// Rank among requests that wait; 0 is the most urgent.
     int priority = 5;
     std::vector<weighted_service> services;
