--- a/src/coordination/backend_table.cpp
+++ b/src/coordination/backend_table.cpp
@@ -254,6 +254,27 @@
         }));
 }
 
+bool backend_table::covered(const server_id& server, const model_id& model, instant now) const
+{
+    return std::any_of(servers_.begin(), servers_.end(),
+                       [&](const auto& other)
+                       {
+                           const record& it = other.second;
+                           if (other.first == server || it.gone || it.entry.draining ||
+                               it.avoid_until > now || !placement_counts(it, now))
+                           {
+                               return false;
+                           }
+                           auto held = it.placement->models.find(model);
+                           if (held == it.placement->models.end() || held->second.leaving)
+                           {
+                               return false;
+                           }
+                           return held->second.ready_at > now ||
+                                  (it.placement->adapter_room && load(it, now) < it.entry.slots);
+                       });
+}
+
 bool backend_table::usable(const record& it, const server_need& need) const
 {
     return !it.gone && !it.entry.draining && it.entry.service == need.service &&
--- a/src/coordination/backend_table.hpp
+++ b/src/coordination/backend_table.hpp
@@ -34,7 +34,7 @@
 {
     instant ready_at;
     /// Its adapters, each with the time from which it can serve.
-    std::map<adapter_id, instant> adapters;
+    std::map<adapter_id, instant> adapters = {};
     /// About to be unloaded.
     bool leaving = false;
 };
@@ -173,6 +173,9 @@
     {
         return ready_in(it, unit, now) == nanoseconds(0);
     }
+    /// Whether a server other than `server` is about to hold the model, or holds it with room for
+    /// more requests and adapters.
+    bool covered(const server_id& server, const model_id& model, instant now) const;
     /// How many servers other than `server` can serve the model.
     int other_holders(const server_id& server, const model_id& model, instant now) const;
 
--- a/src/coordination/server_duty.cpp
+++ b/src/coordination/server_duty.cpp
@@ -18,6 +18,8 @@
 constexpr double running_worth = 1.0;
 /// How long the room of a server whose models are all in use is away.
 constexpr milliseconds busy_room{1200};
+/// How long the unload of an idle model takes.
+constexpr milliseconds usual_unload{150};
 /// What is added to the stated load times before requests are sent.
 constexpr milliseconds load_slack{10};
 /// How often a duty with nothing to do looks again.
@@ -349,7 +351,7 @@
     for (const auto& [unit, wish] : wishes_)
     {
         if (!models_.contains(unit.model) && engine.models.contains(unit.model) &&
-            wish.first < oldest_at)
+            wish.first < oldest_at && !around.covered(unit.model))
         {
             oldest = &unit;
             oldest_at = wish.first;
@@ -534,6 +536,13 @@
         told.room_at = std::max(told.room_at, model.ready_at);
         any_idle = any_idle || running_model(id, now) == 0;
     }
+    auto next = engine.models.find(after_unload_);
+    if (unloading_ && next != engine.models.end())
+    {
+        // Told at once, so that no other server loads it as well.
+        told.models.emplace(after_unload_,
+                            held_model{.ready_at = now + usual_unload + load_length(next->second)});
+    }
     told.adapter_room = idle_adapter || adapters() < engine.adapter_slots;
     double largest = 0;
     for (const auto& [id, spec] : engine.models)
--- a/src/coordination/server_duty.hpp
+++ b/src/coordination/server_duty.hpp
@@ -63,8 +63,9 @@
 
 struct server_duty_options
 {
-    /// A wish that was not told again for this long is over; requests tell theirs every 100 ms.
-    milliseconds wish_for{350};
+    /// A wish that was not told again for this long is over. Requests that wait tell theirs every
+    /// 100 ms; one that was refused told it once, and comes back within this time.
+    milliseconds wish_for{900};
     /// Told use older than this no longer counts.
     milliseconds use_for{3000};
     /// How long an adapter is on its way; the platform's sheets state 5 to 7.2 ms.
@@ -111,6 +112,8 @@
     {
         /// How many other servers can serve a model.
         std::function<int(const model_id&)> other_holders;
+        /// Whether another server is about to hold a model, or holds it with room.
+        std::function<bool(const model_id&)> covered;
         /// Takes a load from the weight store out of this host's part of its rate.
         std::function<bool()> take_store_load;
     };
--- a/src/serve/order_duty.cpp
+++ b/src/serve/order_duty.cpp
@@ -220,6 +220,8 @@
             *engine,
             {.other_holders = [&](const model_id& model)
              { return core_.servers.other_holders(server, model, now); },
+             .covered = [&](const model_id& model)
+             { return core_.servers.covered(server, model, now); },
              .take_store_load = [&] { return take_store_load(*engine); }},
             now);
         if (step.what == server_duty::step::kind::ask_report)
--- a/src/serve/request_run.cpp
+++ b/src/serve/request_run.cpp
@@ -284,10 +284,6 @@
             continue;
         }
         last_reason_ = choice.what == server_choice::kind::full ? "queue_full" : "no_replica";
-        if (out_of_time(choice.expected))
-        {
-            co_return std::nullopt;
-        }
         nanoseconds wait = look_again;
         if (choice.what == server_choice::kind::load && choice.coming)
         {
@@ -300,6 +296,11 @@
             wished_since = core_.now();
             core_.helper->wish(choice.server, need.unit, waited_);
         }
+        // The wish goes out also for a request that cannot wait for it: its caller comes back.
+        if (out_of_time(choice.expected))
+        {
+            co_return std::nullopt;
+        }
         co_await core_.waiting.wait(priority_, arrived_, wait);
     }
     co_return std::nullopt;
