--- a/src/coordination/backend_table.cpp
+++ b/src/coordination/backend_table.cpp
@@ -96,9 +96,16 @@
                                    instant now)
 {
     auto it = servers_.find(server);
-    if (it != servers_.end())
+    if (it == servers_.end())
     {
-        it->second.told[host] = {.running = running, .at = now};
+        return;
+    }
+    auto& use = it->second.told[host];
+    it->second.told_sum += running - use.running;
+    use = {.running = running, .at = now};
+    if (running == 0)
+    {
+        it->second.told.erase(host);
     }
 }
 
@@ -189,17 +196,17 @@
     return it == servers_.end() ? nullptr : &it->second;
 }
 
-int backend_table::load(const record& it, instant now) const
+void backend_table::expire_told(instant now)
 {
-    int sum = it.running;
-    for (const auto& [host, use] : it.told)
+    for (auto& [id, it] : servers_)
     {
-        if (now - use.at < options_.told_for)
+        for (auto use = it.told.begin(); use != it.told.end();)
         {
-            sum += use.running;
+            bool old = now - use->second.at >= options_.told_for;
+            it.told_sum -= old ? use->second.running : 0;
+            use = old ? it.told.erase(use) : std::next(use);
         }
     }
-    return sum;
 }
 
 bool backend_table::placement_counts(const record& it, instant now) const
@@ -271,7 +278,7 @@
                                return false;
                            }
                            return held->second.ready_at > now ||
-                                  (it.placement->adapter_room && load(it, now) < it.entry.slots);
+                                  (it.placement->adapter_room && load(it) < it.entry.slots);
                        });
 }
 
@@ -283,7 +290,7 @@
 
 double backend_table::cost(const record& it, instant now) const
 {
-    double sum = static_cast<double>(load(it, now)) / std::max(1, it.entry.slots);
+    double sum = static_cast<double>(load(it)) / std::max(1, it.entry.slots);
     sum += failing_cost * it.failing_part;
     sum += it.entry.domain == options_.own_domain ? 0 : other_domain_cost;
     sum += it.avoid_until > now ? avoided_cost : 0;
@@ -313,7 +320,7 @@
         {
             continue;
         }
-        if (load(it, now) >= it.entry.slots)
+        if (load(it) >= it.entry.slots)
         {
             any_full = true;
             continue;
@@ -406,7 +413,7 @@
             ms += std::max(0.0, wait.count());
         }
         double wait = ms;
-        ms += 300.0 * load(it, now) / std::max(1, it.entry.slots);
+        ms += 300.0 * load(it) / std::max(1, it.entry.slots);
         auto weight = rendezvous_weight(need.unit.model.str(), id.str());
         ms += tie_break_ms * static_cast<double>(weight) /
               static_cast<double>(std::numeric_limits<std::uint64_t>::max());
--- a/src/coordination/backend_table.hpp
+++ b/src/coordination/backend_table.hpp
@@ -130,6 +130,8 @@
             instant at;
         };
         std::map<host_id, told_use> told;
+        /// The sum of what peers told and that still counts.
+        int told_sum = 0;
         /// Requests that failed in a row, and a moving part of failures.
         int failures = 0;
         double failing_part = 0;
@@ -164,7 +166,9 @@
     const std::map<server_id, record>& servers() const { return servers_; }
     std::map<server_id, record>& servers() { return servers_; }
     /// Requests at the server, own and told.
-    int load(const record& it, instant now) const;
+    static int load(const record& it) { return it.running + it.told_sum; }
+    /// Drops what peers told too long ago.
+    void expire_told(instant now);
     /// In how long the server can serve the unit, by the freshest source: 0 if it holds it, nothing
     /// if it is not even on its way.
     std::optional<nanoseconds> ready_in(const record& it, const engine_unit& unit,
--- a/src/serve/order_duty.cpp
+++ b/src/serve/order_duty.cpp
@@ -319,7 +319,10 @@
     placement.owner = core_.settings.name;
     placement.fence = partition->second.fence;
     core_.servers.apply_placement(server, placement);
-    core_.waiting.wake();
+    for (const auto& [model, it] : placement.models)
+    {
+        core_.waiting.wake(model.str());
+    }
     tell_(server, placement);
 }
 
--- a/src/serve/peer_duty.cpp
+++ b/src/serve/peer_duty.cpp
@@ -38,6 +38,8 @@
 constexpr double least_depth_tokens = 4000;
 /// The part of its depth that a lender keeps for its own callers.
 constexpr std::int64_t kept_part = 10;
+/// What requests wait for that lack tokens.
+constexpr const char* tokens_wait = "tokens";
 constexpr std::size_t datagram_bytes = 65536;
 /// Placements in one datagram, to stay below the usual packet size.
 constexpr int placements_in_message = 4;
@@ -303,10 +305,10 @@
     {
         core_.servers.apply_placement(server_id(it.server()),
                                       read_placement(it, host, core_.now()));
-    }
-    if (message.placements_size() > 0)
-    {
-        core_.waiting.wake();
+        for (const auto& model : it.models())
+        {
+            core_.waiting.wake(model.model());
+        }
     }
     for (const auto& it : message.wishes())
     {
@@ -375,7 +377,7 @@
     }
     if (message.loans_size() > 0)
     {
-        core_.waiting.wake();
+        core_.waiting.wake(tokens_wait);
     }
     for (const auto& it : message.ends())
     {
@@ -444,6 +446,7 @@
         co_await pause(report_period);
         instant now = core_.now();
         core_.ledger.expire(now);
+        core_.servers.expire_told(now);
         double stretch = std::max(1.0, static_cast<double>(core_.hosts) / report_fleet);
         for (auto& [host, it] : peers_)
         {
@@ -583,7 +586,7 @@
         instant until = now + loan_patience;
         while (core_.now() < until && core_.ledger.available(resource, core_.now()) < amount)
         {
-            co_await core_.waiting.wait(0, now, until - core_.now());
+            co_await core_.waiting.wait(tokens_wait, 0, now, until - core_.now());
         }
     }
     co_return false;
--- a/src/serve/request_attempt.cpp
+++ b/src/serve/request_attempt.cpp
@@ -202,7 +202,7 @@
     }
     exchange.finish();
     core_.servers.note_ended(server, unit, outcome, core_.now());
-    core_.waiting.wake();
+    core_.waiting.wake(wait_name());
     if (end != attempt_end::delivered)
     {
         core_.log.write("attempt_end",
--- a/src/serve/request_run.cpp
+++ b/src/serve/request_run.cpp
@@ -60,6 +60,11 @@
            (route_->kind == request_kind::stream && route_->resumable);
 }
 
+const std::string& request_run::wait_name() const
+{
+    return fields_.model.empty() ? service_.str() : fields_.model.str();
+}
+
 std::int64_t request_run::token_cost() const
 {
     if (!workspace_->counts_tokens)
@@ -301,7 +306,7 @@
         {
             co_return std::nullopt;
         }
-        co_await core_.waiting.wait(priority_, arrived_, wait);
+        co_await core_.waiting.wait(wait_name(), priority_, arrived_, wait);
     }
     co_return std::nullopt;
 }
--- a/src/serve/request_run.hpp
+++ b/src/serve/request_run.hpp
@@ -80,6 +80,8 @@
     bool repeatable() const;
     milliseconds left() const;
     std::int64_t token_cost() const;
+    /// What it waits for: its model, or its plain service.
+    const std::string& wait_name() const;
     void log_end(const char* outcome, int status);
 
     host_core& core_;
--- a/src/serve/store_reader.cpp
+++ b/src/serve/store_reader.cpp
@@ -14,7 +14,10 @@
 
 /// What a call may take beyond the wait that it asks for. The store answers in some milliseconds;
 /// a slow one takes a second. Short, as a connection can go silent without an error.
-constexpr milliseconds answer_patience{1200};
+constexpr milliseconds answer_patience{1000};
+/// How long a call waits for a change. With the patience behind it, a connection that went silent is
+/// found well before the configuration counts as stale, and quiet hosts call seldom.
+constexpr milliseconds config_wait{1800};
 /// The pause after a failed call, doubled while failures go on.
 constexpr milliseconds first_pause{50};
 constexpr milliseconds longest_pause{400};
@@ -24,6 +27,13 @@
 /// By then lapsed entries of live servers are back.
 constexpr milliseconds entries_back{2000};
 
+/// The pause between two reads of the registry while servers change: a third of the bound on how
+/// soon a leaving server gets no more work.
+milliseconds registry_gap(milliseconds drain_bound)
+{
+    return drain_bound / 3;
+}
+
 } // namespace
 
 topic_reader::topic_reader(host_core& core, topic_reader_options options, handlers given)
@@ -153,7 +163,7 @@
 
 state_follower_duty::state_follower_duty(host_core& core)
     : core_(core), config_(core, {.topic = platform::config_topic,
-                                  .wait = milliseconds(1000),
+                                  .wait = config_wait,
                                   .gap = milliseconds(0)},
                            {.whole =
                                 [this](const auto& records)
@@ -173,8 +183,8 @@
                                 }
                             }}),
       servers_(core, {.topic = platform::server_topic,
-                      .wait = milliseconds(1000),
-                      .gap = milliseconds(400)},
+                      .wait = config_wait,
+                      .gap = registry_gap(core.settings.bounds.drain)},
                {.whole = [this](const auto& records) { take_all_servers(records); },
                 .record = [this](const auto& record) { take_server(record); },
                 .regained = [this] { doubtful_until_ = core_.now() + entries_back; },
@@ -203,7 +213,7 @@
                     core_.config->version, core_.config->routes.size(),
                     core_.config->workspaces.size());
     core_.on_config();
-    core_.waiting.wake();
+    core_.waiting.wake_all();
 }
 
 void state_follower_duty::take_server(const platform::keyed_record& record)
@@ -241,7 +251,7 @@
     core_.log.write("server_entry", "server={} service={} draining={} announcement={} models={} born={}",
                     id.str(), parsed->service.str(), parsed->draining, parsed->announcement,
                     parsed->models.size(), parsed->born_ms);
-    core_.waiting.wake();
+    core_.waiting.wake_all();
 }
 
 void state_follower_duty::take_all_servers(const std::vector<platform::keyed_record>& records)
@@ -282,7 +292,7 @@
     core_.log.write("server_gone", "server={}", server.str());
     core_.pool.forget(known->entry.address);
     core_.servers.remove(server);
-    core_.waiting.wake();
+    core_.waiting.wake_all();
 }
 
 task<void> state_follower_duty::remove_later(server_id server)
--- a/src/serve/wake_list.cpp
+++ b/src/serve/wake_list.cpp
@@ -5,22 +5,43 @@
 namespace banyanshunt
 {
 
-task<void> wake_list::wait(int priority, instant arrived, nanoseconds longest)
+task<void> wake_list::wait(std::string what, int priority, instant arrived, nanoseconds longest)
 {
     asio::steady_timer timer(co_await asio::this_coro::executor);
     timer.expires_after(longest);
     rank place{.priority = priority, .arrived = arrived, .number = next_++};
-    waiting_.emplace(place, &timer);
+    waiting_[what].emplace(place, &timer);
     co_await timer.async_wait(as_result);
-    waiting_.erase(place);
+    auto found = waiting_.find(what);
+    found->second.erase(place);
+    if (found->second.empty())
+    {
+        waiting_.erase(found);
+    }
 }
 
-void wake_list::wake()
+void wake_list::wake(const std::string& what)
 {
-    for (const auto& [place, timer] : waiting_)
+    auto found = waiting_.find(what);
+    if (found == waiting_.end())
+    {
+        return;
+    }
+    for (const auto& [place, timer] : found->second)
     {
         timer->cancel();
     }
 }
 
+void wake_list::wake_all()
+{
+    for (const auto& [what, its_line] : waiting_)
+    {
+        for (const auto& [place, timer] : its_line)
+        {
+            timer->cancel();
+        }
+    }
+}
+
 } // namespace banyanshunt
--- a/src/serve/wake_list.hpp
+++ b/src/serve/wake_list.hpp
@@ -2,9 +2,11 @@
 
 /// \file
 /// Defines the list of requests that wait for a change, such as a free place or a finished load.
-/// A change wakes all of them in order of rank, so the most urgent looks first.
+/// Each waits under the name of what it needs; a change wakes those in order of rank, so the most
+/// urgent looks first.
 
 #include <map>
+#include <string>
 
 #include "state/clock.hpp"
 #include "transport/loop/loop.hpp"
@@ -15,11 +17,11 @@
 class wake_list
 {
 public:
-    /// Waits for `wake` or until `longest` has passed.
-    task<void> wait(int priority, instant arrived, nanoseconds longest);
-    /// Wakes all who wait now.
-    void wake();
-    std::size_t size() const { return waiting_.size(); }
+    /// Waits until what it needs may be there, or until `longest` has passed.
+    task<void> wait(std::string what, int priority, instant arrived, nanoseconds longest);
+    /// Wakes those who wait for it.
+    void wake(const std::string& what);
+    void wake_all();
 
 private:
     struct rank
@@ -29,7 +31,8 @@
         std::uint64_t number;
         friend auto operator<=>(const rank&, const rank&) = default;
     };
-    std::map<rank, asio::steady_timer*> waiting_;
+    using line = std::map<rank, asio::steady_timer*>;
+    std::map<std::string, line> waiting_;
     std::uint64_t next_ = 0;
 };
 
