--- a/src/coordination/backend_table.cpp
+++ b/src/coordination/backend_table.cpp
@@ -44,9 +44,8 @@
     {
         return false;
     }
-    if (entry.born_ms == known.entry.born_ms &&
-        (entry.announcement < known.entry.announcement ||
-         (known.entry.draining && !entry.draining)))
+    if (entry.born_ms == known.entry.born_ms && (entry.announcement < known.entry.announcement ||
+                                                 (known.entry.draining && !entry.draining)))
     {
         return false;
     }
@@ -251,14 +250,14 @@
 
 int backend_table::other_holders(const server_id& server, const model_id& model, instant now) const
 {
-    return static_cast<int>(std::count_if(
-        servers_.begin(), servers_.end(),
-        [&](const auto& it)
-        {
-            return it.first != server && !it.second.gone && !it.second.entry.draining &&
-                   it.second.avoid_until <= now &&
-                   holds(it.second, {.model = model, .adapter = {}}, now);
-        }));
+    return static_cast<int>(
+        std::count_if(servers_.begin(), servers_.end(),
+                      [&](const auto& it)
+                      {
+                          return it.first != server && !it.second.gone &&
+                                 !it.second.entry.draining && it.second.avoid_until <= now &&
+                                 holds(it.second, {.model = model, .adapter = {}}, now);
+                      }));
 }
 
 bool backend_table::covered(const server_id& server, const model_id& model, instant now) const
@@ -278,7 +277,7 @@
                                return false;
                            }
                            return held->second.ready_at > now ||
-                                  (it.placement->adapter_room && load(it) < it.entry.slots);
+                                  (it.placement->adapter_room && has_room(it));
                        });
 }
 
@@ -339,8 +338,8 @@
             soonest = wait && wait->count() > 0 ? *wait : soonest;
         }
     }
-    bool other_is_better = held.cost >= avoided_cost &&
-                           std::min(coming.cost, without_adapter.cost) < avoided_cost;
+    bool other_is_better =
+        held.cost >= avoided_cost && std::min(coming.cost, without_adapter.cost) < avoided_cost;
     if (held.it && !other_is_better)
     {
         return {.what = server_choice::kind::send, .server = held.it->entry.id};
@@ -368,9 +367,20 @@
     return {.what = any_full ? server_choice::kind::full : server_choice::kind::none};
 }
 
-std::optional<server_choice> backend_table::choose_load(const server_need& need,
-                                                        const engine_spec& engine,
-                                                        instant now) const
+std::optional<server_choice> backend_table::another_replica(const server_need& need,
+                                                            const engine_spec& engine,
+                                                            instant now) const
+{
+    if (need.unit.model.empty() || covered(server_id(), need.unit.model, now))
+    {
+        return std::nullopt;
+    }
+    auto choice = choose_load(need, engine, now);
+    return choice && !choice->coming ? choice : std::nullopt;
+}
+
+std::optional<server_choice>
+backend_table::choose_load(const server_need& need, const engine_spec& engine, instant now) const
 {
     auto model = engine.models.find(need.unit.model);
     if (model == engine.models.end())
--- a/src/coordination/backend_table.hpp
+++ b/src/coordination/backend_table.hpp
@@ -162,6 +162,11 @@
     /// The server for a request, by what is known at `now`.
     server_choice choose(const server_need& need, const engine_spec* engine, instant now) const;
 
+    /// Where to load the request's model once more, if all servers that hold it are busy and none
+    /// is about to.
+    std::optional<server_choice> another_replica(const server_need& need, const engine_spec& engine,
+                                                 instant now) const;
+
     const record* find(const server_id& server) const;
     const std::map<server_id, record>& servers() const { return servers_; }
     std::map<server_id, record>& servers() { return servers_; }
@@ -184,6 +189,9 @@
     int other_holders(const server_id& server, const model_id& model, instant now) const;
 
 private:
+    /// Beyond this part of its places a server's first events come late ever more often.
+    static constexpr double busy_part = 0.5;
+
     struct candidate
     {
         const record* it;
@@ -192,6 +200,8 @@
     bool usable(const record& it, const server_need& need) const;
     bool placement_counts(const record& it, instant now) const;
     double cost(const record& it, instant now) const;
+    /// Whether the server has places enough left that its answers begin on time.
+    static bool has_room(const record& it) { return load(it) < busy_part * it.entry.slots; }
     std::optional<server_choice> choose_load(const server_need& need, const engine_spec& engine,
                                              instant now) const;
 
--- a/src/coordination/server_duty.cpp
+++ b/src/coordination/server_duty.cpp
@@ -214,7 +214,8 @@
 server_duty::step server_duty::decide(const engine_spec& engine, const surroundings& around,
                                       instant now)
 {
-    std::erase_if(wishes_, [&](const auto& it) { return now - it.second.last > options_.wish_for; });
+    std::erase_if(wishes_,
+                  [&](const auto& it) { return now - it.second.last > options_.wish_for; });
     step nothing{.what = step::kind::nothing, .order = {}, .again_at = now + idle_period};
     if (entry_.draining)
     {
@@ -264,17 +265,17 @@
     int coming = 0;
     for (const auto& [id, model] : models_)
     {
-        coming += static_cast<int>(std::count_if(model.adapters.begin(), model.adapters.end(),
-                                                 [&](const auto& a)
-                                                 { return a.second.ready_at > now; }));
+        coming +=
+            static_cast<int>(std::count_if(model.adapters.begin(), model.adapters.end(),
+                                           [&](const auto& a) { return a.second.ready_at > now; }));
     }
     const engine_unit* oldest = nullptr;
     instant oldest_at = instant::max();
     for (const auto& [unit, wish] : wishes_)
     {
         auto model = models_.find(unit.model);
-        bool loadable = !unit.adapter.empty() && model != models_.end() &&
-                        !model->second.leaving && !model->second.adapters.contains(unit.adapter);
+        bool loadable = !unit.adapter.empty() && model != models_.end() && !model->second.leaving &&
+                        !model->second.adapters.contains(unit.adapter);
         if (loadable && wish.first < oldest_at)
         {
             oldest = &unit;
@@ -370,9 +371,8 @@
     auto out = victim(around, waited, now);
     if (!out)
     {
-        return step{.what = step::kind::nothing,
-                    .order = {},
-                    .again_at = now + options_.conflict_pause};
+        return step{
+            .what = step::kind::nothing, .order = {}, .again_at = now + options_.conflict_pause};
     }
     // Other hosts must stop sending there before the order goes out.
     after_unload_ = oldest->model;
@@ -401,8 +401,8 @@
         }
         int busy = running_model(id, now);
         bool redundant = around.other_holders(id) > 0;
-        if (busy > 0 && waited < (redundant ? options_.wait_for_running
-                                            : 3 * options_.wait_for_running))
+        if (busy > 0 &&
+            waited < (redundant ? options_.wait_for_running : 3 * options_.wait_for_running))
         {
             continue;
         }
--- a/src/coordination/server_duty.hpp
+++ b/src/coordination/server_duty.hpp
@@ -125,7 +125,8 @@
     /// Takes its report.
     void adopt(const engine_report& report, instant now);
     void wish(const engine_unit& unit, milliseconds waited, instant now);
-    void note_use(const host_id& host, const engine_unit& unit, int running, int asked, instant now);
+    void note_use(const host_id& host, const engine_unit& unit, int running, int asked,
+                  instant now);
 
     step decide(const engine_spec& engine, const surroundings& around, instant now);
     void answered(const engine_order& order, order_answer answer, const engine_spec& engine,
--- a/src/serve/caller_link.cpp
+++ b/src/serve/caller_link.cpp
@@ -33,8 +33,8 @@
                 return;
             }
             char byte = 0;
-            auto n = ::recv(self->stream.socket().native_handle(), &byte, 1,
-                            MSG_PEEK | MSG_DONTWAIT);
+            auto n =
+                ::recv(self->stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
             if (n > 0)
             {
                 // The next request is here early; its reader will see a close after it.
--- a/src/serve/caller_session.cpp
+++ b/src/serve/caller_session.cpp
@@ -52,14 +52,13 @@
     instant since = core.now();
     bool ready = false;
     bool ended = false;
-    caller.stream.socket().async_wait(
-        tcp::socket::wait_read,
-        [&](boost::system::error_code ec)
-        {
-            ready = !ec;
-            ended = true;
-            timer.cancel();
-        });
+    caller.stream.socket().async_wait(tcp::socket::wait_read,
+                                      [&](boost::system::error_code ec)
+                                      {
+                                          ready = !ec;
+                                          ended = true;
+                                          timer.cancel();
+                                      });
     while (!ended)
     {
         auto longest = core.stopping ? stop_idle : limit;
@@ -90,8 +89,8 @@
         parser.header_limit(static_cast<std::uint32_t>(limits.header_bytes));
         parser.body_limit(limits.body_bytes);
         caller->stream.expires_after(limits.header_timeout);
-        auto [head_ec, n] = co_await http::async_read_header(caller->stream, caller->buffer,
-                                                             parser, as_result);
+        auto [head_ec, n] =
+            co_await http::async_read_header(caller->stream, caller->buffer, parser, as_result);
         if (!head_ec && parser.get()[http::field::expect] == "100-continue")
         {
             co_await caller->write("HTTP/1.1 100 Continue\r\n\r\n");
@@ -100,8 +99,8 @@
         if (!ec)
         {
             caller->stream.expires_after(limits.idle_timeout);
-            auto [body_ec, m] = co_await http::async_read(caller->stream, caller->buffer, parser,
-                                                          as_result);
+            auto [body_ec, m] =
+                co_await http::async_read(caller->stream, caller->buffer, parser, as_result);
             ec = body_ec;
         }
         caller->stream.expires_never();
--- a/src/serve/event_log.hpp
+++ b/src/serve/event_log.hpp
@@ -21,7 +21,8 @@
 {
     /// Lines that wait for the writer.
     std::size_t ring = 512;
-    /// Lines a second, on average; a host answers some 20 requests a second with a line or two each.
+    /// Lines a second, on average; a host answers some 20 requests a second with a line or two
+    /// each.
     double lines_per_s = 150;
     /// Lines at once above the average.
     double burst = 300;
--- a/src/serve/host_core.hpp
+++ b/src/serve/host_core.hpp
@@ -51,11 +51,10 @@
 {
     host_core(host_settings given, asio::any_io_executor loop)
         : settings(std::move(given)), executor(std::move(loop)), random(system_seeded()),
-          life(static_cast<std::int64_t>(random() >> 1)),
-          servers({.own_domain = settings.domain}), pool(backend_pool_options{}),
-          ledger({.loan_length = milliseconds(600),
-                  .loan_margin = milliseconds(200),
-                  .full_within = milliseconds(200)}),
+          life(static_cast<std::int64_t>(random() >> 1)), servers({.own_domain = settings.domain}),
+          pool(backend_pool_options{}), ledger({.loan_length = milliseconds(600),
+                                                .loan_margin = milliseconds(200),
+                                                .full_within = milliseconds(200)}),
           log(event_log_options{})
     {
     }
@@ -71,14 +70,26 @@
         return config && config_confirmed &&
                at - *config_confirmed < settings.bounds.key_withdrawal * confirmed_part;
     }
+    /// How often this host asks for another replica of one model, while requests are served by
+    /// those there are.
+    static constexpr milliseconds replica_wish_period{300};
+    bool may_ask_replica(const model_id& model)
+    {
+        instant& asked = replica_asked[model];
+        if (now() - asked < replica_wish_period)
+        {
+            return false;
+        }
+        asked = now();
+        return true;
+    }
     repeat_budget& budget(const service_id& service)
     {
         return budgets
-            .try_emplace(service,
-                         repeat_budget({.ratio = settings.bounds.retry_ratio,
-                                        .extra = settings.bounds.retry_extra,
-                                        .window = settings.bounds.retry_window},
-                                       now()))
+            .try_emplace(service, repeat_budget({.ratio = settings.bounds.retry_ratio,
+                                                 .extra = settings.bounds.retry_extra,
+                                                 .window = settings.bounds.retry_window},
+                                                now()))
             .first->second;
     }
 
@@ -96,6 +107,7 @@
     /// Entry hosts that share rates and budgets, this one included.
     std::size_t hosts = 1;
     std::map<service_id, repeat_budget> budgets;
+    std::map<model_id, instant> replica_asked;
     wake_list waiting;
     event_log log;
     host_counters counters;
--- a/src/serve/order_duty.cpp
+++ b/src/serve/order_duty.cpp
@@ -108,9 +108,8 @@
     }
     // Offsets grow with each claim, so the fencing number of a later holder is higher.
     fencing_number fence(offset->count() + 1);
-    partitions_[partition] = {.fence = fence,
-                              .may_order_at =
-                                  taken + core_.settings.bounds.lease + handover_margin};
+    partitions_[partition] = {
+        .fence = fence, .may_order_at = taken + core_.settings.bounds.lease + handover_margin};
     core_.log.write("duty_taken", "partition={} fence={} generation={}", partition, fence.count(),
                     generation_);
 }
@@ -216,14 +215,13 @@
             tell(server, *held);
         }
         held->duty.adopt(known->entry, now);
-        auto step = held->duty.decide(
-            *engine,
-            {.other_holders = [&](const model_id& model)
-             { return core_.servers.other_holders(server, model, now); },
-             .covered = [&](const model_id& model)
-             { return core_.servers.covered(server, model, now); },
-             .take_store_load = [&] { return take_store_load(*engine); }},
-            now);
+        auto step = held->duty.decide(*engine,
+                                      {.other_holders = [&](const model_id& model)
+                                       { return core_.servers.other_holders(server, model, now); },
+                                       .covered = [&](const model_id& model)
+                                       { return core_.servers.covered(server, model, now); },
+                                       .take_store_load = [&] { return take_store_load(*engine); }},
+                                      now);
         if (step.what == server_duty::step::kind::ask_report)
         {
             co_await ask_report(server, held);
@@ -278,8 +276,7 @@
 {
     const auto* known = core_.servers.find(server);
     fencing_number fence = partitions_.at(held->partition).fence;
-    std::string text =
-        platform::encode_order(order, server, known->entry.address, member_, fence);
+    std::string text = platform::encode_order(order, server, known->entry.address, member_, fence);
     server_exchange exchange(core_, server);
     exchange_deadline deadline(exchange, core_.executor, order_timeout);
     auto state = co_await exchange.send(
@@ -296,8 +293,7 @@
     }
     ++core_.counters.orders;
     core_.log.write("order", "server={} what={} model={}{}{} expected={} fence={} status={}",
-                    server.str(),
-                    order.what == engine_order::action::load ? "load" : "unload",
+                    server.str(), order.what == engine_order::action::load ? "load" : "unload",
                     order.model.str(), order.adapter.empty() ? "" : "/", order.adapter.str(),
                     order.expected_orders, fence.count(), status);
     const engine_spec* engine = engine_of(server);
--- a/src/serve/order_duty.hpp
+++ b/src/serve/order_duty.hpp
@@ -3,7 +3,8 @@
 /// \file
 /// Defines the duty of giving orders to model engines. Engines are dealt to entry hosts by the
 /// platform's groups, so that each has one host that orders it; a host orders only while its
-/// membership surely lasts, and a new one waits until the last order of the one before is long past.
+/// membership surely lasts, and a new one waits until the last order of the one before is long
+/// past.
 
 #include <map>
 #include <memory>
--- a/src/serve/peer_duty.cpp
+++ b/src/serve/peer_duty.cpp
@@ -23,6 +23,12 @@
 constexpr milliseconds report_period{250};
 constexpr double report_fleet = 9;
 constexpr milliseconds placement_period{1500};
+/// Hosts learn of each other by datagrams within a report's period; the list is for those that
+/// start.
+constexpr milliseconds hosts_wait{30000};
+constexpr milliseconds hosts_gap{1000};
+/// How long a host that starts waits for the list before it registers.
+constexpr milliseconds list_patience{500};
 /// A host registers again this often, and one that did not for `listed_for` is gone.
 constexpr milliseconds register_period{30000};
 constexpr milliseconds listed_for{100000};
@@ -33,6 +39,8 @@
 /// A loan across domains takes a few milliseconds; a host that has none answers too.
 constexpr milliseconds loan_patience{25};
 constexpr int loan_rounds = 2;
+/// How long a request waits for this host's own share to fill.
+constexpr milliseconds refill_patience{150};
 constexpr std::size_t most_lenders = 4;
 /// A workspace's burst is split over so many hosts that each can hold some requests' tokens.
 constexpr double least_depth_tokens = 4000;
@@ -102,8 +110,7 @@
 peer_duty::peer_duty(host_core& core)
     : core_(core), orders_(core, [this](const server_id& server, const server_placement& it)
                            { tell_placement(server, it); }),
-      hosts_(core,
-             {.topic = platform::host_topic, .wait = milliseconds(10000), .gap = milliseconds(500)},
+      hosts_(core, {.topic = platform::host_topic, .wait = hosts_wait, .gap = hosts_gap},
              {.whole =
                   [this](const auto& records)
               {
@@ -111,6 +118,7 @@
                   {
                       take_host(record);
                   }
+                  listed_ = true;
               },
               .record = [this](const auto& record) { take_host(record); },
               .confirmed = [](instant) {}}),
@@ -153,6 +161,12 @@
          .value = fmt::format("{}:{} {} {}", core_.settings.ip, core_.settings.first_peer_port,
                               core_.settings.domain.str(), core_.life.count())});
     milliseconds again{100};
+    // An earlier life's record must be seen before this one's takes its place.
+    instant latest = core_.now() + list_patience;
+    while (!listed_ && core_.now() < latest)
+    {
+        co_await pause(milliseconds(5));
+    }
     while (true)
     {
         auto answer = co_await link.call(call.method, call.target, call.body, milliseconds(1000));
@@ -177,7 +191,7 @@
 void peer_duty::take_host(const platform::keyed_record& record)
 {
     host_id host(record.key);
-    if (host == core_.settings.name || !record.value)
+    if (!record.value)
     {
         return;
     }
@@ -189,6 +203,18 @@
         core_.log.write("host_entry_refused", "host={}", host.str());
         return;
     }
+    if (host == core_.settings.name)
+    {
+        bool earlier_life = record.value->substr(second + 1) != std::to_string(core_.life.count());
+        if (earlier_life && !shares_from_)
+        {
+            // The others count this host already. Its share begins empty, so what an earlier life
+            // spent is not granted again.
+            shares_from_ = core_.now();
+            match_shares();
+        }
+        return;
+    }
     peer& it = peers_[host];
     it.address = {address.address(), address.port()};
     it.domain = domain_id(record.value->substr(space + 1, second - space - 1));
@@ -200,8 +226,7 @@
 {
     return 1 + static_cast<std::size_t>(
                    std::count_if(peers_.begin(), peers_.end(),
-                                 [&](const auto& it)
-                                 {
+                                 [&](const auto& it) {
                                      return now - it.second.listed_at < listed_for ||
                                             now - it.second.heard_at < listed_for;
                                  }));
@@ -224,8 +249,8 @@
             continue;
         }
         // A workspace with a small burst is split over few hosts, the others borrow from them.
-        auto parts = static_cast<std::size_t>(std::clamp(
-            workspace.burst / least_depth_tokens, 1.0, static_cast<double>(core_.hosts)));
+        auto parts = static_cast<std::size_t>(std::clamp(workspace.burst / least_depth_tokens, 1.0,
+                                                         static_cast<double>(core_.hosts)));
         auto own = rendezvous_weight(name.str(), core_.settings.name.str());
         auto ahead = std::count_if(peers_.begin(), peers_.end(),
                                    [&](const auto& it)
@@ -381,9 +406,8 @@
     }
     for (const auto& it : message.ends())
     {
-        core_.ledger.end_loan({.loan = share_number(it.loan()),
-                               .returned = millitokens(it.returned())},
-                              now);
+        core_.ledger.end_loan(
+            {.loan = share_number(it.loan()), .returned = millitokens(it.returned())}, now);
     }
 }
 
@@ -417,8 +441,8 @@
                                     : static_cast<std::uint32_t>(running->second));
         }
     }
-    for (const auto& [name, workspace] : core_.config ? core_.config->workspaces
-                                                      : std::map<workspace_id, workspace_spec>())
+    for (const auto& [name, workspace] :
+         core_.config ? core_.config->workspaces : std::map<workspace_id, workspace_spec>())
     {
         resource_id resource(name.str());
         if (core_.ledger.owns(resource))
@@ -455,9 +479,10 @@
                 continue;
             }
             bool near = it.domain == core_.settings.domain;
-            it.report_at = now + std::chrono::duration_cast<nanoseconds>(
-                                     report_period * (near ? 1.0 : stretch)) -
-                           report_period / 4;
+            it.report_at =
+                now +
+                std::chrono::duration_cast<nanoseconds>(report_period * (near ? 1.0 : stretch)) -
+                report_period / 4;
             report_to(host, it, now);
         }
         core_.servers.note_reported();
@@ -578,8 +603,8 @@
         {
             co_return true;
         }
-        if (round == loan_rounds ||
-            ask_peers(workspace, amount - core_.ledger.available(resource, now)) == 0)
+        millitokens missing = amount - core_.ledger.available(resource, now);
+        if (round == loan_rounds || ask_peers(workspace, missing) == 0)
         {
             break;
         }
@@ -589,7 +614,16 @@
             co_await core_.waiting.wait(tokens_wait, 0, now, until - core_.now());
         }
     }
-    co_return false;
+    // A bucket that fills soon is waited for; the caller's way back would take longer.
+    instant now = core_.now();
+    auto rate = core_.ledger.rate(resource, now).count();
+    auto missing = (amount - core_.ledger.available(resource, now)).count();
+    if (rate <= 0 || missing > rate * refill_patience.count() / 1000)
+    {
+        co_return false;
+    }
+    co_await pause(milliseconds(missing * 1000 / rate + 1));
+    co_return core_.ledger.take(resource, amount, core_.now());
 }
 
 } // namespace banyanshunt
--- a/src/serve/peer_duty.hpp
+++ b/src/serve/peer_duty.hpp
@@ -71,6 +71,8 @@
     std::map<host_id, peer> peers_;
     /// Since when this host may hold a share; nothing before the others can know of it.
     std::optional<instant> shares_from_;
+    /// The list of hosts was read once.
+    bool listed_ = false;
     std::vector<char> buffer_;
 };
 
--- a/src/serve/request_attempt.cpp
+++ b/src/serve/request_attempt.cpp
@@ -53,21 +53,20 @@
         }
     }
     const auto& last = events_.last_id().empty() ? fields_.last_event : events_.last_id();
-    platform::write_forwarded_fields(
-        {.deadline = std::max(left(), milliseconds(1)),
-         .server = server,
-         .workspace = workspace_ ? workspace_->name : workspace_id(),
-         .priority = route_->kind == request_kind::stream ? std::optional<int>(priority_)
-                                                          : std::nullopt,
-         .last_event = last},
-        text);
+    platform::write_forwarded_fields({.deadline = std::max(left(), milliseconds(1)),
+                                      .server = server,
+                                      .workspace = workspace_ ? workspace_->name : workspace_id(),
+                                      .priority = route_->kind == request_kind::stream
+                                                      ? std::optional<int>(priority_)
+                                                      : std::nullopt,
+                                      .last_event = last},
+                                     text);
     bool has_body = !request_.body().empty() ||
                     request_.find(http::field::content_length) != request_.end() ||
                     request_.chunked();
     if (has_body)
     {
-        fmt::format_to(std::back_inserter(text), "Content-Length: {}\r\n",
-                       request_.body().size());
+        fmt::format_to(std::back_inserter(text), "Content-Length: {}\r\n", request_.body().size());
     }
     text += "\r\n";
     text += request_.body();
@@ -117,8 +116,8 @@
             auto* exchange = self->active_;
             const auto* server = self->core_.servers.find(exchange->server());
             auto silence = now - exchange->heard_at();
-            bool lost = silence > server_silence &&
-                        (!server || now - server->heard_at > server_silence);
+            bool lost =
+                silence > server_silence && (!server || now - server->heard_at > server_silence);
             if (self->repeatable() && (lost || silence > request_silence))
             {
                 exchange->close();
@@ -141,12 +140,16 @@
     server_exchange exchange(core_, server);
     std::string text = server_request(server);
     last_server_ = server;
+    if (const auto* known = core_.servers.find(server))
+    {
+        last_load_ = backend_table::load(*known);
+    }
     ++sends_;
     core_.servers.note_sent(server, unit);
     active_ = &exchange;
     guard_silence();
-    auto state = co_await exchange.send(std::move(text), fields_.id,
-                                        [this] { return may_still_send(); });
+    auto state =
+        co_await exchange.send(std::move(text), fields_.id, [this] { return may_still_send(); });
     auto end = attempt_end::not_run;
     auto outcome = backend_outcome::failed;
     if (state == exchange_state::no_answer)
@@ -171,7 +174,8 @@
         bool not_held = exchange.status() == platform::other_server_status;
         outcome = not_held ? backend_outcome::not_held : backend_outcome::full;
         last_reason_ = not_held ? "not_held" : "server_full";
-        // A refusal by a server that is about to hold the unit is soon over; others are asked first.
+        // A refusal by a server that is about to hold the unit is soon over; others are asked
+        // first.
         co_await exchange.read_rest();
         if (unit.model.empty())
         {
@@ -187,8 +191,8 @@
         ++runs_;
         may_have_run_ = true;
         end = co_await relay(exchange);
-        outcome = end == attempt_end::delivered ? backend_outcome::answered
-                                                : backend_outcome::failed;
+        outcome =
+            end == attempt_end::delivered ? backend_outcome::answered : backend_outcome::failed;
     }
     guard_timer_.cancel();
     active_ = nullptr;
--- a/src/serve/request_run.cpp
+++ b/src/serve/request_run.cpp
@@ -17,8 +17,8 @@
 constexpr milliseconds default_deadline{30000};
 /// A request waits this part of its time at most for a server; later ones seldom end in time.
 constexpr double longest_wait_part = 0.45;
-/// Callers abandon a stream whose first event is not there after the longest of these: a fixed time,
-/// and multiples of the route's objective and of the longest pause between events.
+/// Callers abandon a stream whose first event is not there after the longest of these: a fixed
+/// time, and multiples of the route's objective and of the longest pause between events.
 constexpr milliseconds least_patience{2000};
 constexpr int objectives_of_patience = 4;
 constexpr int gaps_of_patience = 8;
@@ -79,8 +79,8 @@
 {
     if (!core_.config)
     {
-        return refusal{.status = 503, .reason = "state_unavailable",
-                       .retry_after = milliseconds(500)};
+        return refusal{
+            .status = 503, .reason = "state_unavailable", .retry_after = milliseconds(500)};
     }
     bool fresh = core_.config_is_fresh(core_.now());
     config_ = core_.config;
@@ -89,7 +89,8 @@
     if (!route_)
     {
         return fresh ? refusal{.status = 404, .reason = "not_found", .retry_after = {}}
-                     : refusal{.status = 503, .reason = "state_unavailable",
+                     : refusal{.status = 503,
+                               .reason = "state_unavailable",
                                .retry_after = milliseconds(500)};
     }
     if (route_->open_to_all || config_->workspaces.empty())
@@ -98,8 +99,8 @@
     }
     if (!fresh && core_.settings.bounds.refuse_when_stale)
     {
-        return refusal{.status = 503, .reason = "state_unavailable",
-                       .retry_after = milliseconds(500)};
+        return refusal{
+            .status = 503, .reason = "state_unavailable", .retry_after = milliseconds(500)};
     }
     auto owner = config_->key_owner.find(fields_.key);
     if (owner == config_->key_owner.end())
@@ -155,8 +156,8 @@
     }
     auto back = milliseconds(static_cast<std::int64_t>(1000.0 * static_cast<double>(cost) / rate *
                                                        static_cast<double>(core_.hosts)));
-    co_return refusal{.status = 429, .reason = "over_rate",
-                      .retry_after = std::max(back, milliseconds(300))};
+    co_return refusal{
+        .status = 429, .reason = "over_rate", .retry_after = std::max(back, milliseconds(300))};
 }
 
 task<bool> request_run::run()
@@ -167,8 +168,7 @@
     if (core_.stopping && core_.now() > core_.refuse_from)
     {
         // There is no time left to see it through.
-        co_await refuse({.status = 503, .reason = "draining",
-                         .retry_after = milliseconds(100)});
+        co_await refuse({.status = 503, .reason = "draining", .retry_after = milliseconds(100)});
         --core_.requests_open;
         co_return false;
     }
@@ -255,8 +255,8 @@
     {
         auto patience = std::max({least_patience, objectives_of_patience * route_->objective,
                                   gaps_of_patience * route_->event_gap});
-        latest = std::min(latest, arrived_ + std::chrono::duration_cast<nanoseconds>(
-                                                 patience * patience_part));
+        latest = std::min(
+            latest, arrived_ + std::chrono::duration_cast<nanoseconds>(patience * patience_part));
     }
     if (sends_ > 0)
     {
@@ -281,6 +281,13 @@
         waited_ = std::chrono::floor<milliseconds>(core_.now() - began);
         if (choice.what == server_choice::kind::send)
         {
+            auto more =
+                engine ? core_.servers.another_replica(need, *engine, core_.now()) : std::nullopt;
+            if (more && core_.may_ask_replica(need.unit.model))
+            {
+                core_.helper->wish(more->server, {.model = need.unit.model, .adapter = {}},
+                                   waited_);
+            }
             co_return choice.server;
         }
         if (choice.what == server_choice::kind::none && !tried_.empty())
@@ -354,21 +361,21 @@
 
 void request_run::log_end(const char* outcome, int status)
 {
-    core_.log.write("request_end",
-                    "request={} outcome={} status={} reason={} route={} workspace={} model={}{}{} "
-                    "server={} sends={} waited_ms={} first_ms={} took_ms={} config={} config_age_ms={}",
-                    fields_.id.str(), outcome, status, last_reason_,
-                    route_ ? route_->name.str() : "-", workspace_ ? workspace_->name.str() : "-",
-                    fields_.model.empty() ? "-" : fields_.model.str(),
-                    fields_.adapter.empty() ? "" : "/", fields_.adapter.str(),
-                    last_server_.empty() ? "-" : last_server_.str(), sends_, waited_.count(),
-                    std::chrono::floor<milliseconds>(first_byte_).count(),
-                    std::chrono::floor<milliseconds>(core_.now() - arrived_).count(),
-                    config_ ? config_->version : 0,
-                    core_.config_confirmed
-                        ? std::chrono::floor<milliseconds>(core_.now() - *core_.config_confirmed)
-                              .count()
-                        : -1);
+    core_.log.write(
+        "request_end",
+        "request={} outcome={} status={} reason={} route={} workspace={} model={}{}{} "
+        "server={} server_load={} sends={} waited_ms={} first_ms={} took_ms={} config={} "
+        "config_age_ms={}",
+        fields_.id.str(), outcome, status, last_reason_, route_ ? route_->name.str() : "-",
+        workspace_ ? workspace_->name.str() : "-",
+        fields_.model.empty() ? "-" : fields_.model.str(), fields_.adapter.empty() ? "" : "/",
+        fields_.adapter.str(), last_server_.empty() ? "-" : last_server_.str(), last_load_, sends_,
+        waited_.count(), std::chrono::floor<milliseconds>(first_byte_).count(),
+        std::chrono::floor<milliseconds>(core_.now() - arrived_).count(),
+        config_ ? config_->version : 0,
+        core_.config_confirmed
+            ? std::chrono::floor<milliseconds>(core_.now() - *core_.config_confirmed).count()
+            : -1);
 }
 
 task<void> request_run::settle(attempt_end end)
@@ -407,11 +414,10 @@
                          .retry_after = {}});
         co_return;
     }
-    auto back = milliseconds(
-        300 + std::uniform_int_distribution<int>(0, retry_spread_ms)(core_.random));
-    co_await refuse({.status = 503,
-                     .reason = expired_ ? "deadline" : last_reason_,
-                     .retry_after = back});
+    auto back =
+        milliseconds(300 + std::uniform_int_distribution<int>(0, retry_spread_ms)(core_.random));
+    co_await refuse(
+        {.status = 503, .reason = expired_ ? "deadline" : last_reason_, .retry_after = back});
 }
 
 task<bool> request_run::refuse(refusal why)
@@ -425,12 +431,12 @@
     }
     log_end(not_run ? "refused" : "failed", why.status);
     keep_alive_ = keep_alive_ && !core_.stopping;
-    std::string body = fmt::format("{{\"error\":{{\"reason\":\"{}\",\"run\":\"{}\"}}}}",
-                                   why.reason, not_run ? "not_run" : "may_have_run");
+    std::string body = fmt::format("{{\"error\":{{\"reason\":\"{}\",\"run\":\"{}\"}}}}", why.reason,
+                                   not_run ? "not_run" : "may_have_run");
     std::string answer = fmt::format(
         "HTTP/1.1 {} {}\r\nContent-Type: application/json\r\nContent-Length: {}\r\n", why.status,
-        std::string_view(http::obsolete_reason(http::int_to_status(
-            static_cast<unsigned>(why.status)))),
+        std::string_view(
+            http::obsolete_reason(http::int_to_status(static_cast<unsigned>(why.status)))),
         body.size());
     if (why.retry_after)
     {
--- a/src/serve/request_run.hpp
+++ b/src/serve/request_run.hpp
@@ -111,6 +111,8 @@
     int kept_status_ = 0;
     const char* last_reason_ = "no_replica";
     server_id last_server_;
+    /// Requests at that server, own and told, when it was chosen.
+    int last_load_ = 0;
     milliseconds waited_{0};
     /// From arrival to the first byte of the answer; 0 before.
     nanoseconds first_byte_{0};
--- a/src/serve/serve_host.cpp
+++ b/src/serve/serve_host.cpp
@@ -152,7 +152,8 @@
     }
 }
 
-serve_host::serve_host(host_settings settings) : parts_(std::make_unique<parts>(std::move(settings)))
+serve_host::serve_host(host_settings settings)
+    : parts_(std::make_unique<parts>(std::move(settings)))
 {
 }
 
--- a/src/serve/server_exchange.cpp
+++ b/src/serve/server_exchange.cpp
@@ -38,8 +38,8 @@
         co_return exchange_state::withheld;
     }
     heard_at_ = core_.now();
-    auto [ec, n] = co_await asio::async_write(connection_->stream.socket(),
-                                              asio::buffer(request), as_result);
+    auto [ec, n] =
+        co_await asio::async_write(connection_->stream.socket(), asio::buffer(request), as_result);
     if (ec)
     {
         co_return exchange_state::no_answer;
--- a/src/serve/store_reader.cpp
+++ b/src/serve/store_reader.cpp
@@ -15,9 +15,9 @@
 /// What a call may take beyond the wait that it asks for. The store answers in some milliseconds;
 /// a slow one takes a second. Short, as a connection can go silent without an error.
 constexpr milliseconds answer_patience{1000};
-/// How long a call waits for a change. With the patience behind it, a connection that went silent is
-/// found well before the configuration counts as stale, and quiet hosts call seldom.
-constexpr milliseconds config_wait{1800};
+/// How long a call waits for a change. With the patience behind it, a connection that went silent
+/// is found well before the configuration counts as stale, and quiet hosts call seldom.
+constexpr milliseconds config_wait{2200};
 /// The pause after a failed call, doubled while failures go on.
 constexpr milliseconds first_pause{50};
 constexpr milliseconds longest_pause{400};
@@ -27,11 +27,11 @@
 /// By then lapsed entries of live servers are back.
 constexpr milliseconds entries_back{2000};
 
-/// The pause between two reads of the registry while servers change: a third of the bound on how
+/// The pause between two reads of the registry while servers change: half of the bound on how
 /// soon a leaving server gets no more work.
 milliseconds registry_gap(milliseconds drain_bound)
 {
-    return drain_bound / 3;
+    return drain_bound / 2;
 }
 
 } // namespace
@@ -162,29 +162,29 @@
 }
 
 state_follower_duty::state_follower_duty(host_core& core)
-    : core_(core), config_(core, {.topic = platform::config_topic,
-                                  .wait = config_wait,
-                                  .gap = milliseconds(0)},
-                           {.whole =
-                                [this](const auto& records)
-                            {
-                                for (const auto& record : records)
-                                {
-                                    take_config(record);
-                                }
-                            },
-                            .record = [this](const auto& record) { take_config(record); },
-                            .confirmed =
-                                [this](instant asked)
-                            {
-                                if (core_.config)
-                                {
-                                    core_.config_confirmed = asked;
-                                }
-                            }}),
-      servers_(core, {.topic = platform::server_topic,
-                      .wait = config_wait,
-                      .gap = registry_gap(core.settings.bounds.drain)},
+    : core_(core),
+      config_(core, {.topic = platform::config_topic, .wait = config_wait, .gap = milliseconds(0)},
+              {.whole =
+                   [this](const auto& records)
+               {
+                   for (const auto& record : records)
+                   {
+                       take_config(record);
+                   }
+               },
+               .record = [this](const auto& record) { take_config(record); },
+               .confirmed =
+                   [this](instant asked)
+               {
+                   if (core_.config)
+                   {
+                       core_.config_confirmed = asked;
+                   }
+               }}),
+      servers_(core,
+               {.topic = platform::server_topic,
+                .wait = config_wait,
+                .gap = registry_gap(core.settings.bounds.drain)},
                {.whole = [this](const auto& records) { take_all_servers(records); },
                 .record = [this](const auto& record) { take_server(record); },
                 .regained = [this] { doubtful_until_ = core_.now() + entries_back; },
@@ -209,9 +209,8 @@
         return;
     }
     core_.config = *parsed;
-    core_.log.write("config_in_force", "version={} routes={} workspaces={}",
-                    core_.config->version, core_.config->routes.size(),
-                    core_.config->workspaces.size());
+    core_.log.write("config_in_force", "version={} routes={} workspaces={}", core_.config->version,
+                    core_.config->routes.size(), core_.config->workspaces.size());
     core_.on_config();
     core_.waiting.wake_all();
 }
@@ -248,8 +247,9 @@
     {
         core_.pool.forget(old_address);
     }
-    core_.log.write("server_entry", "server={} service={} draining={} announcement={} models={} born={}",
-                    id.str(), parsed->service.str(), parsed->draining, parsed->announcement,
+    core_.log.write("server_entry",
+                    "server={} service={} draining={} announcement={} models={} born={}", id.str(),
+                    parsed->service.str(), parsed->draining, parsed->announcement,
                     parsed->models.size(), parsed->born_ms);
     core_.waiting.wake_all();
 }
--- a/src/transport/loop/backend_pool.cpp
+++ b/src/transport/loop/backend_pool.cpp
@@ -79,7 +79,8 @@
 {
     for (auto it = idle_.begin(); it != idle_.end();)
     {
-        std::erase_if(it->second, [&](const auto& c) { return now - c->idle_since > c->idle_limit; });
+        std::erase_if(it->second,
+                      [&](const auto& c) { return now - c->idle_since > c->idle_limit; });
         it = it->second.empty() ? idle_.erase(it) : std::next(it);
     }
 }
--- a/src/transport/loop/call_link.cpp
+++ b/src/transport/loop/call_link.cpp
@@ -61,7 +61,8 @@
         co_return std::nullopt;
     }
     auto& answer = parser.get();
-    call_answer result{.status = static_cast<int>(answer.result_int()), .body = std::move(answer.body())};
+    call_answer result{.status = static_cast<int>(answer.result_int()),
+                       .body = std::move(answer.body())};
     if (!answer.keep_alive())
     {
         stream_.reset();
