--- a/src/serve/event_log.cpp
+++ b/src/serve/event_log.cpp
@@ -6,23 +6,19 @@
 namespace banyanshunt
 {
 
-namespace
-{
-
-/// How long the writer sleeps without a line; only bounds how long a stop takes.
-constexpr milliseconds writer_patience{1000};
-
-} // namespace
-
 event_log::event_log(const event_log_options& options)
-    : options_(options), ring_(options.ring), allowance_(options.burst),
+    : options_(options), allowance_(options.burst),
       filled_at_(boot_clock().now()), writer_([this] { run(); })
 {
 }
 
 event_log::~event_log()
 {
-    ring_.close();
+    {
+        std::lock_guard lock(mutex_);
+        closed_ = true;
+    }
+    closing_.notify_one();
     writer_.join();
 }
 
@@ -46,27 +42,33 @@
     return true;
 }
 
-void event_log::push(std::string line)
+void event_log::push(const std::string& line)
 {
-    if (!ring_.try_push(std::move(line)))
+    std::lock_guard lock(mutex_);
+    if (gathered_.size() + line.size() > options_.buffer)
     {
         ++dropped_;
+        return;
     }
+    gathered_ += line;
 }
 
 void event_log::run()
 {
-    while (true)
+    std::string lines;
+    bool last = false;
+    while (!last)
     {
-        auto line = ring_.pop(writer_patience);
-        if (line)
         {
-            std::fwrite(line->data(), 1, line->size(), stdout);
-            std::fflush(stdout);
+            std::unique_lock lock(mutex_);
+            last = closing_.wait_for(lock, options_.write_period, [this] { return closed_; });
+            lines.swap(gathered_);
         }
-        else if (ring_.closed())
+        if (!lines.empty())
         {
-            return;
+            std::fwrite(lines.data(), 1, lines.size(), stdout);
+            std::fflush(stdout);
+            lines.clear();
         }
     }
 }
--- a/src/serve/event_log.hpp
+++ b/src/serve/event_log.hpp
@@ -2,25 +2,29 @@
 
 /// \file
 /// Defines the structured log of an entry host: one line on standard output for each decision, as
-/// "event=NAME field=value". A thread of its own writes; a full ring or a spent allowance drops
-/// lines, counts them and says so, and never blocks the request path.
+/// "event=NAME field=value". A thread of its own writes what has gathered, some times a second; a full
+/// buffer or a spent allowance drops lines, counts them and says so, and never blocks the request
+/// path.
 
-#include <atomic>
+#include <condition_variable>
+#include <mutex>
 #include <string>
 #include <thread>
 
 #include <fmt/format.h>
 
-#include "state/bounded_ring.hpp"
 #include "state/clock.hpp"
+#include "state/units.hpp"
 
 namespace banyanshunt
 {
 
 struct event_log_options
 {
-    /// Lines that wait for the writer.
-    std::size_t ring = 512;
+    /// Bytes that wait for the writer; some 300 lines.
+    std::size_t buffer = 131072;
+    /// How often the writer writes. A wake-up for each line would cost more than the line.
+    milliseconds write_period{200};
     /// Lines a second, on average; a host answers some 20 requests a second with a line or two
     /// each.
     double lines_per_s = 150;
@@ -50,15 +54,18 @@
 
 private:
     bool allowed();
-    void push(std::string line);
+    void push(const std::string& line);
     void run();
 
     event_log_options options_;
-    bounded_ring<std::string> ring_;
     double allowance_;
     instant filled_at_;
     std::uint64_t dropped_ = 0;
     std::uint64_t told_dropped_ = 0;
+    std::mutex mutex_;
+    std::condition_variable closing_;
+    std::string gathered_;
+    bool closed_ = false;
     std::thread writer_;
 };
 
--- a/src/serve/peer_duty.cpp
+++ b/src/serve/peer_duty.cpp
@@ -59,7 +59,7 @@
 }
 
 void write_placement(const server_id& server, const server_placement& from, instant now,
-                     wire::placement& to)
+                     peers::placement& to)
 {
     to.set_server(server.str());
     to.set_born_ms(from.born_ms);
@@ -81,7 +81,7 @@
     }
 }
 
-server_placement read_placement(const wire::placement& from, const host_id& owner, instant now)
+server_placement read_placement(const peers::placement& from, const host_id& owner, instant now)
 {
     server_placement to;
     to.owner = owner;
@@ -205,7 +205,7 @@
     }
     if (host == core_.settings.name)
     {
-        bool earlier_life = record.value->substr(second + 1) != std::to_string(core_.life.count());
+        bool earlier_life = record.value->substr(second + 1) != fmt::to_string(core_.life.count());
         if (earlier_life && !shares_from_)
         {
             // The others count this host already. Its share begins empty, so what an earlier life
@@ -251,10 +251,11 @@
         // A workspace with a small burst is split over few hosts, the others borrow from them.
         auto parts = static_cast<std::size_t>(std::clamp(workspace.burst / least_depth_tokens, 1.0,
                                                          static_cast<double>(core_.hosts)));
-        auto own = rendezvous_weight(name.str(), core_.settings.name.str());
+        const std::string& key = name.str();
+        auto own = rendezvous_weight(key, core_.settings.name.str());
         auto ahead = std::count_if(peers_.begin(), peers_.end(),
-                                   [&](const auto& it)
-                                   { return rendezvous_weight(name.str(), it.first.str()) > own; });
+                                   [&key, own](const auto& it)
+                                   { return rendezvous_weight(key, it.first.str()) > own; });
         bool holds = static_cast<std::size_t>(ahead) < parts;
         auto split = [&](double whole)
         {
@@ -268,16 +269,16 @@
     }
 }
 
-wire::peer_message peer_duty::new_message() const
+peers::peer_message peer_duty::new_message() const
 {
-    wire::peer_message message;
+    peers::peer_message message;
     message.set_host(core_.settings.name.str());
     message.set_domain(core_.settings.domain.str());
     message.set_life(static_cast<std::uint64_t>(core_.life.count()));
     return message;
 }
 
-void peer_duty::send(const peer& to, wire::peer_message& message)
+void peer_duty::send(const peer& to, peers::peer_message& message)
 {
     std::string bytes = message.SerializeAsString();
     boost::system::error_code ec;
@@ -295,7 +296,7 @@
         {
             co_return;
         }
-        wire::peer_message message;
+        peers::peer_message message;
         if (ec || !message.ParseFromArray(buffer_.data(), static_cast<int>(n)))
         {
             continue;
@@ -304,7 +305,7 @@
     }
 }
 
-void peer_duty::take(const wire::peer_message& message, const udp::endpoint& from)
+void peer_duty::take(const peers::peer_message& message, const udp::endpoint& from)
 {
     host_id host(message.host());
     if (host.empty() || host == core_.settings.name)
@@ -344,7 +345,7 @@
     take_loans(host, sender, message);
 }
 
-void peer_duty::take_report(const host_id& from, peer& sender, const wire::peer_message& message)
+void peer_duty::take_report(const host_id& from, peer& sender, const peers::peer_message& message)
 {
     instant now = core_.now();
     for (const auto& it : message.report().servers())
@@ -364,7 +365,7 @@
     }
 }
 
-void peer_duty::take_loans(const host_id& from, peer& sender, const wire::peer_message& message)
+void peer_duty::take_loans(const host_id& from, peer& sender, const peers::peer_message& message)
 {
     instant now = core_.now();
     share_life life{.host = from, .life = sender.life};
--- a/src/serve/peer_duty.hpp
+++ b/src/serve/peer_duty.hpp
@@ -17,7 +17,7 @@
 namespace banyanshunt
 {
 
-namespace wire
+namespace peers
 {
 class peer_message;
 }
@@ -52,12 +52,12 @@
     task<void> receive();
     task<void> report_loop();
     task<void> register_loop();
-    void take(const wire::peer_message& message, const asio::ip::udp::endpoint& from);
-    void take_report(const host_id& from, peer& sender, const wire::peer_message& message);
-    void take_loans(const host_id& from, peer& sender, const wire::peer_message& message);
+    void take(const peers::peer_message& message, const asio::ip::udp::endpoint& from);
+    void take_report(const host_id& from, peer& sender, const peers::peer_message& message);
+    void take_loans(const host_id& from, peer& sender, const peers::peer_message& message);
     void take_host(const platform::keyed_record& record);
-    void send(const peer& to, wire::peer_message& message);
-    wire::peer_message new_message() const;
+    void send(const peer& to, peers::peer_message& message);
+    peers::peer_message new_message() const;
     void report_to(const host_id& host, peer& to, instant now);
     void tell_placement(const server_id& server, const server_placement& placement);
     void match_shares();
--- a/src/serve/serve_host.cpp
+++ b/src/serve/serve_host.cpp
@@ -4,6 +4,7 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <fmt/format.h>
 
@@ -46,7 +47,7 @@
             continue;
         }
         asio::co_spawn(core.executor, serve(core, std::move(socket)),
-                       [&core](std::exception_ptr thrown)
+                       [&core](const std::exception_ptr& thrown)
                        {
                            if (thrown)
                            {
@@ -88,6 +89,7 @@
     }
 
     task<void> handle_signals();
+    void begin_stop();
     task<void> stop();
     task<void> tick();
 
@@ -115,11 +117,16 @@
             core.log.write("reload", "detail=\"settings unchanged\"");
             continue;
         }
-        if (!core.stopping)
-        {
-            core.stopping = true;
-            asio::co_spawn(loop, stop(), asio::detached);
-        }
+        begin_stop();
+    }
+}
+
+void serve_host::parts::begin_stop()
+{
+    if (!core.stopping)
+    {
+        core.stopping = true;
+        asio::co_spawn(loop, stop(), asio::detached);
     }
 }
 
@@ -186,4 +193,9 @@
     return 0;
 }
 
+void serve_host::request_stop()
+{
+    asio::post(parts_->loop, [this] { parts_->begin_stop(); });
+}
+
 } // namespace banyanshunt
--- a/src/serve/serve_host.hpp
+++ b/src/serve/serve_host.hpp
@@ -20,6 +20,8 @@
     /// Serves until a stop was asked for and what was under way has ended. Returns 0, or 1 if an
     /// address cannot be listened on.
     int run();
+    /// Begins a graceful stop, as SIGTERM does. May be called from any thread.
+    void request_stop();
 
 private:
     struct parts;
--- /dev/null
+++ b/tests/correctness/serve_path_test.cpp
@@ -0,0 +1,255 @@
+// A whole entry host on the event loop, between stand-ins of the platform and of backend servers.
+
+#include <catch2/catch.hpp>
+
+#include <thread>
+
+#include <httplib.h>
+#include <nlohmann/json.hpp>
+
+#include "serve/serve_host.hpp"
+#include "stand_ins/prepared_platform.hpp"
+
+using namespace banyanshunt;
+using namespace std::chrono_literals;
+using nlohmann::json;
+
+namespace
+{
+
+/// A port that nothing listens on now.
+int free_port()
+{
+    httplib::Server probe;
+    return probe.bind_to_any_port("127.0.0.1");
+}
+
+json manifest(int version, const std::vector<std::string>& keys)
+{
+    auto route = [](const char* prefix, const char* kind, const char* service, bool resumable)
+    {
+        return json{{"name", prefix},      {"host", "desk.example"}, {"path_prefix", prefix},
+                    {"kind", kind},        {"timeout_ms", 8000},     {"target_latency_ms", 1000},
+                    {"priority", 1},       {"service", service},     {"max_attempts", 2},
+                    {"public", false},     {"resumable", resumable}, {"gap_aim_ms", 200}};
+    };
+    json model = {{"name", "busy"}, {"weights_mb", 10}, {"load_s", 0.2}, {"adapters", 0},
+                  {"adapter_mb", 1}, {"warm_s", 0.05}, {"disk_s", 0.05}};
+    json rare = model;
+    rare["name"] = "rare";
+    return {{"version", version},
+            {"routes", {route("/book/", "non_idempotent", "desk", false),
+                        route("/read/", "idempotent", "desk", false),
+                        route("/guide/", "streaming", "models", true)}},
+            {"services", {{{"name", "desk"}, {"health_path", "/health"}, {"max_connections", 20}},
+                          {{"name", "models"},
+                           {"health_path", "/health"},
+                           {"max_connections", 20},
+                           {"engine", {{"models", {model, rare}}, {"weights_mb", 100},
+                                       {"adapter_slots", 4}, {"loads_per_s", 3}}}}}},
+            {"limits", json::object()},
+            {"tenants", {{{"name", "clinics"}, {"api_keys", keys}, {"unit", "tokens"},
+                          {"plain_tokens", 1}, {"rate_per_s", 100000}, {"burst", 100000}}}}};
+}
+
+/// One entry host, two plain servers and two engines; ready to serve.
+class serve_case
+{
+public:
+    serve_case()
+    {
+        store.put("keyed.op", "config", manifest(1, {"good-key"}).dump());
+        store.put("keyed.servers", "d1", desk1.registry_entry("desk"));
+        store.put("keyed.servers", "d2", desk2.registry_entry("desk"));
+        store.put("keyed.servers", "e1", engine1.registry_entry("models"));
+        store.put("keyed.servers", "e2", engine2.registry_entry("models"));
+        host_settings settings;
+        settings.name = host_id("h1");
+        settings.domain = domain_id("north");
+        settings.ip = "127.0.0.1";
+        port = free_port();
+        settings.caller_address = endpoint_text("127.0.0.1:" + std::to_string(port));
+        ready_port = free_port();
+        settings.ready_address = endpoint_text("127.0.0.1:" + std::to_string(ready_port));
+        settings.first_peer_port = free_port();
+        settings.bounds.lease = 1000ms;
+        settings.bounds.stop_grace = 4000ms;
+        settings.log.address = endpoint_text("127.0.0.1:" + std::to_string(store.port()));
+        host = std::make_unique<serve_host>(settings);
+        thread = std::thread([this] { exit_code = host->run(); });
+        // Ready, and past the time in which a new host's shares are not known to others.
+        await([this] { return ready() == 200 && get("/read/1", "warm-up").first == 200; });
+    }
+    ~serve_case()
+    {
+        host->request_stop();
+        thread.join();
+    }
+
+    int ready() const
+    {
+        httplib::Client client("127.0.0.1", ready_port);
+        auto answer = client.Get("/api/ready");
+        return answer ? answer->status : 0;
+    }
+    std::pair<int, std::string> call(const std::string& method, const std::string& path,
+                                     const std::string& id, const std::string& key,
+                                     const std::string& model = {}) const
+    {
+        httplib::Client client("127.0.0.1", port);
+        client.set_read_timeout(10);
+        httplib::Headers headers = {{"Host", "desk.example"}, {"X-Request-Id", id},
+                                    {"X-Deadline-Ms", "8000"},
+                                    {"Authorization", "Bearer " + key}};
+        if (!model.empty())
+        {
+            headers.emplace("X-Model", model);
+            headers.emplace("X-Token-Count", "10,5");
+            headers.emplace("X-Tenant", "forged");
+        }
+        auto answer = method == "GET" ? client.Get(path, headers)
+                                      : client.Post(path, headers, "a body", "text/plain");
+        return answer ? std::pair(answer->status, answer->body) : std::pair(0, std::string());
+    }
+    std::pair<int, std::string> get(const std::string& path, const std::string& id) const
+    {
+        return call("GET", path, id, "good-key");
+    }
+    std::pair<int, std::string> guide(const std::string& id, const std::string& model) const
+    {
+        return call("POST", "/guide/1", id, "good-key", model);
+    }
+    template <class Holds>
+    static void await(const Holds& holds)
+    {
+        for (int n = 0; n < 400 && !holds(); ++n)
+        {
+            std::this_thread::sleep_for(25ms);
+        }
+        REQUIRE(holds());
+    }
+    static std::size_t runs(const backend_stand_in& server, const std::string& id)
+    {
+        auto served = server.served();
+        return static_cast<std::size_t>(std::count_if(
+            served.begin(), served.end(), [&](const auto& it) { return it.id == id; }));
+    }
+
+    store_stand_in store;
+    backend_stand_in desk1{"d1", {}};
+    backend_stand_in desk2{"d2", {}};
+    backend_stand_in engine1{"e1", {"busy"}};
+    backend_stand_in engine2{"e2", {"busy"}};
+    int port = 0;
+    int ready_port = 0;
+    int exit_code = -1;
+    std::unique_ptr<serve_host> host;
+    std::thread thread;
+};
+
+const std::string whole_stream =
+    "id: 1\ndata: token1\n\nid: 2\ndata: token2\n\nid: 3\ndata: token3\n\n"
+    "id: 4\ndata: token4\n\nid: 5\ndata: token5\n\n";
+
+} // namespace
+
+TEST_CASE("An entry host on the event loop serves callers by the platform's configuration")
+{
+    serve_case it;
+
+    SECTION("a request runs for the workspace whose key came with it, and no server sees the key")
+    {
+        auto [status, body] = it.guide("r1", "busy");
+        CHECK(status == 200);
+        CHECK(body == whole_stream);
+        auto served = it.engine1.served();
+        auto more = it.engine2.served();
+        served.insert(served.end(), more.begin(), more.end());
+        REQUIRE(served.size() == 1);
+        CHECK(served[0].workspace == "clinics");
+        CHECK(served[0].body == "a body");
+        CHECK_FALSE(served[0].saw_key);
+    }
+    SECTION("unknown keys and routes are refused")
+    {
+        CHECK(it.call("GET", "/read/1", "r1", "bad-key").first == 401);
+        CHECK(it.call("GET", "/nowhere/1", "r1", "good-key").first == 404);
+    }
+    SECTION("what a server surely did not run is sent to another")
+    {
+        it.desk1.failing = backend_stand_in::fault::full;
+        for (int n = 0; n < 4; ++n)
+        {
+            CHECK(it.call("POST", "/book/1", "b" + std::to_string(n), "good-key").first == 200);
+        }
+    }
+    SECTION("a booking whose answer was lost is not sent again, and not said not to have run")
+    {
+        it.desk1.failing = backend_stand_in::fault::lose_answer;
+        it.desk2.failing = backend_stand_in::fault::lose_answer;
+        auto [status, body] = it.call("POST", "/book/1", "b1", "good-key");
+        CHECK(status == 502);
+        CHECK(body.find("may_have_run") != std::string::npos);
+        CHECK(it.runs(it.desk1, "b1") + it.runs(it.desk2, "b1") == 1);
+    }
+    SECTION("a stream that breaks off goes on at another server, with no event lost or twice")
+    {
+        it.engine1.failing = backend_stand_in::fault::break_stream;
+        it.engine2.failing = backend_stand_in::fault::break_stream;
+        std::thread mend(
+            [&]
+            {
+                it.await([&] { return it.runs(it.engine1, "s1") + it.runs(it.engine2, "s1") > 0; });
+                it.engine1.failing = backend_stand_in::fault::none;
+                it.engine2.failing = backend_stand_in::fault::none;
+            });
+        // Whether the second server breaks off too depends on who is first; the first always does.
+        auto [status, body] = it.guide("s1", "busy");
+        mend.join();
+        auto again = it.guide("s2", "busy");
+        CHECK(again.second == whole_stream);
+        CHECK((status == 0 || body == whole_stream));
+        CHECK(whole_stream.rfind(body, 0) == 0);
+    }
+    SECTION("a model that no server holds is loaded for the request that waits for it")
+    {
+        serve_case::await([&] { return it.guide("m1", "rare").first == 200; });
+        CHECK(it.engine1.orders() + it.engine2.orders() == 1);
+    }
+    SECTION("a withdrawn key stops working, and the configuration never goes back")
+    {
+        it.store.put("keyed.op", "config", manifest(3, {"other-key"}).dump());
+        serve_case::await([&] { return it.get("/read/1", "r1").first == 401; });
+        it.store.put("keyed.op", "config", manifest(2, {"good-key"}).dump());
+        std::this_thread::sleep_for(200ms);
+        CHECK(it.get("/read/1", "r2").first == 401);
+        CHECK(it.call("GET", "/read/1", "r3", "other-key").first == 200);
+    }
+    SECTION("a host that cannot confirm its configuration refuses keys, and is not ready")
+    {
+        it.store.refuse_with = 503;
+        serve_case::await([&] { return it.get("/read/1", "r1").first == 503; });
+        CHECK(it.ready() == 503);
+        it.store.refuse_with = 0;
+        serve_case::await([&] { return it.get("/read/1", "r2").first == 200; });
+    }
+    SECTION("a leaving server gets nothing new")
+    {
+        it.store.put("keyed.servers", "d1", it.desk1.registry_entry("desk", true));
+        std::this_thread::sleep_for(1500ms);
+        auto before = it.desk1.served().size();
+        for (int n = 0; n < 6; ++n)
+        {
+            CHECK(it.get("/read/1", "l" + std::to_string(n)).first == 200);
+        }
+        CHECK(it.desk1.served().size() == before);
+    }
+}
+
+TEST_CASE("A planned stop answers what was begun and ends in order")
+{
+    serve_case it;
+    it.host->request_stop();
+    CHECK(it.get("/read/1", "late").first == 200);
+    serve_case::await([&] { return it.exit_code == 0; });
+}
--- /dev/null
+++ b/tests/stand_ins/prepared_platform.cpp
@@ -0,0 +1,310 @@
+#include "stand_ins/prepared_platform.hpp"
+
+#include <chrono>
+#include <thread>
+
+#include <httplib.h>
+#include <nlohmann/json.hpp>
+
+namespace banyanshunt
+{
+
+namespace
+{
+
+using nlohmann::json;
+
+constexpr const char* loopback = "127.0.0.1";
+constexpr int events_in_stream = 5;
+
+void big_endian(std::string& to, std::uint64_t n, int bytes)
+{
+    for (int shift = 8 * (bytes - 1); shift >= 0; shift -= 8)
+    {
+        to += static_cast<char>((n >> shift) & 0xff);
+    }
+}
+
+std::string base64(const std::string& from)
+{
+    static constexpr char digits[] =
+        "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
+    std::string to;
+    for (std::size_t n = 0; n < from.size(); n += 3)
+    {
+        unsigned group = 0;
+        for (std::size_t k = 0; k < 3; ++k)
+        {
+            group = group << 8 | (n + k < from.size() ? static_cast<unsigned char>(from[n + k]) : 0);
+        }
+        for (std::size_t k = 0; k < 4; ++k)
+        {
+            to += n + k > from.size() ? '=' : digits[group >> (18 - 6 * k) & 63];
+        }
+    }
+    return to;
+}
+
+std::string event(int n)
+{
+    return "id: " + std::to_string(n) + "\ndata: token" + std::to_string(n) + "\n\n";
+}
+
+} // namespace
+
+struct store_stand_in::server
+{
+    httplib::Server http;
+    std::thread thread;
+};
+
+store_stand_in::store_stand_in() : server_(std::make_unique<server>())
+{
+    auto& http = server_->http;
+    http.new_task_queue = [] { return new httplib::ThreadPool(16); };
+    http.set_pre_routing_handler(
+        [this](const httplib::Request&, httplib::Response& answer)
+        {
+            if (refuse_with == 0)
+            {
+                return httplib::Server::HandlerResponse::Unhandled;
+            }
+            answer.status = refuse_with;
+            return httplib::Server::HandlerResponse::Handled;
+        });
+    http.Get("/api/log-newest", [this](const httplib::Request& call, httplib::Response& answer)
+             { answer.set_content(newest(call.get_param_value("topic")), "application/json"); });
+    http.Get("/api/log-read",
+             [this](const httplib::Request& call, httplib::Response& answer)
+             {
+                 answer.set_content(read(call.get_param_value("topic"),
+                                         std::stoul(call.get_param_value("from")),
+                                         std::stoi(call.get_param_value("wait_ms"))),
+                                    "application/octet-stream");
+             });
+    http.Post("/api/log-append",
+              [this](const httplib::Request& call, httplib::Response& answer)
+              {
+                  std::string topic = call.get_param_value("topic");
+                  std::string key = topic + call.get_param_value("part");
+                  std::string value = call.body.substr(4);
+                  if (topic.rfind("keyed.", 0) == 0)
+                  {
+                      auto size = static_cast<unsigned char>(value[0]);
+                      key = value.substr(1, size);
+                      value = value.substr(1 + size);
+                  }
+                  put(topic, key, value);
+                  std::lock_guard lock(mutex_);
+                  auto end = topics_[topic].size();
+                  answer.set_content(json{{"offset", end - 1}, {"end", end}}.dump(),
+                                     "application/json");
+              });
+    http.Post("/api/log-join",
+              [](const httplib::Request&, httplib::Response& answer)
+              {
+                  answer.set_content(
+                      R"({"generation":1,"ttl_ms":1000,"parts":[["shunt-duties",0,0]]})",
+                      "application/json");
+              });
+    http.Post("/api/log-leave", [](const httplib::Request&, httplib::Response& answer)
+              { answer.set_content("{}", "application/json"); });
+    port_ = http.bind_to_any_port(loopback);
+    server_->thread = std::thread([&http] { http.listen_after_bind(); });
+}
+
+store_stand_in::~store_stand_in()
+{
+    server_->http.stop();
+    server_->thread.join();
+}
+
+void store_stand_in::put(const std::string& topic, const std::string& key, const std::string& value)
+{
+    {
+        std::lock_guard lock(mutex_);
+        topics_[topic].push_back({.key = key, .value = value});
+    }
+    grown_.notify_all();
+}
+
+std::string store_stand_in::newest(const std::string& topic)
+{
+    std::lock_guard lock(mutex_);
+    std::map<std::string, std::string> by_key;
+    for (const auto& it : topics_[topic])
+    {
+        by_key[it.key] = it.value;
+    }
+    json items = json::array();
+    for (const auto& [key, value] : by_key)
+    {
+        if (!value.empty())
+        {
+            items.push_back({{"key", key}, {"value", base64(value)}, {"offset", 0}});
+        }
+    }
+    return json{{"items", items}, {"has_more", false}, {"end", topics_[topic].size()}}.dump();
+}
+
+std::string store_stand_in::read(const std::string& topic, std::size_t from, int wait_ms)
+{
+    std::unique_lock lock(mutex_);
+    auto& entries = topics_[topic];
+    grown_.wait_for(lock, std::chrono::milliseconds(wait_ms),
+                    [&] { return entries.size() > from; });
+    std::string body;
+    big_endian(body, entries.size(), 8);
+    big_endian(body, 0, 8);
+    for (std::size_t n = from; n < entries.size(); ++n)
+    {
+        const auto& it = entries[n];
+        big_endian(body, 1 + it.key.size() + it.value.size(), 4);
+        body += static_cast<char>(it.key.size());
+        body += it.key + it.value;
+    }
+    return body;
+}
+
+struct backend_stand_in::server
+{
+    httplib::Server http;
+    std::thread thread;
+};
+
+backend_stand_in::backend_stand_in(std::string id, std::set<std::string> models)
+    : id_(std::move(id)), models_(std::move(models)), server_(std::make_unique<server>())
+{
+    auto& http = server_->http;
+    http.set_keep_alive_timeout(5);
+    http.Get("/api/report",
+             [this](const httplib::Request&, httplib::Response& answer)
+             {
+                 std::lock_guard lock(mutex_);
+                 json held = json::array();
+                 for (const auto& model : models_)
+                 {
+                     held.push_back({{"name", model}, {"version", 1}, {"adapters", json::array()}});
+                 }
+                 answer.set_content(json{{"stage", "hybrid"}, {"models", held}, {"busy", false},
+                                         {"sequence", orders_.load()}}
+                                        .dump(),
+                                    "application/json");
+             });
+    http.Post("/api/order",
+              [this](const httplib::Request& call, httplib::Response& answer)
+              {
+                  auto order = json::parse(call.body);
+                  std::lock_guard lock(mutex_);
+                  bool expected = order.at("expected").get<int>() == orders_.load();
+                  if (!expected || !order.contains("fencing_token") || !order.contains("holder"))
+                  {
+                      answer.status = expected ? 400 : 409;
+                      return;
+                  }
+                  auto model = order.at("model").get<std::string>();
+                  order.at("operation") == "load" ? (void)models_.insert(model)
+                                                  : (void)models_.erase(model);
+                  ++orders_;
+                  answer.status = 202;
+              });
+    auto serve = [this](const httplib::Request& call, httplib::Response& answer)
+    {
+        std::string model = call.get_header_value("X-Model");
+        fault now = failing;
+        answer.set_header("X-Request-Id", call.get_header_value("X-Request-Id"));
+        {
+            std::lock_guard lock(mutex_);
+            if (call.get_header_value("X-Expect-Instance") != id_ ||
+                (!model.empty() && !models_.contains(model)))
+            {
+                answer.status = 421;
+                return;
+            }
+            if (now == fault::full)
+            {
+                answer.status = 503;
+                answer.set_header("X-Not-Executed", "1");
+                return;
+            }
+            served_.push_back({.id = call.get_header_value("X-Request-Id"),
+                               .path = call.path,
+                               .body = call.body,
+                               .workspace = call.get_header_value("X-Tenant"),
+                               .last_event = call.get_header_value("Last-Event-Id"),
+                               .saw_key = call.has_header("Authorization")});
+        }
+        answer.set_header("X-Server-Stamp", id_);
+        if (now == fault::lose_answer)
+        {
+            answer.set_content_provider("text/plain", [](std::size_t, httplib::DataSink&)
+                                        { return false; });
+            return;
+        }
+        if (model.empty())
+        {
+            answer.set_content("answer by " + id_, "text/plain");
+            return;
+        }
+        std::string last = call.get_header_value("Last-Event-Id");
+        auto next = std::make_shared<int>(last.empty() ? 1 : std::stoi(last) + 1);
+        answer.set_chunked_content_provider(
+            "text/event-stream",
+            [next, now](std::size_t, httplib::DataSink& sink)
+            {
+                if (now == fault::break_stream && *next == 3)
+                {
+                    std::string torn = event(3).substr(0, 5);
+                    sink.write(torn.data(), torn.size());
+                    return false;
+                }
+                if (*next > events_in_stream)
+                {
+                    sink.done();
+                    return true;
+                }
+                std::string text = event((*next)++);
+                return sink.write(text.data(), text.size());
+            });
+    };
+    http.Get(".*", serve);
+    http.Post(".*", serve);
+    port_ = http.bind_to_any_port(loopback);
+    server_->thread = std::thread([&http] { http.listen_after_bind(); });
+}
+
+backend_stand_in::~backend_stand_in()
+{
+    server_->http.stop();
+    server_->thread.join();
+}
+
+std::string backend_stand_in::registry_entry(const std::string& service, bool draining) const
+{
+    std::lock_guard lock(mutex_);
+    json held = json::array();
+    for (const auto& model : models_)
+    {
+        held.push_back({{"name", model}, {"version", 1}, {"adapters", json::array()}});
+    }
+    return json{{"service", service},
+                {"address", std::string(loopback) + ":" + std::to_string(port_)},
+                {"zone", "north"},
+                {"version", "v1"},
+                {"slots", 4},
+                {"state", draining ? "draining" : "ready"},
+                {"cold_remaining_ms", 0},
+                {"born", 1},
+                {"models", held},
+                {"sequence", draining ? 2 : 1},
+                {"at_hand", {{"in_memory", {"rare"}}, {"on_disk", {"rare"}}}}}
+        .dump();
+}
+
+std::vector<served_request> backend_stand_in::served() const
+{
+    std::lock_guard lock(mutex_);
+    return served_;
+}
+
+} // namespace banyanshunt
--- /dev/null
+++ b/tests/stand_ins/prepared_platform.hpp
@@ -0,0 +1,97 @@
+#pragma once
+
+/// \file
+/// Stand-ins of the prepared platform's log service and of a backend server, small, by the
+/// platform's published protocol. Their faults are switched by the test.
+
+#include <atomic>
+#include <condition_variable>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace banyanshunt
+{
+
+/// The log service: keyed topics with one partition each, appends, and a group with one member.
+class store_stand_in
+{
+public:
+    store_stand_in();
+    ~store_stand_in();
+
+    int port() const { return port_; }
+    /// Writes a record as the operators or servers do; without a value, drops the key.
+    void put(const std::string& topic, const std::string& key, const std::string& value);
+    /// While set, every call is answered with this status.
+    std::atomic<int> refuse_with = 0;
+
+private:
+    struct server;
+    struct entry
+    {
+        std::string key;
+        std::string value;
+    };
+    std::string read(const std::string& topic, std::size_t from, int wait_ms);
+    std::string newest(const std::string& topic);
+
+    std::mutex mutex_;
+    std::condition_variable grown_;
+    std::map<std::string, std::vector<entry>> topics_;
+    std::unique_ptr<server> server_;
+    int port_ = 0;
+};
+
+/// What a backend server got of one request.
+struct served_request
+{
+    std::string id;
+    std::string path;
+    std::string body;
+    std::string workspace;
+    std::string last_event;
+    bool saw_key = false;
+};
+
+/// A model engine, or a plain service if it holds no model.
+class backend_stand_in
+{
+public:
+    enum class fault
+    {
+        none,
+        /// Says that it is full and did not run the request.
+        full,
+        /// Runs the request and closes the connection without an answer.
+        lose_answer,
+        /// Breaks a stream off in the middle of its third event.
+        break_stream,
+    };
+
+    backend_stand_in(std::string id, std::set<std::string> models);
+    ~backend_stand_in();
+
+    /// Its entry in the registry.
+    std::string registry_entry(const std::string& service, bool draining = false) const;
+    std::vector<served_request> served() const;
+    int orders() const { return orders_; }
+    std::atomic<fault> failing = fault::none;
+
+private:
+    struct server;
+
+    std::string id_;
+    mutable std::mutex mutex_;
+    std::set<std::string> models_;
+    std::vector<served_request> served_;
+    std::atomic<int> orders_ = 0;
+    std::unique_ptr<server> server_;
+    int port_ = 0;
+};
+
+} // namespace banyanshunt
