--- a/src/serve/event_log.cpp
+++ b/src/serve/event_log.cpp
@@ -7,8 +7,8 @@
 {
 
 event_log::event_log(const event_log_options& options)
-    : options_(options), allowance_(options.burst),
-      filled_at_(boot_clock().now()), writer_([this] { run(); })
+    : options_(options), allowance_(options.burst), filled_at_(boot_clock().now()),
+      writer_([this] { run(); })
 {
 }
 
--- a/src/serve/event_log.hpp
+++ b/src/serve/event_log.hpp
@@ -2,9 +2,9 @@
 
 /// \file
 /// Defines the structured log of an entry host: one line on standard output for each decision, as
-/// "event=NAME field=value". A thread of its own writes what has gathered, some times a second; a full
-/// buffer or a spent allowance drops lines, counts them and says so, and never blocks the request
-/// path.
+/// "event=NAME field=value". A thread of its own writes what has gathered, some times a second; a
+/// full buffer or a spent allowance drops lines, counts them and says so, and never blocks the
+/// request path.
 
 #include <condition_variable>
 #include <mutex>
--- a/tests/correctness/serve_path_test.cpp
+++ b/tests/correctness/serve_path_test.cpp
@@ -2,6 +2,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+#include <atomic>
 #include <thread>
 
 #include <httplib.h>
@@ -9,6 +11,7 @@
 
 #include "serve/serve_host.hpp"
 #include "stand_ins/prepared_platform.hpp"
+#include "transport/loop/loop.hpp"
 
 using namespace banyanshunt;
 using namespace std::chrono_literals;
@@ -20,36 +23,46 @@
 /// A port that nothing listens on now.
 int free_port()
 {
-    httplib::Server probe;
-    return probe.bind_to_any_port("127.0.0.1");
+    asio::io_context loop;
+    return tcp::acceptor(loop, {asio::ip::make_address_v4("127.0.0.1"), 0}).local_endpoint().port();
 }
 
 json manifest(int version, const std::vector<std::string>& keys)
 {
     auto route = [](const char* prefix, const char* kind, const char* service, bool resumable)
     {
-        return json{{"name", prefix},      {"host", "desk.example"}, {"path_prefix", prefix},
-                    {"kind", kind},        {"timeout_ms", 8000},     {"target_latency_ms", 1000},
-                    {"priority", 1},       {"service", service},     {"max_attempts", 2},
-                    {"public", false},     {"resumable", resumable}, {"gap_aim_ms", 200}};
+        return json{{"name", prefix},  {"host", "desk.example"}, {"path_prefix", prefix},
+                    {"kind", kind},    {"timeout_ms", 8000},     {"target_latency_ms", 1000},
+                    {"priority", 1},   {"service", service},     {"max_attempts", 2},
+                    {"public", false}, {"resumable", resumable}, {"gap_aim_ms", 200}};
     };
-    json model = {{"name", "busy"}, {"weights_mb", 10}, {"load_s", 0.2}, {"adapters", 0},
-                  {"adapter_mb", 1}, {"warm_s", 0.05}, {"disk_s", 0.05}};
+    json model = {{"name", "busy"},  {"weights_mb", 10}, {"load_s", 0.2}, {"adapters", 0},
+                  {"adapter_mb", 1}, {"warm_s", 0.05},   {"disk_s", 0.05}};
     json rare = model;
     rare["name"] = "rare";
     return {{"version", version},
-            {"routes", {route("/book/", "non_idempotent", "desk", false),
-                        route("/read/", "idempotent", "desk", false),
-                        route("/guide/", "streaming", "models", true)}},
-            {"services", {{{"name", "desk"}, {"health_path", "/health"}, {"max_connections", 20}},
-                          {{"name", "models"},
-                           {"health_path", "/health"},
-                           {"max_connections", 20},
-                           {"engine", {{"models", {model, rare}}, {"weights_mb", 100},
-                                       {"adapter_slots", 4}, {"loads_per_s", 3}}}}}},
+            {"routes",
+             {route("/book/", "non_idempotent", "desk", false),
+              route("/read/", "idempotent", "desk", false),
+              route("/guide/", "streaming", "models", true)}},
+            {"services",
+             {{{"name", "desk"}, {"health_path", "/health"}, {"max_connections", 20}},
+              {{"name", "models"},
+               {"health_path", "/health"},
+               {"max_connections", 20},
+               {"engine",
+                {{"models", {model, rare}},
+                 {"weights_mb", 100},
+                 {"adapter_slots", 4},
+                 {"loads_per_s", 3}}}}}},
             {"limits", json::object()},
-            {"tenants", {{{"name", "clinics"}, {"api_keys", keys}, {"unit", "tokens"},
-                          {"plain_tokens", 1}, {"rate_per_s", 100000}, {"burst", 100000}}}}};
+            {"tenants",
+             {{{"name", "clinics"},
+               {"api_keys", keys},
+               {"unit", "tokens"},
+               {"plain_tokens", 1},
+               {"rate_per_s", 100000},
+               {"burst", 100000}}}}};
 }
 
 /// One entry host, two plain servers and two engines; ready to serve.
@@ -78,7 +91,8 @@
         host = std::make_unique<serve_host>(settings);
         thread = std::thread([this] { exit_code = host->run(); });
         // Ready, and past the time in which a new host's shares are not known to others.
-        await([this] { return ready() == 200 && get("/read/1", "warm-up").first == 200; });
+        began =
+            holds_soon([this] { return ready() == 200 && get("/read/1", "warm-up").first == 200; });
     }
     ~serve_case()
     {
@@ -98,7 +112,8 @@
     {
         httplib::Client client("127.0.0.1", port);
         client.set_read_timeout(10);
-        httplib::Headers headers = {{"Host", "desk.example"}, {"X-Request-Id", id},
+        httplib::Headers headers = {{"Host", "desk.example"},
+                                    {"X-Request-Id", id},
                                     {"X-Deadline-Ms", "8000"},
                                     {"Authorization", "Bearer " + key}};
         if (!model.empty())
@@ -120,19 +135,19 @@
         return call("POST", "/guide/1", id, "good-key", model);
     }
     template <class Holds>
-    static void await(const Holds& holds)
+    static bool holds_soon(const Holds& holds)
     {
         for (int n = 0; n < 400 && !holds(); ++n)
         {
             std::this_thread::sleep_for(25ms);
         }
-        REQUIRE(holds());
+        return holds();
     }
     static std::size_t runs(const backend_stand_in& server, const std::string& id)
     {
         auto served = server.served();
-        return static_cast<std::size_t>(std::count_if(
-            served.begin(), served.end(), [&](const auto& it) { return it.id == id; }));
+        return static_cast<std::size_t>(std::count_if(served.begin(), served.end(),
+                                                      [&](const auto& it) { return it.id == id; }));
     }
 
     store_stand_in store;
@@ -142,7 +157,8 @@
     backend_stand_in engine2{"e2", {"busy"}};
     int port = 0;
     int ready_port = 0;
-    int exit_code = -1;
+    std::atomic<int> exit_code = -1;
+    bool began = false;
     std::unique_ptr<serve_host> host;
     std::thread thread;
 };
@@ -156,6 +172,7 @@
 TEST_CASE("An entry host on the event loop serves callers by the platform's configuration")
 {
     serve_case it;
+    REQUIRE(it.began);
 
     SECTION("a request runs for the workspace whose key came with it, and no server sees the key")
     {
@@ -199,7 +216,8 @@
         std::thread mend(
             [&]
             {
-                it.await([&] { return it.runs(it.engine1, "s1") + it.runs(it.engine2, "s1") > 0; });
+                it.holds_soon(
+                    [&] { return it.runs(it.engine1, "s1") + it.runs(it.engine2, "s1") > 0; });
                 it.engine1.failing = backend_stand_in::fault::none;
                 it.engine2.failing = backend_stand_in::fault::none;
             });
@@ -213,13 +231,13 @@
     }
     SECTION("a model that no server holds is loaded for the request that waits for it")
     {
-        serve_case::await([&] { return it.guide("m1", "rare").first == 200; });
+        REQUIRE(serve_case::holds_soon([&] { return it.guide("m1", "rare").first == 200; }));
         CHECK(it.engine1.orders() + it.engine2.orders() == 1);
     }
     SECTION("a withdrawn key stops working, and the configuration never goes back")
     {
         it.store.put("keyed.op", "config", manifest(3, {"other-key"}).dump());
-        serve_case::await([&] { return it.get("/read/1", "r1").first == 401; });
+        REQUIRE(serve_case::holds_soon([&] { return it.get("/read/1", "r1").first == 401; }));
         it.store.put("keyed.op", "config", manifest(2, {"good-key"}).dump());
         std::this_thread::sleep_for(200ms);
         CHECK(it.get("/read/1", "r2").first == 401);
@@ -228,10 +246,10 @@
     SECTION("a host that cannot confirm its configuration refuses keys, and is not ready")
     {
         it.store.refuse_with = 503;
-        serve_case::await([&] { return it.get("/read/1", "r1").first == 503; });
+        REQUIRE(serve_case::holds_soon([&] { return it.get("/read/1", "r1").first == 503; }));
         CHECK(it.ready() == 503);
         it.store.refuse_with = 0;
-        serve_case::await([&] { return it.get("/read/1", "r2").first == 200; });
+        REQUIRE(serve_case::holds_soon([&] { return it.get("/read/1", "r2").first == 200; }));
     }
     SECTION("a leaving server gets nothing new")
     {
@@ -251,5 +269,5 @@
     serve_case it;
     it.host->request_stop();
     CHECK(it.get("/read/1", "late").first == 200);
-    serve_case::await([&] { return it.exit_code == 0; });
+    REQUIRE(serve_case::holds_soon([&] { return it.exit_code == 0; }));
 }
--- a/tests/stand_ins/prepared_platform.cpp
+++ b/tests/stand_ins/prepared_platform.cpp
@@ -16,6 +16,10 @@
 
 constexpr const char* loopback = "127.0.0.1";
 constexpr int events_in_stream = 5;
+/// The stated length of an answer of which nothing comes.
+constexpr std::size_t lost_bytes = 10;
+/// Short, as a server's end waits for idle connections.
+constexpr int keep_alive_s = 1;
 
 void big_endian(std::string& to, std::uint64_t n, int bytes)
 {
@@ -35,7 +39,8 @@
         unsigned group = 0;
         for (std::size_t k = 0; k < 3; ++k)
         {
-            group = group << 8 | (n + k < from.size() ? static_cast<unsigned char>(from[n + k]) : 0);
+            group =
+                group << 8 | (n + k < from.size() ? static_cast<unsigned char>(from[n + k]) : 0);
         }
         for (std::size_t k = 0; k < 4; ++k)
         {
@@ -61,6 +66,7 @@
 store_stand_in::store_stand_in() : server_(std::make_unique<server>())
 {
     auto& http = server_->http;
+    http.set_keep_alive_timeout(keep_alive_s);
     http.new_task_queue = [] { return new httplib::ThreadPool(16); };
     http.set_pre_routing_handler(
         [this](const httplib::Request&, httplib::Response& answer)
@@ -82,24 +88,24 @@
                                          std::stoi(call.get_param_value("wait_ms"))),
                                     "application/octet-stream");
              });
-    http.Post("/api/log-append",
-              [this](const httplib::Request& call, httplib::Response& answer)
-              {
-                  std::string topic = call.get_param_value("topic");
-                  std::string key = topic + call.get_param_value("part");
-                  std::string value = call.body.substr(4);
-                  if (topic.rfind("keyed.", 0) == 0)
-                  {
-                      auto size = static_cast<unsigned char>(value[0]);
-                      key = value.substr(1, size);
-                      value = value.substr(1 + size);
-                  }
-                  put(topic, key, value);
-                  std::lock_guard lock(mutex_);
-                  auto end = topics_[topic].size();
-                  answer.set_content(json{{"offset", end - 1}, {"end", end}}.dump(),
-                                     "application/json");
-              });
+    http.Post(
+        "/api/log-append",
+        [this](const httplib::Request& call, httplib::Response& answer)
+        {
+            std::string topic = call.get_param_value("topic");
+            std::string key = topic + call.get_param_value("part");
+            std::string value = call.body.substr(4);
+            if (topic.rfind("keyed.", 0) == 0)
+            {
+                auto size = static_cast<unsigned char>(value[0]);
+                key = value.substr(1, size);
+                value = value.substr(1 + size);
+            }
+            put(topic, key, value);
+            std::lock_guard lock(mutex_);
+            auto end = topics_[topic].size();
+            answer.set_content(json{{"offset", end - 1}, {"end", end}}.dump(), "application/json");
+        });
     http.Post("/api/log-join",
               [](const httplib::Request&, httplib::Response& answer)
               {
@@ -176,7 +182,7 @@
     : id_(std::move(id)), models_(std::move(models)), server_(std::make_unique<server>())
 {
     auto& http = server_->http;
-    http.set_keep_alive_timeout(5);
+    http.set_keep_alive_timeout(keep_alive_s);
     http.Get("/api/report",
              [this](const httplib::Request&, httplib::Response& answer)
              {
@@ -186,7 +192,9 @@
                  {
                      held.push_back({{"name", model}, {"version", 1}, {"adapters", json::array()}});
                  }
-                 answer.set_content(json{{"stage", "hybrid"}, {"models", held}, {"busy", false},
+                 answer.set_content(json{{"stage", "hybrid"},
+                                         {"models", held},
+                                         {"busy", false},
                                          {"sequence", orders_.load()}}
                                         .dump(),
                                     "application/json");
@@ -237,7 +245,8 @@
         answer.set_header("X-Server-Stamp", id_);
         if (now == fault::lose_answer)
         {
-            answer.set_content_provider("text/plain", [](std::size_t, httplib::DataSink&)
+            answer.set_content_provider(lost_bytes, "text/plain",
+                                        [](std::size_t, std::size_t, httplib::DataSink&)
                                         { return false; });
             return;
         }
@@ -248,24 +257,23 @@
         }
         std::string last = call.get_header_value("Last-Event-Id");
         auto next = std::make_shared<int>(last.empty() ? 1 : std::stoi(last) + 1);
-        answer.set_chunked_content_provider(
-            "text/event-stream",
-            [next, now](std::size_t, httplib::DataSink& sink)
-            {
-                if (now == fault::break_stream && *next == 3)
-                {
-                    std::string torn = event(3).substr(0, 5);
-                    sink.write(torn.data(), torn.size());
-                    return false;
-                }
-                if (*next > events_in_stream)
-                {
-                    sink.done();
-                    return true;
-                }
-                std::string text = event((*next)++);
-                return sink.write(text.data(), text.size());
-            });
+        answer.set_chunked_content_provider("text/event-stream",
+                                            [next, now](std::size_t, httplib::DataSink& sink)
+                                            {
+                                                if (now == fault::break_stream && *next == 3)
+                                                {
+                                                    std::string torn = event(3).substr(0, 5);
+                                                    sink.write(torn.data(), torn.size());
+                                                    return false;
+                                                }
+                                                if (*next > events_in_stream)
+                                                {
+                                                    sink.done();
+                                                    return true;
+                                                }
+                                                std::string text = event((*next)++);
+                                                return sink.write(text.data(), text.size());
+                                            });
     };
     http.Get(".*", serve);
     http.Post(".*", serve);
