A member of the duties' group calls four times in a lease, whatever its length

Found by the path test with a lease of 1 s: calls every 700 ms let the membership lapse between two calls, so no order was ever given.

--- a/src/serve/order_duty.cpp
+++ b/src/serve/order_duty.cpp
@@ -18,14 +18,14 @@
 namespace
 {
 
-/// How often a member tells the store that it lives: four times in a lease.
-constexpr milliseconds join_period{700};
+/// How often in a lease a member tells the store that it lives, so that one lost call ends nothing.
+constexpr int joins_in_lease = 4;
 constexpr milliseconds store_timeout{1000};
-/// What is taken off a lease for the way of the call and the drift of two clocks.
-constexpr milliseconds lease_margin{300};
-/// Added to the lease before a new holder orders: the one before may learn of its loss only at its
-/// next call, and its last order may be on its way.
-constexpr milliseconds handover_margin{1200};
+/// The part of a lease that is taken off for the way of the call and the drift of two clocks.
+constexpr int lease_margin_part = 10;
+/// Added to the lease and a period of calls before a new holder orders: the one before may learn of
+/// its loss only at its next call, and its last order may be on its way.
+constexpr milliseconds order_way{450};
 /// An engine answers an order in milliseconds; a lost packet is sent again after 200 ms or more.
 constexpr milliseconds order_timeout{1000};
 
@@ -38,6 +38,11 @@
 {
 }
 
+milliseconds order_duty::lease() const
+{
+    return std::max(core_.settings.bounds.lease, core_.settings.log.least_lease);
+}
+
 void order_duty::start()
 {
     asio::co_spawn(core_.executor, keep_membership(), asio::detached);
@@ -55,15 +60,15 @@
             member_now_ = joined;
         }
         match_servers();
-        co_await pause(joined ? join_period : join_period / 3);
+        milliseconds period = lease() / joins_in_lease;
+        co_await pause(joined ? period : period / 3);
     }
 }
 
 task<bool> order_duty::join()
 {
     instant asked = core_.now();
-    milliseconds lease = std::max(core_.settings.bounds.lease, core_.settings.log.least_lease);
-    auto call = platform::join_call(member_, lease, generation_);
+    auto call = platform::join_call(member_, lease(), generation_);
     auto answer = co_await link_.call(call.method, call.target, call.body, store_timeout);
     if (!answer || answer->status != 200)
     {
@@ -81,7 +86,7 @@
     std::set<int> listed(share->partitions.begin(), share->partitions.end());
     std::erase_if(partitions_,
                   [&](const auto& it) { return lapsed || !listed.contains(it.first); });
-    held_until_ = asked + lease - lease_margin;
+    held_until_ = asked + lease() - lease() / lease_margin_part;
     for (int partition : listed)
     {
         if (!partitions_.contains(partition))
@@ -109,7 +114,7 @@
     // Offsets grow with each claim, so the fencing number of a later holder is higher.
     fencing_number fence(offset->count() + 1);
     partitions_[partition] = {
-        .fence = fence, .may_order_at = taken + core_.settings.bounds.lease + handover_margin};
+        .fence = fence, .may_order_at = taken + lease() + lease() / joins_in_lease + order_way};
     core_.log.write("duty_taken", "partition={} fence={} generation={}", partition, fence.count(),
                     generation_);
 }
--- a/src/serve/order_duty.hpp
+++ b/src/serve/order_duty.hpp
@@ -57,6 +57,7 @@
     task<void> run_server(server_id server, std::shared_ptr<held_duty> held);
     task<void> ask_report(server_id server, std::shared_ptr<held_duty> held);
     task<void> give_order(server_id server, std::shared_ptr<held_duty> held, engine_order order);
+    milliseconds lease() const;
     bool may_order(int partition, instant now) const;
     bool take_store_load(const engine_spec& engine);
     const engine_spec* engine_of(const server_id& server) const;
--- a/tests/stand_ins/prepared_platform.cpp
+++ b/tests/stand_ins/prepared_platform.cpp
@@ -121,6 +121,11 @@
 
 store_stand_in::~store_stand_in()
 {
+    {
+        std::lock_guard lock(mutex_);
+        closing_ = true;
+    }
+    grown_.notify_all();
     server_->http.stop();
     server_->thread.join();
 }
@@ -158,7 +163,7 @@
     std::unique_lock lock(mutex_);
     auto& entries = topics_[topic];
     grown_.wait_for(lock, std::chrono::milliseconds(wait_ms),
-                    [&] { return entries.size() > from; });
+                    [&] { return entries.size() > from || closing_; });
     std::string body;
     big_endian(body, entries.size(), 8);
     big_endian(body, 0, 8);
--- a/tests/stand_ins/prepared_platform.hpp
+++ b/tests/stand_ins/prepared_platform.hpp
@@ -42,6 +42,7 @@
 
     std::mutex mutex_;
     std::condition_variable grown_;
+    bool closing_ = false;
     std::map<std::string, std::vector<entry>> topics_;
     std::unique_ptr<server> server_;
     int port_ = 0;
