--- a/tests/correctness/pages_test.cpp
+++ b/tests/correctness/pages_test.cpp
@@ -1,7 +1,9 @@
 /// \file
 /// The operators' pages name all that the code reads and answers.
 
+#include <filesystem>
 #include <fstream>
+#include <regex>
 #include <sstream>
 
 #include <catch2/catch.hpp>
@@ -66,3 +68,29 @@
         CHECK(has_row(text, form.form));
     }
 }
+
+TEST_CASE("docs/OPERATIONS.md has every event that an entry host logs")
+{
+    std::string text = page("OPERATIONS.md");
+    std::regex written(
+        "log\\.write\\(\\s*(?:good \\? |joined \\? )?\"([a-z_]+)\"(?: : \"([a-z_]+)\")?");
+    std::size_t events = 0;
+    for (const auto& file : std::filesystem::directory_iterator("src/serve"))
+    {
+        std::ifstream in(file.path());
+        std::ostringstream source;
+        source << in.rdbuf();
+        std::string code = source.str();
+        for (std::sregex_iterator it(code.begin(), code.end(), written), end; it != end; ++it)
+        {
+            for (std::size_t group : {1U, 2U})
+            {
+                std::string event = (*it)[group];
+                INFO(event);
+                CHECK((event.empty() || text.find("`" + event + "`") != std::string::npos));
+                events += event.empty() ? 0 : 1;
+            }
+        }
+    }
+    CHECK(events > 15);
+}
