--- a/src/serve/peer_duty.cpp
+++ b/src/serve/peer_duty.cpp
@@ -49,8 +49,6 @@
 /// What requests wait for that lack tokens.
 constexpr const char* tokens_wait = "tokens";
 constexpr std::size_t datagram_bytes = 65536;
-/// Placements in one datagram, to stay below the usual packet size.
-constexpr int placements_in_message = 4;
 
 std::uint32_t ms_until(instant at, instant now)
 {
--- a/tests/correctness/platform_adapter_test.cpp
+++ b/tests/correctness/platform_adapter_test.cpp
@@ -109,12 +109,12 @@
         auto name = [&](const std::string& path)
         {
             const auto* route = (*config)->find_route("ficu95.example", path);
-            return route ? route->name.str() : "";
+            return route ? route->name.str() : std::string();
         };
         CHECK(name("/lohu930/2f") == "r-26tta82");
         CHECK(name("/lohu930/deep/2f?a=/b/") == "r-8m82thh");
-        CHECK(name("/lohu930") == "");
-        CHECK(name("/other/") == "");
+        CHECK(name("/lohu930").empty());
+        CHECK(name("/other/").empty());
         CHECK((*config)->find_route("else.example", "/lohu930/2f") == nullptr);
     }
     SECTION("text that is no manifest is refused")
