Shares on few owners by domain, loans that end at once, datagrams between domains through relays

Many small pools ran dry one by one, hosts asked the one lender that had told the most, partial loans were lost, and a lender's depth stayed lowered until the next report, 2.3 s later between domains. Also: every host wrote to every other about each order, and each read of the host list came at once, as 81 hosts register again all the time.

--- a/src/coordination/backend_table.cpp
+++ b/src/coordination/backend_table.cpp
@@ -25,11 +25,24 @@
 /// where servers are alike.
 constexpr double tie_break_ms = 60;
 constexpr int most_doublings = 6;
+/// Estimates of when a server has room are told again when they differ by this much: a part of what
+/// a load from disk takes.
+constexpr milliseconds room_tolerance{400};
 /// How long an adapter is on its way, as the platform's sheets state it.
 constexpr milliseconds usual_adapter_load{10};
 
 } // namespace
 
+bool tells_same(const server_placement& a, const server_placement& b, instant now)
+{
+    // Both have room, or the room of both is away for about as long.
+    bool same_room = (a.room_at <= now) == (b.room_at <= now) &&
+                     std::max(a.room_at - b.room_at, b.room_at - a.room_at) < room_tolerance;
+    same_room = same_room || (a.room_at <= now && b.room_at <= now);
+    return a.fence == b.fence && a.born_ms == b.born_ms && a.adapter_room == b.adapter_room &&
+           a.models == b.models && same_room;
+}
+
 bool backend_table::apply_entry(const backend_entry& entry, instant now)
 {
     auto [it, is_new] = servers_.try_emplace(entry.id);
@@ -168,24 +181,19 @@
     }
 }
 
-void backend_table::note_reported()
+void backend_table::forget_asked(const server_id& server)
 {
-    for (auto& [id, it] : servers_)
+    auto found = servers_.find(server);
+    if (found == servers_.end())
     {
-        it.told_running = it.running;
+        return;
     }
-}
-
-void backend_table::forget_asked()
-{
-    for (auto& [id, it] : servers_)
+    record& it = found->second;
+    std::erase_if(it.asked_units, [&](const auto& unit)
+                  { return unit.second == 0 && !it.running_units.contains(unit.first); });
+    for (auto& [unit, asked] : it.asked_units)
     {
-        std::erase_if(it.asked_units, [&, &running = it.running_units](const auto& unit)
-                      { return unit.second == 0 && !running.contains(unit.first); });
-        for (auto& [unit, asked] : it.asked_units)
-        {
-            asked = 0;
-        }
+        asked = 0;
     }
 }
 
--- a/src/coordination/backend_table.hpp
+++ b/src/coordination/backend_table.hpp
@@ -37,6 +37,8 @@
     std::map<adapter_id, instant> adapters = {};
     /// About to be unloaded.
     bool leaving = false;
+
+    friend bool operator==(const held_model&, const held_model&) = default;
 };
 
 /// What a server holds, by the host that gives it its orders.
@@ -53,6 +55,9 @@
     instant told_at;
 };
 
+/// Whether both say the same of the server at `now`, so that the second need not be told.
+bool tells_same(const server_placement& a, const server_placement& b, instant now);
+
 /// How a request ended at a server, for the server's health.
 enum class backend_outcome
 {
@@ -120,9 +125,9 @@
         /// Own requests in flight, in all and by unit.
         int running = 0;
         std::map<engine_unit, int> running_units;
-        /// What peers were last told of `running`.
-        int told_running = 0;
-        /// Own requests since the last report to peers.
+        /// When own requests were last seen running there by a report.
+        instant ran_at;
+        /// Own requests since the last report to the host that gives the server its orders.
         std::map<engine_unit, int> asked_units;
         struct told_use
         {
@@ -153,10 +158,14 @@
     void note_sent(const server_id& server, const engine_unit& unit);
     void note_ended(const server_id& server, const engine_unit& unit, backend_outcome outcome,
                     instant now);
-    /// Peers know the present numbers of running requests.
-    void note_reported();
-    /// Begins to count requests by unit anew; units with running requests stay listed.
-    void forget_asked();
+    /// Begins to count requests to one server by unit anew; units with running requests stay listed.
+    void forget_asked(const server_id& server);
+    /// Sets how long what peers told counts, by how often they tell it.
+    void keep_told(milliseconds reports, milliseconds placements)
+    {
+        options_.told_for = std::max(reports, options_.told_for);
+        options_.placement_for = std::max(placements, options_.placement_for);
+    }
     void note_heard(const server_id& server, instant now);
 
     /// The server for a request, by what is known at `now`.
--- a/src/coordination/share_ledger.cpp
+++ b/src/coordination/share_ledger.cpp
@@ -335,6 +335,21 @@
     }
 }
 
+void share_ledger::return_loans(const resource_id& resource, instant now)
+{
+    expire(now);
+    owned_share* share = find(resource);
+    if (!share)
+    {
+        return;
+    }
+    for (const auto& loan : share->borrowed)
+    {
+        report(loan);
+    }
+    share->borrowed.clear();
+}
+
 void share_ledger::report(const borrowed_loan& loan)
 {
     reports_[loan.lender].push_back({.loan = loan.loan, .returned = loan.left});
--- a/src/coordination/share_ledger.hpp
+++ b/src/coordination/share_ledger.hpp
@@ -76,6 +76,8 @@
     void expire(instant now);
     /// Gives back to their lenders, by reports, the loans that expire before `limit`.
     void return_loans(instant limit, instant now);
+    /// The same for all loans of one resource.
+    void return_loans(const resource_id& resource, instant now);
     /// The ends of loans to tell to `lender`, each once.
     std::vector<loan_report> take_reports(const share_life& lender);
     /// Lenders for which there are reports.
--- a/src/serve/host_core.hpp
+++ b/src/serve/host_core.hpp
@@ -93,6 +93,15 @@
             .first->second;
     }
 
+    /// A fleet's reports between domains cost no more than those of so many hosts do at the usual
+    /// period, since bytes between domains have a price: 9 hosts of the smallest deployment.
+    static constexpr double report_fleet = 9;
+    /// By how much longer than usual the periods of what is told to the whole fleet are.
+    double report_stretch() const
+    {
+        return std::max(1.0, static_cast<double>(hosts) / report_fleet);
+    }
+
     host_settings settings;
     asio::any_io_executor executor;
     std::mt19937_64 random;
--- a/src/serve/order_duty.cpp
+++ b/src/serve/order_duty.cpp
@@ -164,7 +164,8 @@
         auto held = std::make_shared<held_duty>(
             held_duty{.duty = server_duty(known.entry, server_duty_options{}, core_.now()),
                       .partition = partition,
-                      .poke = asio::steady_timer(core_.executor)});
+                      .poke = asio::steady_timer(core_.executor),
+                      .last_told = {}});
         duties_.emplace(server, held);
         asio::co_spawn(core_.executor, run_server(server, held), asio::detached);
     }
@@ -308,7 +309,7 @@
     }
 }
 
-void order_duty::tell(const server_id& server, const held_duty& held)
+void order_duty::tell(const server_id& server, held_duty& held, bool again)
 {
     const engine_spec* engine = engine_of(server);
     auto partition = partitions_.find(held.partition);
@@ -320,6 +321,11 @@
     placement.owner = core_.settings.name;
     placement.fence = partition->second.fence;
     core_.servers.apply_placement(server, placement);
+    if (!again && tells_same(held.last_told, placement, core_.now()))
+    {
+        return;
+    }
+    held.last_told = placement;
     for (const auto& [model, it] : placement.models)
     {
         core_.waiting.wake(model.str());
@@ -333,7 +339,7 @@
     {
         if (may_order(held->partition, core_.now()))
         {
-            tell(server, *held);
+            tell(server, *held, true);
         }
     }
 }
--- a/src/serve/order_duty.hpp
+++ b/src/serve/order_duty.hpp
@@ -48,6 +48,8 @@
         asio::steady_timer poke;
         bool ended = false;
         bool told = false;
+        /// What the other hosts were told last.
+        server_placement last_told;
     };
 
     task<void> keep_membership();
@@ -62,7 +64,8 @@
     bool take_store_load(const engine_spec& engine);
     const engine_spec* engine_of(const server_id& server) const;
     int partition_of(const server_id& server) const;
-    void tell(const server_id& server, const held_duty& held);
+    /// Tells the other hosts what the server holds, if it differs from what they were told.
+    void tell(const server_id& server, held_duty& held, bool again = false);
 
     host_core& core_;
     teller tell_;
--- a/src/serve/peer_duty.hpp
+++ b/src/serve/peer_duty.hpp
@@ -8,20 +8,15 @@
 #include <map>
 #include <memory>
 
-#include <boost/asio/ip/udp.hpp>
-
 #include "serve/host_core.hpp"
 #include "serve/order_duty.hpp"
+#include "serve/peer_list.hpp"
+#include "serve/share_duty.hpp"
 #include "serve/store_reader.hpp"
 
 namespace banyanshunt
 {
 
-namespace peers
-{
-class peer_message;
-}
-
 class peer_duty : public request_helper
 {
 public:
@@ -33,46 +28,39 @@
     task<void> leave();
 
     void wish(const server_id& server, const engine_unit& unit, milliseconds waited) override;
-    task<bool> take_tokens(workspace_id workspace, millitokens amount) override;
-
-private:
-    struct peer
+    task<bool> take_tokens(workspace_id workspace, millitokens amount) override
     {
-        asio::ip::udp::endpoint address;
-        domain_id domain;
-        incarnation life;
-        instant heard_at;
-        instant listed_at;
-        /// When it is due its next report.
-        instant report_at;
-        /// What it could lend of each workspace, by its last report.
-        std::map<workspace_id, millitokens> spare;
-    };
+        return shares_.take(std::move(workspace), amount);
+    }
 
+private:
     task<void> receive();
     task<void> report_loop();
     task<void> register_loop();
     void take(const peers::peer_message& message, const asio::ip::udp::endpoint& from);
-    void take_report(const host_id& from, peer& sender, const peers::peer_message& message);
-    void take_loans(const host_id& from, peer& sender, const peers::peer_message& message);
+    void pass_on(peers::peer_message message, const asio::ip::udp::endpoint& from);
+    void take_report(const host_id& from, const peers::peer_message& message);
     void take_host(const platform::keyed_record& record);
-    void send(const peer& to, peers::peer_message& message);
-    peers::peer_message new_message() const;
-    void report_to(const host_id& host, peer& to, instant now);
+    void report_to(const host_id& host, const peer& to, instant now);
+    void report_to_domains(instant now);
     void tell_placement(const server_id& server, const server_placement& placement);
-    void match_shares();
-    std::size_t count_hosts(instant now) const;
-    std::size_t ask_peers(const workspace_id& workspace, millitokens missing);
+    /// Sends to a few hosts of each other domain, which pass it on to the rest of theirs.
+    void send_to_domains(peers::peer_message message);
+    void note_own_use();
+    bool is_near(const peer& it) const { return it.domain == core_.settings.domain; }
+    milliseconds near_period() const;
+    milliseconds far_period() const;
 
     host_core& core_;
+    peer_list peers_;
+    share_duty shares_;
     order_duty orders_;
+    instant started_;
     topic_reader hosts_;
-    asio::ip::udp::socket socket_;
-    std::map<host_id, peer> peers_;
-    /// Since when this host may hold a share; nothing before the others can know of it.
-    std::optional<instant> shares_from_;
     /// The list of hosts was read once.
     bool listed_ = false;
+    /// Hosts were heard of since shares were matched.
+    bool hosts_changed_ = false;
     std::vector<char> buffer_;
 };
 
--- /dev/null
+++ b/src/serve/peer_list.cpp
@@ -0,0 +1,70 @@
+#include "serve/peer_list.hpp"
+
+#include <algorithm>
+
+#include "peers.pb.h"
+
+namespace banyanshunt
+{
+
+using asio::ip::udp;
+
+namespace
+{
+
+/// A host registers every 30 s, and one that did not three times is gone.
+constexpr milliseconds listed_for{100000};
+
+} // namespace
+
+void peer_list::open()
+{
+    boost::system::error_code ec;
+    auto address = asio::ip::make_address_v4(core_.settings.ip, ec);
+    socket.open(udp::v4(), ec);
+    socket.bind({address, static_cast<std::uint16_t>(core_.settings.first_peer_port)}, ec);
+    if (ec)
+    {
+        core_.log.write("listen_failed", "address={}:{} detail=\"{}\"", core_.settings.ip,
+                        core_.settings.first_peer_port, ec.message());
+    }
+}
+
+peers::peer_message peer_list::new_message() const
+{
+    peers::peer_message message;
+    message.set_host(core_.settings.name.str());
+    message.set_domain(core_.settings.domain.str());
+    message.set_life(static_cast<std::uint64_t>(core_.life.count()));
+    return message;
+}
+
+void peer_list::send(const peer& to, const peers::peer_message& message)
+{
+    std::string bytes = message.SerializeAsString();
+    boost::system::error_code ec;
+    socket.send_to(asio::buffer(bytes), to.address, 0, ec);
+}
+
+void peer_list::send_all(const peers::peer_message& message)
+{
+    std::string bytes = message.SerializeAsString();
+    for (const auto& [host, it] : all)
+    {
+        boost::system::error_code ec;
+        socket.send_to(asio::buffer(bytes), it.address, 0, ec);
+    }
+}
+
+std::size_t peer_list::count_hosts(instant now) const
+{
+    return 1 + static_cast<std::size_t>(std::count_if(all.begin(), all.end(),
+                                                      [&](const auto& it) {
+                                                          return now - it.second.listed_at <
+                                                                     listed_for ||
+                                                                 now - it.second.heard_at <
+                                                                     listed_for;
+                                                      }));
+}
+
+} // namespace banyanshunt
--- a/src/serve/store_reader.cpp
+++ b/src/serve/store_reader.cpp
@@ -27,11 +27,13 @@
 /// By then lapsed entries of live servers are back.
 constexpr milliseconds entries_back{2000};
 
-/// The pause between two reads of the registry while servers change: half of the bound on how
-/// soon a leaving server gets no more work.
+/// The pause between two reads of the registry while servers change, as a part of the bound on how
+/// soon a leaving server gets no more work; the rest covers a slow store and the way of a request.
+constexpr double registry_gap_part = 0.6;
+
 milliseconds registry_gap(milliseconds drain_bound)
 {
-    return drain_bound / 2;
+    return std::chrono::duration_cast<milliseconds>(drain_bound * registry_gap_part);
 }
 
 } // namespace
@@ -64,9 +66,9 @@
         if (good)
         {
             after_failure = first_pause;
-            if (options_.gap.count() > 0)
+            if (auto gap = options_.gap(); gap.count() > 0)
             {
-                co_await pause(options_.gap);
+                co_await pause(gap);
             }
             continue;
         }
@@ -163,7 +165,7 @@
 
 state_follower_duty::state_follower_duty(host_core& core)
     : core_(core),
-      config_(core, {.topic = platform::config_topic, .wait = config_wait, .gap = milliseconds(0)},
+      config_(core, {.topic = platform::config_topic, .wait = config_wait},
               {.whole =
                    [this](const auto& records)
                {
@@ -184,7 +186,7 @@
       servers_(core,
                {.topic = platform::server_topic,
                 .wait = config_wait,
-                .gap = registry_gap(core.settings.bounds.drain)},
+                .gap = [&core] { return registry_gap(core.settings.bounds.drain); }},
                {.whole = [this](const auto& records) { take_all_servers(records); },
                 .record = [this](const auto& record) { take_server(record); },
                 .regained = [this] { doubtful_until_ = core_.now() + entries_back; },
--- a/src/serve/store_reader.hpp
+++ b/src/serve/store_reader.hpp
@@ -21,7 +21,7 @@
     /// How long a call waits for a record.
     milliseconds wait{1000};
     /// The pause between two calls, which bounds calls while records come fast.
-    milliseconds gap{0};
+    std::function<milliseconds()> gap = [] { return milliseconds(0); };
 };
 
 /// Follows one topic until the host stops.
