Duties come back to the host that had them without a wait; adapters on their way count as held

Cause: after all hosts or the store were away no host gave orders for 4.2 s, since each claim waited out the lease of whoever held the duty before, also when that was the same host. Members were named by life, so a restarted host waited for its earlier life to lapse as well. Members are now named by host, and the duty's records tell whether the record before a claim is the own turn.

Also: a report's adapters on their way were not counted, and an adapter whose unload waits for runs was taken as gone.

--- a/src/coordination/server_duty.cpp
+++ b/src/coordination/server_duty.cpp
@@ -28,7 +28,8 @@
 } // namespace
 
 server_duty::server_duty(const backend_entry& entry, server_duty_options options, instant now)
-    : options_(options), entry_(entry), report_at_(now), retry_at_(now), begun_at_(now)
+    : options_(options), entry_(entry), report_at_(now + options.report_lag), retry_at_(now),
+      begun_at_(now)
 {
     take_models(entry.models, now);
 }
@@ -483,6 +484,12 @@
                 .ready_at = answer == order_answer::holds ? now : now + options_.adapter_load,
                 .used_at = now};
         }
+        else if (answer == order_answer::accepted)
+        {
+            // It keeps its place until its runs have ended; only a report says when.
+            orders_.reset();
+            report_at_ = now + options_.report_lag;
+        }
         else if (model != models_.end())
         {
             model->second.adapters.erase(order.adapter);
--- a/src/serve/order_duty.cpp
+++ b/src/serve/order_duty.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/detached.hpp>
 #include <fmt/format.h>
 
+#include "coordination/duty_turn.hpp"
 #include "coordination/rendezvous.hpp"
 #include "platform/orders.hpp"
 #include "platform/registry.hpp"
@@ -21,6 +22,8 @@
 /// How often in a lease a member tells the store that it lives, so that one lost call ends nothing.
 constexpr int joins_in_lease = 4;
 constexpr milliseconds store_timeout{1000};
+/// After an outage hosts join one by one, and the first gets duties that move on within this time.
+constexpr milliseconds settle_time{300};
 /// The part of a lease that is taken off for the way of the call and the drift of two clocks.
 constexpr int lease_margin_part = 10;
 /// Added to the lease and a period of calls before a new holder orders: the one before may learn of
@@ -33,7 +36,8 @@
 
 order_duty::order_duty(host_core& core, teller tell)
     : core_(core), tell_(std::move(tell)),
-      member_(fmt::format("{}-{:x}", core.settings.name.str(), core.life.count())),
+      // The same after a restart, so that the group deals this host what it had.
+      member_(core.settings.name.str()),
       link_(core.settings.log.address), store_loads_at_(core.now())
 {
 }
@@ -60,8 +64,11 @@
             member_now_ = joined;
         }
         match_servers();
+        co_await tell_turns();
         milliseconds period = lease() / joins_in_lease;
-        co_await pause(joined ? period : period / 3);
+        co_await pause(!joined                 ? period / 3
+                       : listed_since_.empty() ? period
+                                               : std::min(period, settle_time));
     }
 }
 
@@ -87,9 +94,11 @@
     std::erase_if(partitions_,
                   [&](const auto& it) { return lapsed || !listed.contains(it.first); });
     held_until_ = asked + lease() - lease() / lease_margin_part;
+    std::erase_if(listed_since_, [&](const auto& it)
+                  { return !listed.contains(it.first) || partitions_.contains(it.first); });
     for (int partition : listed)
     {
-        if (!partitions_.contains(partition))
+        if (!partitions_.contains(partition) && settled(partition, core_.now()))
         {
             co_await claim(partition);
         }
@@ -97,10 +106,47 @@
     co_return true;
 }
 
+bool order_duty::settled(int partition, instant now)
+{
+    auto since = listed_since_.try_emplace(partition, now).first->second;
+    return now - since >= settle_time;
+}
+
+task<void> order_duty::tell_turns()
+{
+    std::vector<int> begun;
+    for (const auto& [partition, it] : partitions_)
+    {
+        if (!it.turn_told && core_.now() >= it.may_order_at)
+        {
+            begun.push_back(partition);
+        }
+    }
+    for (int partition : begun)
+    {
+        auto held = partitions_.find(partition);
+        if (held == partitions_.end())
+        {
+            continue;
+        }
+        // If it fails, the next claim after a restart waits as any other host's would.
+        held->second.turn_told = true;
+        duty_record record{.holder = core_.settings.name, .turn_begun = true};
+        auto call = platform::duty_append_call(partition, to_text(record), held->second.claim);
+        auto answer = co_await link_.call(call.method, call.target, call.body, store_timeout);
+        if (!answer || answer->status != 200)
+        {
+            core_.log.write("duty_turn_untold", "partition={} status={}", partition,
+                            answer ? answer->status : 0);
+        }
+    }
+}
+
 task<void> order_duty::claim(int partition)
 {
     instant taken = core_.now();
-    auto call = platform::claim_call(partition, member_);
+    duty_record record{.holder = core_.settings.name};
+    auto call = platform::duty_append_call(partition, to_text(record), std::nullopt);
     auto answer = co_await link_.call(call.method, call.target, call.body, store_timeout);
     if (!answer || answer->status != 200)
     {
@@ -109,14 +155,28 @@
     auto offset = platform::parse_append(answer->body);
     if (!offset)
     {
+        core_.log.write("store_answer_bad", "call=append detail=\"{}\"", offset.error().detail);
         co_return;
     }
+    bool first = offset->count() == 0;
+    std::optional<duty_record> before;
+    if (!first)
+    {
+        auto read = platform::duty_read_call(partition, log_offset(offset->count() - 1));
+        auto page = co_await link_.call(read.method, read.target, read.body, store_timeout);
+        auto text = page && page->status == 200 ? platform::parse_duty_record(page->body)
+                                                : std::nullopt;
+        before = text ? read_duty_record(*text) : std::nullopt;
+    }
+    auto wait = turn_wait(first, before, core_.settings.name,
+                          lease() + lease() / joins_in_lease + order_way);
     // Offsets grow with each claim, so the fencing number of a later holder is higher.
     fencing_number fence(offset->count() + 1);
-    partitions_[partition] = {
-        .fence = fence, .may_order_at = taken + lease() + lease() / joins_in_lease + order_way};
-    core_.log.write("duty_taken", "partition={} fence={} generation={}", partition, fence.count(),
-                    generation_);
+    partitions_[partition] = {.fence = fence, .claim = *offset, .may_order_at = taken + wait};
+    listed_since_.erase(partition);
+    core_.log.write("duty_taken", "partition={} fence={} generation={} before={} wait_ms={}",
+                    partition, fence.count(), generation_,
+                    before ? before->holder.str() : "-", wait.count());
 }
 
 int order_duty::partition_of(const server_id& server) const
--- a/src/serve/order_duty.hpp
+++ b/src/serve/order_duty.hpp
@@ -39,7 +39,11 @@
     struct held_partition
     {
         fencing_number fence;
+        /// Of the record by which this host took the duty.
+        log_offset claim;
         instant may_order_at;
+        /// The log says that this host's turn has begun.
+        bool turn_told = false;
     };
     struct held_duty
     {
@@ -55,6 +59,9 @@
     task<void> keep_membership();
     task<bool> join();
     task<void> claim(int partition);
+    task<void> tell_turns();
+    /// Whether the partition has been listed for so long that it will stay.
+    bool settled(int partition, instant now);
     void match_servers();
     task<void> run_server(server_id server, std::shared_ptr<held_duty> held);
     task<void> ask_report(server_id server, std::shared_ptr<held_duty> held);
@@ -77,6 +84,8 @@
     /// Until when the membership surely lasts.
     instant held_until_;
     std::map<int, held_partition> partitions_;
+    /// Listed for this host and not held yet, with the moment when they were first listed.
+    std::map<int, instant> listed_since_;
     std::map<server_id, std::shared_ptr<held_duty>> duties_;
     double store_loads_ = 0;
     instant store_loads_at_;
--- a/src/serve/request_run.cpp
+++ b/src/serve/request_run.cpp
@@ -364,12 +364,12 @@
     core_.log.write(
         "request_end",
         "request={} outcome={} status={} reason={} route={} workspace={} model={}{}{} "
-        "server={} server_load={} sends={} waited_ms={} first_ms={} took_ms={} config={} "
+        "tokens={} server={} server_load={} sends={} waited_ms={} first_ms={} took_ms={} config={} "
         "config_age_ms={}",
         fields_.id.str(), outcome, status, last_reason_, route_ ? route_->name.str() : "-",
         workspace_ ? workspace_->name.str() : "-",
         fields_.model.empty() ? "-" : fields_.model.str(), fields_.adapter.empty() ? "" : "/",
-        fields_.adapter.str(), last_server_.empty() ? "-" : last_server_.str(), last_load_, sends_,
+        fields_.adapter.str(), charged_, last_server_.empty() ? "-" : last_server_.str(), last_load_, sends_,
         waited_.count(), std::chrono::floor<milliseconds>(first_byte_).count(),
         std::chrono::floor<milliseconds>(core_.now() - arrived_).count(),
         config_ ? config_->version : 0,
--- a/tests/correctness/platform_adapter_test.cpp
+++ b/tests/correctness/platform_adapter_test.cpp
@@ -252,3 +252,27 @@
     CHECK(platform::order_answer_of(409) == order_answer::conflict);
     CHECK(platform::order_answer_of(503) == order_answer::unknown);
 }
+
+TEST_CASE("adapters on their way count as held in a server's report")
+{
+    auto report = platform::parse_server_report(
+        R"({"stage":"hybrid","models":[{"name":"m1","version":1,"adapters":["a1"]}],"busy":false,
+            "sequence":4,"coming":["m1/a2@1","m2/a1@1"]})");
+    REQUIRE(report);
+    const auto& held = report->models.at(model_id("m1"));
+    CHECK(held == std::set<adapter_id>{adapter_id("a1"), adapter_id("a2")});
+    CHECK_FALSE(report->models.contains(model_id("m2")));
+}
+
+TEST_CASE("records of a duty are appended and read one by one")
+{
+    auto claim = platform::duty_append_call(3, "front-1", std::nullopt);
+    CHECK(claim.target == "/api/log-append?topic=shunt-duties&part=3");
+    auto begun = platform::duty_append_call(3, "front-1 begun", log_offset(7));
+    CHECK(begun.target == "/api/log-append?topic=shunt-duties&part=3&at=8");
+    // An answer to a read: end, first kept offset, and the record as it was framed.
+    std::string page(16, '\0');
+    CHECK_FALSE(platform::parse_duty_record(page));
+    CHECK(platform::parse_duty_record(page + begun.body) == "front-1 begun");
+    CHECK_FALSE(platform::parse_duty_record(page + begun.body.substr(0, 9)));
+}
--- a/tests/correctness/server_duty_test.cpp
+++ b/tests/correctness/server_duty_test.cpp
@@ -221,3 +221,26 @@
     CHECK(it.duty->placement(it.spec, it.now).models.empty());
     CHECK(it.decide().what == step_kind::ask_report);
 }
+
+TEST_CASE("an adapter that is still in use keeps its place")
+{
+    engine_case engine;
+    engine.duty->wish(engine_case::unit("m0", "a1"), 0ms, engine.now);
+    auto load = engine.decide();
+    REQUIRE(load.what == server_duty::step::kind::order);
+    engine.answer(load, order_answer::accepted);
+    engine.now += 50ms;
+
+    SECTION("its unload waits for runs: nothing is ordered until a report says what is held")
+    {
+        engine_order unload{.what = engine_order::action::unload,
+                            .model = model_id("m0"),
+                            .adapter = adapter_id("a1"),
+                            .expected_orders = 3};
+        engine.duty->answered(unload, order_answer::accepted, engine.spec, engine.now);
+        engine.duty->wish(engine_case::unit("m1", "a1"), 0ms, engine.now);
+        CHECK(engine.decide().what == server_duty::step::kind::nothing);
+        engine.now += 500ms;
+        CHECK(engine.decide().what == server_duty::step::kind::ask_report);
+    }
+}
