Few loads from the weight store at once, denied units back off, repeats are kept over a window

Now another replica is loaded only from memory or disk, two store loads run at once over the fleet, a store load counts as there when a report says so, and the pause after a denial doubles.

--- a/src/coordination/backend_table.cpp
+++ b/src/coordination/backend_table.cpp
@@ -21,6 +21,7 @@
 constexpr double avoided_cost = 4.0;
 /// How long a unit counts as not held after the server said so.
 constexpr milliseconds denied_for{120};
+constexpr milliseconds longest_denied{960};
 /// Loads by `rendezvous_weight` differ by this much at most, so that hosts agree on one server
 /// where servers are alike.
 constexpr double tie_break_ms = 60;
@@ -65,7 +66,7 @@
     if (entry.born_ms > known.entry.born_ms)
     {
         known.placement.reset();
-        known.denied_until.clear();
+        known.denied.clear();
         known.failures = 0;
         known.failing_part = 0;
         known.avoid_until = now;
@@ -161,10 +162,13 @@
     {
         it.failures = 0;
         it.failing_part -= outcome_weight * it.failing_part;
+        it.denied.erase(unit);
     }
     else if (outcome == backend_outcome::not_held)
     {
-        it.denied_until[unit] = now + denied_for;
+        auto& denial = it.denied[unit];
+        denial.pause = std::clamp(denial.pause * 2, denied_for, longest_denied);
+        denial.until = now + denial.pause;
     }
     if (it.gone && it.running == 0)
     {
@@ -226,8 +230,8 @@
                                                    instant now) const
 {
     constexpr nanoseconds at_once(0);
-    auto denied = it.denied_until.find(unit);
-    if (denied != it.denied_until.end() && now < denied->second)
+    auto denied = it.denied.find(unit);
+    if (denied != it.denied.end() && now < denied->second.until)
     {
         return std::nullopt;
     }
@@ -268,6 +272,22 @@
                       }));
 }
 
+int backend_table::store_loads(instant now) const
+{
+    int sum = 0;
+    for (const auto& [id, it] : servers_)
+    {
+        if (it.gone || !placement_counts(it, now))
+        {
+            continue;
+        }
+        sum += static_cast<int>(std::count_if(
+            it.placement->models.begin(), it.placement->models.end(), [&](const auto& model)
+            { return model.second.from_store && model.second.ready_at > now; }));
+    }
+    return sum;
+}
+
 bool backend_table::covered(const server_id& server, const model_id& model, instant now) const
 {
     return std::any_of(servers_.begin(), servers_.end(),
@@ -367,7 +387,7 @@
     }
     if (wants_model)
     {
-        if (auto load_there = choose_load(need, *engine, now))
+        if (auto load_there = choose_load(need, *engine, false, now))
         {
             return *load_there;
         }
@@ -383,12 +403,14 @@
     {
         return std::nullopt;
     }
-    auto choice = choose_load(need, engine, now);
+    // A load from the store takes longer than the load that asks for it lasts.
+    auto choice = choose_load(need, engine, true, now);
     return choice && !choice->coming ? choice : std::nullopt;
 }
 
 std::optional<server_choice>
-backend_table::choose_load(const server_need& need, const engine_spec& engine, instant now) const
+backend_table::choose_load(const server_need& need, const engine_spec& engine, bool at_hand,
+                           instant now) const
 {
     auto model = engine.models.find(need.unit.model);
     if (model == engine.models.end())
@@ -398,6 +420,7 @@
     const record* best = nullptr;
     double best_ms = std::numeric_limits<double>::max();
     double best_wait = 0;
+    bool store_is_busy = store_loads(now) >= options_.store_loads_at_once;
     for (const auto& [id, it] : servers_)
     {
         bool held = holds(it, {.model = need.unit.model, .adapter = {}}, now);
@@ -414,6 +437,15 @@
         {
             length = model->second.load_from_disk;
         }
+        else if (at_hand)
+        {
+            continue;
+        }
+        else if (store_is_busy)
+        {
+            // It waits for one of those under way at least.
+            length *= 2;
+        }
         auto ms = static_cast<double>(length.count());
         if (placement_counts(it, now))
         {
--- a/src/coordination/backend_table.hpp
+++ b/src/coordination/backend_table.hpp
@@ -37,6 +37,8 @@
     std::map<adapter_id, instant> adapters = {};
     /// About to be unloaded.
     bool leaving = false;
+    /// On its way from the weight store.
+    bool from_store = false;
 
     friend bool operator==(const held_model&, const held_model&) = default;
 };
@@ -79,6 +81,9 @@
     milliseconds told_for{2500};
     /// A placement that was not told again for this long gives way to the server's own entry.
     milliseconds placement_for{6000};
+    /// Loads from the weight store at once over the fleet. The platform's sheets state that 2 to 4
+    /// run at full speed; beyond that each only slows the others.
+    int store_loads_at_once = 2;
     /// First pause after a failure; doubles with each in a row.
     milliseconds first_pause{150};
     milliseconds longest_pause{4000};
@@ -118,6 +123,8 @@
 public:
     explicit backend_table(backend_table_options options) : options_(std::move(options)) {}
 
+    const backend_table_options& options() const { return options_; }
+
     struct record
     {
         backend_entry entry;
@@ -143,8 +150,14 @@
         instant avoid_until;
         /// The last byte received.
         instant heard_at;
-        /// Units that the server has just said it does not hold.
-        std::map<engine_unit, instant> denied_until;
+        /// Units that the server has just said it does not hold; each time in a row the pause
+        /// before it is asked again doubles.
+        struct denial
+        {
+            instant until;
+            milliseconds pause{0};
+        };
+        std::map<engine_unit, denial> denied;
         /// Gone from the registry; kept while requests run there.
         bool gone = false;
     };
@@ -196,6 +209,8 @@
     bool covered(const server_id& server, const model_id& model, instant now) const;
     /// How many servers other than `server` can serve the model.
     int other_holders(const server_id& server, const model_id& model, instant now) const;
+    /// Loads from the weight store that are under way by what is told.
+    int store_loads(instant now) const;
 
 private:
     /// Beyond this part of its places a server's first events come late ever more often.
@@ -211,8 +226,9 @@
     double cost(const record& it, instant now) const;
     /// Whether the server has places enough left that its answers begin on time.
     static bool has_room(const record& it) { return load(it) < busy_part * it.entry.slots; }
+    /// With `at_hand`, only where the checkpoint is in memory or on disk.
     std::optional<server_choice> choose_load(const server_need& need, const engine_spec& engine,
-                                             instant now) const;
+                                             bool at_hand, instant now) const;
 
     backend_table_options options_;
     std::map<server_id, record> servers_;
--- a/src/coordination/repeat_budget.cpp
+++ b/src/coordination/repeat_budget.cpp
@@ -1,6 +1,7 @@
 #include "coordination/repeat_budget.hpp"
 
 #include <algorithm>
+#include <cmath>
 
 namespace banyanshunt
 {
@@ -10,29 +11,40 @@
 
 /// The part of the stated budget that is used; the rest covers hosts that start anew.
 constexpr double used_part = 0.8;
+/// The part of a window's budget that may be kept from before it; with `used_part` it stays below 1.
+constexpr double kept_part = 0.15;
 
 } // namespace
 
+double repeat_budget::own_extra(std::size_t hosts) const
+{
+    return options_.extra * used_part / static_cast<double>(std::max<std::size_t>(hosts, 1));
+}
+
+double repeat_budget::most(std::size_t hosts) const
+{
+    return std::max(own_extra(hosts) / 2, 1.0) + options_.ratio * kept_part * recent_;
+}
+
 void repeat_budget::refill(std::size_t hosts, instant now)
 {
-    double own = options_.extra * used_part / static_cast<double>(std::max<std::size_t>(hosts, 1));
-    double most = std::max(own / 2, 1.0);
     if (!begun_)
     {
-        left_ = most;
+        left_ = most(hosts);
         begun_ = true;
     }
     std::chrono::duration<double, std::milli> passed = now - filled_at_;
     filled_at_ = now;
-    left_ = std::min(most, left_ + own / 2 * passed.count() /
-                                       static_cast<double>(options_.window.count()));
+    double windows = passed.count() / static_cast<double>(options_.window.count());
+    recent_ *= std::exp(-windows);
+    left_ = std::min(most(hosts), left_ + own_extra(hosts) / 2 * windows);
 }
 
 void repeat_budget::note_request(std::size_t hosts, instant now)
 {
     refill(hosts, now);
-    double own = options_.extra * used_part / static_cast<double>(std::max<std::size_t>(hosts, 1));
-    left_ = std::min(std::max(own / 2, 1.0), left_ + options_.ratio * used_part);
+    recent_ += 1;
+    left_ = std::min(most(hosts), left_ + options_.ratio * used_part);
 }
 
 bool repeat_budget::take(std::size_t hosts, instant now)
--- a/src/coordination/repeat_budget.hpp
+++ b/src/coordination/repeat_budget.hpp
@@ -21,7 +21,9 @@
 };
 
 /// The budget towards one service. Half of this host's part of the extra repeats is there at once,
-/// the other half comes over a window, so no window holds more than the whole.
+/// the other half comes over a window, so no window holds more than the whole. What requests earn is
+/// kept up to a part of what those of one window earn: on many small hosts the part of the extra
+/// repeats is too small to hold the repeats that come together when one server fails.
 class repeat_budget
 {
 public:
@@ -37,9 +39,13 @@
 
 private:
     void refill(std::size_t hosts, instant now);
+    double own_extra(std::size_t hosts) const;
+    double most(std::size_t hosts) const;
 
     repeat_budget_options options_;
     double left_ = 0;
+    /// Requests of the last window, decaying.
+    double recent_ = 0;
     instant filled_at_;
     bool begun_ = false;
 };
--- a/src/coordination/server_duty.cpp
+++ b/src/coordination/server_duty.cpp
@@ -98,6 +98,14 @@
     {
         report_at_ = now + options_.report_lag;
         retry_at_ = now + options_.longest_conflict_pause;
+        for (auto& [id, model] : models_)
+        {
+            if (model.from_store && !report.models.contains(id))
+            {
+                model.ready_at = std::max(model.ready_at, now + options_.overdue_period);
+                report_at_ = model.ready_at;
+            }
+        }
         if (unloading_)
         {
             orders_ = report.orders_accepted;
@@ -108,6 +116,7 @@
     for (auto& [id, model] : models_)
     {
         model.leaving = false;
+        model.from_store = false;
         model.ready_at = std::min(model.ready_at, now);
     }
     take_models(report.models, now);
@@ -237,6 +246,15 @@
         nothing.again_at = retry_at_;
         return nothing;
     }
+    bool overdue = std::any_of(models_.begin(), models_.end(),
+                               [&](const auto& it)
+                               { return it.second.from_store && it.second.ready_at <= now; });
+    if (overdue)
+    {
+        orders_.reset();
+        report_at_ = now + options_.overdue_period;
+        return {.what = step::kind::ask_report, .order = {}, .again_at = {}};
+    }
     if (loading(now))
     {
         for (const auto& [id, model] : models_)
@@ -517,6 +535,8 @@
     auto spec = engine.models.find(order.model);
     model = {};
     model.rate_at = now;
+    model.from_store = answer == order_answer::accepted && !entry_.in_memory.contains(order.model) &&
+                       !entry_.on_disk.contains(order.model);
     model.ready_at = answer == order_answer::holds || spec == engine.models.end()
                          ? now
                          : now + load_length(spec->second);
@@ -532,7 +552,15 @@
     bool idle_adapter = false;
     for (const auto& [id, model] : models_)
     {
-        held_model held{.ready_at = model.ready_at, .adapters = {}, .leaving = model.leaving};
+        held_model held{.ready_at = model.ready_at,
+                        .adapters = {},
+                        .leaving = model.leaving,
+                        .from_store = model.from_store};
+        if (model.from_store)
+        {
+            // Not before a report says so.
+            held.ready_at = std::max(model.ready_at, now) + load_slack;
+        }
         for (const auto& [adapter, state] : model.adapters)
         {
             held.adapters.emplace(adapter, state.ready_at);
--- a/src/coordination/server_duty.hpp
+++ b/src/coordination/server_duty.hpp
@@ -86,6 +86,8 @@
     milliseconds use_known_after{700};
     /// Conflicts that last longer than this are no sign of an order under way.
     milliseconds longest_conflict{500};
+    /// How often a load from the weight store that takes longer than stated is looked at.
+    milliseconds overdue_period{1000};
     /// A model that was just loaded is not unloaded again before this.
     milliseconds least_stay{700};
 };
@@ -114,7 +116,8 @@
         std::function<int(const model_id&)> other_holders;
         /// Whether another server is about to hold a model, or holds it with room.
         std::function<bool(const model_id&)> covered;
-        /// Takes a load from the weight store out of this host's part of its rate.
+        /// Takes a load from the weight store out of this host's part of its rate, if few are under
+        /// way in the fleet.
         std::function<bool()> take_store_load;
     };
 
@@ -146,6 +149,9 @@
     {
         instant ready_at;
         bool leaving = false;
+        /// On its way from the weight store, until a report says that it is there: how long that
+        /// takes depends on other loads.
+        bool from_store = false;
         std::map<adapter_id, adapter_state> adapters;
         /// Requests a second, decaying.
         double rate = 0;
--- a/src/serve/order_duty.cpp
+++ b/src/serve/order_duty.cpp
@@ -240,6 +240,10 @@
 
 bool order_duty::take_store_load(const engine_spec& engine)
 {
+    if (core_.servers.store_loads(core_.now()) >= core_.servers.options().store_loads_at_once)
+    {
+        return false;
+    }
     // Each host that orders may begin one load at once; the rest of the bound comes as a rate.
     const auto& bounds = core_.settings.bounds;
     double window_s = std::chrono::duration<double>(bounds.load_window).count();
--- a/src/serve/peer_duty.cpp
+++ b/src/serve/peer_duty.cpp
@@ -64,6 +64,7 @@
         held.set_model(id.str());
         held.set_ready_in_ms(ms_until(model.ready_at, now));
         held.set_leaving(model.leaving);
+        held.set_from_store(model.from_store);
         for (const auto& [adapter, ready_at] : model.adapters)
         {
             auto& it = *held.add_adapters();
@@ -86,7 +87,8 @@
     {
         held_model held{.ready_at = now + milliseconds(it.ready_in_ms()),
                         .adapters = {},
-                        .leaving = it.leaving()};
+                        .leaving = it.leaving(),
+                        .from_store = it.from_store()};
         for (const auto& adapter : it.adapters())
         {
             held.adapters.emplace(adapter_id(adapter.name()),
