One host of a failure domain reads the platform's topics for the others

Hosts of a domain with four live peers or more now ask the domain's reader twice a second for what changed; what an answer confirms is counted from the ask on the asking host's clock, so a datagram that waited in a suspended host's buffer makes nothing look fresh. A host reads itself as soon as what it has grows old.

--- a/src/serve/host_core.hpp
+++ b/src/serve/host_core.hpp
@@ -47,6 +47,15 @@
     virtual task<bool> take_tokens(workspace_id workspace, millitokens amount) = 0;
 };
 
+/// Who reads the platform's topics for whom in a failure domain.
+struct view_sharing
+{
+    /// Another host reads for this one and answers.
+    bool read_by_other = false;
+    /// When another host last asked for what this one has read.
+    instant asked_at = instant::min();
+};
+
 struct host_core
 {
     host_core(host_settings given, asio::any_io_executor loop)
@@ -117,6 +126,7 @@
     std::size_t hosts = 1;
     std::map<service_id, repeat_budget> budgets;
     std::map<model_id, instant> replica_asked;
+    view_sharing view;
     wake_list waiting;
     event_log log;
     host_counters counters;
--- a/src/serve/peer_duty.cpp
+++ b/src/serve/peer_duty.cpp
@@ -101,8 +101,8 @@
 
 } // namespace
 
-peer_duty::peer_duty(host_core& core)
-    : core_(core), peers_(core), shares_(core, peers_),
+peer_duty::peer_duty(host_core& core, state_follower_duty& follower)
+    : core_(core), peers_(core), shares_(core, peers_), views_(core, peers_, follower),
       orders_(core, [this](const server_id& server, const server_placement& it)
                            { tell_placement(server, it); }),
       started_(core.now()),
@@ -124,7 +124,12 @@
                   }
                   listed_ = true;
               },
-              .record = [this](const auto& record) { take_host(record); },
+              .record =
+                  [this](const auto& record)
+              {
+                  take_host(record);
+                  return true;
+              },
               .confirmed = [](instant) {}}),
       buffer_(datagram_bytes)
 {
@@ -140,6 +145,7 @@
     asio::co_spawn(core_.executor, report_loop(), asio::detached);
     asio::co_spawn(core_.executor, register_loop(), asio::detached);
     asio::co_spawn(core_.executor, hosts_.run(), asio::detached);
+    asio::co_spawn(core_.executor, views_.run(), asio::detached);
     orders_.start();
 }
 
@@ -289,6 +295,7 @@
                      milliseconds(it.waited_ms()));
     }
     shares_.take_message(host, sender, message);
+    views_.take_message(host, sender, message);
 }
 
 void peer_duty::take_report(const host_id& from, const peers::peer_message& message)
--- a/src/serve/peer_duty.hpp
+++ b/src/serve/peer_duty.hpp
@@ -13,6 +13,7 @@
 #include "serve/peer_list.hpp"
 #include "serve/share_duty.hpp"
 #include "serve/store_reader.hpp"
+#include "serve/view_duty.hpp"
 
 namespace banyanshunt
 {
@@ -20,7 +21,7 @@
 class peer_duty : public request_helper
 {
 public:
-    explicit peer_duty(host_core& core);
+    peer_duty(host_core& core, state_follower_duty& follower);
     ~peer_duty() override;
 
     void start();
@@ -54,6 +55,7 @@
     host_core& core_;
     peer_list peers_;
     share_duty shares_;
+    view_duty views_;
     order_duty orders_;
     instant started_;
     topic_reader hosts_;
--- a/src/serve/serve_host.cpp
+++ b/src/serve/serve_host.cpp
@@ -83,7 +83,7 @@
 {
     explicit parts(host_settings settings)
         : core(std::move(settings), loop.get_executor()), callers(loop), ready(loop),
-          signals(loop, SIGTERM, SIGINT, SIGHUP), follower(core), peers(core)
+          signals(loop, SIGTERM, SIGINT, SIGHUP), follower(core), peers(core, follower)
     {
         core.helper = &peers;
     }
--- a/src/serve/store_reader.cpp
+++ b/src/serve/store_reader.cpp
@@ -1,5 +1,7 @@
 #include "serve/store_reader.hpp"
 
+#include <algorithm>
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
@@ -18,6 +20,19 @@
 /// How long a call waits for a change. With the patience behind it, a connection that went silent
 /// is found well before the configuration counts as stale, and quiet hosts call seldom.
 constexpr milliseconds config_wait{2200};
+/// A host that others ask for what it has read calls more often, so that they get it fresh, until it
+/// was not asked for `readers_turn`.
+constexpr milliseconds readers_turn{3000};
+constexpr milliseconds reader_wait{500};
+constexpr milliseconds reader_gap{400};
+/// How old the configuration may grow before a host reads it itself though another reads for it:
+/// less than half of the shortest bound on withdrawn keys.
+constexpr milliseconds own_config_read_after{2000};
+/// How often a host looks whether what another reads for it has grown old.
+constexpr milliseconds longest_nap{300};
+/// What a host keeps of the records it has read, and sends in one datagram, in bytes.
+constexpr std::size_t most_recent_bytes = 65536;
+constexpr std::size_t most_view_bytes = 16384;
 /// The pause after a failed call, doubled while failures go on.
 constexpr milliseconds first_pause{50};
 constexpr milliseconds longest_pause{400};
@@ -49,6 +64,12 @@
     milliseconds after_failure = first_pause;
     while (true)
     {
+        if (others_suffice())
+        {
+            auto left = options_.own_read_after - (core_.now() - confirmed_at_);
+            co_await pause(std::clamp<nanoseconds>(left, milliseconds(20), longest_nap));
+            continue;
+        }
         bool good = false;
         if (next_)
         {
@@ -66,7 +87,12 @@
         if (good)
         {
             after_failure = first_pause;
-            if (auto gap = options_.gap(); gap.count() > 0)
+            auto gap = options_.gap();
+            if (reads_for_others())
+            {
+                gap = std::min(gap, reader_gap);
+            }
+            if (gap.count() > 0)
             {
                 co_await pause(gap);
             }
@@ -77,6 +103,74 @@
     }
 }
 
+bool topic_reader::others_suffice() const
+{
+    return next_ && reached_ && !behind_ && core_.view.read_by_other &&
+           core_.now() - confirmed_at_ < options_.own_read_after;
+}
+
+bool topic_reader::reads_for_others() const
+{
+    return is_shared() && core_.now() - core_.view.asked_at < readers_turn;
+}
+
+void topic_reader::hand_on(const std::vector<platform::keyed_record>& records)
+{
+    for (const auto& it : records)
+    {
+        if (!handlers_.record(it))
+        {
+            continue;
+        }
+        recent_.push_back(it);
+        recent_bytes_ += it.key.size() + it.value.value_or("").size();
+    }
+    while (recent_bytes_ > most_recent_bytes)
+    {
+        const auto& first = recent_.front();
+        recent_bytes_ -= first.key.size() + first.value.value_or("").size();
+        recent_from_ = log_offset(first.at.count() + 1);
+        recent_.pop_front();
+    }
+}
+
+topic_view topic_reader::view_from(log_offset from) const
+{
+    topic_view view{
+        .end = next_.value_or(log_offset(0)), .confirmed = confirmed_at_, .whole = false, .records = {}};
+    view.whole = next_ && from >= recent_from_ && from <= view.end;
+    std::size_t bytes = 0;
+    for (auto it = recent_.rbegin(); view.whole && it != recent_.rend() && it->at >= from; ++it)
+    {
+        bytes += it->key.size() + it->value.value_or("").size();
+        view.whole = bytes <= most_view_bytes;
+        view.records.push_back(*it);
+    }
+    if (!view.whole)
+    {
+        view.records.clear();
+    }
+    std::reverse(view.records.begin(), view.records.end());
+    return view;
+}
+
+void topic_reader::adopt(const topic_view& view)
+{
+    if (!next_ || view.end < *next_)
+    {
+        return;
+    }
+    if (!view.whole)
+    {
+        behind_ = true;
+        return;
+    }
+    next_ = view.end;
+    note_answer(view.confirmed);
+    hand_on(view.records);
+    handlers_.confirmed(view.confirmed);
+}
+
 task<bool> topic_reader::read_whole()
 {
     instant asked = core_.now();
@@ -108,7 +202,10 @@
         after = all.back().key;
     }
     next_ = begin;
-    note_answer();
+    recent_.clear();
+    recent_bytes_ = 0;
+    recent_from_ = *begin;
+    note_answer(asked);
     handlers_.whole(all);
     handlers_.confirmed(asked);
     co_return true;
@@ -119,6 +216,9 @@
     instant asked = core_.now();
     // Behind a failure the first call does not wait: what matters is to be confirmed again.
     milliseconds wait = reached_ ? options_.wait : milliseconds(0);
+    wait = reads_for_others() ? std::min(wait, reader_wait) : wait;
+    // The one that reads for this host fell silent: what matters is what is in force now.
+    wait = is_shared() && core_.view.read_by_other ? milliseconds(0) : wait;
     auto call = platform::read_call(options_.topic, *next_, wait);
     auto answer = co_await link_.call(call.method, call.target, call.body, wait + answer_patience);
     if (!answer)
@@ -144,18 +244,17 @@
         co_return false;
     }
     next_ = page->end;
-    note_answer();
-    for (const auto& record : page->records)
-    {
-        handlers_.record(record);
-    }
+    note_answer(asked);
+    hand_on(page->records);
     handlers_.confirmed(asked);
     co_return true;
 }
 
-void topic_reader::note_answer()
+void topic_reader::note_answer(instant confirmed)
 {
     instant now = core_.now();
+    confirmed_at_ = std::max(confirmed_at_, confirmed);
+    behind_ = false;
     if (answered_at_ && now - *answered_at_ > store_away)
     {
         handlers_.regained();
@@ -165,7 +264,9 @@
 
 state_follower_duty::state_follower_duty(host_core& core)
     : core_(core),
-      config_(core, {.topic = platform::config_topic, .wait = config_wait},
+      config_(core, {.topic = platform::config_topic,
+               .wait = config_wait,
+               .own_read_after = own_config_read_after},
               {.whole =
                    [this](const auto& records)
                {
@@ -174,76 +275,84 @@
                        take_config(record);
                    }
                },
-               .record = [this](const auto& record) { take_config(record); },
+               .record = [this](const auto& record) { return take_config(record); },
                .confirmed =
                    [this](instant asked)
                {
                    if (core_.config)
                    {
-                       core_.config_confirmed = asked;
+                       core_.config_confirmed =
+                           std::max(core_.config_confirmed.value_or(asked), asked);
                    }
                }}),
       servers_(core,
                {.topic = platform::server_topic,
                 .wait = config_wait,
+                .own_read_after = registry_gap(core.settings.bounds.drain),
                 .gap = [&core] { return registry_gap(core.settings.bounds.drain); }},
                {.whole = [this](const auto& records) { take_all_servers(records); },
-                .record = [this](const auto& record) { take_server(record); },
+                .record = [this](const auto& record) { return take_server(record); },
                 .regained = [this] { doubtful_until_ = core_.now() + entries_back; },
                 .confirmed = [this](instant) { core_.servers_known = true; }})
 {
 }
 
-void state_follower_duty::take_config(const platform::keyed_record& record)
+bool state_follower_duty::take_config(const platform::keyed_record& record)
 {
     if (record.key != platform::config_key || !record.value)
     {
-        return;
+        return false;
     }
     auto parsed = platform::parse_manifest(*record.value);
     if (!parsed)
     {
         core_.log.write("config_refused", "detail=\"{}\"", parsed.error().detail);
-        return;
+        return false;
     }
     if (core_.config && (*parsed)->version <= core_.config->version)
     {
-        return;
+        return false;
     }
     core_.config = *parsed;
     core_.log.write("config_in_force", "version={} routes={} workspaces={}", core_.config->version,
                     core_.config->routes.size(), core_.config->workspaces.size());
     core_.on_config();
     core_.waiting.wake_all();
+    return true;
 }
 
-void state_follower_duty::take_server(const platform::keyed_record& record)
+bool state_follower_duty::take_server(const platform::keyed_record& record)
 {
     server_id id(record.key);
     if (!record.value)
     {
-        remove_server(id);
-        return;
+        return remove_server(id);
     }
     auto parsed = platform::parse_server_entry(id, *record.value);
     if (!parsed)
     {
         core_.log.write("server_entry_refused", "server={} detail=\"{}\"", id.str(),
                         parsed.error().detail);
-        return;
+        return false;
     }
     doubtful_.erase(id);
     const auto* known = core_.servers.find(id);
-    if (known && known->entry == *parsed && !known->gone)
+    if (known && known->entry.announcement <= parsed->announcement)
     {
-        return;
+        // A server that lives announces itself again and again.
+        auto same = known->entry;
+        same.announcement = parsed->announcement;
+        if (same == *parsed && !known->gone)
+        {
+            return false;
+        }
     }
     bool fresh_life = known && known->entry.born_ms != parsed->born_ms;
     bool leaving = parsed->draining && (!known || !known->entry.draining);
     endpoint_text old_address = known ? known->entry.address : parsed->address;
     if (!core_.servers.apply_entry(*parsed, core_.now()))
     {
-        return;
+        return false;
     }
     if (fresh_life || leaving)
     {
@@ -254,6 +363,7 @@
                     parsed->service.str(), parsed->draining, parsed->announcement,
                     parsed->models.size(), parsed->born_ms);
     core_.waiting.wake_all();
+    return true;
 }
 
 void state_follower_duty::take_all_servers(const std::vector<platform::keyed_record>& records)
@@ -278,23 +388,24 @@
     }
 }
 
-void state_follower_duty::remove_server(const server_id& server)
+bool state_follower_duty::remove_server(const server_id& server)
 {
     const auto* known = core_.servers.find(server);
     if (!known || known->gone)
     {
-        return;
+        return false;
     }
     if (core_.now() < doubtful_until_ && !known->entry.draining)
     {
         doubtful_[server] = ++next_doubt_;
         asio::co_spawn(core_.executor, remove_later(server), asio::detached);
-        return;
+        return true;
     }
     core_.log.write("server_gone", "server={}", server.str());
     core_.pool.forget(known->entry.address);
     core_.servers.remove(server);
     core_.waiting.wake_all();
+    return true;
 }
 
 task<void> state_follower_duty::remove_later(server_id server)
