A fault soak: real entry hosts as processes, proxies, signals, and checks from both ends

The stand-in of the platform's store gets partitions, conditional appends and a group of several members; the one of an engine checks fencing numbers, turns within a lease and memory.

--- /dev/null
+++ b/tests/soak/shunt_soak.cpp
@@ -0,0 +1,273 @@
+// Runs entry hosts as separate processes on loopback, injects faults from outside, and checks the
+// promises from what callers and backend servers saw. The same seed gives the same faults.
+
+#include <signal.h>
+
+#include <filesystem>
+#include <iostream>
+#include <random>
+
+#include <fmt/format.h>
+#include <gflags/gflags.h>
+
+#include "soak/soak_checks.hpp"
+
+DEFINE_string(program, "build/shunt-serve", "the program of an entry host");
+DEFINE_uint64(seed, 1, "the first seed");
+DEFINE_int32(seeds, 1, "how many seeds to run, one after the other");
+DEFINE_int32(hosts, 4, "entry hosts in a run");
+DEFINE_int32(fault_seconds, 12, "how long faults come");
+DEFINE_int32(block, 30, "addresses are 127.BLOCK.x.y, so that runs can go side by side");
+DEFINE_string(folder, "", "where settings and logs go; a new folder for each seed below it");
+
+namespace
+{
+
+using namespace banyanshunt;
+using namespace banyanshunt::soak;
+using namespace std::chrono_literals;
+
+/// Starting hosts take shares after 1.5 s, and callers need a host that is ready.
+constexpr auto start_length = 3s;
+/// The users' bound on recovery.
+constexpr auto recovery_length = 12s;
+constexpr auto calm_length = 3s;
+/// Each fourth seed has planned work only, so that no request may be cut off.
+constexpr std::uint64_t planned_each = 4;
+
+/// One run: what is away now, and how it comes back.
+class soak_run
+{
+public:
+    explicit soak_run(std::uint64_t seed, const std::string& folder)
+        : random_(seed), fleet_({.program = FLAGS_program,
+                                 .folder = folder,
+                                 .block = FLAGS_block,
+                                 .hosts = FLAGS_hosts})
+    {
+        history_.planned_only = seed % planned_each == 0;
+    }
+
+    std::vector<std::string> run(std::uint64_t seed)
+    {
+        std::this_thread::sleep_for(start_length);
+        std::vector<std::string> ips;
+        for (const auto& it : fleet_.hosts)
+        {
+            ips.push_back(it.ip);
+        }
+        soak_callers callers(ips, soak_fleet::caller_port, seed);
+        auto until = std::chrono::steady_clock::now() + std::chrono::seconds(FLAGS_fault_seconds);
+        while (std::chrono::steady_clock::now() < until)
+        {
+            restart_ended();
+            history_.planned_only ? plan() : harm();
+            std::this_thread::sleep_for(std::chrono::milliseconds(draw(900)));
+        }
+        heal();
+        auto calm = std::chrono::steady_clock::now() + recovery_length;
+        history_.recovered = calm;
+        while (std::chrono::steady_clock::now() < calm + calm_length)
+        {
+            restart_ended();
+            std::this_thread::sleep_for(50ms);
+        }
+        callers.stop();
+        calls_ = callers.records().size();
+        return broken_promises(callers.records(), fleet_, history_);
+    }
+
+    std::size_t calls() const { return calls_; }
+
+private:
+    int draw(int most) { return std::uniform_int_distribution<int>(0, most - 1)(random_); }
+    soak_fleet::host& any_host()
+    {
+        return fleet_.hosts[static_cast<std::size_t>(draw(FLAGS_hosts))];
+    }
+    std::size_t any_backend()
+    {
+        return static_cast<std::size_t>(draw(static_cast<int>(fleet_.backends.size())));
+    }
+
+    void say(const std::string& what) { std::cout << "  fault: " << what << "\n"; }
+
+    void restart_ended()
+    {
+        for (auto& it : fleet_.hosts)
+        {
+            if (fleet_.collect(it))
+            {
+                fleet_.start(it);
+            }
+        }
+    }
+
+    void plan()
+    {
+        switch (draw(3))
+        {
+        case 0:
+        {
+            auto& it = any_host();
+            // The balancer needs other hosts that are ready.
+            bool others = std::all_of(fleet_.hosts.begin(), fleet_.hosts.end(),
+                                      [&](const auto& other) { return fleet_.ready(other); });
+            if (others)
+            {
+                say("stop " + it.name);
+                fleet_.signal(it, SIGTERM);
+            }
+            break;
+        }
+        case 1:
+            say("reload");
+            fleet_.signal(any_host(), SIGHUP);
+            break;
+        default:
+            withdraw();
+        }
+    }
+
+    void withdraw()
+    {
+        if (!history_.withdrawn.empty() || draw(4) != 0)
+        {
+            return;
+        }
+        say("key-2 withdrawn");
+        fleet_.configure({"key-1"});
+        history_.withdrawn["key-2"] = std::chrono::steady_clock::now();
+    }
+
+    void harm()
+    {
+        auto& it = any_host();
+        auto& way = *fleet_.backend_ways[any_backend()];
+        auto& backend = *fleet_.backends[any_backend()];
+        using fault = loopback_proxy::fault;
+        switch (draw(12))
+        {
+        case 0:
+            say("kill " + it.name);
+            fleet_.signal(it, SIGKILL);
+            break;
+        case 1:
+            say((it.paused ? "go on " : "pause ") + it.name);
+            fleet_.signal(it, it.paused ? SIGCONT : SIGSTOP);
+            it.paused = !it.paused;
+            break;
+        case 2:
+            say("stop " + it.name);
+            fleet_.signal(it, SIGTERM);
+            break;
+        case 3:
+            plan();
+            break;
+        case 4:
+        {
+            const fault ways[] = {fault::none, fault::delay, fault::cut_forth, fault::cut_back};
+            say("way of " + it.name + " to the store");
+            it.store_way->set(ways[draw(4)]);
+            break;
+        }
+        case 5:
+            say("connections of " + it.name + " to the store silent");
+            it.store_way->silence_all();
+            break;
+        case 6:
+        {
+            const fault ways[] = {fault::none, fault::none, fault::delay, fault::cut_forth,
+                                  fault::cut_back};
+            say("way to a server");
+            way.set(ways[draw(5)]);
+            break;
+        }
+        case 7:
+            say("connections to a server reset");
+            way.reset_all();
+            break;
+        case 8:
+            say("connections to a server silent");
+            way.silence_all();
+            break;
+        case 9:
+        {
+            using server_fault = backend_stand_in::fault;
+            const server_fault kinds[] = {server_fault::none, server_fault::full,
+                                          server_fault::lose_answer, server_fault::break_stream};
+            say("a server fails");
+            backend.failing = kinds[draw(4)];
+            break;
+        }
+        case 10:
+            say("store refuses or serves again");
+            fleet_.store.refuse_with = fleet_.store.refuse_with == 0 ? 503 : 0;
+            break;
+        default:
+            say("all hosts killed");
+            for (const auto& each : fleet_.hosts)
+            {
+                fleet_.signal(each, draw(2) == 0 ? SIGKILL : 0);
+            }
+        }
+    }
+
+    void heal()
+    {
+        say("all over");
+        fleet_.store.refuse_with = 0;
+        for (auto& it : fleet_.hosts)
+        {
+            it.store_way->set(loopback_proxy::fault::none);
+            fleet_.signal(it, SIGCONT);
+            it.paused = false;
+        }
+        for (auto& it : fleet_.backend_ways)
+        {
+            it->set(loopback_proxy::fault::none);
+        }
+        for (auto& it : fleet_.backends)
+        {
+            it->failing = backend_stand_in::fault::none;
+        }
+    }
+
+    std::mt19937_64 random_;
+    soak_fleet fleet_;
+    soak_history history_;
+    std::size_t calls_ = 0;
+};
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    gflags::SetUsageMessage(
+        "soaks entry hosts in random faults; the same seed gives the same faults");
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    ::signal(SIGPIPE, SIG_IGN);
+    int passed = 0;
+    int failed = 0;
+    for (std::uint64_t seed = FLAGS_seed;
+         seed < FLAGS_seed + static_cast<std::uint64_t>(FLAGS_seeds); ++seed)
+    {
+        auto base =
+            FLAGS_folder.empty() ? std::filesystem::temp_directory_path().string() : FLAGS_folder;
+        auto folder = fmt::format("{}/shunt-soak-{}-{}", base, FLAGS_block, seed);
+        std::filesystem::remove_all(folder);
+        std::filesystem::create_directories(folder);
+        std::cout << "seed " << seed << ", logs in " << folder << std::endl;
+        soak_run run(seed, folder);
+        auto broken = run.run(seed);
+        for (std::size_t n = 0; n < std::min<std::size_t>(broken.size(), 10); ++n)
+        {
+            std::cout << "  broken: " << broken[n] << "\n";
+        }
+        std::cout << "seed " << seed << ": " << run.calls() << " calls, "
+                  << (broken.empty() ? "passed" : "FAILED") << std::endl;
+        ++(broken.empty() ? passed : failed);
+    }
+    std::cout << passed << " passed, " << failed << " failed" << std::endl;
+    return failed == 0 ? 0 : 1;
+}
--- /dev/null
+++ b/tests/soak/soak_callers.cpp
@@ -0,0 +1,95 @@
+#include "soak/soak_callers.hpp"
+
+#include <random>
+
+#include <fmt/format.h>
+#include <httplib.h>
+
+namespace banyanshunt::soak
+{
+
+namespace
+{
+
+constexpr int callers = 12;
+constexpr std::chrono::milliseconds longest_pause{60};
+constexpr int longest_answer_s = 6;
+/// A caller opens a new connection after so many requests on average.
+constexpr int requests_on_connection = 12;
+
+} // namespace
+
+soak_callers::soak_callers(std::vector<std::string> ips, int port, std::uint64_t seed)
+    : ips_(std::move(ips)), port_(port)
+{
+    for (int n = 0; n < callers; ++n)
+    {
+        threads_.emplace_back([this, n, seed] { call_often(n, seed); });
+    }
+}
+
+void soak_callers::stop()
+{
+    stopping_ = true;
+    for (auto& it : threads_)
+    {
+        it.join();
+    }
+    threads_.clear();
+}
+
+void soak_callers::call_often(int caller, std::uint64_t seed)
+{
+    std::mt19937_64 random(seed * 1000 + static_cast<std::uint64_t>(caller));
+    auto draw = [&](int most) { return std::uniform_int_distribution<int>(0, most - 1)(random); };
+    std::unique_ptr<httplib::Client> client;
+    std::size_t host = 0;
+    for (int n = 0; !stopping_; ++n)
+    {
+        if (!client || draw(requests_on_connection) == 0)
+        {
+            host = static_cast<std::size_t>(draw(static_cast<int>(ips_.size())));
+            client = std::make_unique<httplib::Client>(ips_[host], port_);
+            client->set_keep_alive(true);
+            client->set_connection_timeout(1);
+            client->set_read_timeout(longest_answer_s);
+        }
+        call_record record;
+        record.id = fmt::format("{:x}-{}-{}", seed, caller, n);
+        record.kind = static_cast<call_kind>(draw(3));
+        const char* keys[] = {"key-1", "key-2", "small-key", "small-key"};
+        record.key = keys[draw(4)];
+        record.host = host;
+        httplib::Headers headers = {{"Host", "desk.example"},
+                                    {"X-Request-Id", record.id},
+                                    {"X-Deadline-Ms", "4000"},
+                                    {"Authorization", "Bearer " + record.key}};
+        const char* path = record.kind == call_kind::book   ? "/book/1"
+                           : record.kind == call_kind::read ? "/read/1"
+                                                            : "/guide/1";
+        if (record.kind == call_kind::guide)
+        {
+            const char* models[] = {"busy", "busy", "rare-1", "rare-2", "rare-3"};
+            headers.emplace("X-Model", models[draw(5)]);
+        }
+        record.sent = std::chrono::steady_clock::now();
+        auto answer = record.kind == call_kind::read
+                          ? client->Get(path, headers)
+                          : client->Post(path, headers, "a body", "text/plain");
+        record.ended = std::chrono::steady_clock::now();
+        record.status = answer ? answer->status : 0;
+        record.body = answer ? answer->body : "";
+        if (!answer)
+        {
+            client.reset();
+        }
+        {
+            std::lock_guard lock(mutex_);
+            records_.push_back(std::move(record));
+        }
+        std::this_thread::sleep_for(
+            std::chrono::milliseconds(draw(static_cast<int>(longest_pause.count()))));
+    }
+}
+
+} // namespace banyanshunt::soak
--- /dev/null
+++ b/tests/soak/soak_callers.hpp
@@ -0,0 +1,60 @@
+#pragma once
+
+/// \file
+/// The callers of one soak run, and what each of their requests came to.
+
+#include <atomic>
+#include <chrono>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace banyanshunt::soak
+{
+
+using steady_instant = std::chrono::steady_clock::time_point;
+
+enum class call_kind
+{
+    book,
+    read,
+    guide,
+};
+
+struct call_record
+{
+    std::string id;
+    call_kind kind = call_kind::read;
+    std::string key;
+    steady_instant sent;
+    steady_instant ended;
+    /// 0 if the connection ended without an answer.
+    int status = 0;
+    std::string body;
+    /// The host's number.
+    std::size_t host = 0;
+};
+
+class soak_callers
+{
+public:
+    /// Calls the hosts at these addresses until it is destroyed or stopped.
+    soak_callers(std::vector<std::string> ips, int port, std::uint64_t seed);
+    ~soak_callers() { stop(); }
+    void stop();
+    /// All that ended, after `stop`.
+    const std::vector<call_record>& records() const { return records_; }
+
+private:
+    void call_often(int caller, std::uint64_t seed);
+
+    std::vector<std::string> ips_;
+    int port_;
+    std::atomic<bool> stopping_ = false;
+    std::mutex mutex_;
+    std::vector<call_record> records_;
+    std::vector<std::thread> threads_;
+};
+
+} // namespace banyanshunt::soak
--- /dev/null
+++ b/tests/soak/soak_checks.cpp
@@ -0,0 +1,176 @@
+#include "soak/soak_checks.hpp"
+
+#include <algorithm>
+#include <deque>
+
+#include <fmt/format.h>
+
+namespace banyanshunt::soak
+{
+
+namespace
+{
+
+/// The users' bound on how long a withdrawn key may still work.
+constexpr std::chrono::seconds withdrawal_bound{5};
+/// The users' window for rates, and what it may hold beyond rate and burst.
+constexpr std::chrono::seconds rate_window{8};
+constexpr double rate_over = 1.1;
+/// The part of requests that are served once everything works again; the workspace that asks for
+/// too much is left out.
+constexpr double recovered_part = 0.9;
+constexpr const char* whole_stream = "id: 1\ndata: token1\n\nid: 2\ndata: token2\n\n"
+                                     "id: 3\ndata: token3\n\nid: 4\ndata: token4\n\n"
+                                     "id: 5\ndata: token5\n\n";
+
+using runs_by_id = std::map<std::string, std::vector<served_request>>;
+
+runs_by_id collect_runs(const soak_fleet& fleet)
+{
+    runs_by_id runs;
+    for (const auto& it : fleet.backends)
+    {
+        for (auto& served : it->served())
+        {
+            runs[served.id].push_back(std::move(served));
+        }
+    }
+    return runs;
+}
+
+bool promises_not_run(int status)
+{
+    return status == 429 || status == 503 || status == 401 || status == 404;
+}
+
+void check_call(const call_record& call, const std::vector<served_request>& runs,
+                const soak_history& history, std::vector<std::string>& broken)
+{
+    auto add = [&](const char* what)
+    {
+        broken.push_back(
+            fmt::format("{}: {} (status {}, {} runs)", call.id, what, call.status, runs.size()));
+    };
+    bool changes = call.kind == call_kind::book;
+    if (changes && runs.size() > 1)
+    {
+        add("a request that may run once ran again");
+    }
+    if (changes && promises_not_run(call.status) && !runs.empty())
+    {
+        add("refused as not run, and it ran");
+    }
+    if (call.status == 200 && runs.empty())
+    {
+        add("answered, and no server ran it");
+    }
+    bool stream = call.kind == call_kind::guide;
+    if (call.status == 200 && stream && call.body != whole_stream)
+    {
+        add("a stream that looks whole lacks events, or has some twice");
+    }
+    if (call.status == 200 && !stream && !call.body.starts_with("answer by "))
+    {
+        add("the answer is not the server's");
+    }
+    const char* workspace = call.key == "small-key" ? "small" : "clinics";
+    auto withdrawn = history.withdrawn.find(call.key);
+    for (const auto& it : runs)
+    {
+        if (it.saw_key || it.workspace != workspace)
+        {
+            add("a server saw the key, or another workspace's name");
+        }
+        if (withdrawn != history.withdrawn.end() && it.at > withdrawn->second + withdrawal_bound &&
+            call.sent > withdrawn->second)
+        {
+            add("a withdrawn key still worked");
+        }
+    }
+    if (history.planned_only && call.status == 0 && !runs.empty())
+    {
+        add("planned work cut a request off");
+    }
+}
+
+void check_rate(const std::vector<call_record>& calls, const runs_by_id& runs,
+                std::vector<std::string>& broken)
+{
+    std::vector<steady_instant> at;
+    for (const auto& call : calls)
+    {
+        auto it = runs.find(call.id);
+        if (call.key == "small-key" && it != runs.end())
+        {
+            // A request is charged once, however often it is repeated for its caller.
+            at.push_back(it->second.front().at);
+        }
+    }
+    std::sort(at.begin(), at.end());
+    std::deque<steady_instant> window;
+    auto most =
+        rate_over * (soak_fleet::small_rate * rate_window.count() + soak_fleet::small_burst);
+    std::size_t peak = 0;
+    for (auto it : at)
+    {
+        window.push_back(it);
+        while (it - window.front() > rate_window)
+        {
+            window.pop_front();
+        }
+        peak = std::max(peak, window.size());
+    }
+    if (static_cast<double>(peak) > most)
+    {
+        broken.push_back(
+            fmt::format("{} requests of one workspace ran in 8 s, {} are allowed", peak, most));
+    }
+}
+
+void check_recovery(const std::vector<call_record>& calls, const soak_history& history,
+                    std::vector<std::string>& broken)
+{
+    int asked = 0;
+    int served = 0;
+    for (const auto& call : calls)
+    {
+        if (call.sent > history.recovered && call.key != "small-key" &&
+            !history.withdrawn.contains(call.key))
+        {
+            ++asked;
+            served += call.status == 200 ? 1 : 0;
+        }
+    }
+    if (asked == 0 || served < recovered_part * asked)
+    {
+        broken.push_back(
+            fmt::format("{} of {} requests were served after the faults", served, asked));
+    }
+}
+
+} // namespace
+
+std::vector<std::string> broken_promises(const std::vector<call_record>& calls,
+                                         const soak_fleet& fleet, const soak_history& history)
+{
+    std::vector<std::string> broken;
+    auto runs = collect_runs(fleet);
+    for (const auto& call : calls)
+    {
+        auto it = runs.find(call.id);
+        check_call(call, it == runs.end() ? std::vector<served_request>() : it->second, history,
+                   broken);
+    }
+    check_rate(calls, runs, broken);
+    check_recovery(calls, history, broken);
+    for (const auto& it : fleet.backends)
+    {
+        for (const auto& fault : it->order_faults())
+        {
+            broken.push_back("orders: " + fault);
+        }
+    }
+    return broken;
+}
+
+} // namespace banyanshunt::soak
--- /dev/null
+++ b/tests/soak/soak_fleet.hpp
@@ -0,0 +1,76 @@
+#pragma once
+
+/// \file
+/// The processes of one soak run: entry hosts as they ship, each with its own address on loopback,
+/// between stand-ins of the platform and of backend servers, with a proxy on every way.
+
+#include <sys/types.h>
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "soak/loopback_proxy.hpp"
+#include "stand_ins/prepared_platform.hpp"
+
+namespace banyanshunt::soak
+{
+
+struct fleet_options
+{
+    /// The program of an entry host.
+    std::string program;
+    /// Where settings and logs of the hosts go.
+    std::string folder;
+    /// Addresses are 127.`block`.0.x, so that runs can go side by side; 1 to 254.
+    int block = 1;
+    int hosts = 4;
+};
+
+class soak_fleet
+{
+public:
+    explicit soak_fleet(fleet_options options);
+    /// Ends every process that it started.
+    ~soak_fleet();
+
+    struct host
+    {
+        std::string name;
+        std::string ip;
+        pid_t pid = 0;
+        bool paused = false;
+        /// On its way to the store.
+        std::unique_ptr<loopback_proxy> store_way;
+    };
+
+    void start(host& it);
+    void signal(const host& it, int number) const;
+    /// Collects a host's process if it has ended; true if it is gone.
+    bool collect(host& it) const;
+    bool ready(const host& it) const;
+    std::string caller_ip(const host& it) const { return it.ip; }
+
+    /// Writes the next configuration: the clinics' keys, and the rate of both workspaces.
+    void configure(const std::vector<std::string>& clinic_keys);
+
+    static constexpr int caller_port = 18221;
+    static constexpr int ready_port = 18224;
+    /// The rate and burst of the workspace that is asked for several times as much, in requests.
+    static constexpr int small_rate = 20;
+    static constexpr int small_burst = 20;
+
+    store_stand_in store{6};
+    std::vector<std::unique_ptr<backend_stand_in>> backends;
+    std::vector<std::unique_ptr<loopback_proxy>> backend_ways;
+    std::vector<host> hosts;
+
+private:
+    void announce();
+
+    fleet_options options_;
+    int version_ = 0;
+};
+
+} // namespace banyanshunt::soak
--- a/tests/stand_ins/prepared_platform.cpp
+++ b/tests/stand_ins/prepared_platform.cpp
@@ -50,6 +50,18 @@
     return to;
 }
 
+bool is_keyed(const std::string& topic)
+{
+    return topic.rfind("keyed.", 0) == 0;
+}
+
+/// Keyed topics have one partition; each partition of another is a log of its own.
+std::string log_name(const httplib::Request& call)
+{
+    std::string topic = call.get_param_value("topic");
+    return is_keyed(topic) ? topic : topic + "/" + call.get_param_value("part");
+}
+
 std::string event(int n)
 {
     return "id: " + std::to_string(n) + "\ndata: token" + std::to_string(n) + "\n\n";
@@ -57,17 +69,75 @@
 
 } // namespace
 
+std::string group_stand_in::join(const std::string& member, std::chrono::milliseconds ttl)
+{
+    std::lock_guard lock(mutex_);
+    auto now = std::chrono::steady_clock::now();
+    bool changed = !members_.contains(member);
+    members_[member] = now + ttl;
+    changed =
+        std::erase_if(members_, [&](const auto& it) { return it.second < now; }) > 0 || changed;
+    if (changed)
+    {
+        ++generation_;
+        deal();
+    }
+    json parts = json::array();
+    for (const auto& [partition, holder] : holders_)
+    {
+        if (holder == member)
+        {
+            parts.push_back({"shunt-duties", partition, 0});
+        }
+    }
+    return json{{"generation", generation_}, {"ttl_ms", ttl.count()}, {"parts", parts}}.dump();
+}
+
+void group_stand_in::leave(const std::string& member)
+{
+    std::lock_guard lock(mutex_);
+    if (members_.erase(member) > 0)
+    {
+        ++generation_;
+        deal();
+    }
+}
+
+void group_stand_in::deal()
+{
+    // Holders keep what they have, up to their even part.
+    std::size_t even =
+        members_.empty()
+            ? 0
+            : (static_cast<std::size_t>(partitions_) + members_.size() - 1) / members_.size();
+    std::map<std::string, std::size_t> held;
+    std::erase_if(holders_, [&](const auto& it)
+                  { return !members_.contains(it.second) || ++held[it.second] > even; });
+    for (int partition = 0; partition < partitions_ && even > 0; ++partition)
+    {
+        for (const auto& [member, until] : members_)
+        {
+            if (!holders_.contains(partition) && held[member] < even)
+            {
+                holders_[partition] = member;
+                ++held[member];
+            }
+        }
+    }
+}
+
 struct store_stand_in::server
 {
     httplib::Server http;
     std::thread thread;
 };
 
-store_stand_in::store_stand_in() : server_(std::make_unique<server>())
+store_stand_in::store_stand_in(int partitions)
+    : group_(partitions), server_(std::make_unique<server>())
 {
     auto& http = server_->http;
     http.set_keep_alive_timeout(keep_alive_s);
-    http.new_task_queue = [] { return new httplib::ThreadPool(16); };
+    http.new_task_queue = [] { return new httplib::ThreadPool(64); };
     http.set_pre_routing_handler(
         [this](const httplib::Request&, httplib::Response& answer)
         {
@@ -83,8 +153,7 @@
     http.Get("/api/log-read",
              [this](const httplib::Request& call, httplib::Response& answer)
              {
-                 answer.set_content(read(call.get_param_value("topic"),
-                                         std::stoul(call.get_param_value("from")),
+                 answer.set_content(read(log_name(call), std::stoul(call.get_param_value("from")),
                                          std::stoi(call.get_param_value("wait_ms"))),
                                     "application/octet-stream");
              });
@@ -92,29 +161,42 @@
         "/api/log-append",
         [this](const httplib::Request& call, httplib::Response& answer)
         {
-            std::string topic = call.get_param_value("topic");
-            std::string key = topic + call.get_param_value("part");
+            std::string topic = log_name(call);
+            std::string key;
             std::string value = call.body.substr(4);
-            if (topic.rfind("keyed.", 0) == 0)
+            if (is_keyed(topic))
             {
                 auto size = static_cast<unsigned char>(value[0]);
                 key = value.substr(1, size);
                 value = value.substr(1 + size);
             }
-            put(topic, key, value);
-            std::lock_guard lock(mutex_);
+            std::unique_lock lock(mutex_);
             auto end = topics_[topic].size();
+            if (call.has_param("at") && std::stoul(call.get_param_value("at")) != end)
+            {
+                answer.status = 412;
+                return;
+            }
+            topics_[topic].push_back({.key = key, .value = value});
+            ++end;
+            lock.unlock();
+            grown_.notify_all();
             answer.set_content(json{{"offset", end - 1}, {"end", end}}.dump(), "application/json");
         });
     http.Post("/api/log-join",
-              [](const httplib::Request&, httplib::Response& answer)
+              [this](const httplib::Request& call, httplib::Response& answer)
+              {
+                  auto body = json::parse(call.body);
+                  answer.set_content(group_.join(body.at("member").get<std::string>(),
+                                                 std::chrono::milliseconds(body.at("ttl_ms"))),
+                                     "application/json");
+              });
+    http.Post("/api/log-leave",
+              [this](const httplib::Request& call, httplib::Response& answer)
               {
-                  answer.set_content(
-                      R"({"generation":1,"ttl_ms":1000,"parts":[["shunt-duties",0,0]]})",
-                      "application/json");
+                  group_.leave(json::parse(call.body).at("member").get<std::string>());
+                  answer.set_content("{}", "application/json");
               });
-    http.Post("/api/log-leave", [](const httplib::Request&, httplib::Response& answer)
-              { answer.set_content("{}", "application/json"); });
     port_ = http.bind_to_any_port(loopback);
     server_->thread = std::thread([&http] { http.listen_after_bind(); });
 }
@@ -170,9 +252,13 @@
     for (std::size_t n = from; n < entries.size(); ++n)
     {
         const auto& it = entries[n];
-        big_endian(body, 1 + it.key.size() + it.value.size(), 4);
-        body += static_cast<char>(it.key.size());
-        body += it.key + it.value;
+        std::string content = it.value;
+        if (is_keyed(topic))
+        {
+            content = static_cast<char>(it.key.size()) + it.key + it.value;
+        }
+        big_endian(body, content.size(), 4);
+        body += content;
     }
     return body;
 }
@@ -188,6 +274,7 @@
 {
     auto& http = server_->http;
     http.set_keep_alive_timeout(keep_alive_s);
+    http.new_task_queue = [] { return new httplib::ThreadPool(32); };
     http.Get("/api/report",
              [this](const httplib::Request&, httplib::Response& answer)
              {
@@ -215,9 +302,27 @@
                       answer.status = expected ? 400 : 409;
                       return;
                   }
+                  auto now = std::chrono::steady_clock::now();
+                  auto fence = order.at("fencing_token").get<std::int64_t>();
+                  auto holder = order.at("holder").get<std::string>();
+                  if (fence < fence_)
+                  {
+                      order_faults_.push_back("a fencing number fell, by " + holder);
+                  }
+                  if (!holder_.empty() && holder != holder_ && now - ordered_at_ < lease)
+                  {
+                      order_faults_.push_back(holder + " ordered within the lease of " + holder_);
+                  }
+                  fence_ = std::max(fence, fence_);
+                  holder_ = holder;
+                  ordered_at_ = now;
                   auto model = order.at("model").get<std::string>();
                   order.at("operation") == "load" ? (void)models_.insert(model)
                                                   : (void)models_.erase(model);
+                  if (models_.size() > most_models)
+                  {
+                      order_faults_.push_back(model + " was loaded beyond the memory");
+                  }
                   ++orders_;
                   answer.status = 202;
               });
@@ -245,7 +350,8 @@
                                .body = call.body,
                                .workspace = call.get_header_value("X-Tenant"),
                                .last_event = call.get_header_value("Last-Event-Id"),
-                               .saw_key = call.has_header("Authorization")});
+                               .saw_key = call.has_header("Authorization"),
+                               .at = std::chrono::steady_clock::now()});
         }
         answer.set_header("X-Server-Stamp", id_);
         if (now == fault::lose_answer)
@@ -301,7 +407,8 @@
         held.push_back({{"name", model}, {"version", 1}, {"adapters", json::array()}});
     }
     return json{{"service", service},
-                {"address", std::string(loopback) + ":" + std::to_string(port_)},
+                {"address", announced.empty() ? std::string(loopback) + ":" + std::to_string(port_)
+                                              : announced},
                 {"zone", "north"},
                 {"version", "v1"},
                 {"slots", 4},
@@ -314,6 +421,12 @@
         .dump();
 }
 
+std::vector<std::string> backend_stand_in::order_faults() const
+{
+    std::lock_guard lock(mutex_);
+    return order_faults_;
+}
+
 std::vector<served_request> backend_stand_in::served() const
 {
     std::lock_guard lock(mutex_);
--- a/tests/stand_ins/prepared_platform.hpp
+++ b/tests/stand_ins/prepared_platform.hpp
@@ -5,6 +5,7 @@
 /// platform's published protocol. Their faults are switched by the test.
 
 #include <atomic>
+#include <chrono>
 #include <condition_variable>
 #include <functional>
 #include <map>
@@ -17,11 +18,31 @@
 namespace banyanshunt
 {
 
-/// The log service: keyed topics with one partition each, appends, and a group with one member.
+/// The members of a group and the partitions that each holds.
+class group_stand_in
+{
+public:
+    explicit group_stand_in(int partitions) : partitions_(partitions) {}
+
+    /// Lets a member join or stay, and returns the answer's body.
+    std::string join(const std::string& member, std::chrono::milliseconds ttl);
+    void leave(const std::string& member);
+
+private:
+    void deal();
+
+    int partitions_;
+    std::mutex mutex_;
+    std::int64_t generation_ = 0;
+    std::map<std::string, std::chrono::steady_clock::time_point> members_;
+    std::map<int, std::string> holders_;
+};
+
+/// The log service: keyed topics with one partition each, appends, and one group.
 class store_stand_in
 {
 public:
-    store_stand_in();
+    explicit store_stand_in(int partitions = 1);
     ~store_stand_in();
 
     int port() const { return port_; }
@@ -40,6 +61,7 @@
     std::string read(const std::string& topic, std::size_t from, int wait_ms);
     std::string newest(const std::string& topic);
 
+    group_stand_in group_;
     std::mutex mutex_;
     std::condition_variable grown_;
     bool closing_ = false;
@@ -57,6 +79,7 @@
     std::string workspace;
     std::string last_event;
     bool saw_key = false;
+    std::chrono::steady_clock::time_point at = {};
 };
 
 /// A model engine, or a plain service if it holds no model.
@@ -81,6 +104,14 @@
     std::string registry_entry(const std::string& service, bool draining = false) const;
     std::vector<served_request> served() const;
     int orders() const { return orders_; }
+    /// What was wrong with the orders that it got: fencing numbers that fell, holders that took
+    /// turns within `lease`, more models than fit.
+    std::vector<std::string> order_faults() const;
+    int port() const { return port_; }
+    /// The address to announce, if callers reach it by another way.
+    std::string announced;
+    std::chrono::milliseconds lease{0};
+    std::size_t most_models = 100;
     std::atomic<fault> failing = fault::none;
 
 private:
@@ -90,6 +121,10 @@
     mutable std::mutex mutex_;
     std::set<std::string> models_;
     std::vector<served_request> served_;
+    std::vector<std::string> order_faults_;
+    std::int64_t fence_ = 0;
+    std::string holder_;
+    std::chrono::steady_clock::time_point ordered_at_;
     std::atomic<int> orders_ = 0;
     std::unique_ptr<server> server_;
     int port_ = 0;
