--- a/programs/shunt_serve.cpp
+++ b/programs/shunt_serve.cpp
@@ -10,6 +10,7 @@
 #include "platform/settings.hpp"
 #include "serve/serve_host.hpp"
 
+DEFINE_int32(metrics_port, 9464, "port of /metrics on the host's own address; 1 to 65535");
 DEFINE_string(settings, "", "path of the settings file; by default the one the platform names");
 DEFINE_bool(check, false, "check the settings and exit");
 
@@ -50,6 +51,14 @@
         std::cerr << "shunt-serve: " << path << ": " << settings.error().detail << "\n";
         return usage_error;
     }
+    constexpr int last_port = 65535;
+    if (FLAGS_metrics_port < 1 || FLAGS_metrics_port > last_port)
+    {
+        std::cerr << "shunt-serve: --metrics_port is " << FLAGS_metrics_port
+                  << "; it takes a port from 1 to 65535\n";
+        return usage_error;
+    }
+    settings->metrics_port = FLAGS_metrics_port;
     if (FLAGS_check)
     {
         std::cout << "settings are in order\n";
--- a/src/coordination/backend_table.cpp
+++ b/src/coordination/backend_table.cpp
@@ -281,9 +281,10 @@
         {
             continue;
         }
-        sum += static_cast<int>(std::count_if(
-            it.placement->models.begin(), it.placement->models.end(), [&](const auto& model)
-            { return model.second.from_store && model.second.ready_at > now; }));
+        sum += static_cast<int>(
+            std::count_if(it.placement->models.begin(), it.placement->models.end(),
+                          [&](const auto& model)
+                          { return model.second.from_store && model.second.ready_at > now; }));
     }
     return sum;
 }
@@ -408,9 +409,9 @@
     return choice && !choice->coming ? choice : std::nullopt;
 }
 
-std::optional<server_choice>
-backend_table::choose_load(const server_need& need, const engine_spec& engine, bool at_hand,
-                           instant now) const
+std::optional<server_choice> backend_table::choose_load(const server_need& need,
+                                                        const engine_spec& engine, bool at_hand,
+                                                        instant now) const
 {
     auto model = engine.models.find(need.unit.model);
     if (model == engine.models.end())
--- a/src/coordination/backend_table.hpp
+++ b/src/coordination/backend_table.hpp
@@ -171,7 +171,8 @@
     void note_sent(const server_id& server, const engine_unit& unit);
     void note_ended(const server_id& server, const engine_unit& unit, backend_outcome outcome,
                     instant now);
-    /// Begins to count requests to one server by unit anew; units with running requests stay listed.
+    /// Begins to count requests to one server by unit anew; units with running requests stay
+    /// listed.
     void forget_asked(const server_id& server);
     /// Sets how long what peers told counts, by how often they tell it.
     void keep_told(milliseconds reports, milliseconds placements)
--- a/src/coordination/duty_turn.hpp
+++ b/src/coordination/duty_turn.hpp
@@ -3,9 +3,9 @@
 /// \file
 /// Defines how long a host waits before it gives orders in a duty that the group has just dealt it.
 ///
-/// It answers outages and restarts: after all hosts or the store were away, most duties come back to
-/// the host that had them, which may go on at once, while any other waits until the holder before
-/// can no longer give orders. The duty's records in the log tell the two apart.
+/// It answers outages and restarts: after all hosts or the store were away, most duties come back
+/// to the host that had them, which may go on at once, while any other waits until the holder
+/// before can no longer give orders. The duty's records in the log tell the two apart.
 
 #include <optional>
 #include <string>
--- a/src/coordination/lender_choice.cpp
+++ b/src/coordination/lender_choice.cpp
@@ -20,8 +20,8 @@
     {
         sum += it.spare.count();
     }
-    auto drawn = std::uniform_int_distribution<std::int64_t>(0, std::max<std::int64_t>(sum - 1, 0))(
-        random);
+    auto drawn =
+        std::uniform_int_distribution<std::int64_t>(0, std::max<std::int64_t>(sum - 1, 0))(random);
     for (std::size_t n = 0; n < offers.size(); ++n)
     {
         drawn -= offers[n].spare.count();
@@ -42,9 +42,10 @@
     std::vector<lender_ask> asks;
     while (!offers.empty() && missing > nothing && asks.size() < most)
     {
-        auto chosen = std::find_if(
-            offers.begin(), offers.end(), [&](const auto& it)
-            { return it.near && it.spare.count() >= near_surplus * missing.count(); });
+        auto chosen =
+            std::find_if(offers.begin(), offers.end(),
+                         [&](const auto& it)
+                         { return it.near && it.spare.count() >= near_surplus * missing.count(); });
         if (chosen == offers.end())
         {
             chosen = offers.begin() + static_cast<std::ptrdiff_t>(draw(offers, random));
--- a/src/coordination/repeat_budget.cpp
+++ b/src/coordination/repeat_budget.cpp
@@ -11,7 +11,8 @@
 
 /// The part of the stated budget that is used; the rest covers hosts that start anew.
 constexpr double used_part = 0.8;
-/// The part of a window's budget that may be kept from before it; with `used_part` it stays below 1.
+/// The part of a window's budget that may be kept from before it; with `used_part` it stays
+/// below 1.
 constexpr double kept_part = 0.15;
 
 } // namespace
--- a/src/coordination/repeat_budget.hpp
+++ b/src/coordination/repeat_budget.hpp
@@ -21,8 +21,8 @@
 };
 
 /// The budget towards one service. Half of this host's part of the extra repeats is there at once,
-/// the other half comes over a window, so no window holds more than the whole. What requests earn is
-/// kept up to a part of what those of one window earn: on many small hosts the part of the extra
+/// the other half comes over a window, so no window holds more than the whole. What requests earn
+/// is kept up to a part of what those of one window earn: on many small hosts the part of the extra
 /// repeats is too small to hold the repeats that come together when one server fails.
 class repeat_budget
 {
--- a/src/coordination/server_duty.cpp
+++ b/src/coordination/server_duty.cpp
@@ -535,7 +535,8 @@
     auto spec = engine.models.find(order.model);
     model = {};
     model.rate_at = now;
-    model.from_store = answer == order_answer::accepted && !entry_.in_memory.contains(order.model) &&
+    model.from_store = answer == order_answer::accepted &&
+                       !entry_.in_memory.contains(order.model) &&
                        !entry_.on_disk.contains(order.model);
     model.ready_at = answer == order_answer::holds || spec == engine.models.end()
                          ? now
--- a/src/serve/caller_session.cpp
+++ b/src/serve/caller_session.cpp
@@ -124,7 +124,14 @@
     caller->stream.socket().close(ec);
 }
 
-task<void> serve_ready(host_core& core, tcp::socket socket)
+namespace
+{
+
+using small_answer = http::response<http::string_body>;
+
+/// Answers requests without a body on one connection, each by `answer`.
+template <class Answer>
+task<void> answer_small(tcp::socket socket, Answer answer)
 {
     boost::beast::tcp_stream stream(std::move(socket));
     boost::beast::flat_buffer buffer;
@@ -137,15 +144,12 @@
         {
             co_return;
         }
-        bool ready = !core.stopping && core.servers_known && core.config_is_fresh(core.now());
-        http::response<http::string_body> answer;
-        answer.version(11);
-        answer.result(request.target() != platform::ready_path ? http::status::not_found
-                      : ready                                  ? http::status::ok
-                                                               : http::status::service_unavailable);
-        answer.keep_alive(request.keep_alive());
-        answer.prepare_payload();
-        auto [write_ec, m] = co_await http::async_write(stream, answer, as_result);
+        small_answer reply;
+        reply.version(11);
+        answer(std::string_view(request.target().data(), request.target().size()), reply);
+        reply.keep_alive(request.keep_alive());
+        reply.prepare_payload();
+        auto [write_ec, m] = co_await http::async_write(stream, reply, as_result);
         if (write_ec || !request.keep_alive())
         {
             co_return;
@@ -153,4 +157,52 @@
     }
 }
 
+void show_metrics(host_core& core, small_answer& reply)
+{
+    const auto& counters = core.counters;
+    core.numbers.set("banyanshunt_requests_running", core.requests_open);
+    core.numbers.set("banyanshunt_repeats", static_cast<double>(counters.repeats));
+    core.numbers.set("banyanshunt_resumed_streams", static_cast<double>(counters.resumed));
+    core.numbers.set("banyanshunt_orders", static_cast<double>(counters.orders));
+    core.numbers.set("banyanshunt_loans", static_cast<double>(counters.loans));
+    core.numbers.set("banyanshunt_log_lines_dropped", static_cast<double>(core.log.dropped()));
+    core.numbers.set("banyanshunt_hosts", static_cast<double>(core.hosts));
+    core.numbers.set("banyanshunt_config_version",
+                     core.config ? static_cast<double>(core.config->version) : 0);
+    std::chrono::duration<double> age =
+        core.config_confirmed ? core.now() - *core.config_confirmed : nanoseconds(0);
+    core.numbers.set("banyanshunt_config_age_seconds", age.count());
+    reply.set(http::field::content_type, "text/plain; version=0.0.4");
+    reply.body() = core.numbers.text();
+}
+
+} // namespace
+
+task<void> serve_ready(host_core& core, tcp::socket socket)
+{
+    co_await answer_small(std::move(socket),
+                          [&core](std::string_view target, small_answer& reply)
+                          {
+                              bool ready = !core.stopping && core.servers_known &&
+                                           core.config_is_fresh(core.now());
+                              reply.result(target != platform::ready_path ? http::status::not_found
+                                           : ready                        ? http::status::ok
+                                                   : http::status::service_unavailable);
+                          });
+}
+
+task<void> serve_metrics(host_core& core, tcp::socket socket)
+{
+    co_await answer_small(std::move(socket),
+                          [&core](std::string_view target, small_answer& reply)
+                          {
+                              bool found = target == "/metrics";
+                              reply.result(found ? http::status::ok : http::status::not_found);
+                              if (found)
+                              {
+                                  show_metrics(core, reply);
+                              }
+                          });
+}
+
 } // namespace banyanshunt
--- a/src/serve/caller_session.hpp
+++ b/src/serve/caller_session.hpp
@@ -15,4 +15,7 @@
 /// Answers the balancer's question whether this host takes new connections.
 task<void> serve_ready(host_core& core, tcp::socket socket);
 
+/// Answers /metrics, for operators.
+task<void> serve_metrics(host_core& core, tcp::socket socket);
+
 } // namespace banyanshunt
--- a/src/serve/host_core.hpp
+++ b/src/serve/host_core.hpp
@@ -18,11 +18,12 @@
 #include "state/host_settings.hpp"
 #include "state/serving_config.hpp"
 #include "transport/loop/backend_pool.hpp"
+#include "transport/metrics.hpp"
 
 namespace banyanshunt
 {
 
-/// Counters since start, for the metrics.
+/// Counters since start, shown by the metrics beside what `metrics` counts.
 struct host_counters
 {
     std::uint64_t requests = 0;
@@ -129,6 +130,7 @@
     view_sharing view;
     wake_list waiting;
     event_log log;
+    metrics numbers;
     host_counters counters;
     request_helper* helper = nullptr;
     /// Runs when another configuration is in force.
--- a/src/serve/order_duty.cpp
+++ b/src/serve/order_duty.cpp
@@ -37,8 +37,8 @@
 order_duty::order_duty(host_core& core, teller tell)
     : core_(core), tell_(std::move(tell)),
       // The same after a restart, so that the group deals this host what it had.
-      member_(core.settings.name.str()),
-      link_(core.settings.log.address), store_loads_at_(core.now())
+      member_(core.settings.name.str()), link_(core.settings.log.address),
+      store_loads_at_(core.now())
 {
 }
 
@@ -164,8 +164,8 @@
     {
         auto read = platform::duty_read_call(partition, log_offset(offset->count() - 1));
         auto page = co_await link_.call(read.method, read.target, read.body, store_timeout);
-        auto text = page && page->status == 200 ? platform::parse_duty_record(page->body)
-                                                : std::nullopt;
+        auto text =
+            page && page->status == 200 ? platform::parse_duty_record(page->body) : std::nullopt;
         before = text ? read_duty_record(*text) : std::nullopt;
     }
     auto wait = turn_wait(first, before, core_.settings.name,
@@ -175,8 +175,8 @@
     partitions_[partition] = {.fence = fence, .claim = *offset, .may_order_at = taken + wait};
     listed_since_.erase(partition);
     core_.log.write("duty_taken", "partition={} fence={} generation={} before={} wait_ms={}",
-                    partition, fence.count(), generation_,
-                    before ? before->holder.str() : "-", wait.count());
+                    partition, fence.count(), generation_, before ? before->holder.str() : "-",
+                    wait.count());
 }
 
 int order_duty::partition_of(const server_id& server) const
--- a/src/serve/peer_duty.cpp
+++ b/src/serve/peer_duty.cpp
@@ -18,8 +18,8 @@
 {
 
 /// Reports go to peers of the own domain this often while the domain is no larger than
-/// `near_hosts`, and to others while the fleet is no larger than `far_hosts`; in larger ones so much
-/// less often that a host's datagrams stay about the same: 80 a second.
+/// `near_hosts`, and to others while the fleet is no larger than `far_hosts`; in larger ones so
+/// much less often that a host's datagrams stay about the same: 80 a second.
 constexpr milliseconds report_period{250};
 constexpr double near_hosts = 20;
 constexpr double far_hosts = 27;
@@ -104,33 +104,32 @@
 peer_duty::peer_duty(host_core& core, state_follower_duty& follower)
     : core_(core), peers_(core), shares_(core, peers_), views_(core, peers_, follower),
       orders_(core, [this](const server_id& server, const server_placement& it)
-                           { tell_placement(server, it); }),
-      started_(core.now()),
-      hosts_(core,
-             {.topic = platform::host_topic,
-              .wait = hosts_wait,
-              .gap =
-                  [this]
-              {
-                  bool starting = core_.now() - started_ < start_length;
-                  return starting ? starting_gap : running_gap;
-              }},
-             {.whole =
-                  [this](const auto& records)
-              {
-                  for (const auto& record : records)
-                  {
-                      take_host(record);
-                  }
-                  listed_ = true;
-              },
-              .record =
-                  [this](const auto& record)
-              {
-                  take_host(record);
-                  return true;
-              },
-              .confirmed = [](instant) {}}),
+              { tell_placement(server, it); }),
+      started_(core.now()), hosts_(core,
+                                   {.topic = platform::host_topic,
+                                    .wait = hosts_wait,
+                                    .gap =
+                                        [this]
+                                    {
+                                        bool starting = core_.now() - started_ < start_length;
+                                        return starting ? starting_gap : running_gap;
+                                    }},
+                                   {.whole =
+                                        [this](const auto& records)
+                                    {
+                                        for (const auto& record : records)
+                                        {
+                                            take_host(record);
+                                        }
+                                        listed_ = true;
+                                    },
+                                    .record =
+                                        [this](const auto& record)
+                                    {
+                                        take_host(record);
+                                        return true;
+                                    },
+                                    .confirmed = [](instant) {}}),
       buffer_(datagram_bytes)
 {
     core_.on_config = [this] { shares_.match(); };
@@ -229,7 +228,8 @@
     while (true)
     {
         udp::endpoint from;
-        auto [ec, n] = co_await peers_.socket.async_receive_from(asio::buffer(buffer_), from, as_result);
+        auto [ec, n] =
+            co_await peers_.socket.async_receive_from(asio::buffer(buffer_), from, as_result);
         if (ec == asio::error::operation_aborted || ec == asio::error::bad_descriptor)
         {
             co_return;
@@ -251,7 +251,8 @@
         return;
     }
     bool passed_on = message.relayed() == peers::passed_on;
-    auto address = passed_on ? to_endpoint(endpoint_text(message.address())) : asio::ip::tcp::endpoint();
+    auto address =
+        passed_on ? to_endpoint(endpoint_text(message.address())) : asio::ip::tcp::endpoint();
     bool is_new = !peers_.all.contains(host);
     peer& sender = peers_.all[host];
     if (!passed_on)
@@ -358,7 +359,8 @@
         message.set_relayed(few ? peers::none : peers::asked);
         std::shuffle(hosts.begin(), hosts.end(), core_.random);
         // Hosts that were heard of lately come first.
-        std::stable_partition(hosts.begin(), hosts.end(), [&](const peer* it)
+        std::stable_partition(hosts.begin(), hosts.end(),
+                              [&](const peer* it)
                               { return now - it->heard_at < told_periods * far_period(); });
         hosts.resize(std::min(hosts.size(), relays_in_domain));
         for (const peer* it : hosts)
@@ -380,9 +382,8 @@
         it.set_adapter(unit.adapter.str());
         it.set_asked(static_cast<std::uint32_t>(asked));
         auto running = from.running_units.find(unit);
-        it.set_running(running == from.running_units.end()
-                           ? 0
-                           : static_cast<std::uint32_t>(running->second));
+        it.set_running(
+            running == from.running_units.end() ? 0 : static_cast<std::uint32_t>(running->second));
     }
 }
 
--- a/src/serve/peer_list.cpp
+++ b/src/serve/peer_list.cpp
@@ -58,13 +58,12 @@
 
 std::size_t peer_list::count_hosts(instant now) const
 {
-    return 1 + static_cast<std::size_t>(std::count_if(all.begin(), all.end(),
-                                                      [&](const auto& it) {
-                                                          return now - it.second.listed_at <
-                                                                     listed_for ||
-                                                                 now - it.second.heard_at <
-                                                                     listed_for;
-                                                      }));
+    return 1 + static_cast<std::size_t>(
+                   std::count_if(all.begin(), all.end(),
+                                 [&](const auto& it) {
+                                     return now - it.second.listed_at < listed_for ||
+                                            now - it.second.heard_at < listed_for;
+                                 }));
 }
 
 } // namespace banyanshunt
--- a/src/serve/request_run.cpp
+++ b/src/serve/request_run.cpp
@@ -361,6 +361,16 @@
 
 void request_run::log_end(const char* outcome, int status)
 {
+    bool delivered = std::string_view(outcome) == "answered";
+    core_.numbers.count("banyanshunt_requests_total",
+                        {{"outcome", outcome}, {"reason", delivered ? "" : last_reason_}});
+    core_.numbers.observe("banyanshunt_request_seconds", core_.now() - arrived_,
+                          {{"outcome", outcome}});
+    core_.numbers.observe("banyanshunt_wait_seconds", waited_);
+    if (first_byte_.count() > 0)
+    {
+        core_.numbers.observe("banyanshunt_first_event_seconds", first_byte_);
+    }
     core_.log.write(
         "request_end",
         "request={} outcome={} status={} reason={} route={} workspace={} model={}{}{} "
@@ -369,8 +379,8 @@
         fields_.id.str(), outcome, status, last_reason_, route_ ? route_->name.str() : "-",
         workspace_ ? workspace_->name.str() : "-",
         fields_.model.empty() ? "-" : fields_.model.str(), fields_.adapter.empty() ? "" : "/",
-        fields_.adapter.str(), charged_, last_server_.empty() ? "-" : last_server_.str(), last_load_, sends_,
-        waited_.count(), std::chrono::floor<milliseconds>(first_byte_).count(),
+        fields_.adapter.str(), charged_, last_server_.empty() ? "-" : last_server_.str(),
+        last_load_, sends_, waited_.count(), std::chrono::floor<milliseconds>(first_byte_).count(),
         std::chrono::floor<milliseconds>(core_.now() - arrived_).count(),
         config_ ? config_->version : 0,
         core_.config_confirmed
--- a/src/serve/serve_host.cpp
+++ b/src/serve/serve_host.cpp
@@ -82,7 +82,7 @@
 struct serve_host::parts
 {
     explicit parts(host_settings settings)
-        : core(std::move(settings), loop.get_executor()), callers(loop), ready(loop),
+        : core(std::move(settings), loop.get_executor()), callers(loop), ready(loop), scrapes(loop),
           signals(loop, SIGTERM, SIGINT, SIGHUP), follower(core), peers(core, follower)
     {
         core.helper = &peers;
@@ -97,6 +97,7 @@
     host_core core;
     tcp::acceptor callers;
     tcp::acceptor ready;
+    tcp::acceptor scrapes;
     asio::signal_set signals;
     state_follower_duty follower;
     peer_duty peers;
@@ -180,6 +181,17 @@
             return 1;
         }
     }
+    endpoint_text metrics_address(fmt::format("{}:{}", settings.ip, settings.metrics_port));
+    if (auto ec = listen_on(it.scrapes, metrics_address))
+    {
+        // Callers are served without metrics.
+        it.core.log.write("listen_failed", "address={} detail=\"{}\"", metrics_address.str(),
+                          ec.message());
+    }
+    else
+    {
+        asio::co_spawn(it.loop, accept_all(it.core, it.scrapes, serve_metrics), asio::detached);
+    }
     it.core.log.write("start", "host={} domain={} life={}", settings.name.str(),
                       settings.domain.str(), it.core.life.count());
     asio::co_spawn(it.loop, it.handle_signals(), asio::detached);
--- a/src/serve/share_duty.cpp
+++ b/src/serve/share_duty.cpp
@@ -87,8 +87,7 @@
     for (const auto& it : choose_lenders(std::move(offers), missing, most_lenders, core_.random))
     {
         auto& lender = peers_.all.at(it.host);
-        auto ask =
-            core_.ledger.ask(resource_id(workspace.str()), it.amount, milliseconds(1), now);
+        auto ask = core_.ledger.ask(resource_id(workspace.str()), it.amount, milliseconds(1), now);
         auto message = peers_.new_message();
         auto& to = *message.add_asks();
         to.set_number(ask.number.count());
@@ -243,8 +242,7 @@
     add_ends({.host = host, .life = to.life}, message);
 }
 
-void share_duty::take_message(const host_id& from, peer& sender,
-                              const peers::peer_message& message)
+void share_duty::take_message(const host_id& from, peer& sender, const peers::peer_message& message)
 {
     instant now = core_.now();
     share_life life{.host = from, .life = sender.life};
--- a/src/serve/store_reader.cpp
+++ b/src/serve/store_reader.cpp
@@ -20,8 +20,8 @@
 /// How long a call waits for a change. With the patience behind it, a connection that went silent
 /// is found well before the configuration counts as stale, and quiet hosts call seldom.
 constexpr milliseconds config_wait{2200};
-/// A host that others ask for what it has read calls more often, so that they get it fresh, until it
-/// was not asked for `readers_turn`.
+/// A host that others ask for what it has read calls more often, so that they get it fresh, until
+/// it was not asked for `readers_turn`.
 constexpr milliseconds readers_turn{3000};
 constexpr milliseconds reader_wait{500};
 constexpr milliseconds reader_gap{400};
@@ -136,8 +136,10 @@
 
 topic_view topic_reader::view_from(log_offset from) const
 {
-    topic_view view{
-        .end = next_.value_or(log_offset(0)), .confirmed = confirmed_at_, .whole = false, .records = {}};
+    topic_view view{.end = next_.value_or(log_offset(0)),
+                    .confirmed = confirmed_at_,
+                    .whole = false,
+                    .records = {}};
     view.whole = next_ && from >= recent_from_ && from <= view.end;
     std::size_t bytes = 0;
     for (auto it = recent_.rbegin(); view.whole && it != recent_.rend() && it->at >= from; ++it)
@@ -263,28 +265,28 @@
 }
 
 state_follower_duty::state_follower_duty(host_core& core)
-    : core_(core),
-      config_(core, {.topic = platform::config_topic,
-               .wait = config_wait,
-               .own_read_after = own_config_read_after},
-              {.whole =
-                   [this](const auto& records)
-               {
-                   for (const auto& record : records)
-                   {
-                       take_config(record);
-                   }
-               },
-               .record = [this](const auto& record) { return take_config(record); },
-               .confirmed =
-                   [this](instant asked)
-               {
-                   if (core_.config)
-                   {
-                       core_.config_confirmed =
-                           std::max(core_.config_confirmed.value_or(asked), asked);
-                   }
-               }}),
+    : core_(core), config_(core,
+                           {.topic = platform::config_topic,
+                            .wait = config_wait,
+                            .own_read_after = own_config_read_after},
+                           {.whole =
+                                [this](const auto& records)
+                            {
+                                for (const auto& record : records)
+                                {
+                                    take_config(record);
+                                }
+                            },
+                            .record = [this](const auto& record) { return take_config(record); },
+                            .confirmed =
+                                [this](instant asked)
+                            {
+                                if (core_.config)
+                                {
+                                    core_.config_confirmed =
+                                        std::max(core_.config_confirmed.value_or(asked), asked);
+                                }
+                            }}),
       servers_(core,
                {.topic = platform::server_topic,
                 .wait = config_wait,
--- a/src/serve/store_reader.hpp
+++ b/src/serve/store_reader.hpp
@@ -39,8 +39,8 @@
     std::vector<platform::keyed_record> records;
 };
 
-/// Follows one topic until the host stops. While another host reads for this one, it takes over what
-/// that host has read and makes no calls of its own, unless what it has grows old.
+/// Follows one topic until the host stops. While another host reads for this one, it takes over
+/// what that host has read and makes no calls of its own, unless what it has grows old.
 class topic_reader
 {
 public:
@@ -49,7 +49,8 @@
     {
         /// The newest record of every key: keys that are not in it are gone.
         std::function<void(const std::vector<platform::keyed_record>&)> whole;
-        /// Returns whether the record changed anything: others need not be told of one that did not.
+        /// Returns whether the record changed anything: others need not be told of one that did
+        /// not.
         std::function<bool(const platform::keyed_record&)> record;
         /// The store answered again after it was away for longer than entries last.
         std::function<void()> regained = [] {};
--- a/src/serve/view_duty.cpp
+++ b/src/serve/view_duty.cpp
@@ -43,10 +43,9 @@
                     .records = {}};
     for (const auto& it : from.records())
     {
-        view.records.push_back(
-            {.key = it.key(),
-             .value = it.dropped() ? std::nullopt : std::optional(it.value()),
-             .at = log_offset(it.at())});
+        view.records.push_back({.key = it.key(),
+                                .value = it.dropped() ? std::nullopt : std::optional(it.value()),
+                                .at = log_offset(it.at())});
     }
     return view;
 }
--- a/src/serve/view_duty.hpp
+++ b/src/serve/view_duty.hpp
@@ -1,11 +1,12 @@
 #pragma once
 
 /// \file
-/// Defines the duty that shares what hosts of one failure domain have read of the platform's topics:
-/// one of them reads, the others ask it.
+/// Defines the duty that shares what hosts of one failure domain have read of the platform's
+/// topics: one of them reads, the others ask it.
 ///
-/// What an answer confirms is counted from the ask on the asking host's own clock, less the age that
-/// the answer states, so a datagram that lay in a suspended host's buffer makes nothing look fresh.
+/// What an answer confirms is counted from the ask on the asking host's own clock, less the age
+/// that the answer states, so a datagram that lay in a suspended host's buffer makes nothing look
+/// fresh.
 
 #include <optional>
 
@@ -25,8 +26,7 @@
 
     /// Asks the domain's reader until the host stops.
     task<void> run();
-    void take_message(const host_id& from, const peer& sender,
-                      const peers::peer_message& message);
+    void take_message(const host_id& from, const peer& sender, const peers::peer_message& message);
 
 private:
     void ask(const host_id& source);
--- a/src/state/host_settings.hpp
+++ b/src/state/host_settings.hpp
@@ -48,6 +48,8 @@
 struct host_settings
 {
     host_id name;
+    /// Of /metrics on the host's own address; 9464 is the usual port of exporters.
+    int metrics_port = 9464;
     domain_id domain;
     std::string ip;
     endpoint_text caller_address;
--- a/tests/correctness/backend_table_test.cpp
+++ b/tests/correctness/backend_table_test.cpp
@@ -191,3 +191,132 @@
     CHECK(taken > 0);
     CHECK(taken <= options.ratio * requests * hosts + options.extra);
 }
+
+TEST_CASE("Repeats that come together after a calm time are within the budget of many small hosts")
+{
+    // A part of the extra repeats below one would hold back even a single repeat.
+    constexpr std::size_t hosts = 81;
+    constexpr int requests = 200;
+    constexpr int windows = 3;
+    repeat_budget_options options{.ratio = 0.2, .extra = 202, .window = 10s};
+    instant now{std::chrono::hours(1)};
+    repeat_budget budget(options, now);
+    std::vector<int> taken(windows);
+    for (int n = 0; n < windows * requests; ++n)
+    {
+        auto at = now + 50ms * n;
+        budget.note_request(hosts, at);
+        // In the second window every request fails.
+        bool failing = n / requests == 1;
+        while (failing && budget.take(hosts, at))
+        {
+            ++taken[1];
+        }
+    }
+    CHECK(taken[1] > 0.15 * requests);
+    CHECK(taken[1] <= options.ratio * requests + options.extra / hosts);
+}
+
+TEST_CASE("A model that is asked for at many hosts is not loaded over a weight store that is busy")
+{
+    instant now{std::chrono::hours(1)};
+    backend_table table({.own_domain = domain_id("north"), .store_loads_at_once = 2});
+    engine_spec engine;
+    for (const char* name : {"m0", "m1", "m2", "rare"})
+    {
+        model_spec model;
+        model.id = model_id(name);
+        model.load_from_disk = 800ms;
+        model.load_from_store = 7800ms;
+        engine.models.emplace(model.id, model);
+    }
+    for (const char* name : {"a", "b", "c"})
+    {
+        table.apply_entry(server(name), now);
+    }
+    auto load = [&](const char* at, const char* model, bool from_store)
+    {
+        server_placement told;
+        told.owner = host_id("h");
+        told.born_ms = 1;
+        told.told_at = told.room_at = now;
+        told.models[model_id(model)] = {.ready_at = now + 5s, .from_store = from_store};
+        table.apply_placement(server_id(at), told);
+    };
+    server_need need{.service = service_id("svc"),
+                     .unit = {.model = model_id("rare"), .adapter = {}},
+                     .tried = {}};
+
+    SECTION("loads from the store that are told of are counted")
+    {
+        load("a", "m0", true);
+        load("b", "m1", false);
+        CHECK(table.store_loads(now) == 1);
+        CHECK(table.store_loads(now + 6s) == 0);
+    }
+    SECTION("a load from the store behind as many as run at full speed is expected to take longer")
+    {
+        auto before = table.choose(need, &engine, now);
+        REQUIRE(before.what == server_choice::kind::load);
+        CHECK(before.expected == 7800ms);
+        load("a", "m0", true);
+        load("b", "m1", true);
+        CHECK(table.choose(need, &engine, now).expected == 15600ms);
+    }
+    SECTION("another replica comes from memory or disk alone")
+    {
+        CHECK_FALSE(table.another_replica(need, engine, now));
+        auto with_copy = server("d");
+        with_copy.on_disk = {model_id("rare")};
+        table.apply_entry(with_copy, now);
+        auto more = table.another_replica(need, engine, now);
+        REQUIRE(more);
+        CHECK(more->server == server_id("d"));
+    }
+}
+
+TEST_CASE("A server that does not hold what it is said to hold is asked ever less often")
+{
+    instant now{std::chrono::hours(1)};
+    backend_table table({.own_domain = domain_id("north")});
+    auto entry = server("a");
+    entry.models = {{model_id("m"), {}}};
+    table.apply_entry(entry, now);
+    const engine_unit unit{.model = model_id("m"), .adapter = {}};
+    const auto holds = [&](instant at)
+    { return table.holds(*table.find(server_id("a")), unit, at); };
+    for (auto pause : {120ms, 240ms, 480ms, 960ms, 960ms})
+    {
+        table.note_sent(server_id("a"), unit);
+        table.note_ended(server_id("a"), unit, backend_outcome::not_held, now);
+        CHECK_FALSE(holds(now + pause - 1ms));
+        now += pause;
+        CHECK(holds(now));
+    }
+    SECTION("until it answers")
+    {
+        table.note_sent(server_id("a"), unit);
+        table.note_ended(server_id("a"), unit, backend_outcome::answered, now);
+        table.note_sent(server_id("a"), unit);
+        table.note_ended(server_id("a"), unit, backend_outcome::not_held, now);
+        CHECK(holds(now + 120ms));
+    }
+}
+
+TEST_CASE("A placement is told again only when it says something else")
+{
+    instant now{std::chrono::hours(1)};
+    server_placement told;
+    told.owner = host_id("h");
+    told.born_ms = 1;
+    told.told_at = told.room_at = now;
+    told.models[model_id("m")] = {.ready_at = now};
+    auto later = told;
+    later.told_at = later.room_at = now + 100ms;
+    CHECK(tells_same(told, later, now + 100ms));
+    later.models[model_id("m")].leaving = true;
+    CHECK_FALSE(tells_same(told, later, now + 100ms));
+    later = told;
+    later.room_at = now + 2s;
+    CHECK_FALSE(tells_same(told, later, now + 100ms));
+}
--- a/tests/correctness/serve_path_test.cpp
+++ b/tests/correctness/serve_path_test.cpp
@@ -4,6 +4,9 @@
 
 #include <algorithm>
 #include <atomic>
+#include <fstream>
+#include <regex>
+#include <sstream>
 #include <thread>
 
 #include <httplib.h>
@@ -85,6 +88,8 @@
         ready_port = free_port();
         settings.ready_address = endpoint_text("127.0.0.1:" + std::to_string(ready_port));
         settings.first_peer_port = free_port();
+        metrics_port = free_port();
+        settings.metrics_port = metrics_port;
         settings.bounds.lease = 1000ms;
         settings.bounds.stop_grace = 4000ms;
         settings.log.address = endpoint_text("127.0.0.1:" + std::to_string(store.port()));
@@ -100,6 +105,12 @@
         thread.join();
     }
 
+    std::string scrape() const
+    {
+        httplib::Client client("127.0.0.1", metrics_port);
+        auto answer = client.Get("/metrics");
+        return answer && answer->status == 200 ? answer->body : "";
+    }
     int ready() const
     {
         httplib::Client client("127.0.0.1", ready_port);
@@ -157,6 +168,7 @@
     backend_stand_in engine2{"e2", {"busy"}};
     int port = 0;
     int ready_port = 0;
+    int metrics_port = 0;
     std::atomic<int> exit_code = -1;
     bool began = false;
     std::unique_ptr<serve_host> host;
@@ -192,6 +204,22 @@
         CHECK(it.call("GET", "/read/1", "r1", "bad-key").first == 401);
         CHECK(it.call("GET", "/nowhere/1", "r1", "good-key").first == 404);
     }
+    SECTION("what became of requests is counted at /metrics, and every metric is documented")
+    {
+        REQUIRE(it.get("/read/1", "counted").first == 200);
+        std::string text = it.scrape();
+        CHECK(text.find("banyanshunt_requests_total{outcome=\"answered\"") != std::string::npos);
+        CHECK(text.find("banyanshunt_config_version 1") != std::string::npos);
+        std::ifstream file("docs/OPERATIONS.md");
+        std::ostringstream page;
+        page << file.rdbuf();
+        std::regex family("# TYPE (\\w+) ");
+        for (std::sregex_iterator found(text.begin(), text.end(), family), end; found != end; ++found)
+        {
+            INFO((*found)[1]);
+            CHECK(page.str().find("`" + (*found)[1].str()) != std::string::npos);
+        }
+    }
     SECTION("what a server surely did not run is sent to another")
     {
         it.desk1.failing = backend_stand_in::fault::full;
