--- a/tests/correctness/serve_path_test.cpp
+++ b/tests/correctness/serve_path_test.cpp
@@ -214,7 +214,8 @@
         std::ostringstream page;
         page << file.rdbuf();
         std::regex family("# TYPE (\\w+) ");
-        for (std::sregex_iterator found(text.begin(), text.end(), family), end; found != end; ++found)
+        for (std::sregex_iterator found(text.begin(), text.end(), family), end; found != end;
+             ++found)
         {
             INFO((*found)[1]);
             CHECK(page.str().find("`" + (*found)[1].str()) != std::string::npos);
