A host that stops refuses in time what still waits for a server

Waits now end when the host refuses new requests, and a broken stream's when the host ends. The test failed before (no answer) and passes after.

--- a/src/serve/host_core.hpp
+++ b/src/serve/host_core.hpp
@@ -138,6 +138,8 @@
     bool stopping = false;
     /// From when on a host that stops refuses new requests.
     instant refuse_from;
+    /// When it ends at the latest.
+    instant stop_latest;
     int requests_open = 0;
 };
 
--- a/src/serve/request_run.cpp
+++ b/src/serve/request_run.cpp
@@ -262,6 +262,11 @@
     {
         latest = deadline_ - least_left;
     }
+    if (core_.stopping)
+    {
+        // One that waits would be cut off when this host ends; its caller comes back to another.
+        latest = std::min(latest, head_sent_ ? core_.stop_latest : core_.refuse_from);
+    }
     return core_.now() + expected > latest;
 }
 
--- a/src/serve/serve_host.cpp
+++ b/src/serve/serve_host.cpp
@@ -135,9 +135,9 @@
 {
     instant asked = core.now();
     core.refuse_from = asked + still_served;
+    core.stop_latest = asked + core.settings.bounds.stop_grace - stop_margin;
     core.log.write("stop_begun", "requests_open={}", core.requests_open);
-    instant latest = asked + core.settings.bounds.stop_grace - stop_margin;
-    while (core.now() < latest)
+    while (core.now() < core.stop_latest)
     {
         bool unnoticed = core.now() - asked < balancer_notices;
         if (!unnoticed && core.requests_open == 0)
--- a/tests/correctness/serve_path_test.cpp
+++ b/tests/correctness/serve_path_test.cpp
@@ -300,3 +300,13 @@
     CHECK(it.get("/read/1", "late").first == 200);
     REQUIRE(serve_case::holds_soon([&] { return it.exit_code == 0; }));
 }
+
+TEST_CASE("A planned stop refuses in time what still waits for a server")
+{
+    // Found by a hunt: a request that could wait longer than the grace lasts was cut off.
+    serve_case it;
+    REQUIRE(it.began);
+    it.host->request_stop();
+    std::this_thread::sleep_for(500ms);
+    CHECK(it.guide("waits", "nobody-has-it").first == 503);
+}
