--- a/tests/correctness/share_homes_test.cpp
+++ b/tests/correctness/share_homes_test.cpp
@@ -82,6 +82,7 @@
     SECTION("many hosts with the same old report do not all ask the same lender")
     {
         std::vector<lender_offer> offers;
+        offers.reserve(10);
         for (int n = 0; n < 10; ++n)
         {
             // The first told a little more than the others.
--- a/tests/correctness/view_source_test.cpp
+++ b/tests/correctness/view_source_test.cpp
@@ -12,6 +12,7 @@
 {
     const domain_id domain("north");
     std::vector<host_id> all;
+    all.reserve(8);
     for (int n = 0; n < 8; ++n)
     {
         all.push_back(host_id("h" + std::to_string(n)));
--- a/tests/soak/loopback_proxy.cpp
+++ b/tests/soak/loopback_proxy.cpp
@@ -76,7 +76,7 @@
         });
 }
 
-void loopback_proxy::pump(std::shared_ptr<link> on, bool forth)
+void loopback_proxy::pump(const std::shared_ptr<link>& on, bool forth)
 {
     auto& from = forth ? on->caller : on->server;
     auto& to = forth ? on->server : on->caller;
