--- a/src/serve/peer_duty.cpp
+++ b/src/serve/peer_duty.cpp
@@ -6,7 +6,6 @@
 #include <boost/asio/detached.hpp>
 #include <fmt/format.h>
 
-#include "coordination/rendezvous.hpp"
 #include "peers.pb.h"
 
 namespace banyanshunt
--- a/src/serve/peer_list.cpp
+++ b/src/serve/peer_list.cpp
@@ -46,16 +46,6 @@
     socket.send_to(asio::buffer(bytes), to.address, 0, ec);
 }
 
-void peer_list::send_all(const peers::peer_message& message)
-{
-    std::string bytes = message.SerializeAsString();
-    for (const auto& [host, it] : all)
-    {
-        boost::system::error_code ec;
-        socket.send_to(asio::buffer(bytes), it.address, 0, ec);
-    }
-}
-
 std::size_t peer_list::count_hosts(instant now) const
 {
     return 1 + static_cast<std::size_t>(
--- a/src/serve/peer_list.hpp
+++ b/src/serve/peer_list.hpp
@@ -25,8 +25,6 @@
     incarnation life;
     instant heard_at;
     instant listed_at;
-    /// When it is due its next report.
-    instant report_at;
     /// What it could lend of each workspace, by its last report and what was asked of it since.
     std::map<workspace_id, millitokens> spare;
 };
@@ -42,8 +40,6 @@
     peers::peer_message new_message() const;
     /// Sends a datagram; one that cannot go out is lost like any other.
     void send(const peer& to, const peers::peer_message& message);
-    /// Sends one to every peer.
-    void send_all(const peers::peer_message& message);
     /// Entry hosts that are listed or were heard of late, this one included.
     std::size_t count_hosts(instant now) const;
 
--- a/tests/soak/soak_fleet.hpp
+++ b/tests/soak/soak_fleet.hpp
@@ -50,7 +50,6 @@
     /// Collects a host's process if it has ended; true if it is gone.
     bool collect(host& it) const;
     bool ready(const host& it) const;
-    std::string caller_ip(const host& it) const { return it.ip; }
 
     /// Writes the next configuration: the clinics' keys, and the rate of both workspaces.
     void configure(const std::vector<std::string>& clinic_keys);
