Logs and metrics tell why a model or adapter is not served

Refusals with no_replica looked alike whether nobody orders the chosen engine, its owner could not act, the engine refused the order, or the model was loaded and evicted unused.

No decision changes.

--- a/src/coordination/engine_controller.cpp
+++ b/src/coordination/engine_controller.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <limits>
+#include <utility>
 
 namespace banyanshunt
 {
@@ -27,6 +28,34 @@
 
 } // namespace
 
+const char* to_text(load_block it)
+{
+    switch (it)
+    {
+    case load_block::none:
+        return "none";
+    case load_block::draining:
+        return "draining";
+    case load_block::state_unknown:
+        return "state_unknown";
+    case load_block::conflict:
+        return "conflict";
+    case load_block::loading:
+        return "loading";
+    case load_block::unloading:
+        return "unloading";
+    case load_block::no_victim:
+        return "no_victim";
+    case load_block::adapter_slots:
+        return "adapter_slots";
+    case load_block::store_limit:
+        return "store_limit";
+    case load_block::held_elsewhere:
+        return "held_elsewhere";
+    }
+    return "unknown";
+}
+
 engine_controller::engine_controller(const backend_entry& entry, engine_controller_options options,
                                      instant now)
     : options_(options), entry_(entry), report_at_(now + options.report_lag), retry_at_(now),
@@ -144,6 +173,7 @@
     }
     model->second.rate = rate(model->second, now) + requests / rate_window_s;
     model->second.rate_updated_at = now;
+    model->second.requests_since_load += requests;
     auto adapter = model->second.adapters.find(target.adapter);
     if (adapter != model->second.adapters.end() && (running > 0 || requests > 0))
     {
@@ -223,18 +253,90 @@
            load_slack;
 }
 
+bool engine_controller::holds(const model_target& target) const
+{
+    auto model = models_.find(target.model);
+    return model != models_.end() && !model->second.unloading &&
+           (target.adapter.empty() || model->second.adapters.contains(target.adapter));
+}
+
+void engine_controller::expire_load_requests(instant now)
+{
+    for (auto it = load_requests_.begin(); it != load_requests_.end();)
+    {
+        if (now - it->second.last <= options_.request_ttl)
+        {
+            ++it;
+            continue;
+        }
+        if (!holds(it->first))
+        {
+            expired_requests_.push_back(
+                {.target = it->first,
+                 .waited = std::chrono::floor<milliseconds>(it->second.last - it->second.first),
+                 .block = it->second.block});
+        }
+        it = load_requests_.erase(it);
+    }
+}
+
+std::vector<expired_load_request> engine_controller::take_expired_requests()
+{
+    return std::exchange(expired_requests_, {});
+}
+
+int engine_controller::requests_since_load(const model_id& model) const
+{
+    auto it = models_.find(model);
+    return it == models_.end() ? 0 : it->second.requests_since_load;
+}
+
+int engine_controller::pending_load_requests(const model_id& model) const
+{
+    return static_cast<int>(std::count_if(load_requests_.begin(), load_requests_.end(),
+                                          [&](const auto& it) { return it.first.model == model; }));
+}
+
 engine_controller::step engine_controller::decide(const engine_spec& engine, const context& env,
                                                   instant now)
 {
-    std::erase_if(load_requests_,
-                  [&](const auto& it) { return now - it.second.last > options_.request_ttl; });
+    expire_load_requests(now);
+    model_block_ = load_block::none;
+    adapter_block_ = load_block::none;
+    step next = decide_step(engine, env, now);
+    for (auto& [target, request] : load_requests_)
+    {
+        if (models_.contains(target.model) && target.adapter.empty())
+        {
+            continue;
+        }
+        request.block = models_.contains(target.model) ? adapter_block_ : model_block_;
+        if (!models_.contains(target.model) && model_block_ == load_block::none &&
+            env.available_elsewhere(target.model))
+        {
+            request.block = load_block::held_elsewhere;
+        }
+    }
+    return next;
+}
+
+engine_controller::step engine_controller::decide_step(const engine_spec& engine,
+                                                       const context& env, instant now)
+{
     step nothing{.action = step::action_kind::none, .order = {}, .recheck_at = now + idle_period};
+    auto block = [this](load_block cause)
+    {
+        model_block_ = cause;
+        adapter_block_ = cause;
+    };
     if (entry_.draining)
     {
+        block(load_block::draining);
         return nothing;
     }
     if (!orders_accepted_)
     {
+        block(unloading_ ? load_block::unloading : load_block::state_unknown);
         if (now < report_at_)
         {
             nothing.recheck_at = report_at_;
@@ -245,6 +347,7 @@
     }
     if (now < retry_at_)
     {
+        block(unloading_ ? load_block::unloading : load_block::conflict);
         nothing.recheck_at = retry_at_;
         return nothing;
     }
@@ -253,12 +356,14 @@
                                { return it.second.from_store && it.second.ready_at <= now; });
     if (overdue)
     {
+        block(load_block::loading);
         orders_accepted_.reset();
         report_at_ = now + options_.overdue_recheck;
         return {.action = step::action_kind::query_report, .order = {}, .recheck_at = {}};
     }
     if (loading(now))
     {
+        block(load_block::loading);
         for (const auto& [id, model] : models_)
         {
             nothing.recheck_at = model.ready_at > now ? std::min(nothing.recheck_at, model.ready_at)
@@ -268,6 +373,7 @@
     }
     if (unloading_)
     {
+        block(load_block::unloading);
         return load_model(next_model(now), env, now);
     }
     if (auto next = adapter_step(engine, now))
@@ -338,6 +444,7 @@
     }
     if (!idle)
     {
+        adapter_block_ = load_block::adapter_slots;
         return std::nullopt;
     }
     return step{.action = step::action_kind::order,
@@ -394,6 +501,7 @@
     auto evicted = choose_eviction(env, waited, now);
     if (!evicted)
     {
+        model_block_ = load_block::no_victim;
         return step{.action = step::action_kind::none,
                     .order = {},
                     .recheck_at = now + options_.conflict_backoff};
@@ -449,6 +557,7 @@
     {
         if (!env.acquire_store_load())
         {
+            model_block_ = load_block::store_limit;
             retry_at_ = now + options_.max_conflict_backoff;
             return {.action = step::action_kind::none, .order = {}, .recheck_at = retry_at_};
         }
--- a/src/coordination/engine_controller.hpp
+++ b/src/coordination/engine_controller.hpp
@@ -14,6 +14,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "coordination/backend_table.hpp"
 #include "state/clock.hpp"
@@ -62,6 +63,41 @@
     std::int64_t start_time_ms = 0;
 };
 
+/// Why an engine's owner did not carry out a load request.
+enum class load_block
+{
+    none,
+    /// Its engine is leaving.
+    draining,
+    /// The engine's state is unknown, and a report is awaited.
+    state_unknown,
+    /// The engine refused an order; the next one waits.
+    conflict,
+    loading,
+    /// A model is being unloaded, which lasts until its requests have ended.
+    unloading,
+    /// No model may be evicted yet.
+    no_victim,
+    /// All adapters are in use or requested.
+    adapter_slots,
+    /// The weight store's loads are in use.
+    store_limit,
+    /// Another server holds the model with room, or is loading it.
+    held_elsewhere,
+};
+
+/// The reason as it appears in logs and metrics.
+const char* to_text(load_block it);
+
+/// A load request that was not repeated in time and not carried out.
+struct expired_load_request
+{
+    model_target target;
+    /// From the arrival of the first request that waited for the target.
+    milliseconds waited{0};
+    load_block block = load_block::none;
+};
+
 struct engine_controller_options
 {
     /// A load request that is not repeated for this long expires. Waiting requests repeat theirs
@@ -136,6 +172,13 @@
     void handle_response(const engine_order& order, order_response response,
                          const engine_spec& engine, instant now);
 
+    /// Load requests that expired since the last call without being carried out.
+    std::vector<expired_load_request> take_expired_requests();
+    /// Requests for a model that hosts reported since it was loaded.
+    int requests_since_load(const model_id& model) const;
+    /// Unexpired load requests for a model or its adapters.
+    int pending_load_requests(const model_id& model) const;
+
     /// The placement to send to the other hosts.
     server_placement placement(const engine_spec& engine, instant now) const;
     std::int64_t start_time_ms() const { return entry_.start_time_ms; }
@@ -157,11 +200,13 @@
         /// Requests a second, decaying.
         double rate = 0;
         instant rate_updated_at;
+        int requests_since_load = 0;
     };
     struct load_request
     {
         instant first;
         instant last;
+        load_block block = load_block::none;
     };
     struct target_use
     {
@@ -170,6 +215,9 @@
     };
 
     void apply_models(const loaded_models& models, instant now);
+    step decide_step(const engine_spec& engine, const context& env, instant now);
+    void expire_load_requests(instant now);
+    bool holds(const model_target& target) const;
     std::optional<step> adapter_step(const engine_spec& engine, instant now);
     std::optional<step> model_step(const engine_spec& engine, const context& env, instant now);
     std::optional<model_id> choose_eviction(const context& env, milliseconds waited,
@@ -201,6 +249,11 @@
     instant conflict_since_;
     instant owner_since_;
     std::map<model_target, load_request> load_requests_;
+    std::vector<expired_load_request> expired_requests_;
+    /// What prevented the last decision from carrying out load requests for models, and for
+    /// adapters of held models.
+    load_block model_block_ = load_block::none;
+    load_block adapter_block_ = load_block::none;
     std::map<model_target, std::map<host_id, target_use>> uses_;
 };
 
--- a/src/serve/active_request.cpp
+++ b/src/serve/active_request.cpp
@@ -322,7 +322,8 @@
         {
             requested_server = choice.server;
             requested_at = context_.now();
-            context_.resources->request_load(choice.server, need.target, waited_);
+            load_route_ = context_.resources->request_load(choice.server, need.target, waited_);
+            load_server_ = choice.server;
         }
         // A load is requested even if this request cannot wait for it, as its caller will retry.
         if (out_of_time(choice.expected_wait))
@@ -375,9 +376,32 @@
     caller_->unwatch();
 }
 
+void active_request::record_target_end(bool delivered)
+{
+    bool entitled = last_reason_ != std::string_view("over_rate") &&
+                    last_reason_ != std::string_view("key_refused") &&
+                    last_reason_ != std::string_view("key_missing");
+    if (fields_.model.empty() || !(delivered || entitled))
+    {
+        return;
+    }
+    model_target target{.model = fields_.model, .adapter = fields_.adapter};
+    int requests = context_.unserved.requests(target);
+    auto change = context_.unserved.record(target, delivered, context_.now());
+    if (change != unserved_targets::change::none)
+    {
+        bool unserved = change == unserved_targets::change::became_unserved;
+        context_.log.write(unserved ? "target_unserved" : "target_served",
+                           "model={}{}{} requests={} reason={}", fields_.model.str(),
+                           fields_.adapter.empty() ? "" : "/", fields_.adapter.str(),
+                           requests + (unserved ? 1 : 0), unserved ? last_reason_ : "");
+    }
+}
+
 void active_request::log_end(const char* outcome, int status)
 {
     bool delivered = std::string_view(outcome) == "answered";
+    record_target_end(delivered);
     context_.stats.increment("banyanshunt_requests_total",
                              {{"outcome", outcome}, {"reason", delivered ? "" : last_reason_}});
     context_.stats.observe("banyanshunt_request_seconds", context_.now() - arrived_,
@@ -391,7 +415,7 @@
         "request_end",
         "request={} outcome={} status={} reason={} route={} workspace={} model={}{}{} "
         "tokens={} server={} server_load={} sends={} waited_ms={} first_ms={} took_ms={} config={} "
-        "config_age_ms={}",
+        "config_age_ms={} load={} load_server={}",
         fields_.id.str(), outcome, status, last_reason_, route_ ? route_->name.str() : "-",
         workspace_ ? workspace_->name.str() : "-",
         fields_.model.empty() ? "-" : fields_.model.str(), fields_.adapter.empty() ? "" : "/",
@@ -403,7 +427,8 @@
         context_.config_confirmed_at
             ? std::chrono::floor<milliseconds>(context_.now() - *context_.config_confirmed_at)
                   .count()
-            : -1);
+            : -1,
+        load_route_ ? to_text(*load_route_) : "-", load_server_.empty() ? "-" : load_server_.str());
 }
 
 task<void> active_request::finish(attempt_result end)
--- a/src/serve/active_request.hpp
+++ b/src/serve/active_request.hpp
@@ -83,6 +83,7 @@
     std::int64_t token_cost() const;
     /// Key in the wait list: the model, or the service if the request names no model.
     const std::string& wait_key() const;
+    void record_target_end(bool delivered);
     void log_end(const char* outcome, int status);
 
     host_context& context_;
@@ -114,6 +115,9 @@
     server_id last_server_;
     /// Requests at that server when it was chosen: own ones and those that peers reported.
     int last_load_ = 0;
+    /// Where the last load request for the model or adapter went, if one was needed.
+    std::optional<load_request_route> load_route_;
+    server_id load_server_;
     milliseconds waited_{0};
     /// Time from arrival to the first event sent to the caller; 0 before.
     nanoseconds time_to_first_byte_{0};
--- a/src/serve/caller_session.cpp
+++ b/src/serve/caller_session.cpp
@@ -171,6 +171,8 @@
     context.stats.set("banyanshunt_hosts", static_cast<double>(context.host_count));
     context.stats.set("banyanshunt_config_version",
                       context.config ? static_cast<double>(context.config->version) : 0);
+    context.stats.set("banyanshunt_unserved_targets",
+                      static_cast<double>(context.unserved.count(context.now())));
     std::chrono::duration<double> age =
         context.config_confirmed_at ? context.now() - *context.config_confirmed_at : nanoseconds(0);
     context.stats.set("banyanshunt_config_age_seconds", age.count());
--- a/src/serve/host_context.hpp
+++ b/src/serve/host_context.hpp
@@ -14,6 +14,7 @@
 #include "coordination/random_source.hpp"
 #include "coordination/share_ledger.hpp"
 #include "coordination/shared_retry_budget.hpp"
+#include "coordination/unserved_targets.hpp"
 #include "serve/event_log.hpp"
 #include "serve/wait_list.hpp"
 #include "state/host_settings.hpp"
@@ -38,14 +39,38 @@
     std::uint64_t loans = 0;
 };
 
+/// Where a load request went.
+enum class load_request_route
+{
+    /// This host orders the engine.
+    own_engine,
+    /// Sent to the host that orders the engine; may be lost.
+    sent,
+    /// No host is known to order the engine, so nothing was sent.
+    no_owner,
+};
+
+constexpr const char* to_text(load_request_route it)
+{
+    switch (it)
+    {
+    case load_request_route::own_engine:
+        return "own_engine";
+    case load_request_route::sent:
+        return "sent";
+    default:
+        return "no_owner";
+    }
+}
+
 /// Requests loads and tokens on behalf of requests. Implemented by `peer_service`.
 class resource_provider
 {
 public:
     virtual ~resource_provider() = default;
     /// Notifies the owner of the server's engine that a request waits for `unit` there.
-    virtual void request_load(const server_id& server, const model_target& unit,
-                              milliseconds waited) = 0;
+    virtual load_request_route request_load(const server_id& server, const model_target& unit,
+                                            milliseconds waited) = 0;
     /// Acquires tokens of a workspace, borrowing from peers if needed.
     virtual task<bool> acquire_tokens(workspace_id workspace, millitokens amount) = 0;
 };
@@ -131,6 +156,7 @@
     std::map<model_id, instant> replica_requested;
     view_sync_state view;
     wait_list waiting;
+    unserved_targets unserved{unserved_targets_options{}};
     event_log log;
     metrics stats;
     host_counters counters;
--- a/src/serve/order_controller.cpp
+++ b/src/serve/order_controller.cpp
@@ -301,6 +301,7 @@
              { return context_.servers.available_elsewhere(server, model, now); },
              .acquire_store_load = [&] { return acquire_store_load(*engine); }},
             now);
+        log_expired_requests(server, *held);
         if (step.action == engine_controller::step::action_kind::query_report)
         {
             co_await query_report(server, held);
@@ -372,11 +373,20 @@
         exchange.finish();
     }
     ++context_.counters.orders;
-    context_.log.write("order", "server={} what={} model={}{}{} expected={} fence={} status={}",
-                       server.str(),
-                       order.action == engine_order::action_kind::load ? "load" : "unload",
-                       order.model.str(), order.adapter.empty() ? "" : "/", order.adapter.str(),
-                       order.expected_orders, fence.count(), status);
+    bool loads = order.action == engine_order::action_kind::load;
+    int used = held->controller.requests_since_load(order.model);
+    int pending = held->controller.pending_load_requests(order.model);
+    context_.log.write(
+        "order", "server={} what={} model={}{}{} expected={} fence={} status={} used={} pending={}",
+        server.str(), loads ? "load" : "unload", order.model.str(),
+        order.adapter.empty() ? "" : "/", order.adapter.str(), order.expected_orders, fence.count(),
+        status, used, pending);
+    if (!loads && order.adapter.empty() && response == order_response::accepted)
+    {
+        context_.stats.increment(
+            "banyanshunt_evictions_total",
+            {{"used", used > 0 ? "yes" : "no"}, {"pending", pending > 0 ? "yes" : "no"}});
+    }
     const engine_spec* engine = engine_of(server);
     if (engine)
     {
@@ -423,13 +433,31 @@
                                     milliseconds waited)
 {
     auto it = owned_engines_.find(server);
-    if (it != owned_engines_.end())
+    bool owned = it != owned_engines_.end();
+    const char* state = !owned                                             ? "not_owner"
+                        : may_order(it->second->partition, context_.now()) ? "may_order"
+                                                                           : "takeover";
+    context_.stats.increment("banyanshunt_load_requests_received_total", {{"state", state}});
+    if (owned)
     {
         it->second->controller.request_load(unit, waited, context_.now());
         it->second->wake_timer.cancel();
     }
 }
 
+void order_controller::log_expired_requests(const server_id& server, owned_engine& held)
+{
+    for (const auto& it : held.controller.take_expired_requests())
+    {
+        const char* block = to_text(it.block);
+        context_.stats.increment("banyanshunt_load_requests_expired_total", {{"block", block}});
+        context_.log.write("load_request_expired", "server={} model={}{}{} waited_ms={} block={}",
+                           server.str(), it.target.model.str(),
+                           it.target.adapter.empty() ? "" : "/", it.target.adapter.str(),
+                           it.waited.count(), block);
+    }
+}
+
 void order_controller::record_use(const host_id& host, const server_id& server,
                                   const model_target& unit, int running, int requests)
 {
--- a/src/serve/order_controller.hpp
+++ b/src/serve/order_controller.hpp
@@ -28,6 +28,7 @@
     task<void> leave();
 
     bool owns(const server_id& server) const { return owned_engines_.contains(server); }
+    /// Applies a load request for an engine that this host owns; counts others.
     void request_load(const server_id& server, const model_target& unit, milliseconds waited);
     void record_use(const host_id& host, const server_id& server, const model_target& unit,
                     int running, int requests);
@@ -63,6 +64,7 @@
     bool is_settled(int partition, instant now);
     void update_owned_engines();
     task<void> run_server(server_id server, std::shared_ptr<owned_engine> held);
+    void log_expired_requests(const server_id& server, owned_engine& held);
     task<void> query_report(server_id server, std::shared_ptr<owned_engine> held);
     task<void> send_order(server_id server, std::shared_ptr<owned_engine> held, engine_order order);
     milliseconds lease() const;
--- a/src/serve/peer_service.cpp
+++ b/src/serve/peer_service.cpp
@@ -540,23 +540,28 @@
     send_to_domains(std::move(message));
 }
 
-void peer_service::request_load(const server_id& server, const model_target& unit,
-                                milliseconds waited)
+load_request_route peer_service::request_load(const server_id& server, const model_target& unit,
+                                              milliseconds waited)
+{
+    auto route = send_load_request(server, unit, waited);
+    context_.stats.increment("banyanshunt_load_requests_total", {{"route", to_text(route)}});
+    return route;
+}
+
+load_request_route peer_service::send_load_request(const server_id& server,
+                                                   const model_target& unit, milliseconds waited)
 {
     if (orders_.owns(server))
     {
         orders_.request_load(server, unit, waited);
-        return;
+        return load_request_route::own_engine;
     }
     const auto* known = context_.servers.find(server);
-    if (!known || !known->placement)
-    {
-        return;
-    }
-    auto owner = peers_.all.find(known->placement->owner);
+    auto owner =
+        known && known->placement ? peers_.all.find(known->placement->owner) : peers_.all.end();
     if (owner == peers_.all.end())
     {
-        return;
+        return load_request_route::no_owner;
     }
     auto message = peers_.new_message();
     auto& it = *message.add_wishes();
@@ -565,6 +570,7 @@
     it.set_adapter(unit.adapter.str());
     it.set_waited_ms(static_cast<std::uint32_t>(waited.count()));
     peers_.send(owner->second, message);
+    return load_request_route::sent;
 }
 
 } // namespace banyanshunt
--- a/src/serve/peer_service.hpp
+++ b/src/serve/peer_service.hpp
@@ -28,8 +28,8 @@
     /// Gives up ownership of engines, for a planned stop.
     task<void> leave();
 
-    void request_load(const server_id& server, const model_target& unit,
-                      milliseconds waited) override;
+    load_request_route request_load(const server_id& server, const model_target& unit,
+                                    milliseconds waited) override;
     task<bool> acquire_tokens(workspace_id workspace, millitokens amount) override
     {
         return shares_.acquire(std::move(workspace), amount);
@@ -48,6 +48,8 @@
     void publish_placement(const server_id& server, const server_placement& placement);
     /// Sends to a few hosts of each other domain, which relay the message to the rest of theirs.
     void send_to_domains(peers::peer_message message);
+    load_request_route send_load_request(const server_id& server, const model_target& unit,
+                                         milliseconds waited);
     void record_own_use();
     bool in_same_domain(const peer& it) const { return it.domain == context_.settings.domain; }
     milliseconds same_domain_period() const;
