Known red: three causes of models and adapters that are not served

Tests that fail on this code, each for one cause found in the logs: - a load is requested from an engine without an owner (backend_table); - a model is evicted before its first use, as refused requests leave no trace in its rate (engine_controller); - a model that runs 40 requests is unloaded, and blocks its engine until they end, as the one that is nearly idle must not be evicted yet.

--- a/tests/correctness/backend_table_test.cpp
+++ b/tests/correctness/backend_table_test.cpp
@@ -153,6 +153,47 @@
     }
 }
 
+TEST_CASE("A load is not requested from an engine that no host orders")
+{
+    instant now{std::chrono::hours(1)};
+    backend_table table({.own_domain = domain_id("north")});
+    engine_spec engine;
+    model_spec model;
+    model.id = model_id("m");
+    model.load_from_store = 6s;
+    model.load_from_disk = 800ms;
+    model.load_from_memory = 300ms;
+    engine.models.emplace(model.id, model);
+    auto unordered = server("a");
+    unordered.in_memory = {model.id};
+    auto ordered = server("b");
+    ordered.on_disk = {model.id};
+    table.apply_entry(unordered, now);
+    table.apply_entry(ordered, now);
+    server_placement placement{.owner = host_id("h"),
+                               .fencing = fencing_number(3),
+                               .start_time_ms = 1,
+                               .models = {},
+                               .next_load_at = now,
+                               .reported_at = now};
+    table.apply_placement(server_id("b"), placement);
+
+    server_criteria need{
+        .service = service_id("svc"), .target = {.model = model.id, .adapter = {}}, .tried = {}};
+    CHECK(table.choose(need, &engine, now).server.str() == "b");
+
+    SECTION("an adapter neither: its model is loaded where orders are given")
+    {
+        unordered.models = {{model.id, {}}};
+        unordered.sequence = 1;
+        table.apply_entry(unordered, now);
+        need.target.adapter = adapter_id("a1");
+        auto choice = table.choose(need, &engine, now);
+        CHECK(choice.action == server_choice::action_kind::load);
+        CHECK(choice.server.str() == "b");
+    }
+}
+
 TEST_CASE("Only complete events of a stream are passed on to the caller")
 {
     event_splitter events;
--- a/tests/correctness/engine_controller_test.cpp
+++ b/tests/correctness/engine_controller_test.cpp
@@ -158,6 +158,54 @@
     CHECK(step.order.model == model_id("m1"));
 }
 
+TEST_CASE("A model is not evicted unused while its adapters are requested")
+{
+    engine_case it;
+    it.use("m0", 0, 2);
+    it.use("m1", 0, 1);
+    it.controller->request_load(engine_case::target("m2", "a1"), 50ms, it.now);
+    auto unload = it.decide();
+    REQUIRE(unload.order.model == model_id("m1"));
+    it.respond(unload, order_response::accepted);
+    auto load = it.decide();
+    REQUIRE(load.order.model == model_id("m2"));
+    it.respond(load, order_response::accepted);
+
+    // Refused requests of m2 leave no use behind; another model is requested meanwhile.
+    it.now += 2s;
+    it.use("m0", 0, 1);
+    it.controller->request_load(engine_case::target("m2", "a1"), 0ms, it.now);
+    auto adapter = it.decide();
+    REQUIRE(adapter.order.adapter == adapter_id("a1"));
+    it.respond(adapter, order_response::accepted);
+    it.controller->request_load(engine_case::target("m2", "a2"), 0ms, it.now);
+    it.controller->request_load(engine_case::target("m3"), 50ms, it.now);
+    auto second_adapter = it.decide();
+    REQUIRE(second_adapter.order.adapter == adapter_id("a2"));
+    it.respond(second_adapter, order_response::accepted);
+    auto eviction = it.decide();
+    CHECK_FALSE(eviction.order.model == model_id("m2"));
+}
+
+TEST_CASE("A model with many running requests is not unloaded because it has another replica")
+{
+    engine_case it;
+    it.use("m0", 40, 20);
+    it.use("m1", 1, 1);
+    it.redundant = {model_id("m0")};
+    it.controller->request_load(engine_case::target("m2"), 1500ms, it.now);
+    // m0 has another replica, m1 has none and may not be evicted yet.
+    auto early = it.decide();
+    CHECK(early.action == step_kind::none);
+    it.now += 2s;
+    it.use("m0", 40, 20);
+    it.use("m1", 1, 1);
+    it.controller->request_load(engine_case::target("m2"), 3500ms, it.now);
+    auto unload = it.decide();
+    REQUIRE(unload.action == step_kind::order);
+    CHECK(unload.order.model == model_id("m1"));
+}
+
 TEST_CASE("A burst of load requests for one model on many servers becomes one load")
 {
     engine_case it;
