Loads are requested only from engines that a host orders

Cause: an engine whose owner had stopped, frozen or restarted, or whose new owner had to wait out the takeover, looked like an idle one. Nothing known of it counted as nothing in its way, so every host chose it, often for a checkpoint in its memory, and the load requests were dropped without a trace.

Fix: hosts keep the owner of each engine apart from what the engine holds. An engine without an owner is expected to take the time of a takeover, so loads and adapters go to engines with one, and a request that cannot wait is refused at once.

It is one cause, not the largest.

The test failed before. The case on the busy weight store now names an owner for its engines, as its expected times are those of engines with one; its checks are the same.

--- a/src/coordination/backend_table.cpp
+++ b/src/coordination/backend_table.cpp
@@ -19,6 +19,8 @@
 constexpr double cross_domain_cost = 0.02;
 /// Cost of a server in backoff after failures: at least that of a full one.
 constexpr double backoff_cost = 4.0;
+/// Cost of a server that would have to load the adapter first and that no host orders.
+constexpr double unordered_cost = backoff_cost;
 /// How long a target counts as not held after the server reported so.
 constexpr milliseconds initial_denial{120};
 constexpr milliseconds max_denial{960};
@@ -100,12 +102,64 @@
         return;
     }
     auto& known = it->second.placement;
-    if (!known || placement.fencing >= known->fencing)
+    if (known && placement.fencing < known->fencing)
     {
-        known = std::move(placement);
+        return;
+    }
+    apply_owner(server, {.host = placement.owner,
+                         .incarnation = placement.owner_incarnation,
+                         .fencing = placement.fencing,
+                         .may_order_at = placement.reported_at,
+                         .reported_at = placement.reported_at});
+    known = std::move(placement);
+}
+
+void backend_table::apply_owner(const server_id& server, const engine_owner& owner)
+{
+    auto it = servers_.find(server);
+    if (it != servers_.end() && (!it->second.owner || owner.fencing >= it->second.owner->fencing))
+    {
+        it->second.owner = owner;
+    }
+}
+
+void backend_table::remove_owner(const server_id& server)
+{
+    auto it = servers_.find(server);
+    if (it != servers_.end())
+    {
+        it->second.owner.reset();
     }
 }
 
+void backend_table::record_heard(const host_id& host, incarnation_id incarnation, instant now)
+{
+    heard_hosts_[host] = {.incarnation = incarnation, .at = now};
+}
+
+milliseconds backend_table::owner_wait(const record& it, instant now) const
+{
+    if (!it.owner)
+    {
+        return options_.takeover_time;
+    }
+    const auto& owner = *it.owner;
+    instant heard_at = owner.reported_at;
+    bool same_incarnation = true;
+    if (auto heard = heard_hosts_.find(owner.host); heard != heard_hosts_.end())
+    {
+        heard_at = std::max(heard_at, heard->second.at);
+        same_incarnation = heard->second.incarnation == owner.incarnation;
+    }
+    bool alive = owner.host == options_.own_host ||
+                 (same_incarnation && now - heard_at < options_.owner_ttl);
+    if (!alive)
+    {
+        return options_.takeover_time;
+    }
+    return std::max(milliseconds(0), std::chrono::ceil<milliseconds>(owner.may_order_at - now));
+}
+
 void backend_table::apply_peer_load(const host_id& host, const server_id& server, int running,
                                     instant now)
 {
@@ -292,7 +346,7 @@
     return sum;
 }
 
-bool backend_table::available_elsewhere(const server_id& server, const model_id& model,
+bool backend_table::available_elsewhere(const server_id& server, const model_target& target,
                                         instant now) const
 {
     return std::any_of(servers_.begin(), servers_.end(),
@@ -304,13 +358,17 @@
                            {
                                return false;
                            }
-                           auto held = it.placement->models.find(model);
+                           auto held = it.placement->models.find(target.model);
                            if (held == it.placement->models.end() || held->second.unloading)
                            {
                                return false;
                            }
-                           return held->second.ready_at > now ||
-                                  (it.placement->adapter_room && has_room(it));
+                           bool adapter_loadable = target.adapter.empty() ||
+                                                   held->second.adapters.contains(target.adapter) ||
+                                                   owner_wait(it, now).count() == 0;
+                           return adapter_loadable &&
+                                  (held->second.ready_at > now ||
+                                   (it.placement->adapter_room && has_room(it)));
                        });
 }
 
@@ -364,6 +422,10 @@
             continue;
         }
         double its_cost = cost(it, now);
+        if (!wait && owner_wait(it, now).count() > 0)
+        {
+            its_cost += unordered_cost;
+        }
         candidate& best_of_kind = !wait ? without_adapter : wait->count() == 0 ? held : loading;
         if (its_cost < best_of_kind.cost)
         {
@@ -384,19 +446,27 @@
                 .expected_wait = std::chrono::ceil<milliseconds>(shortest_wait),
                 .loading = true};
     }
+    std::optional<server_choice> load_adapter;
     if (without_adapter.it)
     {
-        return {.action = server_choice::action_kind::load,
-                .server = without_adapter.it->entry.id,
-                .expected_wait = typical_adapter_load};
-    }
-    if (wants_model)
-    {
-        if (auto load_choice = choose_load(need, *engine, false, now))
+        load_adapter = {.action = server_choice::action_kind::load,
+                        .server = without_adapter.it->entry.id,
+                        .expected_wait =
+                            owner_wait(*without_adapter.it, now) + typical_adapter_load};
+        if (load_adapter->expected_wait == typical_adapter_load)
         {
-            return *load_choice;
+            return *load_adapter;
         }
     }
+    auto load_model = wants_model ? choose_load(need, *engine, false, now) : std::nullopt;
+    if (load_adapter && (!load_model || load_adapter->expected_wait <= load_model->expected_wait))
+    {
+        return *load_adapter;
+    }
+    if (load_model)
+    {
+        return *load_model;
+    }
     return {.action = any_at_capacity ? server_choice::action_kind::full
                                       : server_choice::action_kind::none};
 }
@@ -405,7 +475,8 @@
                                                                  const engine_spec& engine,
                                                                  instant now) const
 {
-    if (need.target.model.empty() || available_elsewhere(server_id(), need.target.model, now))
+    if (need.target.model.empty() ||
+        available_elsewhere(server_id(), {.model = need.target.model, .adapter = {}}, now))
     {
         return std::nullopt;
     }
@@ -452,11 +523,12 @@
             // The load waits for at least one of those in flight.
             load_time *= 2;
         }
-        auto ms = static_cast<double>(load_time.count());
+        milliseconds ready_to_load = owner_wait(it, now);
         if (placement_counts(it, now))
         {
             auto placed = it.placement->models.find(model->first);
-            if (placed != it.placement->models.end() && !placed->second.unloading)
+            bool loading = placed != it.placement->models.end() && !placed->second.unloading;
+            if (loading && (placed->second.ready_at > now || ready_to_load.count() == 0))
             {
                 // It is loading there already, or was loaded and is not yet known to serve.
                 auto left = std::chrono::ceil<milliseconds>(placed->second.ready_at - now);
@@ -465,9 +537,10 @@
                                      .expected_wait = std::max(left, typical_adapter_load),
                                      .loading = true};
             }
-            std::chrono::duration<double, std::milli> wait = it.placement->next_load_at - now;
-            ms += std::max(0.0, wait.count());
+            ready_to_load = std::max(
+                ready_to_load, std::chrono::ceil<milliseconds>(it.placement->next_load_at - now));
         }
+        auto ms = static_cast<double>((load_time + ready_to_load).count());
         double wait = ms;
         ms += 300.0 * load(it) / std::max(1, it.entry.slots);
         auto weight = rendezvous_weight(need.target.model.str(), id.str());
--- a/src/coordination/backend_table.hpp
+++ b/src/coordination/backend_table.hpp
@@ -43,10 +43,22 @@
     friend bool operator==(const held_model&, const held_model&) = default;
 };
 
+/// The host that gives orders to a server's engine.
+struct engine_owner
+{
+    host_id host;
+    incarnation_id incarnation;
+    fencing_number fencing;
+    /// A new owner first waits until the last order of the previous one is long past.
+    instant may_order_at;
+    instant reported_at;
+};
+
 /// What a server holds, as reported by the host that owns its engine.
 struct server_placement
 {
     host_id owner;
+    incarnation_id owner_incarnation;
     fencing_number fencing;
     std::int64_t start_time_ms = 0;
     std::map<model_id, held_model> models;
@@ -77,6 +89,12 @@
 struct backend_table_options
 {
     domain_id own_domain;
+    host_id own_host = {};
+    /// A host that was not heard for this long gives no orders that this host could ask for.
+    milliseconds owner_ttl{1500};
+    /// How long an engine without a known owner gets no orders: its next owner has yet to be
+    /// assigned and then waits out the lease of the previous one.
+    milliseconds takeover_time{4500};
     /// Reports of peers older than this no longer count.
     milliseconds peer_load_ttl{2500};
     /// A placement not received again within this time is replaced by the server's own entry.
@@ -129,6 +147,7 @@
     {
         backend_entry entry;
         std::optional<server_placement> placement;
+        std::optional<engine_owner> owner;
         /// Own requests in flight, in total and by target.
         int running = 0;
         std::map<model_target, int> running_by_target;
@@ -165,7 +184,13 @@
     /// Applies a server's entry; returns false for one older than the known one.
     bool apply_entry(const backend_entry& entry, instant now);
     void remove(const server_id& server);
+    /// Applies a placement and the owner that it names.
     void apply_placement(const server_id& server, server_placement placement);
+    void apply_owner(const server_id& server, const engine_owner& owner);
+    /// Forgets the owner of a server's engine, when this host ceases to be it.
+    void remove_owner(const server_id& server);
+    /// A message of a host arrived. Its earlier incarnations give no more orders.
+    void record_heard(const host_id& host, incarnation_id incarnation, instant now);
     void apply_peer_load(const host_id& host, const server_id& server, int running, instant now);
 
     void record_sent(const server_id& server, const model_target& target);
@@ -177,6 +202,7 @@
     void extend_ttls(milliseconds reports, milliseconds placements)
     {
         options_.peer_load_ttl = std::max(reports, options_.peer_load_ttl);
+        options_.owner_ttl = std::max(reports, options_.owner_ttl);
         options_.placement_ttl = std::max(placements, options_.placement_ttl);
     }
     void record_received(const server_id& server, instant now);
@@ -204,9 +230,12 @@
     {
         return time_until_ready(it, target, now) == nanoseconds(0);
     }
-    /// Whether a server other than `server` is about to hold the model, or holds it with room for
-    /// more requests and adapters.
-    bool available_elsewhere(const server_id& server, const model_id& model, instant now) const;
+    /// Whether a server other than `server` is about to hold the target's model, or holds it with
+    /// room for more requests and adapters. One that no host orders cannot load an adapter.
+    bool available_elsewhere(const server_id& server, const model_target& target,
+                             instant now) const;
+    /// How long until a host can order the server's engine; 0 if one can now.
+    milliseconds owner_wait(const record& it, instant now) const;
     /// How many servers other than `server` can serve the model.
     int count_other_replicas(const server_id& server, const model_id& model, instant now) const;
     /// Loads from the weight store in flight, by the received placements.
@@ -230,8 +259,15 @@
     std::optional<server_choice> choose_load(const server_criteria& need, const engine_spec& engine,
                                              bool local_only, instant now) const;
 
+    struct heard_host
+    {
+        incarnation_id incarnation;
+        instant at;
+    };
+
     backend_table_options options_;
     std::map<server_id, record> servers_;
+    std::map<host_id, heard_host> heard_hosts_;
 };
 
 } // namespace banyanshunt
--- a/src/coordination/engine_controller.cpp
+++ b/src/coordination/engine_controller.cpp
@@ -312,7 +312,7 @@
         }
         request.block = models_.contains(target.model) ? adapter_block_ : model_block_;
         if (!models_.contains(target.model) && model_block_ == load_block::none &&
-            env.available_elsewhere(target.model))
+            env.available_elsewhere(target))
         {
             request.block = load_block::held_elsewhere;
         }
@@ -482,7 +482,7 @@
     for (const auto& [target, request] : load_requests_)
     {
         if (!models_.contains(target.model) && engine.models.contains(target.model) &&
-            request.first < oldest_at && !env.available_elsewhere(target.model))
+            request.first < oldest_at && !env.available_elsewhere(target))
         {
             oldest = &target;
             oldest_at = request.first;
--- a/src/coordination/engine_controller.hpp
+++ b/src/coordination/engine_controller.hpp
@@ -151,8 +151,8 @@
     {
         /// How many other servers can serve a model.
         std::function<int(const model_id&)> count_other_replicas;
-        /// Whether another server is about to hold a model, or holds it with room.
-        std::function<bool(const model_id&)> available_elsewhere;
+        /// Whether another server is about to hold the target's model, or holds it with room.
+        std::function<bool(const model_target&)> available_elsewhere;
         /// Acquires a load from this host's share of the weight store's rate; fails if too many are
         /// in flight in the fleet.
         std::function<bool()> acquire_store_load;
--- a/src/serve/host_context.hpp
+++ b/src/serve/host_context.hpp
@@ -89,10 +89,12 @@
     host_context(host_settings initial, asio::any_io_executor loop)
         : settings(std::move(initial)), executor(std::move(loop)), random(make_seeded_rng()),
           incarnation(static_cast<std::int64_t>(random() >> 1)),
-          servers({.own_domain = settings.domain}), pool(backend_pool_options{}),
-          ledger({.loan_duration = milliseconds(600),
-                  .loan_margin = milliseconds(200),
-                  .surplus_horizon = milliseconds(200)}),
+          servers({.own_domain = settings.domain,
+                   .own_host = settings.name,
+                   .takeover_time = settings.bounds.lease + settings.bounds.lease / 2}),
+          pool(backend_pool_options{}), ledger({.loan_duration = milliseconds(600),
+                                                .loan_margin = milliseconds(200),
+                                                .surplus_horizon = milliseconds(200)}),
           log(event_log_options{})
     {
     }
--- a/src/serve/order_controller.cpp
+++ b/src/serve/order_controller.cpp
@@ -50,6 +50,11 @@
     return std::max(context_.settings.bounds.lease, context_.settings.log.min_lease);
 }
 
+milliseconds order_controller::takeover_wait() const
+{
+    return lease() + lease() / joins_per_lease + order_transit_margin;
+}
+
 void order_controller::start()
 {
     asio::co_spawn(context_.executor, run_membership(), asio::detached);
@@ -173,8 +178,7 @@
                                                 : std::nullopt;
         previous = text ? parse_assignment_record(*text) : std::nullopt;
     }
-    auto wait = takeover_delay(first, previous, context_.settings.name,
-                               lease() + lease() / joins_per_lease + order_transit_margin);
+    auto wait = takeover_delay(first, previous, context_.settings.name, takeover_wait());
     // Offsets grow with each claim, so a later owner has a higher fencing number.
     fencing_number fence(offset->count() + 1);
     partitions_[partition] = {.fence = fence, .claim = *offset, .may_order_at = claimed_at + wait};
@@ -209,6 +213,7 @@
         bool keep = known && !known->removed && partitions_.contains(it->second->partition);
         if (!keep)
         {
+            context_.servers.remove_owner(it->first);
             it->second->ended = true;
             it->second->wake_timer.cancel();
             it = owned_engines_.erase(it);
@@ -244,6 +249,33 @@
            now >= it->second.may_order_at;
 }
 
+instant order_controller::may_order_from(int partition, instant now) const
+{
+    auto it = partitions_.find(partition);
+    if (leaving_ || it == partitions_.end() || now >= membership_until_)
+    {
+        return now + takeover_wait();
+    }
+    return it->second.may_order_at;
+}
+
+void order_controller::publish_pending(const server_id& server, const owned_engine& held,
+                                       instant may_order_at)
+{
+    auto partition = partitions_.find(held.partition);
+    if (partition == partitions_.end())
+    {
+        return;
+    }
+    engine_owner owner{.host = context_.settings.name,
+                       .incarnation = context_.incarnation,
+                       .fencing = partition->second.fence,
+                       .may_order_at = may_order_at,
+                       .reported_at = context_.now()};
+    context_.servers.apply_owner(server, owner);
+    publish_.pending_owner(server, owner);
+}
+
 bool order_controller::acquire_store_load(const engine_spec& engine)
 {
     if (context_.servers.active_store_loads(context_.now()) >=
@@ -282,9 +314,15 @@
         if (!known || !engine || !may_order(held->partition, now))
         {
             held->announced = false;
+            if (known && !held->pending_announced)
+            {
+                held->pending_announced = true;
+                publish_pending(server, *held, may_order_from(held->partition, now));
+            }
             co_await pause(milliseconds(100));
             continue;
         }
+        held->pending_announced = false;
         if (!held->announced)
         {
             // After this publication the other hosts report their use of the server to this host.
@@ -297,8 +335,8 @@
             *engine,
             {.count_other_replicas = [&](const model_id& model)
              { return context_.servers.count_other_replicas(server, model, now); },
-             .available_elsewhere = [&](const model_id& model)
-             { return context_.servers.available_elsewhere(server, model, now); },
+             .available_elsewhere = [&](const model_target& target)
+             { return context_.servers.available_elsewhere(server, target, now); },
              .acquire_store_load = [&] { return acquire_store_load(*engine); }},
             now);
         log_expired_requests(server, *held);
@@ -404,6 +442,7 @@
     }
     auto placement = held.controller.placement(*engine, context_.now());
     placement.owner = context_.settings.name;
+    placement.owner_incarnation = context_.incarnation;
     placement.fencing = partition->second.fence;
     context_.servers.apply_placement(server, placement);
     if (!force && equivalent_reports(held.last_published, placement, context_.now()))
@@ -415,17 +454,22 @@
     {
         context_.waiting.wake(model.str());
     }
-    publish_(server, placement);
+    publish_.placement(server, placement);
 }
 
 void order_controller::publish_all()
 {
     for (const auto& [server, held] : owned_engines_)
     {
-        if (may_order(held->partition, context_.now()))
+        instant now = context_.now();
+        if (may_order(held->partition, now))
         {
             publish_placement(server, *held, true);
         }
+        else
+        {
+            publish_pending(server, *held, may_order_from(held->partition, now));
+        }
     }
 }
 
@@ -471,8 +515,10 @@
 task<void> order_controller::leave()
 {
     leaving_ = true;
+    instant now = context_.now();
     for (auto& [server, held] : owned_engines_)
     {
+        publish_pending(server, *held, may_order_from(held->partition, now));
         held->ended = true;
         held->wake_timer.cancel();
     }
--- a/src/serve/order_controller.hpp
+++ b/src/serve/order_controller.hpp
@@ -18,8 +18,13 @@
 class order_controller
 {
 public:
-    /// Publishes a changed placement of a server to the other hosts.
-    using publisher = std::function<void(const server_id&, const server_placement&)>;
+    /// Sends to the other hosts what changed.
+    struct publisher
+    {
+        std::function<void(const server_id&, const server_placement&)> placement;
+        /// This host owns the engine and may not order yet, or any more.
+        std::function<void(const server_id&, const engine_owner&)> pending_owner;
+    };
 
     order_controller(host_context& context, publisher publish);
 
@@ -52,6 +57,8 @@
         asio::steady_timer wake_timer;
         bool ended = false;
         bool announced = false;
+        /// The other hosts know that orders cannot be given now.
+        bool pending_announced = false;
         /// The placement that was last published to the other hosts.
         server_placement last_published;
     };
@@ -68,7 +75,14 @@
     task<void> query_report(server_id server, std::shared_ptr<owned_engine> held);
     task<void> send_order(server_id server, std::shared_ptr<owned_engine> held, engine_order order);
     milliseconds lease() const;
+    /// How long a new owner waits after its claim, unless no order of the previous owner can be in
+    /// transit.
+    milliseconds takeover_wait() const;
+    /// Tells the other hosts from when on orders can be given.
+    void publish_pending(const server_id& server, const owned_engine& held, instant may_order_at);
     bool may_order(int partition, instant now) const;
+    /// When this host, or the owner after it, may order at the earliest; for one that may not now.
+    instant may_order_from(int partition, instant now) const;
     bool acquire_store_load(const engine_spec& engine);
     const engine_spec* engine_of(const server_id& server) const;
     int partition_of(const server_id& server) const;
--- a/src/serve/peer_service.cpp
+++ b/src/serve/peer_service.cpp
@@ -75,10 +75,12 @@
     }
 }
 
-server_placement read_placement(const peers::placement& from, const host_id& owner, instant now)
+server_placement read_placement(const peers::placement& from, const host_id& owner,
+                                incarnation_id incarnation, instant now)
 {
     server_placement to;
     to.owner = owner;
+    to.owner_incarnation = incarnation;
     to.fencing = fencing_number(from.fence());
     to.start_time_ms = from.born_ms();
     to.next_load_at = now + milliseconds(from.room_in_ms());
@@ -105,8 +107,10 @@
 peer_service::peer_service(host_context& context, state_watcher& watcher)
     : context_(context), peers_(context), shares_(context, peers_),
       views_(context, peers_, watcher),
-      orders_(context, [this](const server_id& server, const server_placement& it)
-              { publish_placement(server, it); }),
+      orders_(context, {.placement = [this](const server_id& server, const server_placement& it)
+                        { publish_placement(server, it); },
+                        .pending_owner = [this](const server_id& server, const engine_owner& it)
+                        { publish_pending_owner(server, it); }}),
       started_(context.now()),
       hosts_(context,
              {.topic = platform::host_topic,
@@ -272,6 +276,8 @@
     }
     sender.domain = domain_id(message.domain());
     sender.received_at = context_.now();
+    incarnation_id incarnation(static_cast<std::int64_t>(message.life()));
+    context_.servers.record_heard(host, incarnation, context_.now());
     if (is_new)
     {
         context_.log.write("peer_heard", "host={} domain={}", host.str(), sender.domain.str());
@@ -288,12 +294,22 @@
     for (const auto& it : message.placements())
     {
         context_.servers.apply_placement(server_id(it.server()),
-                                         read_placement(it, host, context_.now()));
+                                         read_placement(it, host, incarnation, context_.now()));
         for (const auto& model : it.models())
         {
             context_.waiting.wake(model.model());
         }
     }
+    for (const auto& it : message.pending_owners())
+    {
+        context_.servers.apply_owner(
+            server_id(it.server()),
+            {.host = host,
+             .incarnation = incarnation,
+             .fencing = fencing_number(it.fence()),
+             .may_order_at = context_.now() + milliseconds(it.may_order_in_ms()),
+             .reported_at = context_.now()});
+    }
     for (const auto& it : message.wishes())
     {
         orders_.request_load(server_id(it.server()),
@@ -404,8 +420,7 @@
     auto& report = *message.mutable_report();
     for (const auto& [id, it] : context_.servers.servers())
     {
-        bool is_owner =
-            it.placement && it.placement->owner == host && !it.requests_since_report.empty();
+        bool is_owner = it.owner && it.owner->host == host && !it.requests_since_report.empty();
         bool report_load =
             in_same_domain(to) && now - it.last_running_at < expiry_periods * same_domain_period();
         if (!is_owner && !report_load)
@@ -506,7 +521,7 @@
         }
         for (const auto& [id, it] : context_.servers.servers())
         {
-            auto owner = it.placement ? peers_.all.find(it.placement->owner) : peers_.all.end();
+            auto owner = it.owner ? peers_.all.find(it.owner->host) : peers_.all.end();
             bool same_domain = owner != peers_.all.end() && in_same_domain(owner->second);
             if (same_domain ? same_domain_due : cross_domain_due)
             {
@@ -530,6 +545,21 @@
 {
     auto message = peers_.new_message();
     write_placement(server, placement, context_.now(), *message.add_placements());
+    send_to_all(std::move(message));
+}
+
+void peer_service::publish_pending_owner(const server_id& server, const engine_owner& owner)
+{
+    auto message = peers_.new_message();
+    auto& it = *message.add_pending_owners();
+    it.set_server(server.str());
+    it.set_fence(owner.fencing.count());
+    it.set_may_order_in_ms(ms_until(owner.may_order_at, context_.now()));
+    send_to_all(std::move(message));
+}
+
+void peer_service::send_to_all(peers::peer_message message)
+{
     for (const auto& [host, it] : peers_.all)
     {
         if (in_same_domain(it))
@@ -557,8 +587,7 @@
         return load_request_route::own_engine;
     }
     const auto* known = context_.servers.find(server);
-    auto owner =
-        known && known->placement ? peers_.all.find(known->placement->owner) : peers_.all.end();
+    auto owner = known && known->owner ? peers_.all.find(known->owner->host) : peers_.all.end();
     if (owner == peers_.all.end())
     {
         return load_request_route::no_owner;
--- a/src/serve/peer_service.hpp
+++ b/src/serve/peer_service.hpp
@@ -46,6 +46,8 @@
     void report_to(const host_id& host, const peer& to, instant now);
     void report_to_domains(instant now);
     void publish_placement(const server_id& server, const server_placement& placement);
+    void publish_pending_owner(const server_id& server, const engine_owner& owner);
+    void send_to_all(peers::peer_message message);
     /// Sends to a few hosts of each other domain, which relay the message to the rest of theirs.
     void send_to_domains(peers::peer_message message);
     load_request_route send_load_request(const server_id& server, const model_target& unit,
--- a/tests/correctness/backend_table_test.cpp
+++ b/tests/correctness/backend_table_test.cpp
@@ -129,7 +129,7 @@
         CHECK(choice.server.str() == "a");
         CHECK(choice.loading);
         CHECK(choice.expected_wait == 500ms);
-        CHECK(table.available_elsewhere(server_id("b"), model.id, now));
+        CHECK(table.available_elsewhere(server_id("b"), need.target, now));
     }
     SECTION("a placement from a previous owner is ignored")
     {
@@ -171,6 +171,7 @@
     table.apply_entry(unordered, now);
     table.apply_entry(ordered, now);
     server_placement placement{.owner = host_id("h"),
+                               .owner_incarnation = {},
                                .fencing = fencing_number(3),
                                .start_time_ms = 1,
                                .models = {},
@@ -182,6 +183,44 @@
         .service = service_id("svc"), .target = {.model = model.id, .adapter = {}}, .tried = {}};
     CHECK(table.choose(need, &engine, now).server.str() == "b");
 
+    SECTION("its owner counts as gone when it falls silent")
+    {
+        placement.owner = host_id("g");
+        placement.fencing = fencing_number(4);
+        table.apply_placement(server_id("a"), placement);
+        CHECK(table.choose(need, &engine, now).server.str() == "a");
+        now += 2s;
+        table.record_heard(host_id("h"), incarnation_id(), now);
+        CHECK(table.choose(need, &engine, now).server.str() == "b");
+        table.record_heard(host_id("g"), incarnation_id(), now);
+        CHECK(table.choose(need, &engine, now).server.str() == "a");
+    }
+    SECTION("an owner that restarted is no longer the owner")
+    {
+        table.apply_placement(server_id("a"), placement);
+        CHECK(table.choose(need, &engine, now).server.str() == "a");
+        table.record_heard(host_id("h"), incarnation_id(7), now);
+        CHECK(table.owner_wait(*table.find(server_id("a")), now) > 1s);
+    }
+    SECTION("a new owner that may not order yet states from when it may")
+    {
+        table.apply_owner(server_id("a"), {.host = host_id("g"),
+                                           .incarnation = {},
+                                           .fencing = fencing_number(4),
+                                           .may_order_at = now + 3s,
+                                           .reported_at = now});
+        CHECK(table.choose(need, &engine, now).server.str() == "b");
+        CHECK(table.owner_wait(*table.find(server_id("a")), now) == 3s);
+        table.record_heard(host_id("g"), incarnation_id(), now + 3s);
+        CHECK(table.owner_wait(*table.find(server_id("a")), now + 3s) == 0s);
+    }
+    SECTION("with no owner anywhere, the expected wait includes the takeover")
+    {
+        table.remove_owner(server_id("b"));
+        auto choice = table.choose(need, &engine, now);
+        CHECK(choice.action == server_choice::action_kind::load);
+        CHECK(choice.expected_wait > 4s);
+    }
     SECTION("an adapter neither: its model is loaded where orders are given")
     {
         unordered.models = {{model.id, {}}};
@@ -276,6 +315,11 @@
     for (const char* name : {"a", "b", "c"})
     {
         table.apply_entry(server(name), now);
+        table.apply_owner(server_id(name), {.host = host_id("h"),
+                                            .incarnation = {},
+                                            .fencing = {},
+                                            .may_order_at = now,
+                                            .reported_at = now});
     }
     auto load = [&](const char* at, const char* model, bool from_store)
     {
--- a/tests/correctness/engine_controller_test.cpp
+++ b/tests/correctness/engine_controller_test.cpp
@@ -45,8 +45,8 @@
         return controller->decide(spec,
                                   {.count_other_replicas = [this](const model_id& it)
                                    { return redundant.contains(it) ? 1 : 0; },
-                                   .available_elsewhere = [this](const model_id& it)
-                                   { return held_elsewhere.contains(it); },
+                                   .available_elsewhere = [this](const model_target& it)
+                                   { return held_elsewhere.contains(it.model); },
                                    .acquire_store_load = [this] { return store_loads-- > 0; }},
                                   now);
     }
