Eviction counts the requests that were refused, and waits for the model that is least needed

Callers saw a model's adapters refused again and again: the model was loaded, evicted a second later before its adapters were loaded, and loaded again; or a load waited behind the unload of a model that ran dozens of requests.

Cause: a model's worth was the rate of requests served, beginning at zero with each load. A model whose requests are refused has none and was always the next to go. And a model that may not be evicted yet was passed over for a busier one that may, whose unload blocks the engine until its last request has ended.

Fix: an engine's owner counts requests that asked for a load like served ones, and keeps the rate over loads and unloads. The least needed model is chosen first; if it is in use, its time is waited out instead of taking another.

--- a/src/coordination/engine_controller.cpp
+++ b/src/coordination/engine_controller.cpp
@@ -17,6 +17,8 @@
 constexpr double redundant_factor = 0.15;
 /// What a running request adds to a model's worth, in requests a second.
 constexpr double running_request_worth = 1.0;
+/// A request repeats its load request every 100 ms; one that has waited for less is new.
+constexpr milliseconds first_load_request{100};
 /// Estimate of how long a server whose models are all in use has no room.
 constexpr milliseconds busy_room{1200};
 /// How long the unload of an idle model takes.
@@ -74,7 +76,6 @@
         if (is_new)
         {
             model.ready_at = now;
-            model.rate_updated_at = now;
         }
         std::erase_if(model.adapters, [&, &held = adapters](const auto& a)
                       { return a.second.ready_at <= now && !held.contains(a.first); });
@@ -160,19 +161,22 @@
         load_requests_.try_emplace(target, load_request{.first = now - waited, .last = now});
     it->second.last = now;
     it->second.first = std::min(it->second.first, now - waited);
+    if (waited < first_load_request)
+    {
+        add_requests(target.model, 1, now);
+    }
 }
 
 void engine_controller::record_use(const host_id& host, const model_target& target, int running,
                                    int requests, instant now)
 {
     uses_[target][host] = {.running = running, .at = now};
+    add_requests(target.model, requests, now);
     auto model = models_.find(target.model);
     if (model == models_.end())
     {
         return;
     }
-    model->second.rate = rate(model->second, now) + requests / rate_window_s;
-    model->second.rate_updated_at = now;
     model->second.requests_since_load += requests;
     auto adapter = model->second.adapters.find(target.adapter);
     if (adapter != model->second.adapters.end() && (running > 0 || requests > 0))
@@ -181,10 +185,21 @@
     }
 }
 
-double engine_controller::rate(const model_state& model, instant now) const
+double engine_controller::rate(const model_id& model, instant now) const
 {
-    std::chrono::duration<double> passed = now - model.rate_updated_at;
-    return model.rate * std::exp(-passed.count() / rate_window_s);
+    auto it = rates_.find(model);
+    if (it == rates_.end())
+    {
+        return 0;
+    }
+    std::chrono::duration<double> passed = now - it->second.updated_at;
+    return it->second.per_s * std::exp(-passed.count() / rate_window_s);
+}
+
+void engine_controller::add_requests(const model_id& model, int requests, instant now)
+{
+    double per_s = rate(model, now) + requests / rate_window_s;
+    rates_[model] = {.per_s = per_s, .updated_at = now};
 }
 
 int engine_controller::running(const model_target& target, instant now) const
@@ -525,6 +540,7 @@
         return best;
     }
     double least = std::numeric_limits<double>::max();
+    milliseconds wait{0};
     for (const auto& [id, model] : models_)
     {
         if (model.unloading || model.ready_at + options_.min_residency > now)
@@ -533,20 +549,20 @@
         }
         int busy = running_model(id, now);
         bool redundant = env.count_other_replicas(id) > 0;
-        if (busy > 0 &&
-            waited < (redundant ? options_.busy_eviction_delay : 3 * options_.busy_eviction_delay))
-        {
-            continue;
-        }
-        double worth = rate(model, now) + running_request_worth * busy;
+        double worth = rate(id, now) + running_request_worth * busy;
         worth *= redundant ? redundant_factor : 1;
         if (worth < least)
         {
             least = worth;
             best = id;
+            // A busy model with less worth than the others is waited for rather than passed over:
+            // unloading one with more requests would block the engine for longer.
+            wait = busy == 0   ? milliseconds(0)
+                   : redundant ? options_.busy_eviction_delay
+                               : 3 * options_.busy_eviction_delay;
         }
     }
-    return best;
+    return waited < wait ? std::nullopt : best;
 }
 
 engine_controller::step engine_controller::load_model(const model_id& model, const context& env,
@@ -650,7 +666,6 @@
     auto& model = models_[order.model];
     auto spec = engine.models.find(order.model);
     model = {};
-    model.rate_updated_at = now;
     model.from_store = response == order_response::accepted &&
                        !entry_.in_memory.contains(order.model) &&
                        !entry_.on_disk.contains(order.model);
--- a/src/coordination/engine_controller.hpp
+++ b/src/coordination/engine_controller.hpp
@@ -197,9 +197,6 @@
         /// other loads.
         bool from_store = false;
         std::map<adapter_id, adapter_state> adapters;
-        /// Requests a second, decaying.
-        double rate = 0;
-        instant rate_updated_at;
         int requests_since_load = 0;
     };
     struct load_request
@@ -208,6 +205,12 @@
         instant last;
         load_block block = load_block::none;
     };
+    /// Requests a second for a model, decaying: served ones, and those that asked for a load.
+    struct request_rate
+    {
+        double per_s = 0;
+        instant updated_at;
+    };
     struct target_use
     {
         int running = 0;
@@ -228,7 +231,8 @@
     int adapters() const;
     int running(const model_target& target, instant now) const;
     int running_model(const model_id& model, instant now) const;
-    double rate(const model_state& model, instant now) const;
+    double rate(const model_id& model, instant now) const;
+    void add_requests(const model_id& model, int requests, instant now);
     bool loading(instant now) const;
     milliseconds load_time(const model_spec& model) const;
 
@@ -255,6 +259,9 @@
     load_block model_block_ = load_block::none;
     load_block adapter_block_ = load_block::none;
     std::map<model_target, std::map<host_id, target_use>> uses_;
+    /// Kept for models that are not held, so that one which is loaded for many refused requests is
+    /// not the next to be evicted.
+    std::map<model_id, request_rate> rates_;
 };
 
 } // namespace banyanshunt
