A host that gives up engines states how long their next owner has to wait

Cause: a new owner waited out the lease of the one before, 4.2 s, even if that one was alive and had given the engine up. With hosts stopping in turn, or one that joins twice, the waits follow each other.

Fix: the group lets others have a partition only after its owner has called again. Before that call the owner appends a release directly after its own last record: how long until a lease has passed since its last order, and until its own takeover is over. The next owner finds it in front of its claim and waits that long, counted from its read. A release that fails, comes late or follows another claim is not there, and the wait is the full one. A planned stop ends the membership before it leaves the group, so that no call to join follows.

--- a/src/coordination/assignment_record.hpp
+++ b/src/coordination/assignment_record.hpp
@@ -4,10 +4,11 @@
 /// How long a host waits before it gives orders to an engine that the group has just assigned to
 /// it.
 ///
-/// It covers outages and restarts: after an outage of all hosts or of the store, most assignments
-/// return to the host that had them. That host may continue at once, while any other waits until
-/// the previous owner can no longer give orders. The assignment's records in the log tell the two
-/// apart.
+/// It covers outages, restarts and hand-overs. After an outage of all hosts or of the store, most
+/// assignments return to the host that had them, which may continue at once. A host that stops, or
+/// whose assignments move to a host that joins, releases them and states how long the next owner
+/// has to wait. In all other cases the next owner waits until the previous one can no longer give
+/// orders. The assignment's records in the log tell these apart.
 
 #include <optional>
 #include <string>
@@ -20,13 +21,16 @@
 namespace banyanshunt
 {
 
-/// One record of an assignment: a host claims it, or has completed its takeover. The second kind is
-/// appended only directly after the first, so that it cannot follow another host's claim.
+/// One record of an assignment: a host claims it, has completed its takeover, or releases it. The
+/// second and third kinds are appended only directly after the holder's own records, so that they
+/// cannot follow another host's claim.
 struct assignment_record
 {
     host_id holder;
     /// No other host may give orders any more.
     bool takeover_complete = false;
+    /// The holder gives no more orders, and the next owner may after this time.
+    std::optional<milliseconds> released_for = {};
 
     friend bool operator==(const assignment_record&, const assignment_record&) = default;
 };
@@ -35,6 +39,12 @@
 /// Returns the record that `text` encodes; nothing if it is not an assignment record.
 std::optional<assignment_record> parse_assignment_record(std::string_view text);
 
+/// Returns how long the next owner waits after a release at `now`, by the last order that the
+/// releasing host gave and the end of its own takeover. Orders of two hosts are at least `lease`
+/// apart.
+milliseconds release_delay(instant last_order_at, instant may_order_at, milliseconds lease,
+                           instant now);
+
 /// Returns how long `own` waits after its claim. `first` says that its claim is the assignment's
 /// first record; otherwise `before` is the record preceding it, or nothing if that could not be
 /// read. `expiry` is how long a previous owner may continue before it learns that it lost the
--- a/src/serve/order_controller.cpp
+++ b/src/serve/order_controller.cpp
@@ -1,6 +1,7 @@
 #include "serve/order_controller.hpp"
 
 #include <algorithm>
+#include <utility>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -31,6 +32,9 @@
 /// Added to the lease and one call period before a new owner sends orders: the previous owner may
 /// learn of its loss only at its next call, and its last order may be in transit.
 constexpr milliseconds order_transit_margin{450};
+/// Added to the lease between the last order of a host that releases an engine and the first order
+/// of the next owner, for the drift between their clocks.
+constexpr milliseconds release_margin{150};
 /// An engine responds to an order within milliseconds; a lost packet is retransmitted after 200 ms
 /// or more.
 constexpr milliseconds order_timeout{1000};
@@ -41,7 +45,7 @@
     : context_(context), publish_(std::move(publish)),
       // Stable across restarts, so that the group assigns this host the partitions it had.
       member_(context.settings.name.str()), store_(context.settings.log.address),
-      store_load_refilled_at_(context.now())
+      membership_timer_(context.executor), store_load_refilled_at_(context.now())
 {
 }
 
@@ -74,10 +78,16 @@
         update_owned_engines();
         co_await record_takeovers();
         milliseconds period = lease() / joins_per_lease;
-        co_await pause(!joined                 ? period / 3
-                       : listed_since_.empty() ? period
-                                               : std::min(period, assignment_settle_time));
+        if (!leaving_)
+        {
+            membership_timer_.expires_after(!joined ? period / 3
+                                            : listed_since_.empty()
+                                                ? period
+                                                : std::min(period, assignment_settle_time));
+            co_await membership_timer_.async_wait(as_result);
+        }
     }
+    membership_ended_ = true;
 }
 
 task<bool> order_controller::join()
@@ -100,8 +110,20 @@
     bool lapsed = context_.now() >= membership_until_;
     generation_ = assignment->generation;
     std::set<int> listed(assignment->partitions.begin(), assignment->partitions.end());
-    std::erase_if(partitions_,
-                  [&](const auto& it) { return lapsed || !listed.contains(it.first); });
+    std::map<int, held_partition> moved;
+    for (auto it = partitions_.begin(); it != partitions_.end();)
+    {
+        if (!lapsed && listed.contains(it->first))
+        {
+            ++it;
+            continue;
+        }
+        if (!lapsed)
+        {
+            moved.insert(*it);
+        }
+        it = partitions_.erase(it);
+    }
     membership_until_ = sent_at + lease() - lease() / lease_margin_divisor;
     std::erase_if(listed_since_, [&](const auto& it)
                   { return !listed.contains(it.first) || partitions_.contains(it.first); });
@@ -112,9 +134,34 @@
             co_await claim(partition);
         }
     }
+    // The group assigns them to others only after this host's next call.
+    co_await release(std::move(moved), store_timeout);
     co_return true;
 }
 
+task<void> order_controller::release(std::map<int, held_partition> partitions, milliseconds timeout)
+{
+    for (const auto& [partition, held] : partitions)
+    {
+        instant now = context_.now();
+        instant last_order_at =
+            orders_in_flight_.contains(partition) ? now + order_timeout : held.last_order_at;
+        assignment_record record{.holder = context_.settings.name,
+                                 .released_for = release_delay(last_order_at, held.may_order_at,
+                                                               lease() + release_margin, now)};
+        auto call = platform::assignment_append_call(partition, to_text(record), held.last_record);
+        auto response = co_await store_.call(call.method, call.target, call.body, timeout);
+        bool recorded = response && response->status == 200;
+        context_.log.write("duty_released", "partition={} wait_ms={} status={}", partition,
+                           record.released_for->count(), response ? response->status : 0);
+        if (!recorded)
+        {
+            // The next owners wait in full. Further calls would delay the next one to the group.
+            co_return;
+        }
+    }
+}
+
 bool order_controller::is_settled(int partition, instant now)
 {
     auto since = listed_since_.try_emplace(partition, now).first->second;
@@ -144,6 +191,13 @@
         auto call =
             platform::assignment_append_call(partition, to_text(record), held->second.claim);
         auto response = co_await store_.call(call.method, call.target, call.body, store_timeout);
+        // The partition may have been lost and claimed anew during the call.
+        held = partitions_.find(partition);
+        if (response && response->status == 200 && held != partitions_.end() &&
+            held->second.takeover_recorded)
+        {
+            held->second.last_record = log_offset(held->second.claim.count() + 1);
+        }
         if (!response || response->status != 200)
         {
             context_.log.write("duty_turn_untold", "partition={} status={}", partition,
@@ -179,9 +233,15 @@
         previous = text ? parse_assignment_record(*text) : std::nullopt;
     }
     auto wait = takeover_delay(first, previous, context_.settings.name, takeover_wait());
+    // A released partition's wait counts from the release, which precedes this claim's record.
+    instant wait_from = previous && previous->released_for ? context_.now() : claimed_at;
     // Offsets grow with each claim, so a later owner has a higher fencing number.
     fencing_number fence(offset->count() + 1);
-    partitions_[partition] = {.fence = fence, .claim = *offset, .may_order_at = claimed_at + wait};
+    partitions_[partition] = {.fence = fence,
+                              .claim = *offset,
+                              .may_order_at = wait_from + wait,
+                              .last_record = *offset,
+                              .last_order_at = {}};
     listed_since_.erase(partition);
     context_.log.write("duty_taken", "partition={} fence={} generation={} before={} wait_ms={}",
                        partition, fence.count(), generation_,
@@ -398,6 +458,7 @@
     std::string text = platform::encode_order(order, server, known->entry.address, member_, fence);
     server_exchange exchange(context_, server);
     exchange_deadline deadline(exchange, context_.executor, order_timeout);
+    orders_in_flight_.insert(held->partition);
     auto state = co_await exchange.send(
         std::move(text), request_id(),
         [&] { return !held->ended && may_order(held->partition, context_.now()); });
@@ -410,6 +471,12 @@
         co_await exchange.read_rest();
         exchange.finish();
     }
+    orders_in_flight_.erase(orders_in_flight_.find(held->partition));
+    if (auto it = partitions_.find(held->partition); it != partitions_.end())
+    {
+        it->second.last_order_at =
+            context_.now() + (status != 0 ? milliseconds(0) : order_transit_margin);
+    }
     ++context_.counters.orders;
     bool loads = order.action == engine_order::action_kind::load;
     int used = held->controller.requests_since_load(order.model);
@@ -522,6 +589,12 @@
         held->ended = true;
         held->wake_timer.cancel();
     }
+    membership_timer_.cancel();
+    while (!membership_ended_)
+    {
+        co_await pause(milliseconds(5));
+    }
+    co_await release(std::exchange(partitions_, {}), store_timeout);
     auto call = platform::leave_call(member_);
     co_await store_.call(call.method, call.target, call.body, store_timeout);
 }
--- a/src/serve/order_controller.hpp
+++ b/src/serve/order_controller.hpp
@@ -7,6 +7,7 @@
 
 #include <map>
 #include <memory>
+#include <set>
 
 #include "coordination/engine_controller.hpp"
 #include "serve/host_context.hpp"
@@ -49,6 +50,10 @@
         instant may_order_at;
         /// Whether the log records that the takeover is complete.
         bool takeover_recorded = false;
+        /// Offset of the last record that this host appended.
+        log_offset last_record;
+        /// When the last order ended, by a response or by its deadline.
+        instant last_order_at;
     };
     struct owned_engine
     {
@@ -67,6 +72,9 @@
     task<bool> join();
     task<void> claim(int partition);
     task<void> record_takeovers();
+    /// States in the log that this host gives no more orders in these partitions, so that their
+    /// next owners need not wait until its lease has expired.
+    task<void> release(std::map<int, held_partition> partitions, milliseconds timeout);
     /// Whether the partition has been listed long enough to be considered stable.
     bool is_settled(int partition, instant now);
     void update_owned_engines();
@@ -97,9 +105,13 @@
     std::int64_t generation_ = 0;
     bool is_member_ = false;
     bool leaving_ = false;
+    bool membership_ended_ = false;
+    asio::steady_timer membership_timer_;
     /// Until when the membership is guaranteed to last.
     instant membership_until_;
     std::map<int, held_partition> partitions_;
+    /// Partitions of orders whose response is awaited.
+    std::multiset<int> orders_in_flight_;
     /// Partitions that are listed for this host and not claimed yet, with the time when they were
     /// first listed.
     std::map<int, instant> listed_since_;
