A slow unload is expected to last, so hosts prefer other engines for their loads

Cause: an engine that unloads was expected to have room 1.2 s later, however long the unload had taken already. It lasts until the last request of the model has ended, up to 9 s in the logs.

Fix: it is expected to take as long again as it has taken. The test failed before.

--- a/src/coordination/engine_controller.cpp
+++ b/src/coordination/engine_controller.cpp
@@ -654,6 +654,7 @@
             return;
         }
         unloading_ = order.model;
+        unload_began_at_ = now;
         models_[order.model].unloading = true;
         return;
     }
@@ -717,7 +718,14 @@
         largest = std::max(largest, spec.weights_mb);
     }
     bool room = any_idle || memory_used_mb(engine) + largest <= engine.memory_mb;
-    if (!room || unloading_ || !orders_accepted_)
+    if (unloading_)
+    {
+        // An unload lasts until the model's requests have ended: it is expected to take as long
+        // again as it has taken, so that hosts prefer other engines if it is slow.
+        auto unload_left = std::chrono::ceil<milliseconds>(now - unload_began_at_);
+        report.next_load_at += std::max(busy_room, unload_left);
+    }
+    else if (!room || !orders_accepted_)
     {
         report.next_load_at += busy_room;
     }
--- a/src/coordination/engine_controller.hpp
+++ b/src/coordination/engine_controller.hpp
@@ -245,6 +245,7 @@
     instant ordered_at_;
     /// The model that is being unloaded, and the model to load in its place.
     std::optional<model_id> unloading_;
+    instant unload_began_at_;
     model_id after_unload_;
     /// The model for which a load from the weight store was acquired but not yet started.
     std::optional<model_id> store_load_for_;
--- a/tests/correctness/engine_controller_test.cpp
+++ b/tests/correctness/engine_controller_test.cpp
@@ -206,6 +206,23 @@
     CHECK(unload.order.model == model_id("m1"));
 }
 
+TEST_CASE("An unload that is slow is expected to take as long again")
+{
+    engine_case it;
+    it.use("m0", 0, 8);
+    it.use("m1", 0, 1);
+    it.controller->request_load(engine_case::target("m2"), 50ms, it.now);
+    auto unload = it.decide();
+    REQUIRE(unload.order.model == model_id("m1"));
+    it.respond(unload, order_response::accepted);
+
+    auto early = it.controller->placement(it.spec, it.now);
+    CHECK(early.next_load_at < it.now + 2s);
+    it.now += 4s;
+    auto late = it.controller->placement(it.spec, it.now);
+    CHECK(late.next_load_at >= it.now + 4s);
+}
+
 TEST_CASE("A burst of load requests for one model on many servers becomes one load")
 {
     engine_case it;
