A stopping host leaves its group first, and ends without a pause after its last request

Fix: the host leaves its group when the stop begins. The test failed before: a request that arrived while the call to leave was under way got no response.

--- a/src/serve/order_controller.cpp
+++ b/src/serve/order_controller.cpp
@@ -586,9 +586,12 @@
     for (auto& [server, held] : owned_engines_)
     {
         publish_pending(server, *held, may_order_from(held->partition, now));
+        context_.servers.remove_owner(server);
         held->ended = true;
         held->wake_timer.cancel();
     }
+    // From here on this host's own requests go to the next owners.
+    owned_engines_.clear();
     membership_timer_.cancel();
     while (!membership_ended_)
     {
--- a/src/serve/serving_host.cpp
+++ b/src/serve/serving_host.cpp
@@ -139,6 +139,9 @@
     context.refuse_from = requested_at + accept_duration;
     context.stop_deadline = requested_at + context.settings.bounds.stop_grace - stop_margin;
     context.log.write("stop_begun", "requests_open={}", context.requests_open);
+    // Before the wait: nothing may suspend between the last look at open requests and the end of the
+    // loop, which cuts those that are open.
+    co_await peers.leave();
     while (context.now() < context.stop_deadline)
     {
         bool balancer_may_send = context.now() - requested_at < balancer_detection_time;
@@ -148,7 +151,6 @@
         }
         co_await pause(milliseconds(50));
     }
-    co_await peers.leave();
     context.log.write("stop_ended", "requests_open={}", context.requests_open);
     loop.stop();
 }
--- a/tests/correctness/serve_path_test.cpp
+++ b/tests/correctness/serve_path_test.cpp
@@ -314,3 +314,15 @@
     std::this_thread::sleep_for(500ms);
     CHECK(it.stream("waits", "nobody-has-it").first == 503);
 }
+
+TEST_CASE("A planned stop completes a request that arrives while the host leaves its group")
+{
+    serve_case it;
+    REQUIRE(it.started);
+    it.store.leave_delay_ms = 500;
+    it.host->request_stop();
+    REQUIRE(serve_case::eventually([&] { return it.store.leave_calls > 0; }));
+    // It waits for a model, longer than the call to leave takes.
+    CHECK(it.stream("meets-the-leaving", "nobody-has-it").first == 503);
+    REQUIRE(serve_case::eventually([&] { return it.exit_code == 0; }));
+}
--- a/tests/stand_ins/prepared_platform.cpp
+++ b/tests/stand_ins/prepared_platform.cpp
@@ -194,6 +194,8 @@
     http.Post("/api/log-leave",
               [this](const httplib::Request& call, httplib::Response& response)
               {
+                  ++leave_calls;
+                  std::this_thread::sleep_for(std::chrono::milliseconds(leave_delay_ms));
                   group_.leave(json::parse(call.body).at("member").get<std::string>());
                   response.set_content("{}", "application/json");
               });
--- a/tests/stand_ins/prepared_platform.hpp
+++ b/tests/stand_ins/prepared_platform.hpp
@@ -50,6 +50,9 @@
     void put(const std::string& topic, const std::string& key, const std::string& value);
     /// While nonzero, every call gets this status.
     std::atomic<int> forced_status = 0;
+    /// How long a call to leave a group takes, and how many have arrived.
+    std::atomic<int> leave_delay_ms = 0;
+    std::atomic<int> leave_calls = 0;
 
 private:
     struct server;
