A load that is carried out late, during an unload, is not followed by another load

Cause: a load without a response may be carried out seconds later, if the engine's count of orders still is the expected one. While an unload lasts, the owner took the count of a busy engine's report as its own.

Fix: the count of a busy engine is taken only if it is that of the unload. With any other, a late order was carried out, and the next order waits for a report of the idle engine.

--- a/src/coordination/engine_controller.cpp
+++ b/src/coordination/engine_controller.cpp
@@ -137,10 +137,12 @@
                 report_at_ = model.ready_at;
             }
         }
-        if (unloading_)
+        if (unloading_ && report.orders_accepted == orders_with_unload_)
         {
             orders_accepted_ = report.orders_accepted;
         }
+        // With any other count an order without a response was carried out late, perhaps a load
+        // that takes the room: only a report of the idle engine shows what it holds.
         return;
     }
     unloading_.reset();
@@ -655,6 +657,7 @@
         }
         unloading_ = order.model;
         unload_began_at_ = now;
+        orders_with_unload_ = orders_accepted_.value_or(0);
         models_[order.model].unloading = true;
         return;
     }
--- a/src/coordination/engine_controller.hpp
+++ b/src/coordination/engine_controller.hpp
@@ -246,6 +246,8 @@
     /// The model that is being unloaded, and the model to load in its place.
     std::optional<model_id> unloading_;
     instant unload_began_at_;
+    /// How many orders the engine had accepted with that unload.
+    std::int64_t orders_with_unload_ = 0;
     model_id after_unload_;
     /// The model for which a load from the weight store was acquired but not yet started.
     std::optional<model_id> store_load_for_;
--- a/src/serve/serving_host.cpp
+++ b/src/serve/serving_host.cpp
@@ -139,8 +139,8 @@
     context.refuse_from = requested_at + accept_duration;
     context.stop_deadline = requested_at + context.settings.bounds.stop_grace - stop_margin;
     context.log.write("stop_begun", "requests_open={}", context.requests_open);
-    // Before the wait: nothing may suspend between the last look at open requests and the end of the
-    // loop, which cuts those that are open.
+    // Before the wait: nothing may suspend between the last look at open requests and the end of
+    // the loop, which cuts those that are open.
     co_await peers.leave();
     while (context.now() < context.stop_deadline)
     {
--- a/tests/correctness/engine_controller_test.cpp
+++ b/tests/correctness/engine_controller_test.cpp
@@ -131,6 +131,54 @@
     }
 }
 
+TEST_CASE("A load that was carried out late, during an unload, is not followed by another load")
+{
+    engine_case it;
+    it.use("m0", 0, 8);
+    it.use("m1", 0, 1);
+    it.controller->request_load(engine_case::target("m2"), 50ms, it.now);
+    auto unload = it.decide();
+    it.respond(unload, order_response::accepted);
+    auto load = it.decide();
+    REQUIRE(load.order.model == model_id("m2"));
+    it.respond(load, order_response::unknown);
+    it.now += 500ms;
+    REQUIRE(it.decide().action == step_kind::query_report);
+    auto report_busy = [&](std::int64_t orders)
+    {
+        it.controller->adopt(engine_report{.models = {{model_id("m0"), {}}},
+                                           .busy = true,
+                                           .orders_accepted = orders,
+                                           .start_time_ms = 0},
+                             it.now);
+        it.now += 200ms;
+        it.controller->request_load(engine_case::target("m3"), 700ms, it.now);
+    };
+
+    SECTION("the engine is still unloading: the load is ordered again")
+    {
+        report_busy(3);
+        auto again = it.decide();
+        REQUIRE(again.action == step_kind::order);
+        CHECK(again.order.expected_orders == 3);
+    }
+    SECTION("the engine has accepted another order: a report must first show what it holds")
+    {
+        report_busy(4);
+        CHECK(it.decide().action == step_kind::none);
+        it.now += 500ms;
+        CHECK(it.decide().action == step_kind::query_report);
+        it.controller->adopt(engine_report{.models = {{model_id("m0"), {}}, {model_id("m2"), {}}},
+                                           .busy = false,
+                                           .orders_accepted = 4,
+                                           .start_time_ms = 0},
+                             it.now);
+        auto next = it.decide();
+        CHECK_FALSE((next.action == step_kind::order &&
+                     next.order.action == engine_order::action_kind::load));
+    }
+}
+
 TEST_CASE("A model that other servers hold is evicted before one that only this server holds")
 {
     engine_case it;
