--- a/src/coordination/engine_controller.cpp
+++ b/src/coordination/engine_controller.cpp
@@ -18,7 +18,7 @@
 /// What a running request adds to a model's worth, in requests a second.
 constexpr double running_request_worth = 1.0;
 /// A request repeats its load request every 100 ms; one that has waited for less is new.
-constexpr milliseconds first_load_request{100};
+constexpr milliseconds load_request_period{100};
 /// Estimate of how long a server whose models are all in use has no room.
 constexpr milliseconds busy_room{1200};
 /// How long the unload of an idle model takes.
@@ -163,7 +163,7 @@
         load_requests_.try_emplace(target, load_request{.first = now - waited, .last = now});
     it->second.last = now;
     it->second.first = std::min(it->second.first, now - waited);
-    if (waited < first_load_request)
+    if (waited < load_request_period)
     {
         add_requests(target.model, 1, now);
     }
