The soak counts models that are requested throughout and never served

The platform's rule is the bound: a model counts that was requested four times or more over 8 s by a workspace within its rate, and one in ten, and one more, may go unserved.

--- a/tests/soak/soak_callers.cpp
+++ b/tests/soak/soak_callers.cpp
@@ -70,7 +70,8 @@
         if (record.kind == call_kind::guide)
         {
             const char* models[] = {"busy", "busy", "rare-1", "rare-2", "rare-3"};
-            headers.emplace("X-Model", models[draw(5)]);
+            record.model = models[draw(5)];
+            headers.emplace("X-Model", record.model);
         }
         record.sent = std::chrono::steady_clock::now();
         auto response = record.kind == call_kind::read
--- a/tests/soak/soak_callers.hpp
+++ b/tests/soak/soak_callers.hpp
@@ -27,6 +27,8 @@
     std::string id;
     call_kind kind = call_kind::read;
     std::string key;
+    /// Empty for requests to plain services.
+    std::string model;
     steady_instant sent;
     steady_instant ended;
     /// 0 if the connection ended without a response.
--- a/tests/soak/soak_checks.cpp
+++ b/tests/soak/soak_checks.cpp
@@ -19,6 +19,11 @@
 /// The required ratio of requests served after recovery, without those of the workspace that
 /// exceeds its rate.
 constexpr double recovered_ratio = 0.9;
+/// The platform's rule on models that are never served: which count, and how many of them may be.
+constexpr int starvation_min_requests = 4;
+constexpr std::chrono::seconds starvation_min_span{8};
+constexpr double starvation_allowed = 1;
+constexpr double starvation_allowed_ratio = 0.1;
 constexpr const char* complete_stream = "id: 1\ndata: token1\n\nid: 2\ndata: token2\n\n"
                                         "id: 3\ndata: token3\n\nid: 4\ndata: token4\n\n"
                                         "id: 5\ndata: token5\n\n";
@@ -127,6 +132,49 @@
     }
 }
 
+/// Models that were requested often over a long time and never served, beyond the ratio that the
+/// platform allows.
+void check_starvation(const std::vector<call_record>& calls, std::vector<std::string>& violations)
+{
+    struct model_calls
+    {
+        int requests = 0;
+        int served = 0;
+        steady_instant first;
+        steady_instant last;
+    };
+    std::map<std::string, model_calls> models;
+    for (const auto& call : calls)
+    {
+        // The small workspace exceeds its rate, so that its requests may be refused.
+        if (call.model.empty() || call.key == "small-key")
+        {
+            continue;
+        }
+        auto [it, is_new] = models.try_emplace(call.model);
+        it->second.first = is_new ? call.sent : std::min(it->second.first, call.sent);
+        it->second.last = std::max(it->second.last, call.sent);
+        ++it->second.requests;
+        it->second.served += call.status == 200 ? 1 : 0;
+    }
+    int requested = 0;
+    int unserved = 0;
+    for (const auto& [name, it] : models)
+    {
+        if (it.requests >= starvation_min_requests && it.last - it.first >= starvation_min_span)
+        {
+            ++requested;
+            unserved += it.served == 0 ? 1 : 0;
+        }
+    }
+    if (unserved > starvation_allowed + starvation_allowed_ratio * requested)
+    {
+        violations.push_back(
+            fmt::format("{} of {} models that were requested throughout were never served",
+                        unserved, requested));
+    }
+}
+
 void check_recovery(const std::vector<call_record>& calls, const soak_history& history,
                     std::vector<std::string>& violations)
 {
@@ -162,6 +210,7 @@
                    violations);
     }
     check_rate(calls, runs, violations);
+    check_starvation(calls, violations);
     check_recovery(calls, history, violations);
     for (const auto& it : fleet.backends)
     {
