Hosts read and log the limit that a server states

No log line or metric showed whether a response with the field Server-Limit was received, by what kind of response, or what a host sent afterwards, so the hypotheses could not be told apart. A host now keeps what each server stated (server_limits), logs its begin, changes and end with the kind of response that showed it, and counts responses that state a limit and sends while one is known. Nothing is decided by it yet.

A response counts as the end of a limit only if it is the response to the request that was sent, and that request was sent after the limit was last stated: responses on different connections overtake each other, and an extra response arrives late.

--- a/src/coordination/backend_table.cpp
+++ b/src/coordination/backend_table.cpp
@@ -68,6 +68,7 @@
     }
     if (entry.start_time_ms > known.entry.start_time_ms)
     {
+        limits_.forget_earlier(entry.id, entry.start_time_ms);
         known.placement.reset();
         known.denied.clear();
         known.failures = 0;
--- a/src/coordination/backend_table.hpp
+++ b/src/coordination/backend_table.hpp
@@ -13,6 +13,7 @@
 #include <set>
 #include <vector>
 
+#include "coordination/server_limits.hpp"
 #include "state/backend_entry.hpp"
 #include "state/clock.hpp"
 
@@ -218,6 +219,8 @@
     const record* find(const server_id& server) const;
     const std::map<server_id, record>& servers() const { return servers_; }
     std::map<server_id, record>& servers() { return servers_; }
+    const server_limits& limits() const { return limits_; }
+    server_limits& limits() { return limits_; }
     /// Requests at the server: own ones and those that peers reported.
     static int load(const record& it) { return it.running + it.peer_running; }
     /// Drops reports of peers older than `peer_load_ttl`.
@@ -268,6 +271,7 @@
     backend_table_options options_;
     std::map<server_id, record> servers_;
     std::map<host_id, heard_host> heard_hosts_;
+    server_limits limits_;
 };
 
 } // namespace banyanshunt
--- a/src/serve/caller_session.cpp
+++ b/src/serve/caller_session.cpp
@@ -1,5 +1,7 @@
 #include "serve/caller_session.hpp"
 
+#include <algorithm>
+
 #include <boost/beast/http.hpp>
 #include <fmt/format.h>
 
@@ -173,6 +175,11 @@
                       context.config ? static_cast<double>(context.config->version) : 0);
     context.stats.set("banyanshunt_unserved_targets",
                       static_cast<double>(context.unserved.count(context.now())));
+    const auto& limits = context.servers.limits().statements();
+    context.stats.set("banyanshunt_limited_servers",
+                      static_cast<double>(std::count_if(limits.begin(), limits.end(),
+                                                        [](const auto& it)
+                                                        { return it.second.rate.has_value(); })));
     std::chrono::duration<double> age =
         context.config_confirmed_at ? context.now() - *context.config_confirmed_at : nanoseconds(0);
     context.stats.set("banyanshunt_config_age_seconds", age.count());
--- a/src/serve/host_context.hpp
+++ b/src/serve/host_context.hpp
@@ -122,6 +122,27 @@
         last_request = now();
         return true;
     }
+    /// Counts a request of a caller as sent to a server.
+    void record_send(const server_id& server)
+    {
+        servers.limits().record_sent(server, now());
+        if (servers.limits().in_force(server))
+        {
+            stats.increment("banyanshunt_limited_sends_total");
+        }
+    }
+    /// Logs a change of a server's limit, and by what it was learned.
+    void log_limit_change(const server_id& server, limit_change change, const char* learned_by)
+    {
+        if (change != limit_change::none)
+        {
+            auto rate = servers.limits().rate(server).value_or(millirequests_per_second(0));
+            log.write("server_limit", "server={} change={} per_s={:.3f} learned_by={} sent={}",
+                      server.str(), to_text(change),
+                      static_cast<double>(rate.count()) / millirequests_per_request, learned_by,
+                      servers.limits().recent_sends(server, now()));
+        }
+    }
     shared_retry_budget& budget(const service_id& service)
     {
         return budgets
--- a/src/serve/peer_service.cpp
+++ b/src/serve/peer_service.cpp
@@ -494,6 +494,7 @@
         instant now = context_.now();
         context_.ledger.expire(now);
         context_.servers.expire_peer_loads(now);
+        context_.servers.limits().expire(now);
         if (hosts_changed_)
         {
             hosts_changed_ = false;
--- a/src/serve/request_attempt.cpp
+++ b/src/serve/request_attempt.cpp
@@ -148,8 +148,16 @@
     context_.servers.record_sent(server, unit);
     exchange_ = &exchange;
     schedule_inactivity_check();
-    auto state =
-        co_await exchange.send(std::move(text), fields_.id, [this] { return may_still_send(); });
+    auto state = co_await exchange.send(std::move(text), fields_.id,
+                                        [&]
+                                        {
+                                            bool may_send = may_still_send();
+                                            if (may_send)
+                                            {
+                                                context_.record_send(server);
+                                            }
+                                            return may_send;
+                                        });
     auto end = attempt_result::not_run;
     auto outcome = backend_outcome::failed;
     if (state == exchange_state::no_response)
--- a/src/serve/server_exchange.cpp
+++ b/src/serve/server_exchange.cpp
@@ -10,6 +10,7 @@
 
 /// Largest accepted response head, in bytes: twice the usual bound on request heads.
 constexpr std::uint32_t max_head_bytes = 32768;
+constexpr int first_final_status = 200;
 
 } // namespace
 
@@ -27,6 +28,7 @@
     {
         co_return exchange_state::not_sent;
     }
+    start_time_ms_ = known->entry.start_time_ms;
     connection_ = co_await context_.pool.acquire(known->entry.address);
     if (!connection_ || closed_)
     {
@@ -37,7 +39,7 @@
         context_.pool.release(std::move(connection_), std::nullopt);
         co_return exchange_state::withheld;
     }
-    received_at_ = context_.now();
+    received_at_ = sent_at_ = context_.now();
     auto [ec, n] =
         co_await asio::async_write(connection_->stream.socket(), asio::buffer(request), as_result);
     if (ec)
@@ -46,8 +48,9 @@
     }
     while (co_await read_head())
     {
+        record_limit(id);
         bool matches = fields_.id.empty() || fields_.id == id.str();
-        bool interim = status() < 200;
+        bool interim = status() < first_final_status;
         if (matches && !interim)
         {
             co_return exchange_state::responded;
@@ -86,6 +89,26 @@
     co_return true;
 }
 
+void server_exchange::record_limit(const request_id& id)
+{
+    bool interim = status() < first_final_status;
+    bool matches = fields_.id.empty() || fields_.id == id.str();
+    // A response without an id, and one that may come from another server at the address, does not
+    // show that this server stated no limit.
+    bool identified = !fields_.id.empty() && status() != platform::misdirected_status;
+    auto match = !matches || interim ? response_match::other
+                 : identified        ? response_match::exact
+                                     : response_match::unidentified;
+    auto change = context_.servers.limits().record_response(server_, start_time_ms_, fields_.limit,
+                                                            match, sent_at_, received_at_);
+    if (fields_.limit)
+    {
+        context_.stats.increment("banyanshunt_limited_responses_total",
+                                 {{"match", to_text(match)}});
+    }
+    context_.log_limit_change(server_, change, to_text(match));
+}
+
 task<std::string> server_exchange::read_rest()
 {
     std::string rest;
--- a/src/serve/server_exchange.hpp
+++ b/src/serve/server_exchange.hpp
@@ -68,13 +68,18 @@
     task<bool> read_head();
     task<bool> skip_body();
     void on_received();
+    /// Records what the head that was just read states of the server's limit.
+    void record_limit(const request_id& id);
 
     host_context& context_;
     server_id server_;
     backend_connection_ptr connection_;
     std::optional<http::response_parser<http::buffer_body>> parser_;
     platform::server_response_fields fields_;
+    instant sent_at_;
     instant received_at_;
+    /// Start time of the incarnation that the request was sent to.
+    std::int64_t start_time_ms_ = 0;
     bool closed_ = false;
     std::array<char, 8192> read_buffer_;
 };
