Tests: whole entry hosts can be several in one case

serve_case moves out of its test file and runs any number of hosts; the server stand-in can state a limit and records when requests arrive. No check changes.

--- /dev/null
+++ b/tests/correctness/serve_case.cpp
@@ -0,0 +1,177 @@
+#include "serve_case.hpp"
+
+#include <algorithm>
+
+#include <httplib.h>
+#include <nlohmann/json.hpp>
+
+#include "transport/loop/event_loop.hpp"
+
+namespace banyanshunt
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+using nlohmann::json;
+
+/// Returns a port that is currently unused.
+int free_port()
+{
+    asio::io_context loop;
+    return tcp::acceptor(loop, {asio::ip::make_address_v4("127.0.0.1"), 0}).local_endpoint().port();
+}
+
+json manifest(int version, const std::vector<std::string>& keys)
+{
+    auto route = [](const char* prefix, const char* kind, const char* service, bool resumable)
+    {
+        return json{{"name", prefix},  {"host", "desk.example"}, {"path_prefix", prefix},
+                    {"kind", kind},    {"timeout_ms", 8000},     {"target_latency_ms", 1000},
+                    {"priority", 1},   {"service", service},     {"max_attempts", 2},
+                    {"public", false}, {"resumable", resumable}, {"gap_aim_ms", 200}};
+    };
+    json model = {{"name", "busy"},  {"weights_mb", 10}, {"load_s", 0.2}, {"adapters", 0},
+                  {"adapter_mb", 1}, {"warm_s", 0.05},   {"disk_s", 0.05}};
+    json rare = model;
+    rare["name"] = "rare";
+    return {{"version", version},
+            {"routes",
+             {route("/book/", "non_idempotent", "desk", false),
+              route("/read/", "idempotent", "desk", false),
+              route("/guide/", "streaming", "models", true)}},
+            {"services",
+             {{{"name", "desk"}, {"health_path", "/health"}, {"max_connections", 20}},
+              {{"name", "models"},
+               {"health_path", "/health"},
+               {"max_connections", 20},
+               {"engine",
+                {{"models", {model, rare}},
+                 {"weights_mb", 100},
+                 {"adapter_slots", 4},
+                 {"loads_per_s", 3}}}}}},
+            {"limits", json::object()},
+            {"tenants",
+             {{{"name", "clinics"},
+               {"api_keys", keys},
+               {"unit", "tokens"},
+               {"plain_tokens", 1},
+               {"rate_per_s", 100000},
+               {"burst", 100000}}}}};
+}
+
+} // namespace
+
+std::string serve_manifest(int version, const std::vector<std::string>& keys)
+{
+    return manifest(version, keys).dump();
+}
+
+serve_case::serve_case(std::size_t host_count)
+{
+    store.put("keyed.op", "config", serve_manifest(1, {"good-key"}));
+    store.put("keyed.servers", "d1", desk1.registry_entry("desk"));
+    store.put("keyed.servers", "d2", desk2.registry_entry("desk"));
+    store.put("keyed.servers", "e1", engine1.registry_entry("models"));
+    store.put("keyed.servers", "e2", engine2.registry_entry("models"));
+    for (std::size_t n = 0; n < host_count; ++n)
+    {
+        auto& it = *hosts.emplace_back(std::make_unique<host_process>());
+        host_settings settings;
+        settings.name = host_id("h" + std::to_string(n + 1));
+        settings.domain = domain_id("north");
+        settings.ip = "127.0.0.1";
+        it.port = free_port();
+        settings.caller_address = endpoint_text("127.0.0.1:" + std::to_string(it.port));
+        it.ready_port = free_port();
+        settings.ready_address = endpoint_text("127.0.0.1:" + std::to_string(it.ready_port));
+        settings.first_peer_port = free_port();
+        it.metrics_port = free_port();
+        settings.metrics_port = it.metrics_port;
+        settings.bounds.lease = 1000ms;
+        settings.bounds.stop_grace = 4000ms;
+        settings.log.address = endpoint_text("127.0.0.1:" + std::to_string(store.port()));
+        it.host = std::make_unique<serving_host>(settings);
+        it.thread = std::thread([&it] { it.exit_code = it.host->run(); });
+    }
+    // Waits until each host is ready and the other hosts would count its shares.
+    started = true;
+    for (std::size_t n = 0; n < host_count; ++n)
+    {
+        started = started &&
+                  eventually(
+                      [&] {
+                          return ready(n) == 200 &&
+                                 send("GET", "/read/1", "warm-up", "good-key", {}, n).status == 200;
+                      });
+    }
+}
+
+serve_case::~serve_case()
+{
+    for (auto& it : hosts)
+    {
+        it->host->request_stop();
+    }
+    for (auto& it : hosts)
+    {
+        it->thread.join();
+    }
+}
+
+std::string serve_case::scrape() const
+{
+    httplib::Client client("127.0.0.1", hosts.front()->metrics_port);
+    auto response = client.Get("/metrics");
+    return response && response->status == 200 ? response->body : "";
+}
+
+int serve_case::ready(std::size_t host) const
+{
+    httplib::Client client("127.0.0.1", hosts.at(host)->ready_port);
+    auto response = client.Get("/api/ready");
+    return response ? response->status : 0;
+}
+
+serve_case::call_result serve_case::send(const std::string& method, const std::string& path,
+                                         const std::string& id, const std::string& key,
+                                         const std::string& model, std::size_t host) const
+{
+    httplib::Client client("127.0.0.1", hosts.at(host)->port);
+    client.set_read_timeout(10);
+    httplib::Headers headers = {{"Host", "desk.example"},
+                                {"X-Request-Id", id},
+                                {"X-Deadline-Ms", "8000"},
+                                {"Authorization", "Bearer " + key}};
+    if (!model.empty())
+    {
+        headers.emplace("X-Model", model);
+        headers.emplace("X-Token-Count", "10,5");
+        headers.emplace("X-Tenant", "forged");
+    }
+    auto sent_at = std::chrono::steady_clock::now();
+    auto response = method == "GET" ? client.Get(path, headers)
+                                    : client.Post(path, headers, "a body", "text/plain");
+    call_result result;
+    result.took = std::chrono::duration_cast<std::chrono::milliseconds>(
+        std::chrono::steady_clock::now() - sent_at);
+    if (response)
+    {
+        result.status = response->status;
+        result.body = response->body;
+        result.retry_after = response->has_header("Retry-After")
+                                 ? std::stod(response->get_header_value("Retry-After"))
+                                 : -1;
+    }
+    return result;
+}
+
+std::size_t serve_case::runs(const backend_stand_in& server, const std::string& id)
+{
+    auto served = server.served();
+    return static_cast<std::size_t>(
+        std::count_if(served.begin(), served.end(), [&](const auto& it) { return it.id == id; }));
+}
+
+} // namespace banyanshunt
--- /dev/null
+++ b/tests/correctness/serve_case.hpp
@@ -0,0 +1,97 @@
+#pragma once
+
+/// \file
+/// Complete entry hosts on event loops of their own, with stand-ins for the platform and for
+/// backend servers, for tests of whole request paths.
+
+#include <atomic>
+#include <chrono>
+#include <map>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "serve/serving_host.hpp"
+#include "stand_ins/prepared_platform.hpp"
+
+namespace banyanshunt
+{
+
+/// A configuration with the plain service "desk", the model engines "models" and one workspace with
+/// these keys.
+std::string serve_manifest(int version, const std::vector<std::string>& keys);
+
+/// Entry hosts, two plain servers and two engines; ready to serve.
+class serve_case
+{
+public:
+    explicit serve_case(std::size_t host_count = 1);
+    ~serve_case();
+
+    struct call_result
+    {
+        /// 0 if there was no response.
+        int status = 0;
+        std::string body;
+        /// The Retry-After field, in seconds; negative if there is none.
+        double retry_after = -1;
+        std::chrono::milliseconds took{0};
+    };
+
+    std::string scrape() const;
+    int ready(std::size_t host = 0) const;
+    /// Sends a request to one host.
+    call_result send(const std::string& method, const std::string& path, const std::string& id,
+                     const std::string& key, const std::string& model = {},
+                     std::size_t host = 0) const;
+    std::pair<int, std::string> call(const std::string& method, const std::string& path,
+                                     const std::string& id, const std::string& key,
+                                     const std::string& model = {}) const
+    {
+        auto response = send(method, path, id, key, model);
+        return {response.status, response.body};
+    }
+    std::pair<int, std::string> get(const std::string& path, const std::string& id) const
+    {
+        return call("GET", path, id, "good-key");
+    }
+    std::pair<int, std::string> stream(const std::string& id, const std::string& model) const
+    {
+        return call("POST", "/guide/1", id, "good-key", model);
+    }
+    template <class Condition>
+    static bool eventually(const Condition& condition)
+    {
+        using namespace std::chrono_literals;
+        for (int n = 0; n < 400 && !condition(); ++n)
+        {
+            std::this_thread::sleep_for(25ms);
+        }
+        return condition();
+    }
+    static std::size_t runs(const backend_stand_in& server, const std::string& id);
+
+    struct host_process
+    {
+        int port = 0;
+        int ready_port = 0;
+        int metrics_port = 0;
+        std::atomic<int> exit_code = -1;
+        std::unique_ptr<serving_host> host;
+        std::thread thread;
+    };
+
+    store_stand_in store;
+    backend_stand_in desk1{"d1", {}};
+    backend_stand_in desk2{"d2", {}};
+    backend_stand_in engine1{"e1", {"busy"}};
+    backend_stand_in engine2{"e2", {"busy"}};
+    std::vector<std::unique_ptr<host_process>> hosts;
+    bool started = false;
+
+    serving_host& host() { return *hosts.front()->host; }
+    int exit_code() const { return hosts.front()->exit_code; }
+};
+
+} // namespace banyanshunt
--- a/tests/correctness/serve_path_test.cpp
+++ b/tests/correctness/serve_path_test.cpp
@@ -3,179 +3,18 @@
 
 #include <catch2/catch.hpp>
 
-#include <algorithm>
-#include <atomic>
 #include <fstream>
 #include <regex>
 #include <sstream>
-#include <thread>
 
-#include <httplib.h>
-#include <nlohmann/json.hpp>
-
-#include "serve/serving_host.hpp"
-#include "stand_ins/prepared_platform.hpp"
-#include "transport/loop/event_loop.hpp"
+#include "serve_case.hpp"
 
 using namespace banyanshunt;
 using namespace std::chrono_literals;
-using nlohmann::json;
 
 namespace
 {
 
-/// Returns a port that is currently unused.
-int free_port()
-{
-    asio::io_context loop;
-    return tcp::acceptor(loop, {asio::ip::make_address_v4("127.0.0.1"), 0}).local_endpoint().port();
-}
-
-json manifest(int version, const std::vector<std::string>& keys)
-{
-    auto route = [](const char* prefix, const char* kind, const char* service, bool resumable)
-    {
-        return json{{"name", prefix},  {"host", "desk.example"}, {"path_prefix", prefix},
-                    {"kind", kind},    {"timeout_ms", 8000},     {"target_latency_ms", 1000},
-                    {"priority", 1},   {"service", service},     {"max_attempts", 2},
-                    {"public", false}, {"resumable", resumable}, {"gap_aim_ms", 200}};
-    };
-    json model = {{"name", "busy"},  {"weights_mb", 10}, {"load_s", 0.2}, {"adapters", 0},
-                  {"adapter_mb", 1}, {"warm_s", 0.05},   {"disk_s", 0.05}};
-    json rare = model;
-    rare["name"] = "rare";
-    return {{"version", version},
-            {"routes",
-             {route("/book/", "non_idempotent", "desk", false),
-              route("/read/", "idempotent", "desk", false),
-              route("/guide/", "streaming", "models", true)}},
-            {"services",
-             {{{"name", "desk"}, {"health_path", "/health"}, {"max_connections", 20}},
-              {{"name", "models"},
-               {"health_path", "/health"},
-               {"max_connections", 20},
-               {"engine",
-                {{"models", {model, rare}},
-                 {"weights_mb", 100},
-                 {"adapter_slots", 4},
-                 {"loads_per_s", 3}}}}}},
-            {"limits", json::object()},
-            {"tenants",
-             {{{"name", "clinics"},
-               {"api_keys", keys},
-               {"unit", "tokens"},
-               {"plain_tokens", 1},
-               {"rate_per_s", 100000},
-               {"burst", 100000}}}}};
-}
-
-/// One entry host, two plain servers and two engines; ready to serve.
-class serve_case
-{
-public:
-    serve_case()
-    {
-        store.put("keyed.op", "config", manifest(1, {"good-key"}).dump());
-        store.put("keyed.servers", "d1", desk1.registry_entry("desk"));
-        store.put("keyed.servers", "d2", desk2.registry_entry("desk"));
-        store.put("keyed.servers", "e1", engine1.registry_entry("models"));
-        store.put("keyed.servers", "e2", engine2.registry_entry("models"));
-        host_settings settings;
-        settings.name = host_id("h1");
-        settings.domain = domain_id("north");
-        settings.ip = "127.0.0.1";
-        port = free_port();
-        settings.caller_address = endpoint_text("127.0.0.1:" + std::to_string(port));
-        ready_port = free_port();
-        settings.ready_address = endpoint_text("127.0.0.1:" + std::to_string(ready_port));
-        settings.first_peer_port = free_port();
-        metrics_port = free_port();
-        settings.metrics_port = metrics_port;
-        settings.bounds.lease = 1000ms;
-        settings.bounds.stop_grace = 4000ms;
-        settings.log.address = endpoint_text("127.0.0.1:" + std::to_string(store.port()));
-        host = std::make_unique<serving_host>(settings);
-        thread = std::thread([this] { exit_code = host->run(); });
-        // Waits until the host is ready and the other hosts would count its shares.
-        started =
-            eventually([this] { return ready() == 200 && get("/read/1", "warm-up").first == 200; });
-    }
-    ~serve_case()
-    {
-        host->request_stop();
-        thread.join();
-    }
-
-    std::string scrape() const
-    {
-        httplib::Client client("127.0.0.1", metrics_port);
-        auto response = client.Get("/metrics");
-        return response && response->status == 200 ? response->body : "";
-    }
-    int ready() const
-    {
-        httplib::Client client("127.0.0.1", ready_port);
-        auto response = client.Get("/api/ready");
-        return response ? response->status : 0;
-    }
-    std::pair<int, std::string> call(const std::string& method, const std::string& path,
-                                     const std::string& id, const std::string& key,
-                                     const std::string& model = {}) const
-    {
-        httplib::Client client("127.0.0.1", port);
-        client.set_read_timeout(10);
-        httplib::Headers headers = {{"Host", "desk.example"},
-                                    {"X-Request-Id", id},
-                                    {"X-Deadline-Ms", "8000"},
-                                    {"Authorization", "Bearer " + key}};
-        if (!model.empty())
-        {
-            headers.emplace("X-Model", model);
-            headers.emplace("X-Token-Count", "10,5");
-            headers.emplace("X-Tenant", "forged");
-        }
-        auto response = method == "GET" ? client.Get(path, headers)
-                                        : client.Post(path, headers, "a body", "text/plain");
-        return response ? std::pair(response->status, response->body) : std::pair(0, std::string());
-    }
-    std::pair<int, std::string> get(const std::string& path, const std::string& id) const
-    {
-        return call("GET", path, id, "good-key");
-    }
-    std::pair<int, std::string> stream(const std::string& id, const std::string& model) const
-    {
-        return call("POST", "/guide/1", id, "good-key", model);
-    }
-    template <class Condition>
-    static bool eventually(const Condition& condition)
-    {
-        for (int n = 0; n < 400 && !condition(); ++n)
-        {
-            std::this_thread::sleep_for(25ms);
-        }
-        return condition();
-    }
-    static std::size_t runs(const backend_stand_in& server, const std::string& id)
-    {
-        auto served = server.served();
-        return static_cast<std::size_t>(std::count_if(served.begin(), served.end(),
-                                                      [&](const auto& it) { return it.id == id; }));
-    }
-
-    store_stand_in store;
-    backend_stand_in desk1{"d1", {}};
-    backend_stand_in desk2{"d2", {}};
-    backend_stand_in engine1{"e1", {"busy"}};
-    backend_stand_in engine2{"e2", {"busy"}};
-    int port = 0;
-    int ready_port = 0;
-    int metrics_port = 0;
-    std::atomic<int> exit_code = -1;
-    bool started = false;
-    std::unique_ptr<serving_host> host;
-    std::thread thread;
-};
-
 const std::string complete_stream =
     "id: 1\ndata: token1\n\nid: 2\ndata: token2\n\nid: 3\ndata: token3\n\n"
     "id: 4\ndata: token4\n\nid: 5\ndata: token5\n\n";
@@ -268,9 +107,9 @@
     }
     SECTION("a revoked key stops working, and the configuration version never decreases")
     {
-        it.store.put("keyed.op", "config", manifest(3, {"other-key"}).dump());
+        it.store.put("keyed.op", "config", serve_manifest(3, {"other-key"}));
         REQUIRE(serve_case::eventually([&] { return it.get("/read/1", "r1").first == 401; }));
-        it.store.put("keyed.op", "config", manifest(2, {"good-key"}).dump());
+        it.store.put("keyed.op", "config", serve_manifest(2, {"good-key"}));
         std::this_thread::sleep_for(200ms);
         CHECK(it.get("/read/1", "r2").first == 401);
         CHECK(it.call("GET", "/read/1", "r3", "other-key").first == 200);
@@ -299,9 +138,9 @@
 TEST_CASE("A planned stop completes accepted requests and exits with status 0")
 {
     serve_case it;
-    it.host->request_stop();
+    it.host().request_stop();
     CHECK(it.get("/read/1", "late").first == 200);
-    REQUIRE(serve_case::eventually([&] { return it.exit_code == 0; }));
+    REQUIRE(serve_case::eventually([&] { return it.exit_code() == 0; }));
 }
 
 TEST_CASE("A planned stop refuses requests that wait for a server before the grace period ends")
@@ -310,7 +149,7 @@
     // without a response.
     serve_case it;
     REQUIRE(it.started);
-    it.host->request_stop();
+    it.host().request_stop();
     std::this_thread::sleep_for(500ms);
     CHECK(it.stream("waits", "nobody-has-it").first == 503);
 }
@@ -320,9 +159,9 @@
     serve_case it;
     REQUIRE(it.started);
     it.store.leave_delay_ms = 500;
-    it.host->request_stop();
+    it.host().request_stop();
     REQUIRE(serve_case::eventually([&] { return it.store.leave_calls > 0; }));
     // It waits for a model, longer than the call to leave takes.
     CHECK(it.stream("meets-the-leaving", "nobody-has-it").first == 503);
-    REQUIRE(serve_case::eventually([&] { return it.exit_code == 0; }));
+    REQUIRE(serve_case::eventually([&] { return it.exit_code() == 0; }));
 }
--- a/tests/stand_ins/prepared_platform.cpp
+++ b/tests/stand_ins/prepared_platform.cpp
@@ -277,6 +277,15 @@
     auto& http = server_->http;
     http.set_keep_alive_timeout(keep_alive_s);
     http.new_task_queue = [] { return new httplib::ThreadPool(32); };
+    http.set_pre_routing_handler(
+        [this](const httplib::Request&, httplib::Response& response)
+        {
+            if (stated_limit >= 0)
+            {
+                response.set_header("Server-Limit", std::to_string(stated_limit));
+            }
+            return httplib::Server::HandlerResponse::Unhandled;
+        });
     http.Get("/api/report",
              [this](const httplib::Request&, httplib::Response& response)
              {
@@ -337,6 +346,7 @@
         response.set_header("X-Request-Id", call.get_header_value("X-Request-Id"));
         {
             std::lock_guard lock(mutex_);
+            arrivals_.push_back(std::chrono::steady_clock::now());
             if (call.get_header_value("X-Expect-Instance") != id_ ||
                 (!model.empty() && !models_.contains(model)))
             {
@@ -432,6 +442,12 @@
     return order_errors_;
 }
 
+std::vector<std::chrono::steady_clock::time_point> backend_stand_in::arrivals() const
+{
+    std::lock_guard lock(mutex_);
+    return arrivals_;
+}
+
 std::vector<served_request> backend_stand_in::served() const
 {
     std::lock_guard lock(mutex_);
--- a/tests/stand_ins/prepared_platform.hpp
+++ b/tests/stand_ins/prepared_platform.hpp
@@ -106,6 +106,8 @@
     /// Its entry in the registry.
     std::string registry_entry(const std::string& service, bool draining = false) const;
     std::vector<served_request> served() const;
+    /// When requests of callers arrived, also those that it did not run.
+    std::vector<std::chrono::steady_clock::time_point> arrivals() const;
     int orders() const { return orders_; }
     /// The errors in the orders received: fencing numbers that decreased, holders that changed
     /// within `lease_duration`, more models than fit.
@@ -116,6 +118,8 @@
     std::chrono::milliseconds lease_duration{0};
     std::size_t max_models = 100;
     std::atomic<fault> active_fault = fault::none;
+    /// The requests a second that all its responses state as its limit; negative for none.
+    std::atomic<double> stated_limit = -1;
 
 private:
     struct server;
@@ -124,6 +128,7 @@
     mutable std::mutex mutex_;
     std::set<std::string> models_;
     std::vector<served_request> served_;
+    std::vector<std::chrono::steady_clock::time_point> arrivals_;
     std::vector<std::string> order_errors_;
     std::int64_t fence_ = 0;
     std::string holder_;
