Hosts share the limit that a server states

Cause: the field was carried to callers and read by nobody. Reading it is not enough: the limit is for all hosts together, and 2.3 a second split over 81 hosts is one request in 35 s each. Nothing in the request path could bound what all hosts send to one server.

Now one host, the first by rendezvous weight of those in touch, grants permits for a limited server (permit_schedule); a request to such a server needs one, checked right before its first byte. A permit can be granted for up to 2 s later, so waiting requests are not released together, and it lapses half a second after, counted from before it was requested. A new statement is sent to all hosts at once and repeated in the granter's reports; requests of the second before it delay the first permits. A granter that reaches only some of the hosts grants only their part, so hosts that are cut off from each other stay within the limit in sum. A limit ends with the first response that does not state it, and with the server's incarnation.

What a limited server cannot take goes to servers without a limit first, is demand for another replica (a limited one does not count as a replica with room), waits for a load elsewhere if that is sooner, or is refused at once with the time until the next permit as its Retry-After. This holds for repeats and resumed streams too: they pass the same check.

--- a/src/coordination/backend_table.cpp
+++ b/src/coordination/backend_table.cpp
@@ -21,6 +21,10 @@
 constexpr double backoff_cost = 4.0;
 /// Cost of a server that would have to load the adapter first and that no host orders.
 constexpr double unordered_cost = backoff_cost;
+/// Cost of a server that stated a limit a moment ago: others take what they can.
+constexpr double limited_cost = 0.5;
+/// Added to the expected time of a load on a server that states a limit.
+constexpr double limited_load_ms = 2000;
 /// How long a target counts as not held after the server reported so.
 constexpr milliseconds initial_denial{120};
 constexpr milliseconds max_denial{960};
@@ -320,14 +324,14 @@
 int backend_table::count_other_replicas(const server_id& server, const model_id& model,
                                         instant now) const
 {
-    return static_cast<int>(
-        std::count_if(servers_.begin(), servers_.end(),
-                      [&](const auto& it)
-                      {
-                          return it.first != server && !it.second.removed &&
-                                 !it.second.entry.draining && it.second.avoid_until <= now &&
-                                 holds(it.second, {.model = model, .adapter = {}}, now);
-                      }));
+    return static_cast<int>(std::count_if(
+        servers_.begin(), servers_.end(),
+        [&](const auto& it)
+        {
+            return it.first != server && !it.second.removed && !it.second.entry.draining &&
+                   it.second.avoid_until <= now && !limits_.in_force(it.first) &&
+                   holds(it.second, {.model = model, .adapter = {}}, now);
+        }));
 }
 
 int backend_table::active_store_loads(instant now) const
@@ -350,27 +354,27 @@
 bool backend_table::available_elsewhere(const server_id& server, const model_target& target,
                                         instant now) const
 {
-    return std::any_of(servers_.begin(), servers_.end(),
-                       [&](const auto& other)
-                       {
-                           const record& it = other.second;
-                           if (other.first == server || it.removed || it.entry.draining ||
-                               it.avoid_until > now || !placement_counts(it, now))
-                           {
-                               return false;
-                           }
-                           auto held = it.placement->models.find(target.model);
-                           if (held == it.placement->models.end() || held->second.unloading)
-                           {
-                               return false;
-                           }
-                           bool adapter_loadable = target.adapter.empty() ||
-                                                   held->second.adapters.contains(target.adapter) ||
-                                                   owner_wait(it, now).count() == 0;
-                           return adapter_loadable &&
-                                  (held->second.ready_at > now ||
-                                   (it.placement->adapter_room && has_room(it)));
-                       });
+    return std::any_of(
+        servers_.begin(), servers_.end(),
+        [&](const auto& other)
+        {
+            const record& it = other.second;
+            if (other.first == server || it.removed || it.entry.draining || it.avoid_until > now ||
+                !placement_counts(it, now) || limits_.in_force(other.first))
+            {
+                return false;
+            }
+            auto held = it.placement->models.find(target.model);
+            if (held == it.placement->models.end() || held->second.unloading)
+            {
+                return false;
+            }
+            bool adapter_loadable = target.adapter.empty() ||
+                                    held->second.adapters.contains(target.adapter) ||
+                                    owner_wait(it, now).count() == 0;
+            return adapter_loadable &&
+                   (held->second.ready_at > now || (it.placement->adapter_room && has_room(it)));
+        });
 }
 
 bool backend_table::usable(const record& it, const server_criteria& need) const
@@ -386,6 +390,7 @@
     sum += it.entry.domain == options_.own_domain ? 0 : cross_domain_cost;
     sum += it.avoid_until > now ? backoff_cost : 0;
     sum += it.entry.warmup_left.count() > 0 ? cross_domain_cost : 0;
+    sum += limits_.is_fresh(it.entry.id, now) ? limited_cost : 0;
     return sum;
 }
 
@@ -396,6 +401,7 @@
     candidate held{.it = nullptr, .cost = never};
     candidate loading{.it = nullptr, .cost = never};
     candidate without_adapter{.it = nullptr, .cost = never};
+    candidate limited{.it = nullptr, .cost = never};
     nanoseconds shortest_wait = nanoseconds::max();
     bool any_at_capacity = false;
     const bool wants_model = engine != nullptr && !need.target.model.empty();
@@ -422,6 +428,16 @@
             any_at_capacity = true;
             continue;
         }
+        auto permit_wait = id == need.permitted ? nanoseconds(0) : limits_.permit_wait(id, now);
+        if (wait == nanoseconds(0) && permit_wait.count() > 0)
+        {
+            auto its_wait = static_cast<double>(permit_wait.count());
+            if (its_wait < limited.cost)
+            {
+                limited = {.it = &it, .cost = its_wait};
+            }
+            continue;
+        }
         double its_cost = cost(it, now);
         if (!wait && owner_wait(it, now).count() > 0)
         {
@@ -438,9 +454,21 @@
         held.cost >= backoff_cost && std::min(loading.cost, without_adapter.cost) < backoff_cost;
     if (held.it && !other_is_better)
     {
-        return {.action = server_choice::action_kind::send, .server = held.it->entry.id};
+        const auto& id = held.it->entry.id;
+        bool needs_permit = limits_.in_force(id) && id != need.permitted;
+        return {.action = needs_permit ? server_choice::action_kind::permit
+                                       : server_choice::action_kind::send,
+                .server = id};
     }
-    if (loading.it)
+    std::optional<server_choice> wait_for_permit;
+    if (limited.it)
+    {
+        wait_for_permit = {.action = server_choice::action_kind::permit,
+                           .server = limited.it->entry.id,
+                           .expected_wait = std::chrono::ceil<milliseconds>(
+                               limits_.permit_wait(limited.it->entry.id, now))};
+    }
+    if (loading.it && (!wait_for_permit || shortest_wait <= wait_for_permit->expected_wait))
     {
         return {.action = server_choice::action_kind::load,
                 .server = loading.it->entry.id,
@@ -460,6 +488,12 @@
         }
     }
     auto load_model = wants_model ? choose_load(need, *engine, false, now) : std::nullopt;
+    if (wait_for_permit &&
+        (!load_adapter || wait_for_permit->expected_wait < load_adapter->expected_wait) &&
+        (!load_model || wait_for_permit->expected_wait < load_model->expected_wait))
+    {
+        return *wait_for_permit;
+    }
     if (load_adapter && (!load_model || load_adapter->expected_wait <= load_model->expected_wait))
     {
         return *load_adapter;
@@ -543,6 +577,7 @@
         }
         auto ms = static_cast<double>((load_time + ready_to_load).count());
         double wait = ms;
+        ms += limits_.in_force(id) ? limited_load_ms : 0;
         ms += 300.0 * load(it) / std::max(1, it.entry.slots);
         auto weight = rendezvous_weight(need.target.model.str(), id.str());
         ms += tie_break_ms * static_cast<double>(weight) /
--- a/src/coordination/backend_table.hpp
+++ b/src/coordination/backend_table.hpp
@@ -114,6 +114,8 @@
     model_target target;
     /// Servers that the request was already sent to.
     std::set<server_id> tried;
+    /// The server for which the request holds a permit that is valid now, if any.
+    server_id permitted = {};
 };
 
 /// Where a request can go.
@@ -123,6 +125,9 @@
     {
         /// Send it to `server` now.
         send,
+        /// `server` states a limit: send it there with a permit. `expected_wait` is how long until
+        /// one may be free.
+        permit,
         /// `server` should load the adapter or model first.
         load,
         /// All servers that could serve it are full.
--- a/src/coordination/server_limits.cpp
+++ b/src/coordination/server_limits.cpp
@@ -53,6 +53,7 @@
     if (!statement.rate)
     {
         shown_rates_.erase(server);
+        next_permits_.erase(server);
         return was_in_force ? limit_change::ended : limit_change::none;
     }
     auto shown = shown_rates_.find(server);
@@ -82,6 +83,7 @@
 {
     std::erase_if(statements_, [&](const auto& it) { return now - it.second.at > statement_ttl; });
     std::erase_if(shown_rates_, [&](const auto& it) { return !statements_.contains(it.first); });
+    std::erase_if(next_permits_, [&](const auto& it) { return it.second <= now; });
     std::erase_if(sends_, [&](const auto& it)
                   { return it.second.empty() || now - it.second.back() > recent_duration; });
 }
@@ -98,6 +100,14 @@
     return it != statements_.end() && it->second.rate && now - it->second.at < fresh_duration;
 }
 
+nanoseconds server_limits::permit_wait(const server_id& server, instant now) const
+{
+    auto it = next_permits_.find(server);
+    return it == next_permits_.end() || !in_force(server)
+               ? nanoseconds(0)
+               : std::max<nanoseconds>(it->second - now, nanoseconds(0));
+}
+
 void server_limits::record_sent(const server_id& server, instant now)
 {
     auto& sends = sends_[server];
--- a/src/coordination/server_limits.hpp
+++ b/src/coordination/server_limits.hpp
@@ -100,6 +100,10 @@
     bool in_force(const server_id& server) const { return rate(server).has_value(); }
     /// Whether the limit was stated so recently that it need not be tried again.
     bool is_fresh(const server_id& server, instant now) const;
+    /// A permit for the server was refused until then.
+    void record_next_permit(const server_id& server, instant at) { next_permits_[server] = at; }
+    /// How long until a permit for the server may be free, as far as this host knows.
+    nanoseconds permit_wait(const server_id& server, instant now) const;
     /// All statements, also of limits that have ended.
     const std::map<server_id, limit_statement>& statements() const { return statements_; }
 
@@ -112,6 +116,7 @@
     /// The rates that `limit_change` results have shown.
     std::map<server_id, millirequests_per_second> shown_rates_;
     std::map<server_id, std::deque<instant>> sends_;
+    std::map<server_id, instant> next_permits_;
 };
 
 } // namespace banyanshunt
--- a/src/serve/active_request.cpp
+++ b/src/serve/active_request.cpp
@@ -31,6 +31,8 @@
 constexpr int max_refused_sends = 6;
 /// Minimum time that must remain for a send to be worthwhile.
 constexpr milliseconds min_remaining{40};
+/// The furthest ahead that a request is scheduled at a server that states a limit.
+constexpr milliseconds max_permit_wait{2000};
 /// Random spread of Retry-After, so that refused callers do not all return at once.
 constexpr int retry_jitter_ms = 400;
 
@@ -220,11 +222,12 @@
             last_reason_ = "retry_budget";
             break;
         }
-        if (sends_ == 0)
+        if (sends_ == 0 && !request_counted_)
         {
+            request_counted_ = true;
             context_.budget(service_).record_request(context_.host_count, context_.now());
         }
-        else
+        else if (sends_ > 0)
         {
             ++context_.counters.retries;
         }
@@ -251,31 +254,72 @@
     co_return keep_alive_ && !caller_->closed;
 }
 
-bool active_request::out_of_time(milliseconds expected) const
+instant active_request::latest_start() const
 {
     auto total = std::chrono::duration<double, std::milli>(deadline_ - arrived_);
-    auto latest_start =
-        arrived_ + std::chrono::duration_cast<nanoseconds>(total * max_wait_fraction);
+    auto latest = arrived_ + std::chrono::duration_cast<nanoseconds>(total * max_wait_fraction);
     if (route_->kind == request_kind::stream && !head_sent_)
     {
         auto first_event_timeout =
             std::max({min_first_event_timeout, objectives_per_timeout * route_->objective,
                       gaps_per_timeout * route_->event_gap});
-        latest_start =
-            std::min(latest_start, arrived_ + std::chrono::duration_cast<nanoseconds>(
-                                                  first_event_timeout * max_timeout_fraction));
+        latest = std::min(latest, arrived_ + std::chrono::duration_cast<nanoseconds>(
+                                                 first_event_timeout * max_timeout_fraction));
     }
     if (sends_ > 0)
     {
-        latest_start = deadline_ - min_remaining;
+        latest = deadline_ - min_remaining;
     }
     if (context_.stopping)
     {
         // A waiting request would be cut off when this host exits; its caller retries elsewhere.
-        latest_start =
-            std::min(latest_start, head_sent_ ? context_.stop_deadline : context_.refuse_from);
+        latest = std::min(latest, head_sent_ ? context_.stop_deadline : context_.refuse_from);
+    }
+    return latest;
+}
+
+bool active_request::permitted(const server_id& server) const
+{
+    instant now = context_.now();
+    return !context_.servers.limits().in_force(server) ||
+           (permit_ && permit_->server == server && now >= permit_->valid_from &&
+            now < permit_->valid_until);
+}
+
+void active_request::request_extra_replica(const server_criteria& need, const engine_spec* engine)
+{
+    auto more = engine ? context_.servers.choose_extra_replica(need, *engine, context_.now())
+                       : std::nullopt;
+    if (more && context_.may_request_replica(need.target.model))
+    {
+        context_.resources->request_load(more->server, {.model = need.target.model, .adapter = {}},
+                                         waited_);
+    }
+}
+
+task<bool> active_request::request_permit(const server_choice& choice)
+{
+    instant now = context_.now();
+    auto [last, is_first] = permits_requested_.try_emplace(choice.server, now);
+    bool asked_recently = !is_first && now - last->second < recheck_interval;
+    auto max_wait =
+        std::min(max_permit_wait, std::chrono::floor<milliseconds>(latest_start() - now));
+    if (permit_ || asked_recently || choice.expected_wait > max_wait)
+    {
+        co_return false;
+    }
+    last->second = now;
+    auto response = co_await context_.resources->acquire_permit(choice.server, max_wait);
+    if (response.granted)
+    {
+        permit_ = {.server = choice.server,
+                   .valid_from = response.valid_from,
+                   .valid_until = response.valid_until};
+    }
+    else
+    {
+        context_.servers.limits().record_next_permit(choice.server, context_.now() + response.wait);
     }
-    return context_.now() + expected > latest_start;
 }
 
 task<std::optional<server_id>> active_request::find_server()
@@ -285,23 +329,24 @@
     instant requested_at;
     while (!caller_->closed && !expired_)
     {
+        if (permit_ && context_.now() >= permit_->valid_until)
+        {
+            permit_.reset();
+        }
         server_criteria need{.service = service_,
                              .target = {.model = fields_.model, .adapter = fields_.adapter},
                              .tried = tried_};
+        if (permit_ && permitted(permit_->server))
+        {
+            need.permitted = permit_->server;
+        }
         const auto* service = context_.config->find_service(service_);
         const engine_spec* engine = service && service->engine ? &*service->engine : nullptr;
         auto choice = context_.servers.choose(need, engine, context_.now());
         waited_ = std::chrono::floor<milliseconds>(context_.now() - wait_start);
         if (choice.action == server_choice::action_kind::send)
         {
-            auto more = engine
-                            ? context_.servers.choose_extra_replica(need, *engine, context_.now())
-                            : std::nullopt;
-            if (more && context_.may_request_replica(need.target.model))
-            {
-                context_.resources->request_load(
-                    more->server, {.model = need.target.model, .adapter = {}}, waited_);
-            }
+            request_extra_replica(need, engine);
             co_return choice.server;
         }
         if (choice.action == server_choice::action_kind::none && !tried_.empty())
@@ -312,7 +357,18 @@
         last_reason_ =
             choice.action == server_choice::action_kind::full ? "queue_full" : "no_replica";
         nanoseconds wait = recheck_interval;
-        if (choice.action == server_choice::action_kind::load && choice.loading)
+        if (choice.action == server_choice::action_kind::permit)
+        {
+            if (co_await request_permit(choice))
+            {
+                continue;
+            }
+            // The limit binds: another replica would help.
+            request_extra_replica(need, engine);
+            last_reason_ = "server_limited";
+            limit_wait_ = choice.expected_wait;
+        }
+        else if (choice.action == server_choice::action_kind::load && choice.loading)
         {
             wait = std::clamp(choice.expected_wait, milliseconds(1), recheck_interval);
         }
@@ -325,6 +381,14 @@
             load_route_ = context_.resources->request_load(choice.server, need.target, waited_);
             load_server_ = choice.server;
         }
+        if (permit_)
+        {
+            auto permit_wait =
+                std::max<nanoseconds>(permit_->valid_from - context_.now(), milliseconds(1));
+            choice.expected_wait =
+                std::min(choice.expected_wait, std::chrono::ceil<milliseconds>(permit_wait));
+            wait = std::min(wait, permit_wait);
+        }
         // A load is requested even if this request cannot wait for it, as its caller will retry.
         if (out_of_time(choice.expected_wait))
         {
@@ -470,6 +534,10 @@
     }
     auto retry_after =
         milliseconds(300 + std::uniform_int_distribution<int>(0, retry_jitter_ms)(context_.random));
+    if (last_reason_ == std::string_view("server_limited"))
+    {
+        retry_after = std::max(retry_after, limit_wait_);
+    }
     co_await refuse({.status = 503,
                      .reason = expired_ ? "deadline" : last_reason_,
                      .retry_after = retry_after});
--- a/src/serve/active_request.hpp
+++ b/src/serve/active_request.hpp
@@ -5,6 +5,7 @@
 /// relaying the response. The caller gets exactly one final response; a refusal that promises "not
 /// run" is given only if no server can have executed the request.
 
+#include <map>
 #include <memory>
 #include <optional>
 #include <set>
@@ -62,7 +63,18 @@
     std::optional<refusal> check_allowed();
     task<std::optional<refusal>> acquire_tokens();
     task<std::optional<server_id>> find_server();
-    bool out_of_time(milliseconds expected) const;
+    /// The latest time at which a send to a server is worthwhile.
+    instant latest_start() const;
+    bool out_of_time(milliseconds expected) const
+    {
+        return context_.now() + expected > latest_start();
+    }
+    /// Whether a permit for the server is held and valid now, or none is needed.
+    bool permitted(const server_id& server) const;
+    /// Requests a permit for the chosen server; returns false if none was requested, because it is
+    /// known that none can be had in time.
+    task<bool> request_permit(const server_choice& choice);
+    void request_extra_replica(const server_criteria& need, const engine_spec* engine);
     /// Whether the configuration, key and deadline that admitted the request still apply.
     bool may_still_send() const;
     task<attempt_result> attempt(server_id server);
@@ -105,6 +117,8 @@
     bool expired_ = false;
     bool head_sent_ = false;
     bool may_have_run_ = false;
+    /// Whether the retry budget has counted this request.
+    bool request_counted_ = false;
     int sends_ = 0;
     int runs_ = 0;
     std::set<server_id> tried_;
@@ -115,6 +129,18 @@
     server_id last_server_;
     /// Requests at that server when it was chosen: own ones and those that peers reported.
     int last_load_ = 0;
+    /// A permit to send the request to a server that states a limit.
+    struct held_permit
+    {
+        server_id server;
+        instant valid_from;
+        instant valid_until;
+    };
+    std::optional<held_permit> permit_;
+    /// When permits were last requested, by server.
+    std::map<server_id, instant> permits_requested_;
+    /// How long until a server's limit allows another request, if that is why this one is refused.
+    milliseconds limit_wait_{0};
     /// Where the last load request for the model or adapter went, if one was needed.
     std::optional<load_request_route> load_route_;
     server_id load_server_;
--- a/src/serve/host_context.hpp
+++ b/src/serve/host_context.hpp
@@ -63,7 +63,18 @@
     }
 }
 
-/// Requests loads and tokens on behalf of requests. Implemented by `peer_service`.
+/// The response to a request for a permit to send a server one request.
+struct permit_response
+{
+    bool granted = false;
+    /// Until the permit may be used; if refused, until the next one is free.
+    milliseconds wait{0};
+    /// When a granted permit may be used.
+    instant valid_from = {};
+    instant valid_until = {};
+};
+
+/// Requests loads, tokens and permits on behalf of requests. Implemented by `peer_service`.
 class resource_provider
 {
 public:
@@ -73,6 +84,8 @@
                                             milliseconds waited) = 0;
     /// Acquires tokens of a workspace, borrowing from peers if needed.
     virtual task<bool> acquire_tokens(workspace_id workspace, millitokens amount) = 0;
+    /// Acquires a permit to send one request to a server that states a limit.
+    virtual task<permit_response> acquire_permit(server_id server, milliseconds max_wait) = 0;
 };
 
 /// Which host reads the platform's topics for others in a failure domain.
@@ -186,6 +199,9 @@
     resource_provider* resources = nullptr;
     /// Called after another configuration was applied.
     std::function<void()> on_config_change = [] {};
+    /// Called after a response showed a change of a server's limit.
+    std::function<void(const server_id&, limit_change)> on_limit_change = [](const server_id&,
+                                                                             limit_change) {};
     bool stopping = false;
     /// When a stopping host begins to refuse new requests.
     instant refuse_from;
--- /dev/null
+++ b/src/serve/limit_manager.hpp
@@ -0,0 +1,62 @@
+#pragma once
+
+/// \file
+/// Spreads what servers state of their limits to all hosts, and acquires and grants permits for
+/// requests to such servers. Any datagram may be lost: a host that missed a statement learns it
+/// from the server's next response or from the next report, and a lost permit is not used.
+
+#include <functional>
+#include <map>
+#include <optional>
+
+#include "coordination/permit_schedule.hpp"
+#include "serve/peer_list.hpp"
+
+namespace banyanshunt
+{
+
+namespace peers
+{
+class limit_statement;
+} // namespace peers
+
+class limit_manager
+{
+public:
+    using broadcast = std::function<void(peers::peer_message message)>;
+
+    limit_manager(host_context& context, peer_list& peers, broadcast send_to_all);
+
+    /// Acts on a change of a server's limit that a response to this host showed.
+    void announce(const server_id& server, limit_change change);
+    /// Acquires a permit for one request to a server that states a limit.
+    task<permit_response> acquire(server_id server, milliseconds max_wait);
+    void handle_message(peer& sender, const peers::peer_message& message);
+    /// Determines the servers for which this host grants permits; call it before reports are
+    /// filled.
+    void update_granted();
+    /// Adds the limits of these servers.
+    void fill_report(peers::peer_message& message) const;
+
+private:
+    host_id granter(const server_id& server) const;
+    bool grants(const server_id& server) const;
+    permit_grant grant(const server_id& server, milliseconds max_wait);
+    void write(const server_id& server, peers::limit_statement& to) const;
+    void apply(const peers::limit_statement& from);
+    /// Charges what this host sent before it knew the limit.
+    void charge_own_sends(const server_id& server);
+    void act_on(const server_id& server, limit_change change);
+
+    host_context& context_;
+    peer_list& peers_;
+    broadcast send_to_all_;
+    instant started_;
+    permit_ledger ledger_;
+    std::vector<server_id> granted_;
+    /// Permit requests in flight, and their responses.
+    std::map<std::int64_t, std::optional<permit_grant>> pending_;
+    std::int64_t last_number_ = 0;
+};
+
+} // namespace banyanshunt
--- a/src/serve/peer_list.cpp
+++ b/src/serve/peer_list.cpp
@@ -56,4 +56,16 @@
                                  }));
 }
 
+bool peer_list::in_touch(const peer& it, instant now) const
+{
+    return now - it.received_at < context_.servers.options().owner_ttl;
+}
+
+std::size_t peer_list::count_in_touch(instant now) const
+{
+    return 1 + static_cast<std::size_t>(std::count_if(all.begin(), all.end(),
+                                                      [&](const auto& it)
+                                                      { return in_touch(it.second, now); }));
+}
+
 } // namespace banyanshunt
--- a/src/serve/peer_list.hpp
+++ b/src/serve/peer_list.hpp
@@ -43,6 +43,10 @@
     void send(const peer& to, const peers::peer_message& message);
     /// Entry hosts that are listed or from which data was received recently, including this one.
     std::size_t count_hosts(instant now) const;
+    /// Whether data was received from the host as recently as its reports are sent.
+    bool in_touch(const peer& it, instant now) const;
+    /// Entry hosts in touch, including this one.
+    std::size_t count_in_touch(instant now) const;
 
     asio::ip::udp::socket socket;
     std::map<host_id, peer> all;
--- a/src/serve/peer_service.hpp
+++ b/src/serve/peer_service.hpp
@@ -9,6 +9,7 @@
 #include <memory>
 
 #include "serve/host_context.hpp"
+#include "serve/limit_manager.hpp"
 #include "serve/order_controller.hpp"
 #include "serve/peer_list.hpp"
 #include "serve/share_manager.hpp"
@@ -34,6 +35,10 @@
     {
         return shares_.acquire(std::move(workspace), amount);
     }
+    task<permit_response> acquire_permit(server_id server, milliseconds max_wait) override
+    {
+        return limits_.acquire(std::move(server), max_wait);
+    }
 
 private:
     task<void> receive();
@@ -60,6 +65,7 @@
     host_context& context_;
     peer_list peers_;
     share_manager shares_;
+    limit_manager limits_;
     view_sync views_;
     order_controller orders_;
     instant started_;
--- a/src/serve/request_attempt.cpp
+++ b/src/serve/request_attempt.cpp
@@ -151,13 +151,14 @@
     auto state = co_await exchange.send(std::move(text), fields_.id,
                                         [&]
                                         {
-                                            bool may_send = may_still_send();
+                                            bool may_send = may_still_send() && permitted(server);
                                             if (may_send)
                                             {
                                                 context_.record_send(server);
                                             }
                                             return may_send;
                                         });
+    permit_.reset();
     auto end = attempt_result::not_run;
     auto outcome = backend_outcome::failed;
     if (state == exchange_state::no_response)
--- a/src/serve/server_exchange.cpp
+++ b/src/serve/server_exchange.cpp
@@ -106,7 +106,11 @@
         context_.stats.increment("banyanshunt_limited_responses_total",
                                  {{"match", to_text(match)}});
     }
-    context_.log_limit_change(server_, change, to_text(match));
+    if (change != limit_change::none)
+    {
+        context_.log_limit_change(server_, change, to_text(match));
+        context_.on_limit_change(server_, change);
+    }
 }
 
 task<std::string> server_exchange::read_rest()
--- a/tests/correctness/backend_table_test.cpp
+++ b/tests/correctness/backend_table_test.cpp
@@ -407,3 +407,106 @@
     later.next_load_at = now + 2s;
     CHECK_FALSE(equivalent_reports(placement, later, now + 100ms));
 }
+
+TEST_CASE("A server that states a limit is used last, and with a permit")
+{
+    instant now{std::chrono::hours(1)};
+    backend_table table({.own_domain = domain_id("north"), .own_host = host_id("h")});
+    table.apply_entry(server("a"), now);
+    table.apply_entry(server("b"), now);
+    table.limits().record(server_id("a"),
+                          {.start_time_ms = 1, .rate = millirequests_per_second(2000), .at = now});
+    server_criteria need{.service = service_id("svc"), .target = plain, .tried = {}};
+    using action_kind = server_choice::action_kind;
+    auto choose = [&] { return table.choose(need, nullptr, now); };
+
+    CHECK(choose().action == action_kind::send);
+    CHECK(choose().server.str() == "b");
+
+    SECTION("when the others are full, with a permit")
+    {
+        table.apply_peer_load(host_id("h"), server_id("b"), 4, now);
+        CHECK(choose().action == action_kind::permit);
+        CHECK(choose().server.str() == "a");
+        CHECK(choose().expected_wait == 0ms);
+        need.permitted = server_id("a");
+        CHECK(choose().action == action_kind::send);
+
+        AND_WHEN("a permit was refused, not before the next one is free")
+        {
+            need.permitted = {};
+            table.limits().record_next_permit(server_id("a"), now + 400ms);
+            CHECK(choose().action == action_kind::permit);
+            CHECK(choose().expected_wait == 400ms);
+            now += 400ms;
+            CHECK(choose().expected_wait == 0ms);
+        }
+    }
+    SECTION("when it stated the limit some time ago, a request tries whether it has ended")
+    {
+        table.apply_peer_load(host_id("h"), server_id("b"), 1, now);
+        now += 2s;
+        CHECK(choose().action == action_kind::permit);
+        CHECK(choose().server.str() == "a");
+    }
+    SECTION("after its restart under the same id, as any other")
+    {
+        auto reborn = server("a");
+        reborn.start_time_ms = 2;
+        table.apply_entry(reborn, now);
+        CHECK(choose().action == action_kind::send);
+        CHECK(choose().server.str() == "a");
+    }
+}
+
+TEST_CASE("A model whose servers state limits is in demand elsewhere")
+{
+    instant now{std::chrono::hours(1)};
+    backend_table table({.own_domain = domain_id("north"), .own_host = host_id("h")});
+    engine_spec engine;
+    model_spec model;
+    model.id = model_id("m");
+    model.load_from_store = 6s;
+    model.load_from_disk = 800ms;
+    model.load_from_memory = 300ms;
+    engine.models.emplace(model.id, model);
+    server_placement placement{.owner = host_id("h"),
+                               .owner_incarnation = {},
+                               .fencing = fencing_number(3),
+                               .start_time_ms = 1,
+                               .models = {},
+                               .next_load_at = now,
+                               .reported_at = now};
+    for (const char* id : {"a", "b"})
+    {
+        auto entry = server(id);
+        entry.on_disk = {model.id};
+        table.apply_entry(entry, now);
+        table.apply_placement(server_id(id), placement);
+    }
+    placement.models.emplace(model.id, held_model{.ready_at = now});
+    table.apply_placement(server_id("a"), placement);
+    const model_target target{.model = model.id, .adapter = {}};
+    server_criteria need{.service = service_id("svc"), .target = target, .tried = {}};
+
+    CHECK_FALSE(table.choose_extra_replica(need, engine, now));
+    CHECK(table.count_other_replicas(server_id("b"), model.id, now) == 1);
+
+    table.limits().record(server_id("a"),
+                          {.start_time_ms = 1, .rate = millirequests_per_second(2000), .at = now});
+    auto replica = table.choose_extra_replica(need, engine, now);
+    REQUIRE(replica);
+    CHECK(replica->server.str() == "b");
+    CHECK_FALSE(table.available_elsewhere(server_id("b"), target, now));
+    CHECK(table.count_other_replicas(server_id("b"), model.id, now) == 0);
+
+    SECTION("a load elsewhere is waited for if it is sooner than the next permit")
+    {
+        table.limits().record_next_permit(server_id("a"), now + 500ms);
+        CHECK(table.choose(need, &engine, now).server.str() == "a");
+        table.limits().record_next_permit(server_id("a"), now + 2s);
+        auto choice = table.choose(need, &engine, now);
+        CHECK(choice.action == server_choice::action_kind::load);
+        CHECK(choice.server.str() == "b");
+    }
+}
--- a/tests/correctness/server_limit_path_test.cpp
+++ b/tests/correctness/server_limit_path_test.cpp
@@ -78,6 +78,9 @@
 
 constexpr auto usual_length = 1500ms;
 constexpr auto limited_length = 7000ms;
+/// Before it states its limit, a server gets less than the rule allows in its window of four
+/// seconds.
+constexpr auto usual_period = 100ms;
 constexpr auto period = 30ms;
 constexpr double limit = 2.3;
 
@@ -91,7 +94,7 @@
     SECTION("a plain server: the others take what it cannot")
     {
         steady_callers callers(it, "GET", "/read/1", "");
-        callers.run(usual_length, period);
+        callers.run(usual_length, usual_period);
         auto stated_at = std::chrono::steady_clock::now();
         it.desk1.stated_limit = limit;
         callers.run(limited_length, period);
@@ -104,7 +107,7 @@
     SECTION("an engine whose model another engine holds too")
     {
         steady_callers callers(it, "POST", "/guide/1", "busy");
-        callers.run(usual_length, period);
+        callers.run(usual_length, usual_period);
         auto stated_at = std::chrono::steady_clock::now();
         it.engine1.stated_limit = limit;
         callers.run(limited_length, period);
@@ -118,7 +121,7 @@
     {
         it.desk1.active_fault = backend_stand_in::fault::full;
         steady_callers callers(it, "GET", "/read/1", "");
-        callers.run(usual_length, period);
+        callers.run(usual_length, usual_period);
         auto stated_at = std::chrono::steady_clock::now();
         it.desk1.stated_limit = limit;
         callers.run(limited_length, period);
@@ -134,7 +137,7 @@
     serve_case it(3);
     REQUIRE(it.started);
     steady_callers callers(it, "POST", "/book/1", "");
-    callers.run(usual_length, period);
+    callers.run(usual_length, usual_period);
     auto stated_at = std::chrono::steady_clock::now();
     it.desk1.stated_limit = limit;
     it.desk2.stated_limit = limit;
