A line without end is not buffered

A chunk's extension or a trailer without end was buffered until its request's deadline: 272 MB and 383 MB in 5 s, on a connection to a server; the calls to the platform's store had the same buffer. The limit on heads does not reach them, as they come after the head. Buffers of connections now hold 128 KiB, four times the largest accepted head. Both sections failed before.

--- a/src/transport/loop/backend_pool.hpp
+++ b/src/transport/loop/backend_pool.hpp
@@ -24,7 +24,8 @@
     explicit backend_connection(const asio::any_io_executor& executor) : stream(executor) {}
 
     boost::beast::tcp_stream stream;
-    boost::beast::flat_buffer buffer;
+    /// Limited, because a server may send a line without end.
+    boost::beast::flat_buffer buffer{max_buffered_bytes};
     endpoint_text address;
     /// Carried a request before; the server may have closed it since.
     bool reused = false;
--- a/src/transport/loop/event_loop.hpp
+++ b/src/transport/loop/event_loop.hpp
@@ -27,6 +27,10 @@
 /// A completion token that returns a tuple starting with the error code instead of throwing.
 inline constexpr auto as_result = asio::as_tuple(asio::use_awaitable);
 
+/// The bytes of a connection that are buffered until they make up a line or a head. Longer than any
+/// accepted head, trailer or chunk extension.
+inline constexpr std::size_t max_buffered_bytes = 131072;
+
 /// Waits; a cancelled wait ends early.
 task<void> pause(nanoseconds length);
 
--- a/src/transport/loop/http_connection.hpp
+++ b/src/transport/loop/http_connection.hpp
@@ -38,7 +38,7 @@
 private:
     endpoint_text address_;
     std::unique_ptr<boost::beast::tcp_stream> stream_;
-    boost::beast::flat_buffer buffer_;
+    boost::beast::flat_buffer buffer_{max_buffered_bytes};
 };
 
 } // namespace banyanshunt
--- a/tests/correctness/endless_bytes_test.cpp
+++ b/tests/correctness/endless_bytes_test.cpp
@@ -127,6 +127,26 @@
             [](int, int, const std::string&)
             { return raw_response{.bytes = "HTTP/1.1 200 OK\r\nX-Filler: ", .endless = filler}; });
     }
+    SECTION("in the extension of a chunk")
+    {
+        check(
+            [](int, int, const std::string& text)
+            {
+                return raw_response{.bytes = "HTTP/1.1 200 OK\r\nX-Server-Stamp: d1\r\n" +
+                                             id_line(text) + chunked + "\r\n5;",
+                                    .endless = filler};
+            });
+    }
+    SECTION("in the trailer after the last chunk")
+    {
+        check(
+            [](int, int, const std::string& text)
+            {
+                return raw_response{.bytes = "HTTP/1.1 200 OK\r\nX-Server-Stamp: d1\r\n" +
+                                             id_line(text) + chunked + "\r\n0\r\nX-Filler: ",
+                                    .endless = filler};
+            });
+    }
 }
 
 TEST_CASE("A refusal whose body trickles does not hold up the request")
