An event without end ends its attempt, and the stream resumes elsewhere

What callers saw: a server that sent an event without its end, fast or a byte now and then, kept the stream open until the deadline (8.0 s), and the caller got a stream cut off after its first event, although another server could resume it. The event was buffered whatever its length, and its end was looked for in all of it again with every read.

Any byte counted as progress. Now a stream's progress is a complete event: if none comes for as long as callers wait for one, the attempt ends; and an event of more than 256 KiB ends it at once. The stream resumes at another server. Both sections failed before.

--- a/src/coordination/event_splitter.hpp
+++ b/src/coordination/event_splitter.hpp
@@ -19,6 +19,8 @@
     const std::string& last_id() const { return last_id_; }
     /// Whether an incomplete event is buffered.
     bool in_event() const { return !partial_.empty(); }
+    /// The size of the incomplete event, in bytes.
+    std::size_t partial_size() const { return partial_.size(); }
     /// Drops the incomplete event, because another server will send it again.
     void discard_partial() { partial_.clear(); }
 
--- a/src/serve/active_request.cpp
+++ b/src/serve/active_request.cpp
@@ -18,9 +18,9 @@
 /// Fraction of its time that a request may wait for a server; one sent later than that seldom
 /// completes before its deadline.
 constexpr double max_wait_fraction = 0.45;
-/// Callers abandon a stream whose first event has not arrived after the longest of these: a fixed
+/// Callers abandon a stream whose next event has not arrived after the longest of these: a fixed
 /// time, and multiples of the route's objective and of the longest pause between events.
-constexpr milliseconds min_first_event_timeout{2000};
+constexpr milliseconds min_event_timeout{2000};
 constexpr int objectives_per_timeout = 4;
 constexpr int gaps_per_timeout = 8;
 /// Fraction of that timeout that a request may wait for a server.
@@ -254,17 +254,20 @@
     co_return keep_alive_ && !caller_->closed;
 }
 
+milliseconds active_request::caller_patience() const
+{
+    return std::max({min_event_timeout, objectives_per_timeout * route_->objective,
+                     gaps_per_timeout * route_->event_gap});
+}
+
 instant active_request::latest_start() const
 {
     auto total = std::chrono::duration<double, std::milli>(deadline_ - arrived_);
     auto latest = arrived_ + std::chrono::duration_cast<nanoseconds>(total * max_wait_fraction);
     if (route_->kind == request_kind::stream && !head_sent_)
     {
-        auto first_event_timeout =
-            std::max({min_first_event_timeout, objectives_per_timeout * route_->objective,
-                      gaps_per_timeout * route_->event_gap});
         latest = std::min(latest, arrived_ + std::chrono::duration_cast<nanoseconds>(
-                                                 first_event_timeout * max_timeout_fraction));
+                                                 caller_patience() * max_timeout_fraction));
     }
     if (sends_ > 0)
     {
--- a/src/serve/active_request.hpp
+++ b/src/serve/active_request.hpp
@@ -63,6 +63,8 @@
     std::optional<refusal> check_allowed();
     task<std::optional<refusal>> acquire_tokens();
     task<std::optional<server_id>> find_server();
+    /// How long the caller of a stream waits for its next event before it leaves.
+    milliseconds caller_patience() const;
     /// The latest time at which a send to a server is worthwhile.
     instant latest_start() const;
     bool out_of_time(milliseconds expected) const
@@ -123,6 +125,8 @@
     int runs_ = 0;
     std::set<server_id> tried_;
     event_splitter events_;
+    /// When the current attempt began, or completed its last event.
+    instant progressed_at_;
     std::string kept_response_;
     int kept_status_ = 0;
     const char* last_reason_ = "no_replica";
--- a/src/serve/request_attempt.cpp
+++ b/src/serve/request_attempt.cpp
@@ -16,6 +16,8 @@
 /// Responses up to this size are read completely before the caller gets any of them, so that one
 /// that breaks off can be requested again.
 constexpr std::size_t max_buffered_response_bytes = 65536;
+/// Largest event of a stream, in bytes.
+constexpr std::size_t max_event_bytes = 1 << 18;
 /// How often a request checks whether its server became unresponsive.
 constexpr milliseconds inactivity_check_period{250};
 /// A server that sent no data for this long on any connection counts as lost.
@@ -118,7 +120,11 @@
             auto inactive_for = now - exchange->received_at();
             bool lost = inactive_for > server_inactivity_timeout &&
                         (!server || now - server->received_at > server_inactivity_timeout);
-            if (self->repeatable() && (lost || inactive_for > request_inactivity_timeout))
+            // Bytes may arrive without ever completing an event.
+            bool stalled = self->route_->kind == request_kind::stream &&
+                           now - self->progressed_at_ > self->caller_patience();
+            if (self->repeatable() &&
+                (lost || stalled || inactive_for > request_inactivity_timeout))
             {
                 exchange->close();
                 return;
@@ -147,6 +153,7 @@
     ++sends_;
     context_.servers.record_sent(server, unit);
     exchange_ = &exchange;
+    progressed_at_ = context_.now();
     schedule_inactivity_check();
     auto state = co_await exchange.send(std::move(text), fields_.id,
                                         [&]
@@ -327,8 +334,13 @@
         auto events = events_.feed(*data);
         if (events.empty())
         {
+            if (events_.partial_size() > max_event_bytes)
+            {
+                break;
+            }
             continue;
         }
+        progressed_at_ = context_.now();
         if (time_to_first_byte_.count() == 0)
         {
             time_to_first_byte_ = context_.now() - arrived_;
--- a/tests/correctness/endless_bytes_test.cpp
+++ b/tests/correctness/endless_bytes_test.cpp
@@ -171,3 +171,46 @@
     }
     CHECK(server.requests() > 0);
 }
+
+TEST_CASE("An event without end is not buffered on, and its stream resumes at another server")
+{
+    serve_case it;
+    REQUIRE(it.started);
+    const std::string head = "HTTP/1.1 200 OK\r\nX-Server-Stamp: e1\r\n"
+                             "Content-Type: text/event-stream\r\n";
+    const std::string first = chunk("id: 1\ndata: token1\n\n");
+    auto check = [&](const std::string& endless, milliseconds pause)
+    {
+        raw_server server(
+            [&](int, int, const std::string& text)
+            {
+                return raw_response{.bytes = head + id_line(text) + chunked + "\r\n" + first,
+                                    .endless = chunk(endless),
+                                    .pause = pause};
+            });
+        replace(it, it.engine1, "e1", "models", server);
+        std::this_thread::sleep_for(1500ms);
+        // Other requests keep the other engine busy until one was sent to the raw server.
+        serve_case::call_result response;
+        for (int n = 0; n < 8 && server.requests() == 0; ++n)
+        {
+            response = it.send("POST", "/guide/1", "s" + std::to_string(n), "good-key", "busy");
+        }
+        REQUIRE(server.requests() > 0);
+        CHECK(response.status == 200);
+        CHECK(response.body == "id: 1\ndata: token1\n\nid: 2\ndata: token2\n\n"
+                               "id: 3\ndata: token3\n\nid: 4\ndata: token4\n\n"
+                               "id: 5\ndata: token5\n\n");
+        CHECK(response.took < 6000ms);
+        CHECK(server.endless_bytes() < max_endless_bytes);
+    };
+
+    SECTION("that comes as fast as it is read")
+    {
+        check(filler, 0ms);
+    }
+    SECTION("that trickles, so that the connection is never silent")
+    {
+        check("x", 100ms);
+    }
+}
