A silent server's stream is not cut while no other server could go on with it

Cause: silence of 0.9 s on all connections counts as the loss of the server, also where there is nowhere to go. A request is now taken away at that time only if another server could take it at once; if one would have to load the model first, that load is requested then. After 2.2 s of silence it is taken away as before. The case failed before.

--- a/src/serve/active_request.hpp
+++ b/src/serve/active_request.hpp
@@ -77,6 +77,9 @@
     /// known that none can be had in time.
     task<bool> request_permit(const server_choice& choice);
     void request_extra_replica(const server_criteria& need, const engine_spec* engine);
+    /// Whether another server could take the request over at once; if one has to load its model
+    /// first, requests that.
+    bool other_server_ready();
     /// Whether the configuration, key and deadline that admitted the request still apply.
     bool may_still_send() const;
     task<attempt_result> attempt(server_id server);
--- a/src/serve/request_attempt.cpp
+++ b/src/serve/request_attempt.cpp
@@ -120,11 +120,12 @@
             auto inactive_for = now - exchange->received_at();
             bool lost = inactive_for > server_inactivity_timeout &&
                         (!server || now - server->received_at > server_inactivity_timeout);
+            bool inactive =
+                inactive_for > request_inactivity_timeout || (lost && self->other_server_ready());
             // Bytes may arrive without ever completing an event.
             bool stalled = self->route_->kind == request_kind::stream &&
                            now - self->progressed_at_ > self->caller_patience();
-            if (self->repeatable() &&
-                (lost || stalled || inactive_for > request_inactivity_timeout))
+            if (self->repeatable() && (inactive || stalled))
             {
                 exchange->close();
                 return;
@@ -133,6 +134,26 @@
         });
 }
 
+bool active_request::other_server_ready()
+{
+    auto tried = tried_;
+    tried.insert(last_server_);
+    server_criteria need{.service = service_,
+                         .target = {.model = fields_.model, .adapter = fields_.adapter},
+                         .tried = std::move(tried)};
+    const auto* service = context_.config->find_service(service_);
+    const engine_spec* engine = service && service->engine ? &*service->engine : nullptr;
+    auto choice = context_.servers.choose(need, engine, context_.now());
+    if (choice.action == server_choice::action_kind::load && !choice.loading &&
+        context_.may_request_replica(need.target.model))
+    {
+        context_.resources->request_load(choice.server, need.target, waited_);
+    }
+    return choice.action == server_choice::action_kind::send ||
+           (choice.action == server_choice::action_kind::permit &&
+            choice.expected_wait.count() == 0);
+}
+
 bool active_request::may_still_send() const
 {
     return context_.config == config_ && !expired_ && !caller_->closed &&
--- a/tests/correctness/endless_bytes_test.cpp
+++ b/tests/correctness/endless_bytes_test.cpp
@@ -214,3 +214,25 @@
         check("x", 100ms);
     }
 }
+
+TEST_CASE("A slow but sound stream is not cut")
+{
+    serve_case it;
+    REQUIRE(it.started);
+    it.store.put("keyed.servers", "e2", it.engine2.registry_entry("models", true));
+    raw_server server(
+        [](int, int, const std::string& text)
+        {
+            return raw_response{.bytes = "HTTP/1.1 200 OK\r\nX-Server-Stamp: e1\r\n" +
+                                         id_line(text) + chunked + "\r\n" + chunk("id: 1\nda"),
+                                .endless = chunk("ta: token\n\nid: 2\nda"),
+                                .pause = 1500ms};
+        });
+    replace(it, it.engine1, "e1", "models", server);
+    std::this_thread::sleep_for(1500ms);
+    // The stream never ends, so the route's timeout ends it; no event came later than the route
+    // lets callers wait.
+    auto response = it.send("POST", "/guide/1", "slow", "good-key", "busy");
+    CHECK(response.took > 7000ms);
+    CHECK(server.requests() == 1);
+}
