The soak has servers that state limits, and checks them

A backend server states a limit of 20 requests a second for a while, and one of the two plain servers does throughout the recovery.

--- a/tests/soak/shunt_soak.cpp
+++ b/tests/soak/shunt_soak.cpp
@@ -33,6 +33,8 @@
 /// The required bound on recovery time.
 constexpr auto recovery_length = 12s;
 constexpr auto observation_length = 3s;
+/// The limit that servers in need state, in requests a second: less than half of what they get.
+constexpr double limit_per_second = 20;
 /// Every fourth seed has planned work only; no request may be interrupted then.
 constexpr std::uint64_t planned_interval = 4;
 
@@ -99,11 +101,25 @@
         {
             if (fleet_.reap(it))
             {
+                history_.host_disturbances.push_back(std::chrono::steady_clock::now());
                 fleet_.start(it);
             }
         }
     }
 
+    void signal(const soak_fleet::host& it, int number)
+    {
+        history_.host_disturbances.push_back(std::chrono::steady_clock::now());
+        fleet_.signal(it, number);
+    }
+
+    void state_limit(std::size_t backend, double per_second)
+    {
+        fleet_.backends[backend]->stated_limit = per_second;
+        history_.limits.push_back(
+            {.backend = backend, .at = std::chrono::steady_clock::now(), .per_second = per_second});
+    }
+
     void run_planned_work()
     {
         switch (draw(3))
@@ -117,7 +133,7 @@
             if (others)
             {
                 log_fault("stop " + it.name);
-                fleet_.signal(it, SIGTERM);
+                signal(it, SIGTERM);
             }
             break;
         }
@@ -147,20 +163,20 @@
         auto& backend_proxy = *fleet_.backend_proxies[any_backend()];
         auto& backend = *fleet_.backends[any_backend()];
         using fault = loopback_proxy::fault;
-        switch (draw(12))
+        switch (draw(13))
         {
         case 0:
             log_fault("kill " + it.name);
-            fleet_.signal(it, SIGKILL);
+            signal(it, SIGKILL);
             break;
         case 1:
             log_fault((it.paused ? "resume " : "pause ") + it.name);
-            fleet_.signal(it, it.paused ? SIGCONT : SIGSTOP);
+            signal(it, it.paused ? SIGCONT : SIGSTOP);
             it.paused = !it.paused;
             break;
         case 2:
             log_fault("stop " + it.name);
-            fleet_.signal(it, SIGTERM);
+            signal(it, SIGTERM);
             break;
         case 3:
             run_planned_work();
@@ -203,6 +219,14 @@
             break;
         }
         case 10:
+        {
+            auto n = any_backend();
+            bool limited = fleet_.backends[n]->stated_limit >= 0;
+            log_fault(limited ? "a server's limit ends" : "a server states a limit");
+            state_limit(n, limited ? -1 : limit_per_second);
+            break;
+        }
+        case 11:
             log_fault("store refuses or serves again");
             fleet_.store.forced_status = fleet_.store.forced_status == 0 ? 503 : 0;
             break;
@@ -210,7 +234,7 @@
             log_fault("all hosts killed");
             for (const auto& each : fleet_.hosts)
             {
-                fleet_.signal(each, draw(2) == 0 ? SIGKILL : 0);
+                signal(each, draw(2) == 0 ? SIGKILL : 0);
             }
         }
     }
@@ -222,17 +246,23 @@
         for (auto& it : fleet_.hosts)
         {
             it.store_proxy->set_fault(loopback_proxy::fault::none);
-            fleet_.signal(it, SIGCONT);
+            signal(it, SIGCONT);
             it.paused = false;
         }
         for (auto& it : fleet_.backend_proxies)
         {
             it->set_fault(loopback_proxy::fault::none);
         }
-        for (auto& it : fleet_.backends)
+        for (std::size_t n = 0; n < fleet_.backends.size(); ++n)
         {
-            it->active_fault = backend_stand_in::fault::none;
+            fleet_.backends[n]->active_fault = backend_stand_in::fault::none;
+            if (fleet_.backends[n]->stated_limit >= 0)
+            {
+                state_limit(n, -1);
+            }
         }
+        // One of the two plain servers stays in need while the hosts recover.
+        state_limit(0, limit_per_second);
     }
 
     std::mt19937_64 random_;
--- a/tests/soak/soak_checks.cpp
+++ b/tests/soak/soak_checks.cpp
@@ -5,6 +5,8 @@
 
 #include <fmt/format.h>
 
+#include "stand_ins/limit_rule.hpp"
+
 namespace banyanshunt::soak
 {
 
@@ -175,6 +177,51 @@
     }
 }
 
+/// Windows in which a server got more requests than the limit that it stated allows. A host that
+/// was disturbed is excused, so windows shortly after a disturbance do not count.
+void check_limits(const soak_fleet& fleet, const soak_history& history,
+                  std::vector<std::string>& violations)
+{
+    auto disturbed = [&](steady_instant from, steady_instant until)
+    {
+        return std::any_of(history.host_disturbances.begin(), history.host_disturbances.end(),
+                           [&](steady_instant at) { return at >= from && at <= until; });
+    };
+    for (std::size_t n = 0; n < history.limits.size(); ++n)
+    {
+        const auto& limit = history.limits[n];
+        auto next = std::find_if(history.limits.begin() + static_cast<std::ptrdiff_t>(n) + 1,
+                                 history.limits.end(),
+                                 [&](const auto& it) { return it.backend == limit.backend; });
+        auto until = next == history.limits.end() ? steady_instant::max() : next->at;
+        if (limit.per_second < 0)
+        {
+            continue;
+        }
+        std::deque<steady_instant> window;
+        std::size_t peak = 0;
+        for (auto at : fleet.backends[limit.backend]->arrivals())
+        {
+            window.push_back(at);
+            while (at - window.front() > limit_window)
+            {
+                window.pop_front();
+            }
+            if (at >= limit.at + limit_contact_time && at < until &&
+                !disturbed(at - limit_window - limit_contact_time, at))
+            {
+                peak = std::max(peak, window.size());
+            }
+        }
+        if (static_cast<double>(peak) > allowed_arrivals(limit.per_second))
+        {
+            violations.push_back(fmt::format(
+                "server {} got {} requests in 4 s, its limit of {} a second allows {}",
+                limit.backend, peak, limit.per_second, allowed_arrivals(limit.per_second)));
+        }
+    }
+}
+
 void check_recovery(const std::vector<call_record>& calls, const soak_history& history,
                     std::vector<std::string>& violations)
 {
@@ -211,6 +258,7 @@
     }
     check_rate(calls, runs, violations);
     check_starvation(calls, violations);
+    check_limits(fleet, history, violations);
     check_recovery(calls, history, violations);
     for (const auto& it : fleet.backends)
     {
--- a/tests/soak/soak_checks.hpp
+++ b/tests/soak/soak_checks.hpp
@@ -4,6 +4,7 @@
 /// Checks the guarantees of a soak run against the records of callers and backend servers.
 
 #include <map>
+#include <vector>
 
 #include "soak/soak_callers.hpp"
 #include "soak/soak_fleet.hpp"
@@ -11,12 +12,24 @@
 namespace banyanshunt::soak
 {
 
+/// A limit that a backend server began to state, or ceased to: negative for none.
+struct stated_limit
+{
+    std::size_t backend = 0;
+    steady_instant at;
+    double per_second = -1;
+};
+
 struct soak_history
 {
     /// When each withdrawn key was removed from the configuration.
     std::map<std::string, steady_instant> withdrawn;
     /// The time from which every component must work again.
     steady_instant recovered;
+    /// The limits that backend servers stated, in order.
+    std::vector<stated_limit> limits;
+    /// When a host was started, stopped, killed, paused or resumed.
+    std::vector<steady_instant> host_disturbances;
     /// Whether the run had planned work only: stops, reloads and configuration changes.
     bool planned_only = false;
 };
