--- a/src/serve/active_request.cpp
+++ b/src/serve/active_request.cpp
@@ -33,6 +33,8 @@
 constexpr milliseconds min_remaining{40};
 /// The furthest ahead that a request is scheduled at a server that states a limit.
 constexpr milliseconds max_permit_wait{2000};
+/// How often a waiting request requests a permit for one server.
+constexpr milliseconds permit_request_period{250};
 /// Random spread of Retry-After, so that refused callers do not all return at once.
 constexpr int retry_jitter_ms = 400;
 
@@ -304,7 +306,7 @@
 {
     instant now = context_.now();
     auto [last, is_first] = permits_requested_.try_emplace(choice.server, now);
-    bool asked_recently = !is_first && now - last->second < recheck_interval;
+    bool asked_recently = !is_first && now - last->second < permit_request_period;
     auto max_wait =
         std::min(max_permit_wait, std::chrono::floor<milliseconds>(latest_start() - now));
     if (permit_ || asked_recently || choice.expected_wait > max_wait)
@@ -349,7 +351,10 @@
         waited_ = std::chrono::floor<milliseconds>(context_.now() - wait_start);
         if (choice.action == server_choice::action_kind::send)
         {
-            request_extra_replica(need, engine);
+            if (!context_.servers.limits().in_force(choice.server))
+            {
+                request_extra_replica(need, engine);
+            }
             co_return choice.server;
         }
         if (choice.action == server_choice::action_kind::none && !tried_.empty())
