A permit's coroutine returns whether it asked

With it: a test of a host that is paused while it holds a permit, and a bound on the requests that a datagram may charge.

--- a/src/coordination/permit_schedule.cpp
+++ b/src/coordination/permit_schedule.cpp
@@ -19,6 +19,8 @@
 /// A new schedule starts with the permits of this time, against which requests before it are
 /// charged.
 constexpr milliseconds charged_duration{1000};
+/// More requests than this are charged as this many; the delay below is far shorter than theirs.
+constexpr int max_charged = 100000;
 /// The longest that charged requests delay the next permit.
 constexpr milliseconds max_settling{3000};
 
@@ -75,7 +77,8 @@
 
 void permit_schedule::charge(int requests, instant now)
 {
-    due_at_ = std::max(due_at_, now - charged_duration) + requests * interval();
+    due_at_ =
+        std::max(due_at_, now - charged_duration) + std::min(requests, max_charged) * interval();
     due_at_ = std::min<instant>(due_at_, now + max_settling);
 }
 
--- a/src/serve/active_request.cpp
+++ b/src/serve/active_request.cpp
@@ -325,6 +325,7 @@
     {
         context_.servers.limits().record_next_permit(choice.server, context_.now() + response.wait);
     }
+    co_return true;
 }
 
 task<std::optional<server_id>> active_request::find_server()
--- a/tests/correctness/permit_schedule_test.cpp
+++ b/tests/correctness/permit_schedule_test.cpp
@@ -105,6 +105,7 @@
 TEST_CASE("Hosts agree on who grants a server's permits, and cut ones grant no more in sum")
 {
     std::vector<host_id> hosts;
+    hosts.reserve(81);
     for (int n = 0; n < 81; ++n)
     {
         hosts.emplace_back("host-" + std::to_string(n));
--- a/tests/correctness/server_limit_fleet_test.cpp
+++ b/tests/correctness/server_limit_fleet_test.cpp
@@ -4,6 +4,7 @@
 #include <catch2/catch.hpp>
 
 #include <set>
+#include <thread>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -93,6 +94,7 @@
     std::optional<millirequests_per_second> stated;
     std::int64_t start_time_ms = 1;
     int refused = 0;
+    int expired = 0;
     /// Hosts that neither send nor receive datagrams.
     std::set<std::size_t> dead;
     /// Hosts below this index and the others do not reach each other.
@@ -187,7 +189,11 @@
                 co_return;
             }
             co_await pause(permit.valid_from - it.context.now());
-            CHECK(it.context.now() < permit.valid_until);
+            if (it.context.now() >= permit.valid_until)
+            {
+                ++expired;
+                co_return;
+            }
         }
         instant sent_at = it.context.now();
         it.context.record_send(server);
@@ -247,6 +253,7 @@
         demand_from_all(fleet, 7);
         CHECK(peak(fleet, stated_at, limit) <= 1);
         CHECK(fleet.refused > 400);
+        CHECK(fleet.expired == 0);
         // What the server takes is used.
         CHECK(static_cast<double>(arrivals_after(fleet, stated_at + 4s)) > 0.7 * limit * 3);
     }
@@ -289,6 +296,25 @@
     }
 }
 
+TEST_CASE("A permit that ran out while its host was paused is not used")
+{
+    limit_fleet fleet(64, 3);
+    fleet.run_for(1500ms);
+    fleet.stated = limit_rate;
+    fleet.request_in_turn(1s, 5);
+    fleet.run_for(3s);
+    auto refused_before = fleet.refused;
+    // The first permit is used at once, the second one is due after the pause has begun.
+    fleet.request_at_all();
+    fleet.run_for(100ms);
+    auto before = fleet.arrivals.size();
+    std::this_thread::sleep_for(2s);
+    fleet.run_for(1s);
+    CHECK(fleet.arrivals.size() == before);
+    CHECK(fleet.expired == 1);
+    CHECK(fleet.refused == refused_before + 1);
+}
+
 TEST_CASE("81 hosts follow a limit that falls, rises, ends, and a server reborn without one")
 {
     limit_fleet fleet(63, 81);
