Orders to an engine count against the limit that it states

They now need permits like requests, and are counted as sent before the limit was known like these. Where an order would wait longer for its permit than a load at another engine takes, hosts choose that one; without this an adapter of a model that only a limited engine holds would be waited for in vain.

--- a/src/coordination/backend_table.cpp
+++ b/src/coordination/backend_table.cpp
@@ -165,6 +165,12 @@
     return std::max(milliseconds(0), std::chrono::ceil<milliseconds>(owner.may_order_at - now));
 }
 
+milliseconds backend_table::order_wait(const record& it, instant now) const
+{
+    auto permit_wait = limits_.permit_wait(it.entry.id, now);
+    return owner_wait(it, now) + std::chrono::ceil<milliseconds>(permit_wait);
+}
+
 void backend_table::apply_peer_load(const host_id& host, const server_id& server, int running,
                                     instant now)
 {
@@ -402,6 +408,7 @@
     candidate loading{.it = nullptr, .cost = never};
     candidate without_adapter{.it = nullptr, .cost = never};
     candidate limited{.it = nullptr, .cost = never};
+    bool unlimited_held = false;
     nanoseconds shortest_wait = nanoseconds::max();
     bool any_at_capacity = false;
     const bool wants_model = engine != nullptr && !need.target.model.empty();
@@ -439,10 +446,12 @@
             continue;
         }
         double its_cost = cost(it, now);
-        if (!wait && owner_wait(it, now).count() > 0)
+        if (!wait && order_wait(it, now).count() > 0)
         {
             its_cost += unordered_cost;
         }
+        unlimited_held = unlimited_held || (wait == nanoseconds(0) && !limits_.in_force(id) &&
+                                            its_cost < backoff_cost);
         candidate& best_of_kind = !wait ? without_adapter : wait->count() == 0 ? held : loading;
         if (its_cost < best_of_kind.cost)
         {
@@ -458,7 +467,8 @@
         bool needs_permit = limits_.in_force(id) && id != need.permitted;
         return {.action = needs_permit ? server_choice::action_kind::permit
                                        : server_choice::action_kind::send,
-                .server = id};
+                .server = id,
+                .has_alternative = unlimited_held};
     }
     std::optional<server_choice> wait_for_permit;
     if (limited.it)
@@ -481,7 +491,7 @@
         load_adapter = {.action = server_choice::action_kind::load,
                         .server = without_adapter.it->entry.id,
                         .expected_wait =
-                            owner_wait(*without_adapter.it, now) + typical_adapter_load};
+                            order_wait(*without_adapter.it, now) + typical_adapter_load};
         if (load_adapter->expected_wait == typical_adapter_load)
         {
             return *load_adapter;
@@ -558,7 +568,7 @@
             // The load waits for at least one of those in flight.
             load_time *= 2;
         }
-        milliseconds ready_to_load = owner_wait(it, now);
+        milliseconds ready_to_load = order_wait(it, now);
         if (placement_counts(it, now))
         {
             auto placed = it.placement->models.find(model->first);
--- a/src/coordination/backend_table.hpp
+++ b/src/coordination/backend_table.hpp
@@ -140,6 +140,9 @@
     /// For `load`: how long until it should be ready, and whether it is loading already.
     milliseconds expected_wait{0};
     bool loading = false;
+    /// For `permit`: another server could take the request now, so that waiting for a permit would
+    /// only waste it.
+    bool has_alternative = false;
 };
 
 class backend_table
@@ -261,6 +264,8 @@
     bool usable(const record& it, const server_criteria& need) const;
     bool placement_counts(const record& it, instant now) const;
     double cost(const record& it, instant now) const;
+    /// How long until the server can get an order: from its owner, and with a permit.
+    milliseconds order_wait(const record& it, instant now) const;
     /// Whether the server has enough free slots for its responses to begin on time.
     static bool has_room(const record& it) { return load(it) < busy_ratio * it.entry.slots; }
     /// With `local_only`, only where the checkpoint is in memory or on disk.
--- a/src/serve/host_context.hpp
+++ b/src/serve/host_context.hpp
@@ -135,7 +135,7 @@
         last_request = now();
         return true;
     }
-    /// Counts a request of a caller as sent to a server.
+    /// Counts a request, an order or a call for a report as sent to a server.
     void record_send(const server_id& server)
     {
         servers.limits().record_sent(server, now());
--- a/src/serve/order_controller.cpp
+++ b/src/serve/order_controller.cpp
@@ -35,6 +35,10 @@
 /// Added to the lease between the last order of a host that releases an engine and the first order
 /// of the next owner, for the drift between their clocks.
 constexpr milliseconds release_margin{150};
+/// How long an order waits for a permit of an engine that states a limit, and how long until it is
+/// reconsidered if none can be had in that time.
+constexpr milliseconds max_permit_wait{2000};
+constexpr milliseconds permit_recheck{250};
 /// An engine responds to an order within milliseconds; a lost packet is retransmitted after 200 ms
 /// or more.
 constexpr milliseconds order_timeout{1000};
@@ -391,6 +395,11 @@
             publish_placement(server, *held);
         }
         held->controller.update(known->entry, now);
+        if (context_.servers.limits().permit_wait(server, now) > max_permit_wait)
+        {
+            co_await pause(permit_recheck);
+            continue;
+        }
         auto step = held->controller.decide(
             *engine,
             {.count_other_replicas = [&](const model_id& model)
@@ -400,6 +409,12 @@
              .acquire_store_load = [&] { return acquire_store_load(*engine); }},
             now);
         log_expired_requests(server, *held);
+        if (step.action != engine_controller::step::action_kind::none &&
+            !co_await acquire_permit(server, *held))
+        {
+            co_await pause(permit_recheck);
+            continue;
+        }
         if (step.action == engine_controller::step::action_kind::query_report)
         {
             co_await query_report(server, held);
@@ -419,6 +434,25 @@
     }
 }
 
+task<bool> order_controller::acquire_permit(server_id server, const owned_engine& held)
+{
+    auto& limits = context_.servers.limits();
+    if (!limits.in_force(server))
+    {
+        co_return true;
+    }
+    auto permit = co_await context_.resources->acquire_permit(server, max_permit_wait);
+    if (!permit.granted)
+    {
+        limits.record_next_permit(server, context_.now() + permit.wait);
+        co_return false;
+    }
+    co_await pause(permit.valid_from - context_.now());
+    instant now = context_.now();
+    co_return now < permit.valid_until && !held.ended && context_.servers.find(server) &&
+        may_order(held.partition, now);
+}
+
 task<void> order_controller::query_report(server_id server, std::shared_ptr<owned_engine> held)
 {
     const auto* known = context_.servers.find(server);
--- a/src/serve/order_controller.hpp
+++ b/src/serve/order_controller.hpp
@@ -80,6 +80,9 @@
     void update_owned_engines();
     task<void> run_server(server_id server, std::shared_ptr<owned_engine> held);
     void log_expired_requests(const server_id& server, owned_engine& held);
+    /// Acquires a permit for one order or call for a report, if the engine states a limit. Returns
+    /// false if it must not be sent now.
+    task<bool> acquire_permit(server_id server, const owned_engine& held);
     task<void> query_report(server_id server, std::shared_ptr<owned_engine> held);
     task<void> send_order(server_id server, std::shared_ptr<owned_engine> held, engine_order order);
     milliseconds lease() const;
--- a/src/serve/request_attempt.cpp
+++ b/src/serve/request_attempt.cpp
@@ -177,15 +177,7 @@
     progressed_at_ = context_.now();
     schedule_inactivity_check();
     auto state = co_await exchange.send(std::move(text), fields_.id,
-                                        [&]
-                                        {
-                                            bool may_send = may_still_send() && permitted(server);
-                                            if (may_send)
-                                            {
-                                                context_.record_send(server);
-                                            }
-                                            return may_send;
-                                        });
+                                        [&] { return may_still_send() && permitted(server); });
     permit_.reset();
     auto end = attempt_result::not_run;
     auto outcome = backend_outcome::failed;
--- a/src/serve/server_exchange.cpp
+++ b/src/serve/server_exchange.cpp
@@ -52,6 +52,7 @@
         context_.pool.release(std::move(connection_), std::nullopt);
         co_return exchange_state::withheld;
     }
+    context_.record_send(server_);
     received_at_ = sent_at_ = context_.now();
     auto [ec, n] =
         co_await asio::async_write(connection_->stream.socket(), asio::buffer(request), as_result);
--- a/tests/correctness/backend_table_test.cpp
+++ b/tests/correctness/backend_table_test.cpp
@@ -429,6 +429,7 @@
         CHECK(choose().action == action_kind::permit);
         CHECK(choose().server.str() == "a");
         CHECK(choose().expected_wait == 0ms);
+        CHECK_FALSE(choose().has_alternative);
         need.permitted = server_id("a");
         CHECK(choose().action == action_kind::send);
 
@@ -448,6 +449,8 @@
         now += 2s;
         CHECK(choose().action == action_kind::permit);
         CHECK(choose().server.str() == "a");
+        // It does not wait for a permit, as the other server has room.
+        CHECK(choose().has_alternative);
     }
     SECTION("after its restart under the same id, as any other")
     {
@@ -500,6 +503,14 @@
     CHECK_FALSE(table.available_elsewhere(server_id("b"), target, now));
     CHECK(table.count_other_replicas(server_id("b"), model.id, now) == 0);
 
+    SECTION("an adapter is not loaded there if its order has to wait longer than a load elsewhere")
+    {
+        const model_target adapted{.model = model.id, .adapter = adapter_id("x")};
+        server_criteria adapter_need{.service = service_id("svc"), .target = adapted, .tried = {}};
+        CHECK(table.choose(adapter_need, &engine, now).server.str() == "a");
+        table.limits().record_next_permit(server_id("a"), now + 2s);
+        CHECK(table.choose(adapter_need, &engine, now).server.str() == "b");
+    }
     SECTION("a load elsewhere is waited for if it is sooner than the next permit")
     {
         table.limits().record_next_permit(server_id("a"), now + 500ms);
--- a/tests/correctness/serve_case.cpp
+++ b/tests/correctness/serve_case.cpp
@@ -23,7 +23,7 @@
     return tcp::acceptor(loop, {asio::ip::make_address_v4("127.0.0.1"), 0}).local_endpoint().port();
 }
 
-json manifest(int version, const std::vector<std::string>& keys)
+json manifest(int version, const std::vector<std::string>& keys, int more_models)
 {
     auto route = [](const char* prefix, const char* kind, const char* service, bool resumable)
     {
@@ -36,36 +36,40 @@
                   {"adapter_mb", 1}, {"warm_s", 0.05},   {"disk_s", 0.05}};
     json rare = model;
     rare["name"] = "rare";
-    return {{"version", version},
-            {"routes",
-             {route("/book/", "non_idempotent", "desk", false),
-              route("/read/", "idempotent", "desk", false),
-              route("/guide/", "streaming", "models", true)}},
-            {"services",
-             {{{"name", "desk"}, {"health_path", "/health"}, {"max_connections", 20}},
-              {{"name", "models"},
-               {"health_path", "/health"},
-               {"max_connections", 20},
-               {"engine",
-                {{"models", {model, rare}},
-                 {"weights_mb", 100},
-                 {"adapter_slots", 4},
-                 {"loads_per_s", 3}}}}}},
-            {"limits", json::object()},
-            {"tenants",
-             {{{"name", "clinics"},
-               {"api_keys", keys},
-               {"unit", "tokens"},
-               {"plain_tokens", 1},
-               {"rate_per_s", 100000},
-               {"burst", 100000}}}}};
+    json models = {model, rare};
+    for (int n = 0; n < more_models; ++n)
+    {
+        models.push_back(rare);
+        models.back()["name"] = "m" + std::to_string(n);
+    }
+    return {
+        {"version", version},
+        {"routes",
+         {route("/book/", "non_idempotent", "desk", false),
+          route("/read/", "idempotent", "desk", false),
+          route("/guide/", "streaming", "models", true)}},
+        {"services",
+         {{{"name", "desk"}, {"health_path", "/health"}, {"max_connections", 20}},
+          {{"name", "models"},
+           {"health_path", "/health"},
+           {"max_connections", 20},
+           {"engine",
+            {{"models", models}, {"weights_mb", 100}, {"adapter_slots", 4}, {"loads_per_s", 3}}}}}},
+        {"limits", json::object()},
+        {"tenants",
+         {{{"name", "clinics"},
+           {"api_keys", keys},
+           {"unit", "tokens"},
+           {"plain_tokens", 1},
+           {"rate_per_s", 100000},
+           {"burst", 100000}}}}};
 }
 
 } // namespace
 
-std::string serve_manifest(int version, const std::vector<std::string>& keys)
+std::string serve_manifest(int version, const std::vector<std::string>& keys, int more_models)
 {
-    return manifest(version, keys).dump();
+    return manifest(version, keys, more_models).dump();
 }
 
 serve_case::serve_case(std::size_t host_count)
--- a/tests/correctness/serve_case.hpp
+++ b/tests/correctness/serve_case.hpp
@@ -19,8 +19,9 @@
 {
 
 /// A configuration with the plain service "desk", the model engines "models" and one workspace with
-/// these keys.
-std::string serve_manifest(int version, const std::vector<std::string>& keys);
+/// these keys. The engines' models are "busy", "rare" and `more_models` others, "m0" and so on; ten
+/// fit an engine.
+std::string serve_manifest(int version, const std::vector<std::string>& keys, int more_models = 0);
 
 /// Entry hosts, two plain servers and two engines; ready to serve.
 class serve_case
--- a/tests/correctness/server_limit_path_test.cpp
+++ b/tests/correctness/server_limit_path_test.cpp
@@ -175,3 +175,45 @@
                                [&](steady_instant at) { return at > ended_at; });
     CHECK(after > 4 * limit);
 }
+
+TEST_CASE("Orders to an engine count against the limit that it states")
+{
+    // Twice the models that fit the engines, so that loads and unloads go on and on.
+    constexpr int models = 40;
+    serve_case it(2);
+    REQUIRE(it.started);
+    it.store.put("keyed.op", "config", serve_manifest(2, {"good-key"}, models));
+    std::this_thread::sleep_for(1000ms);
+    std::vector<std::thread> callers;
+    auto run = [&](std::chrono::milliseconds length, std::chrono::milliseconds gap)
+    {
+        auto until = std::chrono::steady_clock::now() + length;
+        while (std::chrono::steady_clock::now() < until)
+        {
+            auto n = callers.size();
+            callers.emplace_back(
+                [&it, n]
+                {
+                    it.send("POST", "/guide/1", "o" + std::to_string(n), "good-key",
+                            "m" + std::to_string(n % models), n % it.hosts.size());
+                });
+            std::this_thread::sleep_for(gap);
+        }
+    };
+    run(usual_length, 2 * usual_period);
+    auto stated_at = std::chrono::steady_clock::now();
+    it.engine1.stated_limit = limit;
+    it.engine2.stated_limit = limit;
+    run(limited_length, period);
+    auto until = std::chrono::steady_clock::now();
+    for (auto& caller : callers)
+    {
+        caller.join();
+    }
+    for (const auto* server : {&it.engine1, &it.engine2})
+    {
+        CHECK(server->orders() > 0);
+        CHECK(static_cast<double>(peak_arrivals(server->arrivals(), stated_at, until)) <=
+              allowed_arrivals(limit));
+    }
+}
--- a/tests/stand_ins/prepared_platform.cpp
+++ b/tests/stand_ins/prepared_platform.cpp
@@ -280,6 +280,10 @@
     http.set_pre_routing_handler(
         [this](const httplib::Request&, httplib::Response& response)
         {
+            {
+                std::lock_guard lock(mutex_);
+                arrivals_.push_back(std::chrono::steady_clock::now());
+            }
             if (stated_limit >= 0)
             {
                 response.set_header("Server-Limit", std::to_string(stated_limit));
@@ -346,7 +350,6 @@
         response.set_header("X-Request-Id", call.get_header_value("X-Request-Id"));
         {
             std::lock_guard lock(mutex_);
-            arrivals_.push_back(std::chrono::steady_clock::now());
             if (call.get_header_value("X-Expect-Instance") != id_ ||
                 (!model.empty() && !models_.contains(model)))
             {
--- a/tests/stand_ins/prepared_platform.hpp
+++ b/tests/stand_ins/prepared_platform.hpp
@@ -106,7 +106,7 @@
     /// Its entry in the registry.
     std::string registry_entry(const std::string& service, bool draining = false) const;
     std::vector<served_request> served() const;
-    /// When requests of callers arrived, also those that it did not run.
+    /// When requests, orders and calls for a report arrived, also those that it refused.
     std::vector<std::chrono::steady_clock::time_point> arrivals() const;
     int orders() const { return orders_; }
     /// The errors in the orders received: fencing numbers that decreased, holders that changed
