--- a/src/serve/active_request.cpp
+++ b/src/serve/active_request.cpp
@@ -167,21 +167,75 @@
                       .retry_after = std::max(retry_after, milliseconds(300))};
 }
 
-task<bool> active_request::run()
+void active_request::record_begun()
 {
     ++context_.counters.requests;
     ++context_.requests_open;
+    context_.open_requests.insert(this);
+}
+
+void active_request::record_ended()
+{
+    --context_.requests_open;
+    context_.open_requests.erase(this);
+}
+
+void active_request::record_during_stop(const char* verdict)
+{
+    context_.stats.increment("banyanshunt_stop_requests_total", {{"verdict", verdict}});
+    context_.log.write(
+        "stop_request",
+        "request={} verdict={} since_stop_ms={} grace_left_ms={} deadline_left_ms={} model={}{}{} "
+        "output_tokens={}",
+        fields_.id.str(), verdict,
+        std::chrono::floor<milliseconds>(arrived_ - context_.stop_begun_at).count(),
+        std::chrono::floor<milliseconds>(context_.stop_deadline - context_.now()).count(),
+        remaining().count(), fields_.model.empty() ? "-" : fields_.model.str(),
+        fields_.adapter.empty() ? "" : "/", fields_.adapter.str(), fields_.output_tokens);
+}
+
+void active_request::record_cut()
+{
+    const char* phase = !exchange_              ? "waiting"
+                        : exchange_->complete() ? "finishing"
+                        : head_sent_            ? "answering"
+                                                : "sent";
+    context_.stats.increment("banyanshunt_stop_cuts_total", {{"phase", phase}});
+    instant now = context_.now();
+    context_.log.write(
+        "stop_cut",
+        "request={} phase={} since_stop_ms={} held_ms={} deadline_left_ms={} model={}{}{} "
+        "output_tokens={} server={} sends={} waited_ms={} first_ms={} silent_ms={} last_event={}",
+        fields_.id.str(), phase,
+        std::chrono::floor<milliseconds>(arrived_ - context_.stop_begun_at).count(),
+        std::chrono::floor<milliseconds>(now - arrived_).count(), remaining().count(),
+        fields_.model.empty() ? "-" : fields_.model.str(), fields_.adapter.empty() ? "" : "/",
+        fields_.adapter.str(), fields_.output_tokens,
+        last_server_.empty() ? "-" : last_server_.str(), sends_, waited_.count(),
+        std::chrono::floor<milliseconds>(time_to_first_byte_).count(),
+        exchange_ ? std::chrono::floor<milliseconds>(now - exchange_->received_at()).count() : -1,
+        events_.last_id().empty() ? "-" : events_.last_id());
+}
+
+task<bool> active_request::run()
+{
+    record_begun();
     auto self = shared_from_this();
     if (context_.stopping && context_.now() > context_.refuse_from)
     {
         // Too little of the grace period remains to complete the request.
+        record_during_stop("refused");
         co_await refuse({.status = 503, .reason = "draining", .retry_after = milliseconds(100)});
-        --context_.requests_open;
+        record_ended();
         co_return false;
     }
     auto refused = admit();
     if (!refused)
     {
+        if (context_.stopping)
+        {
+            record_during_stop("taken");
+        }
         start_timers();
         refused = co_await acquire_tokens();
     }
@@ -189,7 +243,7 @@
     {
         cancel_timers();
         co_await refuse(*refused);
-        --context_.requests_open;
+        record_ended();
         co_return keep_alive_ && !caller_->closed;
     }
     auto end = attempt_result::not_run;
@@ -205,7 +259,7 @@
         {
             cancel_timers();
             co_await refuse(*cause);
-            --context_.requests_open;
+            record_ended();
             co_return keep_alive_ && !caller_->closed;
         }
         else if (cause)
@@ -252,7 +306,7 @@
     }
     cancel_timers();
     co_await finish(end);
-    --context_.requests_open;
+    record_ended();
     co_return keep_alive_ && !caller_->closed;
 }
 
@@ -489,13 +543,14 @@
     context_.log.write(
         "request_end",
         "request={} outcome={} status={} reason={} route={} workspace={} model={}{}{} "
-        "tokens={} server={} server_load={} sends={} waited_ms={} first_ms={} took_ms={} config={} "
+        "tokens={} output_tokens={} server={} server_load={} sends={} waited_ms={} first_ms={} "
+        "took_ms={} config={} "
         "config_age_ms={} load={} load_server={}",
         fields_.id.str(), outcome, status, last_reason_, route_ ? route_->name.str() : "-",
         workspace_ ? workspace_->name.str() : "-",
         fields_.model.empty() ? "-" : fields_.model.str(), fields_.adapter.empty() ? "" : "/",
-        fields_.adapter.str(), charged_, last_server_.empty() ? "-" : last_server_.str(),
-        last_load_, sends_, waited_.count(),
+        fields_.adapter.str(), charged_, fields_.output_tokens,
+        last_server_.empty() ? "-" : last_server_.str(), last_load_, sends_, waited_.count(),
         std::chrono::floor<milliseconds>(time_to_first_byte_).count(),
         std::chrono::floor<milliseconds>(context_.now() - arrived_).count(),
         config_ ? config_->version : 0,
--- a/src/serve/active_request.hpp
+++ b/src/serve/active_request.hpp
@@ -25,7 +25,7 @@
 
 using caller_request = http::request<http::string_body>;
 
-class active_request : public std::enable_shared_from_this<active_request>
+class active_request : public open_request, public std::enable_shared_from_this<active_request>
 {
 public:
     active_request(host_context& context, std::shared_ptr<caller_connection> caller,
@@ -34,6 +34,7 @@
     /// Runs the request to its final response. Returns whether the caller's connection may carry
     /// another request.
     task<bool> run();
+    void record_cut() override;
 
 private:
     /// How an attempt at one server ended.
@@ -59,6 +60,10 @@
         std::optional<milliseconds> retry_after;
     };
 
+    void record_begun();
+    void record_ended();
+    /// Logs and counts a request that came after this host began to stop.
+    void record_during_stop(const char* verdict);
     std::optional<refusal> admit();
     std::optional<refusal> check_allowed();
     task<std::optional<refusal>> acquire_tokens();
--- a/src/serve/host_context.hpp
+++ b/src/serve/host_context.hpp
@@ -9,6 +9,7 @@
 #include <memory>
 #include <optional>
 #include <random>
+#include <set>
 
 #include "coordination/backend_table.hpp"
 #include "coordination/random_source.hpp"
@@ -88,6 +89,15 @@
     virtual task<permit_response> acquire_permit(server_id server, milliseconds max_wait) = 0;
 };
 
+/// A request that has no final answer yet.
+class open_request
+{
+public:
+    virtual ~open_request() = default;
+    /// Logs and counts that this host exits before the request has ended.
+    virtual void record_cut() = 0;
+};
+
 /// Which host reads the platform's topics for others in a failure domain.
 struct view_sync_state
 {
@@ -203,11 +213,14 @@
     std::function<void(const server_id&, limit_change)> on_limit_change = [](const server_id&,
                                                                              limit_change) {};
     bool stopping = false;
+    instant stop_begun_at;
     /// When a stopping host begins to refuse new requests.
     instant refuse_from;
     /// When a stopping host exits at the latest.
     instant stop_deadline;
     int requests_open = 0;
+    /// The requests that `requests_open` counts.
+    std::set<open_request*> open_requests;
 };
 
 } // namespace banyanshunt
--- a/src/serve/serving_host.cpp
+++ b/src/serve/serving_host.cpp
@@ -136,6 +136,7 @@
 task<void> serving_host::impl::stop()
 {
     instant requested_at = context.now();
+    context.stop_begun_at = requested_at;
     context.refuse_from = requested_at + accept_duration;
     context.stop_deadline = requested_at + context.settings.bounds.stop_grace - stop_margin;
     context.log.write("stop_begun", "requests_open={}", context.requests_open);
@@ -151,6 +152,10 @@
         }
         co_await pause(milliseconds(50));
     }
+    for (auto* it : context.open_requests)
+    {
+        it->record_cut();
+    }
     context.log.write("stop_ended", "requests_open={}", context.requests_open);
     loop.stop();
 }
