--- a/src/serve/active_request.cpp
+++ b/src/serve/active_request.cpp
@@ -490,7 +490,7 @@
         "request_end",
         "request={} outcome={} status={} reason={} route={} workspace={} model={}{}{} "
         "tokens={} server={} server_load={} sends={} waited_ms={} first_ms={} took_ms={} config={} "
-        "config_age_ms={} load={} load_server={}",
+        "config_age_ms={} servers_age_ms={} connect_ms={} load={} load_server={}",
         fields_.id.str(), outcome, status, last_reason_, route_ ? route_->name.str() : "-",
         workspace_ ? workspace_->name.str() : "-",
         fields_.model.empty() ? "-" : fields_.model.str(), fields_.adapter.empty() ? "" : "/",
@@ -503,7 +503,8 @@
             ? std::chrono::floor<milliseconds>(context_.now() - *context_.config_confirmed_at)
                   .count()
             : -1,
-        load_route_ ? to_text(*load_route_) : "-", load_server_.empty() ? "-" : load_server_.str());
+        servers_age_.count(), connect_time_.count(), load_route_ ? to_text(*load_route_) : "-",
+        load_server_.empty() ? "-" : load_server_.str());
 }
 
 task<void> active_request::finish(attempt_result end)
--- a/src/serve/active_request.hpp
+++ b/src/serve/active_request.hpp
@@ -83,6 +83,8 @@
     /// Whether the configuration, key and deadline that admitted the request still apply.
     bool may_still_send() const;
     task<attempt_result> attempt(server_id server);
+    /// Records when the request was written, for `request_end`.
+    void record_write(const server_exchange& exchange);
     task<attempt_result> relay(server_exchange& exchange);
     task<attempt_result> relay_buffered(server_exchange& exchange);
     task<attempt_result> relay_stream(server_exchange& exchange);
@@ -136,6 +138,10 @@
     server_id last_server_;
     /// Requests at that server when it was chosen: own ones and those that peers reported.
     int last_load_ = 0;
+    /// From the choice of that server to the first byte sent there, and the age of the server list
+    /// then; negative if nothing was sent.
+    milliseconds connect_time_{-1};
+    milliseconds servers_age_{-1};
     /// A permit to send the request to a server that states a limit.
     struct held_permit
     {
--- a/src/serve/host_context.hpp
+++ b/src/serve/host_context.hpp
@@ -122,6 +122,12 @@
         return config && config_confirmed_at &&
                at - *config_confirmed_at < settings.bounds.key_revocation * confirmed_ratio;
     }
+    /// Time since the server list was confirmed; negative if it never was.
+    milliseconds servers_age(instant at) const
+    {
+        return servers_confirmed_at ? std::chrono::floor<milliseconds>(at - *servers_confirmed_at)
+                                    : milliseconds(-1);
+    }
     /// How often this host requests another replica of one model while the existing replicas serve
     /// its requests.
     static constexpr milliseconds replica_request_period{300};
@@ -183,6 +189,8 @@
     /// When the call that confirmed the configuration was sent.
     std::optional<instant> config_confirmed_at;
     bool servers_known = false;
+    /// When the call that confirmed the server list was sent.
+    std::optional<instant> servers_confirmed_at;
     backend_table servers;
     backend_pool pool;
     share_ledger ledger;
--- a/src/serve/request_attempt.cpp
+++ b/src/serve/request_attempt.cpp
@@ -161,6 +161,15 @@
             context_.config_is_fresh(context_.now()));
 }
 
+void active_request::record_write(const server_exchange& exchange)
+{
+    if (auto written_at = exchange.written_at())
+    {
+        connect_time_ = std::chrono::floor<milliseconds>(*written_at - progressed_at_);
+        servers_age_ = exchange.servers_age();
+    }
+}
+
 task<active_request::attempt_result> active_request::attempt(server_id server)
 {
     const model_target unit{.model = fields_.model, .adapter = fields_.adapter};
@@ -179,6 +188,7 @@
     auto state = co_await exchange.send(std::move(text), fields_.id,
                                         [&] { return may_still_send() && permitted(server); });
     permit_.reset();
+    record_write(exchange);
     auto end = attempt_result::not_run;
     auto outcome = backend_outcome::failed;
     if (state == exchange_state::no_response)
--- a/src/serve/server_exchange.cpp
+++ b/src/serve/server_exchange.cpp
@@ -54,6 +54,8 @@
     }
     context_.record_send(server_);
     received_at_ = sent_at_ = context_.now();
+    written_at_ = sent_at_;
+    servers_age_ = context_.servers_age(sent_at_);
     auto [ec, n] =
         co_await asio::async_write(connection_->stream.socket(), asio::buffer(request), as_result);
     if (ec)
--- a/src/serve/server_exchange.hpp
+++ b/src/serve/server_exchange.hpp
@@ -66,6 +66,9 @@
     /// When the last byte of the response to the request was received.
     instant received_at() const { return received_at_; }
     const server_id& server() const { return server_; }
+    /// When the request was written, and the age of the server list then; empty if it was not.
+    std::optional<instant> written_at() const { return written_at_; }
+    milliseconds servers_age() const { return servers_age_; }
 
 private:
     task<bool> read_head();
@@ -83,6 +86,8 @@
     platform::server_response_fields fields_;
     instant sent_at_;
     instant received_at_;
+    std::optional<instant> written_at_;
+    milliseconds servers_age_{-1};
     /// Start time of the incarnation that the request was sent to.
     std::int64_t start_time_ms_ = 0;
     bool closed_ = false;
--- a/src/serve/topic_reader.cpp
+++ b/src/serve/topic_reader.cpp
@@ -188,7 +188,12 @@
     while (true)
     {
         auto call = platform::newest_call(options_.topic, after);
+        instant page_sent_at = context_.now();
         auto response = co_await store_.call(call.method, call.target, call.body, response_timeout);
+        if (!response)
+        {
+            log_unanswered_call(page_sent_at, milliseconds(0));
+        }
         if (!response || response->status != 200)
         {
             co_return false;
@@ -234,6 +239,7 @@
         co_await store_.call(call.method, call.target, call.body, wait + response_timeout);
     if (!response)
     {
+        log_unanswered_call(sent_at, wait);
         co_return false;
     }
     if (response->status == platform::expired_status)
@@ -261,6 +267,20 @@
     co_return true;
 }
 
+void topic_reader::log_unanswered_call(instant sent_at, milliseconds wait)
+{
+    context_.stats.increment(
+        "banyanshunt_store_calls_unanswered_total",
+        {{"topic", options_.topic}, {"connection", store_.reused() ? "reused" : "new"}});
+    context_.log.write(
+        "store_call_unanswered", "topic={} wait_ms={} took_ms={} connection={} since_answer_ms={}",
+        options_.topic, wait.count(),
+        std::chrono::floor<milliseconds>(context_.now() - sent_at).count(),
+        store_.reused() ? "reused" : "new",
+        responded_at_ ? std::chrono::floor<milliseconds>(context_.now() - *responded_at_).count()
+                      : -1);
+}
+
 void topic_reader::record_response(instant confirmed)
 {
     instant now = context_.now();
@@ -297,16 +317,27 @@
                            std::max(context_.config_confirmed_at.value_or(sent_at), sent_at);
                    }
                }}),
-      servers_(
-          context,
-          {.topic = platform::server_topic,
-           .wait = topic_wait,
-           .max_shared_age = registry_gap(context.settings.bounds.drain),
-           .gap = [&context] { return registry_gap(context.settings.bounds.drain); }},
-          {.snapshot = [this](const auto& records) { apply_server_snapshot(records); },
-           .record = [this](const auto& record) { return apply_server(record); },
-           .recovered = [this] { defer_removals_until_ = context_.now() + entry_recovery_time; },
-           .confirmed = [this](instant) { context_.servers_known = true; }})
+      servers_(context,
+               {.topic = platform::server_topic,
+                .wait = topic_wait,
+                .max_shared_age = registry_gap(context.settings.bounds.drain),
+                .gap = [&context] { return registry_gap(context.settings.bounds.drain); }},
+               {.snapshot = [this](const auto& records) { apply_server_snapshot(records); },
+                .record = [this](const auto& record) { return apply_server(record); },
+                .recovered =
+                    [this]
+                {
+                    defer_removals_until_ = context_.now() + entry_recovery_time;
+                    context_.log.write("server_removals_deferred", "for_ms={}",
+                                       entry_recovery_time.count());
+                },
+                .confirmed =
+                    [this](instant sent_at)
+                {
+                    context_.servers_known = true;
+                    context_.servers_confirmed_at =
+                        std::max(context_.servers_confirmed_at.value_or(sent_at), sent_at);
+                }})
 {
 }
 
@@ -412,6 +443,9 @@
     if (context_.now() < defer_removals_until_ && !known->entry.draining)
     {
         deferred_removals_[server] = ++next_deferral_;
+        context_.stats.increment("banyanshunt_server_removals_deferred_total");
+        context_.log.write("server_removal_deferred", "server={} for_ms={}", server.str(),
+                           entry_recovery_time.count());
         asio::co_spawn(context_.executor, remove_later(server), asio::detached);
         return true;
     }
--- a/src/serve/topic_reader.hpp
+++ b/src/serve/topic_reader.hpp
@@ -79,6 +79,7 @@
     task<bool> read_all();
     task<bool> read_next();
     void record_response(instant confirmed);
+    void log_unanswered_call(instant sent_at, milliseconds wait);
 
     host_context& context_;
     topic_reader_options options_;
--- a/src/transport/loop/http_connection.cpp
+++ b/src/transport/loop/http_connection.cpp
@@ -19,6 +19,7 @@
 task<std::optional<call_response>> http_connection::call(std::string method, std::string target,
                                                          std::string body, milliseconds timeout)
 {
+    reused_ = stream_ != nullptr;
     if (!stream_)
     {
         buffer_.clear();
--- a/src/transport/loop/http_connection.hpp
+++ b/src/transport/loop/http_connection.hpp
@@ -32,6 +32,8 @@
     /// case the call may have run.
     task<std::optional<call_response>> call(std::string method, std::string target,
                                             std::string body, milliseconds timeout);
+    /// Whether the last call was sent on a connection that earlier calls had opened.
+    bool reused() const { return reused_; }
     /// Cancels the call in flight, which then returns nothing.
     void cancel();
 
@@ -39,6 +41,7 @@
     endpoint_text address_;
     std::unique_ptr<boost::beast::tcp_stream> stream_;
     boost::beast::flat_buffer buffer_{max_buffered_bytes};
+    bool reused_ = false;
 };
 
 } // namespace banyanshunt
