--- a/tests/correctness/serve_case.cpp
+++ b/tests/correctness/serve_case.cpp
@@ -97,7 +97,7 @@
         settings.bounds.stop_grace = 4000ms;
         settings.log.address = endpoint_text("127.0.0.1:" + std::to_string(store.port()));
         it.host = std::make_unique<serving_host>(settings);
-        it.thread = std::thread([&it] { it.exit_code = it.host->run(); });
+        it.thread = std::thread([&it] { it.run(); });
     }
     // Waits until each host is ready and the other hosts would count its shares.
     started = true;
@@ -112,11 +112,30 @@
     }
 }
 
+void serve_case::host_process::run()
+{
+    int code = host->run();
+    {
+        std::lock_guard lock(mutex);
+        host.reset();
+    }
+    exit_code = code;
+}
+
+void serve_case::host_process::request_stop()
+{
+    std::lock_guard lock(mutex);
+    if (host)
+    {
+        host->request_stop();
+    }
+}
+
 serve_case::~serve_case()
 {
     for (auto& it : hosts)
     {
-        it->host->request_stop();
+        it->request_stop();
     }
     for (auto& it : hosts)
     {
--- a/tests/correctness/serve_case.hpp
+++ b/tests/correctness/serve_case.hpp
@@ -8,6 +8,7 @@
 #include <chrono>
 #include <map>
 #include <memory>
+#include <mutex>
 #include <string>
 #include <thread>
 #include <vector>
@@ -79,8 +80,14 @@
         int ready_port = 0;
         int metrics_port = 0;
         std::atomic<int> exit_code = -1;
+        /// Guards `host`, which is destroyed when it has run, so that its connections are closed as
+        /// those of a process that exits.
+        std::mutex mutex;
         std::unique_ptr<serving_host> host;
         std::thread thread;
+
+        void run();
+        void request_stop();
     };
 
     store_stand_in store;
--- a/tests/stand_ins/prepared_platform.cpp
+++ b/tests/stand_ins/prepared_platform.cpp
@@ -15,7 +15,6 @@
 using nlohmann::json;
 
 constexpr const char* loopback = "127.0.0.1";
-constexpr int events_in_stream = 5;
 /// The Content-Length of a response whose body is never sent.
 constexpr std::size_t lost_response_size = 10;
 /// Short, because stopping a server waits for idle connections.
@@ -380,13 +379,16 @@
         }
         if (model.empty())
         {
+            std::this_thread::sleep_for(std::chrono::milliseconds(run_ms));
             response.set_content("answer by " + id_, "text/plain");
             return;
         }
         std::string last = call.get_header_value("Last-Event-Id");
         auto next = std::make_shared<int>(last.empty() ? 1 : std::stoi(last) + 1);
         response.set_chunked_content_provider("text/event-stream",
-                                              [next, now](std::size_t, httplib::DataSink& sink)
+                                              [next, now, events = events_in_stream.load(),
+                                               pause = std::chrono::milliseconds(event_pause_ms)](
+                                                  std::size_t, httplib::DataSink& sink)
                                               {
                                                   if (now == fault::break_stream && *next == 3)
                                                   {
@@ -394,11 +396,12 @@
                                                       sink.write(partial.data(), partial.size());
                                                       return false;
                                                   }
-                                                  if (*next > events_in_stream)
+                                                  if (*next > events)
                                                   {
                                                       sink.done();
                                                       return true;
                                                   }
+                                                  std::this_thread::sleep_for(pause);
                                                   std::string text = event((*next)++);
                                                   return sink.write(text.data(), text.size());
                                               });
--- a/tests/stand_ins/prepared_platform.hpp
+++ b/tests/stand_ins/prepared_platform.hpp
@@ -120,6 +120,11 @@
     std::atomic<fault> active_fault = fault::none;
     /// The requests a second that all its responses state as its limit; negative for none.
     std::atomic<double> stated_limit = -1;
+    /// Events of a stream, and the pause in front of each; read when a run begins.
+    std::atomic<int> events_in_stream = 5;
+    std::atomic<int> event_pause_ms = 0;
+    /// How long a run of a plain request takes before its response begins.
+    std::atomic<int> run_ms = 0;
 
 private:
     struct server;
