--- a/tests/correctness/serve_case.cpp
+++ b/tests/correctness/serve_case.cpp
@@ -72,8 +72,14 @@
     return manifest(version, keys, more_models).dump();
 }
 
-serve_case::serve_case(std::size_t host_count)
+serve_case::serve_case(std::size_t host_count, store_path path)
 {
+    std::string store_address = "127.0.0.1:" + std::to_string(store.port());
+    if (path == store_path::proxied)
+    {
+        store_link = std::make_unique<fault_proxy>(store_address);
+        store_address = store_link->address();
+    }
     store.put("keyed.op", "config", serve_manifest(1, {"good-key"}));
     store.put("keyed.servers", "d1", desk1.registry_entry("desk"));
     store.put("keyed.servers", "d2", desk2.registry_entry("desk"));
@@ -95,7 +101,7 @@
         settings.metrics_port = it.metrics_port;
         settings.bounds.lease = 1000ms;
         settings.bounds.stop_grace = 4000ms;
-        settings.log.address = endpoint_text("127.0.0.1:" + std::to_string(store.port()));
+        settings.log.address = endpoint_text(store_address);
         it.host = std::make_unique<serving_host>(settings);
         it.thread = std::thread([&it] { it.exit_code = it.host->run(); });
     }
--- a/tests/correctness/serve_case.hpp
+++ b/tests/correctness/serve_case.hpp
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "serve/serving_host.hpp"
+#include "stand_ins/fault_proxy.hpp"
 #include "stand_ins/prepared_platform.hpp"
 
 namespace banyanshunt
@@ -23,11 +24,19 @@
 /// fit an engine.
 std::string serve_manifest(int version, const std::vector<std::string>& keys, int more_models = 0);
 
+/// How hosts reach the store.
+enum class store_path
+{
+    direct,
+    /// Through `serve_case::store_link`.
+    proxied,
+};
+
 /// Entry hosts, two plain servers and two engines; ready to serve.
 class serve_case
 {
 public:
-    explicit serve_case(std::size_t host_count = 1);
+    explicit serve_case(std::size_t host_count = 1, store_path path = store_path::direct);
     ~serve_case();
 
     struct call_result
@@ -84,6 +93,8 @@
     };
 
     store_stand_in store;
+    /// The network between the hosts and the store, if it is proxied.
+    std::unique_ptr<fault_proxy> store_link;
     backend_stand_in desk1{"d1", {}};
     backend_stand_in desk2{"d2", {}};
     backend_stand_in engine1{"e1", {"busy"}};
--- a/tests/stand_ins/prepared_platform.cpp
+++ b/tests/stand_ins/prepared_platform.cpp
@@ -20,6 +20,8 @@
 constexpr std::size_t lost_response_size = 10;
 /// Short, because stopping a server waits for idle connections.
 constexpr int keep_alive_s = 1;
+/// Longer than a host's pause between two reads.
+constexpr int store_keep_alive_s = 5;
 
 void big_endian(std::string& to, std::uint64_t n, int bytes)
 {
@@ -136,7 +138,7 @@
     : group_(partitions), server_(std::make_unique<server>())
 {
     auto& http = server_->http;
-    http.set_keep_alive_timeout(keep_alive_s);
+    http.set_keep_alive_timeout(store_keep_alive_s);
     http.new_task_queue = [] { return new httplib::ThreadPool(64); };
     http.set_pre_routing_handler(
         [this](const httplib::Request&, httplib::Response& response)
@@ -223,6 +225,13 @@
     records_added_.notify_all();
 }
 
+int store_stand_in::reads(const std::string& topic) const
+{
+    std::lock_guard lock(mutex_);
+    auto it = reads_.find(topic);
+    return it == reads_.end() ? 0 : it->second;
+}
+
 std::string store_stand_in::newest(const std::string& topic)
 {
     std::lock_guard lock(mutex_);
@@ -245,6 +254,7 @@
 std::string store_stand_in::read(const std::string& topic, std::size_t from, int wait_ms)
 {
     std::unique_lock lock(mutex_);
+    ++reads_[topic];
     auto& entries = topics_[topic];
     records_added_.wait_for(lock, std::chrono::milliseconds(wait_ms),
                             [&] { return entries.size() > from || closing_; });
--- a/tests/stand_ins/prepared_platform.hpp
+++ b/tests/stand_ins/prepared_platform.hpp
@@ -48,6 +48,8 @@
     int port() const { return port_; }
     /// Writes a record as operators or servers do; without a value, deletes the key.
     void put(const std::string& topic, const std::string& key, const std::string& value);
+    /// The calls received to read a topic from an offset on.
+    int reads(const std::string& topic) const;
     /// While nonzero, every call gets this status.
     std::atomic<int> forced_status = 0;
     /// How long a call to leave a group takes, and how many have arrived.
@@ -65,8 +67,9 @@
     std::string newest(const std::string& topic);
 
     group_stand_in group_;
-    std::mutex mutex_;
+    mutable std::mutex mutex_;
     std::condition_variable records_added_;
+    std::map<std::string, int> reads_;
     bool closing_ = false;
     std::map<std::string, std::vector<entry>> topics_;
     std::unique_ptr<server> server_;
