A restarted owner's release counts the orders of its earlier claim

A host that is killed and restarted, or that lost its membership while the store was silent, claims its partitions again and may order at once, as its own completed takeover precedes the claim.

No record's text changes.

--- a/src/coordination/assignment_record.cpp
+++ b/src/coordination/assignment_record.cpp
@@ -15,6 +15,11 @@
 /// Followed by a number of milliseconds.
 constexpr std::string_view release_mark = " released ";
 
+bool completed_by(const host_id& own, const std::optional<assignment_record>& before)
+{
+    return before && before->holder == own && before->takeover_complete;
+}
+
 } // namespace
 
 std::string to_text(const assignment_record& record)
@@ -67,8 +72,23 @@
     {
         return std::min(*before->released_for, expiry);
     }
-    bool was_own = before && before->holder == own && before->takeover_complete;
-    return first || was_own ? milliseconds(0) : expiry;
+    return first || completed_by(own, before) ? milliseconds(0) : expiry;
+}
+
+milliseconds takeover_expiry(const order_terms& terms)
+{
+    return terms.lease + terms.lease / 4 + terms.transit;
+}
+
+takeover take_over(bool first, const std::optional<assignment_record>& before, const host_id& own,
+                   instant claimed_at, instant read_at, const order_terms& terms)
+{
+    auto delay = takeover_delay(first, before, own, takeover_expiry(terms));
+    // A released assignment's wait counts from the release, which precedes the claim.
+    instant wait_from = before && before->released_for ? read_at : claimed_at;
+    // An order that an earlier incarnation gave right before it ended may still be in transit.
+    instant last_order_at = completed_by(own, before) ? claimed_at + terms.transit : instant();
+    return {.may_order_at = wait_from + delay, .last_order_at = last_order_at};
 }
 
 } // namespace banyanshunt
--- a/src/coordination/assignment_record.hpp
+++ b/src/coordination/assignment_record.hpp
@@ -52,4 +52,32 @@
 milliseconds takeover_delay(bool first, const std::optional<assignment_record>& before,
                             const host_id& own, milliseconds expiry);
 
+/// The durations that keep the orders of two hosts to one engine apart.
+struct order_terms
+{
+    /// The minimum time between orders of two hosts.
+    milliseconds lease;
+    /// How long a host gives orders after it sent the call that last renewed its membership.
+    milliseconds membership;
+    /// How long an order can be in transit.
+    milliseconds transit;
+};
+
+/// Returns how long a new owner waits after a claim: the previous owner may learn of its loss only
+/// at its next call, and its last order may be in transit.
+milliseconds takeover_expiry(const order_terms& terms);
+
+/// What a claim entitles its host to.
+struct takeover
+{
+    instant may_order_at;
+    /// When the last order ended that the host may have given under an earlier claim.
+    instant last_order_at;
+};
+
+/// Decides on a claim that was sent at `claimed_at`; the record `before` it was received at
+/// `read_at`. The other arguments are those of `takeover_delay`.
+takeover take_over(bool first, const std::optional<assignment_record>& before, const host_id& own,
+                   instant claimed_at, instant read_at, const order_terms& terms);
+
 } // namespace banyanshunt
--- a/src/serve/order_controller.cpp
+++ b/src/serve/order_controller.cpp
@@ -7,7 +7,6 @@
 #include <boost/asio/detached.hpp>
 #include <fmt/format.h>
 
-#include "coordination/assignment_record.hpp"
 #include "coordination/rendezvous.hpp"
 #include "platform/orders.hpp"
 #include "platform/registry.hpp"
@@ -29,8 +28,8 @@
 /// The lease is shortened by this fraction (1/N) for the transit of the call and the drift between
 /// two clocks.
 constexpr int lease_margin_divisor = 10;
-/// Added to the lease and one call period before a new owner sends orders: the previous owner may
-/// learn of its loss only at its next call, and its last order may be in transit.
+/// How long an order can be in transit: a lost packet is retransmitted after 200 ms, and the second
+/// time after another 200 ms or more.
 constexpr milliseconds order_transit_margin{450};
 /// Added to the lease between the last order of a host that releases an engine and the first order
 /// of the next owner, for the drift between their clocks.
@@ -58,9 +57,11 @@
     return std::max(context_.settings.bounds.lease, context_.settings.log.min_lease);
 }
 
-milliseconds order_controller::takeover_wait() const
+order_terms order_controller::terms() const
 {
-    return lease() + lease() / joins_per_lease + order_transit_margin;
+    return {.lease = lease(),
+            .membership = lease() - lease() / lease_margin_divisor,
+            .transit = order_transit_margin};
 }
 
 void order_controller::start()
@@ -128,7 +129,7 @@
         }
         it = partitions_.erase(it);
     }
-    membership_until_ = sent_at + lease() - lease() / lease_margin_divisor;
+    membership_until_ = sent_at + terms().membership;
     std::erase_if(listed_since_, [&](const auto& it)
                   { return !listed.contains(it.first) || partitions_.contains(it.first); });
     for (int partition : listed)
@@ -236,17 +237,17 @@
                                                 : std::nullopt;
         previous = text ? parse_assignment_record(*text) : std::nullopt;
     }
-    auto wait = takeover_delay(first, previous, context_.settings.name, takeover_wait());
-    // A released partition's wait counts from the release, which precedes this claim's record.
-    instant wait_from = previous && previous->released_for ? context_.now() : claimed_at;
+    instant now = context_.now();
+    auto taken = take_over(first, previous, context_.settings.name, claimed_at, now, terms());
     // Offsets grow with each claim, so a later owner has a higher fencing number.
     fencing_number fence(offset->count() + 1);
     partitions_[partition] = {.fence = fence,
                               .claim = *offset,
-                              .may_order_at = wait_from + wait,
+                              .may_order_at = taken.may_order_at,
                               .last_record = *offset,
-                              .last_order_at = {}};
+                              .last_order_at = taken.last_order_at};
     listed_since_.erase(partition);
+    auto wait = std::chrono::ceil<milliseconds>(std::max(taken.may_order_at - now, nanoseconds(0)));
     context_.log.write("duty_taken", "partition={} fence={} generation={} before={} wait_ms={}",
                        partition, fence.count(), generation_,
                        previous ? previous->holder.str() : "-", wait.count());
@@ -318,7 +319,7 @@
     auto it = partitions_.find(partition);
     if (leaving_ || it == partitions_.end() || now >= membership_until_)
     {
-        return now + takeover_wait();
+        return now + takeover_expiry(terms());
     }
     return it->second.may_order_at;
 }
--- a/src/serve/order_controller.hpp
+++ b/src/serve/order_controller.hpp
@@ -9,6 +9,7 @@
 #include <memory>
 #include <set>
 
+#include "coordination/assignment_record.hpp"
 #include "coordination/engine_controller.hpp"
 #include "serve/host_context.hpp"
 #include "transport/loop/http_connection.hpp"
@@ -52,7 +53,8 @@
         bool takeover_recorded = false;
         /// Offset of the last record that this host appended.
         log_offset last_record;
-        /// When the last order ended, by a response or by its deadline.
+        /// When the last order ended, by a response or by its deadline; orders that this host gave
+        /// under an earlier claim count too.
         instant last_order_at;
     };
     struct owned_engine
@@ -86,9 +88,7 @@
     task<void> query_report(server_id server, std::shared_ptr<owned_engine> held);
     task<void> send_order(server_id server, std::shared_ptr<owned_engine> held, engine_order order);
     milliseconds lease() const;
-    /// How long a new owner waits after its claim, unless no order of the previous owner can be in
-    /// transit.
-    milliseconds takeover_wait() const;
+    order_terms terms() const;
     /// Tells the other hosts from when on orders can be given.
     void publish_pending(const server_id& server, const owned_engine& held, instant may_order_at);
     bool may_order(int partition, instant now) const;
