A new owner of engines outwaits the membership of the owner before

The wait after a claim took for granted that the owner before learns of its loss at its next call to the group. If the group deals all partitions anew right after it renewed that owner, and the owner is cut off from the store, it orders for another 2.7 s, and the new one began 4.2 s after its claim: 1.5 s apart at worst.

The wait is now derived from the same figure that ends an owner's right to order (order_terms): membership, a lease, and the time in transit, 6.15 s with a lease of 3 s. The replay of this interleaving in engine_takeover_test failed before and passes now; all of test-correctness passed once (148 cases).

The longer wait has its price; an owner that is killed and not released costs 2 s more without orders.

--- a/src/coordination/assignment_record.cpp
+++ b/src/coordination/assignment_record.cpp
@@ -77,7 +77,7 @@
 
 milliseconds takeover_expiry(const order_terms& terms)
 {
-    return terms.lease + terms.lease / 4 + terms.transit;
+    return terms.membership + terms.lease + terms.transit;
 }
 
 takeover take_over(bool first, const std::optional<assignment_record>& before, const host_id& own,
--- a/src/coordination/assignment_record.hpp
+++ b/src/coordination/assignment_record.hpp
@@ -63,8 +63,9 @@
     milliseconds transit;
 };
 
-/// Returns how long a new owner waits after a claim: the previous owner may learn of its loss only
-/// at its next call, and its last order may be in transit.
+/// Returns how long after a claim the last order of a previous owner may still bind the new one.
+/// The group may have reassigned the assignment right after it renewed the previous owner, which
+/// gives orders until its membership ends if it cannot reach the group.
 milliseconds takeover_expiry(const order_terms& terms);
 
 /// What a claim entitles its host to.
--- a/tests/correctness/engine_takeover_test.cpp
+++ b/tests/correctness/engine_takeover_test.cpp
@@ -106,6 +106,15 @@
         CHECK(next.may_order_at >= last_order + terms.lease);
     }
 
+    SECTION("the group reassigns it right after it renewed an owner that is then cut off")
+    {
+        const instant renewal = start + 10s;
+        // The owner has not heard of the reassignment and trusts its membership to the end.
+        const instant last_order = renewal + terms.membership;
+        auto next = log.claim(second_host, renewal);
+        CHECK(next.may_order_at >= last_order + terms.transit + terms.lease);
+    }
+
     SECTION("a claim gets no response but was carried out: the second claim waits in full")
     {
         const instant claimed = start + 10s;
