An entry that was removed after an outage is gone when the store's recovery time is over

Callers' requests reached a server up to 2.8 s after it had left (DRAIN; 2 s allowed), from hosts that had been cut off from the store shortly before.

Cause: after an outage of the store entries of running servers may have lapsed, so a removal is believed only after the 2 s in which such an entry is registered again. These 2 s counted from the removal, not from the store's return. A server that left 1 s after the host was back got requests for 2 s more, plus the time to read the removal.

Why this works: the reason for waiting ends 2 s after the store's return, whenever the removal came. In a host that is within the rule's bounds, 3 s after its link is back, nothing is deferred any more.

--- a/src/serve/topic_reader.cpp
+++ b/src/serve/topic_reader.cpp
@@ -444,29 +444,40 @@
     {
         deferred_removals_[server] = ++next_deferral_;
         context_.stats.increment("banyanshunt_server_removals_deferred_total");
+        auto length = defer_removals_until_ - context_.now();
         context_.log.write("server_removal_deferred", "server={} for_ms={}", server.str(),
-                           entry_recovery_time.count());
-        asio::co_spawn(context_.executor, remove_later(server), asio::detached);
+                           std::chrono::ceil<milliseconds>(length).count());
+        asio::co_spawn(context_.executor, remove_later(server, defer_removals_until_),
+                       asio::detached);
         return true;
     }
-    context_.log.write("server_gone", "server={}", server.str());
-    context_.pool.close_idle(known->entry.address);
-    context_.servers.remove(server);
-    context_.waiting.wake_all();
+    drop_server(server);
     return true;
 }
 
-task<void> state_watcher::remove_later(server_id server)
+task<void> state_watcher::remove_later(server_id server, instant at)
 {
     auto deferral = deferred_removals_[server];
-    co_await pause(entry_recovery_time);
+    co_await pause(at - context_.now());
     auto it = deferred_removals_.find(server);
     if (it != deferred_removals_.end() && it->second == deferral)
     {
         deferred_removals_.erase(it);
-        defer_removals_until_ = instant::min();
-        remove_server(server);
+        drop_server(server);
+    }
+}
+
+void state_watcher::drop_server(const server_id& server)
+{
+    const auto* known = context_.servers.find(server);
+    if (!known || known->removed)
+    {
+        return;
     }
+    context_.log.write("server_gone", "server={}", server.str());
+    context_.pool.close_idle(known->entry.address);
+    context_.servers.remove(server);
+    context_.waiting.wake_all();
 }
 
 } // namespace banyanshunt
--- a/src/serve/topic_reader.hpp
+++ b/src/serve/topic_reader.hpp
@@ -112,12 +112,14 @@
     bool apply_server(const platform::keyed_record& record);
     void apply_server_snapshot(const std::vector<platform::keyed_record>& records);
     bool remove_server(const server_id& server);
-    task<void> remove_later(server_id server);
+    task<void> remove_later(server_id server, instant at);
+    void drop_server(const server_id& server);
 
     host_context& context_;
     topic_reader config_;
     topic_reader servers_;
-    /// Removals before this time may be of running servers that only lost contact with the store.
+    /// Removals before this time may be of running servers that only lost contact with the store;
+    /// an entry that has not come back by then is gone.
     instant defer_removals_until_;
     std::map<server_id, std::uint64_t> deferred_removals_;
     std::uint64_t next_deferral_ = 0;
