A stopping host takes a request only if it can end in the rest of the grace period

Callers' streams were cut in the middle of the answer 7.6 s after SIGTERM (LOST), some of them taken by the stopping host more than 3 s after it.

Cause: a host took whatever came within 3.2 s of the request to stop, and let waiting requests begin until then, knowing the time since the stop began and not whether this request can end in what remains. 4.7 % of the answered requests of the two long kinds take longer than the 4.4 s that remain at 3.2 s.

The constant is gone. How long a request may run follows from recent runs of its model with its stated size, or of its service if the model has few; a request of unknown length may take until its own deadline. It is refused at once if that is beyond the end of the stop, and asked again when it stops waiting and right before its first byte. Short requests are taken as late as they can end. Requests that still run at the end are ended by the host: those without a byte of a response get 502 or 503, a stream is closed without its end, and each has its lines and counters; before, their connections were closed by the exit. A request whose first bytes have arrived holds the exit.

--- a/src/serve/active_request.cpp
+++ b/src/serve/active_request.cpp
@@ -35,9 +35,17 @@
 constexpr milliseconds max_permit_wait{2000};
 /// How often a waiting request requests a permit for one server.
 constexpr milliseconds permit_request_period{250};
+/// Retry-After of a stopping host: other hosts can take the request at once, and the balancer sends
+/// a repeat to one of them.
+constexpr milliseconds other_host_delay{100};
 /// Random spread of Retry-After, so that refused callers do not all return at once.
 constexpr int retry_jitter_ms = 400;
 
+std::int64_t to_ms(nanoseconds length)
+{
+    return std::chrono::floor<milliseconds>(length).count();
+}
+
 } // namespace
 
 active_request::active_request(host_context& context, std::shared_ptr<caller_connection> caller,
@@ -167,17 +175,14 @@
                       .retry_after = std::max(retry_after, milliseconds(300))};
 }
 
-void active_request::record_begun()
+task<bool> active_request::run()
 {
     ++context_.counters.requests;
-    ++context_.requests_open;
-    context_.open_requests.insert(this);
-}
-
-void active_request::record_ended()
-{
-    --context_.requests_open;
-    context_.open_requests.erase(this);
+    auto self = shared_from_this();
+    context_.open_requests.insert(self);
+    co_await respond();
+    context_.open_requests.erase(self);
+    co_return keep_alive_ && !caller_->closed;
 }
 
 void active_request::record_during_stop(const char* verdict)
@@ -185,13 +190,13 @@
     context_.stats.increment("banyanshunt_stop_requests_total", {{"verdict", verdict}});
     context_.log.write(
         "stop_request",
-        "request={} verdict={} since_stop_ms={} grace_left_ms={} deadline_left_ms={} model={}{}{} "
-        "output_tokens={}",
-        fields_.id.str(), verdict,
-        std::chrono::floor<milliseconds>(arrived_ - context_.stop_begun_at).count(),
-        std::chrono::floor<milliseconds>(context_.stop_deadline - context_.now()).count(),
-        remaining().count(), fields_.model.empty() ? "-" : fields_.model.str(),
-        fields_.adapter.empty() ? "" : "/", fields_.adapter.str(), fields_.output_tokens);
+        "request={} verdict={} since_stop_ms={} grace_left_ms={} deadline_left_ms={} "
+        "longest_run_ms={} model={}{}{} output_tokens={}",
+        fields_.id.str(), verdict, to_ms(arrived_ - context_.stop->requested_at()),
+        to_ms(context_.stop->deadline() - context_.now()), remaining().count(),
+        longest_run() ? to_ms(*longest_run()) : -1,
+        fields_.model.empty() ? "-" : fields_.model.str(), fields_.adapter.empty() ? "" : "/",
+        fields_.adapter.str(), fields_.output_tokens);
 }
 
 void active_request::record_cut()
@@ -206,36 +211,35 @@
         "stop_cut",
         "request={} phase={} since_stop_ms={} held_ms={} deadline_left_ms={} model={}{}{} "
         "output_tokens={} server={} sends={} waited_ms={} first_ms={} silent_ms={} last_event={}",
-        fields_.id.str(), phase,
-        std::chrono::floor<milliseconds>(arrived_ - context_.stop_begun_at).count(),
-        std::chrono::floor<milliseconds>(now - arrived_).count(), remaining().count(),
+        fields_.id.str(), phase, to_ms(arrived_ - context_.stop->requested_at()),
+        to_ms(now - arrived_), remaining().count(),
         fields_.model.empty() ? "-" : fields_.model.str(), fields_.adapter.empty() ? "" : "/",
         fields_.adapter.str(), fields_.output_tokens,
         last_server_.empty() ? "-" : last_server_.str(), sends_, waited_.count(),
-        std::chrono::floor<milliseconds>(time_to_first_byte_).count(),
-        exchange_ ? std::chrono::floor<milliseconds>(now - exchange_->received_at()).count() : -1,
+        to_ms(time_to_first_byte_), exchange_ ? to_ms(now - exchange_->received_at()) : -1,
         events_.last_id().empty() ? "-" : events_.last_id());
 }
 
-task<bool> active_request::run()
+void active_request::end_for_stop()
+{
+    record_cut();
+    end(end_cause::host_stop);
+}
+
+task<void> active_request::respond()
 {
-    record_begun();
-    auto self = shared_from_this();
-    if (context_.stopping && context_.now() > context_.refuse_from)
-    {
-        // Too little of the grace period remains to complete the request.
-        record_during_stop("refused");
-        co_await refuse({.status = 503, .reason = "draining", .retry_after = milliseconds(100)});
-        record_ended();
-        co_return false;
-    }
     auto refused = admit();
-    if (!refused)
+    if (!refused && context_.stop)
     {
-        if (context_.stopping)
+        bool taken = ends_before_stop(milliseconds(0));
+        record_during_stop(taken ? "taken" : "refused");
+        if (!taken)
         {
-            record_during_stop("taken");
+            refused = refusal{.status = 503, .reason = "draining", .retry_after = other_host_delay};
         }
+    }
+    if (!refused)
+    {
         start_timers();
         refused = co_await acquire_tokens();
     }
@@ -243,14 +247,13 @@
     {
         cancel_timers();
         co_await refuse(*refused);
-        record_ended();
-        co_return keep_alive_ && !caller_->closed;
+        co_return;
     }
     auto end = attempt_result::not_run;
-    while (!caller_->closed && !expired_)
+    while (!caller_->closed && !ended())
     {
         auto server = co_await find_server();
-        if (!server || caller_->closed || expired_)
+        if (!server || caller_->closed || ended())
         {
             break;
         }
@@ -259,8 +262,7 @@
         {
             cancel_timers();
             co_await refuse(*cause);
-            record_ended();
-            co_return keep_alive_ && !caller_->closed;
+            co_return;
         }
         else if (cause)
         {
@@ -273,6 +275,11 @@
             service_ = route_->services.front().service;
             continue;
         }
+        if (!ends_before_stop(milliseconds(0)))
+        {
+            last_reason_ = "draining";
+            break;
+        }
         if (sends_ > 0 && !context_.budget(service_).acquire(context_.host_count, context_.now()))
         {
             last_reason_ = "retry_budget";
@@ -306,8 +313,6 @@
     }
     cancel_timers();
     co_await finish(end);
-    record_ended();
-    co_return keep_alive_ && !caller_->closed;
 }
 
 milliseconds active_request::caller_patience() const
@@ -329,14 +334,39 @@
     {
         latest = deadline_ - min_remaining;
     }
-    if (context_.stopping)
+    if (auto before_stop = latest_start_before_stop())
     {
-        // A waiting request would be cut off when this host exits; its caller retries elsewhere.
-        latest = std::min(latest, head_sent_ ? context_.stop_deadline : context_.refuse_from);
+        latest = std::min(latest, *before_stop);
     }
     return latest;
 }
 
+std::optional<instant> active_request::latest_start_before_stop() const
+{
+    if (!context_.stop)
+    {
+        return std::nullopt;
+    }
+    if (head_sent_)
+    {
+        // What remains of a stream is unknown; its caller is no worse off if it ends later.
+        return context_.stop->deadline();
+    }
+    return context_.stop->latest_start(longest_run(), deadline_);
+}
+
+std::optional<nanoseconds> active_request::longest_run() const
+{
+    return context_.durations.longest(service_, fields_.model, tokens(fields_.output_tokens),
+                                      context_.now());
+}
+
+bool active_request::ends_before_stop(milliseconds expected_wait) const
+{
+    auto latest = latest_start_before_stop();
+    return !latest || context_.now() + expected_wait <= *latest;
+}
+
 bool active_request::permitted(const server_id& server) const
 {
     instant now = context_.now();
@@ -389,7 +419,7 @@
     instant wait_start = context_.now();
     server_id requested_server;
     instant requested_at;
-    while (!caller_->closed && !expired_)
+    while (!caller_->closed && !ended())
     {
         if (permit_ && context_.now() >= permit_->valid_until)
         {
@@ -457,6 +487,10 @@
         // A load is requested even if this request cannot wait for it, as its caller will retry.
         if (out_of_time(choice.expected_wait))
         {
+            if (!ends_before_stop(choice.expected_wait))
+            {
+                last_reason_ = "draining";
+            }
             co_return std::nullopt;
         }
         co_await context_.waiting.wait(wait_key(), priority_, arrived_, wait);
@@ -475,7 +509,7 @@
             auto it = self.lock();
             if (!ec && it)
             {
-                it->expire();
+                it->end(end_cause::deadline);
             }
         });
     caller_->watch(
@@ -489,13 +523,27 @@
         });
 }
 
-void active_request::expire()
+void active_request::end(end_cause cause)
 {
-    expired_ = true;
+    end_cause_ = cause;
     if (exchange_)
     {
         exchange_->close();
     }
+    context_.waiting.wake(wait_key());
+}
+
+const char* active_request::end_reason(const char* otherwise) const
+{
+    switch (end_cause_)
+    {
+    case end_cause::deadline:
+        return "deadline";
+    case end_cause::host_stop:
+        return "host_stopped";
+    default:
+        return otherwise;
+    }
 }
 
 void active_request::cancel_timers()
@@ -505,6 +553,17 @@
     caller_->unwatch();
 }
 
+void active_request::record_duration(instant sent_at)
+{
+    instant now = context_.now();
+    instant first_at = first_byte_at_.value_or(now);
+    context_.durations.record(service_, fields_.model,
+                              {.first = first_at - sent_at,
+                               .rest = now - first_at,
+                               .output = tokens(fields_.output_tokens)},
+                              now);
+}
+
 void active_request::record_target_end(bool delivered)
 {
     bool entitled = last_reason_ != std::string_view("over_rate") &&
@@ -581,6 +640,7 @@
         // The caller already has some of the stream; closing without the terminating chunk shows
         // that it is incomplete.
         ++context_.counters.failed;
+        last_reason_ = end_reason(last_reason_);
         log_end("stream_cut", 0);
         caller_->abort();
         co_return;
@@ -594,20 +654,23 @@
     }
     if (may_have_run_)
     {
-        co_await refuse({.status = expired_ ? 504 : 502,
-                         .reason = expired_ ? "deadline" : "bad_answer",
+        co_await refuse({.status = end_cause_ == end_cause::deadline ? 504 : 502,
+                         .reason = end_reason("bad_answer"),
                          .retry_after = {}});
         co_return;
     }
     auto retry_after =
         milliseconds(300 + std::uniform_int_distribution<int>(0, retry_jitter_ms)(context_.random));
-    if (last_reason_ == std::string_view("server_limited"))
+    const char* reason = end_reason(last_reason_);
+    if (reason == std::string_view("server_limited"))
     {
         retry_after = std::max(retry_after, limit_wait_);
     }
-    co_await refuse({.status = 503,
-                     .reason = expired_ ? "deadline" : last_reason_,
-                     .retry_after = retry_after});
+    else if (context_.stop)
+    {
+        retry_after = other_host_delay;
+    }
+    co_await refuse({.status = 503, .reason = reason, .retry_after = retry_after});
 }
 
 task<bool> active_request::refuse(refusal cause)
@@ -622,7 +685,7 @@
                                 context_.now());
     }
     log_end(not_run ? "refused" : "failed", cause.status);
-    keep_alive_ = keep_alive_ && !context_.stopping;
+    keep_alive_ = keep_alive_ && !context_.stop;
     std::string body = fmt::format("{{\"error\":{{\"reason\":\"{}\",\"run\":\"{}\"}}}}",
                                    cause.reason, not_run ? "not_run" : "may_have_run");
     std::string response = fmt::format(
--- a/src/serve/active_request.hpp
+++ b/src/serve/active_request.hpp
@@ -25,7 +25,7 @@
 
 using caller_request = http::request<http::string_body>;
 
-class active_request : public open_request, public std::enable_shared_from_this<active_request>
+class active_request : public std::enable_shared_from_this<active_request>
 {
 public:
     active_request(host_context& context, std::shared_ptr<caller_connection> caller,
@@ -34,7 +34,9 @@
     /// Runs the request to its final response. Returns whether the caller's connection may carry
     /// another request.
     task<bool> run();
-    void record_cut() override;
+    /// Ends the request, because the host ends, and logs that. Its caller gets a final response if
+    /// it has not received a part of one.
+    void end_for_stop();
 
 private:
     /// How an attempt at one server ended.
@@ -53,6 +55,13 @@
         /// The stream ended early, after its head was sent to the caller.
         stream_broken,
     };
+    /// Why a request is ended before its response is complete.
+    enum class end_cause
+    {
+        none,
+        deadline,
+        host_stop,
+    };
     struct refusal
     {
         int status = 503;
@@ -60,8 +69,7 @@
         std::optional<milliseconds> retry_after;
     };
 
-    void record_begun();
-    void record_ended();
+    void record_cut();
     /// Logs and counts a request that came after this host began to stop.
     void record_during_stop(const char* verdict);
     std::optional<refusal> admit();
@@ -72,10 +80,20 @@
     milliseconds caller_patience() const;
     /// The latest time at which a send to a server is worthwhile.
     instant latest_start() const;
+    /// The latest time at which a send can end before this host does, if it was asked to stop.
+    std::optional<instant> latest_start_before_stop() const;
+    bool ends_before_stop(milliseconds expected_wait) const;
+    /// The longest time that a server is expected to take for it, if that is known.
+    std::optional<nanoseconds> longest_run() const;
     bool out_of_time(milliseconds expected) const
     {
         return context_.now() + expected > latest_start();
     }
+    bool ended() const { return end_cause_ != end_cause::none; }
+    /// The reason to give for a request that was ended, or that failed for `otherwise`.
+    const char* end_reason(const char* otherwise) const;
+    void end(end_cause cause);
+    task<void> respond();
     /// Whether a permit for the server is held and valid now, or none is needed.
     bool permitted(const server_id& server) const;
     /// Requests a permit for the chosen server; returns false if none was requested, because it is
@@ -85,7 +103,7 @@
     /// Whether another server could take the request over at once; if one has to load its model
     /// first, requests that.
     bool other_server_ready();
-    /// Whether the configuration, key and deadline that admitted the request still apply.
+    /// Whether the configuration, key and deadlines that admitted the request still apply.
     bool may_still_send() const;
     task<attempt_result> attempt(server_id server);
     /// Records when the request was written, for `request_end`.
@@ -99,7 +117,6 @@
     std::string server_request(const server_id& server);
     std::string response_head(const server_exchange& exchange, std::optional<std::size_t> length);
     void start_timers();
-    void expire();
     void schedule_inactivity_check();
     void cancel_timers();
     bool repeatable() const;
@@ -107,6 +124,8 @@
     std::int64_t token_cost() const;
     /// Key in the wait list: the model, or the service if the request names no model.
     const std::string& wait_key() const;
+    /// Records how long a run took that was sent at `sent_at` and has just ended well.
+    void record_duration(instant sent_at);
     void record_target_end(bool delivered);
     void log_end(const char* outcome, int status);
 
@@ -126,7 +145,7 @@
     asio::steady_timer deadline_timer_;
     asio::steady_timer inactivity_timer_;
     server_exchange* exchange_ = nullptr;
-    bool expired_ = false;
+    end_cause end_cause_ = end_cause::none;
     bool head_sent_ = false;
     bool may_have_run_ = false;
     /// Whether the retry budget has counted this request.
@@ -137,6 +156,8 @@
     event_splitter events_;
     /// When the current attempt began, or completed its last event.
     instant progressed_at_;
+    /// When the current attempt brought the first byte of a body, or the first event of a stream.
+    std::optional<instant> first_byte_at_;
     std::string kept_response_;
     int kept_status_ = 0;
     const char* last_reason_ = "no_replica";
--- a/src/serve/caller_session.cpp
+++ b/src/serve/caller_session.cpp
@@ -63,7 +63,7 @@
                                       });
     while (!ended)
     {
-        auto idle_limit = context.stopping ? stopping_idle_timeout : limit;
+        auto idle_limit = context.stop ? stopping_idle_timeout : limit;
         if (context.now() - since > idle_limit)
         {
             boost::system::error_code ec;
@@ -87,6 +87,7 @@
         {
             break;
         }
+        ++context.requests_arriving;
         http::request_parser<http::string_body> parser;
         parser.header_limit(static_cast<std::uint32_t>(limits.header_bytes));
         parser.body_limit(limits.body_bytes);
@@ -106,6 +107,7 @@
             ec = body_ec;
         }
         caller->stream.expires_never();
+        --context.requests_arriving;
         if (ec)
         {
             bool is_http_error =
@@ -164,7 +166,8 @@
 void write_metrics(host_context& context, string_response& response)
 {
     const auto& counters = context.counters;
-    context.stats.set("banyanshunt_requests_running", context.requests_open);
+    context.stats.set("banyanshunt_requests_running",
+                      static_cast<double>(context.open_requests.size()));
     context.stats.set("banyanshunt_repeats", static_cast<double>(counters.retries));
     context.stats.set("banyanshunt_resumed_streams", static_cast<double>(counters.resumed));
     context.stats.set("banyanshunt_orders", static_cast<double>(counters.orders));
@@ -196,7 +199,7 @@
     co_await serve_simple(std::move(socket),
                           [&context](std::string_view target, string_response& response)
                           {
-                              bool ready = !context.stopping && context.servers_known &&
+                              bool ready = !context.stop && context.servers_known &&
                                            context.config_is_fresh(context.now());
                               response.result(target != platform::ready_path
                                                   ? http::status::not_found
--- a/src/serve/host_context.hpp
+++ b/src/serve/host_context.hpp
@@ -12,7 +12,9 @@
 #include <set>
 
 #include "coordination/backend_table.hpp"
+#include "coordination/planned_stop.hpp"
 #include "coordination/random_source.hpp"
+#include "coordination/run_times.hpp"
 #include "coordination/share_ledger.hpp"
 #include "coordination/shared_retry_budget.hpp"
 #include "coordination/unserved_targets.hpp"
@@ -89,15 +91,6 @@
     virtual task<permit_response> acquire_permit(server_id server, milliseconds max_wait) = 0;
 };
 
-/// A request that has no final answer yet.
-class open_request
-{
-public:
-    virtual ~open_request() = default;
-    /// Logs and counts that this host exits before the request has ended.
-    virtual void record_cut() = 0;
-};
-
 /// Which host reads the platform's topics for others in a failure domain.
 struct view_sync_state
 {
@@ -107,6 +100,8 @@
     instant requested_at = instant::min();
 };
 
+class active_request;
+
 struct host_context
 {
     host_context(host_settings initial, asio::any_io_executor loop)
@@ -220,15 +215,13 @@
     /// Called after a response showed a change of a server's limit.
     std::function<void(const server_id&, limit_change)> on_limit_change = [](const server_id&,
                                                                              limit_change) {};
-    bool stopping = false;
-    instant stop_begun_at;
-    /// When a stopping host begins to refuse new requests.
-    instant refuse_from;
-    /// When a stopping host exits at the latest.
-    instant stop_deadline;
-    int requests_open = 0;
-    /// The requests that `requests_open` counts.
-    std::set<open_request*> open_requests;
+    /// Set once this host was asked to stop.
+    std::optional<planned_stop> stop;
+    run_times durations{run_times_options{}};
+    /// The requests without a final response.
+    std::set<std::weak_ptr<active_request>, std::owner_less<>> open_requests;
+    /// Requests of which a part has been read.
+    int requests_arriving = 0;
 };
 
 } // namespace banyanshunt
--- a/src/serve/request_attempt.cpp
+++ b/src/serve/request_attempt.cpp
@@ -98,7 +98,7 @@
     {
         head += "Transfer-Encoding: chunked\r\n";
     }
-    keep_alive_ = keep_alive_ && !context_.stopping;
+    keep_alive_ = keep_alive_ && !context_.stop;
     head += keep_alive_ ? "\r\n" : "Connection: close\r\n\r\n";
     return head;
 }
@@ -156,9 +156,10 @@
 
 bool active_request::may_still_send() const
 {
-    return context_.config == config_ && !expired_ && !caller_->closed &&
+    return context_.config == config_ && !ended() && !caller_->closed &&
            (!workspace_ || !context_.settings.bounds.refuse_when_stale ||
-            context_.config_is_fresh(context_.now()));
+            context_.config_is_fresh(context_.now())) &&
+           ends_before_stop(milliseconds(0));
 }
 
 void active_request::record_write(const server_exchange& exchange)
@@ -183,7 +184,10 @@
     ++sends_;
     context_.servers.record_sent(server, unit);
     exchange_ = &exchange;
-    progressed_at_ = context_.now();
+    instant sent_at = context_.now();
+    bool resumed = head_sent_;
+    progressed_at_ = sent_at;
+    first_byte_at_.reset();
     schedule_inactivity_check();
     auto state = co_await exchange.send(std::move(text), fields_.id,
                                         [&] { return may_still_send() && permitted(server); });
@@ -235,7 +239,7 @@
     }
     inactivity_timer_.cancel();
     exchange_ = nullptr;
-    if (caller_->closed || expired_)
+    if (caller_->closed || ended())
     {
         outcome = backend_outcome::abandoned;
         if (caller_->closed)
@@ -244,6 +248,10 @@
         }
     }
     exchange.finish();
+    if (end == attempt_result::delivered && !resumed)
+    {
+        record_duration(sent_at);
+    }
     context_.servers.record_ended(server, unit, outcome, context_.now());
     context_.waiting.wake(wait_key());
     if (end != attempt_result::delivered)
@@ -281,6 +289,7 @@
 
 task<active_request::attempt_result> active_request::relay_buffered(server_exchange& exchange)
 {
+    first_byte_at_ = context_.now();
     std::string body;
     while (body.size() < max_buffered_response_bytes)
     {
@@ -364,6 +373,7 @@
             continue;
         }
         progressed_at_ = context_.now();
+        first_byte_at_ = first_byte_at_.value_or(progressed_at_);
         if (time_to_first_byte_.count() == 0)
         {
             time_to_first_byte_ = context_.now() - arrived_;
--- a/src/serve/serving_host.cpp
+++ b/src/serve/serving_host.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/signal_set.hpp>
 #include <fmt/format.h>
 
+#include "serve/active_request.hpp"
 #include "serve/caller_session.hpp"
 #include "serve/host_context.hpp"
 #include "serve/peer_service.hpp"
@@ -22,11 +23,12 @@
 /// The load balancer checks once a second and needs two misses; it sends no new connections after
 /// this.
 constexpr milliseconds balancer_detection_time{2600};
-/// Requests that arrive later than this after the stop request are refused: a third of the usual
-/// grace period, so that the rest is left for running requests.
-constexpr milliseconds accept_duration{3200};
-/// Reserve of the grace period in which the last responses reach their callers.
+/// Reserve of the grace period: requests that still run are ended at its begin, and their last
+/// responses reach their callers in it.
 constexpr milliseconds stop_margin{400};
+/// How long the requests that were ended may take to write their last responses.
+constexpr milliseconds last_write_time{200};
+constexpr milliseconds stop_check_period{50};
 constexpr milliseconds tick_period{500};
 constexpr int listen_backlog = 512;
 
@@ -93,6 +95,9 @@
     task<void> handle_signals();
     void start_stop();
     task<void> stop();
+    /// Ends the requests that still run, each with the truest response that it can still get;
+    /// returns how many there were.
+    task<std::size_t> end_requests();
     task<void> tick();
 
     asio::io_context loop{1};
@@ -126,38 +131,55 @@
 
 void serving_host::impl::start_stop()
 {
-    if (!context.stopping)
+    if (!context.stop)
     {
-        context.stopping = true;
+        context.stop.emplace(planned_stop_options{.requested_at = context.now(),
+                                                  .grace = context.settings.bounds.stop_grace,
+                                                  .margin = stop_margin});
         asio::co_spawn(loop, stop(), asio::detached);
     }
 }
 
 task<void> serving_host::impl::stop()
 {
-    instant requested_at = context.now();
-    context.stop_begun_at = requested_at;
-    context.refuse_from = requested_at + accept_duration;
-    context.stop_deadline = requested_at + context.settings.bounds.stop_grace - stop_margin;
-    context.log.write("stop_begun", "requests_open={}", context.requests_open);
+    context.log.write("stop_begun", "requests_open={}", context.open_requests.size());
     // Before the wait: nothing may suspend between the last look at open requests and the end of
     // the loop, which cuts those that are open.
     co_await peers.leave();
-    while (context.now() < context.stop_deadline)
+    while (context.now() < context.stop->deadline())
     {
-        bool balancer_may_send = context.now() - requested_at < balancer_detection_time;
-        if (!balancer_may_send && context.requests_open == 0)
+        bool balancer_may_send =
+            context.now() - context.stop->requested_at() < balancer_detection_time;
+        bool idle = context.open_requests.empty() && context.requests_arriving == 0;
+        if (!balancer_may_send && idle)
         {
             break;
         }
-        co_await pause(milliseconds(50));
+        co_await pause(stop_check_period);
     }
-    for (auto* it : context.open_requests)
+    std::size_t ended = co_await end_requests();
+    context.log.write("stop_ended", "requests_open={} ended={}", context.open_requests.size(),
+                      ended);
+    loop.stop();
+}
+
+task<std::size_t> serving_host::impl::end_requests()
+{
+    std::size_t ended = 0;
+    for (const auto& it : context.open_requests)
     {
-        it->record_cut();
+        if (auto request = it.lock())
+        {
+            request->end_for_stop();
+            ++ended;
+        }
     }
-    context.log.write("stop_ended", "requests_open={}", context.requests_open);
-    loop.stop();
+    instant until = context.now() + last_write_time;
+    while (!context.open_requests.empty() && context.now() < until)
+    {
+        co_await pause(stop_check_period / 10);
+    }
+    co_return ended;
 }
 
 task<void> serving_host::impl::tick()
--- /dev/null
+++ b/tests/correctness/run_times_test.cpp
@@ -0,0 +1,107 @@
+#include <catch2/catch.hpp>
+
+#include "coordination/planned_stop.hpp"
+#include "coordination/run_times.hpp"
+
+using namespace banyanshunt;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr instant start{};
+
+run_duration stream_of(std::int64_t output_tokens, milliseconds first, milliseconds rest)
+{
+    return {.first = first, .rest = rest, .output = tokens(output_tokens)};
+}
+
+} // namespace
+
+TEST_CASE("A request's longest run follows from its size and from recent runs")
+{
+    const service_id engines("engines");
+    const service_id desk("desk");
+    const model_id busy("busy");
+    run_times it({.window = 30s, .max_runs = 3, .min_runs = 2, .reserve = 1});
+
+    SECTION("nothing is known of a service without runs")
+    {
+        CHECK_FALSE(it.longest(engines, busy, tokens(100), start));
+    }
+    SECTION("streams of very different lengths")
+    {
+        it.record(engines, busy, stream_of(100, 50ms, 500ms), start);
+        it.record(engines, busy, stream_of(1000, 40ms, 6s), start + 1s);
+
+        SECTION("the slowest pace counts, with the longest wait for a first event")
+        {
+            CHECK(it.longest(engines, busy, tokens(500), start + 1s) == 3050ms);
+        }
+        SECTION("runs that state the same limit bound each other by what they took")
+        {
+            CHECK(it.longest(engines, busy, tokens(1000), start + 1s) == 6050ms);
+        }
+        SECTION("a request without a size may be as long as the longest")
+        {
+            CHECK(it.longest(engines, busy, tokens(0), start + 1s) == 6050ms);
+        }
+        SECTION("old runs no longer count, nor do those beyond the number kept")
+        {
+            CHECK_FALSE(it.longest(engines, busy, tokens(1000), start + 32s));
+            for (int n = 0; n < 3; ++n)
+            {
+                it.record(engines, busy, stream_of(100, 10ms, 200ms), start + 2s);
+            }
+            CHECK(it.longest(engines, busy, tokens(1000), start + 2s) == 2010ms);
+        }
+        SECTION("a model with few runs is taken to be as slow as the others of its service")
+        {
+            const model_id rare("rare");
+            it.record(engines, rare, stream_of(1000, 10ms, 100ms), start + 1s);
+            CHECK(it.longest(engines, rare, tokens(1000), start + 1s) == 6050ms);
+            it.record(engines, rare, stream_of(1000, 10ms, 200ms), start + 1s);
+            CHECK(it.longest(engines, rare, tokens(1000), start + 1s) == 210ms);
+        }
+        SECTION("another service's runs say nothing")
+        {
+            CHECK_FALSE(it.longest(desk, model_id(), tokens(0), start + 1s));
+        }
+    }
+    SECTION("responses of a plain service")
+    {
+        it.record(desk, model_id(), {.first = 90ms, .rest = 2ms, .output = {}}, start);
+        CHECK(it.longest(desk, model_id(), tokens(0), start) == 92ms);
+    }
+    SECTION("a request may take longer than the longest before it")
+    {
+        run_times with_reserve({.window = 30s, .max_runs = 3, .min_runs = 1, .reserve = 1.25});
+        with_reserve.record(engines, busy, stream_of(100, 0ms, 1s), start);
+        CHECK(with_reserve.longest(engines, busy, tokens(200), start) == 2500ms);
+    }
+}
+
+TEST_CASE("A stopping host begins only what can end before it does")
+{
+    planned_stop stop({.requested_at = start, .grace = 8s, .margin = 400ms});
+    REQUIRE(stop.deadline() == start + 7600ms);
+
+    SECTION("a long run must begin early, a short one may begin late")
+    {
+        CHECK(stop.latest_start(4500ms, start + 15s) == start + 3100ms);
+        CHECK(stop.latest_start(100ms, start + 15s) == start + 7500ms);
+    }
+    SECTION("a run longer than the grace period never begins")
+    {
+        CHECK(stop.latest_start(9s, start + 15s) < start);
+    }
+    SECTION("a request whose own deadline comes first gets its response in any case")
+    {
+        CHECK(stop.latest_start(9s, start + 5s) == start + 5s);
+        CHECK(stop.latest_start({}, start + 5s) == start + 5s);
+    }
+    SECTION("a run of unknown length may last until the request's deadline")
+    {
+        CHECK(stop.latest_start({}, start + 15s) < start);
+    }
+}
