A request is sent by the server list of now, whatever came between

Callers' requests could reach a server more than 2 s after it had left (DRAIN), or one that had left while the connection to it was being made.

The reader dropped the time that a response confirms; the pause between two reads and a call on a connection that went silent took up to 4.4 s together; and the server was looked at when it was chosen, up to 0.5 s before the first byte, and not again. The time left to the request was written into its head before the connection was made, too. That hosts of small failure domains read more often hid it: a time that was never set counted as recent (instant::min() subtracted, an overflow), so each host read every 0.4 s as if others asked it for the result.

The list carries its age. One check for all paths is made right before the first byte, with the ages as its input: list, configuration, incarnation, leaving, permit, end of the stop; the head is made then. A list too old is confirmed first; if the log was asked since and is silent, the request is sent by what is known. Calls are due before the age is reached, and an overdue one is repeated on a new connection. Engines that leave get no orders, and an order's fencing number is that of the claim in force.

--- a/src/coordination/backend_table.cpp
+++ b/src/coordination/backend_table.cpp
@@ -274,6 +274,13 @@
     return it == servers_.end() ? nullptr : &it->second;
 }
 
+bool backend_table::accepts(const server_id& server, std::int64_t start_time_ms) const
+{
+    const auto* known = find(server);
+    return known && !known->removed && !known->entry.draining &&
+           known->entry.start_time_ms == start_time_ms;
+}
+
 void backend_table::expire_peer_loads(instant now)
 {
     for (auto& [id, it] : servers_)
--- a/src/coordination/backend_table.hpp
+++ b/src/coordination/backend_table.hpp
@@ -225,6 +225,9 @@
                                                       const engine_spec& engine, instant now) const;
 
     const record* find(const server_id& server) const;
+    /// Whether the incarnation of the server that started at `start_time_ms` may get new requests:
+    /// it is registered and does not leave.
+    bool accepts(const server_id& server, std::int64_t start_time_ms) const;
     const std::map<server_id, record>& servers() const { return servers_; }
     std::map<server_id, record>& servers() { return servers_; }
     const server_limits& limits() const { return limits_; }
--- a/src/serve/active_request.cpp
+++ b/src/serve/active_request.cpp
@@ -35,6 +35,9 @@
 constexpr milliseconds max_permit_wait{2000};
 /// How often a waiting request requests a permit for one server.
 constexpr milliseconds permit_request_period{250};
+/// How long a waiting request waits for the server list to be confirmed: an overdue call to the log
+/// and one on a new connection. The log responds within milliseconds.
+constexpr milliseconds list_confirm_timeout{500};
 /// Retry-After of a stopping host: other hosts can take the request at once, and the balancer sends
 /// a repeat to one of them.
 constexpr milliseconds other_host_delay{100};
@@ -280,6 +283,17 @@
             last_reason_ = "draining";
             break;
         }
+        list_unconfirmed_ = false;
+        if (context_.judge_server_list() == list_verdict::confirm_first)
+        {
+            co_await confirm_server_list();
+            list_unconfirmed_ = context_.judge_server_list() == list_verdict::confirm_first;
+            if (!list_unconfirmed_)
+            {
+                // The server may be known to leave now.
+                continue;
+            }
+        }
         if (sends_ > 0 && !context_.budget(service_).acquire(context_.host_count, context_.now()))
         {
             last_reason_ = "retry_budget";
@@ -315,6 +329,25 @@
     co_await finish(end);
 }
 
+task<void> active_request::confirm_server_list()
+{
+    instant asked_at = context_.now();
+    instant give_up_at = asked_at + list_confirm_timeout;
+    context_.refresh_server_list();
+    while (context_.judge_server_list() == list_verdict::confirm_first &&
+           context_.now() < give_up_at && !caller_->closed && !ended())
+    {
+        co_await context_.waiting.wait(host_context::server_list_wait_key, priority_, arrived_,
+                                       give_up_at - context_.now());
+    }
+    auto verdict = context_.judge_server_list();
+    context_.stats.increment("banyanshunt_server_list_confirmations_total",
+                             {{"result", to_text(verdict)}});
+    context_.log.write("server_list_old", "request={} result={} waited_ms={}", fields_.id.str(),
+                       to_text(verdict),
+                       std::chrono::floor<milliseconds>(context_.now() - asked_at).count());
+}
+
 milliseconds active_request::caller_patience() const
 {
     return std::max({min_event_timeout, objectives_per_timeout * route_->objective,
--- a/src/serve/active_request.hpp
+++ b/src/serve/active_request.hpp
@@ -93,6 +93,8 @@
     /// The reason to give for a request that was ended, or that failed for `otherwise`.
     const char* end_reason(const char* otherwise) const;
     void end(end_cause cause);
+    /// Waits for the server list to be confirmed if it is too old to send by it.
+    task<void> confirm_server_list();
     task<void> respond();
     /// Whether a permit for the server is held and valid now, or none is needed.
     bool permitted(const server_id& server) const;
@@ -103,8 +105,9 @@
     /// Whether another server could take the request over at once; if one has to load its model
     /// first, requests that.
     bool other_server_ready();
-    /// Whether the configuration, key and deadlines that admitted the request still apply.
-    bool may_still_send() const;
+    /// Whether everything that the choice of the server and the admission of the request rested on
+    /// still applies. Asked right before the first byte, as a wait or a suspension may precede it.
+    bool may_still_send(const server_id& server, std::int64_t start_time_ms) const;
     task<attempt_result> attempt(server_id server);
     /// Records when the request was written, for `request_end`.
     void record_write(const server_exchange& exchange);
@@ -146,6 +149,8 @@
     asio::steady_timer inactivity_timer_;
     server_exchange* exchange_ = nullptr;
     end_cause end_cause_ = end_cause::none;
+    /// The log did not confirm the server list when this request asked for it.
+    bool list_unconfirmed_ = false;
     bool head_sent_ = false;
     bool may_have_run_ = false;
     /// Whether the retry budget has counted this request.
--- a/src/serve/host_context.hpp
+++ b/src/serve/host_context.hpp
@@ -15,6 +15,7 @@
 #include "coordination/planned_stop.hpp"
 #include "coordination/random_source.hpp"
 #include "coordination/run_times.hpp"
+#include "coordination/server_list_age.hpp"
 #include "coordination/share_ledger.hpp"
 #include "coordination/shared_retry_budget.hpp"
 #include "coordination/unserved_targets.hpp"
@@ -96,8 +97,8 @@
 {
     /// Another host reads for this one and sends it the result.
     bool read_by_other = false;
-    /// When another host last requested what this one has read.
-    instant requested_at = instant::min();
+    /// When another host last requested what this one has read, if one ever did.
+    std::optional<instant> requested_at;
 };
 
 class active_request;
@@ -118,21 +119,34 @@
     }
 
     instant now() const { return boot_clock().now(); }
-    /// Fraction of the key revocation bound within which the configuration must be confirmed. The
-    /// rest covers the transit of a request to its server.
+    /// Fraction of a bound on how long outdated state is used within which that state must be
+    /// confirmed. The rest covers the transit of a request to its server.
     static constexpr double confirmed_ratio = 0.88;
     /// Whether the configuration was confirmed recently enough to judge keys and refusals by it.
     bool config_is_fresh(instant at) const
     {
-        return config && config_confirmed_at &&
-               at - *config_confirmed_at < settings.bounds.key_revocation * confirmed_ratio;
+        return config && config_confirmed_at && at - *config_confirmed_at < max_config_age();
+    }
+    milliseconds max_config_age() const
+    {
+        return std::chrono::duration_cast<milliseconds>(settings.bounds.key_revocation *
+                                                        confirmed_ratio);
     }
     /// Time since the server list was confirmed; negative if it never was.
     milliseconds servers_age(instant at) const
     {
-        return servers_confirmed_at ? std::chrono::floor<milliseconds>(at - *servers_confirmed_at)
-                                    : milliseconds(-1);
+        auto confirmed_at = list_age.confirmed_at();
+        return confirmed_at ? std::chrono::floor<milliseconds>(at - *confirmed_at)
+                            : milliseconds(-1);
+    }
+    /// Greatest age of the server list at which a request may be sent by it.
+    milliseconds max_server_list_age() const
+    {
+        return std::chrono::duration_cast<milliseconds>(settings.bounds.drain * confirmed_ratio);
     }
+    list_verdict judge_server_list() const { return list_age.judge(max_server_list_age(), now()); }
+    /// Wait list key of requests that wait for the server list to be confirmed.
+    static constexpr const char* server_list_wait_key = "server_list";
     /// How often this host requests another replica of one model while the existing replicas serve
     /// its requests.
     static constexpr milliseconds replica_request_period{300};
@@ -194,8 +208,9 @@
     /// When the call that confirmed the configuration was sent.
     std::optional<instant> config_confirmed_at;
     bool servers_known = false;
-    /// When the call that confirmed the server list was sent.
-    std::optional<instant> servers_confirmed_at;
+    server_list_age list_age;
+    /// Requests a call that confirms the server list.
+    std::function<void()> refresh_server_list = [] {};
     backend_table servers;
     backend_pool pool;
     share_ledger ledger;
--- a/src/serve/order_controller.cpp
+++ b/src/serve/order_controller.cpp
@@ -388,6 +388,12 @@
             continue;
         }
         held->pending_announced = false;
+        if (!context_.servers.accepts(server, known->entry.start_time_ms))
+        {
+            // It gets no requests any more, so nothing needs to be loaded there.
+            co_await pause(milliseconds(100));
+            continue;
+        }
         if (!held->announced)
         {
             // After this publication the other hosts report their use of the server to this host.
@@ -460,7 +466,7 @@
     std::string text = platform::encode_report_request(server, known->entry.address);
     server_exchange exchange(context_, server);
     exchange_deadline deadline(exchange, context_.executor, order_timeout);
-    auto state = co_await exchange.send(std::move(text), request_id(), [] { return true; });
+    auto state = co_await exchange.send([&] { return std::optional(text); }, request_id());
     bool adopted = false;
     if (state == exchange_state::responded)
     {
@@ -495,8 +501,13 @@
     exchange_deadline deadline(exchange, context_.executor, order_timeout);
     orders_in_flight_.insert(held->partition);
     auto state = co_await exchange.send(
-        std::move(text), request_id(),
-        [&] { return !held->ended && may_order(held->partition, context_.now()); });
+        [&]
+        {
+            bool may_send = !held->ended && may_order(held->partition, context_.now()) &&
+                            partitions_.at(held->partition).fence == fence;
+            return may_send ? std::optional(text) : std::nullopt;
+        },
+        request_id());
     auto response = order_response::unknown;
     int status = 0;
     if (state == exchange_state::responded)
--- a/src/serve/request_attempt.cpp
+++ b/src/serve/request_attempt.cpp
@@ -154,12 +154,15 @@
             choice.expected_wait.count() == 0);
 }
 
-bool active_request::may_still_send() const
+bool active_request::may_still_send(const server_id& server, std::int64_t start_time_ms) const
 {
-    return context_.config == config_ && !ended() && !caller_->closed &&
-           (!workspace_ || !context_.settings.bounds.refuse_when_stale ||
-            context_.config_is_fresh(context_.now())) &&
-           ends_before_stop(milliseconds(0));
+    bool admitted = context_.config == config_ && !ended() && !caller_->closed &&
+                    (!workspace_ || !context_.settings.bounds.refuse_when_stale ||
+                     context_.config_is_fresh(context_.now()));
+    bool list_applies =
+        list_unconfirmed_ || context_.judge_server_list() != list_verdict::confirm_first;
+    return admitted && list_applies && context_.servers.accepts(server, start_time_ms) &&
+           permitted(server) && ends_before_stop(milliseconds(0));
 }
 
 void active_request::record_write(const server_exchange& exchange)
@@ -175,7 +178,6 @@
 {
     const model_target unit{.model = fields_.model, .adapter = fields_.adapter};
     server_exchange exchange(context_, server);
-    std::string text = server_request(server);
     last_server_ = server;
     if (const auto* known = context_.servers.find(server))
     {
@@ -189,8 +191,15 @@
     progressed_at_ = sent_at;
     first_byte_at_.reset();
     schedule_inactivity_check();
-    auto state = co_await exchange.send(std::move(text), fields_.id,
-                                        [&] { return may_still_send() && permitted(server); });
+    const auto* chosen = context_.servers.find(server);
+    std::int64_t start_time_ms = chosen ? chosen->entry.start_time_ms : 0;
+    auto state = co_await exchange.send(
+        [&]
+        {
+            return may_still_send(server, start_time_ms) ? std::optional(server_request(server))
+                                                         : std::nullopt;
+        },
+        fields_.id);
     permit_.reset();
     record_write(exchange);
     auto end = attempt_result::not_run;
--- a/src/serve/server_exchange.cpp
+++ b/src/serve/server_exchange.cpp
@@ -33,8 +33,7 @@
     }
 }
 
-task<exchange_state> server_exchange::send(std::string request, request_id id,
-                                           std::function<bool()> may_send)
+task<exchange_state> server_exchange::send(request_source make_request, request_id id)
 {
     const auto* known = context_.servers.find(server_);
     if (!known)
@@ -47,7 +46,8 @@
     {
         co_return exchange_state::not_sent;
     }
-    if (!may_send())
+    auto request = make_request();
+    if (!request)
     {
         context_.pool.release(std::move(connection_), std::nullopt);
         co_return exchange_state::withheld;
@@ -57,7 +57,7 @@
     written_at_ = sent_at_;
     servers_age_ = context_.servers_age(sent_at_);
     auto [ec, n] =
-        co_await asio::async_write(connection_->stream.socket(), asio::buffer(request), as_result);
+        co_await asio::async_write(connection_->stream.socket(), asio::buffer(*request), as_result);
     if (ec)
     {
         co_return exchange_state::no_response;
--- a/src/serve/server_exchange.hpp
+++ b/src/serve/server_exchange.hpp
@@ -27,7 +27,7 @@
     responded,
     /// No connection could be made; nothing was sent.
     not_sent,
-    /// `may_send` returned false; nothing was sent.
+    /// The request must not be sent any more; nothing was sent.
     withheld,
     /// All or some of the request was sent, and no response to it arrived.
     no_response,
@@ -41,10 +41,14 @@
     {
     }
 
-    /// Sends `request`, a complete request with its head, and reads the head of the response to
-    /// `id`. Responses to other requests are read and dropped. `may_send` is called when the
-    /// connection is established, right before the first byte is sent.
-    task<exchange_state> send(std::string request, request_id id, std::function<bool()> may_send);
+    /// Makes the complete request with its head, or nothing if it must not be sent. Called when the
+    /// connection is established, right before the first byte is sent, because what the request
+    /// states and rests on may have changed since the server was chosen.
+    using request_source = std::function<std::optional<std::string>()>;
+
+    /// Sends a request and reads the head of the response to `id`. Responses to other requests are
+    /// read and dropped.
+    task<exchange_state> send(request_source make_request, request_id id);
     /// Reads the rest of the body; what is longer than usual ends incomplete.
     task<std::string> read_rest();
     /// Reads and drops the rest of the body, so that the connection can be used again. Gives up on
--- a/src/serve/topic_reader.cpp
+++ b/src/serve/topic_reader.cpp
@@ -1,6 +1,7 @@
 #include "serve/topic_reader.hpp"
 
 #include <algorithm>
+#include <utility>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -14,12 +15,15 @@
 namespace
 {
 
-/// Time allowed for a call beyond the wait that it requests. The store responds within some
-/// milliseconds; a slow one takes a second. Short, as a connection can become unresponsive without
-/// an error.
-constexpr milliseconds response_timeout{1000};
-/// How long a call waits for a change. Together with `response_timeout`, an unresponsive connection
-/// is found well before the configuration counts as stale, and hosts seldom call while nothing
+/// Time allowed for a call on a new connection beyond the wait that it requests. The store responds
+/// within some milliseconds; a slow one takes a second.
+constexpr milliseconds max_response_timeout{1000};
+/// The same on a kept connection, which can become unresponsive without an error: a few round trips
+/// and one retransmission. A store that was slower lately gets some multiple of that.
+constexpr milliseconds min_response_timeout{300};
+constexpr int latencies_per_timeout = 3;
+/// How long a call waits for a change. Together with the timeouts, an unresponsive connection is
+/// found well before the configuration counts as stale, and hosts seldom call while nothing
 /// changes.
 constexpr milliseconds topic_wait{2200};
 /// A host from which others request what it has read calls more often, so that they get fresh data,
@@ -44,14 +48,14 @@
 /// Time within which lapsed entries of running servers are registered again.
 constexpr milliseconds entry_recovery_time{2000};
 
-/// Pause between two reads of the registry while servers change, as a fraction of the bound on how
-/// soon a draining server gets no more requests; the rest covers a slow store and the transit of a
-/// request.
+/// Time between two reads of the registry while servers change, as a fraction of the age that it
+/// may have when a request is sent; the rest is left for the next response, and for another call if
+/// that is overdue.
 constexpr double registry_gap_fraction = 0.6;
 
-milliseconds registry_gap(milliseconds drain_bound)
+milliseconds registry_gap(milliseconds max_age)
 {
-    return std::chrono::duration_cast<milliseconds>(drain_bound * registry_gap_fraction);
+    return std::chrono::duration_cast<milliseconds>(max_age * registry_gap_fraction);
 }
 
 } // namespace
@@ -59,10 +63,52 @@
 topic_reader::topic_reader(host_context& context, topic_reader_options options,
                            handlers initial_handlers)
     : context_(context), options_(std::move(options)), handlers_(std::move(initial_handlers)),
-      store_(context.settings.log.address)
+      store_(context.settings.log.address), rest_timer_(context.executor)
 {
 }
 
+task<void> topic_reader::rest(nanoseconds length)
+{
+    if (!refresh_requested_ && length.count() > 0)
+    {
+        rest_timer_.expires_after(length);
+        co_await rest_timer_.async_wait(as_result);
+    }
+}
+
+void topic_reader::refresh()
+{
+    refresh_requested_ = true;
+    rest_timer_.cancel();
+}
+
+milliseconds topic_reader::next_wait() const
+{
+    // After a failure the first call does not wait, so that the data is confirmed as soon as
+    // possible. Neither does it if the host that reads for this one became unresponsive.
+    bool wanted_now =
+        !store_reachable_ || refreshing_ || (is_shared() && context_.view.read_by_other);
+    if (wanted_now)
+    {
+        return milliseconds(0);
+    }
+    auto wait = reads_for_others() ? std::min(options_.wait, reader_wait) : options_.wait;
+    if (options_.max_age.count() > 0)
+    {
+        // Leaves time for an overdue response, and for the next call after it.
+        auto due = confirmed_at_ + options_.max_age - 2 * response_timeout();
+        wait = std::min(wait, std::chrono::floor<milliseconds>(due - context_.now()));
+    }
+    return std::max(wait, milliseconds(0));
+}
+
+milliseconds topic_reader::response_timeout() const
+{
+    return store_.is_open() ? std::clamp(latencies_per_timeout * latency_, min_response_timeout,
+                                         max_response_timeout)
+                            : max_response_timeout;
+}
+
 task<void> topic_reader::run()
 {
     milliseconds retry_delay = min_retry_delay;
@@ -71,10 +117,12 @@
         if (shared_view_is_fresh())
         {
             auto remaining = options_.max_shared_age - (context_.now() - confirmed_at_);
-            co_await pause(
+            co_await rest(
                 std::clamp<nanoseconds>(remaining, milliseconds(20), max_recheck_interval));
             continue;
         }
+        instant sent_at = context_.now();
+        refreshing_ = std::exchange(refresh_requested_, false);
         bool good = false;
         if (next_)
         {
@@ -97,12 +145,10 @@
             {
                 gap = std::min(gap, reader_gap);
             }
-            if (gap.count() > 0)
-            {
-                co_await pause(gap);
-            }
+            co_await rest(sent_at + gap - context_.now());
             continue;
         }
+        handlers_.failed(sent_at);
         co_await pause(retry_delay);
         retry_delay = std::min(retry_delay * 2, max_retry_delay);
     }
@@ -110,13 +156,14 @@
 
 bool topic_reader::shared_view_is_fresh() const
 {
-    return next_ && store_reachable_ && !missed_records_ && context_.view.read_by_other &&
-           context_.now() - confirmed_at_ < options_.max_shared_age;
+    return next_ && store_reachable_ && !refresh_requested_ && !missed_records_ &&
+           context_.view.read_by_other && context_.now() - confirmed_at_ < options_.max_shared_age;
 }
 
 bool topic_reader::reads_for_others() const
 {
-    return is_shared() && context_.now() - context_.view.requested_at < reader_role_duration;
+    return is_shared() && context_.view.requested_at &&
+           context_.now() - *context_.view.requested_at < reader_role_duration;
 }
 
 void topic_reader::deliver(const std::vector<platform::keyed_record>& records)
@@ -189,7 +236,8 @@
     {
         auto call = platform::newest_call(options_.topic, after);
         instant page_sent_at = context_.now();
-        auto response = co_await store_.call(call.method, call.target, call.body, response_timeout);
+        auto response =
+            co_await store_.call(call.method, call.target, call.body, response_timeout());
         if (!response)
         {
             log_unanswered_call(page_sent_at, milliseconds(0));
@@ -228,20 +276,17 @@
 task<bool> topic_reader::read_next()
 {
     instant sent_at = context_.now();
-    // After a failure the first call does not wait, so that the data is confirmed as soon as
-    // possible.
-    milliseconds wait = store_reachable_ ? options_.wait : milliseconds(0);
-    wait = reads_for_others() ? std::min(wait, reader_wait) : wait;
-    // The host that reads for this one became unresponsive, so the current state is read at once.
-    wait = is_shared() && context_.view.read_by_other ? milliseconds(0) : wait;
+    milliseconds wait = next_wait();
     auto call = platform::read_call(options_.topic, *next_, wait);
     auto response =
-        co_await store_.call(call.method, call.target, call.body, wait + response_timeout);
+        co_await store_.call(call.method, call.target, call.body, wait + response_timeout());
     if (!response)
     {
         log_unanswered_call(sent_at, wait);
         co_return false;
     }
+    auto took = std::chrono::ceil<milliseconds>(context_.now() - sent_at);
+    latency_ = wait.count() == 0 ? took : std::min(latency_, took);
     if (response->status == platform::expired_status)
     {
         context_.log.write("store_history_expired", "topic={} offset={}", options_.topic,
@@ -298,7 +343,8 @@
       config_(context,
               {.topic = platform::config_topic,
                .wait = topic_wait,
-               .max_shared_age = max_shared_config_age},
+               .max_shared_age = max_shared_config_age,
+               .max_age = context.max_config_age()},
               {.snapshot =
                    [this](const auto& records)
                {
@@ -320,8 +366,9 @@
       servers_(context,
                {.topic = platform::server_topic,
                 .wait = topic_wait,
-                .max_shared_age = registry_gap(context.settings.bounds.drain),
-                .gap = [&context] { return registry_gap(context.settings.bounds.drain); }},
+                .max_shared_age = registry_gap(context.max_server_list_age()),
+                .max_age = context.max_server_list_age(),
+                .gap = [&context] { return registry_gap(context.max_server_list_age()); }},
                {.snapshot = [this](const auto& records) { apply_server_snapshot(records); },
                 .record = [this](const auto& record) { return apply_server(record); },
                 .recovered =
@@ -331,14 +378,24 @@
                     context_.log.write("server_removals_deferred", "for_ms={}",
                                        entry_recovery_time.count());
                 },
-                .confirmed =
-                    [this](instant sent_at)
-                {
-                    context_.servers_known = true;
-                    context_.servers_confirmed_at =
-                        std::max(context_.servers_confirmed_at.value_or(sent_at), sent_at);
-                }})
+                .confirmed = [this](instant sent_at) { record_list_call(sent_at, true); },
+                .failed = [this](instant sent_at) { record_list_call(sent_at, false); }})
+{
+    context_.refresh_server_list = [this] { servers_.refresh(); };
+}
+
+void state_watcher::record_list_call(instant sent_at, bool confirmed)
 {
+    if (confirmed)
+    {
+        context_.servers_known = true;
+        context_.list_age.record_confirmed(sent_at);
+    }
+    else
+    {
+        context_.list_age.record_failed(sent_at);
+    }
+    context_.waiting.wake(host_context::server_list_wait_key);
 }
 
 bool state_watcher::apply_config(const platform::keyed_record& record)
@@ -443,8 +500,8 @@
     if (context_.now() < defer_removals_until_ && !known->entry.draining)
     {
         deferred_removals_[server] = ++next_deferral_;
-        context_.stats.increment("banyanshunt_server_removals_deferred_total");
         auto length = defer_removals_until_ - context_.now();
+        context_.stats.increment("banyanshunt_server_removals_deferred_total");
         context_.log.write("server_removal_deferred", "server={} for_ms={}", server.str(),
                            std::chrono::ceil<milliseconds>(length).count());
         asio::co_spawn(context_.executor, remove_later(server, defer_removals_until_),
--- a/src/serve/topic_reader.hpp
+++ b/src/serve/topic_reader.hpp
@@ -24,7 +24,10 @@
     /// Greatest age of shared data before this host reads the topic itself although another host
     /// reads for it; 0 if the topic is not shared.
     milliseconds max_shared_age{0};
-    /// Pause between two calls, which bounds the call rate while records arrive fast.
+    /// The age beyond which decisions by the data are not allowed; a response is due earlier, and
+    /// an overdue one is requested again on another connection. 0 if there is no such bound.
+    milliseconds max_age{0};
+    /// Shortest time between two calls, which bounds the call rate while records arrive fast.
     std::function<milliseconds()> gap = [] { return milliseconds(0); };
 };
 
@@ -57,6 +60,8 @@
         std::function<void()> recovered = [] {};
         /// All records up to a call sent at this time have been delivered.
         std::function<void(instant sent_at)> confirmed;
+        /// A call sent at this time got no usable response.
+        std::function<void(instant sent_at)> failed = [](instant) {};
     };
 
     topic_reader(host_context& context, topic_reader_options options, handlers initial_handlers);
@@ -69,11 +74,19 @@
     topic_view view_from(log_offset from) const;
     /// Applies what another host has read.
     void apply(const topic_view& view);
+    /// Makes the next call at once, and has it answered at once.
+    void refresh();
 
 private:
     /// Whether hosts of a domain share what they read of this topic.
     bool is_shared() const { return options_.max_shared_age > milliseconds(0); }
     bool reads_for_others() const;
+    /// Pauses between two calls; ends early for `refresh`.
+    task<void> rest(nanoseconds length);
+    /// How long the next call may wait for a record.
+    milliseconds next_wait() const;
+    /// How long the next call may take beyond its wait.
+    milliseconds response_timeout() const;
     bool shared_view_is_fresh() const;
     void deliver(const std::vector<platform::keyed_record>& records);
     task<bool> read_all();
@@ -85,6 +98,12 @@
     topic_reader_options options_;
     handlers handlers_;
     http_connection store_;
+    asio::steady_timer rest_timer_;
+    bool refresh_requested_ = false;
+    /// Whether the call in flight was requested by `refresh`.
+    bool refreshing_ = false;
+    /// How long the store took for the last call that did not wait, or less.
+    milliseconds latency_{0};
     std::optional<log_offset> next_;
     bool store_reachable_ = true;
     std::optional<instant> responded_at_;
@@ -108,6 +127,7 @@
     topic_reader& servers() { return servers_; }
 
 private:
+    void record_list_call(instant sent_at, bool confirmed);
     bool apply_config(const platform::keyed_record& record);
     bool apply_server(const platform::keyed_record& record);
     void apply_server_snapshot(const std::vector<platform::keyed_record>& records);
--- a/src/transport/loop/http_connection.cpp
+++ b/src/transport/loop/http_connection.cpp
@@ -1,5 +1,7 @@
 #include "transport/loop/http_connection.hpp"
 
+#include <algorithm>
+
 #include <boost/asio/this_coro.hpp>
 #include <boost/beast/http.hpp>
 
@@ -13,6 +15,9 @@
 
 /// The largest response accepted, in bytes: a page of the newest records in base64, with a margin.
 constexpr std::uint64_t max_response_bytes = 8 * 1024 * 1024;
+/// The timeout for a new connection. The log accepts one within milliseconds also while its
+/// responses are slow, and a lost SYN is retransmitted only after a second.
+constexpr milliseconds connect_timeout{300};
 
 } // namespace
 
@@ -24,7 +29,7 @@
     {
         buffer_.clear();
         stream_ = std::make_unique<boost::beast::tcp_stream>(co_await asio::this_coro::executor);
-        stream_->expires_after(timeout);
+        stream_->expires_after(std::min(timeout, connect_timeout));
         auto [ec] = co_await stream_->async_connect(to_endpoint(address_), as_result);
         if (ec)
         {
--- a/src/transport/loop/http_connection.hpp
+++ b/src/transport/loop/http_connection.hpp
@@ -34,6 +34,8 @@
                                             std::string body, milliseconds timeout);
     /// Whether the last call was sent on a connection that earlier calls had opened.
     bool reused() const { return reused_; }
+    /// Whether a connection is kept, which may have become unresponsive since the last call.
+    bool is_open() const { return stream_ != nullptr; }
     /// Cancels the call in flight, which then returns nothing.
     void cancel();
 
