--- a/src/serve/topic_reader.cpp
+++ b/src/serve/topic_reader.cpp
@@ -52,10 +52,13 @@
 /// may have when a request is sent; the rest is left for the next response, and for another call if
 /// that is overdue.
 constexpr double registry_gap_fraction = 0.6;
+/// Age at which a host reads the registry itself although another reads for it, as a fraction of
+/// the same: more than the age that the reader's view usually has when it arrives, 0.9 s of 1.76 s.
+constexpr double shared_registry_fraction = 0.7;
 
-milliseconds registry_gap(milliseconds max_age)
+milliseconds fraction_of(milliseconds max_age, double fraction)
 {
-    return std::chrono::duration_cast<milliseconds>(max_age * registry_gap_fraction);
+    return std::chrono::duration_cast<milliseconds>(max_age * fraction);
 }
 
 } // namespace
@@ -236,8 +239,9 @@
     {
         auto call = platform::newest_call(options_.topic, after);
         instant page_sent_at = context_.now();
+        // A page is long, and many hosts may read it at once.
         auto response =
-            co_await store_.call(call.method, call.target, call.body, response_timeout());
+            co_await store_.call(call.method, call.target, call.body, max_response_timeout);
         if (!response)
         {
             log_unanswered_call(page_sent_at, milliseconds(0));
@@ -363,23 +367,25 @@
                            std::max(context_.config_confirmed_at.value_or(sent_at), sent_at);
                    }
                }}),
-      servers_(context,
-               {.topic = platform::server_topic,
-                .wait = topic_wait,
-                .max_shared_age = registry_gap(context.max_server_list_age()),
-                .max_age = context.max_server_list_age(),
-                .gap = [&context] { return registry_gap(context.max_server_list_age()); }},
-               {.snapshot = [this](const auto& records) { apply_server_snapshot(records); },
-                .record = [this](const auto& record) { return apply_server(record); },
-                .recovered =
-                    [this]
-                {
-                    defer_removals_until_ = context_.now() + entry_recovery_time;
-                    context_.log.write("server_removals_deferred", "for_ms={}",
-                                       entry_recovery_time.count());
-                },
-                .confirmed = [this](instant sent_at) { record_list_call(sent_at, true); },
-                .failed = [this](instant sent_at) { record_list_call(sent_at, false); }})
+      servers_(
+          context,
+          {.topic = platform::server_topic,
+           .wait = topic_wait,
+           .max_shared_age = fraction_of(context.max_server_list_age(), shared_registry_fraction),
+           .max_age = context.max_server_list_age(),
+           .gap = [&context]
+           { return fraction_of(context.max_server_list_age(), registry_gap_fraction); }},
+          {.snapshot = [this](const auto& records) { apply_server_snapshot(records); },
+           .record = [this](const auto& record) { return apply_server(record); },
+           .recovered =
+               [this]
+           {
+               defer_removals_until_ = context_.now() + entry_recovery_time;
+               context_.log.write("server_removals_deferred", "for_ms={}",
+                                  entry_recovery_time.count());
+           },
+           .confirmed = [this](instant sent_at) { record_list_call(sent_at, true); },
+           .failed = [this](instant sent_at) { record_list_call(sent_at, false); }})
 {
     context_.refresh_server_list = [this] { servers_.refresh(); };
 }
