Read what a server states of its leaving, and of a time without requests

Server-Leaving and the Retry-After of a server's 503 went to the caller unread, so a caller took a server's word to this host for ours. Both are typed values now, with a bounded meaning for each malformed, repeated or absurd value: it leaves only by the value 1; a time is a number of seconds of 0 or more, at most 300 s, the longest of several; a date or anything else states nothing and is counted. Neither is forwarded to callers.

Evidence: "A server's response shows whether it leaves, and for how long it wants no requests"; on the code before, the fields do not exist.

--- a/tests/correctness/platform_adapter_test.cpp
+++ b/tests/correctness/platform_adapter_test.cpp
@@ -198,6 +198,77 @@
     CHECK(fields.keep_alive == 7000ms);
 }
 
+TEST_CASE("A server's response shows whether it leaves, and for how long it wants no requests")
+{
+    auto read = [](const char* name, const std::vector<std::string>& values)
+    {
+        platform::server_response_fields fields;
+        for (const auto& it : values)
+        {
+            platform::read_server_field(name, it, fields);
+        }
+        return fields;
+    };
+    auto leaving = [&](const std::vector<std::string>& values)
+    { return read("server-leaving", values).leaving; };
+    auto retry_after = [&](const std::vector<std::string>& values)
+    { return read("retry-after", values).retry_after; };
+
+    CHECK_FALSE(leaving({}));
+    CHECK(leaving({"1"}));
+    CHECK_FALSE(retry_after({}));
+    CHECK(retry_after({"2"}) == 2000ms);
+
+    SECTION("only the value 1 says that it leaves")
+    {
+        for (const char* text : {"", "0", "2", "-1", "11", "1.0", "true", "yes", "1,1", "\xff"})
+        {
+            INFO(text);
+            CHECK_FALSE(leaving({text}));
+        }
+        CHECK(leaving({"0", "1", "no"}));
+    }
+    SECTION("times have fractions and are rounded up")
+    {
+        CHECK(retry_after({"0.2"}) == 200ms);
+        CHECK(retry_after({"0.0001"}) == 1ms);
+        CHECK(retry_after({"1e-400"}) == 0ms);
+        CHECK(retry_after({"0"}) == 0ms);
+    }
+    SECTION("a value that is no time states nothing, and is counted")
+    {
+        for (const char* text : {"", "-1", "-0.5", "-1e400", "nan", "inf", "2 s", "0x2", "2,3",
+                                 "Fri, 04 Dec 2026 12:00:00 GMT", "\xff"})
+        {
+            INFO(text);
+            CHECK_FALSE(retry_after({text}));
+            CHECK(read("Retry-After", {text, "1"}).malformed == 1);
+        }
+        CHECK(read("Server-Leaving", {"soon"}).malformed == 1);
+        CHECK(read("Server-Leaving", {"0"}).malformed == 0);
+    }
+    SECTION("absurdly large values mean the maximum")
+    {
+        for (const std::string& text : {std::string("301"), std::string("1e300"),
+                                        std::string("1e400"), std::string(400, '9')})
+        {
+            CHECK(retry_after({text}) == platform::max_retry_after);
+        }
+    }
+    SECTION("of several values the longest counts")
+    {
+        CHECK(retry_after({"1", "3", "junk", "2"}) == 3000ms);
+    }
+    SECTION("neither field goes to the caller")
+    {
+        for (const char* name : {"Server-Leaving", "server-leaving", "Retry-After", "RETRY-AFTER"})
+        {
+            CHECK_FALSE(platform::passes_to_caller(name));
+        }
+        CHECK(platform::passes_to_caller("Content-Type"));
+    }
+}
+
 TEST_CASE("Responses of the log service are parsed")
 {
     SECTION("the newest record of each key")
