Choose servers by what they said of themselves

Callers' requests went on to a server that had said that it leaves, as only the registry's entry counted; its removal and the same entry again, or an entry of an earlier incarnation, made it a candidate once more.

server_notices holds a server's leaving by incarnation and source, and until when it wants no requests from this host. A pause ends at its time or with a later incarnation, and nothing is sent in it: a trial could not shorten it, so it would only waste a request's time. backend_table asks it wherever it asks whether a server drains. If only servers in a pause could serve a request, choose() returns the earliest end of one, unless a load elsewhere is sooner; such a server is no replica with room.

--- a/src/coordination/backend_table.cpp
+++ b/src/coordination/backend_table.cpp
@@ -55,6 +55,14 @@
 {
     auto [it, is_new] = servers_.try_emplace(entry.id);
     record& known = it->second;
+    if (entry.draining)
+    {
+        notices_.record_leaving(entry.id,
+                                {.start_time_ms = entry.start_time_ms,
+                                 .source = notice_source::registry,
+                                 .stated_at = now},
+                                now);
+    }
     if (is_new)
     {
         known.entry = entry;
@@ -168,7 +176,10 @@
 milliseconds backend_table::order_wait(const record& it, instant now) const
 {
     auto permit_wait = limits_.permit_wait(it.entry.id, now);
-    return owner_wait(it, now) + std::chrono::ceil<milliseconds>(permit_wait);
+    bool owned_here = it.owner && it.owner->host == options_.own_host;
+    auto own_pause = owned_here ? pause_left(it, now) : nanoseconds(0);
+    return std::max(owner_wait(it, now), std::chrono::ceil<milliseconds>(own_pause)) +
+           std::chrono::ceil<milliseconds>(permit_wait);
 }
 
 void backend_table::apply_peer_load(const host_id& host, const server_id& server, int running,
@@ -274,11 +285,11 @@
     return it == servers_.end() ? nullptr : &it->second;
 }
 
-bool backend_table::accepts(const server_id& server, std::int64_t start_time_ms) const
+bool backend_table::accepts(const server_id& server, std::int64_t start_time_ms, instant now) const
 {
     const auto* known = find(server);
-    return known && !known->removed && !known->entry.draining &&
-           known->entry.start_time_ms == start_time_ms;
+    return known && !leaves(*known) && known->entry.start_time_ms == start_time_ms &&
+           pause_left(*known, now).count() == 0;
 }
 
 void backend_table::expire_peer_loads(instant now)
@@ -337,14 +348,15 @@
 int backend_table::count_other_replicas(const server_id& server, const model_id& model,
                                         instant now) const
 {
-    return static_cast<int>(std::count_if(
-        servers_.begin(), servers_.end(),
-        [&](const auto& it)
-        {
-            return it.first != server && !it.second.removed && !it.second.entry.draining &&
-                   it.second.avoid_until <= now && !limits_.in_force(it.first) &&
-                   holds(it.second, {.model = model, .adapter = {}}, now);
-        }));
+    return static_cast<int>(
+        std::count_if(servers_.begin(), servers_.end(),
+                      [&](const auto& it)
+                      {
+                          return it.first != server && !leaves(it.second) &&
+                                 pause_left(it.second, now).count() == 0 &&
+                                 it.second.avoid_until <= now && !limits_.in_force(it.first) &&
+                                 holds(it.second, {.model = model, .adapter = {}}, now);
+                      }));
 }
 
 int backend_table::active_store_loads(instant now) const
@@ -372,8 +384,8 @@
         [&](const auto& other)
         {
             const record& it = other.second;
-            if (other.first == server || it.removed || it.entry.draining || it.avoid_until > now ||
-                !placement_counts(it, now) || limits_.in_force(other.first))
+            if (other.first == server || leaves(it) || pause_left(it, now).count() > 0 ||
+                it.avoid_until > now || !placement_counts(it, now) || limits_.in_force(other.first))
             {
                 return false;
             }
@@ -392,8 +404,7 @@
 
 bool backend_table::usable(const record& it, const server_criteria& need) const
 {
-    return !it.removed && !it.entry.draining && it.entry.service == need.service &&
-           !need.tried.contains(it.entry.id);
+    return !leaves(it) && it.entry.service == need.service && !need.tried.contains(it.entry.id);
 }
 
 double backend_table::cost(const record& it, instant now) const
@@ -409,6 +420,54 @@
 
 server_choice backend_table::choose(const server_criteria& need, const engine_spec* engine,
                                     instant now) const
+{
+    auto choice = choose_unpaused(need, engine, now);
+    auto paused = notices_.any_pause() ? choose_paused(need, engine, now) : std::nullopt;
+    if (!paused)
+    {
+        return choice;
+    }
+    using action_kind = server_choice::action_kind;
+    bool may_wait = choice.action == action_kind::load || choice.action == action_kind::permit;
+    bool paused_is_sooner = choice.action == action_kind::none ||
+                            (may_wait && paused->expected_wait < choice.expected_wait);
+    return paused_is_sooner ? *paused : choice;
+}
+
+std::optional<server_choice> backend_table::choose_paused(const server_criteria& need,
+                                                          const engine_spec* engine,
+                                                          instant now) const
+{
+    const bool wants_model = engine != nullptr && !need.target.model.empty();
+    std::optional<server_choice> best;
+    for (const auto& [id, it] : servers_)
+    {
+        auto left = pause_left(it, now);
+        if (left.count() == 0 || !usable(it, need))
+        {
+            continue;
+        }
+        auto ready = wants_model ? time_until_ready(it, need.target, now) : nanoseconds(0);
+        if (!ready && holds(it, {.model = need.target.model, .adapter = {}}, now))
+        {
+            ready = order_wait(it, now) + typical_adapter_load;
+        }
+        if (!ready)
+        {
+            continue;
+        }
+        auto wait = std::chrono::ceil<milliseconds>(std::max(left, *ready));
+        if (!best || wait < best->expected_wait)
+        {
+            best = {
+                .action = server_choice::action_kind::pause, .server = id, .expected_wait = wait};
+        }
+    }
+    return best;
+}
+
+server_choice backend_table::choose_unpaused(const server_criteria& need, const engine_spec* engine,
+                                             instant now) const
 {
     constexpr double never = std::numeric_limits<double>::max();
     candidate held{.it = nullptr, .cost = never};
@@ -421,7 +480,7 @@
     const bool wants_model = engine != nullptr && !need.target.model.empty();
     for (const auto& [id, it] : servers_)
     {
-        if (!usable(it, need))
+        if (!usable(it, need) || pause_left(it, now).count() > 0)
         {
             continue;
         }
@@ -583,7 +642,8 @@
             if (loading && (placed->second.ready_at > now || ready_to_load.count() == 0))
             {
                 // It is loading there already, or was loaded and is not yet known to serve.
-                auto left = std::chrono::ceil<milliseconds>(placed->second.ready_at - now);
+                auto left = std::chrono::ceil<milliseconds>(
+                    std::max(placed->second.ready_at - now, pause_left(it, now)));
                 return server_choice{.action = server_choice::action_kind::load,
                                      .server = id,
                                      .expected_wait = std::max(left, typical_adapter_load),
@@ -592,7 +652,9 @@
             ready_to_load = std::max(
                 ready_to_load, std::chrono::ceil<milliseconds>(it.placement->next_load_at - now));
         }
-        auto ms = static_cast<double>((load_time + ready_to_load).count());
+        // It can be ordered by another host while it wants no requests from this one.
+        auto own_wait = std::chrono::ceil<milliseconds>(pause_left(it, now));
+        auto ms = static_cast<double>(std::max(load_time + ready_to_load, own_wait).count());
         double wait = ms;
         ms += limits_.in_force(id) ? limited_load_ms : 0;
         ms += 300.0 * load(it) / std::max(1, it.entry.slots);
--- a/src/coordination/backend_table.hpp
+++ b/src/coordination/backend_table.hpp
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "coordination/server_limits.hpp"
+#include "coordination/server_notices.hpp"
 #include "state/backend_entry.hpp"
 #include "state/clock.hpp"
 
@@ -130,6 +131,9 @@
         permit,
         /// `server` should load the adapter or model first.
         load,
+        /// `server` could serve it, and wants no requests for `expected_wait`; no other could
+        /// sooner.
+        pause,
         /// All servers that could serve it are full.
         full,
         /// No server could serve it.
@@ -226,12 +230,29 @@
 
     const record* find(const server_id& server) const;
     /// Whether the incarnation of the server that started at `start_time_ms` may get new requests:
-    /// it is registered and does not leave.
-    bool accepts(const server_id& server, std::int64_t start_time_ms) const;
+    /// it is registered, does not leave, and wants requests now.
+    bool accepts(const server_id& server, std::int64_t start_time_ms, instant now) const;
+    /// Whether it is about to end, or has ended, by any source.
+    bool leaves(const record& it) const
+    {
+        return it.removed || it.entry.draining ||
+               notices_.leaving(it.entry.id, it.entry.start_time_ms);
+    }
+    /// How long the server still wants no requests from this host.
+    nanoseconds pause_left(const record& it, instant now) const
+    {
+        return notices_.pause_left(it.entry.id, it.entry.start_time_ms, now);
+    }
     const std::map<server_id, record>& servers() const { return servers_; }
     std::map<server_id, record>& servers() { return servers_; }
     const server_limits& limits() const { return limits_; }
     server_limits& limits() { return limits_; }
+    const server_notices& notices() const { return notices_; }
+    server_notices& notices() { return notices_; }
+    void expire_notices(instant now)
+    {
+        notices_.expire([&](const server_id& server) { return servers_.contains(server); }, now);
+    }
     /// Requests at the server: own ones and those that peers reported.
     static int load(const record& it) { return it.running + it.peer_running; }
     /// Drops reports of peers older than `peer_load_ttl`.
@@ -265,9 +286,16 @@
         double cost;
     };
     bool usable(const record& it, const server_criteria& need) const;
+    /// As `choose`, among servers that want requests now.
+    server_choice choose_unpaused(const server_criteria& need, const engine_spec* engine,
+                                  instant now) const;
+    /// The server that could serve the request the soonest of those that want none now.
+    std::optional<server_choice> choose_paused(const server_criteria& need,
+                                               const engine_spec* engine, instant now) const;
     bool placement_counts(const record& it, instant now) const;
     double cost(const record& it, instant now) const;
-    /// How long until the server can get an order: from its owner, and with a permit.
+    /// How long until the server can get an order: from its owner, which knows whether the server
+    /// wants any, and with a permit.
     milliseconds order_wait(const record& it, instant now) const;
     /// Whether the server has enough free slots for its responses to begin on time.
     static bool has_room(const record& it) { return load(it) < busy_ratio * it.entry.slots; }
@@ -285,6 +313,7 @@
     std::map<server_id, record> servers_;
     std::map<host_id, heard_host> heard_hosts_;
     server_limits limits_;
+    server_notices notices_;
 };
 
 } // namespace banyanshunt
--- a/src/serve/order_controller.cpp
+++ b/src/serve/order_controller.cpp
@@ -388,7 +388,7 @@
             continue;
         }
         held->pending_announced = false;
-        if (!context_.servers.accepts(server, known->entry.start_time_ms))
+        if (!context_.servers.accepts(server, known->entry.start_time_ms, now))
         {
             // It gets no requests any more, so nothing needs to be loaded there.
             co_await pause(milliseconds(100));
--- a/src/serve/request_attempt.cpp
+++ b/src/serve/request_attempt.cpp
@@ -161,8 +161,9 @@
                      context_.config_is_fresh(context_.now()));
     bool list_applies =
         list_unconfirmed_ || context_.judge_server_list() != list_verdict::confirm_first;
-    return admitted && list_applies && context_.servers.accepts(server, start_time_ms) &&
-           permitted(server) && ends_before_stop(milliseconds(0));
+    return admitted && list_applies &&
+           context_.servers.accepts(server, start_time_ms, context_.now()) && permitted(server) &&
+           ends_before_stop(milliseconds(0));
 }
 
 void active_request::record_write(const server_exchange& exchange)
