Act on a server's leaving and on its pauses as soon as a response states them

Every head is recorded: of callers' requests, streams, refusals, errors, orders and reports, also interim ones and those to other requests. The latter count once the response to the request on that connection shows which server made them; a misdirected response shows that another server has the address. The table is asked right before the first byte of all that is sent, so nothing that was chosen earlier slips through. Connections to a leaving server are closed instead of kept. A request that only servers in a pause could serve waits for the earliest end, or is refused at once with that time (server_paused).

--- a/src/serve/active_request.cpp
+++ b/src/serve/active_request.cpp
@@ -477,7 +477,9 @@
             }
             co_return choice.server;
         }
-        if (choice.action == server_choice::action_kind::none && !tried_.empty())
+        bool none_now = choice.action == server_choice::action_kind::none ||
+                        choice.action == server_choice::action_kind::pause;
+        if (none_now && !tried_.empty())
         {
             tried_.clear();
             continue;
@@ -496,6 +498,13 @@
             last_reason_ = "server_limited";
             limit_wait_ = choice.expected_wait;
         }
+        else if (choice.action == server_choice::action_kind::pause)
+        {
+            request_extra_replica(need, engine);
+            last_reason_ = "server_paused";
+            limit_wait_ = choice.expected_wait;
+            wait = std::clamp(choice.expected_wait, milliseconds(1), recheck_interval);
+        }
         else if (choice.action == server_choice::action_kind::load && choice.loading)
         {
             wait = std::clamp(choice.expected_wait, milliseconds(1), recheck_interval);
@@ -695,7 +704,7 @@
     auto retry_after =
         milliseconds(300 + std::uniform_int_distribution<int>(0, retry_jitter_ms)(context_.random));
     const char* reason = end_reason(last_reason_);
-    if (reason == std::string_view("server_limited"))
+    if (reason == std::string_view("server_limited") || reason == std::string_view("server_paused"))
     {
         retry_after = std::max(retry_after, limit_wait_);
     }
--- a/src/serve/active_request.hpp
+++ b/src/serve/active_request.hpp
@@ -183,7 +183,8 @@
     std::optional<held_permit> permit_;
     /// When permits were last requested, by server.
     std::map<server_id, instant> permits_requested_;
-    /// How long until a server's limit allows another request, if that is why this one is refused.
+    /// How long until a server's limit or pause allows another request, if that is why this one is
+    /// refused.
     milliseconds limit_wait_{0};
     /// Where the last load request for the model or adapter went, if one was needed.
     std::optional<load_request_route> load_route_;
--- a/src/serve/caller_session.cpp
+++ b/src/serve/caller_session.cpp
@@ -183,6 +183,13 @@
                       static_cast<double>(std::count_if(limits.begin(), limits.end(),
                                                         [](const auto& it)
                                                         { return it.second.rate.has_value(); })));
+    const auto& servers = context.servers.servers();
+    context.stats.set("banyanshunt_leaving_servers",
+                      static_cast<double>(std::count_if(
+                          servers.begin(), servers.end(),
+                          [&](const auto& it) { return context.servers.leaves(it.second); })));
+    context.stats.set("banyanshunt_paused_servers",
+                      static_cast<double>(context.servers.notices().count_paused(context.now())));
     std::chrono::duration<double> age =
         context.config_confirmed_at ? context.now() - *context.config_confirmed_at : nanoseconds(0);
     context.stats.set("banyanshunt_config_age_seconds", age.count());
--- a/src/serve/host_context.hpp
+++ b/src/serve/host_context.hpp
@@ -181,6 +181,36 @@
                       servers.limits().recent_sends(server, now()));
         }
     }
+    /// Records that a server leaves, as a response to this host or a peer said.
+    void record_leaving(const server_id& server, const leaving_notice& notice)
+    {
+        if (!servers.notices().record_leaving(server, notice, now()))
+        {
+            return;
+        }
+        log.write("server_leaving", "server={} source={} born={} age_ms={}", server.str(),
+                  to_text(notice.source), notice.start_time_ms,
+                  std::chrono::floor<milliseconds>(now() - notice.stated_at).count());
+        const auto* known = servers.find(server);
+        if (known && servers.leaves(*known))
+        {
+            pool.close_idle(known->entry.address);
+        }
+        waiting.wake_all();
+        if (notice.source == notice_source::response)
+        {
+            on_server_leaving(server);
+        }
+    }
+    /// Records that a server wants no requests from this host for some time.
+    void record_pause(const server_id& server, std::int64_t start_time_ms, milliseconds length)
+    {
+        if (servers.notices().record_pause(server, start_time_ms, length, now()))
+        {
+            log.write("server_paused", "server={} born={} for_ms={}", server.str(), start_time_ms,
+                      length.count());
+        }
+    }
     shared_retry_budget& budget(const service_id& service)
     {
         return budgets
@@ -230,6 +260,8 @@
     /// Called after a response showed a change of a server's limit.
     std::function<void(const server_id&, limit_change)> on_limit_change = [](const server_id&,
                                                                              limit_change) {};
+    /// Called after a response showed that a server leaves.
+    std::function<void(const server_id&)> on_server_leaving = [](const server_id&) {};
     /// Set once this host was asked to stop.
     std::optional<planned_stop> stop;
     run_times durations{run_times_options{}};
--- a/src/serve/server_exchange.cpp
+++ b/src/serve/server_exchange.cpp
@@ -1,5 +1,7 @@
 #include "serve/server_exchange.hpp"
 
+#include <algorithm>
+
 #include <boost/asio/write.hpp>
 
 namespace banyanshunt
@@ -11,6 +13,8 @@
 /// Largest accepted response head, in bytes: twice the usual bound on request heads.
 constexpr std::uint32_t max_head_bytes = 32768;
 constexpr int first_final_status = 200;
+/// Status with which a server turns a request away and may say for how long it wants no others.
+constexpr int refused_for_load_status = 503;
 /// Interim responses, and responses to other requests, that may precede the response to a request.
 constexpr int max_skipped_responses = 16;
 /// Largest body of such a response, in bytes.
@@ -46,10 +50,12 @@
     {
         co_return exchange_state::not_sent;
     }
-    auto request = make_request();
+    // Asked for all that is sent: requests of callers, orders and calls for reports.
+    bool accepted = context_.servers.accepts(server_, start_time_ms_, context_.now());
+    auto request = accepted ? make_request() : std::nullopt;
     if (!request)
     {
-        context_.pool.release(std::move(connection_), std::nullopt);
+        release_connection(std::nullopt);
         co_return exchange_state::withheld;
     }
     context_.record_send(server_);
@@ -64,7 +70,9 @@
     }
     for (int skipped = 0; skipped <= max_skipped_responses && co_await read_head(); ++skipped)
     {
-        record_limit(id);
+        auto match = match_response(id);
+        record_limit(match);
+        record_notices(match);
         bool matches = fields_.id.empty() || fields_.id == id.str();
         bool interim = status() < first_final_status;
         if (matches && !interim)
@@ -107,16 +115,20 @@
     co_return true;
 }
 
-void server_exchange::record_limit(const request_id& id)
+response_match server_exchange::match_response(const request_id& id) const
 {
     bool interim = status() < first_final_status;
     bool matches = fields_.id.empty() || fields_.id == id.str();
     // A response without an id, and one that may come from another server at the address, does not
     // show that this server stated no limit.
     bool identified = !fields_.id.empty() && status() != platform::misdirected_status;
-    auto match = !matches || interim ? response_match::other
-                 : identified        ? response_match::exact
-                                     : response_match::unidentified;
+    return !matches || interim ? response_match::other
+           : identified        ? response_match::exact
+                               : response_match::unidentified;
+}
+
+void server_exchange::record_limit(response_match match)
+{
     auto change = context_.servers.limits().record_response(server_, start_time_ms_, fields_.limit,
                                                             match, sent_at_, received_at_);
     if (fields_.limit)
@@ -131,6 +143,42 @@
     }
 }
 
+void server_exchange::record_notices(response_match match)
+{
+    auto pause = status() == refused_for_load_status ? fields_.retry_after.value_or(milliseconds(0))
+                                                     : milliseconds(0);
+    auto count = [&](const char* name, bool stated)
+    {
+        if (stated)
+        {
+            context_.stats.increment(name, {{"match", to_text(match)}});
+        }
+    };
+    count("banyanshunt_leaving_responses_total", fields_.leaving);
+    count("banyanshunt_pause_responses_total", pause.count() > 0);
+    count("banyanshunt_malformed_server_fields_total", fields_.malformed > 0);
+    if (match == response_match::other)
+    {
+        unproven_leaving_ = unproven_leaving_ || fields_.leaving;
+        unproven_pause_ = std::max(unproven_pause_, pause);
+        return;
+    }
+    // A misdirected response may come from another server that has the address now.
+    bool made_by_server = fields_.made_by.empty() ? status() != platform::misdirected_status
+                                                  : fields_.made_by == server_;
+    if (!made_by_server)
+    {
+        return;
+    }
+    if (fields_.leaving || unproven_leaving_)
+    {
+        context_.record_leaving(server_, {.start_time_ms = start_time_ms_,
+                                          .source = notice_source::response,
+                                          .stated_at = context_.now()});
+    }
+    context_.record_pause(server_, start_time_ms_, std::max(pause, unproven_pause_));
+}
+
 task<std::string> server_exchange::read_rest()
 {
     std::string rest;
@@ -200,7 +248,20 @@
 {
     if (connection_ && !closed_ && complete() && parser_->keep_alive() && !parser_->need_eof())
     {
-        context_.pool.release(std::move(connection_), fields_.keep_alive);
+        release_connection(fields_.keep_alive);
+    }
+}
+
+void server_exchange::release_connection(std::optional<milliseconds> keep_alive)
+{
+    const auto* known = context_.servers.find(server_);
+    if (known && known->entry.start_time_ms == start_time_ms_ && !context_.servers.leaves(*known))
+    {
+        context_.pool.release(std::move(connection_), keep_alive);
+    }
+    else
+    {
+        close();
     }
 }
 
--- a/src/serve/server_exchange.hpp
+++ b/src/serve/server_exchange.hpp
@@ -80,8 +80,14 @@
     /// Reads and drops at most `max_bytes` of the body; returns whether that was all.
     task<bool> drop_body(std::size_t max_bytes);
     void on_received();
-    /// Records what the head that was just read states of the server's limit.
-    void record_limit(const request_id& id);
+    /// How surely the head that was just read is the server's newest word.
+    response_match match_response(const request_id& id) const;
+    /// Records what that head states of the server's limit.
+    void record_limit(response_match match);
+    /// Records what it states of the server's leaving, and of a time without requests.
+    void record_notices(response_match match);
+    /// Keeps the connection for reuse, unless the server leaves.
+    void release_connection(std::optional<milliseconds> keep_alive);
 
     host_context& context_;
     server_id server_;
@@ -94,6 +100,10 @@
     milliseconds servers_age_{-1};
     /// Start time of the incarnation that the request was sent to.
     std::int64_t start_time_ms_ = 0;
+    /// What heads on this connection stated before the response to the request; that shows which
+    /// server made them.
+    bool unproven_leaving_ = false;
+    milliseconds unproven_pause_{0};
     bool closed_ = false;
     /// Whether the response to the request was found; others may precede it.
     bool matched_ = false;
--- a/tests/correctness/serve_case.cpp
+++ b/tests/correctness/serve_case.cpp
@@ -192,6 +192,7 @@
         result.retry_after = response->has_header("Retry-After")
                                  ? std::stod(response->get_header_value("Retry-After"))
                                  : -1;
+        result.states_leaving = response->has_header("Server-Leaving");
     }
     return result;
 }
--- a/tests/correctness/serve_case.hpp
+++ b/tests/correctness/serve_case.hpp
@@ -47,6 +47,8 @@
         std::string body;
         /// The Retry-After field, in seconds; negative if there is none.
         double retry_after = -1;
+        /// Whether it has a Server-Leaving field.
+        bool states_leaving = false;
         std::chrono::milliseconds took{0};
     };
 
--- a/tests/stand_ins/prepared_platform.cpp
+++ b/tests/stand_ins/prepared_platform.cpp
@@ -299,6 +299,24 @@
             }
             return httplib::Server::HandlerResponse::Unhandled;
         });
+    http.set_post_routing_handler(
+        [this](const httplib::Request& call, httplib::Response& response)
+        {
+            if (call.path.rfind(notice_path.load(), 0) != 0)
+            {
+                return;
+            }
+            if (const char* leaving = stated_leaving)
+            {
+                response.set_header("Server-Leaving", leaving);
+                ++leaving_responses_;
+            }
+            const char* retry_after = stated_retry_after;
+            if (retry_after && response.status == 503)
+            {
+                response.set_header("Retry-After", retry_after);
+            }
+        });
     http.Get("/api/report",
              [this](const httplib::Request&, httplib::Response& response)
              {
@@ -322,6 +340,11 @@
         {
             auto order = json::parse(call.body);
             std::lock_guard lock(mutex_);
+            if (refuses_orders)
+            {
+                response.status = 503;
+                return;
+            }
             bool expected = order.at("expected").get<int>() == orders_.load();
             if (!expected || !order.contains("fencing_token") || !order.contains("holder"))
             {
@@ -379,6 +402,12 @@
                                .has_key = call.has_header("Authorization"),
                                .at = std::chrono::steady_clock::now()});
         }
+        if (now == fault::own_error)
+        {
+            response.headers.erase("X-Request-Id");
+            response.status = 500;
+            return;
+        }
         response.set_header("X-Server-Stamp", id_);
         if (now == fault::lose_response)
         {
@@ -445,7 +474,7 @@
                 {"slots", 4},
                 {"state", draining ? "draining" : "ready"},
                 {"cold_remaining_ms", 0},
-                {"born", 1},
+                {"born", start_time_ms.load()},
                 {"models", loaded_models},
                 {"sequence", draining ? 2 : 1},
                 {"at_hand", {{"in_memory", {"rare"}}, {"on_disk", {"rare"}}}}}
--- a/tests/stand_ins/prepared_platform.hpp
+++ b/tests/stand_ins/prepared_platform.hpp
@@ -101,6 +101,8 @@
         lose_response,
         /// Closes the connection in the middle of a stream's third event.
         break_stream,
+        /// Runs the request and responds with its own error, without the request's id.
+        own_error,
     };
 
     backend_stand_in(std::string id, std::set<std::string> models);
@@ -128,6 +130,17 @@
     std::atomic<int> event_pause_ms = 0;
     /// How long a run of a plain request takes before its response begins.
     std::atomic<int> run_ms = 0;
+    /// What its responses state as Server-Leaving, and its responses with status 503 as
+    /// Retry-After; null for nothing. Only in responses to paths that begin with `notice_path`.
+    std::atomic<const char*> stated_leaving = nullptr;
+    std::atomic<const char*> stated_retry_after = nullptr;
+    std::atomic<const char*> notice_path = "";
+    /// Refuses orders with status 503.
+    std::atomic<bool> refuses_orders = false;
+    /// Start time that its entry states; a later one is a restart under the same id.
+    std::atomic<int> start_time_ms = 1;
+    /// How many responses stated that it leaves.
+    int leaving_responses() const { return leaving_responses_; }
 
 private:
     struct server;
@@ -142,6 +155,7 @@
     std::string holder_;
     std::chrono::steady_clock::time_point ordered_at_;
     std::atomic<int> orders_ = 0;
+    std::atomic<int> leaving_responses_ = 0;
     std::unique_ptr<server> server_;
     int port_ = 0;
 };
