Tell the other hosts which servers said that they leave

A host that had no response of a leaving server sent callers' requests there until the registry or the server told it itself. Each host now tells all others at once when a response to it says so, and repeats it in its reports for 15 s: server, incarnation and age. Receivers treat it as a draining registry entry of that incarnation; they do not pass it on, so that only hosts that heard the server itself keep it alive in the fleet.

Evidence: "A server's leaving that one host saw is known to all", three hosts; on the code before, the other two go on sending.

--- a/src/serve/peer_service.cpp
+++ b/src/serve/peer_service.cpp
@@ -108,6 +108,8 @@
     : context_(context), peers_(context), shares_(context, peers_),
       limits_(context, peers_,
               [this](peers::peer_message message) { send_to_all(std::move(message)); }),
+      notices_(context, peers_,
+               [this](peers::peer_message message) { send_to_all(std::move(message)); }),
       views_(context, peers_, watcher),
       orders_(context, {.placement = [this](const server_id& server, const server_placement& it)
                         { publish_placement(server, it); },
@@ -144,6 +146,7 @@
     context_.on_config_change = [this] { shares_.update_shares(); };
     context_.on_limit_change = [this](const server_id& server, limit_change change)
     { limits_.announce(server, change); };
+    context_.on_server_leaving = [this](const server_id& server) { notices_.announce(server); };
 }
 
 peer_service::~peer_service() = default;
@@ -322,6 +325,7 @@
     }
     shares_.handle_message(host, sender, message);
     limits_.handle_message(sender, message);
+    notices_.handle_message(message);
     views_.handle_message(host, sender, message);
 }
 
@@ -444,6 +448,7 @@
     {
         shares_.fill_report(host, to, message, now);
         limits_.fill_report(message);
+        notices_.fill_report(message);
     }
     if (in_same_domain(to) || report.servers_size() > 0)
     {
@@ -466,6 +471,7 @@
     }
     shares_.fill_lendable(message, now);
     limits_.fill_report(message);
+    notices_.fill_report(message);
     send_to_domains(std::move(message));
 }
 
@@ -502,6 +508,7 @@
         context_.ledger.expire(now);
         context_.servers.expire_peer_loads(now);
         context_.servers.limits().expire(now);
+        context_.servers.expire_notices(now);
         limits_.update_granted();
         if (hosts_changed_)
         {
--- a/src/serve/peer_service.hpp
+++ b/src/serve/peer_service.hpp
@@ -10,6 +10,7 @@
 
 #include "serve/host_context.hpp"
 #include "serve/limit_manager.hpp"
+#include "serve/notice_manager.hpp"
 #include "serve/order_controller.hpp"
 #include "serve/peer_list.hpp"
 #include "serve/share_manager.hpp"
@@ -66,6 +67,7 @@
     peer_list peers_;
     share_manager shares_;
     limit_manager limits_;
+    notice_manager notices_;
     view_sync views_;
     order_controller orders_;
     instant started_;
--- a/tests/correctness/server_notices_path_test.cpp
+++ b/tests/correctness/server_notices_path_test.cpp
@@ -18,6 +18,8 @@
 constexpr auto request_gap = 30ms;
 /// From a response until all that rested on an earlier choice was sent or chosen anew.
 constexpr auto settle_time = 300ms;
+/// Datagrams between hosts on loopback arrive within milliseconds.
+constexpr auto spread_time = 500ms;
 
 std::ptrdiff_t arrivals_between(const backend_stand_in& server, steady_instant from,
                                 steady_instant until = steady_instant::max())
@@ -199,6 +201,24 @@
     CHECK(callers.all_served());
 }
 
+TEST_CASE("A server's leaving that one host saw is known to all")
+{
+    serve_case it(3);
+    REQUIRE(it.started);
+    caller callers(it, "GET", "/read/1");
+    // The other hosts get none of its responses that state it.
+    it.desk1.stated_leaving = "1";
+    for (int n = 0; n < 100 && it.desk1.leaving_responses() == 0; ++n)
+    {
+        callers.send_to(0);
+    }
+    it.desk1.stated_leaving = nullptr;
+    REQUIRE(it.desk1.leaving_responses() > 0);
+    std::this_thread::sleep_for(spread_time);
+    CHECK_FALSE(gets_requests(callers, it.desk1));
+    CHECK(callers.all_served());
+}
+
 TEST_CASE("A server that wants no requests for some time gets none until it has passed")
 {
     serve_case it;
