Show which responses are a server's word on its leaving

A response to another request and an interim one count once the response to the request follows; a misdirected one, or one that names another maker, does not.

--- a/tests/correctness/server_notices_path_test.cpp
+++ b/tests/correctness/server_notices_path_test.cpp
@@ -5,7 +5,10 @@
 
 #include <random>
 
+#include <nlohmann/json.hpp>
+
 #include "serve_case.hpp"
+#include "stand_ins/raw_server.hpp"
 
 using namespace banyanshunt;
 using namespace std::chrono_literals;
@@ -167,6 +170,73 @@
     CHECK_FALSE(gets_requests(callers, engine3));
 }
 
+TEST_CASE("A response is a server's word only if it shows that this server made it")
+{
+    serve_case it;
+    REQUIRE(it.started);
+    // A server in the place of the first one: each response is `before`, and one with `fields`.
+    std::string before;
+    std::string fields;
+    int status = 200;
+    raw_server server(
+        [&](int, int, const std::string& text)
+        {
+            auto from = text.find("X-Request-Id");
+            auto id = text.substr(from, text.find("\r\n", from) + 2 - from);
+            return raw_response{
+                .bytes =
+                    before + http_text(status, "body", id + "X-Server-Stamp: d1\r\n" + fields)};
+        });
+    const std::string stated = "Server-Leaving: 1\r\n";
+    const std::string late = http_text(200, "late", "X-Request-Id: another\r\n" + stated);
+    const std::string interim = "HTTP/1.1 103 Early Hints\r\n" + stated + "\r\n";
+    auto requests_after_the_first = [&]
+    {
+        auto entry = nlohmann::json::parse(it.desk1.registry_entry("desk"));
+        entry["address"] = server.address();
+        entry["sequence"] = 2;
+        it.store.put("keyed.servers", "d1", entry.dump());
+        caller callers(it, "GET", "/read/1");
+        REQUIRE(callers.run_until([&] { return server.requests() > 0; }));
+        callers.run(1500ms);
+        return server.requests() - 1;
+    };
+
+    SECTION("the response to another request, and then the one to its request: it leaves")
+    {
+        before = late;
+        CHECK(requests_after_the_first() == 0);
+    }
+    SECTION("an interim response, and then the one to its request: it leaves")
+    {
+        before = interim;
+        CHECK(requests_after_the_first() == 0);
+    }
+    SECTION("a misdirected response: another server has the address")
+    {
+        status = 421;
+        fields = stated;
+        CHECK(requests_after_the_first() > 0);
+    }
+    SECTION("the response to another request, and then a misdirected one")
+    {
+        before = late;
+        status = 421;
+        CHECK(requests_after_the_first() > 0);
+    }
+    SECTION("a misdirected response that names this server as its maker: it leaves")
+    {
+        status = 421;
+        fields = stated + "X-Instance-Id: d1\r\n";
+        CHECK(requests_after_the_first() == 0);
+    }
+    SECTION("a response that names another server as its maker")
+    {
+        fields = stated + "X-Instance-Id: d9\r\n";
+        CHECK(requests_after_the_first() > 0);
+    }
+}
+
 TEST_CASE("Only a restart undoes that a server leaves")
 {
     serve_case it;
