A host that shares a reader's view misses no record and no return of a server

- A view that was taken over while the host's own call was in flight moved the position that the response was numbered by: as many records as the view had brought were never read, a removal or a withdrawn key among them, and the list still counted as confirmed.
A response is now dropped if the position moved during its call.
- A server whose entry lapsed in an outage and came back unchanged was kept by the host that reads and dropped for good by the others: the record counted as no change and was not shared.
It counts as one if it cancels a removal.
- Whether the store was away was judged by when answers arrived, and old views arrive often.
It is judged by the times of the calls.

--- a/src/serve/topic_reader.cpp
+++ b/src/serve/topic_reader.cpp
@@ -281,7 +281,8 @@
 {
     instant sent_at = context_.now();
     milliseconds wait = next_wait();
-    auto call = platform::read_call(options_.topic, *next_, wait);
+    log_offset from = *next_;
+    auto call = platform::read_call(options_.topic, from, wait);
     auto response =
         co_await store_.call(call.method, call.target, call.body, wait + response_timeout());
     if (!response)
@@ -302,7 +303,12 @@
     {
         co_return false;
     }
-    auto page = platform::parse_records(response->body, *next_);
+    if (*next_ != from)
+    {
+        // What another host has read was taken over meanwhile; the next call goes on from there.
+        co_return true;
+    }
+    auto page = platform::parse_records(response->body, from);
     if (!page)
     {
         context_.log.write("store_answer_bad", "topic={} detail=\"{}\"", options_.topic,
@@ -332,14 +338,15 @@
 
 void topic_reader::record_response(instant confirmed)
 {
-    instant now = context_.now();
+    // By the times of the calls: what another host has read may arrive often and be old.
+    bool after_outage = responded_at_ && confirmed - confirmed_at_ > store_outage_threshold;
     confirmed_at_ = std::max(confirmed_at_, confirmed);
     missed_records_ = false;
-    if (responded_at_ && now - *responded_at_ > store_outage_threshold)
+    if (after_outage)
     {
         handlers_.recovered();
     }
-    responded_at_ = now;
+    responded_at_ = context_.now();
 }
 
 state_watcher::state_watcher(host_context& context)
@@ -443,7 +450,7 @@
                            parsed.error().detail);
         return false;
     }
-    deferred_removals_.erase(id);
+    bool removal_cancelled = deferred_removals_.erase(id) > 0;
     const auto* known = context_.servers.find(id);
     if (known && known->entry.sequence <= parsed->sequence)
     {
@@ -452,7 +459,8 @@
         refreshed.sequence = parsed->sequence;
         if (refreshed == *parsed && !known->removed)
         {
-            return false;
+            // Hosts that take over what this one reads have deferred the removal as well.
+            return removal_cancelled;
         }
     }
     bool restarted = known && known->entry.start_time_ms != parsed->start_time_ms;
