A request that was given up does not reach its server later

Found by review, by reading: closing a connection lets the kernel go on sending what is not acknowledged, for up to 3 s. An order over a link that was cut could reach its engine after its host had released it, within the next owner's lease, and a request after its caller had left. An exchange that ends early resets its connection. Its silence counts from its begin, not from an unset time, which closed attempts that were still connecting after 250 ms.

--- a/src/serve/server_exchange.cpp
+++ b/src/serve/server_exchange.cpp
@@ -45,6 +45,7 @@
         co_return exchange_state::not_sent;
     }
     start_time_ms_ = known->entry.start_time_ms;
+    received_at_ = context_.now();
     connection_ = co_await context_.pool.acquire(known->entry.address);
     if (!connection_ || closed_)
     {
@@ -271,6 +272,8 @@
     if (connection_)
     {
         boost::system::error_code ec;
+        // Resets the connection: bytes that are not acknowledged yet must not arrive later.
+        connection_->stream.socket().set_option(asio::socket_base::linger(true, 0), ec);
         connection_->stream.socket().close(ec);
     }
 }
