A stopping host weighs a refusal against a cut, by all runs of the last 30 s

A caller has one repeat, and in such a row it may come to another host that stops.

Until the balancer has noticed the stop, a request is begun if nine in ten of the recent runs, scaled to its size, could end; after that, if all could. The host leaves its group beside the wait, so that a slow store cannot hold up the end of its requests beyond the grace period.

--- a/src/coordination/run_times.cpp
+++ b/src/coordination/run_times.cpp
@@ -1,6 +1,8 @@
 #include "coordination/run_times.hpp"
 
 #include <algorithm>
+#include <cmath>
+#include <vector>
 
 namespace banyanshunt
 {
@@ -8,7 +10,7 @@
 void run_times::append(run_list& to, const ended_run& run) const
 {
     to.push_back(run);
-    if (to.size() > options_.max_runs)
+    while (to.size() > options_.max_runs || run.at - to.front().at > options_.window)
     {
         to.pop_front();
     }
@@ -31,46 +33,46 @@
                                                   { return now - it.at <= options_.window; }));
 }
 
-std::optional<nanoseconds> run_times::longest(const service_id& service, const model_id& model,
-                                              millitokens output, instant now) const
+std::optional<nanoseconds> run_times::bound(const service_id& service, const model_id& model,
+                                            millitokens output, double covered, instant now) const
 {
     auto of_model = by_model_.find(model);
     if (of_model != by_model_.end() && count_recent(of_model->second, now) >= options_.min_runs)
     {
-        return longest_of(of_model->second, output, now);
+        return bound_of(of_model->second, output, covered, now);
     }
     auto of_service = by_service_.find(service);
-    if (of_service == by_service_.end() || count_recent(of_service->second, now) == 0)
+    if (of_service == by_service_.end() ||
+        count_recent(of_service->second, now) == 0)
     {
         return std::nullopt;
     }
-    return longest_of(of_service->second, output, now);
+    return bound_of(of_service->second, output, covered, now);
 }
 
-nanoseconds run_times::longest_of(const run_list& runs, millitokens output, instant now) const
+nanoseconds run_times::bound_of(const run_list& runs, millitokens output, double covered,
+                                instant now) const
 {
-    nanoseconds first(0);
-    nanoseconds unsized(0);
-    double pace = 0;
+    std::vector<double> scaled;
     for (const auto& it : runs)
     {
         if (now - it.at > options_.window)
         {
             continue;
         }
-        first = std::max(first, it.duration.first);
-        unsized = std::max(unsized, it.duration.rest);
-        if (it.duration.output.count() > 0)
-        {
-            pace = std::max(pace, static_cast<double>(it.duration.rest.count()) /
-                                      static_cast<double>(it.duration.output.count()));
-        }
+        const auto& run = it.duration;
+        // A request without a stated size is taken to be as long as this run.
+        bool sized = output.count() > 0 && run.output.count() > 0;
+        double factor =
+            sized ? static_cast<double>(output.count()) / static_cast<double>(run.output.count())
+                  : 1;
+        scaled.push_back(static_cast<double>(run.first.count()) +
+                         factor * static_cast<double>(run.rest.count()));
     }
-    // A request without a stated size is taken to be as long as the longest.
-    double rest = output.count() > 0 && pace > 0 ? pace * static_cast<double>(output.count())
-                                                 : static_cast<double>(unsized.count());
-    double sum = options_.reserve * (static_cast<double>(first.count()) + rest);
-    return std::chrono::duration_cast<nanoseconds>(std::chrono::duration<double, std::nano>(sum));
+    std::sort(scaled.begin(), scaled.end());
+    auto rank = static_cast<std::size_t>(std::ceil(covered * static_cast<double>(scaled.size())));
+    double length = scaled.at(std::clamp<std::size_t>(rank, 1, scaled.size()) - 1);
+    return nanoseconds(static_cast<std::int64_t>(options_.reserve * length));
 }
 
 } // namespace banyanshunt
--- a/src/coordination/run_times.hpp
+++ b/src/coordination/run_times.hpp
@@ -24,12 +24,12 @@
     /// Runs that ended earlier than this no longer count: the load of an engine changes within
     /// seconds, and a rare model is requested every few seconds.
     milliseconds window{30000};
-    /// The newest runs that are kept for each model and service; at 900 models this is about a
-    /// megabyte.
-    std::size_t max_runs = 24;
+    /// The newest runs that are kept for each model and service: more than a host of the largest
+    /// deployment completes for one service in the window, 5 to 10 a second.
+    std::size_t max_runs = 512;
     /// Fewer runs of one model than this do not bound the next; those of its service count then.
     std::size_t min_runs = 8;
-    /// How much longer than the longest recent run a request may take, as a factor: a step of an
+    /// How much longer than such a run a request may take, as a factor: a step of an
     /// engine with a full batch takes a quarter longer than one with a half-full batch.
     double reserve = 1.25;
 };
@@ -53,10 +53,10 @@
     /// Records a run of a model, or of a plain service if `model` is empty.
     void record(const service_id& service, const model_id& model, const run_duration& run,
                 instant now);
-    /// The longest time that a request with this output limit may take, by the longest wait for a
-    /// first byte and the slowest pace among the recent runs. Empty if none is known.
-    std::optional<nanoseconds> longest(const service_id& service, const model_id& model,
-                                       millitokens output, instant now) const;
+    /// How long a request with this output limit may take: no more than that in `covered` of the
+    /// recent runs, a fraction, scaled to its size. Empty if no run is known.
+    std::optional<nanoseconds> bound(const service_id& service, const model_id& model,
+                                     millitokens output, double covered, instant now) const;
 
 private:
     struct ended_run
@@ -66,9 +66,11 @@
     };
     using run_list = std::deque<ended_run>;
 
+    /// Appends a run, and drops those that no longer count.
     void append(run_list& to, const ended_run& run) const;
     std::size_t count_recent(const run_list& runs, instant now) const;
-    nanoseconds longest_of(const run_list& runs, millitokens output, instant now) const;
+    nanoseconds bound_of(const run_list& runs, millitokens output, double covered,
+                         instant now) const;
 
     run_times_options options_;
     std::map<model_id, run_list> by_model_;
--- a/src/serve/active_request.cpp
+++ b/src/serve/active_request.cpp
@@ -194,12 +194,11 @@
     context_.log.write(
         "stop_request",
         "request={} verdict={} since_stop_ms={} grace_left_ms={} deadline_left_ms={} "
-        "longest_run_ms={} model={}{}{} output_tokens={}",
+        "run_bound_ms={} model={}{}{} output_tokens={}",
         fields_.id.str(), verdict, to_ms(arrived_ - context_.stop->requested_at()),
         to_ms(context_.stop->deadline() - context_.now()), remaining().count(),
-        longest_run() ? to_ms(*longest_run()) : -1,
-        fields_.model.empty() ? "-" : fields_.model.str(), fields_.adapter.empty() ? "" : "/",
-        fields_.adapter.str(), fields_.output_tokens);
+        run_bound() ? to_ms(*run_bound()) : -1, fields_.model.empty() ? "-" : fields_.model.str(),
+        fields_.adapter.empty() ? "" : "/", fields_.adapter.str(), fields_.output_tokens);
 }
 
 void active_request::record_cut()
@@ -385,13 +384,14 @@
         // What remains of a stream is unknown; its caller is no worse off if it ends later.
         return context_.stop->deadline();
     }
-    return context_.stop->latest_start(longest_run(), deadline_);
+    return context_.stop->latest_start(run_bound(), deadline_);
 }
 
-std::optional<nanoseconds> active_request::longest_run() const
+std::optional<nanoseconds> active_request::run_bound() const
 {
-    return context_.durations.longest(service_, fields_.model, tokens(fields_.output_tokens),
-                                      context_.now());
+    instant now = context_.now();
+    return context_.durations.bound(service_, fields_.model, tokens(fields_.output_tokens),
+                                    context_.stop->coverage(now), now);
 }
 
 bool active_request::ends_before_stop(milliseconds expected_wait) const
--- a/src/serve/serving_host.cpp
+++ b/src/serve/serving_host.cpp
@@ -135,7 +135,8 @@
     {
         context.stop.emplace(planned_stop_options{.requested_at = context.now(),
                                                   .grace = context.settings.bounds.stop_grace,
-                                                  .margin = stop_margin});
+                                                  .margin = stop_margin,
+                                                  .balancer_delay = balancer_detection_time});
         asio::co_spawn(loop, stop(), asio::detached);
     }
 }
@@ -143,15 +144,22 @@
 task<void> serving_host::impl::stop()
 {
     context.log.write("stop_begun", "requests_open={}", context.open_requests.size());
-    // Before the wait: nothing may suspend between the last look at open requests and the end of
-    // the loop, which cuts those that are open.
-    co_await peers.leave();
+    // Beside the wait, as a slow store may take longer than the grace period. Nothing may suspend
+    // between the last look at open requests and the end of the loop, which cuts those that are
+    // open.
+    auto left = std::make_shared<bool>(false);
+    asio::co_spawn(
+        loop,
+        [](impl& it, std::shared_ptr<bool> done) -> task<void>
+        {
+            co_await it.peers.leave();
+            *done = true;
+        }(*this, left),
+        asio::detached);
     while (context.now() < context.stop->deadline())
     {
-        bool balancer_may_send =
-            context.now() - context.stop->requested_at() < balancer_detection_time;
         bool idle = context.open_requests.empty() && context.requests_arriving == 0;
-        if (!balancer_may_send && idle)
+        if (idle && *left && !context.stop->balancer_may_send(context.now()))
         {
             break;
         }
