Soak servers that leave by their responses alone, and pauses under load

Servers say Server-Leaving while their entries say ready, and are restarted under their id and address; others refuse with a Retry-After of 0.2 to 3 s. Two checks from what servers received and callers got: no request that a caller sent 2 s after a host had passed on such a response reaches that incarnation from that host; at most two requests reach a server from a host in a pause, after its first 0.5 s. A disturbance of that host, or of the link for pauses, excuses it. Orders and calls for reports are not counted, as they carry no id that names their host.

--- a/tests/soak/shunt_soak.cpp
+++ b/tests/soak/shunt_soak.cpp
@@ -43,10 +43,10 @@
 {
 public:
     explicit soak_run(std::uint64_t seed, const std::string& folder)
-        : random_(seed), fleet_({.program = FLAGS_program,
-                                 .directory = folder,
-                                 .address_block = FLAGS_block,
-                                 .hosts = FLAGS_hosts})
+        : random_(seed), notice_random_(seed), fleet_({.program = FLAGS_program,
+                                                       .directory = folder,
+                                                       .address_block = FLAGS_block,
+                                                       .hosts = FLAGS_hosts})
     {
         history_.planned_only = seed % planned_interval == 0;
     }
@@ -65,6 +65,10 @@
         {
             restart_ended();
             history_.planned_only ? run_planned_work() : inject_fault();
+            if (!history_.planned_only && notice_random_() % 2 == 0)
+            {
+                change_notice();
+            }
             std::this_thread::sleep_for(std::chrono::milliseconds(draw(900)));
         }
         heal();
@@ -88,6 +92,10 @@
     {
         return fleet_.hosts[static_cast<std::size_t>(draw(FLAGS_hosts))];
     }
+    std::size_t index_of(const soak_fleet::host& it) const
+    {
+        return static_cast<std::size_t>(&it - fleet_.hosts.data());
+    }
     std::size_t any_backend()
     {
         return static_cast<std::size_t>(draw(static_cast<int>(fleet_.backends.size())));
@@ -101,15 +109,27 @@
         {
             if (fleet_.reap(it))
             {
-                history_.host_disturbances.push_back(std::chrono::steady_clock::now());
+                record_disturbance(it);
                 fleet_.start(it);
             }
         }
     }
 
+    void record_disturbance(const soak_fleet::host& it)
+    {
+        history_.host_disturbances.push_back(
+            {.host = index_of(it), .at = std::chrono::steady_clock::now()});
+    }
+
+    void record_link(std::size_t backend, bool faulty)
+    {
+        history_.link_changes.push_back(
+            {.backend = backend, .at = std::chrono::steady_clock::now(), .faulty = faulty});
+    }
+
     void signal(const soak_fleet::host& it, int number)
     {
-        history_.host_disturbances.push_back(std::chrono::steady_clock::now());
+        record_disturbance(it);
         fleet_.signal(it, number);
     }
 
@@ -120,6 +140,50 @@
             {.backend = backend, .at = std::chrono::steady_clock::now(), .per_second = per_second});
     }
 
+    /// A server begins to say in its responses that it leaves or that it wants no requests, or
+    /// ends that: the one by a restart under its id and address. At most one plain server and one
+    /// engine leave at a time, so that requests can be served.
+    void change_notice()
+    {
+        auto n = static_cast<std::size_t>(notice_random_() % fleet_.backends.size());
+        auto& backend = *fleet_.backends[n];
+        if (notice_random_() % 2 == 0)
+        {
+            bool paused = backend.stated_retry_after != nullptr;
+            log_fault(paused ? "a server wants requests" : "a server wants no requests");
+            const char* lengths[] = {"0.2", "1.5", "3"};
+            backend.stated_retry_after = paused ? nullptr : lengths[notice_random_() % 3];
+            backend.active_fault =
+                paused ? backend_stand_in::fault::none : backend_stand_in::fault::full;
+            return;
+        }
+        if (backend.stated_leaving != nullptr)
+        {
+            restart_backend(n);
+            return;
+        }
+        bool engine = n >= 2;
+        bool another_leaves = false;
+        for (std::size_t other = engine ? 2 : 0; other < (engine ? fleet_.backends.size() : 2);
+             ++other)
+        {
+            another_leaves = another_leaves || fleet_.backends[other]->stated_leaving != nullptr;
+        }
+        if (!another_leaves)
+        {
+            log_fault("a server leaves, by its responses alone");
+            backend.stated_leaving = "1";
+        }
+    }
+
+    void restart_backend(std::size_t n)
+    {
+        log_fault("a server that left is back under its id");
+        fleet_.backends[n]->stated_leaving = nullptr;
+        ++fleet_.backends[n]->start_time_ms;
+        fleet_.announce(n);
+    }
+
     void run_planned_work()
     {
         switch (draw(3))
@@ -160,7 +224,8 @@
     void inject_fault()
     {
         auto& it = any_host();
-        auto& backend_proxy = *fleet_.backend_proxies[any_backend()];
+        auto linked = any_backend();
+        auto& backend_proxy = *fleet_.backend_proxies[linked];
         auto& backend = *fleet_.backends[any_backend()];
         using fault = loopback_proxy::fault;
         switch (draw(13))
@@ -198,15 +263,20 @@
             const fault faults[] = {fault::none, fault::none, fault::delay, fault::drop_requests,
                                     fault::drop_responses};
             log_fault("link to a server");
-            backend_proxy.set_fault(faults[draw(5)]);
+            auto kind = faults[draw(5)];
+            record_link(linked, kind != fault::none);
+            backend_proxy.set_fault(kind);
             break;
         }
         case 7:
             log_fault("connections to a server reset");
+            record_link(linked, false);
             backend_proxy.reset_all();
             break;
         case 8:
             log_fault("connections to a server blackholed");
+            // New connections work.
+            record_link(linked, false);
             backend_proxy.blackhole_all();
             break;
         case 9:
@@ -249,12 +319,15 @@
             signal(it, SIGCONT);
             it.paused = false;
         }
-        for (auto& it : fleet_.backend_proxies)
-        {
-            it->set_fault(loopback_proxy::fault::none);
-        }
         for (std::size_t n = 0; n < fleet_.backends.size(); ++n)
         {
+            fleet_.backend_proxies[n]->set_fault(loopback_proxy::fault::none);
+            record_link(n, false);
+            fleet_.backends[n]->stated_retry_after = nullptr;
+            if (fleet_.backends[n]->stated_leaving != nullptr)
+            {
+                restart_backend(n);
+            }
             fleet_.backends[n]->active_fault = backend_stand_in::fault::none;
             if (fleet_.backends[n]->stated_limit >= 0)
             {
@@ -266,6 +339,8 @@
     }
 
     std::mt19937_64 random_;
+    /// Of its own, so that a seed gives the same sequence of the other faults as before.
+    std::mt19937_64 notice_random_;
     soak_fleet fleet_;
     soak_history history_;
     std::size_t calls_ = 0;
--- a/tests/soak/soak_checks.cpp
+++ b/tests/soak/soak_checks.cpp
@@ -26,6 +26,12 @@
 constexpr std::chrono::seconds starvation_min_span{8};
 constexpr double starvation_allowed = 1;
 constexpr double starvation_allowed_ratio = 0.1;
+/// The hosts' setting of the required bound on requests to a server that is known to leave.
+constexpr std::chrono::milliseconds drain_bound{2000};
+/// What the required bound on requests in a pause allows: how long after its statement requests
+/// may still arrive, and how many afterwards.
+constexpr std::chrono::milliseconds pause_grace{500};
+constexpr std::ptrdiff_t max_sends_in_pause = 2;
 constexpr const char* complete_stream = "id: 1\ndata: token1\n\nid: 2\ndata: token2\n\n"
                                         "id: 3\ndata: token3\n\nid: 4\ndata: token4\n\n"
                                         "id: 5\ndata: token5\n\n";
@@ -185,7 +191,7 @@
     auto disturbed = [&](steady_instant from, steady_instant until)
     {
         return std::any_of(history.host_disturbances.begin(), history.host_disturbances.end(),
-                           [&](steady_instant at) { return at >= from && at <= until; });
+                           [&](const auto& it) { return it.at >= from && it.at <= until; });
     };
     for (std::size_t n = 0; n < history.limits.size(); ++n)
     {
@@ -222,6 +228,124 @@
     }
 }
 
+using calls_by_id = std::map<std::string, const call_record*>;
+
+bool host_disturbed(const soak_history& history, std::size_t host, steady_instant from,
+                    steady_instant until)
+{
+    return std::any_of(history.host_disturbances.begin(), history.host_disturbances.end(),
+                       [&](const auto& it)
+                       { return it.host == host && it.at >= from && it.at <= until; });
+}
+
+/// Whether the link to the server was faulty at any time of a range.
+bool link_disturbed(const soak_history& history, std::size_t backend, steady_instant from,
+                    steady_instant until)
+{
+    bool faulty_before = false;
+    for (const auto& it : history.link_changes)
+    {
+        if (it.backend == backend && it.at < from)
+        {
+            faulty_before = it.faulty;
+        }
+        else if (it.backend == backend && it.at <= until)
+        {
+            return true;
+        }
+    }
+    return faulty_before;
+}
+
+/// Requests that a caller sent to a host later than the bound after the host had passed on a
+/// response in which the server said that it leaves, and that reached the same incarnation.
+void check_leaving(const calls_by_id& calls, const soak_fleet& fleet, const soak_history& history,
+                   std::vector<std::string>& violations)
+{
+    for (std::size_t n = 0; n < fleet.backends.size(); ++n)
+    {
+        struct passed_on
+        {
+            steady_instant stated;
+            steady_instant passed;
+        };
+        // By host and incarnation, the first such response that reached a caller.
+        std::map<std::pair<std::size_t, int>, passed_on> known;
+        auto responses = fleet.backends[n]->responses();
+        for (const auto& it : responses)
+        {
+            auto call = calls.find(it.id);
+            if (!it.leaving || call == calls.end() || call->second->status != 200)
+            {
+                continue;
+            }
+            auto [first, is_new] =
+                known.try_emplace({call->second->host, it.start_time_ms},
+                                  passed_on{.stated = it.at, .passed = call->second->ended});
+            if (!is_new && call->second->ended < first->second.passed)
+            {
+                first->second = {.stated = it.at, .passed = call->second->ended};
+            }
+        }
+        for (const auto& it : responses)
+        {
+            auto call = calls.find(it.id);
+            auto host = call == calls.end() ? 0 : call->second->host;
+            auto left = known.find({host, it.start_time_ms});
+            if (call != calls.end() && left != known.end() &&
+                call->second->sent > left->second.passed + drain_bound &&
+                !host_disturbed(history, host, left->second.stated, it.at))
+            {
+                violations.push_back(
+                    fmt::format("{}: reached server {} from host {}, which had passed on that the "
+                                "server leaves",
+                                it.id, n, host));
+            }
+        }
+    }
+}
+
+/// Pauses that a server stated to a host in which the host sent it more requests than allowed.
+void check_pauses(const calls_by_id& calls, const soak_fleet& fleet, const soak_history& history,
+                  std::vector<std::string>& violations)
+{
+    for (std::size_t n = 0; n < fleet.backends.size(); ++n)
+    {
+        auto responses = fleet.backends[n]->responses();
+        for (auto stated = responses.begin(); stated != responses.end(); ++stated)
+        {
+            auto call = calls.find(stated->id);
+            if (stated->pause <= pause_grace || call == calls.end())
+            {
+                continue;
+            }
+            auto host = call->second->host;
+            auto until = stated->at + stated->pause;
+            if (host_disturbed(history, host, stated->at, until) ||
+                link_disturbed(history, n, stated->at - pause_grace, until))
+            {
+                continue;
+            }
+            auto sent = std::count_if(responses.begin(), responses.end(),
+                                      [&](const auto& it)
+                                      {
+                                          auto its_call = calls.find(it.id);
+                                          return its_call != calls.end() &&
+                                                 its_call->second->host == host &&
+                                                 it.start_time_ms == stated->start_time_ms &&
+                                                 it.at > stated->at + pause_grace && it.at < until;
+                                      });
+            if (sent > max_sends_in_pause)
+            {
+                violations.push_back(
+                    fmt::format("server {} got {} requests from host {} in {} ms in which it "
+                                "wanted none",
+                                n, sent, host, stated->pause.count()));
+            }
+        }
+    }
+}
+
 void check_recovery(const std::vector<call_record>& calls, const soak_history& history,
                     std::vector<std::string>& violations)
 {
@@ -259,6 +383,13 @@
     check_rate(calls, runs, violations);
     check_starvation(calls, violations);
     check_limits(fleet, history, violations);
+    calls_by_id by_id;
+    for (const auto& call : calls)
+    {
+        by_id.emplace(call.id, &call);
+    }
+    check_leaving(by_id, fleet, history, violations);
+    check_pauses(by_id, fleet, history, violations);
     check_recovery(calls, history, violations);
     for (const auto& it : fleet.backends)
     {
--- a/tests/soak/soak_checks.hpp
+++ b/tests/soak/soak_checks.hpp
@@ -20,6 +20,21 @@
     double per_second = -1;
 };
 
+/// When a host was started, stopped, killed, paused or resumed.
+struct host_disturbance
+{
+    std::size_t host = 0;
+    steady_instant at;
+};
+
+/// A change of the link between all hosts and a backend server: a fault of it, or its end.
+struct link_change
+{
+    std::size_t backend = 0;
+    steady_instant at;
+    bool faulty = false;
+};
+
 struct soak_history
 {
     /// When each withdrawn key was removed from the configuration.
@@ -28,8 +43,9 @@
     steady_instant recovered;
     /// The limits that backend servers stated, in order.
     std::vector<stated_limit> limits;
-    /// When a host was started, stopped, killed, paused or resumed.
-    std::vector<steady_instant> host_disturbances;
+    std::vector<host_disturbance> host_disturbances;
+    /// In order.
+    std::vector<link_change> link_changes;
     /// Whether the run had planned work only: stops, reloads and configuration changes.
     bool planned_only = false;
 };
--- a/tests/soak/soak_fleet.cpp
+++ b/tests/soak/soak_fleet.cpp
@@ -50,7 +50,10 @@
         backends.back()->announced_address = backend_proxies.back()->address();
     }
     configure({"key-1", "key-2"});
-    announce();
+    for (std::size_t n = 0; n < backends.size(); ++n)
+    {
+        announce(n);
+    }
     for (int n = 0; n < options_.hosts; ++n)
     {
         host it;
@@ -75,14 +78,11 @@
     }
 }
 
-void soak_fleet::announce()
+void soak_fleet::announce(std::size_t backend)
 {
-    for (std::size_t n = 0; n < backends.size(); ++n)
-    {
-        bool engine = n >= 2;
-        store.put("keyed.servers", (engine ? "e" : "d") + std::to_string(n),
-                  backends[n]->registry_entry(engine ? "models" : "desk"));
-    }
+    bool engine = backend >= 2;
+    store.put("keyed.servers", (engine ? "e" : "d") + std::to_string(backend),
+              backends[backend]->registry_entry(engine ? "models" : "desk"));
 }
 
 void soak_fleet::configure(const std::vector<std::string>& clinic_keys)
--- a/tests/soak/soak_fleet.hpp
+++ b/tests/soak/soak_fleet.hpp
@@ -54,6 +54,9 @@
     /// Publishes the next configuration: the clinics' keys, and the rates of both workspaces.
     void configure(const std::vector<std::string>& clinic_keys);
 
+    /// Publishes the registry entry of a server again, after a restart of it.
+    void announce(std::size_t backend);
+
     static constexpr int caller_port = 18221;
     static constexpr int ready_port = 18224;
     /// The rate and burst, in requests, of the workspace whose callers exceed them several times.
@@ -66,8 +69,6 @@
     std::vector<host> hosts;
 
 private:
-    void announce();
-
     fleet_options options_;
     int version_ = 0;
 };
--- a/tests/stand_ins/prepared_platform.cpp
+++ b/tests/stand_ins/prepared_platform.cpp
@@ -1,6 +1,9 @@
 #include "stand_ins/prepared_platform.hpp"
 
 #include <chrono>
+#include <cmath>
+#include <cstdlib>
+#include <string_view>
 #include <thread>
 
 #include <httplib.h>
@@ -302,20 +305,27 @@
     http.set_post_routing_handler(
         [this](const httplib::Request& call, httplib::Response& response)
         {
-            if (call.path.rfind(notice_path.load(), 0) != 0)
-            {
-                return;
-            }
-            if (const char* leaving = stated_leaving)
+            bool states_notices = call.path.rfind(notice_path.load(), 0) == 0;
+            const char* leaving = states_notices ? stated_leaving.load() : nullptr;
+            const char* retry_after =
+                states_notices && response.status == 503 ? stated_retry_after.load() : nullptr;
+            given_response given{.id = call.get_header_value("X-Request-Id"),
+                                 .at = std::chrono::steady_clock::now(),
+                                 .start_time_ms = start_time_ms,
+                                 .leaving = leaving && std::string_view(leaving) == "1"};
+            if (leaving)
             {
                 response.set_header("Server-Leaving", leaving);
                 ++leaving_responses_;
             }
-            const char* retry_after = stated_retry_after;
-            if (retry_after && response.status == 503)
+            if (retry_after)
             {
                 response.set_header("Retry-After", retry_after);
+                given.pause = std::chrono::milliseconds(
+                    std::lround(1000 * std::strtod(retry_after, nullptr)));
             }
+            std::lock_guard lock(mutex_);
+            responses_.push_back(std::move(given));
         });
     http.Get("/api/report",
              [this](const httplib::Request&, httplib::Response& response)
@@ -493,6 +503,12 @@
     return arrivals_;
 }
 
+std::vector<given_response> backend_stand_in::responses() const
+{
+    std::lock_guard lock(mutex_);
+    return responses_;
+}
+
 std::vector<served_request> backend_stand_in::served() const
 {
     std::lock_guard lock(mutex_);
--- a/tests/stand_ins/prepared_platform.hpp
+++ b/tests/stand_ins/prepared_platform.hpp
@@ -88,6 +88,19 @@
     std::chrono::steady_clock::time_point at = {};
 };
 
+/// A response of a backend server, and what it stated of the server.
+struct given_response
+{
+    /// Id of the request; empty for orders and calls for a report.
+    std::string id;
+    std::chrono::steady_clock::time_point at;
+    /// The incarnation that gave it.
+    int start_time_ms = 0;
+    bool leaving = false;
+    /// For how long the server wants no requests; 0 if the response did not say so.
+    std::chrono::milliseconds pause{0};
+};
+
 /// A model engine, or a plain service if it has no model.
 class backend_stand_in
 {
@@ -113,6 +126,7 @@
     std::vector<served_request> served() const;
     /// When requests, orders and calls for a report arrived, also those that it refused.
     std::vector<std::chrono::steady_clock::time_point> arrivals() const;
+    std::vector<given_response> responses() const;
     int orders() const { return orders_; }
     /// The errors in the orders received: fencing numbers that decreased, holders that changed
     /// within `lease_duration`, more models than fit.
@@ -150,6 +164,7 @@
     std::set<std::string> models_;
     std::vector<served_request> served_;
     std::vector<std::chrono::steady_clock::time_point> arrivals_;
+    std::vector<given_response> responses_;
     std::vector<std::string> order_errors_;
     std::int64_t fence_ = 0;
     std::string holder_;
