--- a/src/coordination/run_times.cpp
+++ b/src/coordination/run_times.cpp
@@ -42,8 +42,7 @@
         return bound_of(of_model->second, output, covered, now);
     }
     auto of_service = by_service_.find(service);
-    if (of_service == by_service_.end() ||
-        count_recent(of_service->second, now) == 0)
+    if (of_service == by_service_.end() || count_recent(of_service->second, now) == 0)
     {
         return std::nullopt;
     }
--- a/tests/correctness/run_times_test.cpp
+++ b/tests/correctness/run_times_test.cpp
@@ -23,8 +23,7 @@
     const service_id engines("engines");
     const service_id desk("desk");
     const model_id busy("busy");
-    run_times it(
-        {.window = 30s, .max_runs = 3, .min_runs = 2, .reserve = 1});
+    run_times it({.window = 30s, .max_runs = 3, .min_runs = 2, .reserve = 1});
 
     SECTION("nothing is known of a service without runs")
     {
@@ -71,8 +70,7 @@
     }
     SECTION("a bound may leave out the longest runs")
     {
-        run_times all(
-            {.window = 30s, .max_runs = 10, .min_runs = 1, .reserve = 1});
+        run_times all({.window = 30s, .max_runs = 10, .min_runs = 1, .reserve = 1});
         for (int n = 1; n <= 10; ++n)
         {
             all.record(engines, busy, stream_of(100, 0ms, n * 100ms), start);
@@ -97,8 +95,7 @@
     }
     SECTION("a request may take longer than the longest before it")
     {
-        run_times with_reserve(
-            {.window = 30s, .max_runs = 3, .min_runs = 1, .reserve = 1.25});
+        run_times with_reserve({.window = 30s, .max_runs = 3, .min_runs = 1, .reserve = 1.25});
         with_reserve.record(engines, busy, stream_of(100, 0ms, 1s), start);
         CHECK(with_reserve.bound(engines, busy, tokens(200), 1, start) == 2500ms);
     }
