--- a/tests/correctness/server_notices_path_test.cpp
+++ b/tests/correctness/server_notices_path_test.cpp
@@ -371,6 +371,7 @@
     REQUIRE(it.started);
     // Only the first engine can load the model.
     it.store.put("keyed.servers", "e2", "");
+    std::this_thread::sleep_for(settle_time);
     it.engine1.refuses_orders = true;
     it.engine1.stated_retry_after = "3";
     caller callers(it, "POST", "/guide/1", "rare");
