Only as many hosts as the engines need are members of the group that orders them

The cost grew with the hosts alone.

Cause: every host joined the group. Now every host computes the members from its list of hosts (order_membership): one for six engines, two in each failure domain at least, no more than partitions. A member that dies is not replaced while half of them live, as each join moves engines of others, which then get no orders for up to a lease; hosts that rank far lower resign.

An order in flight when its partition is given up was no longer counted once its response came between the hand-over and the release record, so the release could state too short a wait.

Ruled out: leaving out joins of hosts without partitions only (each join of one more host moves partitions, so hosts cannot try). share_owners became host_ranking, which both duties use.

--- a/src/serve/order_controller.cpp
+++ b/src/serve/order_controller.cpp
@@ -22,6 +22,8 @@
 /// How often per lease a member renews its membership, so that one lost call does not end it.
 constexpr int joins_per_lease = 4;
 constexpr milliseconds store_timeout{1000};
+/// How often a host that is no member checks whether it should be one.
+constexpr milliseconds membership_recheck{500};
 /// After an outage hosts join one by one, and the first is assigned partitions that move on within
 /// this time.
 constexpr milliseconds assignment_settle_time{300};
@@ -44,8 +46,8 @@
 
 } // namespace
 
-order_controller::order_controller(host_context& context, publisher publish)
-    : context_(context), publish_(std::move(publish)),
+order_controller::order_controller(host_context& context, fleet_link link)
+    : context_(context), link_(std::move(link)),
       // Stable across restarts, so that the group assigns this host the partitions it had.
       member_(context.settings.name.str()), store_(context.settings.log.address),
       membership_timer_(context.executor), store_load_refilled_at_(context.now())
@@ -73,6 +75,16 @@
 {
     while (!leaving_)
     {
+        if (!should_be_member())
+        {
+            if (generation_ != 0)
+            {
+                co_await resign();
+            }
+            membership_timer_.expires_after(membership_recheck);
+            co_await membership_timer_.async_wait(as_result);
+            continue;
+        }
         bool joined = co_await join();
         if (joined != is_member_)
         {
@@ -95,6 +107,74 @@
     membership_ended_ = true;
 }
 
+std::size_t order_controller::member_count(const std::vector<known_host>& hosts) const
+{
+    std::size_t engines = 0;
+    for (const auto& [server, known] : context_.servers.servers())
+    {
+        engines += !known.removed && engine_of(server) ? 1U : 0U;
+    }
+    std::set<domain_id> domains;
+    for (const auto& host : hosts)
+    {
+        domains.insert(host.it.domain);
+    }
+    return order_member_count(engines, domains.size(),
+                              static_cast<std::size_t>(context_.settings.log.partitions));
+}
+
+bool order_controller::should_be_member() const
+{
+    auto hosts = link_.hosts();
+    return !hosts.empty() &&
+           is_order_member(context_.settings.name, hosts, member_count(hosts), generation_ != 0);
+}
+
+std::map<int, order_controller::held_partition> order_controller::give_up_engines()
+{
+    instant next_owner_at = context_.now() + takeover_expiry(terms());
+    for (auto& [server, held] : owned_engines_)
+    {
+        publish_pending(server, *held, next_owner_at);
+        context_.servers.remove_owner(server);
+        held->ended = true;
+        held->wake_timer.cancel();
+    }
+    // From here on this host's own requests go to the next owners.
+    owned_engines_.clear();
+    listed_since_.clear();
+    for (auto& [partition, held] : partitions_)
+    {
+        count_orders_in_flight(partition, held);
+    }
+    return std::exchange(partitions_, {});
+}
+
+void order_controller::count_orders_in_flight(int partition, held_partition& held) const
+{
+    if (orders_in_flight_.contains(partition))
+    {
+        held.last_order_at = context_.now() + order_timeout;
+    }
+}
+
+task<void> order_controller::leave_group()
+{
+    auto call = platform::leave_call(member_);
+    co_await store_.call(call.method, call.target, call.body, store_timeout);
+}
+
+task<void> order_controller::resign()
+{
+    context_.log.write("duty_resigned", "generation={} engines={}", generation_,
+                       owned_engines_.size());
+    generation_ = 0;
+    is_member_ = false;
+    membership_until_ = {};
+    co_await release(give_up_engines(), store_timeout);
+    co_await leave_group();
+}
+
 task<bool> order_controller::join()
 {
     instant sent_at = context_.now();
@@ -125,6 +205,7 @@
         }
         if (!lapsed)
         {
+            count_orders_in_flight(it->first, it->second);
             moved.insert(*it);
         }
         it = partitions_.erase(it);
@@ -148,12 +229,10 @@
 {
     for (const auto& [partition, held] : partitions)
     {
-        instant now = context_.now();
-        instant last_order_at =
-            orders_in_flight_.contains(partition) ? now + order_timeout : held.last_order_at;
         assignment_record record{.holder = context_.settings.name,
-                                 .released_for = release_delay(last_order_at, held.may_order_at,
-                                                               lease() + release_margin, now)};
+                                 .released_for =
+                                     release_delay(held.last_order_at, held.may_order_at,
+                                                   lease() + release_margin, context_.now())};
         auto call = platform::assignment_append_call(partition, to_text(record), held.last_record);
         auto response = co_await store_.call(call.method, call.target, call.body, timeout);
         bool recorded = response && response->status == 200;
@@ -338,7 +417,7 @@
                        .may_order_at = may_order_at,
                        .reported_at = context_.now()};
     context_.servers.apply_owner(server, owner);
-    publish_.pending_owner(server, owner);
+    link_.publish_pending_owner(server, owner);
 }
 
 bool order_controller::acquire_store_load(const engine_spec& engine)
@@ -353,7 +432,7 @@
     double window_s = std::chrono::duration<double>(bounds.load_window).count();
     double allowed = engine.store_loads_per_s * window_s * bounds.load_rate_factor + 3;
     double partition_count = context_.settings.log.partitions;
-    double owners = std::min(partition_count, static_cast<double>(context_.host_count));
+    auto owners = static_cast<double>(member_count(link_.hosts()));
     double fleet_rate = std::max(0.2 * engine.store_loads_per_s, (allowed - owners - 1) / window_s);
     double own_fraction = static_cast<double>(partitions_.size()) / partition_count;
     instant now = context_.now();
@@ -567,7 +646,7 @@
     {
         context_.waiting.wake(model.str());
     }
-    publish_.placement(server, placement);
+    link_.publish_placement(server, placement);
 }
 
 void order_controller::publish_all()
@@ -628,24 +707,19 @@
 task<void> order_controller::leave()
 {
     leaving_ = true;
-    instant now = context_.now();
-    for (auto& [server, held] : owned_engines_)
-    {
-        publish_pending(server, *held, may_order_from(held->partition, now));
-        context_.servers.remove_owner(server);
-        held->ended = true;
-        held->wake_timer.cancel();
-    }
-    // From here on this host's own requests go to the next owners.
-    owned_engines_.clear();
+    auto held = give_up_engines();
     membership_timer_.cancel();
     while (!membership_ended_)
     {
         co_await pause(milliseconds(5));
     }
-    co_await release(std::exchange(partitions_, {}), store_timeout);
-    auto call = platform::leave_call(member_);
-    co_await store_.call(call.method, call.target, call.body, store_timeout);
+    // A call to the group that was in flight may have claimed more.
+    held.merge(give_up_engines());
+    co_await release(std::move(held), store_timeout);
+    if (generation_ != 0)
+    {
+        co_await leave_group();
+    }
 }
 
 } // namespace banyanshunt
--- a/src/serve/order_controller.hpp
+++ b/src/serve/order_controller.hpp
@@ -11,6 +11,7 @@
 
 #include "coordination/assignment_record.hpp"
 #include "coordination/engine_controller.hpp"
+#include "coordination/order_membership.hpp"
 #include "serve/host_context.hpp"
 #include "transport/loop/http_connection.hpp"
 
@@ -20,15 +21,19 @@
 class order_controller
 {
 public:
-    /// Sends to the other hosts what changed.
-    struct publisher
+    /// What it needs of the other hosts.
+    struct fleet_link
     {
-        std::function<void(const server_id&, const server_placement&)> placement;
-        /// This host owns the engine and may not order yet, or any more.
-        std::function<void(const server_id&, const engine_owner&)> pending_owner;
+        /// Sends to the other hosts what an engine holds.
+        std::function<void(const server_id&, const server_placement&)> publish_placement;
+        /// Sends to the other hosts that this host owns the engine and may not order yet, or any
+        /// more.
+        std::function<void(const server_id&, const engine_owner&)> publish_pending_owner;
+        /// The known hosts including this one; empty before the others can know of this host.
+        std::function<std::vector<known_host>()> hosts;
     };
 
-    order_controller(host_context& context, publisher publish);
+    order_controller(host_context& context, fleet_link link);
 
     void start();
     /// Leaves the group, for a planned stop.
@@ -71,6 +76,17 @@
     };
 
     task<void> run_membership();
+    /// How many hosts should be members of the group.
+    std::size_t member_count(const std::vector<known_host>& hosts) const;
+    bool should_be_member() const;
+    /// Ends the membership of a host that goes on serving.
+    task<void> resign();
+    /// Stops ordering all engines; returns the partitions to release.
+    std::map<int, held_partition> give_up_engines();
+    /// Dates the last order by those whose response is awaited. For a partition that is given up:
+    /// a response that arrives later is no longer recorded in it.
+    void count_orders_in_flight(int partition, held_partition& held) const;
+    task<void> leave_group();
     task<bool> join();
     task<void> claim(int partition);
     task<void> record_takeovers();
@@ -102,7 +118,7 @@
     void publish_placement(const server_id& server, owned_engine& held, bool force = false);
 
     host_context& context_;
-    publisher publish_;
+    fleet_link link_;
     std::string member_;
     http_connection store_;
     std::int64_t generation_ = 0;
--- a/src/serve/peer_list.cpp
+++ b/src/serve/peer_list.cpp
@@ -15,6 +15,11 @@
 /// A host registers every 30 s; one that missed three registrations counts as gone.
 constexpr milliseconds listing_ttl{100000};
 
+bool is_known(const peer& it, instant now)
+{
+    return now - it.listed_at < listing_ttl || now - it.received_at < listing_ttl;
+}
+
 } // namespace
 
 void peer_list::open()
@@ -48,12 +53,25 @@
 
 std::size_t peer_list::count_hosts(instant now) const
 {
-    return 1 + static_cast<std::size_t>(
-                   std::count_if(all.begin(), all.end(),
-                                 [&](const auto& it) {
-                                     return now - it.second.listed_at < listing_ttl ||
-                                            now - it.second.received_at < listing_ttl;
-                                 }));
+    return 1 + static_cast<std::size_t>(std::count_if(all.begin(), all.end(),
+                                                      [&](const auto& it)
+                                                      { return is_known(it.second, now); }));
+}
+
+std::vector<known_host> peer_list::known_hosts(instant now) const
+{
+    std::vector<known_host> hosts{
+        {.it = {.host = context_.settings.name, .domain = context_.settings.domain}, .live = true}};
+    for (const auto& [host, it] : all)
+    {
+        if (is_known(it, now))
+        {
+            bool just_listed = now - it.listed_at < context_.servers.options().owner_ttl;
+            hosts.push_back({.it = {.host = host, .domain = it.domain},
+                             .live = just_listed || in_touch(it, now)});
+        }
+    }
+    return hosts;
 }
 
 bool peer_list::in_touch(const peer& it, instant now) const
--- a/src/serve/peer_list.hpp
+++ b/src/serve/peer_list.hpp
@@ -7,6 +7,7 @@
 
 #include <boost/asio/ip/udp.hpp>
 
+#include "coordination/order_membership.hpp"
 #include "coordination/share_messages.hpp"
 #include "serve/host_context.hpp"
 
@@ -43,6 +44,8 @@
     void send(const peer& to, const peers::peer_message& message);
     /// Entry hosts that are listed or from which data was received recently, including this one.
     std::size_t count_hosts(instant now) const;
+    /// The same hosts, with which of them are live.
+    std::vector<known_host> known_hosts(instant now) const;
     /// Whether data was received from the host as recently as its reports are sent.
     bool in_touch(const peer& it, instant now) const;
     /// Entry hosts in touch, including this one.
--- a/src/serve/peer_service.cpp
+++ b/src/serve/peer_service.cpp
@@ -111,10 +111,17 @@
       notices_(context, peers_,
                [this](peers::peer_message message) { send_to_all(std::move(message)); }),
       views_(context, peers_, watcher),
-      orders_(context, {.placement = [this](const server_id& server, const server_placement& it)
-                        { publish_placement(server, it); },
-                        .pending_owner = [this](const server_id& server, const engine_owner& it)
-                        { publish_pending_owner(server, it); }}),
+      orders_(context,
+              {.publish_placement = [this](const server_id& server, const server_placement& it)
+               { publish_placement(server, it); },
+               .publish_pending_owner = [this](const server_id& server, const engine_owner& it)
+               { publish_pending_owner(server, it); },
+               .hosts =
+                   [this]
+               {
+                   instant now = context_.now();
+                   return shares_.usable(now) ? peers_.known_hosts(now) : std::vector<known_host>();
+               }}),
       started_(context.now()),
       hosts_(context,
              {.topic = platform::host_topic,
--- a/src/serve/share_manager.cpp
+++ b/src/serve/share_manager.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-#include "coordination/share_owners.hpp"
+#include "coordination/host_ranking.hpp"
 #include "peers.pb.h"
 
 namespace banyanshunt
@@ -37,16 +37,16 @@
 {
     instant now = context_.now();
     context_.host_count = peers_.count_hosts(now);
-    if (!context_.config || !starts_at_ || now < *starts_at_)
+    if (!context_.config || !usable(now))
     {
         return;
     }
     context_.ledger.confirm_until(share_layer::outage, instant::max());
-    std::vector<share_member> members{
+    std::vector<ranked_host> hosts{
         {.host = context_.settings.name, .domain = context_.settings.domain}};
     for (const auto& [host, it] : peers_.all)
     {
-        members.push_back({.host = host, .domain = it.domain});
+        hosts.push_back({.host = host, .domain = it.domain});
     }
     for (const auto& [name, workspace] : context_.config->workspaces)
     {
@@ -57,7 +57,7 @@
         auto owner_count =
             static_cast<std::size_t>(std::clamp(workspace.burst / min_share_depth_tokens, 1.0,
                                                 static_cast<double>(context_.host_count)));
-        auto owners = share_owners(name, members, owner_count);
+        auto owners = first_in_ranking(name.str(), hosts, owner_count);
         bool is_owner =
             std::find(owners.begin(), owners.end(), context_.settings.name) != owners.end();
         auto split = [&](double total)
@@ -158,7 +158,7 @@
 
 task<bool> share_manager::acquire(workspace_id workspace, millitokens amount)
 {
-    if (!starts_at_ || context_.now() < *starts_at_)
+    if (!usable(context_.now()))
     {
         // No other host counts this host's share yet.
         co_return false;
--- a/src/serve/share_manager.hpp
+++ b/src/serve/share_manager.hpp
@@ -24,6 +24,8 @@
     /// This host may hold shares from `at` on, when the other hosts can know of it.
     void start_at(instant at) { starts_at_ = starts_at_.value_or(at); }
     bool started() const { return starts_at_.has_value(); }
+    /// Whether the other hosts can know of this one.
+    bool usable(instant now) const { return starts_at_ && now >= *starts_at_; }
     /// Sets this host's shares according to the configuration and the known hosts.
     void update_shares();
 
--- a/tests/correctness/share_owners_test.cpp
+++ b/tests/correctness/share_owners_test.cpp
@@ -6,9 +6,9 @@
 
 #include <catch2/catch.hpp>
 
+#include "coordination/host_ranking.hpp"
 #include "coordination/lender_choice.hpp"
 #include "coordination/share_ledger.hpp"
-#include "coordination/share_owners.hpp"
 
 using namespace banyanshunt;
 using namespace std::chrono_literals;
@@ -16,9 +16,9 @@
 namespace
 {
 
-std::vector<share_member> fleet()
+std::vector<ranked_host> fleet()
 {
-    std::vector<share_member> all;
+    std::vector<ranked_host> all;
     for (const char* domain : {"north", "south", "west"})
     {
         for (int n = 0; n < 4; ++n)
@@ -39,27 +39,27 @@
 
 TEST_CASE("owners of a workspace's rate")
 {
-    const workspace_id workspace("planners");
+    const std::string workspace("planners");
 
     SECTION("every host selects the same owners, whatever the order of its host list")
     {
         auto reversed = fleet();
         std::reverse(reversed.begin(), reversed.end());
-        CHECK(share_owners(workspace, fleet(), 5) == share_owners(workspace, reversed, 5));
+        CHECK(first_in_ranking(workspace, fleet(), 5) == first_in_ranking(workspace, reversed, 5));
 
         SECTION("different workspaces have different owners")
         {
             std::set<host_id> first;
             for (const char* name : {"a", "b", "c", "d", "e", "f"})
             {
-                first.insert(share_owners(workspace_id(name), fleet(), 1).front());
+                first.insert(first_in_ranking(name, fleet(), 1).front());
             }
             CHECK(first.size() > 2);
         }
     }
     SECTION("owners alternate between failure domains")
     {
-        auto owners = share_owners(workspace, fleet(), 6);
+        auto owners = first_in_ranking(workspace, fleet(), 6);
         REQUIRE(owners.size() == 6);
         for (std::size_t begin : {0U, 3U})
         {
@@ -73,7 +73,7 @@
     }
     SECTION("there are no more owners than hosts")
     {
-        CHECK(share_owners(workspace, fleet(), 100).size() == 12);
+        CHECK(first_in_ranking(workspace, fleet(), 100).size() == 12);
     }
 }
 
