Two hosts of a failure domain report for all of it to the other domains

Each of 195 hosts sent its own report to two hosts of each other domain, and each of those relayed it to its 30 neighbours: by count some 35,000 of 90,000 datagrams a second, and every change of a placement was relayed twice as well, as many again. The number grew with the square of the fleet.

Now the two first hosts of a domain's ranking forward what all of its hosts told them, by turns, in datagrams of 4 KB, with the age of each report; a domain of four hosts or fewer reports as before. A change of a placement goes to one relay of each domain, and is sent once more with the next reports. What was forwarded never replaces what came later and directly: an older placement of the same owner and an earlier incarnation are dropped, and a forwarded report clears the servers that it does not list. The list of hosts is read less often at the start, and hosts ask their domain's reader apart from each other: 74 asks of the first seconds had stayed without a response when all asked at once.

Ruled out by a trial: reports of all hosts at random times.

--- a/src/coordination/backend_table.cpp
+++ b/src/coordination/backend_table.cpp
@@ -115,7 +115,11 @@
         return;
     }
     auto& known = it->second.placement;
-    if (known && placement.fencing < known->fencing)
+    bool older =
+        known &&
+        (placement.fencing < known->fencing ||
+         (placement.fencing == known->fencing && placement.reported_at < known->reported_at));
+    if (older)
     {
         return;
     }
@@ -147,7 +151,13 @@
 
 void backend_table::record_heard(const host_id& host, incarnation_id incarnation, instant now)
 {
-    heard_hosts_[host] = {.incarnation = incarnation, .at = now};
+    auto [it, is_new] =
+        heard_hosts_.try_emplace(host, heard_host{.incarnation = incarnation, .at = now});
+    // A forwarded message can arrive after a later one that came directly.
+    if (now >= it->second.at)
+    {
+        it->second = {.incarnation = incarnation, .at = now};
+    }
 }
 
 milliseconds backend_table::owner_wait(const record& it, instant now) const
@@ -199,6 +209,19 @@
     }
 }
 
+void backend_table::drop_peer_loads(const host_id& host)
+{
+    for (auto& [id, it] : servers_)
+    {
+        auto use = it.peer_loads.find(host);
+        if (use != it.peer_loads.end())
+        {
+            it.peer_running -= use->second.running;
+            it.peer_loads.erase(use);
+        }
+    }
+}
+
 void backend_table::record_sent(const server_id& server, const model_target& target)
 {
     auto it = servers_.find(server);
--- a/src/coordination/backend_table.hpp
+++ b/src/coordination/backend_table.hpp
@@ -205,6 +205,8 @@
     /// A message of a host arrived. Its earlier incarnations give no more orders.
     void record_heard(const host_id& host, incarnation_id incarnation, instant now);
     void apply_peer_load(const host_id& host, const server_id& server, int running, instant now);
+    /// Forgets the loads that a host reported, before its next complete report is applied.
+    void drop_peer_loads(const host_id& host);
 
     void record_sent(const server_id& server, const model_target& target);
     void record_ended(const server_id& server, const model_target& target, backend_outcome outcome,
--- a/src/serve/host_context.hpp
+++ b/src/serve/host_context.hpp
@@ -119,6 +119,11 @@
     }
 
     instant now() const { return boot_clock().now(); }
+    /// Returns a random part of `period`.
+    milliseconds random_delay(milliseconds period)
+    {
+        return milliseconds(std::uniform_int_distribution<std::int64_t>(0, period.count())(random));
+    }
     /// Fraction of a bound on how long outdated state is used within which that state must be
     /// confirmed. The rest covers the transit of a request to its server.
     static constexpr double confirmed_ratio = 0.88;
--- a/src/serve/peer_list.cpp
+++ b/src/serve/peer_list.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include <fmt/format.h>
+
 #include "peers.pb.h"
 
 namespace banyanshunt
@@ -35,6 +37,11 @@
     }
 }
 
+std::string peer_list::own_address() const
+{
+    return fmt::format("{}:{}", context_.settings.ip, context_.settings.first_peer_port);
+}
+
 peers::peer_message peer_list::new_message() const
 {
     peers::peer_message message;
--- a/src/serve/peer_list.hpp
+++ b/src/serve/peer_list.hpp
@@ -38,6 +38,8 @@
 
     /// Opens the socket on this host's peer port; logs a failure to do so.
     void open();
+    /// The IP address and port of this host's own socket.
+    std::string own_address() const;
     /// Returns a message with this host as its sender.
     peers::peer_message new_message() const;
     /// Sends a datagram; a failed send counts as a lost datagram.
--- a/src/serve/peer_service.cpp
+++ b/src/serve/peer_service.cpp
@@ -24,16 +24,17 @@
 constexpr double cross_domain_base_hosts = 27;
 /// Period at which unchanged placements are published again, scaled like reports.
 constexpr milliseconds placement_period{1500};
-/// Hosts of another domain that receive a datagram for all of that domain; two, as either may be
-/// down.
+/// Hosts of another domain that receive a datagram for all of that domain: two, as either may be
+/// down, and one for what is sent again soon.
 constexpr std::size_t relays_in_domain = 2;
+constexpr std::size_t relays_if_repeated = 1;
 /// Data from peers expires after this many of their periods.
 constexpr int expiry_periods = 4;
 /// Hosts learn of each other by datagrams within a report period; the list is for starting hosts.
 /// It is read often until `startup_duration` has passed, by when all hosts of a fleet that starts
 /// at once have registered.
 constexpr milliseconds host_topic_wait{30000};
-constexpr milliseconds starting_gap{1000};
+constexpr milliseconds starting_gap{2500};
 constexpr milliseconds running_gap{12000};
 constexpr milliseconds startup_duration{6000};
 /// How long a starting host waits for the list before it registers.
@@ -76,26 +77,26 @@
 }
 
 server_placement read_placement(const peers::placement& from, const host_id& owner,
-                                incarnation_id incarnation, instant now)
+                                incarnation_id incarnation, instant sent_at)
 {
     server_placement to;
     to.owner = owner;
     to.owner_incarnation = incarnation;
     to.fencing = fencing_number(from.fence());
     to.start_time_ms = from.born_ms();
-    to.next_load_at = now + milliseconds(from.room_in_ms());
+    to.next_load_at = sent_at + milliseconds(from.room_in_ms());
     to.adapter_room = from.adapter_room();
-    to.reported_at = now;
+    to.reported_at = sent_at;
     for (const auto& it : from.models())
     {
-        held_model held{.ready_at = now + milliseconds(it.ready_in_ms()),
+        held_model held{.ready_at = sent_at + milliseconds(it.ready_in_ms()),
                         .adapters = {},
                         .unloading = it.leaving(),
                         .from_store = it.from_store()};
         for (const auto& adapter : it.adapters())
         {
             held.adapters.emplace(adapter_id(adapter.name()),
-                                  now + milliseconds(adapter.ready_in_ms()));
+                                  sent_at + milliseconds(adapter.ready_in_ms()));
         }
         to.models.emplace(model_id(it.model()), std::move(held));
     }
@@ -107,9 +108,11 @@
 peer_service::peer_service(host_context& context, state_watcher& watcher)
     : context_(context), peers_(context), shares_(context, peers_),
       limits_(context, peers_,
-              [this](peers::peer_message message) { send_to_all(std::move(message)); }),
+              [this](peers::peer_message message)
+              { send_to_all(std::move(message), relays_in_domain); }),
       notices_(context, peers_,
-               [this](peers::peer_message message) { send_to_all(std::move(message)); }),
+               [this](peers::peer_message message)
+               { send_to_all(std::move(message), relays_in_domain); }),
       views_(context, peers_, watcher),
       orders_(context,
               {.publish_placement = [this](const server_id& server, const server_placement& it)
@@ -122,7 +125,7 @@
                    instant now = context_.now();
                    return shares_.usable(now) ? peers_.known_hosts(now) : std::vector<known_host>();
                }}),
-      started_(context.now()),
+      domain_reports_(context), started_(context.now()),
       hosts_(context,
              {.topic = platform::host_topic,
               .wait = host_topic_wait,
@@ -289,9 +292,10 @@
         sender.incarnation = incarnation_id(static_cast<std::int64_t>(message.life()));
     }
     sender.domain = domain_id(message.domain());
-    sender.received_at = context_.now();
+    instant sent_at = context_.now() - milliseconds(message.age_ms());
+    sender.received_at = std::max(sender.received_at, sent_at);
     incarnation_id incarnation(static_cast<std::int64_t>(message.life()));
-    context_.servers.record_heard(host, incarnation, context_.now());
+    context_.servers.record_heard(host, incarnation, sent_at);
     if (is_new)
     {
         context_.log.write("peer_heard", "host={} domain={}", host.str(), sender.domain.str());
@@ -303,12 +307,17 @@
     }
     if (message.has_report())
     {
-        handle_report(host, message);
+        handle_report(host, message, sent_at);
+    }
+    if (!passed_on && in_same_domain(sender))
+    {
+        domain_reports_.keep(message,
+                             fmt::format("{}:{}", from.address().to_string(), from.port()));
     }
     for (const auto& it : message.placements())
     {
         context_.servers.apply_placement(server_id(it.server()),
-                                         read_placement(it, host, incarnation, context_.now()));
+                                         read_placement(it, host, incarnation, sent_at));
         for (const auto& model : it.models())
         {
             context_.waiting.wake(model.model());
@@ -334,15 +343,34 @@
     limits_.handle_message(sender, message);
     notices_.handle_message(message);
     views_.handle_message(host, sender, message);
+    for (const auto& it : message.bundled())
+    {
+        handle_bundled(message, it, from);
+    }
 }
 
-void peer_service::handle_report(const host_id& from, const peers::peer_message& message)
+void peer_service::handle_bundled(const peers::peer_message& bundle,
+                                  const peers::peer_message& message, const udp::endpoint& from)
 {
-    instant now = context_.now();
+    bool is_forwarded_report = message.relayed() == peers::passed_on &&
+                               message.domain() == bundle.domain() && message.bundled().empty();
+    if (is_forwarded_report)
+    {
+        handle_message(message, from);
+    }
+}
+
+void peer_service::handle_report(const host_id& from, const peers::peer_message& message,
+                                 instant sent_at)
+{
+    if (message.report().complete())
+    {
+        context_.servers.drop_peer_loads(from);
+    }
     for (const auto& it : message.report().servers())
     {
         server_id server(it.server());
-        context_.servers.apply_peer_load(from, server, static_cast<int>(it.running()), now);
+        context_.servers.apply_peer_load(from, server, static_cast<int>(it.running()), sent_at);
         for (const auto& use : it.units())
         {
             orders_.record_use(
@@ -381,7 +409,7 @@
         std::max(1.0, static_cast<double>(context_.host_count) / cross_domain_base_hosts));
 }
 
-void peer_service::send_to_domains(peers::peer_message message)
+void peer_service::send_to_domains(peers::peer_message message, std::size_t relays)
 {
     std::map<domain_id, std::vector<const peer*>> domains;
     for (const auto& [host, it] : peers_.all)
@@ -402,7 +430,7 @@
             hosts.begin(), hosts.end(),
             [&](const peer* it)
             { return now - it->received_at < expiry_periods * cross_domain_period(); });
-        hosts.resize(std::min(hosts.size(), relays_in_domain));
+        hosts.resize(few ? hosts.size() : relays);
         for (const peer* it : hosts)
         {
             peers_.send(*it, message);
@@ -479,7 +507,12 @@
     shares_.fill_lendable(message, now);
     limits_.fill_report(message);
     notices_.fill_report(message);
-    send_to_domains(std::move(message));
+    domain_reports_.expire(expiry_periods * same_domain_period(), 2 * cross_domain_period());
+    for (auto& due : domain_reports_.take_due(message, peers_))
+    {
+        bool is_forwarded_again = due.bundled_size() > 0;
+        send_to_domains(std::move(due), is_forwarded_again ? relays_if_repeated : relays_in_domain);
+    }
 }
 
 void peer_service::record_own_use()
@@ -568,7 +601,8 @@
 {
     auto message = peers_.new_message();
     write_placement(server, placement, context_.now(), *message.add_placements());
-    send_to_all(std::move(message));
+    domain_reports_.keep(message, peers_.own_address());
+    send_to_all(std::move(message), relays_if_repeated);
 }
 
 void peer_service::publish_pending_owner(const server_id& server, const engine_owner& owner)
@@ -578,10 +612,10 @@
     it.set_server(server.str());
     it.set_fence(owner.fencing.count());
     it.set_may_order_in_ms(ms_until(owner.may_order_at, context_.now()));
-    send_to_all(std::move(message));
+    send_to_all(std::move(message), relays_in_domain);
 }
 
-void peer_service::send_to_all(peers::peer_message message)
+void peer_service::send_to_all(peers::peer_message message, std::size_t relays)
 {
     for (const auto& [host, it] : peers_.all)
     {
@@ -590,7 +624,7 @@
             peers_.send(it, message);
         }
     }
-    send_to_domains(std::move(message));
+    send_to_domains(std::move(message), relays);
 }
 
 load_request_route peer_service::request_load(const server_id& server, const model_target& unit,
--- a/src/serve/peer_service.hpp
+++ b/src/serve/peer_service.hpp
@@ -8,6 +8,7 @@
 #include <map>
 #include <memory>
 
+#include "serve/domain_reports.hpp"
 #include "serve/host_context.hpp"
 #include "serve/limit_manager.hpp"
 #include "serve/notice_manager.hpp"
@@ -47,15 +48,18 @@
     task<void> register_loop();
     void handle_message(const peers::peer_message& message, const asio::ip::udp::endpoint& from);
     void relay(peers::peer_message message, const asio::ip::udp::endpoint& from);
-    void handle_report(const host_id& from, const peers::peer_message& message);
+    void handle_report(const host_id& from, const peers::peer_message& message, instant sent_at);
+    /// Handles a message that another host of its sender's domain forwards.
+    void handle_bundled(const peers::peer_message& bundle, const peers::peer_message& message,
+                        const asio::ip::udp::endpoint& from);
     void apply_host_record(const platform::keyed_record& record);
     void report_to(const host_id& host, const peer& to, instant now);
     void report_to_domains(instant now);
     void publish_placement(const server_id& server, const server_placement& placement);
     void publish_pending_owner(const server_id& server, const engine_owner& owner);
-    void send_to_all(peers::peer_message message);
-    /// Sends to a few hosts of each other domain, which relay the message to the rest of theirs.
-    void send_to_domains(peers::peer_message message);
+    void send_to_all(peers::peer_message message, std::size_t relays);
+    /// Sends to `relays` hosts of each other domain, which relay the message to the rest of theirs.
+    void send_to_domains(peers::peer_message message, std::size_t relays);
     load_request_route send_load_request(const server_id& server, const model_target& unit,
                                          milliseconds waited);
     void record_own_use();
@@ -70,6 +74,7 @@
     notice_manager notices_;
     view_sync views_;
     order_controller orders_;
+    domain_reports domain_reports_;
     instant started_;
     topic_reader hosts_;
     /// Whether the list of hosts was read once.
--- a/src/serve/view_sync.cpp
+++ b/src/serve/view_sync.cpp
@@ -86,6 +86,9 @@
 
 task<void> view_sync::run()
 {
+    // Hosts that start at the same moment ask the reader apart from each other: what it sends to
+    // all of a domain at once can exceed its link.
+    co_await pause(context_.random_delay(request_period));
     while (true)
     {
         co_await pause(request_period);
