Nothing is evicted for a model that the weight store cannot deliver now

An engine threw out a model, then found the weight store's loads taken, and stood with an empty place for up to 18 s; meanwhile adapters of models that it still held expired with block=unloading. What it had thrown out would have needed the store as well.

Cause: the load from the store was acquired after the eviction, and a wait for it held up every other order. It is acquired first now, and without one the oldest request for a model in memory or on disk is taken; while a load waits, adapters of held models are loaded.

The tests ("Nothing is evicted for a model that the weight store cannot deliver now") failed before.

With this change a test of the same module read an order's count as garbage. Cause: engine_order and engine_report, and host_settings, were each the name of two different structs in one namespace, so a program with both took one's inline functions for the other. shunt-serve has one of each; the test program has both. They are load_order, residency_report and process_settings now.

--- a/src/coordination/engine_controller.cpp
+++ b/src/coordination/engine_controller.cpp
@@ -119,7 +119,7 @@
     }
 }
 
-void engine_controller::adopt(const engine_report& report, instant now)
+void engine_controller::adopt(const residency_report& report, instant now)
 {
     if (report.start_time_ms < entry_.start_time_ms)
     {
@@ -391,7 +391,14 @@
     if (unloading_)
     {
         block(load_block::unloading);
-        return load_model(next_model(now), env, now);
+        auto load = load_model(next_model(now), env, now);
+        if (load.action != step::action_kind::none)
+        {
+            return load;
+        }
+        // What waits for the weight store does not hold up adapters.
+        adapter_block_ = load_block::none;
+        return adapter_step(engine, now).value_or(load);
     }
     if (auto next = adapter_step(engine, now))
     {
@@ -437,7 +444,7 @@
     if (adapters() < engine.adapter_slots && memory_used_mb(engine) + size <= engine.memory_mb)
     {
         return step{.action = step::action_kind::order,
-                    .order = {.action = engine_order::action_kind::load,
+                    .order = {.action = load_order::action_kind::load,
                               .model = oldest->model,
                               .adapter = oldest->adapter,
                               .expected_orders = *orders_accepted_},
@@ -465,7 +472,7 @@
         return std::nullopt;
     }
     return step{.action = step::action_kind::order,
-                .order = {.action = engine_order::action_kind::unload,
+                .order = {.action = load_order::action_kind::unload,
                           .model = idle->model,
                           .adapter = idle->adapter,
                           .expected_orders = *orders_accepted_},
@@ -476,45 +483,77 @@
 {
     const model_target* oldest = nullptr;
     instant oldest_at = now;
+    bool oldest_is_local = false;
     for (const auto& [target, request] : load_requests_)
     {
         if (target.model == after_unload_)
         {
             return after_unload_;
         }
-        if (!models_.contains(target.model) && request.first <= oldest_at)
+        bool local = is_local(target.model);
+        bool better = local != oldest_is_local ? local : request.first <= oldest_at;
+        if (!models_.contains(target.model) && better)
         {
             oldest = &target;
             oldest_at = request.first;
+            oldest_is_local = local;
         }
     }
     return oldest ? oldest->model : after_unload_;
 }
 
-std::optional<engine_controller::step>
-engine_controller::model_step(const engine_spec& engine, const context& env, instant now)
+const std::pair<const model_target, engine_controller::load_request>*
+engine_controller::oldest_request(const engine_spec& engine, const context& env,
+                                  bool local_only) const
 {
-    const model_target* oldest = nullptr;
-    instant oldest_at = instant::max();
-    for (const auto& [target, request] : load_requests_)
+    const std::pair<const model_target, load_request>* oldest = nullptr;
+    for (const auto& it : load_requests_)
     {
+        const auto& [target, request] = it;
         if (!models_.contains(target.model) && engine.models.contains(target.model) &&
-            request.first < oldest_at && !env.available_elsewhere(target))
+            (!local_only || is_local(target.model)) &&
+            (!oldest || request.first < oldest->second.first) && !env.available_elsewhere(target))
         {
-            oldest = &target;
-            oldest_at = request.first;
+            oldest = &it;
         }
     }
+    return oldest;
+}
+
+std::optional<engine_controller::step>
+engine_controller::model_step(const engine_spec& engine, const context& env, instant now)
+{
+    const auto* oldest = oldest_request(engine, env, false);
     if (!oldest)
     {
         return std::nullopt;
     }
-    const auto& spec = engine.models.at(oldest->model);
-    if (memory_used_mb(engine) + spec.weights_mb <= engine.memory_mb)
+    auto next = place_model(oldest->first.model, oldest->second, engine, env, now);
+    if (next)
     {
-        return load_model(oldest->model, env, now);
+        return next;
     }
-    auto waited = std::chrono::floor<milliseconds>(now - oldest_at);
+    model_block_ = load_block::store_limit;
+    const auto* local = oldest_request(engine, env, true);
+    if (local)
+    {
+        return place_model(local->first.model, local->second, engine, env, now);
+    }
+    step nothing{.action = step::action_kind::none,
+                 .order = {},
+                 .recheck_at = now + options_.max_conflict_backoff};
+    return nothing;
+}
+
+std::optional<engine_controller::step>
+engine_controller::place_model(const model_id& model, const load_request& request,
+                               const engine_spec& engine, const context& env, instant now)
+{
+    if (memory_used_mb(engine) + engine.models.at(model).weights_mb <= engine.memory_mb)
+    {
+        return acquire_load(model, env) ? std::optional(load_model(model, env, now)) : std::nullopt;
+    }
+    auto waited = std::chrono::floor<milliseconds>(now - request.first);
     auto evicted = choose_eviction(env, waited, now);
     if (!evicted)
     {
@@ -523,10 +562,15 @@
                     .order = {},
                     .recheck_at = now + options_.conflict_backoff};
     }
+    // Before the eviction: what is evicted may itself be loadable from the store alone.
+    if (!acquire_load(model, env))
+    {
+        return std::nullopt;
+    }
     // Other hosts must stop sending requests for this model before the order is sent.
-    after_unload_ = oldest->model;
+    after_unload_ = model;
     return step{.action = step::action_kind::order,
-                .order = {.action = engine_order::action_kind::unload,
+                .order = {.action = load_order::action_kind::unload,
                           .model = *evicted,
                           .adapter = {},
                           .expected_orders = *orders_accepted_},
@@ -567,29 +611,39 @@
     return waited < wait ? std::nullopt : best;
 }
 
+bool engine_controller::acquire_load(const model_id& model, const context& env)
+{
+    if (is_local(model) || store_load_for_ == model)
+    {
+        return true;
+    }
+    if (!env.acquire_store_load())
+    {
+        return false;
+    }
+    store_load_for_ = model;
+    return true;
+}
+
 engine_controller::step engine_controller::load_model(const model_id& model, const context& env,
                                                       instant now)
 {
-    bool local = entry_.in_memory.contains(model) || entry_.on_disk.contains(model);
-    if (!local && store_load_for_ != model)
+    if (!acquire_load(model, env))
     {
-        if (!env.acquire_store_load())
-        {
-            model_block_ = load_block::store_limit;
-            retry_at_ = now + options_.max_conflict_backoff;
-            return {.action = step::action_kind::none, .order = {}, .recheck_at = retry_at_};
-        }
-        store_load_for_ = model;
+        model_block_ = load_block::store_limit;
+        return {.action = step::action_kind::none,
+                .order = {},
+                .recheck_at = now + options_.max_conflict_backoff};
     }
     return {.action = step::action_kind::order,
-            .order = {.action = engine_order::action_kind::load,
+            .order = {.action = load_order::action_kind::load,
                       .model = model,
                       .adapter = {},
                       .expected_orders = *orders_accepted_},
             .recheck_at = {}};
 }
 
-void engine_controller::handle_response(const engine_order& order, order_response response,
+void engine_controller::handle_response(const load_order& order, order_response response,
                                         const engine_spec& engine, instant now)
 {
     ordered_at_ = now;
@@ -619,7 +673,7 @@
         return;
     }
     conflict_backoff_ = milliseconds(0);
-    bool loads = order.action == engine_order::action_kind::load;
+    bool loads = order.action == load_order::action_kind::load;
     bool counted = response == order_response::accepted || (!loads && !order.adapter.empty());
     if (orders_accepted_ && counted)
     {
--- a/src/coordination/engine_controller.hpp
+++ b/src/coordination/engine_controller.hpp
@@ -14,6 +14,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "coordination/backend_table.hpp"
@@ -23,7 +24,7 @@
 {
 
 /// An order to a model engine.
-struct engine_order
+struct load_order
 {
     enum class action_kind
     {
@@ -54,7 +55,7 @@
 };
 
 /// What an engine reports when queried; its content is some hundred milliseconds old.
-struct engine_report
+struct residency_report
 {
     loaded_models models;
     /// Carrying out an order.
@@ -142,7 +143,7 @@
             order,
         };
         action_kind action = action_kind::none;
-        engine_order order;
+        load_order order;
         /// For `none`: when to decide again at the latest.
         instant recheck_at;
     };
@@ -163,13 +164,13 @@
     /// Applies the engine's entry in the registry.
     void update(const backend_entry& entry, instant now);
     /// Applies the engine's report.
-    void adopt(const engine_report& report, instant now);
+    void adopt(const residency_report& report, instant now);
     void request_load(const model_target& target, milliseconds waited, instant now);
     void record_use(const host_id& host, const model_target& target, int running, int requests,
                     instant now);
 
     step decide(const engine_spec& engine, const context& env, instant now);
-    void handle_response(const engine_order& order, order_response response,
+    void handle_response(const load_order& order, order_response response,
                          const engine_spec& engine, instant now);
 
     /// Load requests that expired since the last call without being carried out.
@@ -223,9 +224,24 @@
     bool holds(const model_target& target) const;
     std::optional<step> adapter_step(const engine_spec& engine, instant now);
     std::optional<step> model_step(const engine_spec& engine, const context& env, instant now);
+    /// Loads a model, or evicts another one to make room for it; nothing while the load from the
+    /// weight store that it needs cannot be acquired.
+    std::optional<step> place_model(const model_id& model, const load_request& request,
+                                    const engine_spec& engine, const context& env, instant now);
     std::optional<model_id> choose_eviction(const context& env, milliseconds waited,
                                             instant now) const;
     model_id next_model(instant now) const;
+    /// The load request that has waited longest for a model which the engine does not hold and no
+    /// other server is about to; with `local_only`, only for a model in its memory or on its disk.
+    const std::pair<const model_target, load_request>*
+    oldest_request(const engine_spec& engine, const context& env, bool local_only) const;
+    bool is_local(const model_id& model) const
+    {
+        return entry_.in_memory.contains(model) || entry_.on_disk.contains(model);
+    }
+    /// Whether the model can be loaded now: it is local, or a load from the weight store is
+    /// acquired for it.
+    bool acquire_load(const model_id& model, const context& env);
     step load_model(const model_id& model, const context& env, instant now);
     double memory_used_mb(const engine_spec& engine) const;
     int adapters() const;
--- a/src/entry/entry_settings.hpp
+++ b/src/entry/entry_settings.hpp
@@ -16,7 +16,7 @@
 
 struct entry_settings
 {
-    host_settings host;
+    process_settings host;
     platform_settings platform;
     std::optional<peer_credentials> peer_keys;
     state_settings state;
--- a/src/placer/placer_settings.hpp
+++ b/src/placer/placer_settings.hpp
@@ -13,7 +13,7 @@
 
 struct placer_settings
 {
-    host_settings host;
+    process_settings host;
     platform_settings platform;
     std::optional<peer_credentials> peer_keys;
 
--- a/src/protocol/peer_settings.cpp
+++ b/src/protocol/peer_settings.cpp
@@ -16,7 +16,7 @@
     return it;
 }
 
-host_settings read_host_settings(settings_file& file)
+process_settings read_host_settings(settings_file& file)
 {
     return {.name = file.text("host", "name"), .domain = file.text("host", "domain")};
 }
--- a/src/protocol/peer_settings.hpp
+++ b/src/protocol/peer_settings.hpp
@@ -19,7 +19,7 @@
 };
 
 /// Section [host]: the identity of this process.
-struct host_settings
+struct process_settings
 {
     std::string name;
     std::string domain;
@@ -35,7 +35,7 @@
 };
 
 peer_settings read_peer_settings(settings_file& file);
-host_settings read_host_settings(settings_file& file);
+process_settings read_host_settings(settings_file& file);
 platform_settings read_platform_settings(settings_file& file);
 
 } // namespace banyanshunt
--- a/src/serve/order_controller.cpp
+++ b/src/serve/order_controller.cpp
@@ -571,7 +571,7 @@
 }
 
 task<void> order_controller::send_order(server_id server, std::shared_ptr<owned_engine> held,
-                                        engine_order order)
+                                        load_order order)
 {
     const auto* known = context_.servers.find(server);
     fencing_number fence = partitions_.at(held->partition).fence;
@@ -603,7 +603,7 @@
             context_.now() + (status != 0 ? milliseconds(0) : order_transit_margin);
     }
     ++context_.counters.orders;
-    bool loads = order.action == engine_order::action_kind::load;
+    bool loads = order.action == load_order::action_kind::load;
     int used = held->controller.requests_since_load(order.model);
     int pending = held->controller.pending_load_requests(order.model);
     context_.log.write(
--- a/src/serve/order_controller.hpp
+++ b/src/serve/order_controller.hpp
@@ -102,7 +102,7 @@
     /// false if it must not be sent now.
     task<bool> acquire_permit(server_id server, const owned_engine& held);
     task<void> query_report(server_id server, std::shared_ptr<owned_engine> held);
-    task<void> send_order(server_id server, std::shared_ptr<owned_engine> held, engine_order order);
+    task<void> send_order(server_id server, std::shared_ptr<owned_engine> held, load_order order);
     milliseconds lease() const;
     order_terms terms() const;
     /// Tells the other hosts from when on orders can be given.
--- a/src/transport/state_source.hpp
+++ b/src/transport/state_source.hpp
@@ -20,7 +20,7 @@
 
 struct state_source_options
 {
-    host_settings host;
+    process_settings host;
     platform_settings platform;
     /// Other hosts track an entry host by its heartbeats; a placer only queries them.
     std::string role = "entry";
--- a/tests/correctness/engine_controller_test.cpp
+++ b/tests/correctness/engine_controller_test.cpp
@@ -34,7 +34,7 @@
         entry.on_disk = {model_id("m2")};
         controller.emplace(entry, engine_controller_options{}, now);
         controller->adopt(
-            engine_report{
+            residency_report{
                 .models = entry.models, .busy = false, .orders_accepted = 2, .start_time_ms = 0},
             now);
         now += 1s;
@@ -85,7 +85,7 @@
 
     auto unload = it.decide();
     REQUIRE(unload.action == step_kind::order);
-    CHECK(unload.order.action == engine_order::action_kind::unload);
+    CHECK(unload.order.action == load_order::action_kind::unload);
     CHECK(unload.order.model == model_id("m1"));
     CHECK(unload.order.expected_orders == 2);
 
@@ -146,10 +146,10 @@
     REQUIRE(it.decide().action == step_kind::query_report);
     auto report_busy = [&](std::int64_t orders)
     {
-        it.controller->adopt(engine_report{.models = {{model_id("m0"), {}}},
-                                           .busy = true,
-                                           .orders_accepted = orders,
-                                           .start_time_ms = 0},
+        it.controller->adopt(residency_report{.models = {{model_id("m0"), {}}},
+                                              .busy = true,
+                                              .orders_accepted = orders,
+                                              .start_time_ms = 0},
                              it.now);
         it.now += 200ms;
         it.controller->request_load(engine_case::target("m3"), 700ms, it.now);
@@ -168,14 +168,15 @@
         CHECK(it.decide().action == step_kind::none);
         it.now += 500ms;
         CHECK(it.decide().action == step_kind::query_report);
-        it.controller->adopt(engine_report{.models = {{model_id("m0"), {}}, {model_id("m2"), {}}},
-                                           .busy = false,
-                                           .orders_accepted = 4,
-                                           .start_time_ms = 0},
-                             it.now);
+        it.controller->adopt(
+            residency_report{.models = {{model_id("m0"), {}}, {model_id("m2"), {}}},
+                             .busy = false,
+                             .orders_accepted = 4,
+                             .start_time_ms = 0},
+            it.now);
         auto next = it.decide();
         CHECK_FALSE((next.action == step_kind::order &&
-                     next.order.action == engine_order::action_kind::load));
+                     next.order.action == load_order::action_kind::load));
     }
 }
 
@@ -286,7 +287,7 @@
     it.entry.models = {{model_id("m0"), {}}};
     it.controller.emplace(it.entry, engine_controller_options{}, it.now);
     it.controller->adopt(
-        engine_report{
+        residency_report{
             .models = it.entry.models, .busy = false, .orders_accepted = 0, .start_time_ms = 0},
         it.now);
     it.controller->request_load(engine_case::target("m3"), 0ms, it.now);
@@ -297,6 +298,52 @@
     CHECK(it.decide().order.model == model_id("m3"));
 }
 
+TEST_CASE("Nothing is evicted for a model that the weight store cannot deliver now")
+{
+    // A cold fleet: one rare model after another is requested, and the store loads few at once.
+    engine_case it;
+    it.use("m0", 0, 8);
+    it.use("m1", 0, 1);
+    it.store_loads = 0;
+    it.controller->request_load(engine_case::target("m3"), 50ms, it.now);
+    CHECK(it.decide().action == step_kind::none);
+    CHECK(it.controller->placement(it.spec, it.now).models.size() == 2);
+
+    SECTION("its models go on loading adapters")
+    {
+        it.controller->request_load(engine_case::target("m0", "a"), 0ms, it.now);
+        it.now += 50ms;
+        auto load = it.decide();
+        REQUIRE(load.action == step_kind::order);
+        CHECK(load.order.adapter == adapter_id("a"));
+    }
+    SECTION("a model on its disk is loaded instead")
+    {
+        it.controller->request_load(engine_case::target("m2"), 0ms, it.now);
+        it.now += 50ms;
+        auto unload = it.decide();
+        REQUIRE(unload.action == step_kind::order);
+        it.respond(unload, order_response::accepted);
+        it.now += 50ms;
+        auto load = it.decide();
+        REQUIRE(load.action == step_kind::order);
+        CHECK(load.order.model == model_id("m2"));
+    }
+    SECTION("with a load to be had it makes room and keeps that load for the model")
+    {
+        it.store_loads = 1;
+        it.now += 200ms;
+        auto unload = it.decide();
+        REQUIRE(unload.action == step_kind::order);
+        CHECK(unload.order.action == load_order::action_kind::unload);
+        CHECK(it.store_loads == 0);
+        it.respond(unload, order_response::accepted);
+        auto load = it.decide();
+        REQUIRE(load.action == step_kind::order);
+        CHECK(load.order.model == model_id("m3"));
+    }
+}
+
 TEST_CASE("Adapters are loaded and evicted within their slots")
 {
     engine_case it;
@@ -304,7 +351,7 @@
     {
         it.controller->request_load(engine_case::target("m0", adapter), 0ms, it.now);
         auto step = it.decide();
-        REQUIRE(step.order.action == engine_order::action_kind::load);
+        REQUIRE(step.order.action == load_order::action_kind::load);
         it.respond(step, order_response::accepted);
         it.now += 20ms;
     }
@@ -316,7 +363,7 @@
         it.controller->record_use(host_id("h"), engine_case::target("m0", "a2"), 1, 1, it.now);
         it.controller->request_load(engine_case::target("m0", "a3"), 0ms, it.now);
         auto step = it.decide();
-        CHECK(step.order.action == engine_order::action_kind::unload);
+        CHECK(step.order.action == load_order::action_kind::unload);
         CHECK(step.order.adapter == adapter_id("a1"));
     }
     SECTION("with all adapters in use there is no room, and the placement reports that")
@@ -350,10 +397,10 @@
     SECTION(
         "its unload waits for running requests: no order is sent until a report shows what is held")
     {
-        engine_order unload{.action = engine_order::action_kind::unload,
-                            .model = model_id("m0"),
-                            .adapter = adapter_id("a1"),
-                            .expected_orders = 3};
+        load_order unload{.action = load_order::action_kind::unload,
+                          .model = model_id("m0"),
+                          .adapter = adapter_id("a1"),
+                          .expected_orders = 3};
         engine.controller->handle_response(unload, order_response::accepted, engine.spec,
                                            engine.now);
         engine.controller->request_load(engine_case::target("m1", "a1"), 0ms, engine.now);
--- a/tests/correctness/platform_adapter_test.cpp
+++ b/tests/correctness/platform_adapter_test.cpp
@@ -310,7 +310,7 @@
 
 TEST_CASE("An order states the expected order count and its sender")
 {
-    auto text = platform::encode_order({.action = engine_order::action_kind::load,
+    auto text = platform::encode_order({.action = load_order::action_kind::load,
                                         .model = model_id("daka510000"),
                                         .adapter = adapter_id("a3"),
                                         .expected_orders = 2},
