Starting hosts read the list of hosts each second again, and tests wait for an owner of the engines

One was a fault of in the product: the list of hosts was read every 2.5 s at the start, while a host uses its shares 1.5 s after it registered, when the others are taken to know it; three hosts that started together did not know each other when one of them told of a leaving server. It is a second again, as before.

The other three began before their host ordered the engines, which now takes up to two seconds from its registration: calls for a report came later than the tests expected, and a host that was stopped before it had joined had no group to leave. The fixture now waits until both engines were asked for their report; no check of a test is changed.

--- a/src/serve/peer_service.cpp
+++ b/src/serve/peer_service.cpp
@@ -34,7 +34,7 @@
 /// It is read often until `startup_duration` has passed, by when all hosts of a fleet that starts
 /// at once have registered.
 constexpr milliseconds host_topic_wait{30000};
-constexpr milliseconds starting_gap{2500};
+constexpr milliseconds starting_gap{1000};
 constexpr milliseconds running_gap{12000};
 constexpr milliseconds startup_duration{6000};
 /// How long a starting host waits for the list before it registers.
--- a/tests/correctness/serve_case.cpp
+++ b/tests/correctness/serve_case.cpp
@@ -116,6 +116,10 @@
                                  send("GET", "/read/1", "warm-up", "good-key", {}, n).status == 200;
                       });
     }
+    // A host orders the engines once the others can know of it, and first calls for their reports.
+    started =
+        started &&
+        eventually([&] { return !engine1.arrivals().empty() && !engine2.arrivals().empty(); });
 }
 
 void serve_case::host_process::run()
