A stopping host logs on which connection a request came, and how long servers were silent

An on-call engineer could not tell three hypotheses for a stream cut at the end of a planned stop apart: stop_request did not say whether the request came on a new connection or on one from before the stop, stop_cut had the silence of the server at the cut alone, and giving up on a silent server left no line. No decision changes.

--- a/src/serve/active_request.cpp
+++ b/src/serve/active_request.cpp
@@ -194,11 +194,12 @@
     context_.log.write(
         "stop_request",
         "request={} verdict={} since_stop_ms={} grace_left_ms={} deadline_left_ms={} "
-        "run_bound_ms={} model={}{}{} output_tokens={}",
+        "run_bound_ms={} model={}{}{} output_tokens={} connection_age_ms={} connection_requests={}",
         fields_.id.str(), verdict, to_ms(arrived_ - context_.stop->requested_at()),
         to_ms(context_.stop->deadline() - context_.now()), remaining().count(),
         run_bound() ? to_ms(*run_bound()) : -1, fields_.model.empty() ? "-" : fields_.model.str(),
-        fields_.adapter.empty() ? "" : "/", fields_.adapter.str(), fields_.output_tokens);
+        fields_.adapter.empty() ? "" : "/", fields_.adapter.str(), fields_.output_tokens,
+        to_ms(arrived_ - caller_->opened_at), caller_->requests);
 }
 
 void active_request::record_cut()
@@ -212,13 +213,15 @@
     context_.log.write(
         "stop_cut",
         "request={} phase={} since_stop_ms={} held_ms={} deadline_left_ms={} model={}{}{} "
-        "output_tokens={} server={} sends={} waited_ms={} first_ms={} silent_ms={} last_event={}",
+        "output_tokens={} server={} sends={} waited_ms={} first_ms={} silent_ms={} "
+        "longest_silence_ms={} last_event={}",
         fields_.id.str(), phase, to_ms(arrived_ - context_.stop->requested_at()),
         to_ms(now - arrived_), remaining().count(),
         fields_.model.empty() ? "-" : fields_.model.str(), fields_.adapter.empty() ? "" : "/",
         fields_.adapter.str(), fields_.output_tokens,
         last_server_.empty() ? "-" : last_server_.str(), sends_, waited_.count(),
         to_ms(time_to_first_byte_), exchange_ ? to_ms(now - exchange_->received_at()) : -1,
+        exchange_ ? to_ms(exchange_->longest_silence()) : -1,
         events_.last_id().empty() ? "-" : events_.last_id());
 }
 
--- a/src/serve/active_request.hpp
+++ b/src/serve/active_request.hpp
@@ -111,6 +111,8 @@
     task<attempt_result> attempt(server_id server);
     /// Records when the request was written, for `request_end`.
     void record_write(const server_exchange& exchange);
+    /// Logs that a send did not bring the final answer.
+    void log_attempt_end(const server_exchange& exchange, attempt_result end);
     task<attempt_result> relay(server_exchange& exchange);
     task<attempt_result> relay_buffered(server_exchange& exchange);
     task<attempt_result> relay_stream(server_exchange& exchange);
--- a/src/serve/caller_connection.hpp
+++ b/src/serve/caller_connection.hpp
@@ -9,6 +9,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 
+#include "state/clock.hpp"
 #include "transport/loop/event_loop.hpp"
 
 namespace banyanshunt
@@ -33,6 +34,9 @@
     boost::beast::tcp_stream stream;
     boost::beast::flat_buffer buffer;
     bool closed = false;
+    const instant opened_at = boot_clock().now();
+    /// The requests read from it, including the one in progress.
+    int requests = 0;
 
 private:
     void wait_for_close();
--- a/src/serve/caller_session.cpp
+++ b/src/serve/caller_session.cpp
@@ -119,6 +119,7 @@
             }
             break;
         }
+        ++caller->requests;
         auto active = std::make_shared<active_request>(context, caller, parser.release());
         if (!co_await active->run())
         {
--- a/src/serve/request_attempt.cpp
+++ b/src/serve/request_attempt.cpp
@@ -127,6 +127,12 @@
                            now - self->progressed_at_ > self->caller_patience();
             if (self->repeatable() && (inactive || stalled))
             {
+                self->context_.log.write(
+                    "server_silent", "request={} server={} cause={} silent_ms={} since_event_ms={}",
+                    self->fields_.id.str(), exchange->server().str(),
+                    inactive ? "no_bytes" : "no_event",
+                    std::chrono::floor<milliseconds>(inactive_for).count(),
+                    std::chrono::floor<milliseconds>(now - self->progressed_at_).count());
                 exchange->close();
                 return;
             }
@@ -175,6 +181,17 @@
     }
 }
 
+void active_request::log_attempt_end(const server_exchange& exchange, attempt_result end)
+{
+    instant now = context_.now();
+    context_.log.write(
+        "attempt_end",
+        "request={} server={} outcome={} reason={} send={} held_ms={} longest_silence_ms={}",
+        fields_.id.str(), exchange.server().str(), static_cast<int>(end), last_reason_, sends_,
+        std::chrono::floor<milliseconds>(now - arrived_).count(),
+        std::chrono::floor<milliseconds>(exchange.longest_silence()).count());
+}
+
 task<active_request::attempt_result> active_request::attempt(server_id server)
 {
     const model_target unit{.model = fields_.model, .adapter = fields_.adapter};
@@ -266,10 +283,7 @@
     context_.waiting.wake(wait_key());
     if (end != attempt_result::delivered)
     {
-        context_.log.write(
-            "attempt_end", "request={} server={} outcome={} reason={} send={} held_ms={}",
-            fields_.id.str(), server.str(), static_cast<int>(end), last_reason_, sends_,
-            std::chrono::floor<milliseconds>(context_.now() - arrived_).count());
+        log_attempt_end(exchange, end);
     }
     co_return end;
 }
--- a/src/serve/server_exchange.cpp
+++ b/src/serve/server_exchange.cpp
@@ -27,13 +27,24 @@
 
 } // namespace
 
+void server_exchange::record_progress(instant now)
+{
+    longest_silence_ = std::max(longest_silence_, now - received_at_);
+    received_at_ = now;
+}
+
+nanoseconds server_exchange::longest_silence() const
+{
+    return std::max(longest_silence_, context_.now() - received_at_);
+}
+
 void server_exchange::on_received()
 {
     instant now = context_.now();
     context_.servers.record_received(server_, now);
     if (matched_)
     {
-        received_at_ = now;
+        record_progress(now);
     }
 }
 
@@ -79,7 +90,7 @@
         if (matches && !interim)
         {
             matched_ = true;
-            received_at_ = context_.now();
+            record_progress(context_.now());
             co_return exchange_state::responded;
         }
         if (!co_await skip_body())
--- a/src/serve/server_exchange.hpp
+++ b/src/serve/server_exchange.hpp
@@ -69,6 +69,8 @@
     std::optional<std::uint64_t> content_length() const;
     /// When the last byte of the response to the request was received.
     instant received_at() const { return received_at_; }
+    /// The longest time without a byte of the response since the request was written, up to now.
+    nanoseconds longest_silence() const;
     const server_id& server() const { return server_; }
     /// When the request was written, and the age of the server list then; empty if it was not.
     std::optional<instant> written_at() const { return written_at_; }
@@ -80,6 +82,8 @@
     /// Reads and drops at most `max_bytes` of the body; returns whether that was all.
     task<bool> drop_body(std::size_t max_bytes);
     void on_received();
+    /// Records that bytes of the response to the request were received.
+    void record_progress(instant now);
     /// How surely the head that was just read is the server's newest word.
     response_match match_response(const request_id& id) const;
     /// Records what that head states of the server's limit.
@@ -96,6 +100,7 @@
     platform::server_response_fields fields_;
     instant sent_at_;
     instant received_at_;
+    nanoseconds longest_silence_{0};
     std::optional<instant> written_at_;
     milliseconds servers_age_{-1};
     /// Start time of the incarnation that the request was sent to.
