Known red: a stopping host cuts streams that came late, and silence ends answers (LOST)

What callers saw: a stream taken 3 s and later after SIGTERM is closed in the middle, 4 s later. The first test replays it: recent runs of the model took 0.2 s, 0.8 s remain, and the stream is longer than all before it, or its server is silent for a second.

Two more that the new stand-in fault finds, an engine that sends nothing for a while and goes on: beside a stop, and on the last server that a stream may use, the host gives up on a server though it may not send the request again.

--- a/tests/correctness/planned_stop_path_test.cpp
+++ b/tests/correctness/planned_stop_path_test.cpp
@@ -267,3 +267,58 @@
         REQUIRE(serve_case::eventually([&] { return it.exit_code() == 0; }));
     }
 }
+
+TEST_CASE("A stopping host cuts no stream that came late, whatever its server does (LOST)")
+{
+    serve_case it;
+    REQUIRE(it.started);
+    // Callers state the same limit for short and long streams; these were short.
+    set_streams(it, 10, 20ms);
+    for (int n = 0; n < 10; ++n)
+    {
+        auto before =
+            call(it, {.id = "before" + std::to_string(n), .model = "busy", .output_tokens = 100});
+        REQUIRE(before.complete);
+    }
+    // Keeps the host up for most of its grace period.
+    it.desk1.run_ms = 3500;
+    it.desk2.run_ms = 3500;
+    auto booking = call_async(it, {.id = "booking", .model = {}});
+    std::this_thread::sleep_for(200ms);
+    auto stop_begin = std::chrono::steady_clock::now();
+    it.host().request_stop();
+    // 0.8 s remain of the grace period less its margin; recent runs took 0.2 s.
+    std::this_thread::sleep_until(stop_begin + 2800ms);
+
+    auto check_not_cut = [&](const outcome& response)
+    {
+        if (response.status == 200)
+        {
+            CHECK(response.complete);
+        }
+        else
+        {
+            check_refused_at_once(response);
+            CHECK(engine_runs(it, "late") == 0);
+        }
+    };
+    SECTION("the stream is longer than all recent ones")
+    {
+        set_streams(it, 100, 20ms);
+        check_not_cut(call(it, {.id = "late", .model = "busy", .output_tokens = 100}));
+    }
+    // Before the first event, between events, and before the last.
+    for (auto wait : {0ms, 60ms, 190ms})
+    {
+        SECTION("its server falls silent for a second after " + std::to_string(wait.count()) +
+                " ms, and goes on")
+        {
+            auto late = call_async(it, {.id = "late", .model = "busy", .output_tokens = 100});
+            std::this_thread::sleep_for(wait);
+            it.engine1.fall_silent(1000ms);
+            it.engine2.fall_silent(1000ms);
+            check_not_cut(late.get());
+        }
+    }
+    CHECK(booking.get().complete);
+}
--- a/tests/stand_ins/prepared_platform.cpp
+++ b/tests/stand_ins/prepared_platform.cpp
@@ -300,6 +300,7 @@
             {
                 response.set_header("Server-Limit", std::to_string(stated_limit));
             }
+            await_silence_end();
             return httplib::Server::HandlerResponse::Unhandled;
         });
     http.set_post_routing_handler(
@@ -429,13 +430,14 @@
         if (model.empty())
         {
             std::this_thread::sleep_for(std::chrono::milliseconds(run_ms));
+            await_silence_end();
             response.set_content("answer by " + id_, "text/plain");
             return;
         }
         std::string last = call.get_header_value("Last-Event-Id");
         auto next = std::make_shared<int>(last.empty() ? 1 : std::stoi(last) + 1);
         response.set_chunked_content_provider("text/event-stream",
-                                              [next, now, events = events_in_stream.load(),
+                                              [this, next, now, events = events_in_stream.load(),
                                                pause = std::chrono::milliseconds(event_pause_ms)](
                                                   std::size_t, httplib::DataSink& sink)
                                               {
@@ -445,12 +447,14 @@
                                                       sink.write(partial.data(), partial.size());
                                                       return false;
                                                   }
+                                                  await_silence_end();
                                                   if (*next > events)
                                                   {
                                                       sink.done();
                                                       return true;
                                                   }
                                                   std::this_thread::sleep_for(pause);
+                                                  await_silence_end();
                                                   std::string text = event((*next)++);
                                                   return sink.write(text.data(), text.size());
                                               });
@@ -461,6 +465,19 @@
     server_->thread = std::thread([&http] { http.listen_after_bind(); });
 }
 
+void backend_stand_in::fall_silent(std::chrono::milliseconds length)
+{
+    silent_until_ = std::chrono::steady_clock::now() + length;
+}
+
+void backend_stand_in::await_silence_end() const
+{
+    while (std::chrono::steady_clock::now() < silent_until_.load())
+    {
+        std::this_thread::sleep_until(silent_until_.load());
+    }
+}
+
 backend_stand_in::~backend_stand_in()
 {
     server_->http.stop();
--- a/tests/stand_ins/prepared_platform.hpp
+++ b/tests/stand_ins/prepared_platform.hpp
@@ -149,6 +149,8 @@
     std::atomic<const char*> stated_leaving = nullptr;
     std::atomic<const char*> stated_retry_after = nullptr;
     std::atomic<const char*> notice_path = "";
+    /// Sends nothing for this long, whatever it is in the middle of, and then goes on.
+    void fall_silent(std::chrono::milliseconds length);
     /// Refuses orders with status 503.
     std::atomic<bool> refuses_orders = false;
     /// Start time that its entry states; a later one is a restart under the same id.
@@ -159,6 +161,9 @@
 private:
     struct server;
 
+    /// Waits until the server is no longer silent.
+    void await_silence_end() const;
+
     std::string id_;
     mutable std::mutex mutex_;
     std::set<std::string> models_;
@@ -171,6 +176,7 @@
     std::chrono::steady_clock::time_point ordered_at_;
     std::atomic<int> orders_ = 0;
     std::atomic<int> leaving_responses_ = 0;
+    std::atomic<std::chrono::steady_clock::time_point> silent_until_{};
     std::unique_ptr<server> server_;
     int port_ = 0;
 };
