--- a/src/coordination/planned_stop.hpp
+++ b/src/coordination/planned_stop.hpp
@@ -3,9 +3,11 @@
 /// \file
 /// What a host that was asked to stop may still begin.
 ///
-/// Made for a load pattern in which requests keep arriving on open connections while a host stops,
-/// and some of them run for longer than what remains of the grace period: such a request is refused
-/// at once, so that its caller can go to another host with all of its time.
+/// Made for a load pattern in which requests keep arriving while a host stops, and some of them run
+/// for longer than what remains of the grace period, and than any run before: such a request is
+/// refused at once, so that its caller can go to another host with all of its time. Recent runs
+/// estimate how long one takes and do not bound it, as its server may be busier than theirs or fall
+/// silent for a while; only the request's own deadline does.
 
 #include <algorithm>
 #include <optional>
@@ -23,11 +25,11 @@
     milliseconds grace{0};
     /// The part of the grace period that is kept for the last responses to reach their callers.
     milliseconds margin{0};
-    /// Until the load balancer has noticed the stop. Before, a caller that is refused may come to
-    /// this host again, or to another one that stops, and it has few repeats.
+    /// Until the load balancer has noticed the stop. Before, this host gets its full part of the
+    /// callers, and those it refuses may come to another one that stops and have few repeats: a
+    /// request that probably ends in time is begun. Later, only one that surely does.
     milliseconds balancer_delay{0};
-    /// The fraction of recent runs that must have been short enough for a request to be begun in
-    /// that time; later, all of them.
+    /// How probably, as a fraction of recent runs.
     double early_coverage = 0.9;
 };
 
@@ -44,24 +46,26 @@
     {
         return now - options_.requested_at < options_.balancer_delay;
     }
-    /// The fraction of recent runs that bounds how long a request may run which is begun now.
-    double coverage(instant now) const
-    {
-        return balancer_may_send(now) ? options_.early_coverage : 1;
-    }
+    /// The fraction of recent runs by which a run is estimated.
+    double coverage() const { return options_.early_coverage; }
     /// When the requests that still run are ended.
     instant deadline() const { return deadline_; }
 
-    /// The latest time at which a request may be sent to a server. `run_bound` is how long it may
-    /// run then, if that is known; `request_deadline` is when it gets its final answer in any case.
-    instant latest_start(std::optional<nanoseconds> run_bound, instant request_deadline) const
+    /// The latest time at which a request may be sent to a server. `run_estimate` is how long it
+    /// probably runs then, if that is known; `request_deadline` is when it gets its final answer in
+    /// any case.
+    instant latest_start(std::optional<nanoseconds> run_estimate, instant request_deadline) const
     {
         if (request_deadline <= deadline_)
         {
             return request_deadline;
         }
-        // An unknown duration may be as long as the request's deadline allows.
-        return run_bound ? deadline_ - *run_bound : instant::min();
+        if (!run_estimate)
+        {
+            return instant::min();
+        }
+        instant balancer_noticed = options_.requested_at + options_.balancer_delay;
+        return std::min(deadline_ - *run_estimate, balancer_noticed);
     }
 
 private:
--- a/src/coordination/run_times.cpp
+++ b/src/coordination/run_times.cpp
@@ -33,23 +33,23 @@
                                                   { return now - it.at <= options_.window; }));
 }
 
-std::optional<nanoseconds> run_times::bound(const service_id& service, const model_id& model,
+std::optional<nanoseconds> run_times::estimate(const service_id& service, const model_id& model,
                                             millitokens output, double covered, instant now) const
 {
     auto of_model = by_model_.find(model);
     if (of_model != by_model_.end() && count_recent(of_model->second, now) >= options_.min_runs)
     {
-        return bound_of(of_model->second, output, covered, now);
+        return estimate_of(of_model->second, output, covered, now);
     }
     auto of_service = by_service_.find(service);
     if (of_service == by_service_.end() || count_recent(of_service->second, now) == 0)
     {
         return std::nullopt;
     }
-    return bound_of(of_service->second, output, covered, now);
+    return estimate_of(of_service->second, output, covered, now);
 }
 
-nanoseconds run_times::bound_of(const run_list& runs, millitokens output, double covered,
+nanoseconds run_times::estimate_of(const run_list& runs, millitokens output, double covered,
                                 instant now) const
 {
     std::vector<double> scaled;
--- a/src/coordination/run_times.hpp
+++ b/src/coordination/run_times.hpp
@@ -1,11 +1,12 @@
 #pragma once
 
 /// \file
-/// How long requests run, by what earlier ones took.
+/// How long requests probably run, by what earlier ones took. Those that still run, or were cut, do
+/// not count, so the next may take longer than all that are known.
 ///
 /// Made for a load pattern in which the responses of one route differ in length by a factor of ten,
-/// and the pace of an engine follows its load: how long a request may run follows from its size and
-/// from recent runs, not from the usual duration.
+/// and the pace of an engine follows its load: how long a request probably runs follows from its
+/// size and from recent runs, not from the usual duration.
 
 #include <deque>
 #include <map>
@@ -27,7 +28,7 @@
     /// The newest runs that are kept for each model and service: more than a host of the largest
     /// deployment completes for one service in the window, 5 to 10 a second.
     std::size_t max_runs = 512;
-    /// Fewer runs of one model than this do not bound the next; those of its service count then.
+    /// Fewer runs of one model than this say nothing of the next; those of its service count then.
     std::size_t min_runs = 8;
     /// How much longer than such a run a request may take, as a factor: a step of an
     /// engine with a full batch takes a quarter longer than one with a half-full batch.
@@ -53,10 +54,10 @@
     /// Records a run of a model, or of a plain service if `model` is empty.
     void record(const service_id& service, const model_id& model, const run_duration& run,
                 instant now);
-    /// How long a request with this output limit may take: no more than that in `covered` of the
-    /// recent runs, a fraction, scaled to its size. Empty if no run is known.
-    std::optional<nanoseconds> bound(const service_id& service, const model_id& model,
-                                     millitokens output, double covered, instant now) const;
+    /// How long a request with this output limit probably takes: no more than that in `covered` of
+    /// the recent runs, a fraction, scaled to its size. Empty if no run is known.
+    std::optional<nanoseconds> estimate(const service_id& service, const model_id& model,
+                                        millitokens output, double covered, instant now) const;
 
 private:
     struct ended_run
@@ -69,8 +70,8 @@
     /// Appends a run, and drops those that no longer count.
     void append(run_list& to, const ended_run& run) const;
     std::size_t count_recent(const run_list& runs, instant now) const;
-    nanoseconds bound_of(const run_list& runs, millitokens output, double covered,
-                         instant now) const;
+    nanoseconds estimate_of(const run_list& runs, millitokens output, double covered,
+                            instant now) const;
 
     run_times_options options_;
     std::map<model_id, run_list> by_model_;
--- a/src/serve/active_request.cpp
+++ b/src/serve/active_request.cpp
@@ -194,12 +194,14 @@
     context_.log.write(
         "stop_request",
         "request={} verdict={} since_stop_ms={} grace_left_ms={} deadline_left_ms={} "
-        "run_bound_ms={} model={}{}{} output_tokens={} connection_age_ms={} connection_requests={}",
+        "run_estimate_ms={} model={}{}{} output_tokens={} connection_age_ms={} "
+        "connection_requests={}",
         fields_.id.str(), verdict, to_ms(arrived_ - context_.stop->requested_at()),
         to_ms(context_.stop->deadline() - context_.now()), remaining().count(),
-        run_bound() ? to_ms(*run_bound()) : -1, fields_.model.empty() ? "-" : fields_.model.str(),
-        fields_.adapter.empty() ? "" : "/", fields_.adapter.str(), fields_.output_tokens,
-        to_ms(arrived_ - caller_->opened_at), caller_->requests);
+        run_estimate() ? to_ms(*run_estimate()) : -1,
+        fields_.model.empty() ? "-" : fields_.model.str(), fields_.adapter.empty() ? "" : "/",
+        fields_.adapter.str(), fields_.output_tokens, to_ms(arrived_ - caller_->opened_at),
+        caller_->requests);
 }
 
 void active_request::record_cut()
@@ -387,14 +389,14 @@
         // What remains of a stream is unknown; its caller is no worse off if it ends later.
         return context_.stop->deadline();
     }
-    return context_.stop->latest_start(run_bound(), deadline_);
+    return context_.stop->latest_start(run_estimate(), deadline_);
 }
 
-std::optional<nanoseconds> active_request::run_bound() const
+std::optional<nanoseconds> active_request::run_estimate() const
 {
     instant now = context_.now();
-    return context_.durations.bound(service_, fields_.model, tokens(fields_.output_tokens),
-                                    context_.stop->coverage(now), now);
+    return context_.durations.estimate(service_, fields_.model, tokens(fields_.output_tokens),
+                                       context_.stop->coverage(), now);
 }
 
 bool active_request::ends_before_stop(milliseconds expected_wait) const
--- a/src/serve/active_request.hpp
+++ b/src/serve/active_request.hpp
@@ -83,8 +83,8 @@
     /// The latest time at which a send can end before this host does, if it was asked to stop.
     std::optional<instant> latest_start_before_stop() const;
     bool ends_before_stop(milliseconds expected_wait) const;
-    /// How long a server may take for it during a stop, if that is known.
-    std::optional<nanoseconds> run_bound() const;
+    /// How long a server probably takes for it during a stop, if that is known.
+    std::optional<nanoseconds> run_estimate() const;
     bool out_of_time(milliseconds expected) const
     {
         return context_.now() + expected > latest_start();
--- a/tests/correctness/planned_stop_path_test.cpp
+++ b/tests/correctness/planned_stop_path_test.cpp
@@ -176,9 +176,10 @@
     auto unknown = call_async(it, {.id = "unknown", .model = "other", .deadline = 1000ms});
     std::this_thread::sleep_until(stop_begin + stop_grace - 1000ms);
     set_streams(it, 10, 20ms);
-    auto late = call(it, {.id = "late", .model = "busy", .output_tokens = 10});
+    auto late = call(it, {.id = "late", .model = "busy", .output_tokens = 10, .deadline = 500ms});
+    auto unsure = call(it, {.id = "unsure", .model = "busy", .output_tokens = 10});
 
-    SECTION("a stream that takes a third of what remains, and a short one near the end")
+    SECTION("a stream that takes a third of what remains, and near the end a short one")
     {
         auto response = early.get();
         CHECK(response.status == 200);
@@ -187,6 +188,10 @@
         CHECK(late.complete);
         CHECK(late.body.find("token10\n") != std::string::npos);
 
+        // One that probably ends in time, and may run until after the end by its own deadline.
+        check_refused_at_once(unsure);
+        CHECK(engine_runs(it, "unsure") == 0);
+
         // Of a model of which nothing is known, one whose deadline lies before the end.
         auto short_deadline = unknown.get();
         CHECK(short_deadline.status == 200);
--- a/tests/correctness/run_times_test.cpp
+++ b/tests/correctness/run_times_test.cpp
@@ -18,7 +18,7 @@
 
 } // namespace
 
-TEST_CASE("A request's longest run follows from its size and from recent runs")
+TEST_CASE("A request's run is estimated by its size and by recent runs")
 {
     const service_id engines("engines");
     const service_id desk("desk");
@@ -27,7 +27,7 @@
 
     SECTION("nothing is known of a service without runs")
     {
-        CHECK_FALSE(it.bound(engines, busy, tokens(100), 1, start));
+        CHECK_FALSE(it.estimate(engines, busy, tokens(100), 1, start));
     }
     SECTION("streams of very different lengths")
     {
@@ -36,47 +36,47 @@
 
         SECTION("the slowest of them counts, scaled to the size of the request")
         {
-            CHECK(it.bound(engines, busy, tokens(500), 1, start + 1s) == 3040ms);
+            CHECK(it.estimate(engines, busy, tokens(500), 1, start + 1s) == 3040ms);
         }
-        SECTION("runs that state the same limit bound each other by what they took")
+        SECTION("runs that state the same limit count by what they took")
         {
-            CHECK(it.bound(engines, busy, tokens(1000), 1, start + 1s) == 6040ms);
+            CHECK(it.estimate(engines, busy, tokens(1000), 1, start + 1s) == 6040ms);
         }
         SECTION("a request without a size may be as long as the longest")
         {
-            CHECK(it.bound(engines, busy, tokens(0), 1, start + 1s) == 6040ms);
+            CHECK(it.estimate(engines, busy, tokens(0), 1, start + 1s) == 6040ms);
         }
         SECTION("old runs no longer count, nor do those beyond the number kept")
         {
-            CHECK_FALSE(it.bound(engines, busy, tokens(1000), 1, start + 32s));
+            CHECK_FALSE(it.estimate(engines, busy, tokens(1000), 1, start + 32s));
             for (int n = 0; n < 3; ++n)
             {
                 it.record(engines, busy, stream_of(100, 10ms, 200ms), start + 2s);
             }
-            CHECK(it.bound(engines, busy, tokens(1000), 1, start + 2s) == 2010ms);
+            CHECK(it.estimate(engines, busy, tokens(1000), 1, start + 2s) == 2010ms);
         }
         SECTION("a model with few runs is taken to be as slow as the others of its service")
         {
             const model_id rare("rare");
             it.record(engines, rare, stream_of(1000, 10ms, 100ms), start + 1s);
-            CHECK(it.bound(engines, rare, tokens(1000), 1, start + 1s) == 6040ms);
+            CHECK(it.estimate(engines, rare, tokens(1000), 1, start + 1s) == 6040ms);
             it.record(engines, rare, stream_of(1000, 10ms, 200ms), start + 1s);
-            CHECK(it.bound(engines, rare, tokens(1000), 1, start + 1s) == 210ms);
+            CHECK(it.estimate(engines, rare, tokens(1000), 1, start + 1s) == 210ms);
         }
         SECTION("another service's runs say nothing")
         {
-            CHECK_FALSE(it.bound(desk, model_id(), tokens(0), 1, start + 1s));
+            CHECK_FALSE(it.estimate(desk, model_id(), tokens(0), 1, start + 1s));
         }
     }
-    SECTION("a bound may leave out the longest runs")
+    SECTION("an estimate may leave out the longest runs")
     {
         run_times all({.window = 30s, .max_runs = 10, .min_runs = 1, .reserve = 1});
         for (int n = 1; n <= 10; ++n)
         {
             all.record(engines, busy, stream_of(100, 0ms, n * 100ms), start);
         }
-        CHECK(all.bound(engines, busy, tokens(100), 0.9, start) == 900ms);
-        CHECK(all.bound(engines, busy, tokens(100), 1, start) == 1000ms);
+        CHECK(all.estimate(engines, busy, tokens(100), 0.9, start) == 900ms);
+        CHECK(all.estimate(engines, busy, tokens(100), 1, start) == 1000ms);
     }
     SECTION("many short runs do not push a long one out of the window")
     {
@@ -86,40 +86,37 @@
         {
             usual.record(engines, busy, stream_of(950, 20ms, 2s), start + n * 100ms);
         }
-        CHECK(usual.bound(engines, busy, tokens(950), 1, start + 20s) >= 6100ms);
+        CHECK(usual.estimate(engines, busy, tokens(950), 1, start + 20s) >= 6100ms);
     }
     SECTION("responses of a plain service")
     {
         it.record(desk, model_id(), {.first = 90ms, .rest = 2ms, .output = {}}, start);
-        CHECK(it.bound(desk, model_id(), tokens(0), 1, start) == 92ms);
+        CHECK(it.estimate(desk, model_id(), tokens(0), 1, start) == 92ms);
     }
     SECTION("a request may take longer than the longest before it")
     {
         run_times with_reserve({.window = 30s, .max_runs = 3, .min_runs = 1, .reserve = 1.25});
         with_reserve.record(engines, busy, stream_of(100, 0ms, 1s), start);
-        CHECK(with_reserve.bound(engines, busy, tokens(200), 1, start) == 2500ms);
+        CHECK(with_reserve.estimate(engines, busy, tokens(200), 1, start) == 2500ms);
     }
 }
 
 TEST_CASE("A stopping host begins only what can end before it does")
 {
-    planned_stop stop({.requested_at = start, .grace = 8s, .margin = 400ms});
+    planned_stop stop(
+        {.requested_at = start, .grace = 8s, .margin = 400ms, .balancer_delay = 2600ms});
     REQUIRE(stop.deadline() == start + 7600ms);
 
-    SECTION("a long run must begin early, a short one may begin late")
+    SECTION("until the balancer has noticed the stop, what probably ends in time")
     {
-        CHECK(stop.latest_start(4500ms, start + 15s) == start + 3100ms);
-        CHECK(stop.latest_start(100ms, start + 15s) == start + 7500ms);
+        CHECK(stop.latest_start(5500ms, start + 15s) == start + 2100ms);
     }
-    SECTION("while the balancer still sends requests, one that may end is begun; later, all must")
+    SECTION("later, nothing by an estimate, however short")
     {
-        planned_stop watched({.requested_at = start,
-                              .grace = 8s,
-                              .margin = 400ms,
-                              .balancer_delay = 2600ms,
-                              .early_coverage = 0.9});
-        CHECK(watched.coverage(start + 2599ms) == 0.9);
-        CHECK(watched.coverage(start + 2600ms) == 1);
+        for (auto estimate : {100ms, 1000ms, 4999ms})
+        {
+            CHECK(stop.latest_start(estimate, start + 15s) == start + 2600ms);
+        }
     }
     SECTION("a run longer than the grace period never begins")
     {
