A request gives up on a silent server only if it may be sent again

After 0.9 s of silence a send was closed because another server was ready, and after 2.2 s because of nothing but the time; whether the request may be sent again (max_attempts, the retry budget, what remains of a stop) was asked only when nothing was left to go back to.

Why this works: the question comes first, and the retry budget is charged when the send is given up. A server that is silent on all connections is left only for another one that can take the request; a connection that is silent while its server sends on others is left for any server, as before. The decision is pure (server_silence).

--- a/src/serve/active_request.cpp
+++ b/src/serve/active_request.cpp
@@ -1,6 +1,7 @@
 #include "serve/active_request.hpp"
 
 #include <algorithm>
+#include <utility>
 
 #include <boost/asio/this_coro.hpp>
 #include <fmt/format.h>
@@ -298,7 +299,8 @@
                 continue;
             }
         }
-        if (sends_ > 0 && !context_.budget(service_).acquire(context_.host_count, context_.now()))
+        if (sends_ > 0 && !std::exchange(repeat_acquired_, false) &&
+            !context_.budget(service_).acquire(context_.host_count, context_.now()))
         {
             last_reason_ = "retry_budget";
             break;
--- a/src/serve/active_request.hpp
+++ b/src/serve/active_request.hpp
@@ -15,6 +15,7 @@
 #include <boost/beast/http/string_body.hpp>
 
 #include "coordination/event_splitter.hpp"
+#include "coordination/server_silence.hpp"
 #include "platform/headers.hpp"
 #include "serve/caller_connection.hpp"
 #include "serve/host_context.hpp"
@@ -102,6 +103,11 @@
     /// known that none can be had in time.
     task<bool> request_permit(const server_choice& choice);
     void request_extra_replica(const server_criteria& need, const engine_spec* engine);
+    /// Whether the current send is to be closed, because its server is silent and the request can
+    /// go on; the retry budget is charged then.
+    bool gives_up_on_server();
+    /// Whether the request may be sent once more if the current send ends without its answer.
+    bool may_repeat_after_this() const;
     /// Whether another server could take the request over at once; if one has to load its model
     /// first, requests that.
     bool other_server_ready();
@@ -157,6 +163,8 @@
     bool may_have_run_ = false;
     /// Whether the retry budget has counted this request.
     bool request_counted_ = false;
+    /// The retry budget was charged for the next send.
+    bool repeat_acquired_ = false;
     int sends_ = 0;
     int runs_ = 0;
     std::set<server_id> tried_;
--- a/src/serve/request_attempt.cpp
+++ b/src/serve/request_attempt.cpp
@@ -20,10 +20,6 @@
 constexpr std::size_t max_event_bytes = 1 << 18;
 /// How often a request checks whether its server became unresponsive.
 constexpr milliseconds inactivity_check_period{250};
-/// A server that sent no data for this long on any connection counts as lost.
-constexpr milliseconds server_inactivity_timeout{900};
-/// A repeatable request waits no longer than this without receiving a byte.
-constexpr milliseconds request_inactivity_timeout{2200};
 constexpr int first_server_error = 500;
 
 std::string chunk(std::string_view bytes)
@@ -114,32 +110,54 @@
             {
                 return;
             }
-            instant now = self->context_.now();
-            auto* exchange = self->exchange_;
-            const auto* server = self->context_.servers.find(exchange->server());
-            auto inactive_for = now - exchange->received_at();
-            bool lost = inactive_for > server_inactivity_timeout &&
-                        (!server || now - server->received_at > server_inactivity_timeout);
-            bool inactive =
-                inactive_for > request_inactivity_timeout || (lost && self->other_server_ready());
-            // Bytes may arrive without ever completing an event.
-            bool stalled = self->route_->kind == request_kind::stream &&
-                           now - self->progressed_at_ > self->caller_patience();
-            if (self->repeatable() && (inactive || stalled))
+            if (self->gives_up_on_server())
             {
-                self->context_.log.write(
-                    "server_silent", "request={} server={} cause={} silent_ms={} since_event_ms={}",
-                    self->fields_.id.str(), exchange->server().str(),
-                    inactive ? "no_bytes" : "no_event",
-                    std::chrono::floor<milliseconds>(inactive_for).count(),
-                    std::chrono::floor<milliseconds>(now - self->progressed_at_).count());
-                exchange->close();
+                self->exchange_->close();
                 return;
             }
             self->schedule_inactivity_check();
         });
 }
 
+bool active_request::gives_up_on_server()
+{
+    instant now = context_.now();
+    const auto* server = context_.servers.find(exchange_->server());
+    auto silent_for = now - exchange_->received_at();
+    bool stream = route_->kind == request_kind::stream;
+    observed_silence silence{.request = silent_for,
+                             .server = server ? now - server->received_at : silent_for,
+                             .event = stream ? now - progressed_at_ : nanoseconds(0),
+                             .event_timeout = caller_patience()};
+    auto action = judge_silence(silence, server_silence_options{});
+    if (action == silence_action::wait || !may_repeat_after_this() ||
+        (action == silence_action::move && !other_server_ready()))
+    {
+        return false;
+    }
+    // Charged now, as the request has nothing to go on with once its exchange is closed.
+    if (!context_.budget(service_).acquire(context_.host_count, now))
+    {
+        return false;
+    }
+    repeat_acquired_ = true;
+    context_.log.write(
+        "server_silent",
+        "request={} server={} result={} silent_ms={} server_silent_ms={} since_event_ms={}",
+        fields_.id.str(), exchange_->server().str(),
+        action == silence_action::move ? "moved" : "resent",
+        std::chrono::floor<milliseconds>(silence.request).count(),
+        std::chrono::floor<milliseconds>(silence.server).count(),
+        std::chrono::floor<milliseconds>(silence.event).count());
+    return true;
+}
+
+bool active_request::may_repeat_after_this() const
+{
+    int runs = runs_ + (exchange_->responded() ? 0 : 1);
+    return repeatable() && runs < route_->max_attempts && ends_before_stop(milliseconds(0));
+}
+
 bool active_request::other_server_ready()
 {
     auto tried = tried_;
--- a/src/serve/server_exchange.hpp
+++ b/src/serve/server_exchange.hpp
@@ -67,6 +67,8 @@
     const http::response<http::buffer_body>& head() const { return parser_->get(); }
     const platform::server_response_fields& fields() const { return fields_; }
     std::optional<std::uint64_t> content_length() const;
+    /// Whether the head of the response to the request was received.
+    bool responded() const { return matched_; }
     /// When the last byte of the response to the request was received.
     instant received_at() const { return received_at_; }
     /// The longest time without a byte of the response since the request was written, up to now.
