A stopping host closes a connection after its response once the balancer knows

Cause: the host waited 0.3 s for one more request on such a connection, which is right while new connections may come to it anyway, and not after that.

Now the connection is closed with the end of its response from then on; the caller's next request goes to another host, with its repeat.

--- a/src/serve/caller_session.cpp
+++ b/src/serve/caller_session.cpp
@@ -14,8 +14,8 @@
 namespace
 {
 
-/// How long a stopping host keeps an idle connection open for one more request, which may be in
-/// transit.
+/// How long a host that begins to stop keeps an idle connection open for one more request, which
+/// may be in transit.
 constexpr milliseconds stopping_idle_timeout{300};
 /// Idle timeout of the load balancer's connection; the balancer checks once a second.
 constexpr milliseconds ready_idle_timeout{5000};
@@ -43,6 +43,17 @@
     co_await caller.write(text);
 }
 
+/// How long a connection may be idle. Once the balancer has noticed a stop, a caller loses nothing
+/// if its connection is closed after a response: its next request goes to another host at once.
+milliseconds max_idle_time(const host_context& context, milliseconds limit)
+{
+    if (!context.stop)
+    {
+        return limit;
+    }
+    return context.stop->balancer_may_send(context.now()) ? stopping_idle_timeout : milliseconds(0);
+}
+
 /// Waits until a request begins; false if the connection was closed or idle for too long.
 task<bool> await_request(host_context& context, caller_connection& caller, milliseconds limit)
 {
@@ -63,7 +74,7 @@
                                       });
     while (!ended)
     {
-        auto idle_limit = context.stop ? stopping_idle_timeout : limit;
+        auto idle_limit = max_idle_time(context, limit);
         if (context.now() - since > idle_limit)
         {
             boost::system::error_code ec;
--- a/tests/correctness/planned_stop_path_test.cpp
+++ b/tests/correctness/planned_stop_path_test.cpp
@@ -5,9 +5,12 @@
 
 #include <future>
 
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
 #include <httplib.h>
 
 #include "serve_case.hpp"
+#include "transport/loop/event_loop.hpp"
 
 using namespace banyanshunt;
 using namespace std::chrono_literals;
@@ -327,3 +330,42 @@
     }
     CHECK(booking.get().complete);
 }
+
+TEST_CASE("A connection from before a stop is closed after its response, once the balancer knows")
+{
+    serve_case it;
+    set_streams(it, 150, 20ms);
+    REQUIRE(it.started);
+    asio::io_context loop;
+    tcp::socket caller(loop);
+    caller.connect({asio::ip::make_address_v4("127.0.0.1"),
+                    static_cast<std::uint16_t>(it.hosts.front()->port)});
+    std::string request = "POST /guide/1 HTTP/1.1\r\nHost: desk.example\r\nX-Request-Id: long\r\n"
+                          "X-Deadline-Ms: 8000\r\nAuthorization: Bearer good-key\r\n"
+                          "X-Model: busy\r\nContent-Length: 0\r\n\r\n";
+    asio::write(caller, asio::buffer(request));
+    REQUIRE(serve_case::eventually([&] { return engine_runs(it, "long") == 1; }));
+    std::this_thread::sleep_for(100ms);
+    // Keeps the host up for longer than the stream.
+    it.desk1.run_ms = 3400;
+    it.desk2.run_ms = 3400;
+    auto booking = call_async(it, {.id = "booking", .model = {}});
+    std::this_thread::sleep_for(100ms);
+    it.host().request_stop();
+
+    SECTION("the response ends 2.8 s or more later, and its caller is not left to ask again here")
+    {
+        std::string response;
+        auto n = asio::read_until(caller, asio::dynamic_buffer(response), "\r\n0\r\n\r\n");
+        auto ended_at = std::chrono::steady_clock::now();
+        CHECK(response.find("token150\n") != std::string::npos);
+        CHECK(response.find("Connection: close") == std::string::npos);
+        boost::system::error_code ec;
+        char byte = 0;
+        CHECK(caller.read_some(asio::buffer(&byte, 1), ec) == 0);
+        CHECK(n == response.size());
+        CHECK(ec == asio::error::eof);
+        CHECK(std::chrono::steady_clock::now() - ended_at < 150ms);
+        CHECK(booking.get().complete);
+    }
+}
