--- a/src/serve/caller_session.cpp
+++ b/src/serve/caller_session.cpp
@@ -45,13 +45,16 @@
 
 /// How long a connection may be idle. Once the balancer has noticed a stop, a caller loses nothing
 /// if its connection is closed after a response: its next request goes to another host at once.
-milliseconds max_idle_time(const host_context& context, milliseconds limit)
+milliseconds max_idle_time(const host_context& context, const caller_connection& caller,
+                           milliseconds limit)
 {
     if (!context.stop)
     {
         return limit;
     }
-    return context.stop->balancer_may_send(context.now()) ? stopping_idle_timeout : milliseconds(0);
+    bool is_new = caller.requests == 0;
+    return is_new || context.stop->balancer_may_send(context.now()) ? stopping_idle_timeout
+                                                                    : milliseconds(0);
 }
 
 /// Waits until a request begins; false if the connection was closed or idle for too long.
@@ -74,7 +77,7 @@
                                       });
     while (!ended)
     {
-        auto idle_limit = max_idle_time(context, limit);
+        auto idle_limit = max_idle_time(context, caller, limit);
         if (context.now() - since > idle_limit)
         {
             boost::system::error_code ec;
--- a/tests/correctness/planned_stop_path_test.cpp
+++ b/tests/correctness/planned_stop_path_test.cpp
@@ -5,6 +5,7 @@
 
 #include <future>
 
+#include <boost/asio/read.hpp>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 #include <httplib.h>
@@ -337,9 +338,10 @@
     set_streams(it, 150, 20ms);
     REQUIRE(it.started);
     asio::io_context loop;
+    tcp::endpoint host(asio::ip::make_address_v4("127.0.0.1"),
+                       static_cast<std::uint16_t>(it.hosts.front()->port));
     tcp::socket caller(loop);
-    caller.connect({asio::ip::make_address_v4("127.0.0.1"),
-                    static_cast<std::uint16_t>(it.hosts.front()->port)});
+    caller.connect(host);
     std::string request = "POST /guide/1 HTTP/1.1\r\nHost: desk.example\r\nX-Request-Id: long\r\n"
                           "X-Deadline-Ms: 8000\r\nAuthorization: Bearer good-key\r\n"
                           "X-Model: busy\r\nContent-Length: 0\r\n\r\n";
@@ -368,4 +370,19 @@
         CHECK(std::chrono::steady_clock::now() - ended_at < 150ms);
         CHECK(booking.get().complete);
     }
+    SECTION("a new connection stays open for its request, which is answered")
+    {
+        std::this_thread::sleep_for(2700ms);
+        tcp::socket late(loop);
+        late.connect(host);
+        std::this_thread::sleep_for(100ms);
+        std::string refused = request;
+        refused.replace(refused.find("long"), 4, "late");
+        asio::write(late, asio::buffer(refused));
+        std::string response;
+        boost::system::error_code ec;
+        asio::read(late, asio::dynamic_buffer(response), ec);
+        CHECK(response.starts_with("HTTP/1.1 503"));
+        CHECK(booking.get().complete);
+    }
 }
--- a/tests/correctness/silent_server_test.cpp
+++ b/tests/correctness/silent_server_test.cpp
@@ -60,6 +60,15 @@
             auto read = it.get("/read/1", "read");
             CHECK(read.first == 200);
         }
+        SECTION("beside a reload, " + std::to_string(wait.count()))
+        {
+            auto stream = send_stream(it, "stream");
+            begin_silence();
+            std::raise(SIGHUP);
+            auto response = stream.get();
+            CHECK(response.status == 200);
+            CHECK(response.body.find(events) != std::string::npos);
+        }
         SECTION("beside a planned stop, " + std::to_string(wait.count()))
         {
             auto stream = send_stream(it, "stream");
@@ -73,6 +82,38 @@
     }
 }
 
+TEST_CASE("A booking whose server falls silent for a second is answered, also beside a stop")
+{
+    serve_case it;
+    REQUIRE(it.started);
+    it.desk1.run_ms = 200;
+    it.desk2.run_ms = 200;
+    auto booking = std::async(std::launch::async,
+                              [&] { return it.send("POST", "/book/1", "booking", "good-key"); });
+    REQUIRE(serve_case::eventually(
+        [&] {
+            return serve_case::runs(it.desk1, "booking") + serve_case::runs(it.desk2, "booking") ==
+                   1;
+        }));
+    it.desk1.fall_silent(silence);
+    it.desk2.fall_silent(silence);
+
+    SECTION("beside a stop")
+    {
+        it.host().request_stop();
+        CHECK(booking.get().status == 200);
+        REQUIRE(serve_case::eventually([&] { return it.exit_code() == 0; }));
+    }
+    SECTION("beside a change of the configuration and a reload")
+    {
+        it.store.put("keyed.op", "config", serve_manifest(2, {"good-key", "new-key"}));
+        std::raise(SIGHUP);
+        CHECK(booking.get().status == 200);
+    }
+    // It may run once only, however long its server is silent.
+    CHECK(serve_case::runs(it.desk1, "booking") + serve_case::runs(it.desk2, "booking") == 1);
+}
+
 TEST_CASE("A stream is not given up on its last permitted server, which falls silent for a second")
 {
     serve_case it;
