Known red: silence still ends or corrupts answers of sound servers (LOST, MIXED)

What callers saw, in tests on, each case run alone: - a response of 200,000 bytes whose server was silent for 1.5 s after 116 KB was continued with the head and body of a second run: status 200, the full length, and a second 'HTTP/1.1 200' at byte 118,784 (5 of 5 runs; the same without the silence is whole); - a stream whose key was withdrawn while it ran was closed in the middle after 1.1 s of silence (3 of 3; without the silence it ends well); - streams of a silent server were moved to one that turned out to be full, and closed in the middle for lack of another retry (2 of 2 runs: 3 of 3 streams in the one, 1 of 3 in the other); - a run of 7.4 s on a route of 8 s was left after 1.0 s without a byte for another server, and its caller got 504 (1 of 1).

The stand-in can send long bodies in pieces, and has a slow path.

--- a/tests/correctness/silent_server_test.cpp
+++ b/tests/correctness/silent_server_test.cpp
@@ -111,3 +111,141 @@
         CHECK(response.body.find("token20\n") != std::string::npos);
     }
 }
+
+TEST_CASE("A silent server is not given up by a request that the new configuration would not send")
+{
+    serve_case it;
+    set_streams(it.engine1);
+    set_streams(it.engine2);
+    for (auto* engine : {&it.engine1, &it.engine2})
+    {
+        engine->events_in_stream = 30;
+    }
+    REQUIRE(it.started);
+    auto stream = send_stream(it, "stream");
+    REQUIRE(serve_case::eventually(
+        [&]
+        {
+            return serve_case::runs(it.engine1, "stream") +
+                       serve_case::runs(it.engine2, "stream") ==
+                   1;
+        }));
+    std::this_thread::sleep_for(150ms);
+
+    SECTION("its key is withdrawn while it runs, and its server is silent for a while")
+    {
+        it.store.put("keyed.op", "config", serve_manifest(2, {"new-key"}));
+        std::this_thread::sleep_for(300ms);
+        it.engine1.fall_silent(silence);
+        it.engine2.fall_silent(silence);
+        auto response = stream.get();
+        CHECK(response.status == 200);
+        CHECK(response.body.find("token30\n") != std::string::npos);
+    }
+    SECTION("the same without the silence")
+    {
+        it.store.put("keyed.op", "config", serve_manifest(2, {"new-key"}));
+        std::this_thread::sleep_for(300ms);
+        auto response = stream.get();
+        CHECK(response.status == 200);
+        CHECK(response.body.find("token30\n") != std::string::npos);
+    }
+}
+
+TEST_CASE("Streams of a server that falls silent for a while end well if the other server is full")
+{
+    serve_case it(2);
+    it.engine1.events_in_stream = 80;
+    it.engine1.event_pause_ms = 50;
+    REQUIRE(it.started);
+    it.store.put("keyed.servers", "e2", "");
+    std::this_thread::sleep_for(1500ms);
+    constexpr int streams = 3;
+    std::vector<std::future<serve_case::call_result>> open;
+    for (int n = 0; n < streams; ++n)
+    {
+        open.push_back(send_stream(it, "stream" + std::to_string(n)));
+    }
+    REQUIRE(serve_case::eventually(
+        [&]
+        {
+            std::size_t sum = 0;
+            for (int n = 0; n < streams; ++n)
+            {
+                sum += serve_case::runs(it.engine1, "stream" + std::to_string(n));
+            }
+            return sum == streams;
+        }));
+    // Its host learns that another engine holds the model, and that engine has no room by the time
+    // it is asked.
+    backend_stand_in engine3("e3", {"busy"});
+    engine3.active_fault = backend_stand_in::fault::full;
+    it.store.put("keyed.servers", "e3", engine3.registry_entry("models"));
+    std::this_thread::sleep_for(1500ms);
+
+    SECTION("more streams than the retry budget allows two repeats")
+    {
+        it.engine1.fall_silent(silence);
+        for (int n = 0; n < streams; ++n)
+        {
+            auto response = open.at(n).get();
+            INFO("stream" << n << ": " << response.body.size() << " bytes");
+            CHECK(response.status == 200);
+            CHECK(response.body.find("token80\n") != std::string::npos);
+        }
+    }
+}
+
+TEST_CASE("A long response whose server falls silent in the middle is the whole response of one run")
+{
+    serve_case it;
+    REQUIRE(it.started);
+    constexpr int body_bytes = 200000;
+    for (auto* desk : {&it.desk1, &it.desk2})
+    {
+        desk->body_bytes = body_bytes;
+        desk->piece_pause_ms = 20;
+    }
+
+    SECTION("after more than is read before the caller gets any of it")
+    {
+        auto read = std::async(std::launch::async, [&] { return it.get("/read/1", "read"); });
+        // 30 pieces, 120 KB.
+        std::this_thread::sleep_for(600ms);
+        it.desk1.fall_silent(silence);
+        it.desk2.fall_silent(silence);
+        auto [status, body] = read.get();
+        CHECK(status == 200);
+        CHECK(body.size() == body_bytes);
+        CHECK(body.find_first_not_of('x') == std::string::npos);
+        bool is_response_of_one_run = body.find("HTTP/1.1 200") == std::string::npos;
+        CHECK(is_response_of_one_run);
+    }
+    SECTION("the same without the silence")
+    {
+        auto [status, body] = it.get("/read/1", "read");
+        CHECK(status == 200);
+        CHECK(body.size() == body_bytes);
+        CHECK(body.find_first_not_of('x') == std::string::npos);
+    }
+}
+
+TEST_CASE("A long run at a server that answers others meanwhile is answered when it ends")
+{
+    serve_case it;
+    REQUIRE(it.started);
+    // Its route allows 8 s.
+    it.desk1.slow_run_ms = 7400;
+    it.desk2.slow_run_ms = 7400;
+
+    SECTION("without a byte for longer than a server may be silent")
+    {
+        auto slow = std::async(std::launch::async, [&] { return it.get("/read/slow", "slow"); });
+        for (int n = 0; n < 90; ++n)
+        {
+            it.get("/read/1", "quick" + std::to_string(n));
+            std::this_thread::sleep_for(100ms);
+        }
+        CHECK(slow.get().first == 200);
+    }
+}
--- a/tests/stand_ins/prepared_platform.cpp
+++ b/tests/stand_ins/prepared_platform.cpp
@@ -429,8 +429,24 @@
         }
         if (model.empty())
         {
-            std::this_thread::sleep_for(std::chrono::milliseconds(run_ms));
+            bool is_slow = call.path.starts_with("/read/slow");
+            std::this_thread::sleep_for(std::chrono::milliseconds(is_slow ? slow_run_ms : run_ms));
             await_silence_end();
+            if (body_bytes > 0)
+            {
+                response.set_content_provider(
+                    static_cast<std::size_t>(body_bytes), "text/plain",
+                    [this](std::size_t, std::size_t left, httplib::DataSink& sink)
+                    {
+                        await_silence_end();
+                        std::this_thread::sleep_for(std::chrono::milliseconds(piece_pause_ms));
+                        await_silence_end();
+                        constexpr std::size_t piece_bytes = 4096;
+                        std::string piece(std::min(left, piece_bytes), 'x');
+                        return sink.write(piece.data(), piece.size());
+                    });
+                return;
+            }
             response.set_content("answer by " + id_, "text/plain");
             return;
         }
