--- a/src/serve/active_request.cpp
+++ b/src/serve/active_request.cpp
@@ -78,6 +78,12 @@
            (route_->kind == request_kind::stream && route_->resumable);
 }
 
+bool active_request::may_run_again(int runs) const
+{
+    bool continuable = !head_sent_ || route_->kind == request_kind::stream;
+    return repeatable() && continuable && runs < route_->max_attempts;
+}
+
 const std::string& active_request::wait_key() const
 {
     return fields_.model.empty() ? service_.str() : fields_.model.str();
@@ -319,9 +325,8 @@
         {
             break;
         }
-        bool may_retry = end == attempt_result::not_run
-                             ? sends_ < max_refused_sends
-                             : repeatable() && runs_ < route_->max_attempts;
+        bool may_retry =
+            end == attempt_result::not_run ? sends_ < max_refused_sends : may_run_again(runs_);
         if (!may_retry)
         {
             break;
--- a/src/serve/active_request.hpp
+++ b/src/serve/active_request.hpp
@@ -131,6 +131,9 @@
     void schedule_inactivity_check();
     void cancel_timers();
     bool repeatable() const;
+    /// Whether the request may be run again after this many runs. A response of which the caller
+    /// has a part can only be continued if it is a stream that may be resumed.
+    bool may_run_again(int runs) const;
     milliseconds remaining() const;
     std::int64_t token_cost() const;
     /// Key in the wait list: the model, or the service if the request names no model.
--- a/src/serve/request_attempt.cpp
+++ b/src/serve/request_attempt.cpp
@@ -155,7 +155,7 @@
 bool active_request::may_repeat_after_this() const
 {
     int runs = runs_ + (exchange_->responded() ? 0 : 1);
-    return repeatable() && runs < route_->max_attempts && ends_before_stop(milliseconds(0));
+    return may_run_again(runs) && ends_before_stop(milliseconds(0));
 }
 
 bool active_request::other_server_ready()
@@ -380,7 +380,7 @@
     }
     if (!exchange.complete())
     {
-        co_return attempt_result::may_have_run;
+        co_return attempt_result::stream_broken;
     }
     if (framed && !co_await caller_->write("0\r\n\r\n"))
     {
