A silent server is not given up for what the new configuration would not send

Cause: the configuration was asked after the exchange had been closed. Now what it says of the request, the service of its route and the age of the server list are asked first, by a judgement that changes nothing (judge_admission).

--- a/src/serve/active_request.cpp
+++ b/src/serve/active_request.cpp
@@ -99,42 +99,57 @@
                                  : workspace_->default_tokens;
 }
 
-std::optional<active_request::refusal> active_request::check_allowed()
+active_request::admission active_request::judge_admission() const
 {
+    refusal unavailable{
+        .status = 503, .reason = "state_unavailable", .retry_after = milliseconds(500)};
     if (!context_.config)
     {
-        return refusal{
-            .status = 503, .reason = "state_unavailable", .retry_after = milliseconds(500)};
+        return {.refused = unavailable};
     }
     bool fresh = context_.config_is_fresh(context_.now());
-    config_ = context_.config;
-    route_ = config_->find_route(fields_.host, std::string(request_.target()));
-    workspace_ = nullptr;
-    if (!route_)
+    const auto* route = context_.config->find_route(fields_.host, std::string(request_.target()));
+    if (!route)
     {
-        return fresh ? refusal{.status = 404, .reason = "not_found", .retry_after = {}}
-                     : refusal{.status = 503,
-                               .reason = "state_unavailable",
-                               .retry_after = milliseconds(500)};
+        return {.refused = fresh ? refusal{.status = 404, .reason = "not_found", .retry_after = {}}
+                                 : unavailable};
     }
-    if (route_->open_to_all || config_->workspaces.empty())
+    if (route->open_to_all || context_.config->workspaces.empty())
     {
-        return std::nullopt;
+        return {.route = route};
     }
     if (!fresh && context_.settings.bounds.refuse_when_stale)
     {
-        return refusal{
-            .status = 503, .reason = "state_unavailable", .retry_after = milliseconds(500)};
+        return {.refused = unavailable, .route = route};
     }
-    auto owner = config_->key_owner.find(fields_.api_key);
-    if (owner == config_->key_owner.end())
+    auto owner = context_.config->key_owner.find(fields_.api_key);
+    if (owner == context_.config->key_owner.end())
     {
-        return refusal{.status = 401,
-                       .reason = fields_.api_key.empty() ? "key_missing" : "key_refused",
-                       .retry_after = {}};
+        return {.refused =
+                    refusal{.status = 401,
+                            .reason = fields_.api_key.empty() ? "key_missing" : "key_refused",
+                            .retry_after = {}},
+                .route = route};
     }
-    workspace_ = &config_->workspaces.at(owner->second);
-    return std::nullopt;
+    return {.route = route, .workspace = &context_.config->workspaces.at(owner->second)};
+}
+
+std::optional<active_request::refusal> active_request::check_allowed()
+{
+    auto it = judge_admission();
+    if (context_.config)
+    {
+        config_ = context_.config;
+        route_ = it.route;
+        workspace_ = it.workspace;
+    }
+    return it.refused;
+}
+
+bool active_request::routed_to_service(const serving_route& route) const
+{
+    return std::any_of(route.services.begin(), route.services.end(),
+                       [&](const auto& it) { return it.service == service_; });
 }
 
 std::optional<active_request::refusal> active_request::admit()
@@ -282,9 +297,7 @@
         {
             break;
         }
-        bool still_routed = std::any_of(route_->services.begin(), route_->services.end(),
-                                        [&](const auto& it) { return it.service == service_; });
-        if (!still_routed)
+        if (!routed_to_service(*route_))
         {
             service_ = route_->services.front().service;
             continue;
--- a/src/serve/active_request.hpp
+++ b/src/serve/active_request.hpp
@@ -74,7 +74,17 @@
     /// Logs and counts a request that came after this host began to stop.
     void record_during_stop(const char* verdict);
     std::optional<refusal> admit();
+    /// What the current configuration says of a request.
+    struct admission
+    {
+        std::optional<refusal> refused = std::nullopt;
+        const serving_route* route = nullptr;
+        const workspace_spec* workspace = nullptr;
+    };
+    admission judge_admission() const;
+    /// Applies the current configuration to this request.
     std::optional<refusal> check_allowed();
+    bool routed_to_service(const serving_route& route) const;
     task<std::optional<refusal>> acquire_tokens();
     task<std::optional<server_id>> find_server();
     /// How long the caller of a stream waits for its next event before it leaves.
--- a/src/serve/request_attempt.cpp
+++ b/src/serve/request_attempt.cpp
@@ -155,7 +155,10 @@
 bool active_request::may_repeat_after_this() const
 {
     int runs = runs_ + (exchange_->responded() ? 0 : 1);
-    return may_run_again(runs) && ends_before_stop(milliseconds(0));
+    auto now_allowed = judge_admission();
+    return may_run_again(runs) && !now_allowed.refused && routed_to_service(*now_allowed.route) &&
+           context_.judge_server_list() != list_verdict::confirm_first &&
+           ends_before_stop(milliseconds(0));
 }
 
 bool active_request::other_server_ready()
