A limit in a forwarded report counts from when its first sender told it

Cause: the age in a statement is that of the moment when its host sent it. A domain's reporter keeps the report for up to some seconds and tells for how long (age_ms); peer_service counted that for loads and placements, and limit_manager did not, so the statement was as young as the datagram.

Evidence: a host that gets a bundle with a statement 0.1 s old, kept for 4 s, of a limit that ended 2 s ago, has the limit in force again; likewise with an end. Both sections failed before.

Why this works: the statement's time is reckoned back from when its host sent it, as read_placement does it, so server_limits, which judges by that time alone, finds it older than what it knows.

--- a/src/serve/limit_manager.cpp
+++ b/src/serve/limit_manager.cpp
@@ -90,7 +90,7 @@
     to.set_age_ms(to_ms(context_.now() - known.at));
 }
 
-void limit_manager::apply(const peers::limit_statement& from)
+void limit_manager::apply(const peers::limit_statement& from, instant sent_at)
 {
     server_id server(from.server());
     const auto* known = context_.servers.find(server);
@@ -99,7 +99,7 @@
         // An earlier incarnation stated it.
         return;
     }
-    instant at = context_.now() - milliseconds(from.age_ms());
+    instant at = sent_at - milliseconds(from.age_ms());
     limit_statement statement{.start_time_ms = from.born_ms(), .rate = {}, .at = at};
     if (from.stated())
     {
@@ -212,16 +212,17 @@
         response.value_or(permit_grant{.granted = false, .wait = retry_period}));
 }
 
-void limit_manager::handle_message(peer& sender, const peers::peer_message& message)
+void limit_manager::handle_message(peer& sender, const peers::peer_message& message,
+                                   instant sent_at)
 {
     for (const auto& it : message.limits())
     {
-        apply(it);
+        apply(it, sent_at);
     }
     auto response = peers_.new_message();
     for (const auto& it : message.permit_requests())
     {
-        apply(it.limit());
+        apply(it.limit(), sent_at);
         server_id server(it.limit().server());
         auto result = grant(server, milliseconds(it.max_wait_ms()));
         auto& to = *response.add_permit_responses();
@@ -241,7 +242,7 @@
     {
         if (it.has_limit())
         {
-            apply(it.limit());
+            apply(it.limit(), sent_at);
         }
         auto found = pending_.find(it.number());
         if (found != pending_.end())
--- a/src/serve/limit_manager.hpp
+++ b/src/serve/limit_manager.hpp
@@ -31,7 +31,7 @@
     void announce(const server_id& server, limit_change change);
     /// Acquires a permit for one request to a server that states a limit.
     task<permit_response> acquire(server_id server, milliseconds max_wait);
-    void handle_message(peer& sender, const peers::peer_message& message);
+    void handle_message(peer& sender, const peers::peer_message& message, instant sent_at);
     /// Determines the servers for which this host grants permits; call it before reports are
     /// filled.
     void update_granted();
@@ -43,7 +43,7 @@
     bool grants(const server_id& server) const;
     permit_grant grant(const server_id& server, milliseconds max_wait);
     void write(const server_id& server, peers::limit_statement& to) const;
-    void apply(const peers::limit_statement& from);
+    void apply(const peers::limit_statement& from, instant sent_at);
     /// Charges what this host sent before it knew the limit.
     void charge_own_sends(const server_id& server);
     void act_on(const server_id& server, limit_change change);
--- a/src/serve/peer_service.cpp
+++ b/src/serve/peer_service.cpp
@@ -340,7 +340,7 @@
                              milliseconds(it.waited_ms()));
     }
     shares_.handle_message(host, sender, message);
-    limits_.handle_message(sender, message);
+    limits_.handle_message(sender, message, sent_at);
     notices_.handle_message(message);
     views_.handle_message(host, sender, message);
     for (const auto& it : message.bundled())
--- /dev/null
+++ b/tests/correctness/forwarded_reports_test.cpp
@@ -0,0 +1,135 @@
+// One host that receives the real datagrams of hosts of another failure domain. What a host of that
+// domain forwards counts from when its first sender sent it, not from when it arrived.
+
+#include <catch2/catch.hpp>
+
+#include "peers.pb.h"
+#include "serve/peer_service.hpp"
+
+using namespace banyanshunt;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+const server_id server("s1");
+constexpr std::int64_t start_time = 1;
+constexpr int peer_port = 17600;
+/// How long the forwarding host had kept the message.
+constexpr milliseconds kept_for{4000};
+
+class receiving_host
+{
+public:
+    receiving_host()
+        : context(settings(), loop_.get_executor()), watcher_(context), service_(context, watcher_),
+          north_(loop_, {asio::ip::make_address_v4("127.66.0.2"), peer_port})
+    {
+        backend_entry entry;
+        entry.id = server;
+        entry.start_time_ms = start_time;
+        context.servers.apply_entry(entry, context.now());
+        service_.start();
+    }
+
+    static host_settings settings()
+    {
+        host_settings to;
+        to.name = host_id("south-1");
+        to.domain = domain_id("south");
+        to.ip = "127.66.0.1";
+        to.first_peer_port = peer_port;
+        // No store listens there.
+        to.log.address = endpoint_text("127.66.0.1:1");
+        return to;
+    }
+    static peers::peer_message message_of(const char* host)
+    {
+        peers::peer_message message;
+        message.set_host(host);
+        message.set_domain("north");
+        message.set_life(7);
+        return message;
+    }
+    /// Puts a message of "north-1" into a datagram of "north-2", which kept it for `age`.
+    static peers::peer_message forwarded(const peers::peer_message& message, milliseconds age)
+    {
+        auto bundle = message_of("north-2");
+        auto& to = *bundle.add_bundled();
+        to = message;
+        to.set_relayed(peers::passed_on);
+        to.set_address("127.66.0.3:17600");
+        to.set_age_ms(static_cast<std::uint32_t>(age.count()));
+        return bundle;
+    }
+    /// Returns whether the datagram has been handled.
+    bool receive(peers::peer_message message)
+    {
+        // Its last part is a host that was not heard before.
+        auto marker = "marker-" + std::to_string(++markers_);
+        *message.add_bundled() = forwarded(message_of(marker.c_str()), 0ms).bundled(0);
+        auto bytes = message.SerializeAsString();
+        north_.send_to(asio::buffer(bytes), {asio::ip::make_address_v4("127.66.0.1"), peer_port});
+        auto hosts = context.host_count;
+        for (int n = 0; n < 200 && context.host_count == hosts; ++n)
+        {
+            loop_.run_for(10ms);
+        }
+        return context.host_count > hosts;
+    }
+
+private:
+    asio::io_context loop_{1};
+
+public:
+    host_context context;
+
+private:
+    state_watcher watcher_;
+    peer_service service_;
+    asio::ip::udp::socket north_;
+    int markers_ = 0;
+};
+
+} // namespace
+
+TEST_CASE("The limit of a server in a report that another host forwards")
+{
+    receiving_host it;
+    auto& limits = it.context.servers.limits();
+    instant ended_at = it.context.now() - 2s;
+    limits.record(
+        server,
+        {.start_time_ms = start_time, .rate = millirequests_per_second(2300), .at = ended_at - 3s});
+    limits.record(server, {.start_time_ms = start_time, .rate = {}, .at = ended_at});
+    REQUIRE_FALSE(limits.in_force(server));
+    auto message = receiving_host::message_of("north-1");
+    auto& statement = *message.add_limits();
+    statement.set_server(server.str());
+    statement.set_born_ms(start_time);
+    statement.set_stated(true);
+    statement.set_millirequests_per_s(2300);
+    statement.set_age_ms(100);
+
+    SECTION("it ended while the report was kept, and does not come back")
+    {
+        REQUIRE(it.receive(receiving_host::forwarded(message, kept_for)));
+        CHECK_FALSE(limits.in_force(server));
+
+        SECTION("until the server states it again")
+        {
+            REQUIRE(it.receive(receiving_host::forwarded(message, 10ms)));
+            CHECK(limits.in_force(server));
+        }
+    }
+    SECTION("its end, kept for longer than the server has stated a limit again, does not end it")
+    {
+        instant stated_at = it.context.now() - 2s;
+        limits.record(
+            server,
+            {.start_time_ms = start_time, .rate = millirequests_per_second(2300), .at = stated_at});
+        statement.set_stated(false);
+        REQUIRE(it.receive(receiving_host::forwarded(message, kept_for)));
+        CHECK(limits.in_force(server));
+    }
+}
--- a/tests/correctness/server_limit_fleet_test.cpp
+++ b/tests/correctness/server_limit_fleet_test.cpp
@@ -160,7 +160,7 @@
             {
                 auto& sender = it.peers.all.at(name);
                 sender.received_at = it.context.now();
-                it.limits.handle_message(sender, message);
+                it.limits.handle_message(sender, message, it.context.now());
             }
         }
     }
