A leaving notice in a forwarded report counts from when the server said it

What callers could see: next to nothing, as a leaving is undone by a later incarnation alone; the log's age_ms was too small, and a notice older than any host repeats it (30 s) was still believed if a reporter had kept it meanwhile.

Why this works: the notice's time is reckoned back from when its host sent it, and its age is judged by that time.

--- a/src/serve/notice_manager.cpp
+++ b/src/serve/notice_manager.cpp
@@ -43,16 +43,16 @@
     }
 }
 
-void notice_manager::handle_message(const peers::peer_message& message)
+void notice_manager::handle_message(const peers::peer_message& message, instant sent_at)
 {
     for (const auto& it : message.leaving())
     {
-        milliseconds age(it.age_ms());
-        if (age <= max_notice_age)
+        instant stated_at = sent_at - milliseconds(it.age_ms());
+        if (context_.now() - stated_at <= max_notice_age)
         {
             context_.record_leaving(server_id(it.server()), {.start_time_ms = it.born_ms(),
                                                              .source = notice_source::peer,
-                                                             .stated_at = context_.now() - age});
+                                                             .stated_at = stated_at});
         }
     }
 }
--- a/src/serve/notice_manager.hpp
+++ b/src/serve/notice_manager.hpp
@@ -26,7 +26,7 @@
 
     /// Tells all hosts that a server leaves, as its response to this host showed.
     void announce(const server_id& server);
-    void handle_message(const peers::peer_message& message);
+    void handle_message(const peers::peer_message& message, instant sent_at);
     /// Adds the servers that have said recently in responses to this host that they leave. What
     /// peers told is not told again, so that an error does not live on in the fleet.
     void fill_report(peers::peer_message& message) const;
--- a/src/serve/peer_service.cpp
+++ b/src/serve/peer_service.cpp
@@ -341,7 +341,7 @@
     }
     shares_.handle_message(host, sender, message);
     limits_.handle_message(sender, message, sent_at);
-    notices_.handle_message(message);
+    notices_.handle_message(message, sent_at);
     views_.handle_message(host, sender, message);
     for (const auto& it : message.bundled())
     {
--- a/tests/correctness/forwarded_reports_test.cpp
+++ b/tests/correctness/forwarded_reports_test.cpp
@@ -133,3 +133,31 @@
         CHECK(limits.in_force(server));
     }
 }
+
+TEST_CASE("What a server said of its leaving in a report that another host forwards")
+{
+    receiving_host it;
+    const auto& notices = it.context.servers.notices();
+    auto message = receiving_host::message_of("north-1");
+    auto& notice = *message.add_leaving();
+    notice.set_server(server.str());
+    notice.set_born_ms(start_time);
+
+    SECTION("counts from when the server said it")
+    {
+        notice.set_age_ms(100);
+        instant sent_at = it.context.now();
+        REQUIRE(it.receive(receiving_host::forwarded(message, kept_for)));
+        REQUIRE(notices.leaving(server, start_time));
+        auto known = notices.all_leaving().at(server).notice;
+        CHECK(known.source == notice_source::peer);
+        CHECK(known.stated_at < sent_at);
+        CHECK(it.context.now() - known.stated_at >= kept_for + 100ms);
+    }
+    SECTION("is not believed if it is older than any host repeats it")
+    {
+        notice.set_age_ms(29000);
+        REQUIRE(it.receive(receiving_host::forwarded(message, kept_for)));
+        CHECK_FALSE(notices.leaving(server, start_time));
+    }
+}
