A placement from before its owner gave the engine up does not undo that

What callers could see (found by reading, no run of the fleet shows it): beside a stop or the loss of a membership, hosts of other domains took the former owner as one that gives orders at once, and sent it load requests that it counts as not_owner, while they could have used another engine.

Cause: a value without its age. That an owner may not order is told directly; reporters go on forwarding its last placements for up to two periods, and apply_owner took any statement with the same fencing number, old or not.

Evidence: an owner that said that it may order in 60 s, then its placement kept for 4 s by a reporter: the wait for the owner fell from 60 s to 0. The test failed before.

Why this works: of two statements with the same fencing number, so of the same owner, the later one counts, as for placements. A later owner's number is higher, and counts at any age.

--- a/src/coordination/backend_table.cpp
+++ b/src/coordination/backend_table.cpp
@@ -134,9 +134,18 @@
 void backend_table::apply_owner(const server_id& server, const engine_owner& owner)
 {
     auto it = servers_.find(server);
-    if (it != servers_.end() && (!it->second.owner || owner.fencing >= it->second.owner->fencing))
+    if (it == servers_.end())
+    {
+        return;
+    }
+    auto& known = it->second.owner;
+    // The same owner may have said since that it gives no orders.
+    bool older =
+        known && (owner.fencing < known->fencing ||
+                  (owner.fencing == known->fencing && owner.reported_at < known->reported_at));
+    if (!older)
     {
-        it->second.owner = owner;
+        known = owner;
     }
 }
 
--- a/tests/correctness/forwarded_reports_test.cpp
+++ b/tests/correctness/forwarded_reports_test.cpp
@@ -161,3 +161,40 @@
         CHECK_FALSE(notices.leaving(server, start_time));
     }
 }
+
+TEST_CASE("The owner of an engine in a placement that another host forwards")
+{
+    receiving_host it;
+    auto owner_wait = [&]
+    { return it.context.servers.owner_wait(*it.context.servers.find(server), it.context.now()); };
+    auto placement = receiving_host::message_of("north-1");
+    auto& held = *placement.add_placements();
+    held.set_server(server.str());
+    held.set_born_ms(start_time);
+    held.set_fence(5);
+
+    SECTION("gave the engine up while the placement was kept, and is not asked for loads again")
+    {
+        auto message = receiving_host::message_of("north-1");
+        auto& pending = *message.add_pending_owners();
+        pending.set_server(server.str());
+        pending.set_fence(5);
+        pending.set_may_order_in_ms(60000);
+        REQUIRE(it.receive(message));
+        REQUIRE(owner_wait() > 30s);
+        REQUIRE(it.receive(receiving_host::forwarded(placement, kept_for)));
+        CHECK(owner_wait() > 30s);
+
+        SECTION("until it owns the engine again")
+        {
+            REQUIRE(it.receive(placement));
+            CHECK(owner_wait() == 0ms);
+        }
+        SECTION("but a later owner is")
+        {
+            held.set_fence(6);
+            REQUIRE(it.receive(receiving_host::forwarded(placement, kept_for)));
+            CHECK(owner_wait() == 0ms);
+        }
+    }
+}
