An older report of a host's load does not replace a newer one

What callers could see (found by reading, no run of the fleet shows it): the owner of an engine chose servers by loads that were up to a report period too old, so that requests could go to a fuller server.

Cause: a value without its age. A host tells the owner of an engine in another domain its load directly, and everyone through the reporters. The age of a forwarded report was counted for its expiry, but not compared with what was known: an older complete report dropped the newer load, also one of 0, and of two reporters' messages the last to arrive counted.

Evidence: after a direct load of 3 a report kept for 1 s made it 1, or 0 if it did not list the server; after a direct 0 it made it 1; of two complete reports the older, which came last, counted.

Why this works: each load, also one of 0, is kept with its time until it expires, and only a later report replaces it; a complete report older than the newest one of its host is passed over. drop_peer_loads is now begin_complete_report, so the check in domain_reports_test calls that and asks for its result too.

--- a/src/coordination/backend_table.cpp
+++ b/src/coordination/backend_table.cpp
@@ -202,7 +202,7 @@
 }
 
 void backend_table::apply_peer_load(const host_id& host, const server_id& server, int running,
-                                    instant now)
+                                    instant at)
 {
     auto it = servers_.find(server);
     if (it == servers_.end())
@@ -210,25 +210,31 @@
         return;
     }
     auto& use = it->second.peer_loads[host];
-    it->second.peer_running += running - use.running;
-    use = {.running = running, .at = now};
-    if (running == 0)
+    if (at >= use.at)
     {
-        it->second.peer_loads.erase(host);
+        it->second.peer_running += running - use.running;
+        use = {.running = running, .at = at};
     }
 }
 
-void backend_table::drop_peer_loads(const host_id& host)
+bool backend_table::begin_complete_report(const host_id& host, instant at)
 {
+    instant& newest = complete_reports_[host];
+    if (at < newest)
+    {
+        return false;
+    }
+    newest = at;
     for (auto& [id, it] : servers_)
     {
         auto use = it.peer_loads.find(host);
-        if (use != it.peer_loads.end())
+        if (use != it.peer_loads.end() && use->second.at <= at)
         {
             it.peer_running -= use->second.running;
             it.peer_loads.erase(use);
         }
     }
+    return true;
 }
 
 void backend_table::record_sent(const server_id& server, const model_target& target)
--- a/src/coordination/backend_table.hpp
+++ b/src/coordination/backend_table.hpp
@@ -173,6 +173,7 @@
             int running = 0;
             instant at;
         };
+        /// Also loads of 0, so that older reports do not replace them.
         std::map<host_id, peer_load> peer_loads;
         /// The sum over `peer_loads`.
         int peer_running = 0;
@@ -204,9 +205,11 @@
     void remove_owner(const server_id& server);
     /// A message of a host arrived. Its earlier incarnations give no more orders.
     void record_heard(const host_id& host, incarnation_id incarnation, instant now);
-    void apply_peer_load(const host_id& host, const server_id& server, int running, instant now);
-    /// Forgets the loads that a host reported, before its next complete report is applied.
-    void drop_peer_loads(const host_id& host);
+    /// Applies what a host reported `at` a time, unless a later report of it was applied.
+    void apply_peer_load(const host_id& host, const server_id& server, int running, instant at);
+    /// Forgets the loads that a host reported earlier, before its complete report of this time is
+    /// applied. Returns false if a later complete one was applied already.
+    bool begin_complete_report(const host_id& host, instant at);
 
     void record_sent(const server_id& server, const model_target& target);
     void record_ended(const server_id& server, const model_target& target, backend_outcome outcome,
@@ -314,6 +317,8 @@
     backend_table_options options_;
     std::map<server_id, record> servers_;
     std::map<host_id, heard_host> heard_hosts_;
+    /// When the newest complete report of each host was sent.
+    std::map<host_id, instant> complete_reports_;
     server_limits limits_;
     server_notices notices_;
 };
--- a/src/serve/peer_service.cpp
+++ b/src/serve/peer_service.cpp
@@ -363,9 +363,9 @@
 void peer_service::handle_report(const host_id& from, const peers::peer_message& message,
                                  instant sent_at)
 {
-    if (message.report().complete())
+    if (message.report().complete() && !context_.servers.begin_complete_report(from, sent_at))
     {
-        context_.servers.drop_peer_loads(from);
+        return;
     }
     for (const auto& it : message.report().servers())
     {
--- a/tests/correctness/domain_reports_test.cpp
+++ b/tests/correctness/domain_reports_test.cpp
@@ -215,7 +215,7 @@
     SECTION("a host's complete report clears the servers that it does not list")
     {
         table.apply_peer_load(peer, server, 3, now);
-        table.drop_peer_loads(peer);
+        CHECK(table.begin_complete_report(peer, now));
         CHECK(backend_table::load(*table.find(server)) == 0);
     }
     SECTION("an older placement of the same owner does not replace a newer one")
--- a/tests/correctness/forwarded_reports_test.cpp
+++ b/tests/correctness/forwarded_reports_test.cpp
@@ -198,3 +198,52 @@
         }
     }
 }
+
+TEST_CASE("A host's load in a report that another host forwards")
+{
+    receiving_host it;
+    auto load = [&] { return backend_table::load(*it.context.servers.find(server)); };
+    auto report = [](std::uint32_t running, bool complete)
+    {
+        auto message = receiving_host::message_of("north-1");
+        message.mutable_report()->set_complete(complete);
+        auto& use = *message.mutable_report()->add_servers();
+        use.set_server(server.str());
+        use.set_running(running);
+        return message;
+    };
+
+    SECTION("does not replace what the host itself has told since")
+    {
+        REQUIRE(it.receive(report(3, false)));
+        REQUIRE(load() == 3);
+
+        SECTION("listed with less")
+        {
+            REQUIRE(it.receive(receiving_host::forwarded(report(1, true), 1000ms)));
+            CHECK(load() == 3);
+        }
+        SECTION("not listed")
+        {
+            auto message = report(1, true);
+            message.mutable_report()->clear_servers();
+            REQUIRE(it.receive(receiving_host::forwarded(message, 1000ms)));
+            CHECK(load() == 3);
+        }
+        SECTION("that it has no more")
+        {
+            REQUIRE(it.receive(report(0, false)));
+            REQUIRE(load() == 0);
+            REQUIRE(it.receive(receiving_host::forwarded(report(1, true), 1000ms)));
+            CHECK(load() == 0);
+        }
+    }
+    SECTION("replaces an older one that was forwarded later, whichever comes last")
+    {
+        auto newer = report(1, true);
+        newer.mutable_report()->clear_servers();
+        REQUIRE(it.receive(receiving_host::forwarded(newer, 200ms)));
+        REQUIRE(it.receive(receiving_host::forwarded(report(2, true), 1200ms)));
+        CHECK(load() == 0);
+    }
+}
