A host that hears of a later configuration reads it, whatever its waiting read says (CONFIG)

A read that arrives while a record is being appended may wait to its end without it: 2.2 s on a host that reads for itself, where config_apply_ms is 2,000.

Reports name the end of what their sender has read of the configuration; who is behind asks its domain's reader, then the store. A stopping host says so in all it sends and is not asked to read for others; a request for a view is repeated after 0.25 s, and the age beyond which a shared view is not used follows from config_apply_ms.

--- a/src/serve/host_context.hpp
+++ b/src/serve/host_context.hpp
@@ -132,6 +132,13 @@
     {
         return config && config_confirmed_at && at - *config_confirmed_at < max_config_age();
     }
+    /// Whether the configuration may be superseded by one that has to be in force.
+    bool config_may_be_superseded(instant at) const
+    {
+        auto max_age = std::chrono::duration_cast<milliseconds>(settings.bounds.ticket_apply *
+                                                                confirmed_ratio);
+        return !config_confirmed_at || at - *config_confirmed_at >= max_age;
+    }
     milliseconds max_config_age() const
     {
         return std::chrono::duration_cast<milliseconds>(settings.bounds.key_revocation *
@@ -244,6 +251,10 @@
     std::optional<instant> config_confirmed_at;
     bool servers_known = false;
     server_list_age list_age;
+    /// Makes a call that confirms the configuration.
+    std::function<void()> refresh_config = [] {};
+    /// Wait list key of requests that wait for the configuration to be confirmed.
+    static constexpr const char* config_wait_key = "config";
     /// Requests a call that confirms the server list.
     std::function<void()> refresh_server_list = [] {};
     backend_table servers;
--- a/src/serve/peer_list.cpp
+++ b/src/serve/peer_list.cpp
@@ -48,6 +48,7 @@
     message.set_host(context_.settings.name.str());
     message.set_domain(context_.settings.domain.str());
     message.set_life(static_cast<std::uint64_t>(context_.incarnation.count()));
+    message.set_stopping(context_.stop.has_value());
     return message;
 }
 
--- a/src/serve/peer_list.hpp
+++ b/src/serve/peer_list.hpp
@@ -26,6 +26,8 @@
     incarnation_id incarnation;
     instant received_at;
     instant listed_at;
+    /// It was asked to stop, as its last datagram says.
+    bool stopping = false;
     /// What it could lend of each workspace: its last report, less what was requested from it
     /// since.
     std::map<workspace_id, millitokens> lendable;
--- a/src/serve/peer_service.cpp
+++ b/src/serve/peer_service.cpp
@@ -285,6 +285,7 @@
     {
         sender.address = from;
         sender.incarnation = incarnation_id(static_cast<std::int64_t>(message.life()));
+        sender.stopping = message.stopping();
     }
     else if (is_new)
     {
@@ -462,6 +463,7 @@
 {
     auto message = peers_.new_message();
     auto& report = *message.mutable_report();
+    views_.fill_report(report);
     for (const auto& [id, it] : context_.servers.servers())
     {
         bool is_owner = it.owner && it.owner->host == host && !it.requests_since_report.empty();
@@ -495,6 +497,7 @@
 {
     auto message = peers_.new_message();
     auto& report = *message.mutable_report();
+    views_.fill_report(report);
     for (const auto& [id, it] : context_.servers.servers())
     {
         if (now - it.last_running_at < expiry_periods * cross_domain_period())
--- a/src/serve/topic_reader.cpp
+++ b/src/serve/topic_reader.cpp
@@ -22,18 +22,18 @@
 /// and one retransmission. A store that was slower lately gets some multiple of that.
 constexpr milliseconds min_response_timeout{300};
 constexpr int latencies_per_timeout = 3;
-/// How long a call waits for a change. Together with the timeouts, an unresponsive connection is
-/// found well before the configuration counts as stale, and hosts seldom call while nothing
-/// changes.
+/// How long a call waits for a change at most; hosts seldom call while nothing changes.
 constexpr milliseconds topic_wait{2200};
+/// The time that a call takes which does not wait, unless the store is slow.
+constexpr milliseconds usual_response_time{100};
 /// A host from which others request what it has read calls more often, so that they get fresh data,
 /// until it received no such request for `reader_role_duration`.
 constexpr milliseconds reader_role_duration{3000};
 constexpr milliseconds reader_wait{500};
 constexpr milliseconds reader_gap{400};
-/// Age at which a host reads the configuration itself although another reads for it: less than half
-/// of the shortest bound on key revocation.
-constexpr milliseconds max_shared_config_age{2000};
+/// Greatest age at which a host reads the configuration itself although another reads for it: less
+/// than half of the shortest bound on key revocation.
+constexpr milliseconds longest_shared_config_age{2000};
 /// How often a host checks whether the data that another host reads for it has grown old.
 constexpr milliseconds max_recheck_interval{300};
 /// Bytes of read records that a host keeps, and that it sends in one datagram.
@@ -56,6 +56,15 @@
 /// the same: more than the age that the reader's view usually has when it arrives, 0.9 s of 1.76 s.
 constexpr double shared_registry_fraction = 0.7;
 
+/// How long a read of the configuration waits. A waiting read may miss a record that is appended
+/// as it arrives, so its end must come before the record has to be in force; and an unresponsive
+/// connection has to be found well before the configuration counts as stale.
+milliseconds config_wait(const host_context& context)
+{
+    return std::min({topic_wait, context.settings.bounds.ticket_apply - usual_response_time,
+                     context.max_config_age() / 2 - min_response_timeout});
+}
+
 milliseconds fraction_of(milliseconds max_age, double fraction)
 {
     return std::chrono::duration_cast<milliseconds>(max_age * fraction);
@@ -308,18 +317,43 @@
         // What another host has read was taken over meanwhile; the next call goes on from there.
         co_return true;
     }
-    auto page = platform::parse_records(response->body, from);
+    co_return accept_records(response->body, from, sent_at);
+}
+
+bool topic_reader::accept_records(const std::string& body, log_offset from, instant sent_at)
+{
+    auto page = platform::parse_records(body, from);
     if (!page)
     {
         context_.log.write("store_answer_bad", "topic={} detail=\"{}\"", options_.topic,
                            page.error().detail);
-        co_return false;
+        return false;
     }
     next_ = page->end;
     record_response(sent_at);
     deliver(page->records);
     handlers_.confirmed(sent_at);
-    co_return true;
+    return true;
+}
+
+task<void> topic_reader::read_now()
+{
+    if (!next_ || reading_now_)
+    {
+        co_return;
+    }
+    reading_now_ = true;
+    instant sent_at = context_.now();
+    log_offset from = *next_;
+    auto call = platform::read_call(options_.topic, from, milliseconds(0));
+    // The kept connection is in use by a call that waits, or may be what failed.
+    http_connection store(context_.settings.log.address);
+    auto response = co_await store.call(call.method, call.target, call.body, min_response_timeout);
+    reading_now_ = false;
+    if (response && response->status == 200 && next_ == from)
+    {
+        accept_records(response->body, from, sent_at);
+    }
 }
 
 void topic_reader::log_unanswered_call(instant sent_at, milliseconds wait)
@@ -353,8 +387,8 @@
     : context_(context),
       config_(context,
               {.topic = platform::config_topic,
-               .wait = topic_wait,
-               .max_shared_age = max_shared_config_age,
+               .wait = config_wait(context),
+               .max_shared_age = max_shared_config_age(),
                .max_age = context.max_config_age()},
               {.snapshot =
                    [this](const auto& records)
@@ -373,6 +407,7 @@
                        context_.config_confirmed_at =
                            std::max(context_.config_confirmed_at.value_or(sent_at), sent_at);
                    }
+                   context_.waiting.wake(host_context::config_wait_key);
                }}),
       servers_(
           context,
@@ -395,6 +430,14 @@
            .failed = [this](instant sent_at) { record_list_call(sent_at, false); }})
 {
     context_.refresh_server_list = [this] { servers_.refresh(); };
+    context_.refresh_config = [this]
+    { asio::co_spawn(context_.executor, config_.read_now(), asio::detached); };
+}
+
+milliseconds state_watcher::max_shared_config_age() const
+{
+    return std::min(longest_shared_config_age,
+                    context_.settings.bounds.ticket_apply - min_response_timeout);
 }
 
 void state_watcher::record_list_call(instant sent_at, bool confirmed)
--- a/src/serve/topic_reader.hpp
+++ b/src/serve/topic_reader.hpp
@@ -76,6 +76,8 @@
     void apply(const topic_view& view);
     /// Makes the next call at once, and has it answered at once.
     void refresh();
+    /// Reads what has been added, beside a call that waits; does nothing while it does so already.
+    task<void> read_now();
 
 private:
     /// Whether hosts of a domain share what they read of this topic.
@@ -91,6 +93,8 @@
     void deliver(const std::vector<platform::keyed_record>& records);
     task<bool> read_all();
     task<bool> read_next();
+    /// Applies the response to a call sent at `sent_at` that read from `from` on.
+    bool accept_records(const std::string& body, log_offset from, instant sent_at);
     void record_response(instant confirmed);
     void log_unanswered_call(instant sent_at, milliseconds wait);
 
@@ -100,6 +104,7 @@
     http_connection store_;
     asio::steady_timer rest_timer_;
     bool refresh_requested_ = false;
+    bool reading_now_ = false;
     /// Whether the call in flight was requested by `refresh`.
     bool refreshing_ = false;
     /// How long the store took for the last call that did not wait, or less.
@@ -125,6 +130,9 @@
     task<void> run_servers() { return servers_.run(); }
     topic_reader& config() { return config_; }
     topic_reader& servers() { return servers_; }
+    const topic_reader& config() const { return config_; }
+    /// The age of a shared view of the configuration beyond which it is not used.
+    milliseconds max_shared_config_age() const;
 
 private:
     void record_list_call(instant sent_at, bool confirmed);
--- a/src/serve/view_sync.cpp
+++ b/src/serve/view_sync.cpp
@@ -12,6 +12,8 @@
 /// Period of requests to the reader; together with the reader's own calls, a change takes up to a
 /// second to arrive.
 constexpr milliseconds request_period{500};
+/// A request without a response is repeated after this time.
+constexpr milliseconds response_time{250};
 /// No view is requested from a peer that sent nothing for this long; peers of a domain report each
 /// 250 ms.
 constexpr milliseconds report_ttl{1500};
@@ -19,8 +21,6 @@
 /// `skip_duration`.
 constexpr int max_unanswered_requests = 3;
 constexpr milliseconds skip_duration{4000};
-/// A reader whose configuration is older has lost contact with the store.
-constexpr milliseconds max_view_age{2600};
 
 void write_view(const topic_view& from, instant now, peers::topic_view& to)
 {
@@ -63,7 +63,7 @@
         auto skipped = skipped_until_.find(host);
         bool is_skipped = skipped != skipped_until_.end() && now < skipped->second;
         if (it.domain == context_.settings.domain && now - it.received_at < report_ttl &&
-            !is_skipped)
+            !is_skipped && !it.stopping)
         {
             candidates.push_back(host);
         }
@@ -91,8 +91,13 @@
     co_await pause(context_.random_delay(request_period));
     while (true)
     {
-        co_await pause(request_period);
+        co_await pause(response_time);
         instant now = context_.now();
+        // A timer that fires slightly late must not skip a period.
+        if (unanswered_requests_ == 0 && now - requested_at_ < request_period - response_time / 4)
+        {
+            continue;
+        }
         if (unanswered_requests_ >= max_unanswered_requests)
         {
             context_.log.write("reader_passed_over", "host={} unanswered={}", requested_from_.str(),
@@ -110,10 +115,45 @@
     }
 }
 
+void view_sync::fill_report(peers::host_report& report) const
+{
+    if (auto end = watcher_.config().position())
+    {
+        report.set_config_end(end->count());
+    }
+}
+
+void view_sync::handle_report(const peers::host_report& report)
+{
+    auto position = watcher_.config().position();
+    if (!position)
+    {
+        return;
+    }
+    instant now = context_.now();
+    auto from = source(now);
+    auto step = config_catch_up_.step(log_offset(report.config_end()), *position,
+                                      context_.view.read_by_other && from, now);
+    if (step == catch_up_step::request_view)
+    {
+        request_view(*from);
+    }
+    else if (step == catch_up_step::read_topic)
+    {
+        context_.log.write("config_behind", "offset={} peer_offset={}", position->count(),
+                           report.config_end());
+        context_.refresh_config();
+    }
+}
+
 void view_sync::handle_message(const host_id& from, const peer& sender,
                                const peers::peer_message& message)
 {
     instant now = context_.now();
+    if (message.has_report())
+    {
+        handle_report(message.report());
+    }
     if (message.has_view_asked())
     {
         context_.view.requested_at = now;
@@ -133,7 +173,8 @@
         return;
     }
     unanswered_requests_ = 0;
-    if (milliseconds(message.view().config().age_ms()) > max_view_age)
+    // An older one is of a reader that has lost contact with the store.
+    if (milliseconds(message.view().config().age_ms()) > watcher_.max_shared_config_age())
     {
         context_.log.write("reader_passed_over", "host={} age_ms={}", from.str(),
                            message.view().config().age_ms());
--- a/src/serve/view_sync.hpp
+++ b/src/serve/view_sync.hpp
@@ -10,12 +10,18 @@
 
 #include <optional>
 
+#include "coordination/catch_up.hpp"
 #include "serve/peer_list.hpp"
 #include "serve/topic_reader.hpp"
 
 namespace banyanshunt
 {
 
+namespace peers
+{
+class host_report;
+}
+
 class view_sync
 {
 public:
@@ -28,8 +34,11 @@
     task<void> run();
     void handle_message(const host_id& from, const peer& sender,
                         const peers::peer_message& message);
+    /// Adds what this host has read of the configuration.
+    void fill_report(peers::host_report& report) const;
 
 private:
+    void handle_report(const peers::host_report& report);
     void request_view(const host_id& source);
     std::optional<host_id> source(instant now) const;
 
@@ -43,6 +52,7 @@
     int unanswered_requests_ = 0;
     /// Hosts that did not respond, or had no fresh data, and the time until which they are skipped.
     std::map<host_id, instant> skipped_until_;
+    catch_up config_catch_up_;
 };
 
 } // namespace banyanshunt
--- a/tests/stand_ins/prepared_platform.cpp
+++ b/tests/stand_ins/prepared_platform.cpp
@@ -1,5 +1,6 @@
 #include "stand_ins/prepared_platform.hpp"
 
+#include <algorithm>
 #include <chrono>
 #include <cmath>
 #include <cstdlib>
@@ -22,6 +23,8 @@
 constexpr std::size_t lost_response_size = 10;
 /// Short, because stopping a server waits for idle connections.
 constexpr int keep_alive_s = 1;
+/// Longer than a host waits for a response.
+constexpr std::chrono::seconds lost_read_time{5};
 /// Longer than a host's pause between two reads.
 constexpr int store_keep_alive_s = 5;
 
@@ -227,6 +230,21 @@
     records_added_.notify_all();
 }
 
+void store_stand_in::put_unnoticed(const std::string& topic, const std::string& key,
+                                   const std::string& value, missed_read_end end)
+{
+    {
+        std::lock_guard lock(mutex_);
+        int missed_by = reads_[topic];
+        topics_[topic].push_back({.key = key, .value = value, .missed_by = missed_by});
+        if (end == missed_read_end::lost)
+        {
+            lost_reads_.emplace(topic, missed_by);
+        }
+    }
+    records_added_.notify_all();
+}
+
 int store_stand_in::reads(const std::string& topic) const
 {
     std::lock_guard lock(mutex_);
@@ -256,10 +274,19 @@
 std::string store_stand_in::read(const std::string& topic, std::size_t from, int wait_ms)
 {
     std::unique_lock lock(mutex_);
-    ++reads_[topic];
+    int number = ++reads_[topic];
     auto& entries = topics_[topic];
-    records_added_.wait_for(lock, std::chrono::milliseconds(wait_ms),
-                            [&] { return entries.size() > from || closing_; });
+    auto has_noticed = [&]
+    {
+        auto first = entries.begin() + static_cast<std::ptrdiff_t>(std::min(from, entries.size()));
+        return closing_ || std::any_of(first, entries.end(),
+                                       [&](const auto& it) { return it.missed_by != number; });
+    };
+    records_added_.wait_for(lock, std::chrono::milliseconds(wait_ms), has_noticed);
+    if (lost_reads_.contains({topic, number}))
+    {
+        records_added_.wait_for(lock, lost_read_time, [&] { return closing_; });
+    }
     std::string body;
     big_endian(body, entries.size(), 8);
     big_endian(body, 0, 8);
--- a/tests/stand_ins/prepared_platform.hpp
+++ b/tests/stand_ins/prepared_platform.hpp
@@ -38,6 +38,15 @@
     std::map<int, std::string> holders_;
 };
 
+/// How a read that did not notice a record ends.
+enum class missed_read_end
+{
+    /// With the record, once it has waited as long as it may.
+    answered,
+    /// Its response is lost.
+    lost,
+};
+
 /// The log service: keyed topics with one partition each, appends, and one group.
 class store_stand_in
 {
@@ -48,6 +57,9 @@
     int port() const { return port_; }
     /// Writes a record as operators or servers do; without a value, deletes the key.
     void put(const std::string& topic, const std::string& key, const std::string& value);
+    /// The same, but the read of the topic that arrived last does not notice it while it waits.
+    void put_unnoticed(const std::string& topic, const std::string& key, const std::string& value,
+                       missed_read_end end);
     /// The calls received to read a topic from an offset on.
     int reads(const std::string& topic) const;
     /// While nonzero, every call gets this status.
@@ -62,6 +74,8 @@
     {
         std::string key;
         std::string value;
+        /// The read that does not notice it while it waits; 0 for none.
+        int missed_by = 0;
     };
     std::string read(const std::string& topic, std::size_t from, int wait_ms);
     std::string newest(const std::string& topic);
@@ -70,6 +84,7 @@
     mutable std::mutex mutex_;
     std::condition_variable records_added_;
     std::map<std::string, int> reads_;
+    std::set<std::pair<std::string, int>> lost_reads_;
     bool closing_ = false;
     std::map<std::string, std::vector<entry>> topics_;
     std::unique_ptr<server> server_;
