--- a/src/serve/active_request.cpp
+++ b/src/serve/active_request.cpp
@@ -39,6 +39,8 @@
 /// How long a waiting request waits for the server list to be confirmed: an overdue call to the log
 /// and one on a new connection. The log responds within milliseconds.
 constexpr milliseconds list_confirm_timeout{500};
+/// The same for the configuration.
+constexpr milliseconds config_confirm_timeout{500};
 /// Retry-After of a stopping host: other hosts can take the request at once, and the balancer sends
 /// a repeat to one of them.
 constexpr milliseconds other_host_delay{100};
@@ -97,8 +99,7 @@
 {
     if (!context_.config)
     {
-        return refusal{
-            .status = 503, .reason = "state_unavailable", .retry_after = milliseconds(500)};
+        return unavailable;
     }
     bool fresh = context_.config_is_fresh(context_.now());
     config_ = context_.config;
@@ -107,9 +108,7 @@
     if (!route_)
     {
         return fresh ? refusal{.status = 404, .reason = "not_found", .retry_after = {}}
-                     : refusal{.status = 503,
-                               .reason = "state_unavailable",
-                               .retry_after = milliseconds(500)};
+                     : unavailable;
     }
     if (route_->open_to_all || config_->workspaces.empty())
     {
@@ -117,8 +116,7 @@
     }
     if (!fresh && context_.settings.bounds.refuse_when_stale)
     {
-        return refusal{
-            .status = 503, .reason = "state_unavailable", .retry_after = milliseconds(500)};
+        return unavailable;
     }
     auto owner = config_->key_owner.find(fields_.api_key);
     if (owner == config_->key_owner.end())
@@ -131,11 +129,40 @@
     return std::nullopt;
 }
 
-std::optional<active_request::refusal> active_request::admit()
+task<std::optional<active_request::refusal>> active_request::confirm_allowed()
 {
-    if (auto cause = check_allowed())
+    auto cause = check_allowed();
+    auto refuses = [&]
     {
-        return cause;
+        return cause && cause->status != unavailable.status &&
+               context_.config_may_be_superseded(context_.now());
+    };
+    if (!refuses())
+    {
+        co_return cause;
+    }
+    instant asked_at = context_.now();
+    instant give_up_at = std::min<instant>(asked_at + config_confirm_timeout, deadline_);
+    context_.refresh_config();
+    while (refuses() && context_.now() < give_up_at && !caller_->closed && !ended())
+    {
+        co_await context_.waiting.wait(host_context::config_wait_key, 0, arrived_,
+                                       give_up_at - context_.now());
+        cause = check_allowed();
+    }
+    bool confirmed = !refuses();
+    context_.stats.increment("banyanshunt_config_confirmations_total",
+                             {{"result", confirmed ? "confirmed" : "unconfirmed"}});
+    context_.log.write("config_old", "request={} result={} waited_ms={}", fields_.id.str(),
+                       confirmed ? "confirmed" : "unconfirmed", to_ms(context_.now() - asked_at));
+    co_return confirmed ? cause : unavailable;
+}
+
+task<std::optional<active_request::refusal>> active_request::admit()
+{
+    if (auto cause = co_await confirm_allowed())
+    {
+        co_return cause;
     }
     deadline_ = std::min(deadline_, arrived_ + route_->timeout);
     priority_ = workspace_ && workspace_->priority ? *workspace_->priority : route_->priority;
@@ -155,7 +182,7 @@
             break;
         }
     }
-    return std::nullopt;
+    co_return std::nullopt;
 }
 
 task<std::optional<active_request::refusal>> active_request::acquire_tokens()
@@ -236,7 +263,7 @@
 
 task<void> active_request::respond()
 {
-    auto refused = admit();
+    auto refused = co_await admit();
     if (!refused && context_.stop)
     {
         bool taken = ends_before_stop(milliseconds(0));
@@ -266,7 +293,7 @@
             break;
         }
         // The configuration may have changed during the wait; the current one decides.
-        if (auto cause = check_allowed(); cause && sends_ == 0)
+        if (auto cause = co_await confirm_allowed(); cause && sends_ == 0)
         {
             cancel_timers();
             co_await refuse(*cause);
--- a/src/serve/active_request.hpp
+++ b/src/serve/active_request.hpp
@@ -69,11 +69,17 @@
         const char* reason = "";
         std::optional<milliseconds> retry_after;
     };
+    /// This host's own state does not allow a decision.
+    static constexpr refusal unavailable{
+        .status = 503, .reason = "state_unavailable", .retry_after = milliseconds(500)};
 
     void record_cut();
     /// Logs and counts a request that came after this host began to stop.
     void record_during_stop(const char* verdict);
-    std::optional<refusal> admit();
+    task<std::optional<refusal>> admit();
+    /// Like `check_allowed`, but does not refuse by a configuration that may be superseded while it
+    /// can be confirmed, and only with `unavailable` if it cannot.
+    task<std::optional<refusal>> confirm_allowed();
     std::optional<refusal> check_allowed();
     task<std::optional<refusal>> acquire_tokens();
     task<std::optional<server_id>> find_server();
--- a/tests/correctness/configuration_age_test.cpp
+++ b/tests/correctness/configuration_age_test.cpp
@@ -81,6 +81,33 @@
     }
 }
 
+TEST_CASE("A host that may be behind the configuration does not refuse by it")
+{
+    serve_case it(1, store_path::proxied);
+    REQUIRE(it.started);
+    wait_for_read(it.store);
+    it.store_link->cut();
+    it.store.put(config_topic, "config", serve_manifest(2, {"good-key", "new-key"}));
+    auto acknowledged_at = std::chrono::steady_clock::now();
+
+    SECTION("it cannot ask, and says so")
+    {
+        std::this_thread::sleep_until(acknowledged_at + apply_bound);
+        CHECK(it.send("GET", "/read/1", "new", "new-key").status == 503);
+        CHECK(it.send("GET", "/nowhere", "lost", "good-key").status == 503);
+        it.store_link->heal();
+        REQUIRE(serve_case::eventually(
+            [&] { return it.send("GET", "/read/1", "new", "new-key").status == 200; }));
+    }
+    SECTION("it can ask again, and serves")
+    {
+        std::this_thread::sleep_until(acknowledged_at + apply_bound);
+        it.store_link->heal();
+        CHECK(it.send("GET", "/read/1", "new", "new-key").status == 200);
+        CHECK(it.send("GET", "/read/1", "bad", "bad-key").status == 401);
+    }
+}
+
 TEST_CASE("A configuration is in force in time while the host stops that reads it for its domain")
 {
     serve_case it(6);
