Stand-in servers record when a request arrives, apart from when they respond

A server that is silent handles requests, orders and reports when it goes on, seconds after they arrived. Judged by that moment, the checks would blame hosts for what they sent long before: orders within another's lease, requests in a pause, a withdrawn key, a limit that no host could have heard yet.

So these are judged by arrival, which without silence is the same to the millisecond, and a limit binds from the first response that states it. Equally strict: nothing that arrives too late is excused. A silent server keeps its connections, so it gets more threads.

--- a/tests/soak/soak_checks.cpp
+++ b/tests/soak/soak_checks.cpp
@@ -200,7 +200,11 @@
                                  history.limits.end(),
                                  [&](const auto& it) { return it.backend == limit.backend; });
         auto until = next == history.limits.end() ? steady_instant::max() : next->at;
-        if (limit.per_second < 0)
+        // A silent server states its limit only when it goes on.
+        auto responses = fleet.backends[limit.backend]->responses();
+        auto first = std::find_if(responses.begin(), responses.end(),
+                                  [&](const auto& it) { return it.arrived_at >= limit.at; });
+        if (limit.per_second < 0 || first == responses.end())
         {
             continue;
         }
@@ -213,7 +217,7 @@
             {
                 window.pop_front();
             }
-            if (at >= limit.at + limit_contact_time && at < until &&
+            if (at >= first->at + limit_contact_time && at < until &&
                 !disturbed(at - limit_window - limit_contact_time, at))
             {
                 peak = std::max(peak, window.size());
@@ -333,7 +337,8 @@
                                           return its_call != calls.end() &&
                                                  its_call->second->host == host &&
                                                  it.start_time_ms == stated->start_time_ms &&
-                                                 it.at > stated->at + pause_grace && it.at < until;
+                                                 it.arrived_at > stated->at + pause_grace &&
+                                                 it.arrived_at < until;
                                       });
             if (sent > max_sends_in_pause)
             {
--- a/tests/stand_ins/prepared_platform.cpp
+++ b/tests/stand_ins/prepared_platform.cpp
@@ -24,6 +24,11 @@
 constexpr int keep_alive_s = 1;
 /// Longer than a host's pause between two reads.
 constexpr int store_keep_alive_s = 5;
+/// A kept connection occupies a thread, also while the server is silent.
+constexpr std::size_t backend_threads = 64;
+
+/// When the request that this thread handles arrived.
+thread_local std::chrono::steady_clock::time_point request_arrived_at;
 
 void big_endian(std::string& to, std::uint64_t n, int bytes)
 {
@@ -288,13 +293,14 @@
 {
     auto& http = server_->http;
     http.set_keep_alive_timeout(keep_alive_s);
-    http.new_task_queue = [] { return new httplib::ThreadPool(32); };
+    http.new_task_queue = [] { return new httplib::ThreadPool(backend_threads); };
     http.set_pre_routing_handler(
         [this](const httplib::Request&, httplib::Response& response)
         {
+            request_arrived_at = std::chrono::steady_clock::now();
             {
                 std::lock_guard lock(mutex_);
-                arrivals_.push_back(std::chrono::steady_clock::now());
+                arrivals_.push_back(request_arrived_at);
             }
             if (stated_limit >= 0)
             {
@@ -312,6 +318,7 @@
                 states_notices && response.status == 503 ? stated_retry_after.load() : nullptr;
             given_response given{.id = call.get_header_value("X-Request-Id"),
                                  .at = std::chrono::steady_clock::now(),
+                                 .arrived_at = request_arrived_at,
                                  .start_time_ms = start_time_ms,
                                  .leaving = leaving && std::string_view(leaving) == "1"};
             if (leaving)
@@ -362,7 +369,7 @@
                 response.status = expected ? 400 : 409;
                 return;
             }
-            auto now = std::chrono::steady_clock::now();
+            auto now = request_arrived_at;
             auto fence = order.at("fencing_token").get<std::int64_t>();
             auto holder = order.at("holder").get<std::string>();
             if (fence < fence_)
@@ -411,7 +418,7 @@
                                .workspace = call.get_header_value("X-Tenant"),
                                .last_event_id = call.get_header_value("Last-Event-Id"),
                                .has_key = call.has_header("Authorization"),
-                               .at = std::chrono::steady_clock::now()});
+                               .at = request_arrived_at});
         }
         if (now == fault::own_error)
         {
--- a/tests/stand_ins/prepared_platform.hpp
+++ b/tests/stand_ins/prepared_platform.hpp
@@ -85,6 +85,7 @@
     std::string workspace;
     std::string last_event_id;
     bool has_key = false;
+    /// When it arrived.
     std::chrono::steady_clock::time_point at = {};
 };
 
@@ -94,6 +95,8 @@
     /// Id of the request; empty for orders and calls for a report.
     std::string id;
     std::chrono::steady_clock::time_point at;
+    /// When the request arrived; long before if the server was silent.
+    std::chrono::steady_clock::time_point arrived_at;
     /// The incarnation that gave it.
     int start_time_ms = 0;
     bool leaving = false;
