Soak: sound servers fall silent and go on, and planned work comes in series

In every seed, servers send nothing for 0.5 to 2 s and go on, one or several, in series and overlapping, by a random engine of its own: a seed keeps its sequence of the other faults. Streams last 0.3 s and plain runs 40 ms, so that a silence begins at any point of a response.

Seeds with planned work only publish the same configuration several times in a row, and stop hosts while others stop. Their hosts have the platform's grace period of 8 s, and every second request a time budget of 12 s: with 4 s alone, every request's deadline lay before the end of the stop, and a host that gives up on a silent server could always repeat.

Checks added, for seeds with planned work only: a request that a server ran is not answered 502 or 504, and a connection does not end without a response later than the platform's loss_slack_ms. Violations say when, and where the request was sent.

--- a/tests/soak/shunt_soak.cpp
+++ b/tests/soak/shunt_soak.cpp
@@ -6,7 +6,9 @@
 
 #include <filesystem>
 #include <iostream>
+#include <map>
 #include <random>
+#include <thread>
 
 #include <fmt/format.h>
 #include <gflags/gflags.h>
@@ -37,18 +39,39 @@
 constexpr double limit_per_second = 20;
 /// Every fourth seed has planned work only; no request may be interrupted then.
 constexpr std::uint64_t planned_interval = 4;
+/// The grace period of hosts. Where all work is planned it is so long that a request begun right
+/// after SIGTERM ends in it, however long its server is silent.
+constexpr int grace_s = 4;
+constexpr int planned_grace_s = 8;
+/// The time budget of every second request where all work is planned: it outlasts a stop, which the
+/// others' budgets do not.
+constexpr std::chrono::milliseconds planned_time_budget{12000};
+/// Silences come in groups, each of which lasts `max_silence_ms` at the most; the time between
+/// groups keeps a request from spending its whole time budget on silences.
+constexpr int min_silence_ms = 500;
+constexpr int max_silence_ms = 2000;
+constexpr int min_silence_interval_ms = 1200;
+constexpr int max_silence_interval_ms = 2200;
+constexpr int max_silences = 5;
+/// The most configurations that are published right after one another, and the pause between two.
+constexpr int max_configurations = 4;
+constexpr int max_configuration_pause_ms = 120;
 
 /// One soak run: injects faults or planned work, restarts ended hosts, and checks the outcome.
 class soak_run
 {
 public:
     explicit soak_run(std::uint64_t seed, const std::string& folder)
-        : random_(seed), notice_random_(seed), fleet_({.program = FLAGS_program,
-                                                       .directory = folder,
-                                                       .address_block = FLAGS_block,
-                                                       .hosts = FLAGS_hosts})
+        : random_(seed), notice_random_(seed), silence_random_(seed), planned_random_(seed),
+          fleet_({.program = FLAGS_program,
+                  .directory = folder,
+                  .address_block = FLAGS_block,
+                  .hosts = FLAGS_hosts,
+                  .grace_s = planned_only(seed) ? planned_grace_s : grace_s,
+                  .time_budget = long_time_budget(seed)})
     {
-        history_.planned_only = seed % planned_interval == 0;
+        history_.planned_only = planned_only(seed);
+        history_.begun = std::chrono::steady_clock::now();
     }
 
     std::vector<std::string> run(std::uint64_t seed)
@@ -59,7 +82,8 @@
         {
             ips.push_back(it.ip);
         }
-        soak_callers callers(ips, soak_fleet::caller_port, seed);
+        soak_callers callers(ips, soak_fleet::caller_port, seed, long_time_budget(seed));
+        std::jthread silences([this](const std::stop_token& stop) { silence_servers(stop); });
         auto until = std::chrono::steady_clock::now() + std::chrono::seconds(FLAGS_fault_seconds);
         while (std::chrono::steady_clock::now() < until)
         {
@@ -69,8 +93,19 @@
             {
                 change_notice();
             }
-            std::this_thread::sleep_for(std::chrono::milliseconds(draw(900)));
+            auto next = std::chrono::steady_clock::now() + std::chrono::milliseconds(draw(900));
+            if (history_.planned_only && planned_random_() % 2 == 0)
+            {
+                publish_configurations(next);
+            }
+            else if (history_.planned_only && planned_random_() % 2 == 0)
+            {
+                stop_another();
+            }
+            std::this_thread::sleep_until(next);
         }
+        silences.request_stop();
+        silences.join();
         heal();
         auto recovered = std::chrono::steady_clock::now() + recovery_length;
         history_.recovered = recovered;
@@ -87,6 +122,11 @@
     std::size_t calls() const { return calls_; }
 
 private:
+    static bool planned_only(std::uint64_t seed) { return seed % planned_interval == 0; }
+    static std::chrono::milliseconds long_time_budget(std::uint64_t seed)
+    {
+        return planned_only(seed) ? planned_time_budget : time_budget;
+    }
     int draw(int bound) { return std::uniform_int_distribution<int>(0, bound - 1)(random_); }
     soak_fleet::host& any_host()
     {
@@ -101,7 +141,11 @@
         return static_cast<std::size_t>(draw(static_cast<int>(fleet_.backends.size())));
     }
 
-    void log_fault(const std::string& what) { std::cout << "  fault: " << what << "\n"; }
+    void log_fault(const std::string& what) const
+    {
+        std::chrono::duration<double> at = std::chrono::steady_clock::now() - history_.begun;
+        std::cout << fmt::format("  fault at {:.3f} s: {}\n", at.count(), what);
+    }
 
     void restart_ended()
     {
@@ -184,6 +228,72 @@
         fleet_.announce(n);
     }
 
+    /// Servers send nothing for a time and go on: one or several, one after the other or at once.
+    void silence_servers(const std::stop_token& stop)
+    {
+        auto draw_ms = [this](int from, int to)
+        { return std::uniform_int_distribution<int>(from, to)(silence_random_); };
+        auto wait = [&stop](int ms)
+        {
+            auto until = std::chrono::steady_clock::now() + std::chrono::milliseconds(ms);
+            while (std::chrono::steady_clock::now() < until && !stop.stop_requested())
+            {
+                std::this_thread::sleep_for(10ms);
+            }
+        };
+        while (!stop.stop_requested())
+        {
+            wait(draw_ms(min_silence_interval_ms, max_silence_interval_ms));
+            std::multimap<int, std::size_t> begins;
+            for (int left = draw_ms(1, max_silences); left > 0; --left)
+            {
+                begins.emplace(draw_ms(0, max_silence_ms - min_silence_ms),
+                               silence_random_() % fleet_.backends.size());
+            }
+            int at = begins.begin()->first;
+            int end = at + max_silence_ms;
+            for (auto [begin, n] : begins)
+            {
+                wait(begin - at);
+                at = begin;
+                int length = draw_ms(min_silence_ms, end - begin);
+                if (!stop.stop_requested())
+                {
+                    log_fault(fmt::format("server {} is silent for {} ms", n, length));
+                    fleet_.backends[n]->fall_silent(std::chrono::milliseconds(length));
+                }
+            }
+            wait(end - at);
+        }
+    }
+
+    /// Publishes the same content as several new versions.
+    void publish_configurations(std::chrono::steady_clock::time_point until)
+    {
+        auto left = 1 + planned_random_() % max_configurations;
+        for (; left > 0 && std::chrono::steady_clock::now() < until; --left)
+        {
+            log_fault("configuration published again");
+            fleet_.configure(keys_);
+            std::this_thread::sleep_for(
+                std::chrono::milliseconds(planned_random_() % max_configuration_pause_ms));
+        }
+    }
+
+    /// Stops a host while others may be stopping, as long as ready ones remain.
+    void stop_another()
+    {
+        auto& it = fleet_.hosts[planned_random_() % fleet_.hosts.size()];
+        bool others =
+            std::any_of(fleet_.hosts.begin(), fleet_.hosts.end(),
+                        [&](const auto& other) { return &other != &it && fleet_.ready(other); });
+        if (others && fleet_.ready(it))
+        {
+            log_fault("stop " + it.name);
+            signal(it, SIGTERM);
+        }
+    }
+
     void run_planned_work()
     {
         switch (draw(3))
@@ -217,7 +327,8 @@
             return;
         }
         log_fault("key-2 withdrawn");
-        fleet_.configure({"key-1"});
+        keys_ = {"key-1"};
+        fleet_.configure(keys_);
         history_.withdrawn["key-2"] = std::chrono::steady_clock::now();
     }
 
@@ -339,8 +450,11 @@
     }
 
     std::mt19937_64 random_;
-    /// Of its own, so that a seed gives the same sequence of the other faults as before.
+    /// Of their own, so that a seed gives the same sequence of the other faults as before.
     std::mt19937_64 notice_random_;
+    std::mt19937_64 silence_random_;
+    std::mt19937_64 planned_random_;
+    std::vector<std::string> keys_ = {"key-1", "key-2"};
     soak_fleet fleet_;
     soak_history history_;
     std::size_t calls_ = 0;
--- a/tests/soak/soak_callers.cpp
+++ b/tests/soak/soak_callers.cpp
@@ -13,14 +13,16 @@
 
 constexpr int callers = 12;
 constexpr std::chrono::milliseconds max_pause{60};
-constexpr int read_timeout_s = 6;
+/// How much longer than its time budget a caller waits for a response.
+constexpr std::chrono::milliseconds caller_margin{2000};
 /// The mean number of requests after which a caller opens a new connection.
 constexpr int requests_per_connection = 12;
 
 } // namespace
 
-soak_callers::soak_callers(std::vector<std::string> ips, int port, std::uint64_t seed)
-    : ips_(std::move(ips)), port_(port)
+soak_callers::soak_callers(std::vector<std::string> ips, int port, std::uint64_t seed,
+                           std::chrono::milliseconds long_time_budget)
+    : ips_(std::move(ips)), port_(port), long_time_budget_(long_time_budget)
 {
     for (int n = 0; n < callers; ++n)
     {
@@ -52,8 +54,9 @@
             client = std::make_unique<httplib::Client>(ips_[host], port_);
             client->set_keep_alive(true);
             client->set_connection_timeout(1);
-            client->set_read_timeout(read_timeout_s);
         }
+        auto budget = n % 2 == 0 ? time_budget : long_time_budget_;
+        client->set_read_timeout(budget + caller_margin);
         call_record record;
         record.id = fmt::format("{:x}-{}-{}", seed, caller, n);
         record.kind = static_cast<call_kind>(draw(3));
@@ -62,7 +65,7 @@
         record.host = host;
         httplib::Headers headers = {{"Host", "desk.example"},
                                     {"X-Request-Id", record.id},
-                                    {"X-Deadline-Ms", "4000"},
+                                    {"X-Deadline-Ms", std::to_string(budget.count())},
                                     {"Authorization", "Bearer " + record.key}};
         const char* path = record.kind == call_kind::book   ? "/book/1"
                            : record.kind == call_kind::read ? "/read/1"
--- a/tests/soak/soak_callers.hpp
+++ b/tests/soak/soak_callers.hpp
@@ -15,6 +15,9 @@
 
 using steady_instant = std::chrono::steady_clock::time_point;
 
+/// The time budget that requests state.
+inline constexpr std::chrono::milliseconds time_budget{4000};
+
 enum class call_kind
 {
     book,
@@ -41,8 +44,10 @@
 class soak_callers
 {
 public:
-    /// Calls the hosts at these addresses until destroyed or stopped.
-    soak_callers(std::vector<std::string> ips, int port, std::uint64_t seed);
+    /// Calls the hosts at these addresses until destroyed or stopped. Every second request of a
+    /// caller has the long time budget.
+    soak_callers(std::vector<std::string> ips, int port, std::uint64_t seed,
+                 std::chrono::milliseconds long_time_budget);
     ~soak_callers() { stop(); }
     void stop();
     /// All completed calls; valid after `stop`.
@@ -53,6 +58,7 @@
 
     std::vector<std::string> ips_;
     int port_;
+    std::chrono::milliseconds long_time_budget_;
     std::atomic<bool> stopping_ = false;
     std::mutex mutex_;
     std::vector<call_record> records_;
--- a/tests/soak/soak_checks.cpp
+++ b/tests/soak/soak_checks.cpp
@@ -32,6 +32,8 @@
 /// may still arrive, and how many afterwards.
 constexpr std::chrono::milliseconds pause_grace{500};
 constexpr std::ptrdiff_t max_sends_in_pause = 2;
+/// The platform's bound on how late a connection may end without a response.
+constexpr std::chrono::milliseconds loss_slack{200};
 constexpr const char* complete_stream = "id: 1\ndata: token1\n\nid: 2\ndata: token2\n\n"
                                         "id: 3\ndata: token3\n\nid: 4\ndata: token4\n\n"
                                         "id: 5\ndata: token5\n\n";
@@ -59,10 +61,13 @@
 void check_call(const call_record& call, const std::vector<served_request>& runs,
                 const soak_history& history, std::vector<std::string>& violations)
 {
+    using seconds = std::chrono::duration<double>;
     auto add = [&](const char* what)
     {
-        violations.push_back(
-            fmt::format("{}: {} (status {}, {} runs)", call.id, what, call.status, runs.size()));
+        violations.push_back(fmt::format(
+            "{}: {} (status {}, {} runs, sent to host {} at {:.3f} s, took {:.3f} s)", call.id,
+            what, call.status, runs.size(), call.host, seconds(call.sent - history.begun).count(),
+            seconds(call.ended - call.sent).count()));
     };
     bool non_idempotent = call.kind == call_kind::book;
     if (non_idempotent && runs.size() > 1)
@@ -104,6 +109,16 @@
     {
         add("planned work interrupted a request");
     }
+    // Servers are sound then, however long they are silent.
+    if (history.planned_only && (call.status == 502 || call.status == 504) && !runs.empty())
+    {
+        add("planned work failed a request that a sound server ran");
+    }
+    if (history.planned_only && call.status == 0 && runs.empty() &&
+        call.ended > call.sent + loss_slack)
+    {
+        add("planned work left a request without a response");
+    }
 }
 
 void check_rate(const std::vector<call_record>& calls, const runs_by_id& runs,
--- a/tests/soak/soak_checks.hpp
+++ b/tests/soak/soak_checks.hpp
@@ -37,6 +37,7 @@
 
 struct soak_history
 {
+    steady_instant begun;
     /// When each withdrawn key was removed from the configuration.
     std::map<std::string, steady_instant> withdrawn;
     /// The time from which every component must work again.
@@ -46,7 +47,8 @@
     std::vector<host_disturbance> host_disturbances;
     /// In order.
     std::vector<link_change> link_changes;
-    /// Whether the run had planned work only: stops, reloads and configuration changes.
+    /// Whether the run had planned work only: stops, reloads and configuration changes,
+    /// beside servers that fall silent and go on.
     bool planned_only = false;
 };
 
--- a/tests/soak/soak_fleet.cpp
+++ b/tests/soak/soak_fleet.cpp
@@ -24,13 +24,25 @@
 
 constexpr std::chrono::milliseconds lease{1000};
 constexpr std::size_t max_models = 2;
+/// Long enough that a silence begins at any point of a response.
+constexpr int event_pause_ms = 60;
+constexpr int plain_run_ms = 40;
 
-json route(const char* prefix, const char* kind, const char* service, bool resumable)
+json route(const char* prefix, const char* kind, const char* service, bool resumable,
+           std::chrono::milliseconds time_budget)
 {
-    return {{"name", prefix},  {"host", "desk.example"}, {"path_prefix", prefix},
-            {"kind", kind},    {"timeout_ms", 4000},     {"target_latency_ms", 500},
-            {"priority", 1},   {"service", service},     {"max_attempts", 2},
-            {"public", false}, {"resumable", resumable}, {"gap_aim_ms", 200}};
+    return {{"name", prefix},
+            {"host", "desk.example"},
+            {"path_prefix", prefix},
+            {"kind", kind},
+            {"timeout_ms", time_budget.count()},
+            {"target_latency_ms", 500},
+            {"priority", 1},
+            {"service", service},
+            {"max_attempts", 2},
+            {"public", false},
+            {"resumable", resumable},
+            {"gap_aim_ms", 200}};
 }
 
 } // namespace
@@ -45,6 +57,8 @@
             (engine ? "e" : "d") + std::to_string(n), loaded_models));
         backends.back()->lease_duration = lease;
         backends.back()->max_models = max_models;
+        backends.back()->event_pause_ms = event_pause_ms;
+        backends.back()->run_ms = plain_run_ms;
         auto ip = fmt::format("127.{}.1.{}", options_.address_block, n + 1);
         backend_proxies.push_back(std::make_unique<loopback_proxy>(ip, backends.back()->port()));
         backends.back()->announced_address = backend_proxies.back()->address();
@@ -105,9 +119,9 @@
     };
     json text = {{"version", ++version_},
                  {"routes",
-                  {route("/book/", "non_idempotent", "desk", false),
-                   route("/read/", "idempotent", "desk", false),
-                   route("/guide/", "streaming", "models", true)}},
+                  {route("/book/", "non_idempotent", "desk", false, options_.time_budget),
+                   route("/read/", "idempotent", "desk", false, options_.time_budget),
+                   route("/guide/", "streaming", "models", true, options_.time_budget)}},
                  {"services",
                   {{{"name", "desk"}, {"health_path", "/health"}, {"max_connections", 60}},
                    {{"name", "models"},
@@ -130,10 +144,10 @@
     std::string settings = fmt::format("{}/{}.conf", options_.directory, it.name);
     std::ofstream(settings) << fmt::format(
         "node_name={}\nip={}\nzone=north\nlisten.front={}:{}\nlisten.ready={}:{}\n"
-        "internal_ports=17600,17615\nbounds.lease_ms={}\nbounds.grace_s=4\nbounds.drain_ms=2000\n"
+        "internal_ports=17600,17615\nbounds.lease_ms={}\nbounds.grace_s={}\nbounds.drain_ms=2000\n"
         "bounds.revoke_ms=5000\nbounds.revoke_fail_closed=true\nplatform.address={}\n"
         "platform.parts=6\nplatform.ttl_min_ms=1000\n",
-        it.name, it.ip, it.ip, caller_port, it.ip, ready_port, lease.count(),
+        it.name, it.ip, it.ip, caller_port, it.ip, ready_port, lease.count(), options_.grace_s,
         it.store_proxy->address());
     std::string log = fmt::format("{}/{}.log", options_.directory, it.name);
     posix_spawn_file_actions_t files;
--- a/tests/soak/soak_fleet.hpp
+++ b/tests/soak/soak_fleet.hpp
@@ -6,6 +6,7 @@
 
 #include <sys/types.h>
 
+#include <chrono>
 #include <map>
 #include <memory>
 #include <string>
@@ -26,6 +27,10 @@
     /// Addresses are 127.`address_block`.0.x, so that runs can execute in parallel; 1 to 254.
     int address_block = 1;
     int hosts = 4;
+    /// How long a host that is asked to stop may take.
+    int grace_s = 4;
+    /// The longest time budget of a request on any route.
+    std::chrono::milliseconds time_budget{4000};
 };
 
 class soak_fleet
