--- a/src/coordination/run_times.cpp
+++ b/src/coordination/run_times.cpp
@@ -34,7 +34,8 @@
 }
 
 std::optional<nanoseconds> run_times::estimate(const service_id& service, const model_id& model,
-                                            millitokens output, double covered, instant now) const
+                                               millitokens output, double covered,
+                                               instant now) const
 {
     auto of_model = by_model_.find(model);
     if (of_model != by_model_.end() && count_recent(of_model->second, now) >= options_.min_runs)
@@ -50,7 +51,7 @@
 }
 
 nanoseconds run_times::estimate_of(const run_list& runs, millitokens output, double covered,
-                                instant now) const
+                                   instant now) const
 {
     std::vector<double> scaled;
     for (const auto& it : runs)
--- a/src/serve/active_request.cpp
+++ b/src/serve/active_request.cpp
@@ -24,7 +24,7 @@
 constexpr milliseconds min_event_timeout{2000};
 constexpr int objectives_per_timeout = 4;
 constexpr int gaps_per_timeout = 8;
-/// Fraction of that timeout that a request may wait for a server.
+/// Fraction of that timeout that a request may wait for a server, or for one that is silent.
 constexpr double max_timeout_fraction = 0.85;
 /// How often a waiting request checks again for a server if no wake-up came before.
 constexpr milliseconds recheck_interval{100};
@@ -407,14 +407,18 @@
                      gaps_per_timeout * route_->event_gap});
 }
 
+milliseconds active_request::max_event_wait() const
+{
+    return std::chrono::duration_cast<milliseconds>(caller_patience() * max_timeout_fraction);
+}
+
 instant active_request::latest_start() const
 {
     auto total = std::chrono::duration<double, std::milli>(deadline_ - arrived_);
     auto latest = arrived_ + std::chrono::duration_cast<nanoseconds>(total * max_wait_fraction);
     if (route_->kind == request_kind::stream && !head_sent_)
     {
-        latest = std::min(latest, arrived_ + std::chrono::duration_cast<nanoseconds>(
-                                                 caller_patience() * max_timeout_fraction));
+        latest = std::min(latest, arrived_ + max_event_wait());
     }
     if (sends_ > 0)
     {
@@ -433,9 +437,10 @@
     {
         return std::nullopt;
     }
-    if (head_sent_)
+    if (head_sent_ || may_have_run_)
     {
-        // What remains of a stream is unknown; its caller is no worse off if it ends later.
+        // What remains of a stream is unknown, and a refusal would not be true any more: the caller
+        // is no worse off if the response ends later.
         return context_.stop->deadline();
     }
     return context_.stop->latest_start(run_estimate(), deadline_);
--- a/src/serve/active_request.hpp
+++ b/src/serve/active_request.hpp
@@ -95,6 +95,9 @@
     task<std::optional<server_id>> find_server();
     /// How long the caller of a stream waits for its next event before it leaves.
     milliseconds caller_patience() const;
+    /// How long a stream may wait for its next event, so that another server can still send it
+    /// before the caller leaves.
+    milliseconds max_event_wait() const;
     /// The latest time at which a send to a server is worthwhile.
     instant latest_start() const;
     /// The latest time at which a send can end before this host does, if it was asked to stop.
--- a/src/serve/request_attempt.cpp
+++ b/src/serve/request_attempt.cpp
@@ -129,7 +129,13 @@
                              .server = server ? now - server->received_at : silent_for,
                              .event = stream ? now - progressed_at_ : nanoseconds(0),
                              .event_timeout = caller_patience()};
-    auto action = judge_silence(silence, server_silence_options{});
+    server_silence_options options;
+    if (stream)
+    {
+        // Sooner a sound server may go on, and a stream that moves may find the other one full.
+        options.server_timeout = max_event_wait();
+    }
+    auto action = judge_silence(silence, options);
     if (action == silence_action::wait || !may_repeat_after_this() ||
         (action == silence_action::move && !other_server_ready()))
     {
--- a/tests/stand_ins/prepared_platform.hpp
+++ b/tests/stand_ins/prepared_platform.hpp
@@ -164,8 +164,8 @@
     std::atomic<int> run_ms = 0;
     /// The same for paths that begin with "/read/slow".
     std::atomic<int> slow_run_ms = 0;
-    /// Length of the response to a plain request, in bytes; 0 for a short one. It is sent in pieces,
-    /// `piece_pause_ms` apart.
+    /// Length of the response to a plain request, in bytes; 0 for a short one. It is sent in
+    /// pieces, `piece_pause_ms` apart.
     std::atomic<int> body_bytes = 0;
     std::atomic<int> piece_pause_ms = 0;
     /// What its responses state as Server-Leaving, and its responses with status 503 as
