--- a/tests/correctness/silent_server_test.cpp
+++ b/tests/correctness/silent_server_test.cpp
@@ -203,6 +203,7 @@
     std::this_thread::sleep_for(1500ms);
     constexpr int streams = 3;
     std::vector<std::future<serve_case::call_result>> open;
+    open.reserve(streams);
     for (int n = 0; n < streams; ++n)
     {
         open.push_back(send_stream(it, "stream" + std::to_string(n)));
