Hosts that another reads for leave a later configuration to their reader

Only a host that reads for itself acts on such a report now; the fault that it answers, a waiting read that misses a record, is one of such hosts.

--- a/src/serve/view_sync.cpp
+++ b/src/serve/view_sync.cpp
@@ -119,19 +119,13 @@
 void view_sync::handle_report(const peers::host_report& report)
 {
     auto position = watcher_.config().position();
-    if (!position)
+    // A host that another reads for asks it each half second anyway; many that ask at the same
+    // moment only delay its answers.
+    if (!position || context_.view.read_by_other)
     {
         return;
     }
-    instant now = context_.now();
-    auto from = source(now);
-    auto step = config_catch_up_.step(log_offset(report.config_end()), *position,
-                                      context_.view.read_by_other && from, now);
-    if (step == catch_up_step::request_view)
-    {
-        request_view(*from);
-    }
-    else if (step == catch_up_step::read_topic)
+    if (config_catch_up_.reads_now(log_offset(report.config_end()), *position, context_.now()))
     {
         context_.log.write("config_behind", "offset={} peer_offset={}", position->count(),
                            report.config_end());
