A shared view of the configuration is taken over up to 2.6 s of age where the bound allows it

They are taken over as before on deployments whose bound on a new configuration is 3 s or more; on a bound of 2 s the limit stays 1.7 s.

--- a/src/serve/topic_reader.cpp
+++ b/src/serve/topic_reader.cpp
@@ -434,10 +434,14 @@
     { asio::co_spawn(context_.executor, config_.read_now(), asio::detached); };
 }
 
+milliseconds state_watcher::max_config_age_of_view(milliseconds longest) const
+{
+    return std::min(longest, context_.settings.bounds.ticket_apply - min_response_timeout);
+}
+
 milliseconds state_watcher::max_shared_config_age() const
 {
-    return std::min(longest_shared_config_age,
-                    context_.settings.bounds.ticket_apply - min_response_timeout);
+    return max_config_age_of_view(longest_shared_config_age);
 }
 
 void state_watcher::record_list_call(instant sent_at, bool confirmed)
--- a/src/serve/topic_reader.hpp
+++ b/src/serve/topic_reader.hpp
@@ -133,6 +133,9 @@
     const topic_reader& config() const { return config_; }
     /// The age of a shared view of the configuration beyond which it is not used.
     milliseconds max_shared_config_age() const;
+    /// The age beyond which another host's view of the configuration is not taken over: `longest`,
+    /// or less where a new configuration has to be in force sooner.
+    milliseconds max_config_age_of_view(milliseconds longest) const;
 
 private:
     void record_list_call(instant sent_at, bool confirmed);
--- a/src/serve/view_sync.cpp
+++ b/src/serve/view_sync.cpp
@@ -19,6 +19,9 @@
 /// `skip_duration`.
 constexpr int max_unanswered_requests = 3;
 constexpr milliseconds skip_duration{4000};
+/// A reader whose configuration is older has lost contact with the store, whatever the bound on a
+/// new configuration is.
+constexpr milliseconds longest_view_age{2600};
 
 void write_view(const topic_view& from, instant now, peers::topic_view& to)
 {
@@ -160,8 +163,8 @@
         return;
     }
     unanswered_requests_ = 0;
-    // An older one is of a reader that has lost contact with the store.
-    if (milliseconds(message.view().config().age_ms()) > watcher_.max_shared_config_age())
+    if (milliseconds(message.view().config().age_ms()) >
+        watcher_.max_config_age_of_view(longest_view_age))
     {
         context_.log.write("reader_passed_over", "host={} age_ms={}", from.str(),
                            message.view().config().age_ms());
