Tests: hosts listen on loopback addresses that no other test uses

The verdict of a case could hang on ports: hosts of a serve_case got "free" ports that were let go of before the host bound them, so that a later draw of the same fixture, or a case beside it, could take them.

A fixture that doesn't start now says which host, what its readiness answers and its exit code.

Each fixture now holds a block of loopback addresses, proven its own by a bound socket, and hosts listen on fixed ports below those that the kernel hands out. The two fixtures with fixed blocks or a block derived from the process id (equal for ids 25,000 apart) use it too. No check changed.

--- a/tests/correctness/forwarded_reports_test.cpp
+++ b/tests/correctness/forwarded_reports_test.cpp
@@ -3,12 +3,9 @@
 
 #include <catch2/catch.hpp>
 
-#include <unistd.h>
-
-#include <fmt/format.h>
-
 #include "peers.pb.h"
 #include "serve/peer_service.hpp"
+#include "stand_ins/loopback_block.hpp"
 
 using namespace banyanshunt;
 using namespace std::chrono_literals;
@@ -20,11 +17,11 @@
 constexpr std::int64_t start_time = 1;
 constexpr int peer_port = 17600;
 
-/// The address of a host. Cases run side by side in processes of their own, on addresses apart.
+/// The address of a host.
 std::string address_of(int host)
 {
-    int pid = ::getpid();
-    return fmt::format("127.{}.{}.{}", 128 + pid % 100, pid / 100 % 250, host);
+    static const loopback_block addresses;
+    return addresses.address(host);
 }
 /// How long the forwarding host had kept the message.
 constexpr milliseconds kept_for{4000};
@@ -69,7 +66,7 @@
         auto& to = *bundle.add_bundled();
         to = message;
         to.set_relayed(peers::passed_on);
-        to.set_address(address_of(3) + ":17600");
+        to.set_address(address_of(3) + ":" + std::to_string(peer_port));
         to.set_age_ms(static_cast<std::uint32_t>(age.count()));
         return bundle;
     }
--- a/tests/correctness/planned_stop_path_test.cpp
+++ b/tests/correctness/planned_stop_path_test.cpp
@@ -46,7 +46,7 @@
 
 outcome call(const serve_case& it, const request_options& options)
 {
-    httplib::Client client("127.0.0.1", it.hosts.front()->port);
+    httplib::Client client(it.hosts.front()->ip, it.hosts.front()->port);
     client.set_read_timeout(10);
     outcome result;
     httplib::Request request;
@@ -338,7 +338,7 @@
     set_streams(it, 150, 20ms);
     REQUIRE(it.started);
     asio::io_context loop;
-    tcp::endpoint host(asio::ip::make_address_v4("127.0.0.1"),
+    tcp::endpoint host(asio::ip::make_address_v4(it.hosts.front()->ip),
                        static_cast<std::uint16_t>(it.hosts.front()->port));
     tcp::socket caller(loop);
     caller.connect(host);
--- a/tests/correctness/serve_case.cpp
+++ b/tests/correctness/serve_case.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include <catch2/catch.hpp>
 #include <httplib.h>
 #include <nlohmann/json.hpp>
 
@@ -16,12 +17,11 @@
 using namespace std::chrono_literals;
 using nlohmann::json;
 
-/// Returns a port that is currently unused.
-int free_port()
-{
-    asio::io_context loop;
-    return tcp::acceptor(loop, {asio::ip::make_address_v4("127.0.0.1"), 0}).local_endpoint().port();
-}
+/// Ports of each host, on an address of its own. Below those that the kernel hands out.
+constexpr int caller_port = 18080;
+constexpr int ready_port = 18081;
+constexpr int metrics_port = 19464;
+constexpr int peer_port = 17600;
 
 json manifest(int version, const std::vector<std::string>& keys, int more_models)
 {
@@ -91,13 +91,14 @@
         host_settings settings;
         settings.name = host_id("h" + std::to_string(n + 1));
         settings.domain = domain_id("north");
-        settings.ip = "127.0.0.1";
-        it.port = free_port();
-        settings.caller_address = endpoint_text("127.0.0.1:" + std::to_string(it.port));
-        it.ready_port = free_port();
-        settings.ready_address = endpoint_text("127.0.0.1:" + std::to_string(it.ready_port));
-        settings.first_peer_port = free_port();
-        it.metrics_port = free_port();
+        it.ip = addresses_.address(static_cast<int>(n) + 1);
+        settings.ip = it.ip;
+        it.port = caller_port;
+        settings.caller_address = endpoint_text(it.ip + ":" + std::to_string(it.port));
+        it.ready_port = ready_port;
+        settings.ready_address = endpoint_text(it.ip + ":" + std::to_string(it.ready_port));
+        settings.first_peer_port = peer_port;
+        it.metrics_port = metrics_port;
         settings.metrics_port = it.metrics_port;
         settings.bounds.lease = 1000ms;
         settings.bounds.stop_grace = 4000ms;
@@ -115,6 +116,12 @@
                           return ready(n) == 200 &&
                                  send("GET", "/read/1", "warm-up", "good-key", {}, n).status == 200;
                       });
+        if (!started)
+        {
+            UNSCOPED_INFO("host " << n << " at " << hosts.at(n)->ip << ": ready answers "
+                                  << ready(n) << ", exit code " << hosts.at(n)->exit_code);
+            return;
+        }
     }
     // A host orders the engines once the others can know of it, and first calls for their reports.
     started =
@@ -155,14 +162,16 @@
 
 std::string serve_case::scrape() const
 {
-    httplib::Client client("127.0.0.1", hosts.front()->metrics_port);
+    const auto& it = *hosts.front();
+    httplib::Client client(it.ip, it.metrics_port);
     auto response = client.Get("/metrics");
     return response && response->status == 200 ? response->body : "";
 }
 
 int serve_case::ready(std::size_t host) const
 {
-    httplib::Client client("127.0.0.1", hosts.at(host)->ready_port);
+    const auto& it = *hosts.at(host);
+    httplib::Client client(it.ip, it.ready_port);
     auto response = client.Get("/api/ready");
     return response ? response->status : 0;
 }
@@ -171,7 +180,8 @@
                                          const std::string& id, const std::string& key,
                                          const std::string& model, std::size_t host) const
 {
-    httplib::Client client("127.0.0.1", hosts.at(host)->port);
+    const auto& it = *hosts.at(host);
+    httplib::Client client(it.ip, it.port);
     client.set_read_timeout(10);
     httplib::Headers headers = {{"Host", "desk.example"},
                                 {"X-Request-Id", id},
--- a/tests/correctness/serve_case.hpp
+++ b/tests/correctness/serve_case.hpp
@@ -15,6 +15,7 @@
 
 #include "serve/serving_host.hpp"
 #include "stand_ins/fault_proxy.hpp"
+#include "stand_ins/loopback_block.hpp"
 #include "stand_ins/prepared_platform.hpp"
 
 namespace banyanshunt
@@ -87,6 +88,7 @@
 
     struct host_process
     {
+        std::string ip;
         int port = 0;
         int ready_port = 0;
         int metrics_port = 0;
@@ -113,6 +115,10 @@
 
     serving_host& host() { return *hosts.front()->host; }
     int exit_code() const { return hosts.front()->exit_code; }
+
+private:
+    /// Cases run side by side, in processes of their own.
+    loopback_block addresses_;
 };
 
 } // namespace banyanshunt
--- a/tests/correctness/server_limit_fleet_test.cpp
+++ b/tests/correctness/server_limit_fleet_test.cpp
@@ -12,6 +12,7 @@
 #include "peers.pb.h"
 #include "serve/limit_manager.hpp"
 #include "stand_ins/limit_rule.hpp"
+#include "stand_ins/loopback_block.hpp"
 
 using namespace banyanshunt;
 using namespace std::chrono_literals;
@@ -35,15 +36,14 @@
 class limit_fleet
 {
 public:
-    /// Hosts at 127.`block`.0.1 and up.
-    limit_fleet(int block, int count)
+    explicit limit_fleet(int count)
     {
         for (int n = 0; n < count; ++n)
         {
             host_settings settings;
             settings.name = host_id("host-" + std::to_string(n));
             settings.domain = domain_id("zone-" + std::to_string(n % 4));
-            settings.ip = "127." + std::to_string(block) + ".0." + std::to_string(n + 1);
+            settings.ip = addresses_.address(n + 1);
             settings.first_peer_port = peer_port;
             hosts_.push_back(std::make_unique<host>(*this, settings, loop_.get_executor()));
         }
@@ -207,6 +207,7 @@
         }
     }
 
+    loopback_block addresses_;
     asio::io_context loop_;
     std::vector<std::unique_ptr<host>> hosts_;
     std::size_t next_ = 0;
@@ -241,7 +242,7 @@
 
 TEST_CASE("81 hosts together keep to the limit that a server states")
 {
-    limit_fleet fleet(61, 81);
+    limit_fleet fleet(81);
     fleet.run_for(1500ms);
     fleet.request_in_turn(1s, 7);
     instant stated_at = fleet.now();
@@ -267,7 +268,7 @@
 
 TEST_CASE("81 hosts keep to a limit through cuts and the loss of the host that grants permits")
 {
-    limit_fleet fleet(62, 81);
+    limit_fleet fleet(81);
     fleet.run_for(1500ms);
     fleet.request_in_turn(1s, 7);
     instant stated_at = fleet.now();
@@ -298,7 +299,7 @@
 
 TEST_CASE("A permit that ran out while its host was paused is not used")
 {
-    limit_fleet fleet(64, 3);
+    limit_fleet fleet(3);
     fleet.run_for(1500ms);
     fleet.stated = limit_rate;
     fleet.request_in_turn(1s, 5);
@@ -317,7 +318,7 @@
 
 TEST_CASE("81 hosts follow a limit that falls, rises, ends, and a server reborn without one")
 {
-    limit_fleet fleet(63, 81);
+    limit_fleet fleet(81);
     fleet.run_for(1500ms);
     fleet.stated = millirequests_per_second(20000);
     fleet.request_in_turn(1s, 20);
