A deeply nested entry of a server does not end the host

The same text in a server's report, the configuration or the store's responses did so too.

nlohmann parses without recursion, but `json::value(name, default)` and each copy and dump recurse once a level.

--- a/src/protocol/json_reader.cpp
+++ b/src/protocol/json_reader.cpp
@@ -24,15 +24,15 @@
     return {.run = run, .code = errc::bad_answer, .detail = first_, .retry_after = {}};
 }
 
-nlohmann::json parse_json(const std::string& text, json_errors& errors)
+nlohmann::json parse_json(std::string_view text, json_errors& errors, const json_bounds& bounds)
 {
-    auto document = nlohmann::json::parse(text, nullptr, false);
-    if (document.is_discarded())
+    auto document = parse_bounded_json(text, bounds);
+    if (!document)
     {
-        errors.report("", "not a JSON document");
+        errors.report("", document.error().detail);
         return nullptr;
     }
-    return document;
+    return std::move(*document);
 }
 
 json_reader::json_reader(const nlohmann::json& object, std::string path, json_errors& errors)
--- a/src/protocol/json_reader.hpp
+++ b/src/protocol/json_reader.hpp
@@ -9,10 +9,12 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include <nlohmann/json_fwd.hpp>
 
+#include "protocol/bounded_json.hpp"
 #include "state/verdict.hpp"
 
 namespace banyanshunt
@@ -37,7 +39,8 @@
 };
 
 /// Parses text into a document; on failure records an error and returns null.
-nlohmann::json parse_json(const std::string& text, json_errors& errors);
+nlohmann::json parse_json(std::string_view text, json_errors& errors,
+                          const json_bounds& bounds = {});
 
 /// Reads one JSON object. The document must outlive the reader.
 class json_reader
--- a/tests/correctness/serve_case.cpp
+++ b/tests/correctness/serve_case.cpp
@@ -72,7 +72,8 @@
     return manifest(version, keys, more_models).dump();
 }
 
-serve_case::serve_case(std::size_t host_count, store_path path)
+serve_case::serve_case(std::size_t host_count, store_path path,
+                       const std::function<void(store_stand_in&)>& prepare)
 {
     std::string store_address = "127.0.0.1:" + std::to_string(store.port());
     if (path == store_path::proxied)
@@ -85,6 +86,10 @@
     store.put("keyed.servers", "d2", desk2.registry_entry("desk"));
     store.put("keyed.servers", "e1", engine1.registry_entry("models"));
     store.put("keyed.servers", "e2", engine2.registry_entry("models"));
+    if (prepare)
+    {
+        prepare(store);
+    }
     for (std::size_t n = 0; n < host_count; ++n)
     {
         auto& it = *hosts.emplace_back(std::make_unique<host_process>());
--- a/tests/correctness/serve_case.hpp
+++ b/tests/correctness/serve_case.hpp
@@ -6,6 +6,7 @@
 
 #include <atomic>
 #include <chrono>
+#include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -37,7 +38,9 @@
 class serve_case
 {
 public:
-    explicit serve_case(std::size_t host_count = 1, store_path path = store_path::direct);
+    /// `prepare` may change what the store holds before the first host starts.
+    explicit serve_case(std::size_t host_count = 1, store_path path = store_path::direct,
+                        const std::function<void(store_stand_in&)>& prepare = {});
     ~serve_case();
 
     struct call_result
--- a/tests/stand_ins/prepared_platform.cpp
+++ b/tests/stand_ins/prepared_platform.cpp
@@ -27,6 +27,9 @@
 constexpr std::chrono::seconds lost_read_time{5};
 /// Longer than a host's pause between two reads.
 constexpr int store_keep_alive_s = 5;
+/// Most records, and about the most bytes of them, in one page of newest records.
+constexpr std::size_t max_page_items = 500;
+constexpr std::size_t max_page_bytes = 1000000;
 /// A kept connection occupies a thread, also while the server is silent.
 constexpr std::size_t backend_threads = 64;
 
@@ -160,8 +163,13 @@
             response.status = forced_status;
             return httplib::Server::HandlerResponse::Handled;
         });
-    http.Get("/api/log-newest", [this](const httplib::Request& call, httplib::Response& response)
-             { response.set_content(newest(call.get_param_value("topic")), "application/json"); });
+    http.Get("/api/log-newest",
+             [this](const httplib::Request& call, httplib::Response& response)
+             {
+                 response.set_content(
+                     newest(call.get_param_value("topic"), call.get_param_value("after")),
+                     "application/json");
+             });
     http.Get("/api/log-read",
              [this](const httplib::Request& call, httplib::Response& response)
              {
@@ -257,23 +265,35 @@
     return it == reads_.end() ? 0 : it->second;
 }
 
-std::string store_stand_in::newest(const std::string& topic)
+int store_stand_in::newest_calls(const std::string& topic) const
+{
+    std::lock_guard lock(mutex_);
+    auto it = newest_calls_.find(topic);
+    return it == newest_calls_.end() ? 0 : it->second;
+}
+
+std::string store_stand_in::newest(const std::string& topic, const std::string& after)
 {
     std::lock_guard lock(mutex_);
+    ++newest_calls_[topic];
     std::map<std::string, std::string> by_key;
     for (const auto& it : topics_[topic])
     {
         by_key[it.key] = it.value;
     }
     json items = json::array();
-    for (const auto& [key, value] : by_key)
+    std::size_t bytes = 0;
+    auto it = after.empty() ? by_key.begin() : by_key.upper_bound(after);
+    for (; it != by_key.end() && items.size() < max_page_items && bytes < max_page_bytes; ++it)
     {
-        if (!value.empty())
+        if (!it->second.empty())
         {
-            items.push_back({{"key", key}, {"value", base64(value)}, {"offset", 0}});
+            items.push_back({{"key", it->first}, {"value", base64(it->second)}, {"offset", 0}});
+            bytes += it->second.size();
         }
     }
-    return json{{"items", items}, {"has_more", false}, {"end", topics_[topic].size()}}.dump();
+    return json{{"items", items}, {"has_more", it != by_key.end()}, {"end", topics_[topic].size()}}
+        .dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
 std::string store_stand_in::read(const std::string& topic, std::size_t from, int wait_ms)
--- a/tests/stand_ins/prepared_platform.hpp
+++ b/tests/stand_ins/prepared_platform.hpp
@@ -62,6 +62,8 @@
                        missed_read_end end);
     /// The calls received to read a topic from an offset on.
     int reads(const std::string& topic) const;
+    /// The calls received for the newest records of a topic.
+    int newest_calls(const std::string& topic) const;
     /// While nonzero, every call gets this status.
     std::atomic<int> forced_status = 0;
     /// How long a call to leave a group takes, and how many have arrived.
@@ -78,12 +80,13 @@
         int missed_by = 0;
     };
     std::string read(const std::string& topic, std::size_t from, int wait_ms);
-    std::string newest(const std::string& topic);
+    std::string newest(const std::string& topic, const std::string& after);
 
     group_stand_in group_;
     mutable std::mutex mutex_;
     std::condition_variable records_added_;
     std::map<std::string, int> reads_;
+    std::map<std::string, int> newest_calls_;
     std::set<std::pair<std::string, int>> lost_reads_;
     bool closing_ = false;
     std::map<std::string, std::vector<entry>> topics_;
