A response counts only for the send whose it is proven to be

Callers saw: behind a faulty server that writes an earlier refusal once more on a kept connection, a booking ran twice, or its caller was told 503 "not_run" after it had run; a copy of another request's 500 without an id reached a later caller.

Cause: a response was matched by the request's id, or by none at all. Two sends of one request on one connection have the same id, and a response without an id was taken for whichever request was in flight.

Fix: connection_history decides purely from what a connection has carried. A request goes only over a connection that never carried its id, so that a response with the id is the answer to this send. A response without an id is the answer only where the connection carried nothing else; otherwise it is dropped, counted and logged, and the answer is awaited behind it for a second, after which the request may have run. Orders and calls for a report have no ids, so they go only over connections that carried nothing. What proves a server's limit or notices is the same decision.

--- a/src/coordination/server_limits.cpp
+++ b/src/coordination/server_limits.cpp
@@ -21,8 +21,7 @@
                                             std::optional<millirequests_per_second> rate,
                                             response_match match, instant sent_at, instant now)
 {
-    bool counts =
-        rate ? match != response_match::other || !in_force(server) : match == response_match::exact;
+    bool counts = rate ? is_answer(match) || !in_force(server) : match == response_match::exact;
     if (!counts)
     {
         return limit_change::none;
--- a/src/coordination/server_limits.hpp
+++ b/src/coordination/server_limits.hpp
@@ -12,6 +12,7 @@
 #include <map>
 #include <optional>
 
+#include "coordination/response_proof.hpp"
 #include "state/clock.hpp"
 #include "state/ids.hpp"
 #include "state/units.hpp"
@@ -31,30 +32,6 @@
     instant at;
 };
 
-/// How surely a response is the server's newest word.
-enum class response_match
-{
-    /// The response to the request that was sent.
-    exact,
-    /// It arrived in the place of that response without showing that this server made it.
-    unidentified,
-    /// An interim response, or one to another request, made at an unknown time.
-    other,
-};
-
-constexpr const char* to_text(response_match it)
-{
-    switch (it)
-    {
-    case response_match::exact:
-        return "exact";
-    case response_match::unidentified:
-        return "unidentified";
-    default:
-        return "other";
-    }
-}
-
 /// How a server's limit changed.
 enum class limit_change
 {
--- a/src/serve/server_exchange.cpp
+++ b/src/serve/server_exchange.cpp
@@ -17,6 +17,9 @@
 constexpr int refused_for_load_status = 503;
 /// Interim responses, and responses to other requests, that may precede the response to a request.
 constexpr int max_skipped_responses = 16;
+/// How long the answer is awaited behind a response that may be a copy of an earlier one. A sound
+/// server can fall silent for a second.
+constexpr milliseconds second_response_timeout{1000};
 /// Largest body of such a response, in bytes.
 constexpr std::size_t max_skipped_bytes = 1 << 20;
 /// Largest response that is read whole, in bytes: an engine's report.
@@ -57,7 +60,7 @@
     }
     start_time_ms_ = known->entry.start_time_ms;
     received_at_ = context_.now();
-    connection_ = co_await context_.pool.acquire(known->entry.address);
+    connection_ = co_await context_.pool.acquire(known->entry.address, id);
     if (!connection_ || closed_)
     {
         co_return exchange_state::not_sent;
@@ -71,6 +74,7 @@
         co_return exchange_state::withheld;
     }
     context_.record_send(server_);
+    connection_->history.record_sent(id);
     received_at_ = sent_at_ = context_.now();
     written_at_ = sent_at_;
     servers_age_ = context_.servers_age(sent_at_);
@@ -80,19 +84,28 @@
     {
         co_return exchange_state::no_response;
     }
+    std::optional<exchange_deadline> second_response;
     for (int skipped = 0; skipped <= max_skipped_responses && co_await read_head(); ++skipped)
     {
-        auto match = match_response(id);
+        bool interim = status() < first_final_status;
+        auto match = connection_->history.judge(id, fields_.id, interim);
         record_limit(match);
         record_notices(match);
-        bool matches = fields_.id.empty() || fields_.id == id.str();
-        bool interim = status() < first_final_status;
-        if (matches && !interim)
+        if (is_answer(match))
         {
             matched_ = true;
             record_progress(context_.now());
             co_return exchange_state::responded;
         }
+        if (!interim)
+        {
+            connection_->history.record_foreign_response();
+        }
+        if (match == response_match::unproven && !second_response)
+        {
+            record_unproven(id);
+            second_response.emplace(*this, context_.executor, second_response_timeout);
+        }
         if (!co_await skip_body())
         {
             break;
@@ -127,20 +140,21 @@
     co_return true;
 }
 
-response_match server_exchange::match_response(const request_id& id) const
+void server_exchange::record_unproven(const request_id& id)
 {
-    bool interim = status() < first_final_status;
-    bool matches = fields_.id.empty() || fields_.id == id.str();
-    // A response without an id, and one that may come from another server at the address, does not
-    // show that this server stated no limit.
-    bool identified = !fields_.id.empty() && status() != platform::misdirected_status;
-    return !matches || interim ? response_match::other
-           : identified        ? response_match::exact
-                               : response_match::unidentified;
+    context_.stats.increment("banyanshunt_unproven_responses_total");
+    context_.log.write("response_unproven", "request={} server={} status={}",
+                       id.empty() ? "-" : id.str(), server_.str(), status());
 }
 
 void server_exchange::record_limit(response_match match)
 {
+    if (match == response_match::exact && status() == platform::misdirected_status)
+    {
+        // It may come from another server at the address, which does not show that this server
+        // stated no limit.
+        match = response_match::unidentified;
+    }
     auto change = context_.servers.limits().record_response(server_, start_time_ms_, fields_.limit,
                                                             match, sent_at_, received_at_);
     if (fields_.limit)
@@ -169,7 +183,7 @@
     count("banyanshunt_leaving_responses_total", fields_.leaving);
     count("banyanshunt_pause_responses_total", pause.count() > 0);
     count("banyanshunt_malformed_server_fields_total", fields_.malformed > 0);
-    if (match == response_match::other)
+    if (!is_answer(match))
     {
         unproven_leaving_ = unproven_leaving_ || fields_.leaving;
         unproven_pause_ = std::max(unproven_pause_, pause);
--- a/src/serve/server_exchange.hpp
+++ b/src/serve/server_exchange.hpp
@@ -12,6 +12,7 @@
 
 #include <boost/beast/http.hpp>
 
+#include "coordination/response_proof.hpp"
 #include "platform/headers.hpp"
 #include "serve/host_context.hpp"
 
@@ -46,8 +47,8 @@
     /// states and rests on may have changed since the server was chosen.
     using request_source = std::function<std::optional<std::string>()>;
 
-    /// Sends a request and reads the head of the response to `id`. Responses to other requests are
-    /// read and dropped.
+    /// Sends a request and reads the head of the response to `id`, which is empty for a call that
+    /// has no id. Responses that are not proven to be this one are read and dropped.
     task<exchange_state> send(request_source make_request, request_id id);
     /// Reads the rest of the body; what is longer than usual ends incomplete.
     task<std::string> read_rest();
@@ -86,9 +87,9 @@
     void on_received();
     /// Records that bytes of the response to the request were received.
     void record_progress(instant now);
-    /// How surely the head that was just read is the server's newest word.
-    response_match match_response(const request_id& id) const;
-    /// Records what that head states of the server's limit.
+    /// Counts and logs a response without an id that may be another request's.
+    void record_unproven(const request_id& id);
+    /// Records what the head that was just read states of the server's limit.
     void record_limit(response_match match);
     /// Records what it states of the server's leaving, and of a time without requests.
     void record_notices(response_match match);
--- a/src/transport/loop/backend_pool.cpp
+++ b/src/transport/loop/backend_pool.cpp
@@ -29,18 +29,38 @@
     return n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
-task<backend_connection_ptr> backend_pool::acquire(endpoint_text address)
+backend_connection_ptr backend_pool::take_kept(const endpoint_text& address, const request_id& id)
 {
     auto kept = idle_.find(address);
-    while (kept != idle_.end() && !kept->second.empty())
+    if (kept == idle_.end())
     {
-        backend_connection_ptr it = std::move(kept->second.back());
-        kept->second.pop_back();
-        if (usable(*it, boot_clock().now()))
+        return nullptr;
+    }
+    auto& connections = kept->second;
+    for (auto n = connections.size(); n > 0; --n)
+    {
+        auto at = connections.begin() + static_cast<std::ptrdiff_t>(n - 1);
+        bool is_usable = usable(**at, boot_clock().now());
+        if (is_usable && !(*at)->history.may_carry(id))
         {
-            it->reused = true;
-            co_return it;
+            continue;
         }
+        backend_connection_ptr it = std::move(*at);
+        connections.erase(at);
+        if (is_usable)
+        {
+            return it;
+        }
+    }
+    return nullptr;
+}
+
+task<backend_connection_ptr> backend_pool::acquire(endpoint_text address, request_id id)
+{
+    if (auto kept = take_kept(address, id))
+    {
+        kept->reused = true;
+        co_return kept;
     }
     auto executor = co_await asio::this_coro::executor;
     auto it = std::make_unique<backend_connection>(executor);
@@ -64,7 +84,8 @@
     connection->idle_limit = milliseconds(static_cast<std::int64_t>(reuse_fraction * limit));
     connection->idle_since = boot_clock().now();
     auto& kept = idle_[connection->address];
-    if (kept.size() < options_.max_idle && connection->buffer.size() == 0)
+    if (kept.size() < options_.max_idle && connection->buffer.size() == 0 &&
+        !connection->history.is_full())
     {
         kept.push_back(std::move(connection));
     }
--- a/src/transport/loop/backend_pool.hpp
+++ b/src/transport/loop/backend_pool.hpp
@@ -12,6 +12,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 
+#include "coordination/response_proof.hpp"
 #include "state/clock.hpp"
 #include "transport/loop/event_loop.hpp"
 
@@ -29,6 +30,7 @@
     endpoint_text address;
     /// Carried a request before; the server may have closed it since.
     bool reused = false;
+    connection_history history;
     instant idle_since;
     /// How long the connection may stay idle and still be reused.
     milliseconds idle_limit{0};
@@ -51,9 +53,11 @@
 public:
     explicit backend_pool(const backend_pool_options& options) : options_(options) {}
 
-    /// A connection to the address, new or kept; null if none can be made.
-    task<backend_connection_ptr> acquire(endpoint_text address);
-    /// Keeps the connection for reuse. Precondition: its last response was read completely.
+    /// A connection to the address, new or kept, that may carry the request with the id, or a call
+    /// if it is empty; null if none can be made.
+    task<backend_connection_ptr> acquire(endpoint_text address, request_id id);
+    /// Keeps the connection for reuse, unless its history is full. Precondition: its last response
+    /// was read completely.
     void release(backend_connection_ptr connection, std::optional<milliseconds> keep_alive);
     /// Closes idle connections to an address, because another server may have the address now.
     void close_idle(const endpoint_text& address);
@@ -64,6 +68,8 @@
 
 private:
     bool usable(backend_connection& it, instant now) const;
+    /// Takes out the connection that was used last of those that may carry the request.
+    backend_connection_ptr take_kept(const endpoint_text& address, const request_id& id);
 
     backend_pool_options options_;
     std::map<endpoint_text, std::vector<backend_connection_ptr>> idle_;
--- a/tests/stand_ins/raw_server.cpp
+++ b/tests/stand_ins/raw_server.cpp
@@ -106,6 +106,11 @@
             raw_response response = script_(connection, ++n, text.substr(0, end));
             text.erase(0, end);
             write_all(socket, response.bytes, milliseconds(1000));
+            if (!response.later.empty())
+            {
+                std::this_thread::sleep_for(response.later_after);
+                write_all(socket, response.later, milliseconds(1000));
+            }
             while (!response.endless.empty() && !stopping_ &&
                    write_all(socket, response.endless, milliseconds(200)) && !peer_closed(socket))
             {
--- a/tests/stand_ins/raw_server.hpp
+++ b/tests/stand_ins/raw_server.hpp
@@ -26,6 +26,9 @@
     std::string endless = {};
     /// The pause between these.
     milliseconds pause{0};
+    /// Sent once, this long after the bytes; requests that come meanwhile wait.
+    std::string later = {};
+    milliseconds later_after{0};
 };
 
 /// Serves from construction to destruction, with one thread per connection.
