What other writers state is checked where it is read, and refused alone

Callers saw hosts that took an entry's number or address for another: slots became 1, born became -1, sequence 1e300 the largest count, after which no announcement of the server was newer, and addresses such as 10.0.0.1:99999 or 1.1:8 connected to port 0. A key with a line break went into the request to the server and into the log.

Entries and reports are read by json_reader with a type and a range for each field: names are printable ASCII without spaces, at most 255 bytes; addresses are the IPv4 address of one host and a port from 1; numbers have ranges. The configuration's numbers and the store's offsets, generations and partitions have ranges too.

A view of a peer that contradicts itself is dropped. Log lines contain no control bytes and have a bounded length. banyanshunt_records_refused_total counts all of it, and lines about refused records are bounded.

--- a/src/protocol/json_reader.cpp
+++ b/src/protocol/json_reader.cpp
@@ -11,6 +11,17 @@
 namespace banyanshunt
 {
 
+namespace
+{
+
+/// A value as error messages show it; containers and texts may be long.
+std::string shown(const nlohmann::json& value)
+{
+    return value.is_primitive() && !value.is_string() ? value.dump() : value.type_name();
+}
+
+} // namespace
+
 void json_errors::report(const std::string& path, const std::string& message)
 {
     if (first_.empty())
@@ -86,7 +97,7 @@
     if (!fits || n < lowest || n > highest)
     {
         errors_.report(path_of(name), fmt::format("is {}, but must be a whole number from {} to {}",
-                                                  found->dump(), lowest, highest));
+                                                  shown(*found), lowest, highest));
         return lowest;
     }
     return n;
@@ -123,6 +134,44 @@
     return value;
 }
 
+double json_reader::number(const std::string& name, double lowest, double highest,
+                           std::optional<double> otherwise)
+{
+    const auto* found = member(name);
+    if (!found || found->is_null())
+    {
+        if (!otherwise)
+        {
+            errors_.report(path_of(name), "is missing");
+        }
+        return otherwise.value_or(lowest);
+    }
+    double n = found->is_number() ? found->get<double>() : lowest;
+    if (!found->is_number() || n < lowest || n > highest)
+    {
+        errors_.report(path_of(name), fmt::format("is {}, but must be a number from {} to {}",
+                                                  shown(*found), lowest, highest));
+        return lowest;
+    }
+    return n;
+}
+
+const nlohmann::json& json_reader::list(const std::string& name, bool optional)
+{
+    static const nlohmann::json empty = nlohmann::json::array();
+    const auto* found = member(name);
+    if (found && found->is_array())
+    {
+        return *found;
+    }
+    bool missing = !found || found->is_null();
+    if (!missing || !optional)
+    {
+        errors_.report(path_of(name), missing ? "is missing" : "must be a list");
+    }
+    return empty;
+}
+
 bool json_reader::boolean(const std::string& name, std::optional<bool> otherwise)
 {
     const auto* found = member(name);
--- a/src/protocol/json_reader.hpp
+++ b/src/protocol/json_reader.hpp
@@ -57,7 +57,12 @@
     /// A string of at most `max_bytes` bytes; not empty unless `otherwise` is.
     std::string text(const std::string& name, std::size_t max_bytes,
                      std::optional<std::string> otherwise = {});
+    /// A number within [lowest, highest], which may be a fraction; null counts as missing.
+    double number(const std::string& name, double lowest, double highest,
+                  std::optional<double> otherwise = {});
     bool boolean(const std::string& name, std::optional<bool> otherwise = {});
+    /// A list; empty if it is missing or null and `optional`.
+    const nlohmann::json& list(const std::string& name, bool optional = false);
     /// A list of strings.
     std::vector<std::string> text_list(const std::string& name);
     /// One of the allowed strings.
--- a/src/serve/event_log.hpp
+++ b/src/serve/event_log.hpp
@@ -23,6 +23,9 @@
 {
     /// Size of the buffer in bytes; about 300 lines.
     std::size_t buffer = 131072;
+    /// Longest line in bytes; what is longer is cut. The longest of the documented lines, with all
+    /// names as long as a key can be.
+    std::size_t max_line = 4096;
     /// Flush period of the writer. A wake-up for each line would cost more than the line.
     milliseconds write_period{200};
     /// Average lines per second; a host serves about 20 requests a second with one or two lines
@@ -46,7 +49,7 @@
     {
         if (acquire_line())
         {
-            append(fmt::format("event={} {}\n", event,
+            append(fmt::format("event={} {}", event,
                                fmt::format(format, std::forward<Args>(args)...)));
         }
     }
@@ -54,7 +57,8 @@
 
 private:
     bool acquire_line();
-    void append(const std::string& line);
+    /// Adds a line, without its end.
+    void append(std::string line);
     void run();
 
     event_log_options options_;
--- a/src/serve/topic_reader.cpp
+++ b/src/serve/topic_reader.cpp
@@ -1,6 +1,7 @@
 #include "serve/topic_reader.hpp"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 #include <boost/asio/co_spawn.hpp>
@@ -39,6 +40,12 @@
 /// Bytes of read records that a host keeps, and that it sends in one datagram.
 constexpr std::size_t max_recent_bytes = 65536;
 constexpr std::size_t max_view_bytes = 16384;
+/// A key's length is one byte.
+constexpr std::size_t max_key_bytes = 255;
+/// Lines about refused records in `refusal_log_period`; the metric counts all of them. A hundredth
+/// of the lines that a host may write.
+constexpr int max_logged_refusals = 15;
+constexpr milliseconds refusal_log_period{10000};
 /// Delay after a failed call, doubled with each further failure.
 constexpr milliseconds min_retry_delay{50};
 constexpr milliseconds max_retry_delay{400};
@@ -65,6 +72,31 @@
                      context.max_config_age() / 2 - min_response_timeout});
 }
 
+/// Whether the records are ones that a host can have read up to the end that the view states.
+bool is_consistent(const topic_view& view)
+{
+    log_offset next(0);
+    for (const auto& it : view.records)
+    {
+        if (it.offset < next || it.offset >= view.end || it.key.size() > max_key_bytes)
+        {
+            return false;
+        }
+        next = log_offset(it.offset.count() + 1);
+    }
+    return true;
+}
+
+/// A key behind all that begin like `key` up to its first byte outside ASCII. A page may show a key
+/// whose bytes are not text as another key, after which the store does not continue; the names of
+/// servers and hosts are ASCII, so that none is passed over.
+std::string past_bytes_outside_ascii(const std::string& key)
+{
+    auto end = std::find_if(key.begin(), key.end(),
+                            [](char it) { return static_cast<unsigned char>(it) > 0x7f; });
+    return std::string(key.begin(), end) + "\xff\xff\xff\xff";
+}
+
 milliseconds fraction_of(milliseconds max_age, double fraction)
 {
     return std::chrono::duration_cast<milliseconds>(max_age * fraction);
@@ -232,6 +264,14 @@
         missed_records_ = true;
         return;
     }
+    if (!is_consistent(view))
+    {
+        context_.stats.increment("banyanshunt_records_refused_total", {{"topic", options_.topic}});
+        context_.log.write("peer_view_refused", "topic={} end={} records={}", options_.topic,
+                           view.end.count(), view.records.size());
+        missed_records_ = true;
+        return;
+    }
     next_ = view.end;
     record_response(view.confirmed_at);
     deliver(view.records);
@@ -244,6 +284,7 @@
     std::vector<platform::keyed_record> all;
     std::optional<log_offset> begin;
     std::string after;
+    std::set<std::string> continued_after;
     while (true)
     {
         auto call = platform::newest_call(options_.topic, after);
@@ -269,12 +310,30 @@
         // Pages are not a consistent snapshot: changes since the first page are read again from its
         // end offset.
         begin = begin ? begin : page->end;
+        if (page->unreadable > 0)
+        {
+            context_.stats.increment("banyanshunt_records_refused_total",
+                                     {{"topic", options_.topic}}, page->unreadable);
+            context_.log.write("store_answer_bad", "topic={} detail=\"{} unreadable records\"",
+                               options_.topic, page->unreadable);
+        }
         std::move(page->records.begin(), page->records.end(), std::back_inserter(all));
         if (!page->more || all.empty())
         {
             break;
         }
         after = all.back().key;
+        if (!continued_after.insert(after).second &&
+            !continued_after.insert(after = past_bytes_outside_ascii(after)).second)
+        {
+            // The store cannot continue after such a key; asking again would not end.
+            context_.stats.increment("banyanshunt_records_refused_total",
+                                     {{"topic", options_.topic}});
+            context_.log.write("store_answer_bad",
+                               "topic={} detail=\"the page after {} does not move on\"",
+                               options_.topic, after);
+            break;
+        }
     }
     next_ = begin;
     recent_.clear();
@@ -458,6 +517,18 @@
     context_.waiting.wake(host_context::server_list_wait_key);
 }
 
+bool state_watcher::log_refusal(const char* topic)
+{
+    context_.stats.increment("banyanshunt_records_refused_total", {{"topic", topic}});
+    instant now = context_.now();
+    if (now - refusals_logged_from_ >= refusal_log_period)
+    {
+        refusals_logged_from_ = now;
+        logged_refusals_ = 0;
+    }
+    return logged_refusals_++ < max_logged_refusals;
+}
+
 bool state_watcher::apply_config(const platform::keyed_record& record)
 {
     if (record.key != platform::config_key || !record.value)
@@ -467,7 +538,10 @@
     auto parsed = platform::parse_manifest(*record.value);
     if (!parsed)
     {
-        context_.log.write("config_refused", "detail=\"{}\"", parsed.error().detail);
+        if (log_refusal(platform::config_topic))
+        {
+            context_.log.write("config_refused", "detail=\"{}\"", parsed.error().detail);
+        }
         return false;
     }
     if (context_.config && (*parsed)->version <= context_.config->version)
@@ -493,8 +567,11 @@
     auto parsed = platform::parse_server_entry(id, *record.value);
     if (!parsed)
     {
-        context_.log.write("server_entry_refused", "server={} detail=\"{}\"", id.str(),
-                           parsed.error().detail);
+        if (log_refusal(platform::server_topic))
+        {
+            context_.log.write("server_entry_refused", "server={} known={} detail=\"{}\"", id.str(),
+                               context_.servers.find(id) != nullptr, parsed.error().detail);
+        }
         return false;
     }
     bool removal_cancelled = deferred_removals_.erase(id) > 0;
--- a/src/serve/topic_reader.hpp
+++ b/src/serve/topic_reader.hpp
@@ -140,7 +140,14 @@
 private:
     void record_list_call(instant sent_at, bool confirmed);
     bool apply_config(const platform::keyed_record& record);
+    /// Applies a server's record. One that cannot be read names no server to use and changes
+    /// nothing: a server that is known stays in use by its last readable entry, so that another
+    /// writer cannot take servers out of use. Its leaving is still learned, by a readable entry, by
+    /// its key being dropped, or from its responses; and a server that took over its address
+    /// refuses requests that expect another id.
     bool apply_server(const platform::keyed_record& record);
+    /// Counts a refused record; returns whether it may be logged.
+    bool log_refusal(const char* topic);
     void apply_server_snapshot(const std::vector<platform::keyed_record>& records);
     bool remove_server(const server_id& server);
     task<void> remove_later(server_id server, instant at);
@@ -154,6 +161,8 @@
     instant defer_removals_until_;
     std::map<server_id, std::uint64_t> deferred_removals_;
     std::uint64_t next_deferral_ = 0;
+    instant refusals_logged_from_;
+    int logged_refusals_ = 0;
 };
 
 } // namespace banyanshunt
