A broken stream only goes on with events that follow what its caller has

Cause: relay() looked at the next response's status only, and relay_stream() passed on any body and took its end for the end of the stream. Event ids were kept for Last-Event-Id, and never compared. A whole response longer than the buffer was also taken for a stream that may be resumed, so that events could be joined to an error's text.

stream_continuity now judges each response to a streaming request: the status, the content type, each event's form and id (the next number; a caller's own Last-Event-Id counts), the end. Only whole events that follow are passed on. Else the connection is closed, as the server may still run it, and the request goes to another server if it may, or the stream is cut without its end. A success that is no event stream goes to the caller whole if nothing was sent yet. An empty body behind a broken stream is no end: a caller can resume a cut stream and gets that body itself, but cannot tell that a stream which ended was not whole.

"A slow but sound stream is not cut" stood on a stream that was not sound: it had no content type, and every event after the first had id 2. It now states the type that the protocol asks for and counts its ids; its checks are the same.

--- a/src/serve/active_request.cpp
+++ b/src/serve/active_request.cpp
@@ -65,6 +65,7 @@
         platform::read_caller_field({field.name_string().data(), field.name_string().size()},
                                     {field.value().data(), field.value().size()}, fields_);
     }
+    events_ = stream_continuity(fields_.last_event_id);
     deadline_ = arrived_ + fields_.deadline.value_or(default_deadline);
     keep_alive_ = request_.keep_alive();
 }
@@ -82,7 +83,7 @@
 
 bool active_request::may_run_again(int runs) const
 {
-    bool continuable = !head_sent_ || route_->kind == request_kind::stream;
+    bool continuable = !head_sent_ || events_.delivered();
     return repeatable() && continuable && runs < route_->max_attempts;
 }
 
--- a/src/serve/active_request.hpp
+++ b/src/serve/active_request.hpp
@@ -14,8 +14,8 @@
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/string_body.hpp>
 
-#include "coordination/event_splitter.hpp"
 #include "coordination/server_silence.hpp"
+#include "coordination/stream_continuity.hpp"
 #include "platform/headers.hpp"
 #include "serve/caller_connection.hpp"
 #include "serve/host_context.hpp"
@@ -141,6 +141,8 @@
     task<attempt_result> relay(server_exchange& exchange);
     task<attempt_result> relay_buffered(server_exchange& exchange);
     task<attempt_result> relay_stream(server_exchange& exchange);
+    /// Ends the send of a stream whose response, or the rest of it, is not passed on.
+    attempt_result refuse_rest(server_exchange& exchange, stream_fault fault);
     attempt_result judge_refused(server_exchange& exchange);
     task<void> finish(attempt_result end);
     task<bool> refuse(refusal cause);
@@ -190,7 +192,7 @@
     int sends_ = 0;
     int runs_ = 0;
     std::set<server_id> tried_;
-    event_splitter events_;
+    stream_continuity events_;
     /// When the current attempt began, or completed its last event.
     instant progressed_at_;
     /// When the current attempt brought the first byte of a body, or the first event of a stream.
--- a/src/serve/request_attempt.cpp
+++ b/src/serve/request_attempt.cpp
@@ -16,8 +16,6 @@
 /// Responses up to this size are read completely before the caller gets any of them, so that one
 /// that breaks off can be requested again.
 constexpr std::size_t max_buffered_response_bytes = 65536;
-/// Largest event of a stream, in bytes.
-constexpr std::size_t max_event_bytes = 1 << 18;
 /// How often a request checks whether its server became unresponsive.
 constexpr milliseconds inactivity_check_period{250};
 constexpr int first_server_error = 500;
@@ -50,14 +48,13 @@
                            std::string_view(field.value().data(), field.value().size()));
         }
     }
-    const auto& last = events_.last_id().empty() ? fields_.last_event_id : events_.last_id();
     platform::write_forwarded_fields({.deadline = std::max(remaining(), milliseconds(1)),
                                       .server = server,
                                       .workspace = workspace_ ? workspace_->name : workspace_id(),
                                       .priority = route_->kind == request_kind::stream
                                                       ? std::optional<int>(priority_)
                                                       : std::nullopt,
-                                      .last_event_id = last},
+                                      .last_event_id = events_.last_id()},
                                      text);
     bool has_body = !request_.body().empty() ||
                     request_.find(http::field::content_length) != request_.end() ||
@@ -329,11 +326,21 @@
     if (head_sent_ && !success)
     {
         last_reason_ = "resume_refused";
+        exchange.close();
         co_return attempt_result::stream_broken;
     }
     if (success && route_->kind == request_kind::stream)
     {
-        co_return co_await relay_stream(exchange);
+        const auto type = exchange.head()[http::field::content_type];
+        auto fault = events_.begin(exchange.status(), {type.data(), type.size()});
+        if (fault == stream_fault::none)
+        {
+            co_return co_await relay_stream(exchange);
+        }
+        if (head_sent_)
+        {
+            co_return refuse_rest(exchange, fault);
+        }
     }
     co_return co_await relay_buffered(exchange);
 }
@@ -398,13 +405,29 @@
     co_return attempt_result::delivered;
 }
 
+active_request::attempt_result active_request::refuse_rest(server_exchange& exchange,
+                                                           stream_fault fault)
+{
+    bool broken = fault == stream_fault::broken;
+    last_reason_ = broken ? "stream_broken" : "not_the_stream";
+    context_.stats.increment("banyanshunt_stream_faults_total", {{"fault", to_text(fault)}});
+    if (!broken)
+    {
+        // Part of the log's volume per send, like `attempt_end`.
+        context_.log.write("stream_refused", "request={} server={} fault={} last_id={}",
+                           fields_.id.str(), exchange.server().str(), to_text(fault),
+                           events_.last_id().empty() ? "-" : events_.last_id());
+        // The server may still run it.
+        exchange.close();
+    }
+    return head_sent_ ? attempt_result::stream_broken : attempt_result::may_have_run;
+}
+
 task<active_request::attempt_result> active_request::relay_stream(server_exchange& exchange)
 {
-    bool resumed = head_sent_;
-    events_.discard_partial();
     kept_response_.clear();
     std::string text;
-    if (!resumed)
+    if (!head_sent_)
     {
         text = response_head(exchange, std::nullopt);
     }
@@ -412,15 +435,18 @@
     {
         ++context_.counters.resumed;
     }
-    while (auto data = co_await exchange.read_some())
+    auto fault = stream_fault::none;
+    while (fault == stream_fault::none)
     {
-        auto events = events_.feed(*data);
-        if (events.empty())
+        auto data = co_await exchange.read_some();
+        if (!data)
+        {
+            break;
+        }
+        auto part = events_.feed(*data);
+        fault = part.fault;
+        if (part.events.empty())
         {
-            if (events_.partial_size() > max_event_bytes)
-            {
-                break;
-            }
             continue;
         }
         progressed_at_ = context_.now();
@@ -429,7 +455,7 @@
         {
             time_to_first_byte_ = context_.now() - arrived_;
         }
-        text += chunk(events);
+        text += chunk(part.events);
         head_sent_ = true;
         if (!co_await caller_->write(text))
         {
@@ -437,10 +463,10 @@
         }
         text.clear();
     }
-    if (!exchange.complete() || events_.in_event())
+    fault = fault == stream_fault::none ? events_.end(exchange.complete()) : fault;
+    if (fault != stream_fault::none)
     {
-        last_reason_ = "stream_broken";
-        co_return head_sent_ ? attempt_result::stream_broken : attempt_result::may_have_run;
+        co_return refuse_rest(exchange, fault);
     }
     head_sent_ = true;
     text += "0\r\n\r\n";
--- a/tests/correctness/endless_bytes_test.cpp
+++ b/tests/correctness/endless_bytes_test.cpp
@@ -223,10 +223,12 @@
     raw_server server(
         [](int, int, const std::string& text)
         {
-            return raw_response{.bytes = "HTTP/1.1 200 OK\r\nX-Server-Stamp: e1\r\n" +
+            return raw_response{.bytes = "HTTP/1.1 200 OK\r\nX-Server-Stamp: e1\r\n"
+                                         "Content-Type: text/event-stream\r\n" +
                                          id_line(text) + chunked + "\r\n" + chunk("id: 1\nda"),
-                                .endless = chunk("ta: token\n\nid: 2\nda"),
-                                .pause = 1500ms};
+                                .pause = 1500ms,
+                                .endless_part = [](int n)
+                                { return chunk(fmt::format("ta: token\n\nid: {}\nda", n + 1)); }};
         });
     replace(it, it.engine1, "e1", "models", server);
     std::this_thread::sleep_for(1500ms);
--- a/tests/stand_ins/raw_server.cpp
+++ b/tests/stand_ins/raw_server.cpp
@@ -111,7 +111,15 @@
                 std::this_thread::sleep_for(response.later_after);
                 write_all(socket, response.later, milliseconds(1000));
             }
-            while (!response.endless.empty() && !stopping_ &&
+            auto next_part = [&, part = 0]() mutable
+            {
+                if (response.endless_part)
+                {
+                    response.endless = response.endless_part(++part);
+                }
+                return !response.endless.empty();
+            };
+            while (next_part() && !stopping_ &&
                    write_all(socket, response.endless, milliseconds(200)) && !peer_closed(socket))
             {
                 endless_bytes_ += response.endless.size();
--- a/tests/stand_ins/raw_server.hpp
+++ b/tests/stand_ins/raw_server.hpp
@@ -29,6 +29,8 @@
     /// Sent once, this long after the bytes; requests that come meanwhile wait.
     std::string later = {};
     milliseconds later_after{0};
+    /// Makes each part that is sent in place of `endless`; counts from 1.
+    std::function<std::string(int n)> endless_part = {};
 };
 
 /// Serves from construction to destruction, with one thread per connection.
