A second response to a store call is not taken for the next call's

Callers saw: nothing yet; found by asking of store calls what was asked of requests. A store that answers twice, or sends an interim response, had its extra response taken for that of the next call, so that every later call on the connection was judged by an earlier one's response: a claim or a join could be believed accepted or refused wrongly.

Cause: the buffer and the socket were not looked at before a connection was used again, and an interim response counted as final.

Fix: a connection on which anything came after the last response is closed before the next call, as the pool of server connections does; interim responses are read over. A response that comes only after the next call was sent can't be told from its own: calls to the store have no ids.

--- a/src/transport/loop/backend_pool.cpp
+++ b/src/transport/loop/backend_pool.cpp
@@ -2,8 +2,6 @@
 
 #include <algorithm>
 
-#include <sys/socket.h>
-
 #include <boost/asio/this_coro.hpp>
 
 namespace banyanshunt
@@ -20,13 +18,8 @@
 
 bool backend_pool::usable(backend_connection& it, instant now) const
 {
-    if (now - it.idle_since > it.idle_limit || it.buffer.size() > 0)
-    {
-        return false;
-    }
-    char byte = 0;
-    auto n = ::recv(it.stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    return n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+    return now - it.idle_since <= it.idle_limit && it.buffer.size() == 0 &&
+           is_quiet(it.stream.socket());
 }
 
 backend_connection_ptr backend_pool::take_kept(const endpoint_text& address, const request_id& id)
--- a/src/transport/loop/event_loop.cpp
+++ b/src/transport/loop/event_loop.cpp
@@ -41,6 +41,13 @@
     return ec ? tcp::endpoint() : tcp::endpoint(address, port);
 }
 
+bool is_quiet(tcp::socket& socket)
+{
+    char byte = 0;
+    auto n = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
 void set_socket_options(tcp::socket& socket)
 {
     boost::system::error_code ec;
--- a/src/transport/loop/event_loop.hpp
+++ b/src/transport/loop/event_loop.hpp
@@ -37,6 +37,9 @@
 /// The TCP endpoint that a string like "10.1.0.2:8080" names; port 0 if it names none.
 tcp::endpoint to_endpoint(const endpoint_text& text);
 
+/// Whether nothing was received on the connection since the last read, neither bytes nor its end.
+bool is_quiet(tcp::socket& socket);
+
 /// Sets the options that each connection of an entry host has: no delay, and a limit on
 /// unacknowledged data that detects an unresponsive peer.
 void set_socket_options(tcp::socket& socket);
--- a/src/transport/loop/http_connection.cpp
+++ b/src/transport/loop/http_connection.cpp
@@ -15,6 +15,9 @@
 
 /// The largest response accepted, in bytes: a page of the newest records in base64, with a margin.
 constexpr std::uint64_t max_response_bytes = 8 * 1024 * 1024;
+constexpr unsigned first_final_status = 200;
+/// Interim responses that may precede the response to a call.
+constexpr int max_interim_responses = 16;
 /// The timeout for a new connection. The log accepts one within milliseconds also while its
 /// responses are slow, and a lost SYN is retransmitted only after a second.
 constexpr milliseconds connect_timeout{300};
@@ -24,6 +27,11 @@
 task<std::optional<call_response>> http_connection::call(std::string method, std::string target,
                                                          std::string body, milliseconds timeout)
 {
+    if (stream_ && (buffer_.size() > 0 || !is_quiet(stream_->socket())))
+    {
+        // What came after the last response would be taken for this call's.
+        stream_.reset();
+    }
     reused_ = stream_ != nullptr;
     if (!stream_)
     {
@@ -58,15 +66,19 @@
         stream_.reset();
         co_return std::nullopt;
     }
-    http::response_parser<http::string_body> parser;
-    parser.body_limit(max_response_bytes);
-    auto [read_ec, n] = co_await http::async_read(*stream_, buffer_, parser, as_result);
-    if (read_ec)
+    std::optional<http::response_parser<http::string_body>> parser;
+    for (int skipped = 0; !parser || parser->get().result_int() < first_final_status; ++skipped)
     {
-        stream_.reset();
-        co_return std::nullopt;
+        parser.emplace();
+        parser->body_limit(max_response_bytes);
+        auto [read_ec, n] = co_await http::async_read(*stream_, buffer_, *parser, as_result);
+        if (read_ec || skipped > max_interim_responses)
+        {
+            stream_.reset();
+            co_return std::nullopt;
+        }
     }
-    auto& response = parser.get();
+    auto& response = parser->get();
     call_response result{.status = static_cast<int>(response.result_int()),
                          .body = std::move(response.body())};
     if (!response.keep_alive())
