A server's 503, 429 or 408 without its mark is not passed on as a promise

Callers saw: 503, 429 or 408 to a request that a server had run. Callers take each of these as "has not run and never will".

Cause: a response without the field that states "not executed" was relayed with any status, also with one that is a promise to callers.

Fix: such a response counts as "may have run": a booking ends with 502, a read may be sent again. Where a stream has begun, nothing changes.

--- a/src/serve/request_attempt.cpp
+++ b/src/serve/request_attempt.cpp
@@ -283,6 +283,15 @@
             outcome = backend_outcome::not_held;
         }
     }
+    else if (platform::promises_not_executed(exchange.status()) && !head_sent_)
+    {
+        // Passed on, the status would promise the caller what the server did not.
+        ++runs_;
+        may_have_run_ = true;
+        end = attempt_result::may_have_run;
+        last_reason_ = "bad_answer";
+        co_await exchange.discard_rest();
+    }
     else
     {
         ++runs_;
--- a/tests/correctness/copied_refusal_test.cpp
+++ b/tests/correctness/copied_refusal_test.cpp
@@ -61,6 +61,8 @@
     /// Refuses the first request on each connection, and no other.
     bool on_every_connection = false;
     milliseconds run_time{0};
+    /// Status of the response to a request that ran.
+    int own_status = 200;
 };
 
 /// Refuses the first send of each request and runs the next; or answers with `status` where that is
@@ -125,7 +127,7 @@
         else
         {
             ++runs_[id];
-            int status = plan_.status == 500 ? 500 : 200;
+            int status = plan_.status == 500 ? 500 : plan_.own_status;
             own = response_text(status, id, stamped, "ran " + id);
             copied = plan_.status == 200 || plan_.status == 500
                          ? response_text(status, shown, stamped, "ran " + id)
@@ -301,3 +303,22 @@
         }
     }
 }
+
+TEST_CASE("A server's 503, 429 or 408 that does not state that it did not run promises nothing")
+{
+    copy_case it;
+    REQUIRE(it.it.started);
+    for (int status : {503, 429, 408})
+    {
+        it.server.set({.status = status, .own_status = status});
+        for (const char* path : {"/book/1", "/read/1"})
+        {
+            auto method = path == std::string("/book/1") ? "POST" : "GET";
+            auto result =
+                it.it.send(method, path, fmt::format("u{}{}", status, method), "good-key");
+            INFO(method << " answered " << status << " got " << result.status);
+            CHECK(result.status == 502);
+        }
+        CHECK(it.server.runs(fmt::format("u{}POST", status)) == 1);
+    }
+}
