Tests of broken streams call a host at its own address

Hosts of a test listen on loopback addresses of their own now; the raw caller still called 127.0.0.1, so that all 7 cases failed with REQUIRE( serve_case::eventually(...) ) false.

--- a/tests/correctness/broken_stream_test.cpp
+++ b/tests/correctness/broken_stream_test.cpp
@@ -164,13 +164,13 @@
     std::string status() const { return head.substr(0, 12); }
 };
 
-std::string read_until_closed(int port, const std::string& request)
+std::string read_until_closed(const std::string& ip, int port, const std::string& request)
 {
     int socket = ::socket(AF_INET, SOCK_STREAM, 0);
     sockaddr_in to{};
     to.sin_family = AF_INET;
     to.sin_port = htons(static_cast<std::uint16_t>(port));
-    to.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    inet_pton(AF_INET, ip.c_str(), &to.sin_addr);
     std::string text;
     if (connect(socket, reinterpret_cast<sockaddr*>(&to), sizeof(to)) == 0)
     {
@@ -262,7 +262,7 @@
     received_response ask(const engine_pair& engines, const std::string& fields = {}) const
     {
         return parse(read_until_closed(
-            it.hosts.front()->port,
+            it.hosts.front()->ip, it.hosts.front()->port,
             "POST /guide/1 HTTP/1.1\r\nHost: desk.example\r\nConnection: close\r\n"
             "X-Request-Id: of-" +
                 engines.model() +
