Soak: odd records, copied responses and wrongly resumed streams

Other writers leave odd entries among those of the servers, faulty servers write an earlier response once more on a kept connection, and the engine that is to go on with a broken stream answers with something else. The soak knew none of these. It now writes them at random moments of a seed, each kind by a writer of its own, so that they come alone and beside stops, SIGHUP, kills, changes of the configuration and cuts.

Checked in addition: no process ends unasked; every host uses a server that was announced behind the last odd records; no server is given up for good; a key withdrawn behind them stops working within its bound; 408 and 421 promise "not run" too; a plain answer is the one to this very request; a response that was cut is a prefix of its own.

The plain answers of the stand-in name their request, so that another's answer is seen. The ledger counts a run where it begins: copies and refusals are none.

The silences and the checks on what servers state have files of their own.

--- a/tests/soak/shunt_soak.cpp
+++ b/tests/soak/shunt_soak.cpp
@@ -13,6 +13,8 @@
 #include <fmt/format.h>
 #include <gflags/gflags.h>
 
+#include "soak/odd_writers.hpp"
+#include "soak/server_silences.hpp"
 #include "soak/soak_checks.hpp"
 
 DEFINE_string(program, "build/shunt-serve", "the program of an entry host");
@@ -21,6 +23,9 @@
 DEFINE_int32(hosts, 4, "entry hosts in a run");
 DEFINE_int32(fault_seconds, 12, "how long faults are injected");
 DEFINE_int32(block, 30, "addresses are 127.BLOCK.x.y, so that runs can execute in parallel");
+DEFINE_string(odd, "entries,configurations,copies,streams",
+              "what writers that break the protocol write; copies and streams only in seeds that "
+              "have more than planned work");
 DEFINE_string(folder, "", "folder for settings and logs; each seed gets a new folder in it");
 
 namespace
@@ -46,13 +51,6 @@
 /// The time budget of every second request where all work is planned: it outlasts a stop, which the
 /// others' budgets do not.
 constexpr std::chrono::milliseconds planned_time_budget{12000};
-/// Silences come in groups, each of which lasts `max_silence_ms` at the most; the time between
-/// groups keeps a request from spending its whole time budget on silences.
-constexpr int min_silence_ms = 500;
-constexpr int max_silence_ms = 2000;
-constexpr int min_silence_interval_ms = 1200;
-constexpr int max_silence_interval_ms = 2200;
-constexpr int max_silences = 5;
 /// The most configurations that are published right after one another, and the pause between two.
 constexpr int max_configurations = 4;
 constexpr int max_configuration_pause_ms = 120;
@@ -62,7 +60,7 @@
 {
 public:
     explicit soak_run(std::uint64_t seed, const std::string& folder)
-        : random_(seed), notice_random_(seed), silence_random_(seed), planned_random_(seed),
+        : random_(seed), notice_random_(seed), planned_random_(seed),
           fleet_({.program = FLAGS_program,
                   .directory = folder,
                   .address_block = FLAGS_block,
@@ -70,6 +68,11 @@
                   .grace_s = planned_only(seed) ? planned_grace_s : grace_s,
                   .time_budget = long_time_budget(seed)})
     {
+        for (auto kind : odd_kinds(seed))
+        {
+            odd_writers_.emplace_back(fleet_, seed, kind,
+                                      [this](const std::string& what) { log_fault(what); });
+        }
         history_.planned_only = planned_only(seed);
         history_.begun = std::chrono::steady_clock::now();
     }
@@ -83,7 +86,16 @@
             ips.push_back(it.ip);
         }
         soak_callers callers(ips, soak_fleet::caller_port, seed, long_time_budget(seed));
-        std::jthread silences([this](const std::stop_token& stop) { silence_servers(stop); });
+        std::jthread silences(
+            [this, seed](const std::stop_token& stop) {
+                silence_servers(fleet_, seed, stop,
+                                [this](const std::string& what) { log_fault(what); });
+            });
+        std::vector<std::jthread> writing;
+        for (auto& it : odd_writers_)
+        {
+            writing.emplace_back([&it](const std::stop_token& stop) { it.write(stop); });
+        }
         auto until = std::chrono::steady_clock::now() + std::chrono::seconds(FLAGS_fault_seconds);
         while (std::chrono::steady_clock::now() < until)
         {
@@ -106,7 +118,19 @@
         }
         silences.request_stop();
         silences.join();
+        for (auto& it : writing)
+        {
+            it.request_stop();
+        }
+        writing.clear();
         heal();
+        for (auto& it : odd_writers_)
+        {
+            it.write_last_records();
+        }
+        fleet_.add_late_server();
+        history_.late_server_made = std::chrono::steady_clock::now();
+        withdraw_key_now();
         auto recovered = std::chrono::steady_clock::now() + recovery_length;
         history_.recovered = recovered;
         while (std::chrono::steady_clock::now() < recovered + observation_length)
@@ -115,6 +139,7 @@
             std::this_thread::sleep_for(50ms);
         }
         callers.stop();
+        restart_ended();
         calls_ = callers.records().size();
         return find_violations(callers.records(), fleet_, history_);
     }
@@ -127,6 +152,16 @@
     {
         return planned_only(seed) ? planned_time_budget : time_budget;
     }
+    static std::set<odd_kind> odd_kinds(std::uint64_t seed)
+    {
+        auto kinds = parse_odd_kinds(FLAGS_odd);
+        if (planned_only(seed))
+        {
+            kinds.erase(odd_kind::copies);
+            kinds.erase(odd_kind::streams);
+        }
+        return kinds;
+    }
     int draw(int bound) { return std::uniform_int_distribution<int>(0, bound - 1)(random_); }
     soak_fleet::host& any_host()
     {
@@ -171,7 +206,7 @@
             {.backend = backend, .at = std::chrono::steady_clock::now(), .faulty = faulty});
     }
 
-    void signal(const soak_fleet::host& it, int number)
+    void signal(soak_fleet::host& it, int number)
     {
         record_disturbance(it);
         fleet_.signal(it, number);
@@ -228,45 +263,6 @@
         fleet_.announce(n);
     }
 
-    /// Servers send nothing for a time and go on: one or several, one after the other or at once.
-    void silence_servers(const std::stop_token& stop)
-    {
-        auto draw_ms = [this](int from, int to)
-        { return std::uniform_int_distribution<int>(from, to)(silence_random_); };
-        auto wait = [&stop](int ms)
-        {
-            auto until = std::chrono::steady_clock::now() + std::chrono::milliseconds(ms);
-            while (std::chrono::steady_clock::now() < until && !stop.stop_requested())
-            {
-                std::this_thread::sleep_for(10ms);
-            }
-        };
-        while (!stop.stop_requested())
-        {
-            wait(draw_ms(min_silence_interval_ms, max_silence_interval_ms));
-            std::multimap<int, std::size_t> begins;
-            for (int left = draw_ms(1, max_silences); left > 0; --left)
-            {
-                begins.emplace(draw_ms(0, max_silence_ms - min_silence_ms),
-                               silence_random_() % fleet_.backends.size());
-            }
-            int at = begins.begin()->first;
-            int end = at + max_silence_ms;
-            for (auto [begin, n] : begins)
-            {
-                wait(begin - at);
-                at = begin;
-                int length = draw_ms(min_silence_ms, end - begin);
-                if (!stop.stop_requested())
-                {
-                    log_fault(fmt::format("server {} is silent for {} ms", n, length));
-                    fleet_.backends[n]->fall_silent(std::chrono::milliseconds(length));
-                }
-            }
-            wait(end - at);
-        }
-    }
-
     /// Publishes the same content as several new versions.
     void publish_configurations(std::chrono::steady_clock::time_point until)
     {
@@ -322,7 +318,15 @@
 
     void withdraw_key()
     {
-        if (!history_.withdrawn.empty() || draw(4) != 0)
+        if (history_.withdrawn.empty() && draw(4) == 0)
+        {
+            withdraw_key_now();
+        }
+    }
+
+    void withdraw_key_now()
+    {
+        if (!history_.withdrawn.empty())
         {
             return;
         }
@@ -413,7 +417,7 @@
             break;
         default:
             log_fault("all hosts killed");
-            for (const auto& each : fleet_.hosts)
+            for (auto& each : fleet_.hosts)
             {
                 signal(each, draw(2) == 0 ? SIGKILL : 0);
             }
@@ -452,11 +456,11 @@
     std::mt19937_64 random_;
     /// Of their own, so that a seed gives the same sequence of the other faults as before.
     std::mt19937_64 notice_random_;
-    std::mt19937_64 silence_random_;
     std::mt19937_64 planned_random_;
     std::vector<std::string> keys_ = {"key-1", "key-2"};
     soak_fleet fleet_;
     soak_history history_;
+    std::vector<odd_writer> odd_writers_;
     std::size_t calls_ = 0;
 };
 
--- a/tests/soak/soak_callers.cpp
+++ b/tests/soak/soak_callers.cpp
@@ -76,13 +76,30 @@
             record.model = models[draw(5)];
             headers.emplace("X-Model", record.model);
         }
+        httplib::Request request;
+        request.method = record.kind == call_kind::read ? "GET" : "POST";
+        request.path = path;
+        request.headers = std::move(headers);
+        if (record.kind != call_kind::read)
+        {
+            request.body = "a body";
+            request.set_header("Content-Type", "text/plain");
+        }
+        request.response_handler = [&](const httplib::Response& response)
+        {
+            record.begun_status = response.status;
+            return true;
+        };
+        request.content_receiver =
+            [&](const char* data, std::size_t size, std::uint64_t, std::uint64_t)
+        {
+            record.body.append(data, size);
+            return true;
+        };
         record.sent = std::chrono::steady_clock::now();
-        auto response = record.kind == call_kind::read
-                            ? client->Get(path, headers)
-                            : client->Post(path, headers, "a body", "text/plain");
+        auto response = client->send(request);
         record.ended = std::chrono::steady_clock::now();
         record.status = response ? response->status : 0;
-        record.body = response ? response->body : "";
         if (!response)
         {
             client.reset();
--- a/tests/soak/soak_callers.hpp
+++ b/tests/soak/soak_callers.hpp
@@ -34,8 +34,11 @@
     std::string model;
     steady_instant sent;
     steady_instant ended;
-    /// 0 if the connection ended without a response.
+    /// 0 if the connection ended without a whole response.
     int status = 0;
+    /// The status of the response that began; 0 if none did.
+    int begun_status = 0;
+    /// What came of the body.
     std::string body;
     /// The index of the host.
     std::size_t host = 0;
--- a/tests/soak/soak_checks.cpp
+++ b/tests/soak/soak_checks.cpp
@@ -2,10 +2,13 @@
 
 #include <algorithm>
 #include <deque>
+#include <iterator>
+#include <set>
+#include <string_view>
 
 #include <fmt/format.h>
 
-#include "stand_ins/limit_rule.hpp"
+#include "soak/server_checks.hpp"
 
 namespace banyanshunt::soak
 {
@@ -26,12 +29,8 @@
 constexpr std::chrono::seconds starvation_min_span{8};
 constexpr double starvation_allowed = 1;
 constexpr double starvation_allowed_ratio = 0.1;
-/// The hosts' setting of the required bound on requests to a server that is known to leave.
-constexpr std::chrono::milliseconds drain_bound{2000};
-/// What the required bound on requests in a pause allows: how long after its statement requests
-/// may still arrive, and how many afterwards.
-constexpr std::chrono::milliseconds pause_grace{500};
-constexpr std::ptrdiff_t max_sends_in_pause = 2;
+/// A host that served so many calls to plain servers has chosen among all of them many times.
+constexpr std::ptrdiff_t min_served_calls = 20;
 /// The platform's bound on how late a connection may end without a response.
 constexpr std::chrono::milliseconds loss_slack{200};
 constexpr const char* complete_stream = "id: 1\ndata: token1\n\nid: 2\ndata: token2\n\n"
@@ -50,12 +49,29 @@
             runs[served.id].push_back(std::move(served));
         }
     }
+    for (auto& served : fleet.late_server->served())
+    {
+        runs[served.id].push_back(std::move(served));
+    }
     return runs;
 }
 
 bool means_not_run(int status)
 {
-    return status == 429 || status == 503 || status == 401 || status == 404;
+    return status == 429 || status == 503 || status == 401 || status == 404 || status == 408 ||
+           status == 421;
+}
+
+/// Whether the body is one that a plain server gave to this request, or begins like one.
+bool answers_call(const call_record& call, bool whole)
+{
+    const char* servers[] = {"d0", "d1", "d-late"};
+    return std::any_of(std::begin(servers), std::end(servers),
+                       [&](const char* name)
+                       {
+                           auto body = fmt::format("answer by {} to {}", name, call.id);
+                           return whole ? call.body == body : body.starts_with(call.body);
+                       });
 }
 
 void check_call(const call_record& call, const std::vector<served_request>& runs,
@@ -87,10 +103,22 @@
     {
         add("a stream that ended with status 200 lacks events, or has some twice");
     }
-    if (call.status == 200 && !stream && !call.body.starts_with("answer by "))
+    if (call.status == 200 && !stream && !answers_call(call, true))
     {
         add("the response body is not the server's");
     }
+    // A response that was cut holds what came before the cut, and nothing else.
+    if (call.status == 0 && call.begun_status == 200 &&
+        !(stream ? std::string_view(complete_stream).starts_with(call.body)
+                 : answers_call(call, false)))
+    {
+        add("a response that was cut holds other bytes than its own");
+    }
+    if (call.begun_status != 200 && call.begun_status != 0 &&
+        call.body.find("token") != call.body.npos)
+    {
+        add("a failure holds events");
+    }
     const char* workspace = call.key == "small-key" ? "small" : "clinics";
     auto withdrawn = history.withdrawn.find(call.key);
     for (const auto& it : runs)
@@ -198,193 +226,69 @@
     }
 }
 
-/// Windows in which a server got more requests than the limit that it stated allows. A host that
-/// was disturbed is excused, so windows shortly after a disturbance do not count.
-void check_limits(const soak_fleet& fleet, const soak_history& history,
-                  std::vector<std::string>& violations)
+void check_recovery(const std::vector<call_record>& calls, const soak_history& history,
+                    std::vector<std::string>& violations)
 {
-    auto disturbed = [&](steady_instant from, steady_instant until)
-    {
-        return std::any_of(history.host_disturbances.begin(), history.host_disturbances.end(),
-                           [&](const auto& it) { return it.at >= from && it.at <= until; });
-    };
-    for (std::size_t n = 0; n < history.limits.size(); ++n)
+    int requested = 0;
+    int served = 0;
+    for (const auto& call : calls)
     {
-        const auto& limit = history.limits[n];
-        auto next = std::find_if(history.limits.begin() + static_cast<std::ptrdiff_t>(n) + 1,
-                                 history.limits.end(),
-                                 [&](const auto& it) { return it.backend == limit.backend; });
-        auto until = next == history.limits.end() ? steady_instant::max() : next->at;
-        // A silent server states its limit only when it goes on.
-        auto responses = fleet.backends[limit.backend]->responses();
-        auto first = std::find_if(responses.begin(), responses.end(),
-                                  [&](const auto& it) { return it.arrived_at >= limit.at; });
-        if (limit.per_second < 0 || first == responses.end())
-        {
-            continue;
-        }
-        std::deque<steady_instant> window;
-        std::size_t peak = 0;
-        for (auto at : fleet.backends[limit.backend]->arrivals())
-        {
-            window.push_back(at);
-            while (at - window.front() > limit_window)
-            {
-                window.pop_front();
-            }
-            if (at >= first->at + limit_contact_time && at < until &&
-                !disturbed(at - limit_window - limit_contact_time, at))
-            {
-                peak = std::max(peak, window.size());
-            }
-        }
-        if (static_cast<double>(peak) > allowed_arrivals(limit.per_second))
+        if (call.sent > history.recovered && call.key != "small-key" &&
+            !history.withdrawn.contains(call.key))
         {
-            violations.push_back(fmt::format(
-                "server {} got {} requests in 4 s, its limit of {} a second allows {}",
-                limit.backend, peak, limit.per_second, allowed_arrivals(limit.per_second)));
+            ++requested;
+            served += call.status == 200 ? 1 : 0;
         }
     }
-}
-
-using calls_by_id = std::map<std::string, const call_record*>;
-
-bool host_disturbed(const soak_history& history, std::size_t host, steady_instant from,
-                    steady_instant until)
-{
-    return std::any_of(history.host_disturbances.begin(), history.host_disturbances.end(),
-                       [&](const auto& it)
-                       { return it.host == host && it.at >= from && it.at <= until; });
-}
-
-/// Whether the link to the server was faulty at any time of a range.
-bool link_disturbed(const soak_history& history, std::size_t backend, steady_instant from,
-                    steady_instant until)
-{
-    bool faulty_before = false;
-    for (const auto& it : history.link_changes)
+    if (requested == 0 || served < recovered_ratio * requested)
     {
-        if (it.backend == backend && it.at < from)
-        {
-            faulty_before = it.faulty;
-        }
-        else if (it.backend == backend && it.at <= until)
-        {
-            return true;
-        }
+        violations.push_back(
+            fmt::format("{} of {} requests were served after the faults", served, requested));
     }
-    return faulty_before;
 }
 
-/// Requests that a caller sent to a host later than the bound after the host had passed on a
-/// response in which the server said that it leaves, and that reached the same incarnation.
-void check_leaving(const calls_by_id& calls, const soak_fleet& fleet, const soak_history& history,
-                   std::vector<std::string>& violations)
+/// Hosts that served calls to plain servers throughout and never used the server that was made
+/// after the last odd records, and servers that no host used any more.
+void check_followed_lists(const calls_by_id& calls, const soak_fleet& fleet,
+                          const soak_history& history, std::vector<std::string>& violations)
 {
-    for (std::size_t n = 0; n < fleet.backends.size(); ++n)
+    auto used_by = [&](const backend_stand_in& server)
     {
-        struct passed_on
-        {
-            steady_instant stated;
-            steady_instant passed;
-        };
-        // By host and incarnation, the first such response that reached a caller.
-        std::map<std::pair<std::size_t, int>, passed_on> known;
-        auto responses = fleet.backends[n]->responses();
-        for (const auto& it : responses)
+        std::set<std::size_t> hosts;
+        for (const auto& it : server.served())
         {
             auto call = calls.find(it.id);
-            if (!it.leaving || call == calls.end() || call->second->status != 200)
+            if (it.at > history.late_server_made && call != calls.end())
             {
-                continue;
-            }
-            auto [first, is_new] =
-                known.try_emplace({call->second->host, it.start_time_ms},
-                                  passed_on{.stated = it.at, .passed = call->second->ended});
-            if (!is_new && call->second->ended < first->second.passed)
-            {
-                first->second = {.stated = it.at, .passed = call->second->ended};
+                hosts.insert(call->second->host);
             }
         }
-        for (const auto& it : responses)
-        {
-            auto call = calls.find(it.id);
-            auto host = call == calls.end() ? 0 : call->second->host;
-            auto left = known.find({host, it.start_time_ms});
-            if (call != calls.end() && left != known.end() &&
-                call->second->sent > left->second.passed + drain_bound &&
-                !host_disturbed(history, host, left->second.stated, it.at))
-            {
-                violations.push_back(
-                    fmt::format("{}: reached server {} from host {}, which had passed on that the "
-                                "server leaves",
-                                it.id, n, host));
-            }
-        }
-    }
-}
-
-/// Pauses that a server stated to a host in which the host sent it more requests than allowed.
-void check_pauses(const calls_by_id& calls, const soak_fleet& fleet, const soak_history& history,
-                  std::vector<std::string>& violations)
-{
-    for (std::size_t n = 0; n < fleet.backends.size(); ++n)
+        return hosts;
+    };
+    auto late = used_by(*fleet.late_server);
+    for (std::size_t n = 0; n < fleet.hosts.size(); ++n)
     {
-        auto responses = fleet.backends[n]->responses();
-        for (auto stated = responses.begin(); stated != responses.end(); ++stated)
+        auto served = std::count_if(calls.begin(), calls.end(),
+                                    [&](const auto& it)
+                                    {
+                                        return it.second->host == n && it.second->status == 200 &&
+                                               it.second->kind != call_kind::guide &&
+                                               it.second->sent > history.recovered;
+                                    });
+        if (served >= min_served_calls && !late.contains(n))
         {
-            auto call = calls.find(stated->id);
-            if (stated->pause <= pause_grace || call == calls.end())
-            {
-                continue;
-            }
-            auto host = call->second->host;
-            auto until = stated->at + stated->pause;
-            if (host_disturbed(history, host, stated->at, until) ||
-                link_disturbed(history, n, stated->at - pause_grace, until))
-            {
-                continue;
-            }
-            auto sent = std::count_if(responses.begin(), responses.end(),
-                                      [&](const auto& it)
-                                      {
-                                          auto its_call = calls.find(it.id);
-                                          return its_call != calls.end() &&
-                                                 its_call->second->host == host &&
-                                                 it.start_time_ms == stated->start_time_ms &&
-                                                 it.arrived_at > stated->at + pause_grace &&
-                                                 it.arrived_at < until;
-                                      });
-            if (sent > max_sends_in_pause)
-            {
-                violations.push_back(
-                    fmt::format("server {} got {} requests from host {} in {} ms in which it "
-                                "wanted none",
-                                n, sent, host, stated->pause.count()));
-            }
+            violations.push_back(fmt::format("host {} never used a server that was made after odd "
+                                             "records",
+                                             n));
         }
     }
-}
-
-void check_recovery(const std::vector<call_record>& calls, const soak_history& history,
-                    std::vector<std::string>& violations)
-{
-    int requested = 0;
-    int served = 0;
-    for (const auto& call : calls)
+    for (std::size_t n = 0; n < fleet.backends.size(); ++n)
     {
-        if (call.sent > history.recovered && call.key != "small-key" &&
-            !history.withdrawn.contains(call.key))
+        if (used_by(*fleet.backends[n]).empty())
         {
-            ++requested;
-            served += call.status == 200 ? 1 : 0;
+            violations.push_back(fmt::format("no host used server {} after the faults", n));
         }
     }
-    if (requested == 0 || served < recovered_ratio * requested)
-    {
-        violations.push_back(
-            fmt::format("{} of {} requests were served after the faults", served, requested));
-    }
 }
 
 } // namespace
@@ -411,6 +315,11 @@
     check_leaving(by_id, fleet, history, violations);
     check_pauses(by_id, fleet, history, violations);
     check_recovery(calls, history, violations);
+    check_followed_lists(by_id, fleet, history, violations);
+    for (const auto& it : std::set(fleet.unasked_ends.begin(), fleet.unasked_ends.end()))
+    {
+        violations.push_back(it);
+    }
     for (const auto& it : fleet.backends)
     {
         for (const auto& fault : it->order_errors())
--- a/tests/soak/soak_checks.hpp
+++ b/tests/soak/soak_checks.hpp
@@ -40,6 +40,8 @@
     steady_instant begun;
     /// When each withdrawn key was removed from the configuration.
     std::map<std::string, steady_instant> withdrawn;
+    /// When the last server was announced, after the last odd records.
+    steady_instant late_server_made;
     /// The time from which every component must work again.
     steady_instant recovered;
     /// The limits that backend servers stated, in order.
--- a/tests/soak/soak_fleet.cpp
+++ b/tests/soak/soak_fleet.cpp
@@ -27,6 +27,13 @@
 /// Long enough that a silence begins at any point of a response.
 constexpr int event_pause_ms = 60;
 constexpr int plain_run_ms = 40;
+constexpr const char* late_name = "d-late";
+
+/// The first two servers are plain ones.
+bool is_engine(std::size_t backend)
+{
+    return backend >= 2;
+}
 
 json route(const char* prefix, const char* kind, const char* service, bool resumable,
            std::chrono::milliseconds time_budget)
@@ -51,10 +58,10 @@
 {
     for (int n = 0; n < 5; ++n)
     {
-        bool engine = n >= 2;
-        auto loaded_models = engine ? std::set<std::string>{"busy"} : std::set<std::string>{};
-        backends.push_back(std::make_unique<backend_stand_in>(
-            (engine ? "e" : "d") + std::to_string(n), loaded_models));
+        auto index = static_cast<std::size_t>(n);
+        auto loaded_models =
+            is_engine(index) ? std::set<std::string>{"busy"} : std::set<std::string>{};
+        backends.push_back(std::make_unique<backend_stand_in>(server_name(index), loaded_models));
         backends.back()->lease_duration = lease;
         backends.back()->max_models = max_models;
         backends.back()->event_pause_ms = event_pause_ms;
@@ -92,14 +99,53 @@
     }
 }
 
+std::string soak_fleet::server_name(std::size_t backend)
+{
+    return (is_engine(backend) ? "e" : "d") + std::to_string(backend);
+}
+
+std::string soak_fleet::entry(std::size_t backend) const
+{
+    return backends[backend]->registry_entry(is_engine(backend) ? "models" : "desk");
+}
+
 void soak_fleet::announce(std::size_t backend)
 {
-    bool engine = backend >= 2;
-    store.put("keyed.servers", (engine ? "e" : "d") + std::to_string(backend),
-              backends[backend]->registry_entry(engine ? "models" : "desk"));
+    store.put("keyed.servers", server_name(backend), entry(backend));
+}
+
+void soak_fleet::add_late_server()
+{
+    late_server = std::make_unique<backend_stand_in>(late_name, std::set<std::string>{});
+    late_server->lease_duration = lease;
+    late_server->run_ms = plain_run_ms;
+    late_proxy = std::make_unique<loopback_proxy>(
+        fmt::format("127.{}.1.{}", options_.address_block, backends.size() + 1),
+        late_server->port());
+    late_server->announced_address = late_proxy->address();
+    store.put("keyed.servers", late_name, late_server->registry_entry("desk"));
+}
+
+std::string soak_fleet::configuration() const
+{
+    std::lock_guard lock(mutex_);
+    return configuration_;
 }
 
 void soak_fleet::configure(const std::vector<std::string>& clinic_keys)
+{
+    std::lock_guard lock(mutex_);
+    clinic_keys_ = clinic_keys;
+    publish();
+}
+
+void soak_fleet::configure_again()
+{
+    std::lock_guard lock(mutex_);
+    publish();
+}
+
+void soak_fleet::publish()
 {
     json models = json::array();
     for (const char* name : {"busy", "rare-1", "rare-2", "rare-3"})
@@ -134,9 +180,10 @@
                       {"loads_per_s", 20}}}}}},
                  {"limits", json::object()},
                  {"tenants",
-                  {workspace("clinics", clinic_keys, 100000, 100000),
+                  {workspace("clinics", clinic_keys_, 100000, 100000),
                    workspace("small", {"small-key"}, small_rate, small_burst)}}};
-    store.put("keyed.op", "config", text.dump());
+    configuration_ = text.dump();
+    store.put("keyed.op", "config", configuration_);
 }
 
 void soak_fleet::start(host& it)
@@ -164,21 +211,34 @@
         throw std::runtime_error("cannot start " + options_.program);
     }
     it.paused = false;
+    it.signals.clear();
 }
 
-void soak_fleet::signal(const host& it, int number) const
+void soak_fleet::signal(host& it, int number) const
 {
     if (it.pid != 0)
     {
+        it.signals.insert(number);
         ::kill(it.pid, number);
     }
 }
 
-bool soak_fleet::reap(host& it) const
+bool soak_fleet::reap(host& it)
 {
-    if (it.pid != 0 && ::waitpid(it.pid, nullptr, WNOHANG) == it.pid)
+    int status = 0;
+    if (it.pid != 0 && ::waitpid(it.pid, &status, WNOHANG) == it.pid)
     {
         it.pid = 0;
+        bool asked = WIFSIGNALED(status) ? it.signals.contains(WTERMSIG(status))
+                                         : WEXITSTATUS(status) == 0 && it.signals.contains(SIGTERM);
+        if (!asked)
+        {
+            unasked_ends.push_back(WIFSIGNALED(status)
+                                       ? fmt::format("host {} ended by itself, by signal {}",
+                                                     it.name, WTERMSIG(status))
+                                       : fmt::format("host {} ended by itself, with exit status {}",
+                                                     it.name, WEXITSTATUS(status)));
+        }
     }
     return it.pid == 0;
 }
--- a/tests/soak/soak_fleet.hpp
+++ b/tests/soak/soak_fleet.hpp
@@ -9,6 +9,8 @@
 #include <chrono>
 #include <map>
 #include <memory>
+#include <mutex>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -46,21 +48,31 @@
         std::string ip;
         pid_t pid = 0;
         bool paused = false;
+        /// The signals that its process got.
+        std::set<int> signals;
         /// The proxy between the host and the store.
         std::unique_ptr<loopback_proxy> store_proxy;
     };
 
     void start(host& it);
-    void signal(const host& it, int number) const;
+    void signal(host& it, int number) const;
     /// Reaps a host's process if it has ended; returns whether it has.
-    bool reap(host& it) const;
+    bool reap(host& it);
     bool ready(const host& it) const;
 
     /// Publishes the next configuration: the clinics' keys, and the rates of both workspaces.
     void configure(const std::vector<std::string>& clinic_keys);
+    /// Publishes the content of the newest configuration as the next one.
+    void configure_again();
+    /// The newest configuration.
+    std::string configuration() const;
 
     /// Publishes the registry entry of a server again, after a restart of it.
     void announce(std::size_t backend);
+    std::string entry(std::size_t backend) const;
+    static std::string server_name(std::size_t backend);
+    /// Makes another plain server and publishes its entry.
+    void add_late_server();
 
     static constexpr int caller_port = 18221;
     static constexpr int ready_port = 18224;
@@ -71,10 +83,20 @@
     store_stand_in store{6};
     std::vector<std::unique_ptr<backend_stand_in>> backends;
     std::vector<std::unique_ptr<loopback_proxy>> backend_proxies;
+    /// A plain server made late in the run, with a proxy of its own.
+    std::unique_ptr<backend_stand_in> late_server;
+    std::unique_ptr<loopback_proxy> late_proxy;
     std::vector<host> hosts;
+    /// The processes that ended although no signal asked for it, and how.
+    std::vector<std::string> unasked_ends;
 
 private:
+    void publish();
+
     fleet_options options_;
+    mutable std::mutex mutex_;
+    std::vector<std::string> clinic_keys_;
+    std::string configuration_;
     int version_ = 0;
 };
 
--- a/tests/stand_ins/prepared_platform.cpp
+++ b/tests/stand_ins/prepared_platform.cpp
@@ -21,6 +21,7 @@
 constexpr const char* loopback = "127.0.0.1";
 /// The Content-Length of a response whose body is never sent.
 constexpr std::size_t lost_response_size = 10;
+constexpr const char* refusal_body = "not run";
 /// Short, because stopping a server waits for idle connections.
 constexpr int keep_alive_s = 1;
 /// Longer than a host waits for a response.
@@ -433,10 +434,15 @@
                 response.status = 421;
                 return;
             }
-            if (now == fault::full)
+            if (now == fault::full || refuses(call))
             {
                 response.status = 503;
                 response.set_header("X-Not-Executed", "1");
+                if (copied_refusal != copied_id::no_copy)
+                {
+                    send_with_copy(call, response, refusal_body, copied_refusal,
+                                   std::chrono::milliseconds(copy_delay_ms));
+                }
                 return;
             }
             served_.push_back({.id = call.get_header_value("X-Request-Id"),
@@ -481,11 +487,28 @@
                     });
                 return;
             }
-            response.set_content("answer by " + id_, "text/plain");
+            auto body = "answer by " + id_ + " to " + call.get_header_value("X-Request-Id");
+            response.status = 200;
+            if (copied_answer != copied_id::no_copy)
+            {
+                send_with_copy(call, response, body, copied_answer,
+                               std::chrono::milliseconds(copy_delay_ms));
+                return;
+            }
+            response.set_content(body, "text/plain");
             return;
         }
         std::string last = call.get_header_value("Last-Event-Id");
-        auto next = std::make_shared<int>(last.empty() ? 1 : std::stoi(last) + 1);
+        if (!last.empty() && resume_without_events(resumption, response))
+        {
+            return;
+        }
+        auto next = std::make_shared<int>(
+            last.empty() ? 1 : first_resumed_event(resumption, std::stoi(last) + 1));
+        if (last.empty() && streams_to_break.fetch_sub(1) > 0)
+        {
+            now = fault::break_stream;
+        }
         response.set_chunked_content_provider("text/event-stream",
                                               [this, next, now, events = events_in_stream.load(),
                                                pause = std::chrono::milliseconds(event_pause_ms)](
@@ -515,6 +538,14 @@
     server_->thread = std::thread([&http] { http.listen_after_bind(); });
 }
 
+bool backend_stand_in::refuses(const httplib::Request& call)
+{
+    bool resumes = call.has_header("Last-Event-Id");
+    return (refuses_every_second && ++refusable_ % 2 == 1) ||
+           (resumes && resumption == odd_resumption::refused_first &&
+            resumed_.insert(call.get_header_value("X-Request-Id")).second);
+}
+
 void backend_stand_in::fall_silent(std::chrono::milliseconds length)
 {
     silent_until_ = std::chrono::steady_clock::now() + length;
--- a/tests/stand_ins/prepared_platform.hpp
+++ b/tests/stand_ins/prepared_platform.hpp
@@ -15,6 +15,8 @@
 #include <string>
 #include <vector>
 
+#include "stand_ins/odd_responses.hpp"
+
 namespace banyanshunt
 {
 
@@ -175,6 +177,17 @@
     std::atomic<const char*> notice_path = "";
     /// Sends nothing for this long, whatever it is in the middle of, and then goes on.
     void fall_silent(std::chrono::milliseconds length);
+    /// Whether a copy of each refusal or plain answer follows it on its connection, whose id it
+    /// states, and how much later it comes.
+    std::atomic<copied_id> copied_refusal = copied_id::no_copy;
+    std::atomic<copied_id> copied_answer = copied_id::no_copy;
+    std::atomic<int> copy_delay_ms = 0;
+    /// Reports for every second request that it is full and did not run it.
+    std::atomic<bool> refuses_every_second = false;
+    /// How many of the next streams break as by `fault::break_stream`, and how those that come to
+    /// be resumed go on.
+    std::atomic<int> streams_to_break = 0;
+    std::atomic<odd_resumption> resumption = odd_resumption::sound;
     /// Refuses orders with status 503.
     std::atomic<bool> refuses_orders = false;
     /// Start time that its entry states; a later one is a restart under the same id.
@@ -185,6 +198,8 @@
 private:
     struct server;
 
+    /// Whether it refuses a request that it could run; called once for each.
+    bool refuses(const httplib::Request& call);
     /// Waits until the server is no longer silent.
     void await_silence_end() const;
 
@@ -199,6 +214,8 @@
     std::string holder_;
     std::chrono::steady_clock::time_point ordered_at_;
     std::atomic<int> orders_ = 0;
+    int refusable_ = 0;
+    std::set<std::string> resumed_;
     std::atomic<int> leaving_responses_ = 0;
     std::atomic<std::chrono::steady_clock::time_point> silent_until_{};
     std::unique_ptr<server> server_;
