Soak: copied refusals where one plain server is left

For half of the copies the other plain server now leaves for the time and comes back, and a copy follows up to 200 ms later.

--- a/tests/soak/odd_writers.cpp
+++ b/tests/soak/odd_writers.cpp
@@ -23,7 +23,7 @@
 /// The length of the faults of servers.
 constexpr int max_fault_ms = 1500;
 /// How long behind the response a copy follows at the most.
-constexpr int max_copy_delay_ms = 80;
+constexpr int max_copy_delay_ms = 200;
 /// A list read whole stays within a few megabytes.
 constexpr int max_large_records = 6;
 constexpr std::size_t large_record_size = 10'000;
@@ -163,9 +163,16 @@
     const copied_id ids[] = {copied_id::same, copied_id::none, copied_id::earlier};
     bool refusals = draw(3) != 0;
     auto id = ids[draw(3)];
-    int delay_ms = draw(4) == 0 ? 0 : draw(max_copy_delay_ms);
+    int delay_ms = draw(6) == 0 ? 0 : draw(max_copy_delay_ms);
     // One server, or all of them.
     auto only = static_cast<std::size_t>(draw(2 * static_cast<int>(fleet_.backends.size())));
+    // Without the other plain server, a request that was refused goes to the same one again.
+    bool alone = draw(2) == 0;
+    if (alone)
+    {
+        only = static_cast<std::size_t>(draw(2));
+        fleet_.drain(1 - only);
+    }
     log_(fmt::format("server {} copies its {}, id {}, {} ms late",
                      only < fleet_.backends.size() ? std::to_string(only) : "of each number",
                      refusals ? "refusals" : "answers", static_cast<int>(id), delay_ms));
@@ -182,6 +189,10 @@
         backend.refuses_every_second = refusals;
     }
     wait(stop, max_fault_ms);
+    if (alone)
+    {
+        fleet_.restart(1 - only);
+    }
     for (const auto& it : fleet_.backends)
     {
         it->refuses_every_second = false;
--- a/tests/soak/shunt_soak.cpp
+++ b/tests/soak/shunt_soak.cpp
@@ -258,9 +258,7 @@
     void restart_backend(std::size_t n)
     {
         log_fault("a server that left is back under its id");
-        fleet_.backends[n]->stated_leaving = nullptr;
-        ++fleet_.backends[n]->start_time_ms;
-        fleet_.announce(n);
+        fleet_.restart(n);
     }
 
     /// Publishes the same content as several new versions.
--- a/tests/soak/soak_fleet.cpp
+++ b/tests/soak/soak_fleet.cpp
@@ -114,6 +114,19 @@
     store.put("keyed.servers", server_name(backend), entry(backend));
 }
 
+void soak_fleet::drain(std::size_t backend)
+{
+    store.put("keyed.servers", server_name(backend),
+              backends[backend]->registry_entry(is_engine(backend) ? "models" : "desk", true));
+}
+
+void soak_fleet::restart(std::size_t backend)
+{
+    backends[backend]->stated_leaving = nullptr;
+    ++backends[backend]->start_time_ms;
+    announce(backend);
+}
+
 void soak_fleet::add_late_server()
 {
     late_server = std::make_unique<backend_stand_in>(late_name, std::set<std::string>{});
--- a/tests/soak/soak_fleet.hpp
+++ b/tests/soak/soak_fleet.hpp
@@ -69,6 +69,10 @@
 
     /// Publishes the registry entry of a server again, after a restart of it.
     void announce(std::size_t backend);
+    /// Publishes that a server leaves.
+    void drain(std::size_t backend);
+    /// A server that left is back under its id and address.
+    void restart(std::size_t backend);
     std::string entry(std::size_t backend) const;
     static std::string server_name(std::size_t backend);
     /// Makes another plain server and publishes its entry.
