A host that the store does not answer follows the view of its peers

What callers saw, in plays on virtual time and with whole hosts: while one host is cut off from the store, though not from its failure domain, a new configuration never came into force on it, and from 4.4 s on it refused requests with keys (503).

Cause: the first host of a domain by weight never asks another, and in a domain with fewer than five live hosts nobody does, whether or not the store answers. Others passed such a reader over only once its view was old.

Now a host whose last call got no answer asks the first of its peers, also one whose view is old (it is dated by its age, so it makes nothing look fresh). A host that is asked by the one that it asks knows that this one has lost the store, passes it over and reads at once. A read that a peer's report causes, and that gets no answer, counts as lost contact, so that a waiting call need not end first. Which host is asked, which response is taken and how old a view may be is now decided by view_requests, apart from input and output; both bounds on ages are in one place.

Tests: "A configuration is in force in time whatever becomes of its reader around the change", on virtual time, 6 and 81 hosts, the reader stopped, killed, frozen, cut off from its domain or from the store at each tenth of a second around the acknowledgement. With the decisions as they were 149 of 2,550 assertions failed, all with the reader cut off from the store ("10000ms <= 2000ms"); the other faults passed on that code too. "A host that the store does not answer follows the configuration that its peers have", whole hosts: without the change 5 of 22 assertions of one of its sections failed (503 == 200).

--- a/src/coordination/view_source.cpp
+++ b/src/coordination/view_source.cpp
@@ -1,5 +1,7 @@
 #include "coordination/view_source.hpp"
 
+#include <algorithm>
+
 #include "coordination/rendezvous.hpp"
 
 namespace banyanshunt
@@ -14,24 +16,18 @@
 } // namespace
 
 std::optional<host_id> view_source(const domain_id& domain, const host_id& own,
-                                   const std::vector<host_id>& live_peers)
+                                   const std::vector<host_id>& live_peers, store_contact contact)
 {
-    if (live_peers.size() < min_peers)
+    bool reads = contact == store_contact::kept;
+    if (live_peers.empty() || (reads && live_peers.size() < min_peers))
     {
         return std::nullopt;
     }
-    const host_id* best = &own;
-    auto weight = rendezvous_weight(domain.str(), own.str());
-    for (const auto& it : live_peers)
-    {
-        auto its_weight = rendezvous_weight(domain.str(), it.str());
-        if (its_weight > weight)
-        {
-            best = &it;
-            weight = its_weight;
-        }
-    }
-    return best == &own ? std::nullopt : std::optional(*best);
+    auto weight = [&](const host_id& host) { return rendezvous_weight(domain.str(), host.str()); };
+    const auto& best = *std::max_element(live_peers.begin(), live_peers.end(),
+                                         [&](const auto& left, const auto& right)
+                                         { return weight(left) < weight(right); });
+    return reads && weight(own) >= weight(best) ? std::nullopt : std::optional(best);
 }
 
 } // namespace banyanshunt
--- a/src/serve/topic_reader.cpp
+++ b/src/serve/topic_reader.cpp
@@ -32,9 +32,6 @@
 constexpr milliseconds reader_role_duration{3000};
 constexpr milliseconds reader_wait{500};
 constexpr milliseconds reader_gap{400};
-/// Greatest age at which a host reads the configuration itself although another reads for it: less
-/// than half of the shortest bound on key revocation.
-constexpr milliseconds longest_shared_config_age{2000};
 /// How often a host checks whether the data that another host reads for it has grown old.
 constexpr milliseconds max_recheck_interval{300};
 /// Bytes of read records that a host keeps, and that it sends in one datagram.
@@ -176,11 +173,7 @@
         {
             good = co_await read_all();
         }
-        if (good != store_reachable_)
-        {
-            context_.log.write(good ? "store_regained" : "store_lost", "topic={}", options_.topic);
-            store_reachable_ = good;
-        }
+        record_contact(good);
         if (good)
         {
             retry_delay = min_retry_delay;
@@ -198,6 +191,15 @@
     }
 }
 
+void topic_reader::record_contact(bool reachable)
+{
+    if (reachable != store_reachable_)
+    {
+        context_.log.write(reachable ? "store_regained" : "store_lost", "topic={}", options_.topic);
+        store_reachable_ = reachable;
+    }
+}
+
 bool topic_reader::shared_view_is_fresh() const
 {
     return next_ && store_reachable_ && !refresh_requested_ && !missed_records_ &&
@@ -409,6 +411,11 @@
     http_connection store(context_.settings.log.address);
     auto response = co_await store.call(call.method, call.target, call.body, min_response_timeout);
     reading_now_ = false;
+    if (!response)
+    {
+        // A waiting call would notice only at its end.
+        record_contact(false);
+    }
     if (response && response->status == 200 && next_ == from)
     {
         accept_records(response->body, from, sent_at);
@@ -447,7 +454,7 @@
       config_(context,
               {.topic = platform::config_topic,
                .wait = config_wait(context),
-               .max_shared_age = max_shared_config_age(),
+               .max_shared_age = config_bounds().own_read,
                .max_age = context.max_config_age()},
               {.snapshot =
                    [this](const auto& records)
@@ -493,14 +500,9 @@
     { asio::co_spawn(context_.executor, config_.read_now(), asio::detached); };
 }
 
-milliseconds state_watcher::max_config_age_of_view(milliseconds longest) const
-{
-    return std::min(longest, context_.settings.bounds.ticket_apply - min_response_timeout);
-}
-
-milliseconds state_watcher::max_shared_config_age() const
+shared_view_bounds state_watcher::config_bounds() const
 {
-    return max_config_age_of_view(longest_shared_config_age);
+    return bound_shared_view(context_.settings.bounds.ticket_apply, min_response_timeout);
 }
 
 void state_watcher::record_list_call(instant sent_at, bool confirmed)
--- a/src/serve/topic_reader.hpp
+++ b/src/serve/topic_reader.hpp
@@ -9,6 +9,8 @@
 #include <functional>
 #include <map>
 
+#include "coordination/view_requests.hpp"
+#include "coordination/view_source.hpp"
 #include "platform/store.hpp"
 #include "serve/host_context.hpp"
 #include "transport/loop/http_connection.hpp"
@@ -70,6 +72,11 @@
 
     /// The next offset to read; empty before the first response.
     std::optional<log_offset> position() const { return next_; }
+    /// Whether the store answered the last call.
+    store_contact contact() const
+    {
+        return store_reachable_ ? store_contact::kept : store_contact::lost;
+    }
     /// Returns what this host has read from `from` on.
     topic_view view_from(log_offset from) const;
     /// Applies what another host has read.
@@ -89,6 +96,7 @@
     milliseconds next_wait() const;
     /// How long the next call may take beyond its wait.
     milliseconds response_timeout() const;
+    void record_contact(bool reachable);
     bool shared_view_is_fresh() const;
     void deliver(const std::vector<platform::keyed_record>& records);
     task<bool> read_all();
@@ -131,11 +139,8 @@
     topic_reader& config() { return config_; }
     topic_reader& servers() { return servers_; }
     const topic_reader& config() const { return config_; }
-    /// The age of a shared view of the configuration beyond which it is not used.
-    milliseconds max_shared_config_age() const;
-    /// The age beyond which another host's view of the configuration is not taken over: `longest`,
-    /// or less where a new configuration has to be in force sooner.
-    milliseconds max_config_age_of_view(milliseconds longest) const;
+    /// Bounds on the age of a shared view of the configuration.
+    shared_view_bounds config_bounds() const;
 
 private:
     void record_list_call(instant sent_at, bool confirmed);
--- a/src/serve/view_sync.cpp
+++ b/src/serve/view_sync.cpp
@@ -15,13 +15,6 @@
 /// No view is requested from a peer that sent nothing for this long; peers of a domain report each
 /// 250 ms.
 constexpr milliseconds report_ttl{1500};
-/// After this many requests without a response another host is chosen, and this one is skipped for
-/// `skip_duration`.
-constexpr int max_unanswered_requests = 3;
-constexpr milliseconds skip_duration{4000};
-/// A reader whose configuration is older has lost contact with the store, whatever the bound on a
-/// new configuration is.
-constexpr milliseconds longest_view_age{2600};
 
 void write_view(const topic_view& from, instant now, peers::topic_view& to)
 {
@@ -58,30 +51,26 @@
 
 std::optional<host_id> view_sync::source(instant now) const
 {
+    auto contact = watcher_.config().contact();
     std::vector<host_id> candidates;
     for (const auto& [host, it] : peers_.all)
     {
-        auto skipped = skipped_until_.find(host);
-        bool is_skipped = skipped != skipped_until_.end() && now < skipped->second;
         if (it.domain == context_.settings.domain && now - it.received_at < report_ttl &&
-            !is_skipped && !it.stopping)
+            !requests_.is_skipped(host, contact, now) && !it.stopping)
         {
             candidates.push_back(host);
         }
     }
-    return view_source(context_.settings.domain, context_.settings.name, candidates);
+    return view_source(context_.settings.domain, context_.settings.name, candidates, contact);
 }
 
 void view_sync::request_view(const host_id& source)
 {
-    requested_from_ = source;
-    requested_at_ = context_.now();
     auto message = peers_.new_message();
     auto& to = *message.mutable_view_asked();
-    to.set_number(++request_number_);
+    to.set_number(requests_.request(source, context_.now()));
     to.set_config_from(watcher_.config().position()->count());
     to.set_servers_from(watcher_.servers().position()->count());
-    ++unanswered_requests_;
     peers_.send(peers_.all.at(source), message);
 }
 
@@ -94,12 +83,11 @@
     {
         co_await pause(request_period);
         instant now = context_.now();
-        if (unanswered_requests_ >= max_unanswered_requests)
+        int unanswered = requests_.unanswered();
+        if (auto host = requests_.pass_over_unresponsive(now))
         {
-            context_.log.write("reader_passed_over", "host={} unanswered={}", requested_from_.str(),
-                               unanswered_requests_);
-            skipped_until_[requested_from_] = now + skip_duration;
-            unanswered_requests_ = 0;
+            context_.log.write("reader_passed_over", "host={} unanswered={}", host->str(),
+                               unanswered);
         }
         auto from = source(now);
         bool topics_read = watcher_.config().position() && watcher_.servers().position();
@@ -108,6 +96,10 @@
         {
             request_view(*from);
         }
+        else
+        {
+            requests_.end();
+        }
     }
 }
 
@@ -147,6 +139,11 @@
     if (message.has_view_asked())
     {
         context_.view.requested_at = now;
+        if (requests_.asked_by_reader(from, now))
+        {
+            context_.log.write("reader_passed_over", "host={} asks=true", from.str());
+            context_.refresh_config();
+        }
         const auto& request = message.view_asked();
         auto response = peers_.new_message();
         auto& view = *response.mutable_view();
@@ -157,22 +154,23 @@
                    *view.mutable_servers());
         peers_.send(sender, response);
     }
-    if (!message.has_view() || message.view().number() != request_number_ ||
-        from != requested_from_)
+    if (!message.has_view())
     {
         return;
     }
-    unanswered_requests_ = 0;
-    if (milliseconds(message.view().config().age_ms()) >
-        watcher_.max_config_age_of_view(longest_view_age))
+    milliseconds age(message.view().config().age_ms());
+    auto verdict =
+        requests_.judge(from, message.view().number(), age, watcher_.config_bounds(), now);
+    if (verdict == view_requests::response::too_old)
+    {
+        context_.log.write("reader_passed_over", "host={} age_ms={}", from.str(), age.count());
+    }
+    if (verdict == view_requests::response::ignored)
     {
-        context_.log.write("reader_passed_over", "host={} age_ms={}", from.str(),
-                           message.view().config().age_ms());
-        skipped_until_[from] = now + skip_duration;
         return;
     }
-    watcher_.config().apply(read_view(message.view().config(), requested_at_));
-    watcher_.servers().apply(read_view(message.view().servers(), requested_at_));
+    watcher_.config().apply(read_view(message.view().config(), requests_.requested_at()));
+    watcher_.servers().apply(read_view(message.view().servers(), requests_.requested_at()));
 }
 
 } // namespace banyanshunt
--- a/src/serve/view_sync.hpp
+++ b/src/serve/view_sync.hpp
@@ -11,6 +11,7 @@
 #include <optional>
 
 #include "coordination/catch_up.hpp"
+#include "coordination/view_requests.hpp"
 #include "serve/peer_list.hpp"
 #include "serve/topic_reader.hpp"
 
@@ -45,13 +46,7 @@
     host_context& context_;
     peer_list& peers_;
     state_watcher& watcher_;
-    std::int64_t request_number_ = 0;
-    instant requested_at_;
-    host_id requested_from_;
-    /// Consecutive requests without a response.
-    int unanswered_requests_ = 0;
-    /// Hosts that did not respond, or had no fresh data, and the time until which they are skipped.
-    std::map<host_id, instant> skipped_until_;
+    view_requests requests_;
     catch_up config_catch_up_;
 };
 
--- a/tests/correctness/configuration_age_test.cpp
+++ b/tests/correctness/configuration_age_test.cpp
@@ -137,3 +137,40 @@
         }
     }
 }
+
+TEST_CASE("A host that the store does not answer follows the configuration that its peers have")
+{
+    auto hosts = GENERATE(2U, 6U);
+    serve_case it(hosts, store_path::proxied_first);
+    REQUIRE(it.started);
+    wait_for_read(it.store);
+    it.store_link->cut();
+    auto cut_at = std::chrono::steady_clock::now();
+    std::vector<std::string> keys = {"good-key"};
+    int version = 1;
+    // For longer than it serves by a configuration that nobody confirms.
+    while (std::chrono::steady_clock::now() < cut_at + 7s)
+    {
+        keys.push_back("key-" + std::to_string(++version));
+        it.store.put(config_topic, "config", serve_manifest(version, keys));
+        auto acknowledged_at = std::chrono::steady_clock::now();
+        std::this_thread::sleep_until(acknowledged_at + apply_bound);
+        CHECK(it.send("GET", "/read/1", "new", keys.back()).status == 200);
+        // Whether the key is bad is said by a young configuration only.
+        int refused = it.send("GET", "/read/1", "bad", "bad-key").status;
+        CHECK((refused == 401 || refused == 503));
+    }
+
+    SECTION("a withdrawn key is refused in time")
+    {
+        it.store.put(config_topic, "config", serve_manifest(++version, {"new-key"}));
+        std::this_thread::sleep_for(slo_bounds{}.key_revocation);
+        CHECK(it.send("GET", "/read/1", "withdrawn", "good-key").status == 401);
+    }
+    SECTION("it serves on when the store answers again")
+    {
+        it.store_link->heal();
+        std::this_thread::sleep_for(apply_bound);
+        CHECK(it.send("GET", "/read/1", "healed", "good-key").status == 200);
+    }
+}
--- a/tests/correctness/serve_case.cpp
+++ b/tests/correctness/serve_case.cpp
@@ -76,10 +76,9 @@
                        const std::function<void(store_stand_in&)>& prepare)
 {
     std::string store_address = "127.0.0.1:" + std::to_string(store.port());
-    if (path == store_path::proxied)
+    if (path != store_path::direct)
     {
         store_link = std::make_unique<fault_proxy>(store_address);
-        store_address = store_link->address();
     }
     store.put("keyed.op", "config", serve_manifest(1, {"good-key"}));
     store.put("keyed.servers", "d1", desk1.registry_entry("desk"));
@@ -107,7 +106,8 @@
         settings.metrics_port = it.metrics_port;
         settings.bounds.lease = 1000ms;
         settings.bounds.stop_grace = 4000ms;
-        settings.log.address = endpoint_text(store_address);
+        bool is_proxied = store_link && (path == store_path::proxied || n == 0);
+        settings.log.address = endpoint_text(is_proxied ? store_link->address() : store_address);
         it.host = std::make_unique<serving_host>(settings);
         it.thread = std::thread([&it] { it.run(); });
     }
--- a/tests/correctness/serve_case.hpp
+++ b/tests/correctness/serve_case.hpp
@@ -33,6 +33,8 @@
     direct,
     /// Through `serve_case::store_link`.
     proxied,
+    /// The first host through `serve_case::store_link`, the others directly.
+    proxied_first,
 };
 
 /// Entry hosts, two plain servers and two engines; ready to serve.
--- a/tests/correctness/view_source_test.cpp
+++ b/tests/correctness/view_source_test.cpp
@@ -49,4 +49,14 @@
         CHECK_FALSE(view_source(domain, all[0], {all[1], all[2], all[3]}));
         CHECK_FALSE(view_source(domain, all[0], {}));
     }
+    SECTION("a host without contact to the store asks the first of its peers, however few")
+    {
+        auto reader = *sources.begin();
+        std::vector<host_id> others;
+        std::copy_if(all.begin(), all.end(), std::back_inserter(others),
+                     [&](const auto& it) { return it != reader; });
+        CHECK(view_source(domain, reader, others, store_contact::lost).has_value());
+        CHECK(view_source(domain, reader, {others[0]}, store_contact::lost) == others[0]);
+        CHECK_FALSE(view_source(domain, reader, {}, store_contact::lost));
+    }
 }
