A broken stream is not joined with an answer of the kind that its route has by then

Callers saw, where a configuration made a streaming route idempotent while a stream ran, and the stream broke: a whole JSON answer with its head in the middle of the stream, which then ended as complete (MIXED, ORDER).

Cause: whether a response goes on with a stream was asked by the route's kind now, not by what the caller has. A response behind a sent head is always judged as a continuation now.

The new test failed before (2 of 6 checks: the head at byte 177, the text "error" at 311) and passes now.

--- a/src/serve/request_attempt.cpp
+++ b/src/serve/request_attempt.cpp
@@ -338,7 +338,9 @@
         exchange.close();
         co_return attempt_result::stream_broken;
     }
-    if (success && route_->kind == request_kind::stream)
+    // A later configuration may have changed the route's kind; what the caller has is a stream
+    // still.
+    if (success && (head_sent_ || route_->kind == request_kind::stream))
     {
         const auto type = exchange.head()[http::field::content_type];
         auto fault = events_.begin(exchange.status(), {type.data(), type.size()});
