--- a/tests/correctness/copied_refusal_test.cpp
+++ b/tests/correctness/copied_refusal_test.cpp
@@ -193,8 +193,10 @@
         server.set(plan);
         for (const char* method : {"POST", "GET"})
         {
+            constexpr int requests = 6;
             std::vector<std::string> ids;
-            for (int n = 0; n < 6; ++n)
+            ids.reserve(requests);
+            for (int n = 0; n < requests; ++n)
             {
                 ids.push_back(fmt::format("t{}-{}-{}", row, method, n));
             }
