A reload requested right after a host's start does not end it

A SIGHUP that came before the handler was installed ended the process. What remains is the time until the program is loaded, which its starter has to cover.

--- a/programs/shunt_serve.cpp
+++ b/programs/shunt_serve.cpp
@@ -1,5 +1,6 @@
 // The entry host daemon for the prepared platform: a single process with one event loop.
 
+#include <csignal>
 #include <cstdlib>
 #include <fstream>
 #include <iostream>
@@ -33,6 +34,8 @@
 
 int main(int argc, char** argv)
 {
+    // A reload that is requested before the settings are read is no reason to end.
+    std::signal(SIGHUP, SIG_IGN);
     gflags::SetUsageMessage("serves callers on the prepared platform");
     gflags::ParseCommandLineFlags(&argc, &argv, true);
     std::string path = settings_path();
