Soak: a signal sent while a host is being started counts as sent

The record of signals was emptied after the process had been started, so that one sent in between was taken for an end of the host's own. The check itself is unchanged.

--- a/tests/soak/soak_fleet.cpp
+++ b/tests/soak/soak_fleet.cpp
@@ -210,6 +210,7 @@
         it.name, it.ip, it.ip, caller_port, it.ip, ready_port, lease.count(), options_.grace_s,
         it.store_proxy->address());
     std::string log = fmt::format("{}/{}.log", options_.directory, it.name);
+    it.signals.clear();
     posix_spawn_file_actions_t files;
     posix_spawn_file_actions_init(&files);
     posix_spawn_file_actions_addopen(&files, STDOUT_FILENO, log.c_str(),
@@ -224,7 +225,6 @@
         throw std::runtime_error("cannot start " + options_.program);
     }
     it.paused = false;
-    it.signals.clear();
 }
 
 void soak_fleet::signal(host& it, int number) const
