--- a/src/protocol/json_reader.hpp
+++ b/src/protocol/json_reader.hpp
@@ -20,6 +20,9 @@
 namespace banyanshunt
 {
 
+/// The largest integer that every JSON writer represents exactly, with all below it.
+inline constexpr std::int64_t max_exact_integer = (std::int64_t{1} << 53) - 1;
+
 /// Collects the first error found while reading one document.
 class json_errors
 {
--- a/src/serve/topic_reader.cpp
+++ b/src/serve/topic_reader.cpp
@@ -37,8 +37,6 @@
 /// Bytes of read records that a host keeps, and that it sends in one datagram.
 constexpr std::size_t max_recent_bytes = 65536;
 constexpr std::size_t max_view_bytes = 16384;
-/// A key's length is one byte.
-constexpr std::size_t max_key_bytes = 255;
 /// Lines about refused records in `refusal_log_period`; the metric counts all of them. A hundredth
 /// of the lines that a host may write.
 constexpr int max_logged_refusals = 15;
@@ -75,7 +73,7 @@
     log_offset next(0);
     for (const auto& it : view.records)
     {
-        if (it.offset < next || it.offset >= view.end || it.key.size() > max_key_bytes)
+        if (it.offset < next || it.offset >= view.end || it.key.size() > platform::max_key_bytes)
         {
             return false;
         }
