Event ids are read once, by what checks them

event_splitter read the ids of each line of a stream for last_id, which only its test called since stream_continuity reads and checks them. The test's checks of ids are asked of stream_continuity now, those of the splitting stay.

--- a/src/coordination/event_splitter.hpp
+++ b/src/coordination/event_splitter.hpp
@@ -15,8 +15,6 @@
 public:
     /// Appends `bytes` and returns all complete events; an incomplete one stays buffered.
     std::string feed(std::string_view bytes);
-    /// The last event id in the complete events; empty before the first.
-    const std::string& last_id() const { return last_id_; }
     /// Whether an incomplete event is buffered.
     bool in_event() const { return !partial_.empty(); }
     /// The size of the incomplete event, in bytes.
@@ -25,10 +23,7 @@
     void discard_partial() { partial_.clear(); }
 
 private:
-    void record_ids(std::string_view events);
-
     std::string partial_;
-    std::string last_id_;
 };
 
 } // namespace banyanshunt
