--- a/src/coordination/view_source.cpp
+++ b/src/coordination/view_source.cpp
@@ -24,10 +24,11 @@
         return std::nullopt;
     }
     auto weight = [&](const host_id& host) { return rendezvous_weight(domain.str(), host.str()); };
-    const auto& best = *std::max_element(live_peers.begin(), live_peers.end(),
-                                         [&](const auto& left, const auto& right)
-                                         { return weight(left) < weight(right); });
-    return reads && weight(own) >= weight(best) ? std::nullopt : std::optional(best);
+    std::vector<std::uint64_t> weights(live_peers.size());
+    std::transform(live_peers.begin(), live_peers.end(), weights.begin(), weight);
+    auto best = std::max_element(weights.begin(), weights.end());
+    return reads && weight(own) >= *best ? std::nullopt
+                                         : std::optional(live_peers[best - weights.begin()]);
 }
 
 } // namespace banyanshunt
