Soak: a leaving notice in a 421 teaches a host nothing

Host 0 learned of the leaving from a peer at the end only.

A 421 does not show which server made it, so what it states of leaving is not believed without its maker's id (docs/PLATFORM.md, "What a server says of itself"). The check means responses that a host passed on, and took any of a call that ended with 200 for one.

--- a/tests/stand_ins/prepared_platform.cpp
+++ b/tests/stand_ins/prepared_platform.cpp
@@ -368,6 +368,7 @@
                                  .at = std::chrono::steady_clock::now(),
                                  .arrived_at = request_arrived_at,
                                  .start_time_ms = start_time_ms,
+                                 .status = response.status,
                                  .leaving = leaving && std::string_view(leaving) == "1"};
             if (leaving)
             {
--- a/tests/stand_ins/prepared_platform.hpp
+++ b/tests/stand_ins/prepared_platform.hpp
@@ -119,6 +119,7 @@
     std::chrono::steady_clock::time_point arrived_at;
     /// The incarnation that gave it.
     int start_time_ms = 0;
+    int status = 0;
     bool leaving = false;
     /// For how long the server wants no requests; 0 if the response did not say so.
     std::chrono::milliseconds pause{0};
