A permit is taken only from the host that was asked, for the request that waits

Permits between hosts were matched by a number alone, which began at 1 in each incarnation: a response of another host, or one to the first request of the host before its restart, gave a permit, and the server that had stated a limit got a request for which no permit was free.

permit_requests keeps which host was asked; numbers begin at one that follows from the incarnation; a second response changes nothing.

--- a/src/serve/limit_manager.cpp
+++ b/src/serve/limit_manager.cpp
@@ -37,7 +37,7 @@
 
 limit_manager::limit_manager(host_context& context, peer_list& peers, broadcast send_to_all)
     : context_(context), peers_(peers), send_to_all_(std::move(send_to_all)),
-      started_(context.now())
+      started_(context.now()), requests_(context.incarnation)
 {
 }
 
@@ -190,20 +190,19 @@
     {
         co_return make_response(grant(server, max_wait));
     }
-    auto number = ++last_number_;
-    pending_.emplace(number, std::nullopt);
+    auto number = requests_.begin(host);
     auto message = peers_.new_message();
     auto& request = *message.add_permit_requests();
     request.set_number(number);
     request.set_max_wait_ms(to_ms(max_wait));
     write(server, *request.mutable_limit());
     peers_.send(it->second, message);
-    while (!pending_.at(number) && context_.now() < asked_at + permit_timeout)
+    while (!requests_.has_response(number) && context_.now() < asked_at + permit_timeout)
     {
         co_await context_.waiting.wait(permits_wait_key, 0, asked_at,
                                        asked_at + permit_timeout - context_.now());
     }
-    auto response = pending_.extract(number).mapped();
+    auto response = requests_.end(number);
     context_.stats.increment("banyanshunt_permits_total",
                              {{"result", !response           ? "unanswered"
                                          : response->granted ? "granted"
@@ -244,12 +243,8 @@
         {
             apply(it.limit(), sent_at);
         }
-        auto found = pending_.find(it.number());
-        if (found != pending_.end())
-        {
-            found->second =
-                permit_grant{.granted = it.granted(), .wait = milliseconds(it.wait_ms())};
-        }
+        requests_.record(host_id(message.host()), it.number(),
+                         {.granted = it.granted(), .wait = milliseconds(it.wait_ms())});
     }
     if (message.permit_responses_size() > 0)
     {
--- a/src/serve/limit_manager.hpp
+++ b/src/serve/limit_manager.hpp
@@ -6,9 +6,8 @@
 /// from the server's next response or from the next report, and a lost permit is not used.
 
 #include <functional>
-#include <map>
-#include <optional>
 
+#include "coordination/permit_requests.hpp"
 #include "coordination/permit_schedule.hpp"
 #include "serve/peer_list.hpp"
 
@@ -54,9 +53,7 @@
     instant started_;
     permit_ledger ledger_;
     std::vector<server_id> granted_;
-    /// Permit requests in flight, and their responses.
-    std::map<std::int64_t, std::optional<permit_grant>> pending_;
-    std::int64_t last_number_ = 0;
+    permit_requests requests_;
 };
 
 } // namespace banyanshunt
--- a/tests/correctness/forwarded_reports_test.cpp
+++ b/tests/correctness/forwarded_reports_test.cpp
@@ -3,9 +3,7 @@
 
 #include <catch2/catch.hpp>
 
-#include "peers.pb.h"
-#include "serve/peer_service.hpp"
-#include "stand_ins/loopback_block.hpp"
+#include "correctness/receiving_host.hpp"
 
 using namespace banyanshunt;
 using namespace std::chrono_literals;
@@ -13,92 +11,9 @@
 namespace
 {
 
-const server_id server("s1");
-constexpr std::int64_t start_time = 1;
-constexpr int peer_port = 17600;
-
-/// The address of a host.
-std::string address_of(int host)
-{
-    static const loopback_block addresses;
-    return addresses.address(host);
-}
 /// How long the forwarding host had kept the message.
 constexpr milliseconds kept_for{4000};
 
-class receiving_host
-{
-public:
-    receiving_host()
-        : context(settings(), loop_.get_executor()), watcher_(context), service_(context, watcher_),
-          north_(loop_, {asio::ip::make_address_v4(address_of(2)), peer_port})
-    {
-        backend_entry entry;
-        entry.id = server;
-        entry.start_time_ms = start_time;
-        context.servers.apply_entry(entry, context.now());
-        service_.start();
-    }
-
-    static host_settings settings()
-    {
-        host_settings to;
-        to.name = host_id("south-1");
-        to.domain = domain_id("south");
-        to.ip = address_of(1);
-        to.first_peer_port = peer_port;
-        // No store listens there.
-        to.log.address = endpoint_text(address_of(1) + ":1");
-        return to;
-    }
-    static peers::peer_message message_of(const char* host)
-    {
-        peers::peer_message message;
-        message.set_host(host);
-        message.set_domain("north");
-        message.set_life(7);
-        return message;
-    }
-    /// Puts a message of "north-1" into a datagram of "north-2", which kept it for `age`.
-    static peers::peer_message forwarded(const peers::peer_message& message, milliseconds age)
-    {
-        auto bundle = message_of("north-2");
-        auto& to = *bundle.add_bundled();
-        to = message;
-        to.set_relayed(peers::passed_on);
-        to.set_address(address_of(3) + ":" + std::to_string(peer_port));
-        to.set_age_ms(static_cast<std::uint32_t>(age.count()));
-        return bundle;
-    }
-    /// Returns whether the datagram has been handled.
-    bool receive(peers::peer_message message)
-    {
-        // Its last part is a host that was not heard before.
-        auto marker = "marker-" + std::to_string(++markers_);
-        *message.add_bundled() = forwarded(message_of(marker.c_str()), 0ms).bundled(0);
-        auto bytes = message.SerializeAsString();
-        north_.send_to(asio::buffer(bytes), {asio::ip::make_address_v4(address_of(1)), peer_port});
-        auto hosts = context.host_count;
-        for (int n = 0; n < 200 && context.host_count == hosts; ++n)
-        {
-            loop_.run_for(10ms);
-        }
-        return context.host_count > hosts;
-    }
-
-private:
-    asio::io_context loop_{1};
-
-public:
-    host_context context;
-
-private:
-    state_watcher watcher_;
-    peer_service service_;
-    asio::ip::udp::socket north_;
-    int markers_ = 0;
-};
-
 } // namespace
 
 TEST_CASE("The limit of a server in a report that another host forwards")
