A false end of a topic leads to a complete read, never to a confirmation

Seen: callers with a withdrawn key were served after the bound of 5 s, and those with a new key were refused, for good, on a host that had taken over a view of a peer whose end lay ahead of the topic's. Behind 2.4 MB of other records, a request went to a server 2 s after its key was dropped.

Cause: the end that a peer's view states became the position of the host unchecked. A read behind the end of a topic is answered with no records, which counted as a confirmation: the two offsets that each response states, the partition's end and its first retained offset, were thrown away. So a response that held a part of the new records confirmed all of them, too.

The parser returns both offsets and refuses a response whose records do not fit them. A position outside of them leads to a complete read, 1 s apart at least; a response cut before the end confirms nothing and is followed by the next read at once. A view that was read after the host's position was known and ends before it, or that advances by more records than a response holds, is refused alone, with the metric and a line, and the host reads for itself from the position that it has. No case is left in which an empty response confirms a position that the store does not state as the end.

Two older checks of the parser are replaced: their responses stated an end of 0 with records at 5 and 840, which no partition can. They now state their true ends, and check what they checked before. The stand-in's store deletes old records (410) and cuts responses at max_kb, as the platform's does.

--- a/src/serve/topic_reader.cpp
+++ b/src/serve/topic_reader.cpp
@@ -37,13 +37,11 @@
 /// Bytes of read records that a host keeps, and that it sends in one datagram.
 constexpr std::size_t max_recent_bytes = 65536;
 constexpr std::size_t max_view_bytes = 16384;
-/// Lines about refused records in `refusal_log_period`; the metric counts all of them. A hundredth
-/// of the lines that a host may write.
-constexpr int max_logged_refusals = 15;
-constexpr milliseconds refusal_log_period{10000};
 /// Delay after a failed call, doubled with each further failure.
 constexpr milliseconds min_retry_delay{50};
 constexpr milliseconds max_retry_delay{400};
+/// Time between two complete reads of a topic whose positions turn out to be none.
+constexpr milliseconds min_reread_gap{1000};
 /// If the store was unreachable for this long, entries of running servers may have lapsed; three
 /// times the usual period of server heartbeats.
 constexpr milliseconds store_outage_threshold{3000};
@@ -175,7 +173,8 @@
         if (good)
         {
             retry_delay = min_retry_delay;
-            auto gap = options_.gap();
+            // Records that one response did not hold are read at once.
+            auto gap = has_more_ ? milliseconds(0) : options_.gap();
             if (reads_for_others())
             {
                 gap = std::min(gap, reader_gap);
@@ -255,10 +254,20 @@
 
 void topic_reader::apply(const topic_view& view)
 {
-    if (!next_ || view.end < *next_)
+    if (!next_)
     {
         return;
     }
+    if (view.end < *next_)
+    {
+        // Usual while this host has read later than its reader. A topic does not become shorter,
+        // so one that was read since and ended before this position was never as long.
+        if (view.confirmed_at > position_at_)
+        {
+            refuse_view("behind", view);
+        }
+        return;
+    }
     if (!view.complete)
     {
         missed_records_ = true;
@@ -266,18 +275,48 @@
     }
     if (!is_consistent(view))
     {
-        context_.stats.increment("banyanshunt_records_refused_total", {{"topic", options_.topic}});
-        context_.log.write("peer_view_refused", "topic={} end={} records={}", options_.topic,
-                           view.end.count(), view.records.size());
-        missed_records_ = true;
+        refuse_view("inconsistent", view);
         return;
     }
-    next_ = view.end;
+    if (view.end.count() - next_->count() > platform::max_read_records)
+    {
+        // More than a response of the store holds. It may be true, which one call tells.
+        refuse_view("far_ahead", view);
+        return;
+    }
+    set_position(view.end);
+    record_regained(view.confirmed_at);
     record_response(view.confirmed_at);
     deliver(view.records);
     handlers_.confirmed(view.confirmed_at);
 }
 
+void topic_reader::refuse_view(const char* why, const topic_view& view)
+{
+    missed_records_ = true;
+    context_.stats.increment("banyanshunt_records_refused_total", {{"topic", options_.topic}});
+    if (view_refusals_.take(context_.now()))
+    {
+        context_.log.write("peer_view_refused", "topic={} why={} position={} end={} records={}",
+                           options_.topic, why, next_->count(), view.end.count(),
+                           view.records.size());
+    }
+}
+
+void topic_reader::set_position(log_offset next)
+{
+    next_ = next;
+    position_at_ = context_.now();
+}
+
+task<bool> topic_reader::read_all_again()
+{
+    // Whoever states false positions may do so again and again, and a complete read is long.
+    co_await pause(std::max(nanoseconds(0), nanoseconds(reread_at_ - context_.now())));
+    reread_at_ = context_.now() + min_reread_gap;
+    co_return co_await read_all();
+}
+
 task<bool> topic_reader::read_all()
 {
     instant sent_at = context_.now();
@@ -335,10 +374,12 @@
             break;
         }
     }
-    next_ = begin;
+    set_position(*begin);
+    has_more_ = false;
     recent_.clear();
     recent_bytes_ = 0;
     recent_from_ = *begin;
+    record_regained(sent_at);
     record_response(sent_at);
     handlers_.snapshot(all);
     handlers_.confirmed(sent_at);
@@ -360,23 +401,31 @@
     }
     auto took = std::chrono::ceil<milliseconds>(context_.now() - sent_at);
     latency_ = wait.count() == 0 ? took : std::min(latency_, took);
+    if (response->status != 200 && response->status != platform::expired_status)
+    {
+        co_return false;
+    }
+    if (next_ != from)
+    {
+        // What another host has read was taken over meanwhile, or the position turned out to be
+        // none; the next call goes on from there.
+        co_return true;
+    }
     if (response->status == platform::expired_status)
     {
         context_.log.write("store_history_expired", "topic={} offset={}", options_.topic,
-                           next_->count());
+                           from.count());
         next_.reset();
-        co_return co_await read_all();
     }
-    if (response->status != 200)
+    else if (!accept_records(response->body, from, sent_at))
     {
         co_return false;
     }
-    if (*next_ != from)
+    if (!next_)
     {
-        // What another host has read was taken over meanwhile; the next call goes on from there.
-        co_return true;
+        co_return co_await read_all_again();
     }
-    co_return accept_records(response->body, from, sent_at);
+    co_return true;
 }
 
 bool topic_reader::accept_records(const std::string& body, log_offset from, instant sent_at)
@@ -388,10 +437,24 @@
                            page.error().detail);
         return false;
     }
-    next_ = page->end;
-    record_response(sent_at);
+    bool moves_on = page->next > from || page->next == page->end;
+    if (!page->retains(from) || !moves_on)
+    {
+        context_.stats.increment("banyanshunt_records_refused_total", {{"topic", options_.topic}});
+        context_.log.write("store_position_refused", "topic={} offset={} first={} end={}",
+                           options_.topic, from.count(), page->first.count(), page->end.count());
+        next_.reset();
+        return true;
+    }
+    set_position(page->next);
+    has_more_ = page->next < page->end;
+    record_regained(sent_at);
     deliver(page->records);
-    handlers_.confirmed(sent_at);
+    if (!has_more_)
+    {
+        record_response(sent_at);
+        handlers_.confirmed(sent_at);
+    }
     return true;
 }
 
@@ -434,16 +497,19 @@
                       : -1);
 }
 
-void topic_reader::record_response(instant confirmed)
+void topic_reader::record_regained(instant sent_at)
 {
     // By the times of the calls: what another host has read may arrive often and be old.
-    bool after_outage = responded_at_ && confirmed - confirmed_at_ > store_outage_threshold;
-    confirmed_at_ = std::max(confirmed_at_, confirmed);
-    missed_records_ = false;
-    if (after_outage)
+    if (responded_at_ && sent_at - confirmed_at_ > store_outage_threshold)
     {
         handlers_.recovered();
     }
+}
+
+void topic_reader::record_response(instant confirmed)
+{
+    confirmed_at_ = std::max(confirmed_at_, confirmed);
+    missed_records_ = false;
     responded_at_ = context_.now();
 }
 
@@ -520,13 +586,7 @@
 bool state_watcher::log_refusal(const char* topic)
 {
     context_.stats.increment("banyanshunt_records_refused_total", {{"topic", topic}});
-    instant now = context_.now();
-    if (now - refusals_logged_from_ >= refusal_log_period)
-    {
-        refusals_logged_from_ = now;
-        logged_refusals_ = 0;
-    }
-    return logged_refusals_++ < max_logged_refusals;
+    return refusals_.take(context_.now());
 }
 
 bool state_watcher::apply_config(const platform::keyed_record& record)
--- a/src/serve/topic_reader.hpp
+++ b/src/serve/topic_reader.hpp
@@ -9,6 +9,7 @@
 #include <functional>
 #include <map>
 
+#include "coordination/refusal_budget.hpp"
 #include "coordination/view_requests.hpp"
 #include "coordination/view_source.hpp"
 #include "platform/store.hpp"
@@ -101,8 +102,18 @@
     void deliver(const std::vector<platform::keyed_record>& records);
     task<bool> read_all();
     task<bool> read_next();
-    /// Applies the response to a call sent at `sent_at` that read from `from` on.
+    /// Applies the response to a call sent at `sent_at` that read from `from` on. If the topic does
+    /// not retain that position, or the response does not move on from it, there is no position
+    /// afterwards.
     bool accept_records(const std::string& body, log_offset from, instant sent_at);
+    /// Reads the topic completely after its position turned out to be none.
+    task<bool> read_all_again();
+    void set_position(log_offset next);
+    /// Counts a refused view of a peer, after which this host reads the topic itself.
+    void refuse_view(const char* why, const topic_view& view);
+    /// Says so if the call was the first after an outage; before what it read is delivered.
+    void record_regained(instant sent_at);
+    /// Everything up to a call sent at this time has been read.
     void record_response(instant confirmed);
     void log_unanswered_call(instant sent_at, milliseconds wait);
 
@@ -118,10 +129,18 @@
     /// How long the store took for the last call that did not wait, or less.
     milliseconds latency_{0};
     std::optional<log_offset> next_;
+    /// When `next_` became known.
+    instant position_at_;
+    /// The last response ended before the topic's end.
+    bool has_more_ = false;
+    /// When another complete read may begin.
+    instant reread_at_;
+    refusal_budget view_refusals_;
     bool store_reachable_ = true;
     std::optional<instant> responded_at_;
     instant confirmed_at_;
-    /// Another host has read further, but it no longer has the records in between.
+    /// Another host has read further, but it no longer has the records in between; or what it says
+    /// to have read cannot be.
     bool missed_records_ = false;
     /// Records read recently that changed something, complete from `recent_from_` on.
     std::deque<platform::keyed_record> recent_;
@@ -166,8 +185,7 @@
     instant defer_removals_until_;
     std::map<server_id, std::uint64_t> deferred_removals_;
     std::uint64_t next_deferral_ = 0;
-    instant refusals_logged_from_;
-    int logged_refusals_ = 0;
+    refusal_budget refusals_;
 };
 
 } // namespace banyanshunt
--- a/tests/correctness/odd_entry_test.cpp
+++ b/tests/correctness/odd_entry_test.cpp
@@ -234,14 +234,15 @@
     }
     SECTION("a record that claims more bytes than there are is not read")
     {
-        std::string body(16, '\0');
+        // The end of the partition, 8, and its first retained offset.
+        std::string body = std::string("\0\0\0\0\0\0\0\x8", 8) + std::string(8, '\0');
         auto records = platform::parse_records(body + "\xff\xff\xff\xff" + "abc", log_offset(5));
-        CHECK((!records || records->end == log_offset(5)));
+        CHECK((!records || records->next == log_offset(5)));
         records = platform::parse_records(
             body + std::string("\0\0\0\3\1kv\0\0\0\2\xffk\0\0\0\0", 17), log_offset(5));
         REQUIRE(records);
         CHECK(records->records.size() == 1);
-        CHECK(records->end == log_offset(8));
+        CHECK(records->next == log_offset(8));
     }
 }
 
--- a/tests/correctness/platform_adapter_test.cpp
+++ b/tests/correctness/platform_adapter_test.cpp
@@ -44,6 +44,20 @@
   "tenants":[{"name":"hule930","api_keys":["i9n73hh2b9wu3fexd9dn"],"priority":1,"unit":"tokens",
      "plain_tokens":200,"rate_per_s":69994,"burst":69994}]})";
 
+/// The offsets at the start of a read response: the partition's end and its first retained offset.
+std::string offsets(std::uint64_t end, std::uint64_t first)
+{
+    std::string to;
+    for (std::uint64_t it : {end, first})
+    {
+        for (int shift = 56; shift >= 0; shift -= 8)
+        {
+            to += static_cast<char>(it >> shift & 0xff);
+        }
+    }
+    return to;
+}
+
 std::string record(const std::string& content)
 {
     std::string bytes("\0\0\0", 3);
@@ -281,7 +295,7 @@
     }
     SECTION("records from an offset on, with a dropped key and a truncated end")
     {
-        std::string body(16, '\0');
+        std::string body = offsets(843, 17);
         body += record(std::string("\x02") + "k1value");
         body += record(std::string("\x02") + "k2");
         body += std::string("\0\0\0\x09"
@@ -292,7 +306,44 @@
         REQUIRE(page->records.size() == 2);
         CHECK(page->records[0].value == "value");
         CHECK_FALSE(page->records[1].value);
-        CHECK(page->end.count() == 842);
+        CHECK(page->next.count() == 842);
+        CHECK(page->end.count() == 843);
+        CHECK(page->first.count() == 17);
+    }
+    SECTION("no record at the end of the partition")
+    {
+        auto page = platform::parse_records(offsets(840, 840), log_offset(840));
+        REQUIRE(page);
+        CHECK(page->retains(log_offset(840)));
+        CHECK(page->next == page->end);
+    }
+    SECTION("a position that the partition does not have")
+    {
+        for (int from : {839, 841, 1'000'000'000})
+        {
+            auto page = platform::parse_records(offsets(840, 840), log_offset(from));
+            REQUIRE(page);
+            CHECK_FALSE(page->retains(log_offset(from)));
+            CHECK(page->next == log_offset(from));
+        }
+        // Records of another position, which a late response may hold.
+        auto page = platform::parse_records(offsets(840, 17) + record("\x02k1"), log_offset(841));
+        REQUIRE(page);
+        CHECK(page->records.empty());
+    }
+    SECTION("a response whose records lie behind the end that it states is refused")
+    {
+        auto two = record("\x02k1") + record("\x02k2");
+        CHECK(platform::parse_records(offsets(842, 17) + two, log_offset(840)));
+        CHECK_FALSE(platform::parse_records(offsets(841, 17) + two, log_offset(840)));
+        CHECK_FALSE(platform::parse_records(offsets(840, 17) + two, log_offset(840)));
+    }
+    SECTION("a response whose offsets are none is refused")
+    {
+        CHECK_FALSE(platform::parse_records(offsets(840, 841), log_offset(840)));
+        CHECK_FALSE(platform::parse_records(offsets(UINT64_MAX, 0), log_offset(840)));
+        CHECK_FALSE(platform::parse_records(offsets(UINT64_MAX, UINT64_MAX), log_offset(840)));
+        CHECK(platform::parse_records(offsets(INT64_MAX, 0), log_offset(840)));
     }
     SECTION("a response without its offsets is refused")
     {
--- a/tests/stand_ins/prepared_platform.cpp
+++ b/tests/stand_ins/prepared_platform.cpp
@@ -28,6 +28,8 @@
 constexpr std::chrono::seconds lost_read_time{5};
 /// Longer than a host's pause between two reads.
 constexpr int store_keep_alive_s = 5;
+/// Size of each of the two offsets at the start of a read response.
+constexpr int offset_bytes = 8;
 /// Most records, and about the most bytes of them, in one page of newest records.
 constexpr std::size_t max_page_items = 500;
 constexpr std::size_t max_page_bytes = 1000000;
@@ -174,9 +176,11 @@
     http.Get("/api/log-read",
              [this](const httplib::Request& call, httplib::Response& response)
              {
-                 response.set_content(read(log_name(call), std::stoul(call.get_param_value("from")),
-                                           std::stoi(call.get_param_value("wait_ms"))),
-                                      "application/octet-stream");
+                 auto body = read(log_name(call), std::stoul(call.get_param_value("from")),
+                                  std::stoul(call.get_param_value("max_kb")),
+                                  std::stoi(call.get_param_value("wait_ms")));
+                 response.status = body ? 200 : 410;
+                 response.set_content(body.value_or(""), "application/octet-stream");
              });
     http.Post("/api/log-append",
               [this](const httplib::Request& call, httplib::Response& response)
@@ -259,6 +263,12 @@
     records_added_.notify_all();
 }
 
+void store_stand_in::expire(const std::string& topic, std::size_t before)
+{
+    std::lock_guard lock(mutex_);
+    first_retained_[topic] = before;
+}
+
 int store_stand_in::reads(const std::string& topic) const
 {
     std::lock_guard lock(mutex_);
@@ -297,7 +307,8 @@
         .dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
-std::string store_stand_in::read(const std::string& topic, std::size_t from, int wait_ms)
+std::optional<std::string> store_stand_in::read(const std::string& topic, std::size_t from,
+                                                std::size_t max_kb, int wait_ms)
 {
     std::unique_lock lock(mutex_);
     int number = ++reads_[topic];
@@ -313,10 +324,15 @@
     {
         records_added_.wait_for(lock, lost_read_time, [&] { return closing_; });
     }
+    auto first = first_retained_[topic];
+    if (from < first)
+    {
+        return std::nullopt;
+    }
     std::string body;
-    big_endian(body, entries.size(), 8);
-    big_endian(body, 0, 8);
-    for (std::size_t n = from; n < entries.size(); ++n)
+    big_endian(body, entries.size(), offset_bytes);
+    big_endian(body, first, offset_bytes);
+    for (std::size_t n = from; n < entries.size() && body.size() < max_kb * 1024; ++n)
     {
         const auto& it = entries[n];
         std::string content = it.value;
@@ -327,6 +343,8 @@
         big_endian(body, content.size(), 4);
         body += content;
     }
+    // The last record may be cut, as a response ends where it holds all the bytes asked for.
+    body.resize(std::min(body.size(), std::max<std::size_t>(max_kb * 1024, 2UL * offset_bytes)));
     return body;
 }
 
--- a/tests/stand_ins/prepared_platform.hpp
+++ b/tests/stand_ins/prepared_platform.hpp
@@ -11,6 +11,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -62,6 +63,8 @@
     /// The same, but the read of the topic that arrived last does not notice it while it waits.
     void put_unnoticed(const std::string& topic, const std::string& key, const std::string& value,
                        missed_read_end end);
+    /// Deletes the records of a topic before an offset; the newest of each key is retained.
+    void expire(const std::string& topic, std::size_t before);
     /// The calls received to read a topic from an offset on.
     int reads(const std::string& topic) const;
     /// The calls received for the newest records of a topic.
@@ -81,7 +84,9 @@
         /// The read that does not notice it while it waits; 0 for none.
         int missed_by = 0;
     };
-    std::string read(const std::string& topic, std::size_t from, int wait_ms);
+    /// The response to a read; nothing if the records are no longer retained.
+    std::optional<std::string> read(const std::string& topic, std::size_t from, std::size_t max_kb,
+                                    int wait_ms);
     std::string newest(const std::string& topic, const std::string& after);
 
     group_stand_in group_;
@@ -89,6 +94,7 @@
     std::condition_variable records_added_;
     std::map<std::string, int> reads_;
     std::map<std::string, int> newest_calls_;
+    std::map<std::string, std::size_t> first_retained_;
     std::set<std::pair<std::string, int>> lost_reads_;
     bool closing_ = false;
     std::map<std::string, std::vector<entry>> topics_;
