A whole stream is not cut for what stands behind its last event

Callers saw a stream cut after all of its events where the engine wrote an empty line or a comment behind the last one and it came in a read of its own; in the same read it was complete. A block with a time for reconnections was answered with 502 after the run, and a caller that had all events got a cut stream from a server that sends a comment and ends.

end() took any buffered byte for a part of an event, and comments for delivered events.

--- a/src/coordination/event_splitter.hpp
+++ b/src/coordination/event_splitter.hpp
@@ -17,8 +17,8 @@
     std::string feed(std::string_view bytes);
     /// Whether an incomplete event is buffered.
     bool in_event() const { return !partial_.empty(); }
-    /// The size of the incomplete event, in bytes.
-    std::size_t partial_size() const { return partial_.size(); }
+    /// What is behind the last complete event.
+    std::string_view partial() const { return partial_; }
     /// Drops the incomplete event, because another server will send it again.
     void discard_partial() { partial_.clear(); }
 
--- a/src/coordination/stream_continuity.cpp
+++ b/src/coordination/stream_continuity.cpp
@@ -39,6 +39,20 @@
     return id;
 }
 
+/// Whether the lines are empty or comments, which belong to no event.
+bool is_padding(std::string_view lines)
+{
+    while (!lines.empty())
+    {
+        auto line = take_line(lines);
+        if (!line.empty() && line.front() != ':')
+        {
+            return false;
+        }
+    }
+    return true;
+}
+
 } // namespace
 
 const char* to_text(stream_fault fault)
@@ -111,7 +125,7 @@
         fault = judge(block);
         passed += fault == stream_fault::none ? block.size() : 0;
     }
-    if (fault == stream_fault::none && splitter_.partial_size() > max_event_bytes)
+    if (fault == stream_fault::none && splitter_.partial().size() > max_event_bytes)
     {
         fault = stream_fault::event_size;
     }
@@ -126,7 +140,8 @@
     {
         return stream_fault::event_size;
     }
-    bool only_comments = true;
+    // Comments, and the time after which a reader that lost its connection shall reconnect.
+    bool no_event = true;
     std::optional<std::string_view> id;
     while (!block.empty())
     {
@@ -140,7 +155,7 @@
         {
             continue;
         }
-        only_comments = false;
+        no_event = no_event && name == "retry";
         auto value = line.substr(std::min(line.size(), name.size() + 1));
         value.remove_prefix(value.starts_with(' ') ? 1 : 0);
         if (name == "id" && std::exchange(id, value))
@@ -152,7 +167,7 @@
             return stream_fault::event_form;
         }
     }
-    if (only_comments)
+    if (no_event)
     {
         return stream_fault::none;
     }
@@ -169,16 +184,17 @@
     next_id_ = *id + 1;
     last_id_ = std::string(text);
     has_event_ = true;
+    delivered_event_ = true;
     return stream_fault::none;
 }
 
 stream_fault stream_continuity::end(bool complete) const
 {
-    if (!complete || splitter_.in_event())
+    if (!complete || !is_padding(splitter_.partial()))
     {
         return stream_fault::broken;
     }
-    return delivered_ && !has_event_ ? stream_fault::no_event : stream_fault::none;
+    return delivered_event_ && !has_event_ ? stream_fault::no_event : stream_fault::none;
 }
 
 } // namespace banyanshunt
--- a/src/coordination/stream_continuity.hpp
+++ b/src/coordination/stream_continuity.hpp
@@ -83,6 +83,8 @@
     std::optional<std::uint64_t> next_id_ = 1;
     int status_ = 0;
     bool delivered_ = false;
+    bool delivered_event_ = false;
+    /// Whether the current response has an event.
     bool has_event_ = false;
 };
 
