--- a/src/protocol/json_reader.cpp
+++ b/src/protocol/json_reader.cpp
@@ -1,6 +1,7 @@
 #include "protocol/json_reader.hpp"
 
 #include <algorithm>
+#include <cmath>
 
 #include <fmt/format.h>
 #include <fmt/ranges.h>
@@ -20,6 +21,22 @@
     return value.is_primitive() && !value.is_string() ? value.dump() : value.type_name();
 }
 
+/// The value of a whole number, in whichever form it is written; nothing if it is none, or beyond
+/// the type, or written with a fraction or an exponent and not represented exactly by a double.
+std::optional<std::int64_t> whole_number(const nlohmann::json& value)
+{
+    if (value.is_number_float())
+    {
+        auto n = value.get<double>();
+        bool exact = std::trunc(n) == n && std::abs(n) <= static_cast<double>(max_exact_integer);
+        return exact ? std::optional(static_cast<std::int64_t>(n)) : std::nullopt;
+    }
+    bool fits = value.is_number_integer() &&
+                (!value.is_number_unsigned() ||
+                 value.get<std::uint64_t>() <= static_cast<std::uint64_t>(INT64_MAX));
+    return fits ? std::optional(value.get<std::int64_t>()) : std::nullopt;
+}
+
 } // namespace
 
 void json_errors::report(const std::string& path, const std::string& message)
@@ -88,19 +105,14 @@
         errors_.report(path_of(name), "is missing");
         return lowest;
     }
-    bool fits = found->is_number_integer();
-    if (fits && found->is_number_unsigned())
-    {
-        fits = found->get<std::uint64_t>() <= static_cast<std::uint64_t>(INT64_MAX);
-    }
-    auto n = fits ? found->get<std::int64_t>() : lowest;
-    if (!fits || n < lowest || n > highest)
+    auto n = whole_number(*found);
+    if (!n || *n < lowest || *n > highest)
     {
         errors_.report(path_of(name), fmt::format("is {}, but must be a whole number from {} to {}",
                                                   shown(*found), lowest, highest));
         return lowest;
     }
-    return n;
+    return *n;
 }
 
 std::string json_reader::text(const std::string& name, std::size_t max_bytes,
--- a/tests/correctness/odd_entry_test.cpp
+++ b/tests/correctness/odd_entry_test.cpp
@@ -193,6 +193,44 @@
     }
 }
 
+TEST_CASE("A whole number is read in each form that JSON has for it")
+{
+    auto read = [](const std::string& field, const std::string& text)
+    { return platform::parse_server_entry(server_id("i-1"), entry_with(field, text)); };
+
+    SECTION("with a fraction of zero, or with an exponent")
+    {
+        for (const auto& [text, value] :
+             std::vector<std::pair<std::string, std::int64_t>>{{"4.0", 4}, {"1e3", 1000}})
+        {
+            INFO(text);
+            auto entry = read("sequence", text);
+            REQUIRE(entry);
+            CHECK(entry->sequence == value);
+            auto slots = read("slots", text);
+            REQUIRE(slots);
+            CHECK(slots->slots == value);
+        }
+        auto report = platform::parse_server_report(R"({"models":[],"busy":false,"sequence":2.0})");
+        REQUIRE(report);
+        CHECK(report->orders_accepted == 2);
+    }
+    SECTION("but not one that is no whole number, or that no writer represents exactly")
+    {
+        for (const char* text : {"4.5", "1e300", "-1e300", "9007199254740993.0", "0.9", "-0.5"})
+        {
+            INFO(text);
+            CHECK_FALSE(read("sequence", text));
+            CHECK_FALSE(read("slots", text));
+        }
+    }
+    SECTION("and a list that is null is a list that is missing")
+    {
+        CHECK(read("models", "null"));
+        CHECK(read("at_hand", "null"));
+    }
+}
+
 TEST_CASE("Names that cannot be sent or logged are refused")
 {
     const std::string good = entry_with("slots", "4");
