What a peer's datagram states is checked once, where it comes in

Seen: a host whose peer reports running requests at a server takes that server's load for one less than it is, also beside good items and in messages that another host forwards: it gives the server more than its slots hold, and callers wait there.

Cause: counts of 32 bits without a sign were converted to int, and what datagrams state went unchecked into loads, placements, limits, notices and loans; a name needed no letter, and every name was one more host of the fleet, whose shares and budgets are split over them.

Every message, and those bundled in it, passes one check before anything of it is applied, kept or relayed. Nothing after the check sees a number that does not fit its type. A host knows 4,096 hosts at most.

--- a/src/serve/peer_service.cpp
+++ b/src/serve/peer_service.cpp
@@ -7,6 +7,7 @@
 #include <fmt/format.h>
 
 #include "peers.pb.h"
+#include "serve/peer_message_check.hpp"
 
 namespace banyanshunt
 {
@@ -45,6 +46,8 @@
 /// it.
 constexpr milliseconds share_delay{1500};
 constexpr std::size_t datagram_bytes = 65536;
+/// Most hosts of a fleet, this one included.
+constexpr std::size_t max_hosts = 4096;
 
 std::uint32_t ms_until(instant at, instant now)
 {
@@ -242,6 +245,11 @@
         }
         return;
     }
+    if (!has_place_for(host))
+    {
+        refuse_item(host, "host");
+        return;
+    }
     peer& it = peers_.all[host];
     it.address = {address.address(), address.port()};
     it.domain = domain_id(record.value->substr(space + 1, second - space - 1));
@@ -261,11 +269,35 @@
             co_return;
         }
         peers::peer_message message;
-        if (ec || !message.ParseFromArray(buffer_.data(), static_cast<int>(n)))
+        if (ec)
         {
             continue;
         }
-        handle_message(message, from);
+        bool readable = message.ParseFromArray(buffer_.data(), static_cast<int>(n));
+        host_id host(readable ? message.host() : "");
+        auto refuse = [&](const char* kind) { refuse_item(host, kind); };
+        if (!readable)
+        {
+            refuse("datagram");
+        }
+        else if (remove_odd_items(message, refuse))
+        {
+            handle_message(message, from);
+        }
+    }
+}
+
+bool peer_service::has_place_for(const host_id& host) const
+{
+    return peers_.all.contains(host) || peers_.all.size() + 1 < max_hosts;
+}
+
+void peer_service::refuse_item(const host_id& from, const char* kind)
+{
+    context_.stats.increment("banyanshunt_peer_items_refused_total", {{"kind", kind}});
+    if (refusals_.take(context_.now()))
+    {
+        context_.log.write("peer_item_refused", "host={} kind={}", from.str(), kind);
     }
 }
 
@@ -279,6 +311,11 @@
     bool passed_on = message.relayed() == peers::passed_on;
     auto address =
         passed_on ? to_endpoint(endpoint_text(message.address())) : asio::ip::tcp::endpoint();
+    if (!has_place_for(host))
+    {
+        refuse_item(host, "host");
+        return;
+    }
     bool is_new = !peers_.all.contains(host);
     peer& sender = peers_.all[host];
     if (!passed_on)
--- a/src/serve/peer_service.hpp
+++ b/src/serve/peer_service.hpp
@@ -8,6 +8,7 @@
 #include <map>
 #include <memory>
 
+#include "coordination/refusal_budget.hpp"
 #include "serve/domain_reports.hpp"
 #include "serve/host_context.hpp"
 #include "serve/limit_manager.hpp"
@@ -48,6 +49,10 @@
     task<void> register_loop();
     void handle_message(const peers::peer_message& message, const asio::ip::udp::endpoint& from);
     void relay(peers::peer_message message, const asio::ip::udp::endpoint& from);
+    /// Whether the host is known, or another one can be.
+    bool has_place_for(const host_id& host) const;
+    /// Counts and logs what was refused of a host's datagram or entry.
+    void refuse_item(const host_id& from, const char* kind);
     void handle_report(const host_id& from, const peers::peer_message& message, instant sent_at);
     /// Handles a message that another host of its sender's domain forwards.
     void handle_bundled(const peers::peer_message& bundle, const peers::peer_message& message,
@@ -77,6 +82,7 @@
     domain_reports domain_reports_;
     instant started_;
     topic_reader hosts_;
+    refusal_budget refusals_;
     /// Whether the list of hosts was read once.
     bool hosts_read_ = false;
     /// Whether hosts were added or updated since shares were last updated.
