An exception in a loop of a host is logged, and the loop is started again

What callers saw: a host whose reader of the configuration or of the servers, whose membership or receiver of datagrams ended by an exception served on with what it had, without a line: keys that were withdrawn and servers that were gone stayed in use until the age of the data stopped it, and the engines it owned got no orders.

Cause: the coroutines of src/serve were spawned with asio::detached, which drops the exception.

What a half-run loop leaves: a topic is read whole again after an exception in its handlers, read_now no longer counts as running, a connection whose call failed is closed, an order that failed counts as one without a response, and a stop that fails ends its host at the end of the grace period.

--- a/src/serve/order_controller.cpp
+++ b/src/serve/order_controller.cpp
@@ -3,14 +3,13 @@
 #include <algorithm>
 #include <utility>
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <fmt/format.h>
 
 #include "coordination/rendezvous.hpp"
 #include "platform/orders.hpp"
 #include "platform/registry.hpp"
 #include "platform/store.hpp"
+#include "serve/loop_runner.hpp"
 #include "serve/server_exchange.hpp"
 
 namespace banyanshunt
@@ -68,7 +67,7 @@
 
 void order_controller::start()
 {
-    asio::co_spawn(context_.executor, run_membership(), asio::detached);
+    spawn_loop(context_, "membership", [this] { return run_membership(); });
 }
 
 task<void> order_controller::run_membership()
@@ -382,7 +381,8 @@
                          .wake_timer = asio::steady_timer(context_.executor),
                          .last_published = {}});
         owned_engines_.emplace(server, held);
-        asio::co_spawn(context_.executor, run_server(server, held), asio::detached);
+        spawn_loop(context_, "engine",
+                   [this, server = server, held] { return run_server(server, held); });
     }
 }
 
@@ -570,15 +570,14 @@
     context_.log.write("report", "server={} adopted={}", server.str(), adopted);
 }
 
-task<void> order_controller::send_order(server_id server, std::shared_ptr<owned_engine> held,
-                                        load_order order)
+task<int> order_controller::exchange_order(server_id server, std::shared_ptr<owned_engine> held,
+                                           load_order order)
 {
     const auto* known = context_.servers.find(server);
     fencing_number fence = partitions_.at(held->partition).fence;
     std::string text = platform::encode_order(order, server, known->entry.address, member_, fence);
     server_exchange exchange(context_, server);
     exchange_deadline deadline(exchange, context_.executor, order_timeout);
-    orders_in_flight_.insert(held->partition);
     auto state = co_await exchange.send(
         [&]
         {
@@ -587,25 +586,48 @@
             return may_send ? std::optional(text) : std::nullopt;
         },
         request_id());
-    auto response = order_response::unknown;
+    if (state != exchange_state::responded)
+    {
+        co_return 0;
+    }
+    int status = exchange.status();
+    co_await exchange.read_rest();
+    exchange.finish();
+    co_return status;
+}
+
+task<void> order_controller::send_order(server_id server, std::shared_ptr<owned_engine> held,
+                                        load_order order)
+{
+    fencing_number fence = partitions_.at(held->partition).fence;
+    orders_in_flight_.insert(held->partition);
     int status = 0;
-    if (state == exchange_state::responded)
+    try
     {
-        status = exchange.status();
-        response = platform::order_response_of(status);
-        co_await exchange.read_rest();
-        exchange.finish();
+        status = co_await exchange_order(server, held, order);
     }
-    orders_in_flight_.erase(orders_in_flight_.find(held->partition));
-    if (auto it = partitions_.find(held->partition); it != partitions_.end())
+    catch (...)
+    {
+        record_order(server, *held, order, fence, 0);
+        throw;
+    }
+    record_order(server, *held, order, fence, status);
+}
+
+void order_controller::record_order(const server_id& server, owned_engine& held,
+                                    const load_order& order, fencing_number fence, int status)
+{
+    auto response = status != 0 ? platform::order_response_of(status) : order_response::unknown;
+    orders_in_flight_.erase(orders_in_flight_.find(held.partition));
+    if (auto it = partitions_.find(held.partition); it != partitions_.end())
     {
         it->second.last_order_at =
             context_.now() + (status != 0 ? milliseconds(0) : order_transit_margin);
     }
     ++context_.counters.orders;
     bool loads = order.action == load_order::action_kind::load;
-    int used = held->controller.requests_since_load(order.model);
-    int pending = held->controller.pending_load_requests(order.model);
+    int used = held.controller.requests_since_load(order.model);
+    int pending = held.controller.pending_load_requests(order.model);
     context_.log.write(
         "order", "server={} what={} model={}{}{} expected={} fence={} status={} used={} pending={}",
         server.str(), loads ? "load" : "unload", order.model.str(),
@@ -620,7 +642,7 @@
     const engine_spec* engine = engine_of(server);
     if (engine)
     {
-        held->controller.handle_response(order, response, *engine, context_.now());
+        held.controller.handle_response(order, response, *engine, context_.now());
     }
 }
 
--- a/src/serve/order_controller.hpp
+++ b/src/serve/order_controller.hpp
@@ -103,6 +103,12 @@
     task<bool> acquire_permit(server_id server, const owned_engine& held);
     task<void> query_report(server_id server, std::shared_ptr<owned_engine> held);
     task<void> send_order(server_id server, std::shared_ptr<owned_engine> held, load_order order);
+    /// Returns the status of the response, or 0 if none came and the engine may have the order.
+    task<int> exchange_order(server_id server, std::shared_ptr<owned_engine> held,
+                             load_order order);
+    /// Applies the response to an order, with a status of 0 if none came.
+    void record_order(const server_id& server, owned_engine& held, const load_order& order,
+                      fencing_number fence, int status);
     milliseconds lease() const;
     order_terms terms() const;
     /// Tells the other hosts from when on orders can be given.
--- a/src/serve/peer_service.cpp
+++ b/src/serve/peer_service.cpp
@@ -1,12 +1,10 @@
 #include "serve/peer_service.hpp"
 
 #include <algorithm>
-
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <fmt/format.h>
 
 #include "peers.pb.h"
+#include "serve/loop_runner.hpp"
 
 namespace banyanshunt
 {
@@ -164,11 +162,11 @@
 void peer_service::start()
 {
     peers_.open();
-    asio::co_spawn(context_.executor, receive(), asio::detached);
-    asio::co_spawn(context_.executor, report_loop(), asio::detached);
-    asio::co_spawn(context_.executor, register_loop(), asio::detached);
-    asio::co_spawn(context_.executor, hosts_.run(), asio::detached);
-    asio::co_spawn(context_.executor, views_.run(), asio::detached);
+    spawn_loop(context_, "peer_messages", [this] { return receive(); });
+    spawn_loop(context_, "peer_reports", [this] { return report_loop(); });
+    spawn_loop(context_, "registration", [this] { return register_loop(); });
+    spawn_loop(context_, "hosts", [this] { return hosts_.run(); });
+    spawn_loop(context_, "view_requests", [this] { return views_.run(); });
     orders_.start();
 }
 
@@ -555,8 +553,8 @@
         limits_.update_granted();
         if (hosts_changed_)
         {
-            hosts_changed_ = false;
             shares_.update_shares();
+            hosts_changed_ = false;
         }
         record_own_use();
         bool same_domain_due = now >= same_domain_due_at;
--- a/src/serve/serving_host.cpp
+++ b/src/serve/serving_host.cpp
@@ -3,7 +3,6 @@
 #include <csignal>
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <fmt/format.h>
@@ -11,6 +10,7 @@
 #include "serve/active_request.hpp"
 #include "serve/caller_session.hpp"
 #include "serve/host_context.hpp"
+#include "serve/loop_runner.hpp"
 #include "serve/peer_service.hpp"
 #include "serve/topic_reader.hpp"
 
@@ -95,9 +95,13 @@
     task<void> handle_signals();
     void start_stop();
     task<void> stop();
+    task<void> leave();
+    /// Ends the requests that still run at `at`, and this host.
+    task<void> end_at(instant at);
     /// Ends the requests that still run, each with the truest response that it can still get;
     /// returns how many there were.
     task<std::size_t> end_requests();
+    void end_request(active_request& request);
     task<void> tick();
 
     asio::io_context loop{1};
@@ -108,6 +112,8 @@
     asio::signal_set signals;
     state_watcher watcher;
     peer_service peers;
+    /// Whether engines are given up, for a planned stop.
+    bool left = false;
 };
 
 task<void> serving_host::impl::handle_signals()
@@ -137,40 +143,64 @@
                                                   .grace = context.settings.bounds.stop_grace,
                                                   .margin = stop_margin,
                                                   .balancer_delay = balancer_detection_time});
-        asio::co_spawn(loop, stop(), asio::detached);
+        context.log.write("stop_begun", "requests_open={}", context.open_requests.size());
+        // Beside the wait for requests, as a slow store may take longer than the grace period.
+        spawn_once(context, "leave", leave(), [this] { left = true; });
+        spawn_once(context, "stop", stop(),
+                   [this] {
+                       spawn_once(context, "stop_end", end_at(context.stop->deadline()),
+                                  [this] { loop.stop(); });
+                   });
     }
 }
 
 task<void> serving_host::impl::stop()
 {
-    context.log.write("stop_begun", "requests_open={}", context.open_requests.size());
-    // Beside the wait, as a slow store may take longer than the grace period. Nothing may suspend
-    // between the last look at open requests and the end of the loop, which cuts those that are
-    // open.
-    auto left = std::make_shared<bool>(false);
-    asio::co_spawn(
-        loop,
-        [](impl& it, std::shared_ptr<bool> done) -> task<void>
-        {
-            co_await it.peers.leave();
-            *done = true;
-        }(*this, left),
-        asio::detached);
     while (context.now() < context.stop->deadline())
     {
         bool idle = context.open_requests.empty() && context.requests_arriving == 0;
-        if (idle && *left && !context.stop->balancer_may_send(context.now()))
+        if (idle && left && !context.stop->balancer_may_send(context.now()))
         {
             break;
         }
         co_await pause(stop_check_period);
     }
+    co_await end_at(context.now());
+}
+
+task<void> serving_host::impl::leave()
+{
+    co_await peers.leave();
+    left = true;
+}
+
+task<void> serving_host::impl::end_at(instant at)
+{
+    if (at > context.now())
+    {
+        co_await pause(at - context.now());
+    }
+    // Nothing may suspend between the last look at open requests and the end of the loop, which
+    // cuts those that are open.
     std::size_t ended = co_await end_requests();
     context.log.write("stop_ended", "requests_open={} ended={}", context.open_requests.size(),
                       ended);
     loop.stop();
 }
 
+void serving_host::impl::end_request(active_request& request)
+{
+    try
+    {
+        request.end_for_stop();
+    }
+    catch (...)
+    {
+        // The others still get their responses.
+        record_loop_failure(context, "stop_request", std::current_exception(), milliseconds(-1));
+    }
+}
+
 task<std::size_t> serving_host::impl::end_requests()
 {
     std::size_t ended = 0;
@@ -178,7 +208,7 @@
     {
         if (auto request = it.lock())
         {
-            request->end_for_stop();
+            end_request(*request);
             ++ended;
         }
     }
@@ -229,18 +259,18 @@
     }
     else
     {
-        asio::co_spawn(it.loop, accept_all(it.context, it.metrics_acceptor, serve_metrics),
-                       asio::detached);
+        spawn_loop(it.context, "accept_metrics",
+                   [&it] { return accept_all(it.context, it.metrics_acceptor, serve_metrics); });
     }
     it.context.log.write("start", "host={} domain={} life={}", settings.name.str(),
                          settings.domain.str(), it.context.incarnation.count());
-    asio::co_spawn(it.loop, it.handle_signals(), asio::detached);
-    asio::co_spawn(it.loop, it.watcher.run_config(), asio::detached);
-    asio::co_spawn(it.loop, it.watcher.run_servers(), asio::detached);
-    asio::co_spawn(it.loop, it.tick(), asio::detached);
-    asio::co_spawn(it.loop, accept_all(it.context, it.caller_acceptor, serve_caller),
-                   asio::detached);
-    asio::co_spawn(it.loop, accept_all(it.context, it.ready_acceptor, serve_ready), asio::detached);
+    spawn_loop(it.context, "signals", [&it] { return it.handle_signals(); });
+    it.watcher.start();
+    spawn_loop(it.context, "tick", [&it] { return it.tick(); });
+    spawn_loop(it.context, "accept_callers",
+               [&it] { return accept_all(it.context, it.caller_acceptor, serve_caller); });
+    spawn_loop(it.context, "accept_ready",
+               [&it] { return accept_all(it.context, it.ready_acceptor, serve_ready); });
     it.peers.start();
     it.loop.run();
     return 0;
--- a/src/serve/topic_reader.cpp
+++ b/src/serve/topic_reader.cpp
@@ -4,11 +4,9 @@
 #include <set>
 #include <utility>
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-
 #include "platform/manifest.hpp"
 #include "platform/registry.hpp"
+#include "serve/loop_runner.hpp"
 
 namespace banyanshunt
 {
@@ -212,14 +210,17 @@
 
 void topic_reader::deliver(const std::vector<platform::keyed_record>& records)
 {
-    for (const auto& it : records)
+    try
     {
-        if (!handlers_.record(it))
+        for (const auto& it : records)
         {
-            continue;
+            deliver_record(it);
         }
-        recent_.push_back(it);
-        recent_bytes_ += it.key.size() + it.value.value_or("").size();
+    }
+    catch (...)
+    {
+        next_.reset();
+        throw;
     }
     while (recent_bytes_ > max_recent_bytes)
     {
@@ -278,6 +279,15 @@
     handlers_.confirmed(view.confirmed_at);
 }
 
+void topic_reader::deliver_record(const platform::keyed_record& record)
+{
+    if (handlers_.record(record))
+    {
+        recent_.push_back(record);
+        recent_bytes_ += record.key.size() + record.value.value_or("").size();
+    }
+}
+
 task<bool> topic_reader::read_all()
 {
     instant sent_at = context_.now();
@@ -335,12 +345,13 @@
             break;
         }
     }
-    next_ = begin;
     recent_.clear();
     recent_bytes_ = 0;
     recent_from_ = *begin;
     record_response(sent_at);
     handlers_.snapshot(all);
+    // After an exception in the snapshot's handler, all is read again.
+    next_ = begin;
     handlers_.confirmed(sent_at);
     co_return true;
 }
@@ -363,7 +374,7 @@
     if (response->status == platform::expired_status)
     {
         context_.log.write("store_history_expired", "topic={} offset={}", options_.topic,
-                           next_->count());
+                           from.count());
         next_.reset();
         co_return co_await read_all();
     }
@@ -371,9 +382,10 @@
     {
         co_return false;
     }
-    if (*next_ != from)
+    if (next_ != from)
     {
-        // What another host has read was taken over meanwhile; the next call goes on from there.
+        // What another host has read was taken over meanwhile; the next call goes on from there. Or
+        // taking it over failed, and all is read again.
         co_return true;
     }
     co_return accept_records(response->body, from, sent_at);
@@ -407,7 +419,16 @@
     auto call = platform::read_call(options_.topic, from, milliseconds(0));
     // The kept connection is in use by a call that waits, or may be what failed.
     http_connection store(context_.settings.log.address);
-    auto response = co_await store.call(call.method, call.target, call.body, min_response_timeout);
+    std::optional<call_response> response;
+    try
+    {
+        response = co_await store.call(call.method, call.target, call.body, min_response_timeout);
+    }
+    catch (...)
+    {
+        reading_now_ = false;
+        throw;
+    }
     reading_now_ = false;
     if (!response)
     {
@@ -494,8 +515,13 @@
            .failed = [this](instant sent_at) { record_list_call(sent_at, false); }})
 {
     context_.refresh_server_list = [this] { servers_.refresh(); };
-    context_.refresh_config = [this]
-    { asio::co_spawn(context_.executor, config_.read_now(), asio::detached); };
+    context_.refresh_config = [this] { spawn_once(context_, "config_read", config_.read_now()); };
+}
+
+void state_watcher::start()
+{
+    spawn_loop(context_, "config", [this] { return run_config(); });
+    spawn_loop(context_, "servers", [this] { return run_servers(); });
 }
 
 shared_view_bounds state_watcher::config_bounds() const
@@ -642,8 +668,7 @@
         context_.stats.increment("banyanshunt_server_removals_deferred_total");
         context_.log.write("server_removal_deferred", "server={} for_ms={}", server.str(),
                            std::chrono::ceil<milliseconds>(length).count());
-        asio::co_spawn(context_.executor, remove_later(server, defer_removals_until_),
-                       asio::detached);
+        spawn_once(context_, "server_removal", remove_later(server, defer_removals_until_));
         return true;
     }
     drop_server(server);
--- a/src/serve/topic_reader.hpp
+++ b/src/serve/topic_reader.hpp
@@ -98,7 +98,10 @@
     milliseconds response_timeout() const;
     void record_contact(bool reachable);
     bool shared_view_is_fresh() const;
+    /// Hands over records. After an exception the whole topic is read again, as the records behind
+    /// the one that caused it were not handed over.
     void deliver(const std::vector<platform::keyed_record>& records);
+    void deliver_record(const platform::keyed_record& record);
     task<bool> read_all();
     task<bool> read_next();
     /// Applies the response to a call sent at `sent_at` that read from `from` on.
@@ -134,6 +137,8 @@
 {
 public:
     explicit state_watcher(host_context& context);
+    /// Spawns the readers of both topics.
+    void start();
     task<void> run_config() { return config_.run(); }
     task<void> run_servers() { return servers_.run(); }
     topic_reader& config() { return config_; }
--- a/src/transport/loop/http_connection.cpp
+++ b/src/transport/loop/http_connection.cpp
@@ -26,6 +26,21 @@
 
 task<std::optional<call_response>> http_connection::call(std::string method, std::string target,
                                                          std::string body, milliseconds timeout)
+{
+    try
+    {
+        co_return co_await exchange(std::move(method), std::move(target), std::move(body), timeout);
+    }
+    catch (...)
+    {
+        // The response to this call may still come, and must not be taken for that to the next.
+        stream_.reset();
+        throw;
+    }
+}
+
+task<std::optional<call_response>> http_connection::exchange(std::string method, std::string target,
+                                                             std::string body, milliseconds timeout)
 {
     if (stream_ && (buffer_.size() > 0 || !is_quiet(stream_->socket())))
     {
--- a/src/transport/loop/http_connection.hpp
+++ b/src/transport/loop/http_connection.hpp
@@ -40,6 +40,9 @@
     void cancel();
 
 private:
+    task<std::optional<call_response>> exchange(std::string method, std::string target,
+                                                std::string body, milliseconds timeout);
+
     endpoint_text address_;
     std::unique_ptr<boost::beast::tcp_stream> stream_;
     boost::beast::flat_buffer buffer_{max_buffered_bytes};
