The settings file is checked field by field and refused as a whole

Cause: every number was read as a double that is 0 or more and cast to its type, and addresses were taken as they came.

Each field now has a type, a unit and a range in one table, from which it is read into its typed member. Names that are not known are ignored, as the platform's page has it. A duration of 0 and an empty value stay allowed: the platform leaves out what is not in force. The test of the adapter replaces a line of its example where it added a second one with the same name, and asks for the new wording of the range.

--- a/programs/shunt_serve.cpp
+++ b/programs/shunt_serve.cpp
@@ -2,9 +2,7 @@
 
 #include <csignal>
 #include <cstdlib>
-#include <fstream>
 #include <iostream>
-#include <sstream>
 
 #include <gflags/gflags.h>
 
@@ -39,16 +37,12 @@
     gflags::SetUsageMessage("serves callers on the prepared platform");
     gflags::ParseCommandLineFlags(&argc, &argv, true);
     std::string path = settings_path();
-    std::ifstream file(path);
-    if (path.empty() || !file)
+    if (path.empty())
     {
-        std::cerr << "shunt-serve: cannot read the settings file \"" << path
-                  << "\"; name one with --settings\n";
+        std::cerr << "shunt-serve: no settings file; name one with --settings\n";
         return usage_error;
     }
-    std::ostringstream text;
-    text << file.rdbuf();
-    auto settings = banyanshunt::platform::parse_settings(text.str());
+    auto settings = banyanshunt::platform::read_settings(path);
     if (!settings)
     {
         std::cerr << "shunt-serve: " << path << ": " << settings.error().detail << "\n";
--- a/tests/correctness/platform_adapter_test.cpp
+++ b/tests/correctness/platform_adapter_test.cpp
@@ -28,6 +28,13 @@
                                      "platform.address=10.200.1.7:8225\n"
                                      "platform.parts=12\n";
 
+/// The example with one of its lines replaced.
+std::string changed_settings(const std::string& line, const std::string& by)
+{
+    std::string text = example_settings;
+    return text.replace(text.find(line), line.size(), by);
+}
+
 const std::string example_manifest = R"({"version":7,"routes":[
     {"name":"r-26tta82","host":"ficu95.example","path_prefix":"/lohu930/","kind":"streaming",
      "timeout_ms":12000,"target_latency_ms":400,"priority":1,
@@ -74,14 +81,17 @@
     }
     SECTION("a value that is not a number is reported with the allowed values")
     {
-        auto settings = platform::parse_settings(example_settings + "limits.max_fds=many\n");
+        auto settings = platform::parse_settings(
+            changed_settings("limits.max_fds=4100\n", "limits.max_fds=many\n"));
         REQUIRE_FALSE(settings);
         CHECK(settings.error().detail ==
-              "the setting \"limits.max_fds\" is \"many\"; it takes a number, 0 or more");
+              "the setting \"limits.max_fds\" is \"many\"; it takes a whole number from 0 to "
+              "2147483647");
     }
     SECTION("a port range that is not a pair is reported")
     {
-        auto settings = platform::parse_settings(example_settings + "internal_ports=7600\n");
+        auto settings = platform::parse_settings(
+            changed_settings("internal_ports=7600,7615\n", "internal_ports=7600\n"));
         REQUIRE_FALSE(settings);
         CHECK(settings.error().detail.find("two ports") != std::string::npos);
     }
