A reload checks the settings file and says what it found

What operators saw: after a SIGHUP a host wrote "settings unchanged" whatever the file held, also when its next start would fail with it.

Cause: the host did not know the path of its file and did not read it again.

Nothing changes while the host runs.

--- a/programs/shunt_serve.cpp
+++ b/programs/shunt_serve.cpp
@@ -61,5 +61,5 @@
         std::cout << "settings are in order\n";
         return 0;
     }
-    return banyanshunt::serving_host(std::move(*settings)).run();
+    return banyanshunt::serving_host(std::move(*settings), path).run();
 }
--- a/src/serve/serving_host.cpp
+++ b/src/serve/serving_host.cpp
@@ -12,6 +12,7 @@
 #include "serve/host_context.hpp"
 #include "serve/loop_runner.hpp"
 #include "serve/peer_service.hpp"
+#include "serve/settings_reload.hpp"
 #include "serve/topic_reader.hpp"
 
 namespace banyanshunt
@@ -84,10 +85,10 @@
 
 struct serving_host::impl
 {
-    explicit impl(host_settings settings)
-        : context(std::move(settings), loop.get_executor()), caller_acceptor(loop),
-          ready_acceptor(loop), metrics_acceptor(loop), signals(loop, SIGTERM, SIGINT, SIGHUP),
-          watcher(context), peers(context, watcher)
+    impl(host_settings settings, std::string path)
+        : settings_path(std::move(path)), context(std::move(settings), loop.get_executor()),
+          caller_acceptor(loop), ready_acceptor(loop), metrics_acceptor(loop),
+          signals(loop, SIGTERM, SIGINT, SIGHUP), watcher(context), peers(context, watcher)
     {
         context.resources = &peers;
     }
@@ -104,6 +105,7 @@
     void end_request(active_request& request);
     task<void> tick();
 
+    std::string settings_path;
     asio::io_context loop{1};
     host_context context;
     tcp::acceptor caller_acceptor;
@@ -127,8 +129,7 @@
         }
         if (number == SIGHUP)
         {
-            // The settings that this host reads do not change while it runs.
-            context.log.write("reload", "detail=\"settings unchanged\"");
+            check_settings_file(context, settings_path);
             continue;
         }
         start_stop();
@@ -229,8 +230,8 @@
     }
 }
 
-serving_host::serving_host(host_settings settings)
-    : impl_(std::make_unique<impl>(std::move(settings)))
+serving_host::serving_host(host_settings settings, std::string settings_path)
+    : impl_(std::make_unique<impl>(std::move(settings), std::move(settings_path)))
 {
 }
 
--- a/src/serve/serving_host.hpp
+++ b/src/serve/serving_host.hpp
@@ -5,6 +5,7 @@
 /// the end of a graceful stop.
 
 #include <memory>
+#include <string>
 
 #include "state/host_settings.hpp"
 
@@ -14,7 +15,9 @@
 class serving_host
 {
 public:
-    explicit serving_host(host_settings settings);
+    /// `settings_path` is the file that holds the settings, which is checked again when the
+    /// platform says that it has changed.
+    explicit serving_host(host_settings settings, std::string settings_path = {});
     ~serving_host();
 
     /// Serves until a stop is requested and the requests in flight have ended. Returns 0, or 1 if
