Every call to a backend server or the platform has its own connection

Callers of `shunt-entry` got "not run" for completions that had run, each such completion ran twice, and callers of a repeatable route got the answer to another caller's call. A placer took the response to one order for that to the next, which the engine had refused.

Cause: `http_client` matched responses on a kept connection by order alone. A server that writes the response to an earlier call once more, before the next call or right in front of its true response, shifted all responses on that connection by one.

Responses to completions carry an id only once they run; refusals, orders, reports, load reports, cancels, service calls and the calls to the log carry nothing that shows whose they are. So a call gets a connection that carried nothing before, where the first response can only be its own, unless it states `keeps_connection`. Only the load tool and tests do, against entry hosts. `dedicated_connection`, which did this for service calls that may not be repeated, is gone.

Tests of kept connections to our own server and client state `keeps_connection`; their checks are unchanged.

--- a/src/tools/caller.cpp
+++ b/src/tools/caller.cpp
@@ -18,7 +18,8 @@
                  .path = request.path,
                  .headers = {},
                  .body = request.body,
-                 .read_timeout = request.read_timeout};
+                 .read_timeout = request.read_timeout,
+                 .keeps_connection = true};
     if (!request.bearer.empty())
     {
         it.headers.push_back({"Authorization", "Bearer " + request.bearer});
--- a/src/transport/backend_clients.cpp
+++ b/src/transport/backend_clients.cpp
@@ -254,8 +254,7 @@
                       .headers = it.headers,
                       .body = it.body,
                       .content_type = "application/octet-stream",
-                      .read_timeout = limit,
-                      .dedicated_connection = !it.repeatable};
+                      .read_timeout = limit};
     auto response = http_.send(request);
     if (!response)
     {
--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -66,7 +66,7 @@
 
     std::unique_ptr<httplib::Client> acquire(const http_call& call)
     {
-        if (!call.dedicated_connection)
+        if (call.keeps_connection)
         {
             std::lock_guard lock(mutex);
             auto& kept = idle[call.address];
@@ -79,7 +79,7 @@
             kept.clear();
         }
         auto client = std::make_unique<httplib::Client>("http://" + call.address);
-        client->set_keep_alive(!call.dedicated_connection);
+        client->set_keep_alive(call.keeps_connection);
         client->set_follow_location(false);
         client->set_tcp_nodelay(true);
         return client;
@@ -87,7 +87,7 @@
 
     void release(const http_call& call, std::unique_ptr<httplib::Client> client)
     {
-        if (call.dedicated_connection)
+        if (!call.keeps_connection)
         {
             return;
         }
--- a/src/transport/http_client.hpp
+++ b/src/transport/http_client.hpp
@@ -28,8 +28,10 @@
     milliseconds connect_timeout{1000};
     /// The longest time between two chunks of the response.
     milliseconds read_timeout{10000};
-    /// Whether the call uses a new connection, which is closed after it.
-    bool dedicated_connection = false;
+    /// Whether the call may use a connection that carried earlier calls, and leaves it open for the
+    /// next one. A response shows by nothing else than its order whose it is, so that the copy of
+    /// an earlier one would be taken for this call's: only for servers of this project.
+    bool keeps_connection = false;
 };
 
 struct http_call_response
@@ -43,10 +45,13 @@
 /// Receives each chunk of a response body; returns false to stop reading.
 using body_sink = std::function<bool(std::string_view)>;
 
-/// Sends calls, keeping idle connections open for the next call to the same address.
+/// Sends calls, each on a new connection unless it states otherwise.
 ///
-/// An idle connection is kept for a short time only. When a call to an address gets no response,
-/// all idle connections to that address are closed, because the same fault may affect the others.
+/// Made for servers that write the response to an earlier call once more: on a new connection, the
+/// first response can only be that to the call.
+///
+/// Idle connections are kept for a short time only. When a call that may use one gets no response,
+/// all idle connections to its address are closed, because the same fault may affect the others.
 class http_client
 {
 public:
--- a/tests/correctness/placement_path_test.cpp
+++ b/tests/correctness/placement_path_test.cpp
@@ -112,7 +112,8 @@
                                    .path = "/v1/completions",
                                    .headers = {{"Authorization", "Bearer k1.secret"}},
                                    .body = R"({"model":"guide-7b","prompt":"swap","max_tokens":3})",
-                                   .read_timeout = milliseconds(60000)});
+                                   .read_timeout = milliseconds(60000),
+                                   .keeps_connection = true});
         REQUIRE(response);
         return *response;
     }
--- a/tests/correctness/request_fleet.hpp
+++ b/tests/correctness/request_fleet.hpp
@@ -140,7 +140,8 @@
                 .path = path,
                 .headers = std::move(fields),
                 .body = body,
-                .read_timeout = milliseconds(60000)};
+                .read_timeout = milliseconds(60000),
+                .keeps_connection = true};
     }
 
     http_call_response post(const entry_host& host, const std::string& path,
--- a/tests/correctness/whole_path_test.cpp
+++ b/tests/correctness/whole_path_test.cpp
@@ -89,7 +89,8 @@
                        .path = path,
                        .headers = {{"Authorization", "Bearer " + key}},
                        .body = body,
-                       .read_timeout = milliseconds(60000)};
+                       .read_timeout = milliseconds(60000),
+                       .keeps_connection = true};
         auto response = http.send(call);
         REQUIRE(response);
         return *response;
--- a/tests/error/http_client_contract_test.cpp
+++ b/tests/error/http_client_contract_test.cpp
@@ -20,7 +20,8 @@
             .path = "/work-orders",
             .headers = {},
             .body = "{}",
-            .read_timeout = milliseconds(200)};
+            .read_timeout = milliseconds(200),
+            .keeps_connection = true};
 }
 
 service_call order_call()
@@ -113,6 +114,23 @@
         CHECK(server.requests() == 3);
         CHECK(server.connections() == 2);
     }
+    SECTION("a call that does not keep its connection uses a new one, and closes it")
+    {
+        raw_server server([](int, int, const std::string&)
+                          { return raw_response{.bytes = http_text(200, "{}")}; });
+        http_call call = post_to(server.address());
+        REQUIRE(http.send(call));
+        call.keeps_connection = false;
+        for (int i = 2; i <= 4; ++i)
+        {
+            REQUIRE(http.send(call));
+            CHECK(server.connections() == i);
+        }
+        call.keeps_connection = true;
+        REQUIRE(http.send(call));
+        CHECK(server.connections() == 4);
+        CHECK(server.requests() == 5);
+    }
     SECTION("a call that must not be repeated uses a dedicated connection")
     {
         raw_server server([](int, int, const std::string&)
--- a/tests/error/http_server_test.cpp
+++ b/tests/error/http_server_test.cpp
@@ -17,7 +17,12 @@
 
 http_call get_from(const std::string& address, const std::string& path)
 {
-    return {.address = address, .method = "GET", .path = path, .headers = {}, .body = {}};
+    return {.address = address,
+            .method = "GET",
+            .path = path,
+            .headers = {},
+            .body = {},
+            .keeps_connection = true};
 }
 
 http_response text_response(const std::string& text)
--- a/tests/performance/overhead_bench.cpp
+++ b/tests/performance/overhead_bench.cpp
@@ -92,7 +92,8 @@
                 .body =
                     fmt::format(R"({{"model":"{}","prompt":"swap","max_tokens":{},"stream":{}}})",
                                 model, max_tokens, stream),
-                .read_timeout = milliseconds(60000)};
+                .read_timeout = milliseconds(60000),
+                .keeps_connection = true};
     }
 
     http_call direct(int n) const
@@ -106,7 +107,8 @@
                                                .adapter = {},
                                                .prompt = "swap",
                                                .max_tokens = FLAGS_tokens}),
-                .read_timeout = milliseconds(60000)};
+                .read_timeout = milliseconds(60000),
+                .keeps_connection = true};
     }
 };
 
