A completion that begins anew is not joined with the tokens delivered

Callers of `shunt-entry` got "abz", ended as complete, where an engine had sent "ab", broke off, and another run "xyz" followed.

Cause: `read_tokens` took every event before the next position for a late copy and skipped it, whatever its text. So an engine that began anew, in a resumed response or in the middle of one, was joined to what the caller had.

A repeated event now counts as one only if this response delivered the same text at its position. A resumed response has a connection of its own and begins at the position that was asked for, so that anything before it is another run's. The completion is cut and may have run.

--- a/src/transport/backend_clients.cpp
+++ b/src/transport/backend_clients.cpp
@@ -66,6 +66,57 @@
             .retry_after = {}};
 }
 
+/// How an event fits what its response has delivered so far.
+enum class event_place
+{
+    next,
+    repeated,
+    /// It skips a token, or differs from the one that was delivered at its position.
+    unexpected,
+};
+
+/// The tokens that one response delivered, in order.
+///
+/// Made for engines that break off and begin anew: the tokens of another run must not follow those
+/// that were delivered.
+class delivered_tokens
+{
+public:
+    explicit delivered_tokens(std::int64_t first) : first_(first) {}
+
+    std::int64_t next_position() const
+    {
+        return first_ + static_cast<std::int64_t>(digests_.size());
+    }
+
+    event_place place_of(const engine_event& event) const
+    {
+        std::int64_t at = event.token.position;
+        if (at == next_position())
+        {
+            return event_place::next;
+        }
+        if (event.end || at < first_ || at > next_position())
+        {
+            return event_place::unexpected;
+        }
+        bool same = digests_[static_cast<std::size_t>(at - first_)] == digest_of(event.token);
+        return same ? event_place::repeated : event_place::unexpected;
+    }
+
+    void add(const stream_token& token) { digests_.push_back(digest_of(token)); }
+
+private:
+    static std::size_t digest_of(const stream_token& token)
+    {
+        return std::hash<std::string>()(token.text);
+    }
+
+    std::int64_t first_;
+    /// Hashes of the texts, which are of any length.
+    std::vector<std::size_t> digests_;
+};
+
 } // namespace
 
 verdict<completion_end> http_model_engine::read_tokens(const http_call& call, const request_id& id,
@@ -73,36 +124,44 @@
                                                        const token_sink& sink)
 {
     event_stream_reader events;
+    delivered_tokens delivered(position);
     std::optional<completion_end> end;
     std::optional<failure> broken;
     bool stopped = false;
     instant last_token = boot_clock().now();
     auto handle_event = [&](const engine_event& event)
     {
-        if (event.token.id != id || event.token.position < position || end)
+        if (event.token.id != id || end)
         {
-            return true; // A delayed duplicate, or an event of another request.
+            return true; // An event of another request, or behind the end.
+        }
+        auto place = delivered.place_of(event);
+        if (place == event_place::repeated)
+        {
+            return true;
         }
-        if (event.token.position > position)
+        if (place == event_place::unexpected)
         {
-            broken = broken_stream(fmt::format("received token {} where token {} was expected",
-                                               event.token.position, position));
+            broken =
+                broken_stream(fmt::format("received event {} of another run, or where event {} was "
+                                          "expected",
+                                          event.token.position, delivered.next_position()));
             return false;
         }
         last_token = boot_clock().now();
         if (event.end)
         {
-            if (event.end->completion_tokens != position)
+            if (event.end->completion_tokens != delivered.next_position())
             {
                 broken = broken_stream(
                     fmt::format("the end event counts {} tokens, but {} were received",
-                                event.end->completion_tokens, position));
+                                event.end->completion_tokens, delivered.next_position()));
                 return false;
             }
             end = event.end;
             return true;
         }
-        ++position;
+        delivered.add(event.token);
         stopped = !sink(event.token);
         return !stopped;
     };
