A service call no longer states whether it may be repeated

Its client asked only to choose a connection, and every call has its own now; the handler decides on repeats by the route.

--- a/src/coordination/plain_service.hpp
+++ b/src/coordination/plain_service.hpp
@@ -29,9 +29,6 @@
     std::string path;
     std::vector<http_field> headers;
     std::string body;
-    /// A call that must not run twice is sent on a new connection: on a reused one, a connection
-    /// loss before the service read the request cannot be distinguished from a loss after it.
-    bool repeatable = false;
 };
 
 /// The service's response, whatever its status.
--- a/src/entry/service_call_handler.cpp
+++ b/src/entry/service_call_handler.cpp
@@ -65,8 +65,7 @@
                      .method = it.request.method,
                      .path = it.request.target,
                      .headers = fields_for_service(it.request.headers),
-                     .body = it.request.body,
-                     .repeatable = it.admitted.route.repeatable};
+                     .body = it.request.body};
     {
         std::lock_guard lock(mutex_);
         health_.record_sent(name);
