Fuzz tests of a host's settings file

5000 mutants of an example are read with all values in range or refused with a reason, as the platform's records are.

--- a/tests/fuzz/platform_records_test.cpp
+++ b/tests/fuzz/platform_records_test.cpp
@@ -7,6 +7,7 @@
 #include "fuzz/mutator.hpp"
 #include "platform/manifest.hpp"
 #include "platform/registry.hpp"
+#include "platform/settings.hpp"
 #include "platform/store.hpp"
 
 using namespace banyanshunt;
@@ -89,3 +90,18 @@
                  [](const platform::newest_page& it)
                  { return it.end >= log_offset(0) && it.unreadable >= 0; });
 }
+
+TEST_CASE("mutated settings of a host are read with all values in range or refused")
+{
+    mutator source("host_settings", 25);
+    read_mutants(source, platform::parse_settings,
+                 [](const host_settings& it)
+                 {
+                     return !it.name.empty() && it.log.partitions >= 1 && it.first_peer_port >= 1 &&
+                            it.first_peer_port <= it.last_peer_port && it.last_peer_port <= 65535 &&
+                            it.cores >= 0 && it.bounds.retry_ratio >= 0 &&
+                            it.bounds.key_revocation >= milliseconds(0) &&
+                            it.bounds.stop_grace >= milliseconds(0) &&
+                            it.bounds.stop_grace <= std::chrono::hours(365 * 24);
+                 });
+}
