Model names that callers send to a plain service are not kept in memory

A request's model counted as its target also where its service has no engine: counts of requests since an engine's report, which plain servers never give, and times of runs kept each name for good. target_of now gives a target only for a service with an engine; run_times forgets models and services whose last run lies outside its window. The field goes to the server unchanged.

--- a/src/coordination/backend_table.cpp
+++ b/src/coordination/backend_table.cpp
@@ -40,6 +40,11 @@
 
 } // namespace
 
+model_target target_of(const engine_spec* engine, const model_id& model, const adapter_id& adapter)
+{
+    return engine ? model_target{.model = model, .adapter = adapter} : model_target{};
+}
+
 bool equivalent_reports(const server_placement& a, const server_placement& b, instant now)
 {
     // Both have room now, or both will have room at about the same time.
@@ -317,6 +322,24 @@
     }
 }
 
+std::size_t backend_table::count_targets() const
+{
+    std::size_t sum = 0;
+    auto add = [&](const auto& targets)
+    {
+        sum += static_cast<std::size_t>(std::count_if(targets.begin(), targets.end(),
+                                                      [](const auto& it)
+                                                      { return !it.first.model.empty(); }));
+    };
+    for (const auto& [id, it] : servers_)
+    {
+        add(it.running_by_target);
+        add(it.requests_since_report);
+        add(it.denied);
+    }
+    return sum;
+}
+
 const backend_table::record* backend_table::find(const server_id& server) const
 {
     auto it = servers_.find(server);
--- a/src/coordination/backend_table.hpp
+++ b/src/coordination/backend_table.hpp
@@ -31,6 +31,10 @@
     friend auto operator<=>(const model_target&, const model_target&) = default;
 };
 
+/// The target of a request whose caller names this model and adapter. Only an engine has targets:
+/// a plain service takes any name as a field of its own.
+model_target target_of(const engine_spec* engine, const model_id& model, const adapter_id& adapter);
+
 /// A model on a server, as reported by the host that owns the server's engine.
 struct held_model
 {
@@ -250,6 +254,8 @@
     }
     const std::map<server_id, record>& servers() const { return servers_; }
     std::map<server_id, record>& servers() { return servers_; }
+    /// How many named targets of own requests are kept, over all servers.
+    std::size_t count_targets() const;
     const server_limits& limits() const { return limits_; }
     server_limits& limits() { return limits_; }
     const server_notices& notices() const { return notices_; }
--- a/src/coordination/run_times.cpp
+++ b/src/coordination/run_times.cpp
@@ -19,6 +19,9 @@
 void run_times::record(const service_id& service, const model_id& model, const run_duration& run,
                        instant now)
 {
+    auto is_old = [&](const auto& it) { return now - it.second.back().at > options_.window; };
+    std::erase_if(by_service_, is_old);
+    std::erase_if(by_model_, is_old);
     append(by_service_[service], {.duration = run, .at = now});
     if (!model.empty())
     {
--- a/src/coordination/run_times.hpp
+++ b/src/coordination/run_times.hpp
@@ -58,6 +58,9 @@
     /// the recent runs, a fraction, scaled to its size. Empty if no run is known.
     std::optional<nanoseconds> estimate(const service_id& service, const model_id& model,
                                         millitokens output, double covered, instant now) const;
+    /// How many models and services have runs that are kept.
+    std::size_t count_models() const { return by_model_.size(); }
+    std::size_t count_services() const { return by_service_.size(); }
 
 private:
     struct ended_run
--- a/src/serve/active_request.cpp
+++ b/src/serve/active_request.cpp
@@ -64,9 +64,16 @@
     return repeatable() && continuable && runs < route_->max_attempts;
 }
 
-const std::string& active_request::wait_key() const
+const engine_spec* active_request::engine() const
 {
-    return fields_.model.empty() ? service_.str() : fields_.model.str();
+    const auto* service = context_.config ? context_.config->find_service(service_) : nullptr;
+    return service && service->engine ? &*service->engine : nullptr;
+}
+
+std::string active_request::wait_key() const
+{
+    auto model = target().model;
+    return model.empty() ? service_.str() : model.str();
 }
 
 task<bool> active_request::run()
@@ -277,11 +284,11 @@
     caller_->unwatch();
 }
 
-void active_request::record_duration(instant sent_at)
+void active_request::record_duration(const model_id& model, instant sent_at)
 {
     instant now = context_.now();
     instant first_at = first_byte_at_.value_or(now);
-    context_.durations.record(service_, fields_.model,
+    context_.durations.record(service_, model,
                               {.first = first_at - sent_at,
                                .rest = now - first_at,
                                .output = tokens(fields_.output_tokens)},
@@ -293,19 +300,19 @@
     bool entitled = last_reason_ != std::string_view("over_rate") &&
                     last_reason_ != std::string_view("key_refused") &&
                     last_reason_ != std::string_view("key_missing");
-    if (fields_.model.empty() || !(delivered || entitled))
+    const auto unit = target();
+    if (unit.model.empty() || !(delivered || entitled))
     {
         return;
     }
-    model_target target{.model = fields_.model, .adapter = fields_.adapter};
-    int requests = context_.unserved.requests(target);
-    auto change = context_.unserved.record(target, delivered, context_.now());
+    int requests = context_.unserved.requests(unit);
+    auto change = context_.unserved.record(unit, delivered, context_.now());
     if (change != unserved_targets::change::none)
     {
         bool unserved = change == unserved_targets::change::became_unserved;
         context_.log.write(unserved ? "target_unserved" : "target_served",
-                           "model={}{}{} requests={} reason={}", fields_.model.str(),
-                           fields_.adapter.empty() ? "" : "/", fields_.adapter.str(),
+                           "model={}{}{} requests={} reason={}", unit.model.str(),
+                           unit.adapter.empty() ? "" : "/", unit.adapter.str(),
                            requests + (unserved ? 1 : 0), unserved ? last_reason_ : "");
     }
 }
--- a/src/serve/active_request.hpp
+++ b/src/serve/active_request.hpp
@@ -121,7 +121,7 @@
     /// Requests a permit for the chosen server; returns false if none was requested, because it is
     /// known that none can be had in time.
     task<bool> request_permit(const server_choice& choice);
-    void request_extra_replica(const server_criteria& need, const engine_spec* engine);
+    void request_extra_replica(const server_criteria& need);
     /// Whether the current send is to be closed, because its server is silent and the request can
     /// go on; the retry budget is charged then.
     bool gives_up_on_server();
@@ -157,10 +157,15 @@
     bool may_run_again(int runs) const;
     milliseconds remaining() const;
     std::int64_t token_cost() const;
-    /// Key in the wait list: the model, or the service if the request names no model.
-    const std::string& wait_key() const;
-    /// Records how long a run took that was sent at `sent_at` and has just ended well.
-    void record_duration(instant sent_at);
+    /// The engine of the request's service by the current configuration; null for a plain one.
+    const engine_spec* engine() const;
+    /// What its server has to hold.
+    model_target target() const { return target_of(engine(), fields_.model, fields_.adapter); }
+    /// Key in the wait list: the model, or the service if the request has no target.
+    std::string wait_key() const;
+    /// Records how long a run of a model, if any, took that was sent at `sent_at` and has just
+    /// ended well.
+    void record_duration(const model_id& model, instant sent_at);
     void record_target_end(bool delivered);
     void log_end(const char* outcome, int status);
 
--- a/src/serve/caller_session.cpp
+++ b/src/serve/caller_session.cpp
@@ -193,6 +193,9 @@
                       context.config ? static_cast<double>(context.config->version) : 0);
     context.stats.set("banyanshunt_unserved_targets",
                       static_cast<double>(context.unserved.count(context.now())));
+    context.stats.set(
+        "banyanshunt_kept_targets",
+        static_cast<double>(context.servers.count_targets() + context.durations.count_models()));
     const auto& limits = context.servers.limits().statements();
     context.stats.set("banyanshunt_limited_servers",
                       static_cast<double>(std::count_if(limits.begin(), limits.end(),
--- a/src/serve/request_attempt.cpp
+++ b/src/serve/request_attempt.cpp
@@ -168,12 +168,8 @@
 {
     auto tried = tried_;
     tried.insert(last_server_);
-    server_criteria need{.service = service_,
-                         .target = {.model = fields_.model, .adapter = fields_.adapter},
-                         .tried = std::move(tried)};
-    const auto* service = context_.config->find_service(service_);
-    const engine_spec* engine = service && service->engine ? &*service->engine : nullptr;
-    auto choice = context_.servers.choose(need, engine, context_.now());
+    server_criteria need{.service = service_, .target = target(), .tried = std::move(tried)};
+    auto choice = context_.servers.choose(need, engine(), context_.now());
     if (choice.action == server_choice::action_kind::load && !choice.loading &&
         context_.may_request_replica(need.target.model))
     {
@@ -218,7 +214,7 @@
 
 task<active_request::attempt_result> active_request::attempt(server_id server)
 {
-    const model_target unit{.model = fields_.model, .adapter = fields_.adapter};
+    const auto unit = target();
     server_exchange exchange(context_, server);
     last_server_ = server;
     if (const auto* known = context_.servers.find(server))
@@ -310,7 +306,7 @@
     exchange.finish();
     if (end == attempt_result::delivered && !resumed)
     {
-        record_duration(sent_at);
+        record_duration(unit.model, sent_at);
     }
     context_.servers.record_ended(server, unit, outcome, context_.now());
     context_.waiting.wake(wait_key());
--- a/src/serve/request_wait.cpp
+++ b/src/serve/request_wait.cpp
@@ -101,7 +101,7 @@
 std::optional<nanoseconds> active_request::run_estimate() const
 {
     instant now = context_.now();
-    return context_.durations.estimate(service_, fields_.model, tokens(fields_.output_tokens),
+    return context_.durations.estimate(service_, target().model, tokens(fields_.output_tokens),
                                        context_.stop->coverage(), now);
 }
 
@@ -119,10 +119,12 @@
             now < permit_->valid_until);
 }
 
-void active_request::request_extra_replica(const server_criteria& need, const engine_spec* engine)
+void active_request::request_extra_replica(const server_criteria& need)
 {
-    auto more = engine ? context_.servers.choose_extra_replica(need, *engine, context_.now())
-                       : std::nullopt;
+    const auto* its_engine = engine();
+    auto more = its_engine
+                    ? context_.servers.choose_extra_replica(need, *its_engine, context_.now())
+                    : std::nullopt;
     if (more && context_.may_request_replica(need.target.model))
     {
         context_.resources->request_load(more->server, {.model = need.target.model, .adapter = {}},
@@ -169,22 +171,18 @@
         {
             permit_.reset();
         }
-        server_criteria need{.service = service_,
-                             .target = {.model = fields_.model, .adapter = fields_.adapter},
-                             .tried = tried_};
+        server_criteria need{.service = service_, .target = target(), .tried = tried_};
         if (permit_ && permitted(permit_->server))
         {
             need.permitted = permit_->server;
         }
-        const auto* service = context_.config->find_service(service_);
-        const engine_spec* engine = service && service->engine ? &*service->engine : nullptr;
-        auto choice = context_.servers.choose(need, engine, context_.now());
+        auto choice = context_.servers.choose(need, engine(), context_.now());
         waited_ = std::chrono::floor<milliseconds>(context_.now() - wait_start);
         if (choice.action == server_choice::action_kind::send)
         {
             if (!context_.servers.limits().in_force(choice.server))
             {
-                request_extra_replica(need, engine);
+                request_extra_replica(need);
             }
             co_return choice.server;
         }
@@ -205,13 +203,13 @@
                 continue;
             }
             // The limit binds: another replica would help.
-            request_extra_replica(need, engine);
+            request_extra_replica(need);
             last_reason_ = "server_limited";
             limit_wait_ = choice.expected_wait;
         }
         else if (choice.action == server_choice::action_kind::pause)
         {
-            request_extra_replica(need, engine);
+            request_extra_replica(need);
             last_reason_ = "server_paused";
             limit_wait_ = choice.expected_wait;
             wait = std::clamp(choice.expected_wait, milliseconds(1), recheck_interval);
--- a/tests/correctness/backend_table_test.cpp
+++ b/tests/correctness/backend_table_test.cpp
@@ -388,6 +388,36 @@
     }
 }
 
+TEST_CASE("Names that callers send to a plain service are not kept by its servers' records")
+{
+    instant now{std::chrono::hours(1)};
+    backend_table table({.own_domain = domain_id("north")});
+    table.apply_entry(server("a"), now);
+    engine_spec engine;
+    engine.models[model_id("known")] = {};
+    auto run = [&](const engine_spec* of, const std::string& name, backend_outcome outcome)
+    {
+        auto target = target_of(of, model_id(name), adapter_id(name));
+        table.record_sent(server_id("a"), target);
+        table.record_ended(server_id("a"), target, outcome, now);
+    };
+    for (int n = 0; n < 1000; ++n)
+    {
+        run(nullptr, "x" + std::to_string(n),
+            n % 2 == 0 ? backend_outcome::responded : backend_outcome::not_held);
+    }
+    CHECK(table.count_targets() == 0);
+    CHECK(table.find(server_id("a"))->requests_since_report.size() <= 1);
+    CHECK(table.find(server_id("a"))->denied.size() <= 1);
+
+    // An engine's targets are kept, until a report of theirs was sent.
+    run(&engine, "known", backend_outcome::responded);
+    CHECK(table.count_targets() == 1);
+    table.reset_request_counts(server_id("a"));
+    table.reset_request_counts(server_id("a"));
+    CHECK(table.count_targets() == 0);
+}
+
 TEST_CASE("A placement is sent again only when its content changes")
 {
     instant now{std::chrono::hours(1)};
--- a/tests/correctness/run_times_test.cpp
+++ b/tests/correctness/run_times_test.cpp
@@ -1,3 +1,6 @@
+#include <algorithm>
+#include <string>
+
 #include <catch2/catch.hpp>
 
 #include "coordination/planned_stop.hpp"
@@ -101,6 +104,30 @@
     }
 }
 
+TEST_CASE("Runs of models that nobody requests any more are not kept for good")
+{
+    run_times it({.window = 30s, .max_runs = 512, .min_runs = 1, .reserve = 1});
+    constexpr int per_window = 30;
+    std::size_t most_models = 0;
+    std::size_t most_services = 0;
+    for (int n = 0; n < 100 * per_window; ++n)
+    {
+        auto name = std::to_string(n);
+        it.record(service_id(name), model_id(name), stream_of(100, 50ms, 500ms), start + n * 1s);
+        most_models = std::max(most_models, it.count_models());
+        most_services = std::max(most_services, it.count_services());
+    }
+    CHECK(most_models <= 2 * per_window);
+    CHECK(most_services <= 2 * per_window);
+    // What lies within the window counts as before.
+    auto now = start + (100 * per_window - 1) * 1s;
+    for (int n = 71; n <= 99; ++n)
+    {
+        model_id recent(std::to_string(100 * per_window - 100 + n));
+        CHECK(it.estimate(service_id("none"), recent, tokens(100), 1, now) == 550ms);
+    }
+}
+
 TEST_CASE("A stopping host begins only what can end before it does")
 {
     planned_stop stop(
