--- a/src/serve/server_exchange.cpp
+++ b/src/serve/server_exchange.cpp
@@ -249,14 +249,15 @@
 
 task<std::optional<std::string_view>> server_exchange::read_some()
 {
-    while (!closed_ && parser_ && !parser_->is_done())
+    // What came before a close is still read: `complete` counts it, and it may be the end.
+    while (parser_ && !parser_->is_done())
     {
         auto& body = parser_->get().body();
         body.data = read_buffer_.data();
         body.size = read_buffer_.size();
         auto [ec, n] = co_await http::async_read_some(connection_->stream, connection_->buffer,
                                                       *parser_, as_result);
-        if (closed_ || (ec && ec != http::error::need_buffer))
+        if (ec && ec != http::error::need_buffer)
         {
             co_return std::nullopt;
         }
