--- a/tests/correctness/closed_exchange_test.cpp
+++ b/tests/correctness/closed_exchange_test.cpp
@@ -67,10 +67,10 @@
                            "0\r\n\r\n",
                            fields, whole_body.size(), whole_body);
     }
-    raw_server server([&](int, int, const std::string&) { return raw_response{.bytes = text}; });
+    raw_server responder([&](int, int, const std::string&) { return raw_response{.bytes = text}; });
     backend_entry entry;
     entry.id = server_id("d1");
-    entry.address = endpoint_text(server.address());
+    entry.address = endpoint_text(responder.address());
     entry.start_time_ms = start_time;
     entry.slots = 1;
     it.context.servers.apply_entry(entry, it.context.now());
