--- a/tests/correctness/serve_case.cpp
+++ b/tests/correctness/serve_case.cpp
@@ -183,7 +183,8 @@
 
 serve_case::call_result serve_case::send(const std::string& method, const std::string& path,
                                          const std::string& id, const std::string& key,
-                                         const std::string& model, std::size_t host) const
+                                         const std::string& model, std::size_t host,
+                                         const std::string& prompt) const
 {
     const auto& it = *hosts.at(host);
     httplib::Client client(it.ip, it.port);
@@ -198,6 +199,10 @@
         headers.emplace("X-Token-Count", "10,5");
         headers.emplace("X-Tenant", "forged");
     }
+    if (!prompt.empty())
+    {
+        headers.emplace("X-Prompt-Prefix", prompt);
+    }
     auto sent_at = std::chrono::steady_clock::now();
     auto response = method == "GET" ? client.Get(path, headers)
                                     : client.Post(path, headers, "a body", "text/plain");
--- a/tests/correctness/serve_case.hpp
+++ b/tests/correctness/serve_case.hpp
@@ -60,10 +60,10 @@
 
     std::string scrape() const;
     int ready(std::size_t host = 0) const;
-    /// Sends a request to one host.
+    /// Sends a request to one host. `prompt` lists the parts of its prompt.
     call_result send(const std::string& method, const std::string& path, const std::string& id,
-                     const std::string& key, const std::string& model = {},
-                     std::size_t host = 0) const;
+                     const std::string& key, const std::string& model = {}, std::size_t host = 0,
+                     const std::string& prompt = {}) const;
     std::pair<int, std::string> call(const std::string& method, const std::string& path,
                                      const std::string& id, const std::string& key,
                                      const std::string& model = {}) const
--- a/tests/stand_ins/raw_server.cpp
+++ b/tests/stand_ins/raw_server.cpp
@@ -62,15 +62,24 @@
 
 raw_server::~raw_server()
 {
-    stopping_ = true;
-    acceptor_.join();
-    close(listener_);
+    end();
     for (auto& thread : threads_)
     {
         thread.join();
     }
 }
 
+void raw_server::end()
+{
+    std::call_once(ended_,
+                   [this]
+                   {
+                       stopping_ = true;
+                       acceptor_.join();
+                       close(listener_);
+                   });
+}
+
 void raw_server::accept_all()
 {
     while (!stopping_)
@@ -90,7 +99,8 @@
     std::array<char, 4096> buf{};
     int n = 0;
     bool open = true;
-    while (open && !stopping_)
+    int resets = resets_;
+    while (open && !stopping_ && resets == resets_)
     {
         if (!wait_readable(socket, poll_interval))
         {
@@ -105,6 +115,10 @@
             ++requests_;
             raw_response response = script_(connection, ++n, text.substr(0, end));
             text.erase(0, end);
+            if (resets != resets_)
+            {
+                break;
+            }
             write_all(socket, response.bytes, milliseconds(1000));
             if (!response.later.empty())
             {
--- a/tests/stand_ins/raw_server.hpp
+++ b/tests/stand_ins/raw_server.hpp
@@ -51,6 +51,11 @@
     /// The number of requests read so far, on all connections.
     int requests() const { return requests_; }
     int connections() const { return connections_; }
+    /// Refuses new connections and closes those that exist, as when its process ends. May be called
+    /// by the script.
+    void end();
+    /// Closes the connections that exist, also those whose request is not answered yet.
+    void reset_connections() { ++resets_; }
     /// Bytes of `endless` that were sent, on all connections.
     std::size_t endless_bytes() const { return endless_bytes_; }
 
@@ -65,6 +70,8 @@
     std::atomic<int> connections_ = 0;
     std::atomic<std::size_t> endless_bytes_ = 0;
     std::atomic<bool> stopping_ = false;
+    std::atomic<int> resets_ = 0;
+    std::once_flag ended_;
     std::mutex mutex_;
     std::vector<std::thread> threads_;
     std::thread acceptor_;
