--- a/src/serve/active_request.cpp
+++ b/src/serve/active_request.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/this_coro.hpp>
 #include <fmt/format.h>
 
+#include "serve/prompt_trial.hpp"
 #include "state/errors.hpp"
 
 namespace banyanshunt
@@ -21,6 +22,9 @@
 /// Retry-After of a stopping host: other hosts can take the request at once, and the balancer sends
 /// a repeat to one of them.
 constexpr milliseconds other_host_delay{100};
+/// How often a request that waits for another one with a suspected part checks whether it has
+/// ended, if no wake-up came before.
+constexpr milliseconds trial_recheck_interval{100};
 /// Random spread of Retry-After, so that refused callers do not all return at once.
 constexpr int retry_jitter_ms = 400;
 
@@ -143,6 +147,10 @@
             refused = refusal{.status = 503, .reason = "draining", .retry_after = other_host_delay};
         }
     }
+    if (!refused && has_banned_part())
+    {
+        refused = banned;
+    }
     if (!refused)
     {
         start_timers();
@@ -157,6 +165,12 @@
     auto end = attempt_result::not_run;
     while (!caller_->closed && !ended())
     {
+        co_await await_end_check();
+        if (has_banned_part())
+        {
+            last_reason_ = banned.reason;
+            break;
+        }
         auto server = co_await find_server();
         if (!server || caller_->closed || ended())
         {
@@ -194,6 +208,18 @@
                 continue;
             }
         }
+        prompt_trial trial(context_, fields_.shared_parts);
+        if (!trial.held())
+        {
+            if (out_of_time(milliseconds(0)))
+            {
+                last_reason_ = "prompt_suspected";
+                break;
+            }
+            co_await context_.waiting.wait(host_context::quarantine_wait_key, priority_, arrived_,
+                                           trial_recheck_interval);
+            continue;
+        }
         if (sends_ > 0 && !std::exchange(repeat_acquired_, false) &&
             !context_.budget(service_).acquire(context_.host_count, context_.now()))
         {
@@ -299,6 +325,7 @@
 {
     bool entitled = last_reason_ != std::string_view("over_rate") &&
                     last_reason_ != std::string_view("key_refused") &&
+                    last_reason_ != std::string_view(banned.reason) &&
                     last_reason_ != std::string_view("key_missing");
     const auto unit = target();
     if (unit.model.empty() || !(delivered || entitled))
@@ -390,6 +417,11 @@
                          .retry_after = {}});
         co_return;
     }
+    if (last_reason_ == std::string_view(banned.reason))
+    {
+        co_await refuse(banned);
+        co_return;
+    }
     auto retry_after =
         milliseconds(300 + std::uniform_int_distribution<int>(0, retry_jitter_ms)(context_.random));
     const char* reason = end_reason(last_reason_);
--- a/src/serve/active_request.hpp
+++ b/src/serve/active_request.hpp
@@ -72,6 +72,9 @@
     /// This host's own state does not allow a decision.
     static constexpr refusal unavailable{
         .status = 503, .reason = "state_unavailable", .retry_after = milliseconds(500)};
+    /// A part of the prompt crashes servers. Not a 4xx, as the request is proper, and without a
+    /// time to come back, as it will be refused then, too.
+    static constexpr refusal banned{.status = 503, .reason = "prompt_banned", .retry_after = {}};
 
     void record_cut();
     /// Logs and counts a request that came after this host began to stop.
@@ -122,6 +125,17 @@
     /// known that none can be had in time.
     task<bool> request_permit(const server_choice& choice);
     void request_extra_replica(const server_criteria& need);
+    /// Waits until it is known whether the server of the last send has ended, if that is found out.
+    task<void> await_end_check();
+    bool has_banned_part() const
+    {
+        return context_.quarantine.judge(fields_.shared_parts) == part_state::banned;
+    }
+    /// Records what the end of a send shows of the parts of the prompt.
+    void record_prompt(const server_exchange& exchange, attempt_result end);
+    void record_sound();
+    /// Whether the current response began long enough ago to be sound.
+    bool begun_soundly() const;
     /// Whether the current send is to be closed, because its server is silent and the request can
     /// go on; the retry budget is charged then.
     bool gives_up_on_server();
@@ -202,6 +216,8 @@
     instant progressed_at_;
     /// When the current attempt brought the first byte of a body, or the first event of a stream.
     std::optional<instant> first_byte_at_;
+    /// The current attempt's response was recorded as sound.
+    bool sound_recorded_ = false;
     std::string kept_response_;
     int kept_status_ = 0;
     const char* last_reason_ = "no_replica";
--- a/src/serve/domain_reports.cpp
+++ b/src/serve/domain_reports.cpp
@@ -40,6 +40,8 @@
         }
         *kept.mutable_limits() = message.limits();
         *kept.mutable_leaving() = message.leaving();
+        *kept.mutable_prompt_crashes() = message.prompt_crashes();
+        *kept.mutable_sound_parts() = message.sound_parts();
         reports_[host_id(message.host())] = {.message = std::move(kept), .at = now};
     }
     for (const auto& placement : message.placements())
@@ -78,6 +80,8 @@
         break;
     }
     keep(own_report, peers.own_address());
+    // All hosts of the domain know the same bans.
+    *reports_.at(context_.settings.name).message.mutable_banned_parts() = own_report.banned_parts();
     bool its_turn = ++periods_ % static_cast<int>(reporters_per_domain) == 0;
     return its_turn ? bundle(peers) : std::vector<peers::peer_message>();
 }
--- a/src/serve/host_context.hpp
+++ b/src/serve/host_context.hpp
@@ -13,6 +13,7 @@
 
 #include "coordination/backend_table.hpp"
 #include "coordination/planned_stop.hpp"
+#include "coordination/prompt_quarantine.hpp"
 #include "coordination/random_source.hpp"
 #include "coordination/run_times.hpp"
 #include "coordination/server_list_age.hpp"
@@ -258,6 +259,12 @@
     /// Requests a call that confirms the server list.
     std::function<void()> refresh_server_list = [] {};
     backend_table servers;
+    prompt_quarantine quarantine;
+    /// Servers of which it is being found out whether they have ended, with the parts of the
+    /// requests that they had not begun to answer when their connections ended.
+    std::map<server_id, std::set<prompt_part>> end_checks;
+    /// Wait list key of requests that wait for what is found out, or for another request's end.
+    static constexpr const char* quarantine_wait_key = "quarantine";
     backend_pool pool;
     share_ledger ledger;
     /// Entry hosts that share rates and budgets, including this one.
@@ -278,6 +285,13 @@
                                                                              limit_change) {};
     /// Called after a response showed that a server leaves.
     std::function<void(const server_id&)> on_server_leaving = [](const server_id&) {};
+    /// Called when a server's connection ended under a request with these parts in its prompt, and
+    /// its response had not begun or hardly so.
+    std::function<void(const server_id&, const std::vector<prompt_part>&)> on_connection_lost =
+        [](const server_id&, const std::vector<prompt_part>&) {};
+    /// Called when a response to a request with these parts began and its server went on.
+    std::function<void(const std::vector<prompt_part>&)> on_sound_response =
+        [](const std::vector<prompt_part>&) {};
     /// Set once this host was asked to stop.
     std::optional<planned_stop> stop;
     run_times durations{run_times_options{}};
--- a/src/serve/peer_message_check.cpp
+++ b/src/serve/peer_message_check.cpp
@@ -20,6 +20,8 @@
 constexpr std::int64_t max_tokens = 1'000'000'000'000;
 constexpr std::int64_t max_millitokens = max_tokens * 1000;
 constexpr std::uint64_t max_millirequests_per_s = std::uint64_t(max_requests) * 1000;
+/// Parts in the requests of one host that one server had not begun to answer.
+constexpr int max_parts_of_crash = 256;
 constexpr std::int64_t max_waited_ms = 24LL * 3600 * 1000;
 /// The end of the year 9999, as in entries of servers.
 constexpr std::int64_t max_unix_ms = 253402300799999;
@@ -126,6 +128,12 @@
     return is_name(it.server()) && is_within(it.born_ms(), max_unix_ms);
 }
 
+bool is_sound(const peers::prompt_crash& it)
+{
+    return is_name(it.server()) && is_within(it.born_ms(), max_unix_ms) &&
+           it.parts_size() <= max_parts_of_crash;
+}
+
 /// Whether the sender of a message is named and, if it was relayed, its address states a port.
 bool is_from_host(const peers::peer_message& message)
 {
@@ -181,6 +189,7 @@
     keep_sound(*message.mutable_permit_requests(), "permit_request");
     keep_sound(*message.mutable_permit_responses(), "permit_response");
     keep_sound(*message.mutable_leaving(), "leaving_notice");
+    keep_sound(*message.mutable_prompt_crashes(), "prompt_crash");
     for (auto& it : *message.mutable_bundled())
     {
         // A bundled message bundles none.
--- a/src/serve/peer_service.cpp
+++ b/src/serve/peer_service.cpp
@@ -114,6 +114,9 @@
       notices_(context, peers_,
                [this](peers::peer_message message)
                { send_to_all(std::move(message), relays_in_domain); }),
+      quarantine_(context, peers_,
+                  [this](peers::peer_message message)
+                  { send_to_all(std::move(message), relays_in_domain); }),
       views_(context, peers_, watcher),
       orders_(context,
               {.publish_placement = [this](const server_id& server, const server_placement& it)
@@ -157,6 +160,9 @@
     context_.on_config_change = [this] { shares_.update_shares(); };
     context_.on_limit_change = [this](const server_id& server, limit_change change)
     { limits_.announce(server, change); };
+    context_.on_connection_lost = [this](const server_id& server, const auto& parts)
+    { quarantine_.check_server(server, parts); };
+    context_.on_sound_response = [this](const auto& parts) { quarantine_.record_sound(parts); };
     context_.on_server_leaving = [this](const server_id& server) { notices_.announce(server); };
 }
 
@@ -378,6 +384,7 @@
     shares_.handle_message(host, sender, message);
     limits_.handle_message(sender, message, sent_at);
     notices_.handle_message(message, sent_at);
+    quarantine_.handle_message(message, sent_at);
     views_.handle_message(host, sender, message);
     for (const auto& it : message.bundled())
     {
@@ -521,6 +528,7 @@
         shares_.fill_report(host, to, message, now);
         limits_.fill_report(message);
         notices_.fill_report(message);
+        quarantine_.fill_report(message);
     }
     if (in_same_domain(to) || report.servers_size() > 0)
     {
@@ -545,6 +553,7 @@
     shares_.fill_lendable(message, now);
     limits_.fill_report(message);
     notices_.fill_report(message);
+    quarantine_.fill_report(message);
     domain_reports_.expire(expiry_periods * same_domain_period(), 2 * cross_domain_period());
     for (auto& due : domain_reports_.take_due(message, peers_))
     {
@@ -587,6 +596,7 @@
         context_.servers.expire_peer_loads(now);
         context_.servers.limits().expire(now);
         context_.servers.expire_notices(now);
+        quarantine_.expire();
         limits_.update_granted();
         if (hosts_changed_)
         {
--- a/src/serve/peer_service.hpp
+++ b/src/serve/peer_service.hpp
@@ -15,6 +15,7 @@
 #include "serve/notice_manager.hpp"
 #include "serve/order_controller.hpp"
 #include "serve/peer_list.hpp"
+#include "serve/quarantine_manager.hpp"
 #include "serve/share_manager.hpp"
 #include "serve/topic_reader.hpp"
 #include "serve/view_sync.hpp"
@@ -77,6 +78,7 @@
     share_manager shares_;
     limit_manager limits_;
     notice_manager notices_;
+    quarantine_manager quarantine_;
     view_sync views_;
     order_controller orders_;
     domain_reports domain_reports_;
--- a/src/serve/request_attempt.cpp
+++ b/src/serve/request_attempt.cpp
@@ -1,6 +1,7 @@
 // Sending of a request to one server and relaying of the response.
 
 #include <algorithm>
+#include <utility>
 
 #include <boost/beast/http/status.hpp>
 #include <fmt/format.h>
@@ -19,6 +20,9 @@
 /// How often a request checks whether its server became unresponsive.
 constexpr milliseconds inactivity_check_period{250};
 constexpr int first_server_error = 500;
+/// A response is sound if its server goes on for this long after it began. A part of a prompt that
+/// crashes servers does so as they begin.
+constexpr milliseconds sound_after{300};
 
 std::string chunk(std::string_view bytes)
 {
@@ -187,7 +191,7 @@
                      context_.config_is_fresh(context_.now()));
     bool list_applies =
         list_unconfirmed_ || context_.judge_server_list() != list_verdict::confirm_first;
-    return admitted && list_applies &&
+    return admitted && list_applies && !has_banned_part() &&
            context_.servers.accepts(server, start_time_ms, context_.now()) && permitted(server) &&
            ends_before_stop(milliseconds(0));
 }
@@ -201,15 +205,47 @@
     }
 }
 
+bool active_request::begun_soundly() const
+{
+    return first_byte_at_ && context_.now() - *first_byte_at_ >= sound_after;
+}
+
+void active_request::record_sound()
+{
+    if (!std::exchange(sound_recorded_, true) && !fields_.shared_parts.empty())
+    {
+        context_.on_sound_response(fields_.shared_parts);
+    }
+}
+
+void active_request::record_prompt(const server_exchange& exchange, attempt_result end)
+{
+    if (end == attempt_result::delivered)
+    {
+        record_sound();
+    }
+    else if (exchange.lost() && !begun_soundly())
+    {
+        auto parts = context_.quarantine.unproven(fields_.shared_parts);
+        if (!parts.empty())
+        {
+            context_.on_connection_lost(exchange.server(), parts);
+        }
+    }
+}
+
 void active_request::log_attempt_end(const server_exchange& exchange, attempt_result end)
 {
     instant now = context_.now();
     context_.log.write(
         "attempt_end",
-        "request={} server={} outcome={} reason={} send={} held_ms={} longest_silence_ms={}",
+        "request={} server={} outcome={} reason={} send={} held_ms={} longest_silence_ms={} "
+        "connection={} unproven_parts={}",
         fields_.id.str(), exchange.server().str(), static_cast<int>(end), last_reason_, sends_,
         std::chrono::floor<milliseconds>(now - arrived_).count(),
-        std::chrono::floor<milliseconds>(exchange.longest_silence()).count());
+        std::chrono::floor<milliseconds>(exchange.longest_silence()).count(),
+        exchange.lost() ? "lost" : "kept",
+        context_.quarantine.unproven(fields_.shared_parts).size());
 }
 
 task<active_request::attempt_result> active_request::attempt(server_id server)
@@ -228,6 +264,7 @@
     bool resumed = head_sent_;
     progressed_at_ = sent_at;
     first_byte_at_.reset();
+    sound_recorded_ = false;
     schedule_inactivity_check();
     const auto* chosen = context_.servers.find(server);
     std::int64_t start_time_ms = chosen ? chosen->entry.start_time_ms : 0;
@@ -303,6 +340,7 @@
             end = attempt_result::caller_left;
         }
     }
+    record_prompt(exchange, end);
     exchange.finish();
     if (end == attempt_result::delivered && !resumed)
     {
@@ -458,6 +496,10 @@
         }
         progressed_at_ = context_.now();
         first_byte_at_ = first_byte_at_.value_or(progressed_at_);
+        if (begun_soundly())
+        {
+            record_sound();
+        }
         if (time_to_first_byte_.count() == 0)
         {
             time_to_first_byte_ = context_.now() - arrived_;
--- a/src/serve/request_wait.cpp
+++ b/src/serve/request_wait.cpp
@@ -53,6 +53,15 @@
                        std::chrono::floor<milliseconds>(context_.now() - asked_at).count());
 }
 
+task<void> active_request::await_end_check()
+{
+    while (context_.end_checks.contains(last_server_) && !caller_->closed && !ended())
+    {
+        co_await context_.waiting.wait(host_context::quarantine_wait_key, priority_, arrived_,
+                                       recheck_interval);
+    }
+}
+
 milliseconds active_request::caller_patience() const
 {
     return std::max({min_event_timeout, objectives_per_timeout * route_->objective,
--- a/src/serve/server_exchange.cpp
+++ b/src/serve/server_exchange.cpp
@@ -41,6 +41,14 @@
     return std::max(longest_silence_, context_.now() - received_at_);
 }
 
+void server_exchange::record_end(const boost::system::error_code& ec)
+{
+    bool ended_by_peer = ec == http::error::end_of_stream || ec == http::error::partial_message ||
+                         ec == asio::error::eof || ec == asio::error::connection_reset ||
+                         ec == asio::error::connection_aborted || ec == asio::error::broken_pipe;
+    lost_ = lost_ || (ended_by_peer && !closed_);
+}
+
 void server_exchange::on_received()
 {
     instant now = context_.now();
@@ -82,6 +90,7 @@
         co_await asio::async_write(connection_->stream.socket(), asio::buffer(*request), as_result);
     if (ec)
     {
+        record_end(ec);
         co_return exchange_state::no_response;
     }
     std::optional<exchange_deadline> second_response;
@@ -127,6 +136,7 @@
                                                     *parser_, as_result);
     if (ec || closed_)
     {
+        record_end(ec);
         parser_.reset();
         co_return false;
     }
@@ -259,6 +269,7 @@
                                                       *parser_, as_result);
         if (ec && ec != http::error::need_buffer)
         {
+            record_end(ec);
             co_return std::nullopt;
         }
         on_received();
--- a/src/serve/server_exchange.hpp
+++ b/src/serve/server_exchange.hpp
@@ -68,6 +68,9 @@
     const http::response<http::buffer_body>& head() const { return parser_->get(); }
     const platform::server_response_fields& fields() const { return fields_; }
     std::optional<std::uint64_t> content_length() const;
+    /// Whether the server's side ended the connection while it was used: before the end of a
+    /// response, or as the end of one that states none.
+    bool lost() const { return lost_ || (complete() && parser_->need_eof()); }
     /// Whether the head of the response to the request was received.
     bool responded() const { return matched_; }
     /// When the last byte of the response to the request was received.
@@ -85,6 +88,7 @@
     /// Reads and drops at most `max_bytes` of the body; returns whether that was all.
     task<bool> drop_body(std::size_t max_bytes);
     void on_received();
+    void record_end(const boost::system::error_code& ec);
     /// Records that bytes of the response to the request were received.
     void record_progress(instant now);
     /// Counts and logs a response without an id that may be another request's.
@@ -113,6 +117,7 @@
     bool unproven_leaving_ = false;
     milliseconds unproven_pause_{0};
     bool closed_ = false;
+    bool lost_ = false;
     /// Whether the response to the request was found; others may precede it.
     bool matched_ = false;
     std::array<char, 8192> read_buffer_;
--- a/src/state/ids.hpp
+++ b/src/state/ids.hpp
@@ -22,6 +22,8 @@
 using key_id = strong_text<struct key_id_tag>;
 /// Names one request from a caller; unique over all hosts.
 using request_id = strong_text<struct request_id_tag>;
+/// Names a part of a prompt that requests may share.
+using prompt_part = strong_number<struct prompt_part_tag>;
 /// Names one version of a model's checkpoint.
 using version_id = strong_text<struct version_id_tag>;
 /// Names one stream of the platform's log service.
--- a/src/transport/loop/event_loop.cpp
+++ b/src/transport/loop/event_loop.cpp
@@ -6,6 +6,7 @@
 #include <sys/socket.h>
 
 #include <boost/asio/this_coro.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
 
 namespace banyanshunt
 {
@@ -48,6 +49,14 @@
     return n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
+task<bool> refuses_connections(endpoint_text address, milliseconds timeout)
+{
+    boost::beast::tcp_stream stream(co_await asio::this_coro::executor);
+    stream.expires_after(timeout);
+    auto [ec] = co_await stream.async_connect(to_endpoint(address), as_result);
+    co_return ec == asio::error::connection_refused;
+}
+
 void set_socket_options(tcp::socket& socket)
 {
     boost::system::error_code ec;
--- a/src/transport/loop/event_loop.hpp
+++ b/src/transport/loop/event_loop.hpp
@@ -40,6 +40,10 @@
 /// Whether nothing was received on the connection since the last read, neither bytes nor its end.
 bool is_quiet(tcp::socket& socket);
 
+/// Whether connections to the address are refused, as no process listens there. Opens one and
+/// closes it at once; false if none is opened or refused before the timeout.
+task<bool> refuses_connections(endpoint_text address, milliseconds timeout);
+
 /// Sets the options that each connection of an entry host has: no delay, and a limit on
 /// unacknowledged data that detects an unresponsive peer.
 void set_socket_options(tcp::socket& socket);
