--- a/programs/shunt_serve.cpp
+++ b/programs/shunt_serve.cpp
@@ -3,14 +3,19 @@
 #include <csignal>
 #include <cstdlib>
 #include <iostream>
+#include <sstream>
 
 #include <gflags/gflags.h>
 
+#include "platform/headers.hpp"
 #include "platform/settings.hpp"
 #include "serve/serving_host.hpp"
 
 DEFINE_int32(metrics_port, 9464, "port of /metrics on the host's own address; 1 to 65535");
 DEFINE_string(settings, "", "path of the settings file; by default the one the platform names");
+DEFINE_string(sound_prompt_parts, "",
+              "parts of prompts that are never banned, as their requests name them; separated by "
+              "commas. Ends a ban on all hosts");
 DEFINE_bool(check, false, "check the settings and exit");
 
 namespace
@@ -56,6 +61,11 @@
         return usage_error;
     }
     settings->metrics_port = FLAGS_metrics_port;
+    std::istringstream parts(FLAGS_sound_prompt_parts);
+    for (std::string part; std::getline(parts, part, ',');)
+    {
+        settings->sound_parts.push_back(banyanshunt::platform::to_prompt_part(part));
+    }
     if (FLAGS_check)
     {
         std::cout << "settings are in order\n";
--- a/src/coordination/prompt_quarantine.cpp
+++ b/src/coordination/prompt_quarantine.cpp
@@ -7,24 +7,46 @@
 namespace banyanshunt
 {
 
-part_state prompt_quarantine::judge(prompt_part part) const
+bool prompt_quarantine::is_banned(prompt_part part) const
 {
     auto it = suspects_.find(part);
-    if (it == suspects_.end())
-    {
-        return part_state::free;
-    }
-    return it->second.banned_at ? part_state::banned : part_state::suspected;
+    return it != suspects_.end() && it->second.banned_at;
 }
 
 part_state prompt_quarantine::judge(const std::vector<prompt_part>& parts) const
 {
-    auto worst = part_state::free;
+    auto state = part_state::free;
     for (auto part : parts)
     {
-        worst = std::max(worst, judge(part));
+        auto it = suspects_.find(part);
+        if (it == suspects_.end())
+        {
+            continue;
+        }
+        state = part_state::suspected;
+        auto common = it->second.banned_at ? common_parts(it->second) : std::vector<prompt_part>();
+        auto in_request = [&](prompt_part other)
+        { return std::find(parts.begin(), parts.end(), other) != parts.end(); };
+        if (it->second.banned_at && std::all_of(common.begin(), common.end(), in_request))
+        {
+            return part_state::banned;
+        }
     }
-    return worst;
+    return state;
+}
+
+std::vector<prompt_part> prompt_quarantine::common_parts(const suspect& it) const
+{
+    std::vector<prompt_part> common;
+    const auto& first = it.crashes.front().parts;
+    std::copy_if(first.begin(), first.end(), std::back_inserter(common),
+                 [&](prompt_part part)
+                 {
+                     return !is_sound(part) && std::all_of(it.crashes.begin(), it.crashes.end(),
+                                                           [&](const counted_crash& crash)
+                                                           { return crash.parts.contains(part); });
+                 });
+    return common;
 }
 
 std::vector<prompt_part> prompt_quarantine::unproven(const std::vector<prompt_part>& parts) const
@@ -35,25 +57,42 @@
     return found;
 }
 
+bool prompt_quarantine::add_crash(suspect& to, const std::vector<prompt_part>& parts,
+                                  const server_crash& crash) const
+{
+    auto known = std::find_if(to.crashes.begin(), to.crashes.end(),
+                              [&](const counted_crash& it)
+                              {
+                                  bool same = it.crash.server == crash.server &&
+                                              it.crash.start_time_ms == crash.start_time_ms;
+                                  auto gap =
+                                      std::max(it.crash.at - crash.at, crash.at - it.crash.at);
+                                  return same || gap < options_.min_crash_gap;
+                              });
+    if (known != to.crashes.end())
+    {
+        // Hosts had different requests at a server that ended.
+        known->parts.insert(parts.begin(), parts.end());
+        return false;
+    }
+    if (to.crashes.size() >= options_.max_crashes)
+    {
+        return false;
+    }
+    to.crashes.push_back({.crash = crash, .parts = {parts.begin(), parts.end()}});
+    return true;
+}
+
 prompt_quarantine::crash_effect
 prompt_quarantine::record_crash(const std::vector<prompt_part>& parts, const server_crash& crash)
 {
     crash_effect effect;
-    for (auto part : unproven(parts))
+    auto counted = unproven(parts);
+    for (auto part : counted)
     {
         suspect& it = suspects_[part];
-        bool counted = std::any_of(it.crashes.begin(), it.crashes.end(),
-                                   [&](const server_crash& known)
-                                   {
-                                       bool same = known.server == crash.server &&
-                                                   known.start_time_ms == crash.start_time_ms;
-                                       auto gap =
-                                           std::max(known.at - crash.at, crash.at - known.at);
-                                       return same || gap < options_.min_crash_gap;
-                                   });
-        if (!counted && it.crashes.size() < options_.crashes_to_ban)
+        if (add_crash(it, counted, crash))
         {
-            it.crashes.push_back(crash);
             effect.counted.push_back(part);
         }
         if (!it.banned_at && it.crashes.size() >= options_.crashes_to_ban)
@@ -96,20 +135,33 @@
     return cleared;
 }
 
-bool prompt_quarantine::record_ban(prompt_part part, instant at, instant now)
+void prompt_quarantine::record_allowed(const std::vector<prompt_part>& parts)
 {
-    if (is_sound(part) || now - at > options_.retention)
+    for (auto part : parts)
     {
-        return false;
+        allowed_.insert(part);
+        suspects_.erase(part);
     }
-    suspect& it = suspects_[part];
-    if (it.banned_at)
+}
+
+bool prompt_quarantine::record_ban(const ban& decided, instant now)
+{
+    if (is_sound(decided.part) || now - decided.at > options_.retention)
     {
         return false;
     }
-    it.banned_at = at;
-    make_room(part);
-    return true;
+    suspect& it = suspects_[decided.part];
+    bool is_new = !it.banned_at;
+    if (is_new)
+    {
+        auto with = decided.with;
+        with.push_back(decided.part);
+        // Stands for the crashes that the other host knows.
+        add_crash(it, with, {.server = {}, .start_time_ms = 0, .at = decided.at});
+        it.banned_at = decided.at;
+    }
+    make_room(decided.part);
+    return is_new;
 }
 
 instant prompt_quarantine::last_mentioned(const suspect& it)
@@ -117,7 +169,7 @@
     instant last = it.banned_at.value_or(instant::min());
     for (const auto& crash : it.crashes)
     {
-        last = std::max(last, crash.at);
+        last = std::max(last, crash.crash.at);
     }
     return last;
 }
@@ -159,7 +211,7 @@
 {
     std::vector<prompt_part> reserved;
     std::copy_if(parts.begin(), parts.end(), std::back_inserter(reserved),
-                 [&](prompt_part part) { return judge(part) == part_state::suspected; });
+                 [&](prompt_part part) { return suspects_.contains(part); });
     if (std::any_of(reserved.begin(), reserved.end(),
                     [&](prompt_part part) { return on_trial_.contains(part); }))
     {
@@ -184,7 +236,7 @@
     {
         if (it.banned_at)
         {
-            found.push_back({.part = part, .at = *it.banned_at});
+            found.push_back({.part = part, .at = *it.banned_at, .with = common_parts(it)});
         }
     }
     std::sort(found.begin(), found.end(), [](const ban& a, const ban& b) { return a.at > b.at; });
@@ -193,8 +245,15 @@
 
 std::vector<server_crash> prompt_quarantine::crashes(prompt_part part) const
 {
+    std::vector<server_crash> found;
     auto it = suspects_.find(part);
-    return it == suspects_.end() ? std::vector<server_crash>() : it->second.crashes;
+    if (it != suspects_.end())
+    {
+        std::transform(it->second.crashes.begin(), it->second.crashes.end(),
+                       std::back_inserter(found),
+                       [](const counted_crash& counted) { return counted.crash; });
+    }
+    return found;
 }
 
 } // namespace banyanshunt
--- a/src/coordination/prompt_quarantine.hpp
+++ b/src/coordination/prompt_quarantine.hpp
@@ -7,7 +7,9 @@
 /// while each ends the server that begins to answer it, so that blaming servers, or trying the same
 /// request elsewhere, hands the crash round. A part is banned by crashes alone that it was in each
 /// time, and never against a sound response: shared parts that sound requests use too, and crashes
-/// of many servers for a reason of their own, must not ban what callers need.
+/// of many servers for a reason of their own, must not ban what callers need. Parts that were in
+/// the same crashes are banned together: a request with only some of them may be sound, and shows
+/// which of them is not.
 ///
 /// Pure: the time is an argument.
 
@@ -31,6 +33,8 @@
     /// Crashes closer together than this count as one: what ends several servers at once is seldom
     /// a request.
     milliseconds min_crash_gap{200};
+    /// Crashes that are kept of one part, to tell it apart from parts that were in some of them.
+    std::size_t max_crashes = 8;
     /// How long a crash, a ban and a sound response count.
     seconds retention{600};
     /// Bounds on the parts kept. Of suspects the one with the fewest and oldest crashes yields, of
@@ -76,12 +80,16 @@
 public:
     explicit prompt_quarantine(const prompt_quarantine_options& options = {}) : options_(options) {}
 
-    /// What is known of the worst of the parts.
+    /// Whether a request whose prompt has these parts is sent.
     part_state judge(const std::vector<prompt_part>& parts) const;
-    part_state judge(prompt_part part) const;
+    /// Whether requests with the part are refused, all or some of them.
+    bool is_banned(prompt_part part) const;
     /// Those of the parts of which no sound response is known.
     std::vector<prompt_part> unproven(const std::vector<prompt_part>& parts) const;
-    bool is_sound(prompt_part part) const { return sound_by_part_.contains(part); }
+    bool is_sound(prompt_part part) const
+    {
+        return allowed_.contains(part) || sound_by_part_.contains(part);
+    }
 
     /// What a crash changed.
     struct crash_effect
@@ -96,9 +104,19 @@
     /// Records that a response to a request with these parts began at `at` and its server went on;
     /// returns those of them that were suspected or banned.
     std::vector<prompt_part> record_sound(const std::vector<prompt_part>& parts, instant at);
-    /// Records a ban that another host decided on at `at`; returns whether it is new. Not taken
-    /// against a sound response, or if it is old.
-    bool record_ban(prompt_part part, instant at, instant now);
+    /// Records that operators know parts to be sound, whatever happens to servers.
+    void record_allowed(const std::vector<prompt_part>& parts);
+    struct ban
+    {
+        prompt_part part;
+        instant at;
+        /// The parts that were in all of its crashes, this one included: a request is refused if it
+        /// has all of them.
+        std::vector<prompt_part> with;
+    };
+    /// Records a ban that another host decided on; returns whether it is new. Not taken against a
+    /// sound response, or if it is old.
+    bool record_ban(const ban& decided, instant now);
     /// Forgets what is older than `retention`.
     void expire(instant now);
 
@@ -107,22 +125,25 @@
     std::optional<std::vector<prompt_part>> begin_trial(const std::vector<prompt_part>& parts);
     void end_trial(const std::vector<prompt_part>& reserved);
 
-    struct ban
-    {
-        prompt_part part;
-        instant at;
-    };
     /// The bans, the newest first.
     std::vector<ban> bans() const;
+    /// Parts with crashes, banned or not.
     std::size_t suspects() const { return suspects_.size(); }
+    milliseconds retention() const { return options_.retention; }
     std::size_t sound_parts() const { return sound_.size(); }
     /// The crashes that count against a part.
     std::vector<server_crash> crashes(prompt_part part) const;
 
 private:
+    struct counted_crash
+    {
+        server_crash crash;
+        /// The parts of all requests that the server had not begun to answer.
+        std::set<prompt_part> parts;
+    };
     struct suspect
     {
-        std::vector<server_crash> crashes;
+        std::vector<counted_crash> crashes;
         /// When it was banned, if it is.
         std::optional<instant> banned_at;
     };
@@ -132,12 +153,18 @@
         instant at;
     };
 
+    /// Whether the crash counts as one more, or as part of one that is known.
+    bool add_crash(suspect& to, const std::vector<prompt_part>& parts,
+                   const server_crash& crash) const;
+    /// The parts that were in all crashes of a suspect, without sound ones.
+    std::vector<prompt_part> common_parts(const suspect& it) const;
     void make_room(prompt_part newest);
     static instant last_mentioned(const suspect& it);
 
     prompt_quarantine_options options_;
     std::map<prompt_part, suspect> suspects_;
     std::set<prompt_part> on_trial_;
+    std::set<prompt_part> allowed_;
     /// The part that was used last comes first.
     std::list<sound_part> sound_;
     std::map<prompt_part, std::list<sound_part>::iterator> sound_by_part_;
--- a/src/serve/caller_session.cpp
+++ b/src/serve/caller_session.cpp
@@ -225,6 +225,7 @@
                           [&context](std::string_view target, string_response& response)
                           {
                               bool ready = !context.stop && context.servers_known &&
+                                           context.bans_known_or_overdue() &&
                                            context.config_is_fresh(context.now());
                               response.result(target != platform::ready_path
                                                   ? http::status::not_found
--- a/src/serve/host_context.hpp
+++ b/src/serve/host_context.hpp
@@ -157,6 +157,9 @@
     {
         return std::chrono::duration_cast<milliseconds>(settings.bounds.drain * confirmed_ratio);
     }
+    /// How long a host that starts waits for the bans before it takes requests.
+    static constexpr milliseconds bans_timeout{500};
+    bool bans_known_or_overdue() const { return bans_known || now() - started_at >= bans_timeout; }
     list_verdict judge_server_list() const { return list_age.judge(max_server_list_age(), now()); }
     /// Wait list key of requests that wait for the server list to be confirmed.
     static constexpr const char* server_list_wait_key = "server_list";
@@ -265,6 +268,9 @@
     std::map<server_id, std::set<prompt_part>> end_checks;
     /// Wait list key of requests that wait for what is found out, or for another request's end.
     static constexpr const char* quarantine_wait_key = "quarantine";
+    /// Whether the bans that earlier processes decided on were read.
+    bool bans_known = false;
+    instant started_at = now();
     backend_pool pool;
     share_ledger ledger;
     /// Entry hosts that share rates and budgets, including this one.
--- a/src/serve/peer_message_check.cpp
+++ b/src/serve/peer_message_check.cpp
@@ -134,6 +134,11 @@
            it.parts_size() <= max_parts_of_crash;
 }
 
+bool is_sound(const peers::prompt_part_age& it)
+{
+    return it.with_size() <= max_parts_of_crash;
+}
+
 /// Whether the sender of a message is named and, if it was relayed, its address states a port.
 bool is_from_host(const peers::peer_message& message)
 {
@@ -190,6 +195,7 @@
     keep_sound(*message.mutable_permit_responses(), "permit_response");
     keep_sound(*message.mutable_leaving(), "leaving_notice");
     keep_sound(*message.mutable_prompt_crashes(), "prompt_crash");
+    keep_sound(*message.mutable_banned_parts(), "banned_part");
     for (auto& it : *message.mutable_bundled())
     {
         // A bundled message bundles none.
--- a/src/serve/peer_service.cpp
+++ b/src/serve/peer_service.cpp
@@ -176,6 +176,7 @@
     spawn_loop(context_, "registration", [this] { return register_loop(); });
     spawn_loop(context_, "hosts", [this] { return hosts_.run(); });
     spawn_loop(context_, "view_requests", [this] { return views_.run(); });
+    quarantine_.start();
     orders_.start();
 }
 
--- a/src/serve/quarantine_manager.cpp
+++ b/src/serve/quarantine_manager.cpp
@@ -1,6 +1,7 @@
 #include "serve/quarantine_manager.hpp"
 
 #include <algorithm>
+#include <iterator>
 
 #include "peers.pb.h"
 #include "serve/loop_runner.hpp"
@@ -24,6 +25,8 @@
 constexpr std::size_t max_sound_in_report = 4;
 constexpr std::size_t max_bans_in_report = 4;
 constexpr std::size_t max_kept = 32;
+/// Parts that are told with a ban; fewer of them ban more requests.
+constexpr std::size_t max_parts_with_ban = 8;
 /// Parts in the requests that one server had not begun to answer.
 constexpr std::size_t max_parts_of_crash = 256;
 /// How often one host contradicts bans and suspicions of one part.
@@ -31,6 +34,20 @@
 /// About so many of the hosts that know a part as sound say so at once; the others in a report.
 constexpr double first_contradictions = 4;
 
+constexpr milliseconds store_timeout{1000};
+constexpr milliseconds first_retry_delay{100};
+constexpr milliseconds max_retry_delay{2000};
+constexpr int max_writes = 10;
+constexpr int ok_status = 200;
+/// The store has no record of the topic yet.
+constexpr int no_topic_status = 404;
+
+std::int64_t unix_ms_now()
+{
+    auto since_epoch = std::chrono::system_clock::now().time_since_epoch();
+    return std::chrono::floor<milliseconds>(since_epoch).count();
+}
+
 std::uint32_t age_ms(instant at, instant now)
 {
     auto age = std::chrono::ceil<milliseconds>(now - at).count();
@@ -65,6 +82,121 @@
 {
 }
 
+void quarantine_manager::start()
+{
+    context_.quarantine.record_allowed(context_.settings.sound_parts);
+    spawn_loop(context_, "bans", [this] { return read_bans(); });
+}
+
+task<void> quarantine_manager::read_bans()
+{
+    http_connection store(context_.settings.log.address);
+    milliseconds retry_delay = first_retry_delay;
+    std::string after;
+    while (!context_.bans_known)
+    {
+        auto next = co_await read_page(store, after);
+        if (!next)
+        {
+            co_await pause(retry_delay);
+            retry_delay = std::min(retry_delay * 2, max_retry_delay);
+            continue;
+        }
+        context_.bans_known = next->empty();
+        after = *next;
+    }
+}
+
+task<std::optional<std::string>> quarantine_manager::read_page(http_connection& store,
+                                                               std::string after)
+{
+    auto call = platform::newest_call(platform::banned_part_topic, after);
+    auto response = co_await store.call(call.method, call.target, call.body, store_timeout);
+    if (response && response->status == no_topic_status)
+    {
+        co_return "";
+    }
+    if (!response || response->status != ok_status)
+    {
+        co_return std::nullopt;
+    }
+    auto page = platform::parse_newest(response->body);
+    if (!page)
+    {
+        context_.log.write("store_answer_bad", "topic={} offset=0 call=newest detail=\"{}\"",
+                           platform::banned_part_topic, page.error().detail);
+        co_return std::nullopt;
+    }
+    for (const auto& record : page->records)
+    {
+        apply_record(record);
+    }
+    co_return page->more && !page->records.empty() ? page->records.back().key : "";
+}
+
+void quarantine_manager::apply_record(const platform::keyed_record& record)
+{
+    auto ban = platform::parse_ban(record);
+    if (!ban)
+    {
+        return;
+    }
+    // The clocks of hosts differ, and may jump.
+    auto age = std::max(milliseconds(unix_ms_now() - ban->unix_ms), milliseconds(0));
+    instant now = context_.now();
+    if (age > context_.quarantine.retention() || context_.quarantine.is_sound(ban->part))
+    {
+        drop_record(ban->part);
+    }
+    else if (context_.quarantine.record_ban({.part = ban->part, .at = now - age, .with = ban->with},
+                                            now))
+    {
+        context_.stats.increment("banyanshunt_prompt_parts_banned_total", {{"source", "store"}});
+        context_.log.write("prompt_part_banned", "part={:x} servers=- source=store",
+                           to_bits(ban->part));
+    }
+}
+
+task<void> quarantine_manager::write_record(platform::keyed_record record)
+{
+    auto call = platform::put_call(platform::banned_part_topic, record);
+    milliseconds retry_delay = first_retry_delay;
+    for (int n = 0; n < max_writes; ++n)
+    {
+        http_connection store(context_.settings.log.address);
+        auto response = co_await store.call(call.method, call.target, call.body, store_timeout);
+        if (response && response->status == ok_status)
+        {
+            co_return;
+        }
+        co_await pause(retry_delay);
+        retry_delay = std::min(retry_delay * 2, max_retry_delay);
+    }
+    context_.log.write("ban_not_stored", "part={}", record.key);
+}
+
+void quarantine_manager::store_ban(prompt_part part)
+{
+    auto bans = context_.quarantine.bans();
+    auto it =
+        std::find_if(bans.begin(), bans.end(), [&](const auto& ban) { return ban.part == part; });
+    if (it == bans.end())
+    {
+        return;
+    }
+    it->with.resize(std::min(it->with.size(), max_parts_with_ban));
+    spawn_once(context_, "store_ban",
+               write_record(platform::to_record(
+                   {.part = part, .unix_ms = unix_ms_now(), .with = it->with})));
+}
+
+void quarantine_manager::drop_record(prompt_part part)
+{
+    auto record = platform::to_record({.part = part});
+    record.value.reset();
+    spawn_once(context_, "drop_ban", write_record(std::move(record)));
+}
+
 void quarantine_manager::check_server(const server_id& server,
                                       const std::vector<prompt_part>& parts)
 {
@@ -104,7 +236,10 @@
         crash_report report{
             .crash = {.server = server, .start_time_ms = start_time_ms, .at = ended_at},
             .parts = {parts.begin(), parts.end()}};
-        record_crash(report, "response");
+        for (auto part : record_crash(report, "response"))
+        {
+            store_ban(part);
+        }
         auto message = peers_.new_message();
         write(report, *message.add_prompt_crashes());
         send_to_all_(std::move(message));
@@ -113,7 +248,8 @@
     context_.waiting.wake(host_context::quarantine_wait_key);
 }
 
-void quarantine_manager::record_crash(const crash_report& report, const char* source)
+std::vector<prompt_part> quarantine_manager::record_crash(const crash_report& report,
+                                                          const char* source)
 {
     auto effect = context_.quarantine.record_crash(report.parts, report.crash);
     for (auto part : effect.counted)
@@ -140,16 +276,24 @@
     {
         context_.waiting.wake_all();
     }
+    return effect.banned;
 }
 
 void quarantine_manager::record_sound(const std::vector<prompt_part>& parts)
 {
+    std::vector<prompt_part> banned;
+    std::copy_if(parts.begin(), parts.end(), std::back_inserter(banned),
+                 [this](prompt_part part) { return context_.quarantine.is_banned(part); });
     auto cleared = context_.quarantine.record_sound(parts, context_.now());
     record_cleared(cleared, "response");
     for (auto part : cleared)
     {
         contradict(part);
     }
+    for (auto part : banned)
+    {
+        drop_record(part);
+    }
 }
 
 void quarantine_manager::record_cleared(const std::vector<prompt_part>& parts, const char* source)
@@ -218,12 +362,14 @@
     for (const auto& it : message.banned_parts())
     {
         auto part = to_part(it.part());
-        instant banned_at = sent_at - milliseconds(it.age_ms());
+        prompt_quarantine::ban ban{
+            .part = part, .at = sent_at - milliseconds(it.age_ms()), .with = {}};
+        std::transform(it.with().begin(), it.with().end(), std::back_inserter(ban.with), to_part);
         if (context_.quarantine.is_sound(part))
         {
             contradict(part);
         }
-        else if (context_.quarantine.record_ban(part, banned_at, now))
+        else if (context_.quarantine.record_ban(ban, now))
         {
             context_.stats.increment("banyanshunt_prompt_parts_banned_total", {{"source", "peer"}});
             context_.log.write("prompt_part_banned", "part={:x} servers=- source=peer host={}",
@@ -272,7 +418,12 @@
     bans.resize(std::min(bans.size(), max_bans_in_report));
     for (const auto& ban : bans)
     {
-        write(ban.part, ban.at, *message.add_banned_parts());
+        auto& to = *message.add_banned_parts();
+        write(ban.part, ban.at, to);
+        for (std::size_t n = 0; n < std::min(ban.with.size(), max_parts_with_ban); ++n)
+        {
+            to.add_with(to_bits(ban.with[n]));
+        }
     }
 }
 
--- a/src/serve/quarantine_manager.hpp
+++ b/src/serve/quarantine_manager.hpp
@@ -9,7 +9,9 @@
 #include <functional>
 
 #include "coordination/refusal_budget.hpp"
+#include "platform/store.hpp"
 #include "serve/peer_list.hpp"
+#include "transport/loop/http_connection.hpp"
 
 namespace banyanshunt
 {
@@ -27,6 +29,8 @@
 
     quarantine_manager(host_context& context, const peer_list& peers, broadcast send_to_all);
 
+    /// Reads the bans that the store holds.
+    void start();
     /// Checks whether a server has ended, whose connection ended under a request with these parts
     /// before its response began. `host_context::end_checks` lists the server until that is known.
     void check_server(const server_id& server, const std::vector<prompt_part>& parts);
@@ -51,8 +55,18 @@
         instant reported_at;
     };
 
+    task<void> read_bans();
+    /// Reads a page of bans behind a key, and returns the next such key; nothing if that failed.
+    task<std::optional<std::string>> read_page(http_connection& store, std::string after);
+    void apply_record(const platform::keyed_record& record);
+    /// Writes a record of the store's bans; after some failures it is left to the reports of hosts.
+    task<void> write_record(platform::keyed_record record);
+    void store_ban(prompt_part part);
+    /// Drops a stored ban that no longer applies.
+    void drop_record(prompt_part part);
     task<void> run_check(server_id server, std::int64_t start_time_ms, endpoint_text address);
-    void record_crash(const crash_report& report, const char* source);
+    /// Returns the parts that are banned by it.
+    std::vector<prompt_part> record_crash(const crash_report& report, const char* source);
     void record_cleared(const std::vector<prompt_part>& parts, const char* source);
     /// Tells the other hosts that a part is sound; seldom for one part, and on large fleets not at
     /// once from each host that knows it.
--- a/src/state/host_settings.hpp
+++ b/src/state/host_settings.hpp
@@ -62,6 +62,8 @@
     std::size_t memory_mb = 256;
     /// The number or fraction of CPU cores that this host may use.
     double cores = 1;
+    /// Parts of prompts that operators know to be sound; they are never banned.
+    std::vector<prompt_part> sound_parts;
     slo_bounds bounds;
     log_settings log;
 };
--- a/tests/correctness/http_connection_test.cpp
+++ b/tests/correctness/http_connection_test.cpp
@@ -76,3 +76,47 @@
         CHECK(bodies_of_calls(server, 3) == std::vector<std::string>{"1/1", "1/2", "1/3"});
     }
 }
+
+TEST_CASE("A response to a call that states no length ends with its connection")
+{
+    const std::string head = "HTTP/1.1 200 Text\r\n\r\n";
+
+    SECTION("closed, it is whole, and the next call has a connection of its own")
+    {
+        raw_server server(
+            [&](int connection, int, const std::string&)
+            { return raw_response{.bytes = head + std::to_string(connection), .close = true}; });
+        CHECK(bodies_of_calls(server, 3) == std::vector<std::string>{"1", "2", "3"});
+    }
+    SECTION("reset, it is none")
+    {
+        raw_server server([&](int, int, const std::string&)
+                          { return raw_response{.bytes = head + "part", .reset = true}; });
+        CHECK(bodies_of_calls(server, 2) == std::vector<std::string>{"-", "-"});
+    }
+    SECTION("left open, it is none")
+    {
+        raw_server server([&](int, int, const std::string&)
+                          { return raw_response{.bytes = head + "part"}; });
+        CHECK(bodies_of_calls(server, 1) == std::vector<std::string>{"-"});
+    }
+}
+
+TEST_CASE("A response to a call whose head breaks off is none")
+{
+    const std::string whole = http_text(200, "body", "X-Field: value\r\n");
+    const auto head = whole.size() - 4;
+    for (std::size_t size = 1; size < head; ++size)
+    {
+        INFO(size);
+        raw_server server(
+            [&](int, int n, const std::string&)
+            {
+                bool breaks = n == 2;
+                return raw_response{.bytes = breaks ? whole.substr(0, size) : whole,
+                                    .close = breaks};
+            });
+        // On a new connection, and on one that has carried a response.
+        CHECK(bodies_of_calls(server, 3) == std::vector<std::string>{"body", "-", "body"});
+    }
+}
--- a/tests/soak/soak_fleet.hpp
+++ b/tests/soak/soak_fleet.hpp
@@ -38,6 +38,12 @@
 class soak_fleet
 {
 public:
+    /// A service whose engines are made by `prompt_crashes`, and their model.
+    static constexpr const char* fragile_service = "fragile";
+    static constexpr const char* fragile_model = "fragile-1";
+    /// The first of `backends` that is an engine.
+    static constexpr std::size_t first_engine = 2;
+
     explicit soak_fleet(fleet_options options);
     /// Terminates every process that it started.
     ~soak_fleet();
--- a/tests/stand_ins/raw_server.hpp
+++ b/tests/stand_ins/raw_server.hpp
@@ -22,6 +22,8 @@
     std::string bytes;
     /// Closes the connection after the bytes.
     bool close = false;
+    /// Resets the connection after the bytes.
+    bool reset = false;
     /// Sent again and again after the bytes, until the caller closes the connection.
     std::string endless = {};
     /// The pause between these.
