A connection that is refused takes nothing of the retry budget

Cause: each refused connection to a server that had ended counted as a send, so the next one was charged as a repeat, though nothing had arrived anywhere. Such connections are counted apart now, and a repeat that was charged and not sent stays charged for the next send.

--- a/src/serve/active_request.cpp
+++ b/src/serve/active_request.cpp
@@ -240,8 +240,9 @@
         {
             break;
         }
-        bool may_retry =
-            end == attempt_result::not_run ? sends_ < max_refused_sends : may_run_again(runs_);
+        bool may_retry = end == attempt_result::not_run
+                             ? sends_ + failed_connects_ < max_refused_sends
+                             : may_run_again(runs_);
         if (!may_retry)
         {
             break;
--- a/src/serve/active_request.hpp
+++ b/src/serve/active_request.hpp
@@ -148,6 +148,8 @@
     /// still applies. Asked right before the first byte, as a wait or a suspension may precede it.
     bool may_still_send(const server_id& server, std::int64_t start_time_ms) const;
     task<attempt_result> attempt(server_id server);
+    /// Takes back that the request was sent, as nothing was.
+    void undo_send();
     /// Records when the request was written, for `request_end`.
     void record_write(const server_exchange& exchange);
     /// Logs that a send did not bring the final answer.
@@ -209,6 +211,8 @@
     /// The retry budget was charged for the next send.
     bool repeat_acquired_ = false;
     int sends_ = 0;
+    /// Servers that could not be connected to, so that nothing was sent.
+    int failed_connects_ = 0;
     int runs_ = 0;
     std::set<server_id> tried_;
     stream_continuity events_;
--- a/src/serve/request_attempt.cpp
+++ b/src/serve/request_attempt.cpp
@@ -205,6 +205,13 @@
     }
 }
 
+void active_request::undo_send()
+{
+    --sends_;
+    // The retry budget was charged for a repeat.
+    repeat_acquired_ = sends_ > 0;
+}
+
 bool active_request::begun_soundly() const
 {
     return first_byte_at_ && context_.now() - *first_byte_at_ >= sound_after;
@@ -289,12 +296,14 @@
     else if (state == exchange_state::withheld)
     {
         outcome = backend_outcome::abandoned;
-        --sends_;
+        undo_send();
     }
     else if (state == exchange_state::not_sent)
     {
         last_reason_ = "unreachable";
         tried_.insert(server);
+        undo_send();
+        ++failed_connects_;
     }
     else if (platform::was_not_executed(exchange.status(), exchange.fields()))
     {
--- a/tests/correctness/prompt_crash_path_test.cpp
+++ b/tests/correctness/prompt_crash_path_test.cpp
@@ -287,7 +287,8 @@
 
     SECTION("on all hosts when an operator starts one that is told so")
     {
-        it.sound_parts = {platform::to_prompt_part("bad1")};
+        it.adjust_settings = [](host_settings& settings)
+        { settings.sound_parts = {platform::to_prompt_part("bad1")}; };
         REQUIRE(it.restart_host(0));
         CHECK(serve_case::eventually([&] { return it.metric(banned_metric) == 0; }));
         CHECK(it.send_to_each_host("again", "bad1:10", 200) == host_count);
--- a/tests/correctness/serve_case.cpp
+++ b/tests/correctness/serve_case.cpp
@@ -131,9 +131,9 @@
     settings.metrics_port = it.metrics_port;
     settings.bounds.lease = 1000ms;
     settings.bounds.stop_grace = 4000ms;
-    settings.sound_parts = sound_parts;
     bool is_proxied = store_link && (path_ == store_path::proxied || n == 0);
     settings.log.address = endpoint_text(is_proxied ? store_link->address() : store_address);
+    adjust_settings(settings);
     it.host = std::make_unique<serving_host>(settings);
     it.thread = std::thread([&it] { it.run(); });
     return made;
--- a/tests/correctness/serve_case.hpp
+++ b/tests/correctness/serve_case.hpp
@@ -118,8 +118,8 @@
     backend_stand_in engine2{"e2", {"busy"}};
     std::vector<std::unique_ptr<host_process>> hosts;
     bool started = false;
-    /// Parts of prompts that hosts started from now on are told to be sound.
-    std::vector<prompt_part> sound_parts;
+    /// Changes the settings of hosts that are restarted from now on.
+    std::function<void(host_settings&)> adjust_settings = [](host_settings&) {};
 
     /// Ends a host as planned and starts it again, as a process that knows nothing; returns whether
     /// it is ready.
