--- a/tests/correctness/odd_datagram_test.cpp
+++ b/tests/correctness/odd_datagram_test.cpp
@@ -188,6 +188,24 @@
         CHECK_FALSE(it.context.servers.notices().leaving(server, start_time));
         CHECK(it.refused() == 1);
     }
+    SECTION("a crash that cannot be, or of more parts than a server has requests")
+    {
+        auto crashes = receiving_host::message_of("south-2");
+        auto& crash = *crashes.add_prompt_crashes();
+        crash.set_server(server.str());
+        crash.set_born_ms(max_int64);
+        crash.add_parts(1);
+        it.send(crashes);
+        crash.set_born_ms(start_time);
+        constexpr std::uint64_t too_many = 257;
+        for (std::uint64_t part = 2; part <= too_many; ++part)
+        {
+            crash.add_parts(part);
+        }
+        it.send(crashes);
+        CHECK(it.context.quarantine.suspects() == 0);
+        CHECK(it.refused() == 2);
+    }
     SECTION("in a message that another host forwards")
     {
         auto bundle = receiving_host::message_of("south-3");
