--- a/tests/correctness/close_delimited_test.cpp
+++ b/tests/correctness/close_delimited_test.cpp
@@ -100,17 +100,18 @@
     for (const auto& [method, path] : {std::pair("GET", "/read/1"), std::pair("POST", "/book/1")})
     {
         INFO(path);
+        auto ask = [&it, &n, method = method, path = path]
+        { return it.ask(method, path, "r" + std::to_string(++n)); };
         it.set({.body = "short", .reset = true});
-        auto response = it.ask(method, path, "r" + std::to_string(++n));
+        auto response = ask();
         CHECK(response.status() == "HTTP/1.1 502");
         it.set({.body = std::string(long_body, 'x'), .reset = true});
-        response = it.ask(method, path, "r" + std::to_string(++n));
+        response = ask();
         bool success = response.status() == "HTTP/1.1 200";
         CHECK_FALSE((success && response.ended));
         // The server's failures bring a pause.
         it.set({.body = "ok"});
-        REQUIRE(serve_case::eventually(
-            [&] { return it.ask(method, path, "r" + std::to_string(++n)).ended; }));
+        REQUIRE(serve_case::eventually([&] { return ask().ended; }));
     }
 }
 
