Shared parts count only at engines, and a request that waits hears of a ban

Found by reading the change: a plain service takes X-Prompt-Prefix as any other field, so a request to it with a banned part was refused, and its answer would have ended the ban on all hosts. Parts count only for requests to engines now. A request that waits for a server ends its wait when a part of its prompt is banned, and asks for no replica any more.

--- a/src/serve/active_request.cpp
+++ b/src/serve/active_request.cpp
@@ -74,6 +74,12 @@
     return service && service->engine ? &*service->engine : nullptr;
 }
 
+const std::vector<prompt_part>& active_request::shared_parts() const
+{
+    static const std::vector<prompt_part> none;
+    return engine() ? fields_.shared_parts : none;
+}
+
 std::string active_request::wait_key() const
 {
     auto model = target().model;
@@ -166,11 +172,6 @@
     while (!caller_->closed && !ended())
     {
         co_await await_end_check();
-        if (has_banned_part())
-        {
-            last_reason_ = banned.reason;
-            break;
-        }
         auto server = co_await find_server();
         if (!server || caller_->closed || ended())
         {
@@ -208,7 +209,7 @@
                 continue;
             }
         }
-        prompt_trial trial(context_, fields_.shared_parts);
+        prompt_trial trial(context_, shared_parts());
         if (!trial.held())
         {
             if (out_of_time(milliseconds(0)))
--- a/src/serve/active_request.hpp
+++ b/src/serve/active_request.hpp
@@ -127,9 +127,11 @@
     void request_extra_replica(const server_criteria& need);
     /// Waits until it is known whether the server of the last send has ended, if that is found out.
     task<void> await_end_check();
+    /// The shared parts of the prompt; none at a plain service, which takes the field as any other.
+    const std::vector<prompt_part>& shared_parts() const;
     bool has_banned_part() const
     {
-        return context_.quarantine.judge(fields_.shared_parts) == part_state::banned;
+        return context_.quarantine.judge(shared_parts()) == part_state::banned;
     }
     /// Records what the end of a send shows of the parts of the prompt.
     void record_prompt(const server_exchange& exchange, attempt_result end);
--- a/src/serve/request_attempt.cpp
+++ b/src/serve/request_attempt.cpp
@@ -219,9 +219,9 @@
 
 void active_request::record_sound()
 {
-    if (!std::exchange(sound_recorded_, true) && !fields_.shared_parts.empty())
+    if (!std::exchange(sound_recorded_, true) && !shared_parts().empty())
     {
-        context_.on_sound_response(fields_.shared_parts);
+        context_.on_sound_response(shared_parts());
     }
 }
 
@@ -233,7 +233,7 @@
     }
     else if (exchange.lost() && !begun_soundly())
     {
-        auto parts = context_.quarantine.unproven(fields_.shared_parts);
+        auto parts = context_.quarantine.unproven(shared_parts());
         if (!parts.empty())
         {
             context_.on_connection_lost(exchange.server(), parts);
@@ -251,8 +251,7 @@
         fields_.id.str(), exchange.server().str(), static_cast<int>(end), last_reason_, sends_,
         std::chrono::floor<milliseconds>(now - arrived_).count(),
         std::chrono::floor<milliseconds>(exchange.longest_silence()).count(),
-        exchange.lost() ? "lost" : "kept",
-        context_.quarantine.unproven(fields_.shared_parts).size());
+        exchange.lost() ? "lost" : "kept", context_.quarantine.unproven(shared_parts()).size());
 }
 
 task<active_request::attempt_result> active_request::attempt(server_id server)
--- a/src/serve/request_wait.cpp
+++ b/src/serve/request_wait.cpp
@@ -176,6 +176,11 @@
     instant requested_at;
     while (!caller_->closed && !ended())
     {
+        if (has_banned_part())
+        {
+            last_reason_ = banned.reason;
+            co_return std::nullopt;
+        }
         if (permit_ && context_.now() >= permit_->valid_until)
         {
             permit_.reset();
--- a/tests/correctness/prompt_crash_path_test.cpp
+++ b/tests/correctness/prompt_crash_path_test.cpp
@@ -285,6 +285,15 @@
     it.engines->set_deadly("bad1", false);
     REQUIRE(it.send_to_each_host("still", "bad1:10", 503) == host_count);
 
+    SECTION("but not by a plain service, which takes the field as any other")
+    {
+        for (std::size_t host = 0; host < host_count; ++host)
+        {
+            CHECK(it.send("GET", "/read/1", "plain", "good-key", {}, host, "bad1:10,c:10").status ==
+                  200);
+        }
+        CHECK(it.send_to_each_host("again", "bad1:10", 503) == host_count);
+    }
     SECTION("on all hosts when an operator starts one that is told so")
     {
         it.adjust_settings = [](host_settings& settings)
