--- a/review/stand_ins/case_tools.cpp
+++ b/review/stand_ins/case_tools.cpp
@@ -234,38 +234,45 @@
     return head;
 }
 
+std::optional<std::string> connection::read_chunk(milliseconds timeout)
+{
+    auto until = steady::now() + timeout;
+    std::size_t end;
+    while ((end = buffer_.find("\r\n")) == std::string::npos)
+    {
+        if (!fill(until))
+        {
+            return std::nullopt;
+        }
+    }
+    auto size = std::strtoul(buffer_.c_str(), nullptr, 16);
+    while (buffer_.size() < end + 2 + size + 2)
+    {
+        if (!fill(until))
+        {
+            return std::nullopt;
+        }
+    }
+    auto bytes = buffer_.substr(end + 2, size);
+    buffer_.erase(0, end + 2 + size + 2);
+    return bytes;
+}
+
 std::optional<std::string> connection::read_body(const http_head& head, milliseconds timeout)
 {
     auto until = steady::now() + timeout;
     if (lower(head.field("transfer-encoding")) == "chunked")
     {
         std::string body;
-        while (true)
+        while (auto chunk = read_chunk(std::chrono::ceil<milliseconds>(until - steady::now())))
         {
-            std::size_t end;
-            while ((end = buffer_.find("\r\n")) == std::string::npos)
-            {
-                if (!fill(until))
-                {
-                    return std::nullopt;
-                }
-            }
-            auto size = std::strtoul(buffer_.c_str(), nullptr, 16);
-            buffer_.erase(0, end + 2);
-            while (buffer_.size() < size + 2)
-            {
-                if (!fill(until))
-                {
-                    return std::nullopt;
-                }
-            }
-            body += buffer_.substr(0, size);
-            buffer_.erase(0, size + 2);
-            if (size == 0)
+            body += *chunk;
+            if (chunk->empty())
             {
                 return body;
             }
         }
+        return std::nullopt;
     }
     auto size = std::strtoul(head.field("content-length").c_str(), nullptr, 10);
     while (buffer_.size() < size)
@@ -387,6 +394,13 @@
         {
             continue;
         }
+        if (at_channel_limit)
+        {
+            linger reset{.l_onoff = 1, .l_linger = 0};
+            setsockopt(fd, SOL_SOCKET, SO_LINGER, &reset, sizeof reset);
+            ::close(fd);
+            continue;
+        }
         set_no_delay(fd);
         auto it = std::make_shared<connection>(fd);
         std::lock_guard lock(mutex_);
@@ -413,6 +427,10 @@
                 id));
             continue;
         }
+        if (custom && custom(*head, *it))
+        {
+            continue;
+        }
         {
             std::lock_guard lock(mutex_);
             runs_.push_back(
@@ -513,7 +531,7 @@
                200;
 }
 
-bool entry_host::await_ready(milliseconds timeout) const
+bool entry_host::await_ready(milliseconds timeout)
 {
     auto until = steady::now() + timeout;
     while (!ready())
@@ -524,7 +542,8 @@
         }
         std::this_thread::sleep_for(milliseconds(50));
     }
-    return true;
+    // Another process that has the address would answer in its place.
+    return !ended();
 }
 
 double entry_host::memory_mb() const
--- a/review/stand_ins/case_tools.hpp
+++ b/review/stand_ins/case_tools.hpp
@@ -102,6 +102,8 @@
     std::optional<http_head> read_head(milliseconds timeout);
     /// Reads a body by its Content-Length or chunks; nothing if it did not come whole.
     std::optional<std::string> read_body(const http_head& head, milliseconds timeout);
+    /// Reads one chunk of a body, empty at its end; nothing if none came whole in the time.
+    std::optional<std::string> read_chunk(milliseconds timeout);
     /// Whether the peer has closed it, or sent what nobody asked for.
     bool closed_by_peer() const;
     void close();
@@ -152,6 +154,11 @@
     const std::string& id() const { return id_; }
     std::string address() const;
     int port() const { return port_; }
+    /// Answers a request in the place of the usual answer, if it returns true. Set before the
+    /// server is announced.
+    std::function<bool(const http_head& head, connection& to)> custom;
+    /// It has as many channels as it accepts, and resets new ones.
+    std::atomic<bool> at_channel_limit = false;
 
 private:
     void accept_all();
@@ -191,7 +198,8 @@
     /// Whether the process has ended; collects it.
     bool ended();
     bool ready() const;
-    bool await_ready(milliseconds timeout) const;
+    /// False if it is not ready in time, or has ended.
+    bool await_ready(milliseconds timeout);
     /// Memory in use now, in MB; 0 if the process has ended.
     double memory_mb() const;
     const std::string& ip() const { return options_.ip; }
