Engine room: a model is loaded only into room that the engine has

Cause: an engine that unloads a model loads the next one without a check that it fits. While all models had 65 to 73 GB any model made room for any other; a model of 34.3 GB makes no room for one of 72.7 GB, and the engine crashes with all that it runs. Change: engine_room counts what an engine holds, loads or may still hold; every decision on loads, adapters and room goes by it. What is unloaded is the set that is worth least of those that suffice; a second unload follows the first. An accepted order shows that the unload before it is complete; a load that already holds does not.

--- a/src/coordination/engine_controller.cpp
+++ b/src/coordination/engine_controller.cpp
@@ -229,29 +229,14 @@
     return sum;
 }
 
-double engine_controller::memory_used_mb(const engine_spec& engine) const
+engine_room engine_controller::room(const engine_spec& engine) const
 {
-    double sum = 0;
+    engine_room result(engine);
     for (const auto& [id, model] : models_)
     {
-        auto spec = engine.models.find(id);
-        if (spec != engine.models.end())
-        {
-            sum += spec->second.weights_mb;
-            sum += static_cast<double>(model.adapters.size()) * spec->second.adapter_mb;
-        }
+        result.add(id, model.adapters.size());
     }
-    return sum;
-}
-
-int engine_controller::adapters() const
-{
-    std::size_t sum = 0;
-    for (const auto& [id, model] : models_)
-    {
-        sum += model.adapters.size();
-    }
-    return static_cast<int>(sum);
+    return result;
 }
 
 bool engine_controller::loading(instant now) const
@@ -391,14 +376,14 @@
     if (unloading_)
     {
         block(load_block::unloading);
-        auto load = load_model(next_model(now), env, now);
-        if (load.action != step::action_kind::none)
+        auto next = step_after_unload(engine, env, now);
+        if (next.action != step::action_kind::none)
         {
-            return load;
+            return next;
         }
-        // What waits for the weight store does not hold up adapters.
+        // What waits for the weight store or for more room does not hold up adapters.
         adapter_block_ = load_block::none;
-        return adapter_step(engine, now).value_or(load);
+        return adapter_step(engine, now).value_or(next);
     }
     if (auto next = adapter_step(engine, now))
     {
@@ -440,8 +425,7 @@
         return std::nullopt;
     }
     auto spec = engine.models.find(oldest->model);
-    double size = spec == engine.models.end() ? 0 : spec->second.adapter_mb;
-    if (adapters() < engine.adapter_slots && memory_used_mb(engine) + size <= engine.memory_mb)
+    if (spec != engine.models.end() && room(engine).fits_adapter(spec->second))
     {
         return step{.action = step::action_kind::order,
                     .order = {.action = load_order::action_kind::load,
@@ -479,27 +463,76 @@
                 .recheck_at = {}};
 }
 
-model_id engine_controller::next_model(instant now) const
+std::optional<model_id> engine_controller::next_model(const engine_spec& engine, instant now) const
 {
+    const auto available = room(engine);
+    auto fits = [&](const model_id& model)
+    {
+        auto spec = engine.models.find(model);
+        return spec != engine.models.end() && !models_.contains(model) &&
+               available.fits_after(*unloading_, spec->second);
+    };
+    bool planned_fits = fits(after_unload_);
     const model_target* oldest = nullptr;
     instant oldest_at = now;
     bool oldest_is_local = false;
     for (const auto& [target, request] : load_requests_)
     {
-        if (target.model == after_unload_)
+        if (target.model == after_unload_ && planned_fits)
         {
             return after_unload_;
         }
         bool local = is_local(target.model);
         bool better = local != oldest_is_local ? local : request.first <= oldest_at;
-        if (!models_.contains(target.model) && better)
+        if (better && fits(target.model))
         {
             oldest = &target;
             oldest_at = request.first;
             oldest_is_local = local;
         }
     }
-    return oldest ? oldest->model : after_unload_;
+    return oldest         ? std::optional(oldest->model)
+           : planned_fits ? std::optional(after_unload_)
+                          : std::nullopt;
+}
+
+engine_controller::step engine_controller::step_after_unload(const engine_spec& engine,
+                                                             const context& env, instant now)
+{
+    if (auto next = next_model(engine, now))
+    {
+        return load_model(*next, env, now);
+    }
+    step nothing{.action = step::action_kind::none,
+                 .order = {},
+                 .recheck_at = now + options_.conflict_backoff};
+    const auto* oldest = oldest_request(engine, env, false);
+    if (!oldest)
+    {
+        // Nothing is to follow, so only a report shows when the unload is complete.
+        orders_accepted_.reset();
+        report_at_ = now + options_.report_lag;
+        return nothing;
+    }
+    // The room is still too small. The engine accepts the next unload once this one is complete.
+    auto waited = std::chrono::floor<milliseconds>(now - oldest->second.first);
+    auto evicted = choose_eviction(engine, oldest->first.model, env, waited, now);
+    if (!evicted)
+    {
+        return nothing;
+    }
+    after_unload_ = oldest->first.model;
+    return unload_model(*evicted);
+}
+
+engine_controller::step engine_controller::unload_model(const model_id& model) const
+{
+    return {.action = step::action_kind::order,
+            .order = {.action = load_order::action_kind::unload,
+                      .model = model,
+                      .adapter = {},
+                      .expected_orders = *orders_accepted_},
+            .recheck_at = {}};
 }
 
 const std::pair<const model_target, engine_controller::load_request>*
@@ -549,12 +582,12 @@
 engine_controller::place_model(const model_id& model, const load_request& request,
                                const engine_spec& engine, const context& env, instant now)
 {
-    if (memory_used_mb(engine) + engine.models.at(model).weights_mb <= engine.memory_mb)
+    if (room(engine).fits(engine.models.at(model)))
     {
         return acquire_load(model, env) ? std::optional(load_model(model, env, now)) : std::nullopt;
     }
     auto waited = std::chrono::floor<milliseconds>(now - request.first);
-    auto evicted = choose_eviction(env, waited, now);
+    auto evicted = choose_eviction(engine, model, env, waited, now);
     if (!evicted)
     {
         model_block_ = load_block::no_victim;
@@ -569,24 +602,19 @@
     }
     // Other hosts must stop sending requests for this model before the order is sent.
     after_unload_ = model;
-    return step{.action = step::action_kind::order,
-                .order = {.action = load_order::action_kind::unload,
-                          .model = *evicted,
-                          .adapter = {},
-                          .expected_orders = *orders_accepted_},
-                .recheck_at = {}};
+    return unload_model(*evicted);
 }
 
-std::optional<model_id> engine_controller::choose_eviction(const context& env, milliseconds waited,
+std::optional<model_id> engine_controller::choose_eviction(const engine_spec& engine,
+                                                           const model_id& wanted,
+                                                           const context& env, milliseconds waited,
                                                            instant now) const
 {
-    std::optional<model_id> best;
     if (now - owner_since_ < options_.usage_warmup)
     {
-        return best;
+        return std::nullopt;
     }
-    double least = std::numeric_limits<double>::max();
-    milliseconds wait{0};
+    std::vector<eviction_candidate> candidates;
     for (const auto& [id, model] : models_)
     {
         if (model.unloading || model.ready_at + options_.min_residency > now)
@@ -597,18 +625,19 @@
         bool redundant = env.count_other_replicas(id) > 0;
         double worth = rate(id, now) + running_request_worth * busy;
         worth *= redundant ? redundant_factor : 1;
-        if (worth < least)
-        {
-            least = worth;
-            best = id;
-            // A busy model with less worth than the others is waited for rather than passed over:
-            // unloading one with more requests would block the engine for longer.
-            wait = busy == 0   ? milliseconds(0)
-                   : redundant ? options_.busy_eviction_delay
-                               : 3 * options_.busy_eviction_delay;
-        }
+        // A busy model with less worth than the others is waited for rather than passed over:
+        // unloading one with more requests would block the engine for longer.
+        auto wait = busy == 0   ? milliseconds(0)
+                    : redundant ? options_.busy_eviction_delay
+                                : 3 * options_.busy_eviction_delay;
+        candidates.push_back({.model = id, .worth = worth, .wait = wait});
     }
-    return waited < wait ? std::nullopt : best;
+    auto evicted = cheapest_eviction(room(engine), engine.models.at(wanted), unloading_,
+                                     std::move(candidates));
+    bool may_evict = !evicted.empty() &&
+                     std::all_of(evicted.begin(), evicted.end(),
+                                 [&](const eviction_candidate& it) { return waited >= it.wait; });
+    return may_evict ? std::optional(evicted.front().model) : std::nullopt;
 }
 
 bool engine_controller::acquire_load(const model_id& model, const context& env)
@@ -709,16 +738,16 @@
             models_.erase(order.model);
             return;
         }
+        complete_unload();
         unloading_ = order.model;
         unload_began_at_ = now;
         orders_with_unload_ = orders_accepted_.value_or(0);
         models_[order.model].unloading = true;
         return;
     }
-    if (unloading_)
+    if (response == order_response::accepted)
     {
-        models_.erase(*unloading_);
-        unloading_.reset();
+        complete_unload();
     }
     store_load_for_.reset();
     auto& model = models_[order.model];
@@ -732,6 +761,16 @@
                          : now + load_time(spec->second);
 }
 
+void engine_controller::complete_unload()
+{
+    // The engine carries out one order at a time, so it accepts the next one only then.
+    if (unloading_)
+    {
+        models_.erase(*unloading_);
+        unloading_.reset();
+    }
+}
+
 server_placement engine_controller::placement(const engine_spec& engine, instant now) const
 {
     server_placement report;
@@ -768,13 +807,11 @@
         report.models.emplace(
             after_unload_, held_model{.ready_at = now + typical_unload + load_time(next->second)});
     }
-    report.adapter_room = idle_adapter || adapters() < engine.adapter_slots;
-    double largest = 0;
-    for (const auto& [id, spec] : engine.models)
-    {
-        largest = std::max(largest, spec.weights_mb);
-    }
-    bool room = any_idle || memory_used_mb(engine) + largest <= engine.memory_mb;
+    const auto available = room(engine);
+    report.adapter_room = idle_adapter || available.has_adapter_slot();
+    bool has_room =
+        any_idle || std::all_of(engine.models.begin(), engine.models.end(),
+                                [&](const auto& it) { return available.fits(it.second); });
     if (unloading_)
     {
         // An unload lasts until the model's requests have ended: it is expected to take as long
@@ -782,7 +819,7 @@
         auto unload_left = std::chrono::ceil<milliseconds>(now - unload_began_at_);
         report.next_load_at += std::max(busy_room, unload_left);
     }
-    else if (!room || !orders_accepted_)
+    else if (!has_room || !orders_accepted_)
     {
         report.next_load_at += busy_room;
     }
--- a/src/coordination/engine_controller.hpp
+++ b/src/coordination/engine_controller.hpp
@@ -18,6 +18,7 @@
 #include <vector>
 
 #include "coordination/backend_table.hpp"
+#include "coordination/engine_room.hpp"
 #include "state/clock.hpp"
 
 namespace banyanshunt
@@ -228,9 +229,16 @@
     /// weight store that it needs cannot be acquired.
     std::optional<step> place_model(const model_id& model, const load_request& request,
                                     const engine_spec& engine, const context& env, instant now);
-    std::optional<model_id> choose_eviction(const context& env, milliseconds waited,
+    /// The first model to unload so that `wanted` fits; nothing if none may be unloaded yet.
+    std::optional<model_id> choose_eviction(const engine_spec& engine, const model_id& wanted,
+                                            const context& env, milliseconds waited,
                                             instant now) const;
-    model_id next_model(instant now) const;
+    /// The model to load into the room that the unload in progress gives, if one fits there.
+    std::optional<model_id> next_model(const engine_spec& engine, instant now) const;
+    step step_after_unload(const engine_spec& engine, const context& env, instant now);
+    step unload_model(const model_id& model) const;
+    /// Frees the room of the model that was being unloaded.
+    void complete_unload();
     /// The load request that has waited longest for a model which the engine does not hold and no
     /// other server is about to; with `local_only`, only for a model in its memory or on its disk.
     const std::pair<const model_target, load_request>*
@@ -243,8 +251,8 @@
     /// acquired for it.
     bool acquire_load(const model_id& model, const context& env);
     step load_model(const model_id& model, const context& env, instant now);
-    double memory_used_mb(const engine_spec& engine) const;
-    int adapters() const;
+    /// The room on the engine. What is being loaded or unloaded, or may be, occupies room.
+    engine_room room(const engine_spec& engine) const;
     int running(const model_target& target, instant now) const;
     int running_model(const model_id& model, instant now) const;
     double rate(const model_id& model, instant now) const;
