Memory: bodies, trailers and connections of callers are bounded

Cause: nothing counted what callers make a host hold. Trailers, their lines and extensions of chunks were read without end; each body was held twice, and limits.memory_mb and limits.max_fds were read and used by nothing; each open connection kept a descriptor. A write to a closed log ended the process. Callers that read nothing for 3 s were cut off. Open connections kept the limits of the configuration in force before they waited. Change: memory_budget reserves bodies as they arrive, fair over workspaces, and refuses with 503 what does not fit; what comes behind a body may be as long as a head; connection_limit closes connections that are awaited longest; a body is sent from where it is held; SIGPIPE is ignored; callers have 15 s; the limits are read when a request begins.

--- a/programs/shunt_serve.cpp
+++ b/programs/shunt_serve.cpp
@@ -5,6 +5,8 @@
 #include <iostream>
 #include <sstream>
 
+#include <malloc.h>
+
 #include <gflags/gflags.h>
 
 #include "platform/headers.hpp"
@@ -39,6 +41,12 @@
 {
     // A reload that is requested before the settings are read is no reason to end.
     std::signal(SIGHUP, SIG_IGN);
+    // The reader of the log may end before the host does.
+    std::signal(SIGPIPE, SIG_IGN);
+    // Keeps bodies out of the heap, so that their memory goes back when they are released: by
+    // default the threshold grows to the largest body.
+    constexpr int mapped_bytes = 128 * 1024;
+    mallopt(M_MMAP_THRESHOLD, mapped_bytes);
     gflags::SetUsageMessage("serves callers on the prepared platform");
     gflags::ParseCommandLineFlags(&argc, &argv, true);
     std::string path = settings_path();
--- a/src/serve/active_request.cpp
+++ b/src/serve/active_request.cpp
@@ -36,9 +36,10 @@
 } // namespace
 
 active_request::active_request(host_context& context, std::shared_ptr<caller_connection> caller,
-                               caller_request request)
+                               caller_request request, memory_reservation memory)
     : context_(context), caller_(std::move(caller)), request_(std::move(request)),
-      arrived_(context.now()), deadline_timer_(caller_->stream.get_executor()),
+      memory_(std::move(memory)), arrived_(context.now()),
+      deadline_timer_(caller_->stream.get_executor()),
       inactivity_timer_(caller_->stream.get_executor())
 {
     for (const auto& field : request_)
--- a/src/serve/active_request.hpp
+++ b/src/serve/active_request.hpp
@@ -29,8 +29,9 @@
 class active_request : public std::enable_shared_from_this<active_request>
 {
 public:
+    /// `memory` is reserved for the request's body.
     active_request(host_context& context, std::shared_ptr<caller_connection> caller,
-                   caller_request request);
+                   caller_request request, memory_reservation memory);
 
     /// Runs the request to its final response. Returns whether the caller's connection may carry
     /// another request.
@@ -164,7 +165,7 @@
     attempt_result judge_refused(server_exchange& exchange);
     task<void> finish(attempt_result end);
     task<bool> refuse(refusal cause);
-    std::string server_request(const server_id& server);
+    outgoing_request server_request(const server_id& server);
     std::string response_head(const server_exchange& exchange, std::optional<std::size_t> length);
     void start_timers();
     void schedule_inactivity_check();
@@ -190,6 +191,7 @@
     host_context& context_;
     std::shared_ptr<caller_connection> caller_;
     caller_request request_;
+    memory_reservation memory_;
     platform::caller_fields fields_;
     instant arrived_;
     instant deadline_;
--- a/src/serve/caller_connection.cpp
+++ b/src/serve/caller_connection.cpp
@@ -1,5 +1,7 @@
 #include "serve/caller_connection.hpp"
 
+#include <array>
+
 #include <sys/socket.h>
 
 #include <boost/asio/write.hpp>
@@ -62,6 +64,20 @@
     co_return !ec;
 }
 
+task<void> caller_connection::drain(milliseconds max_time)
+{
+    boost::system::error_code ec;
+    stream.socket().shutdown(tcp::socket::shutdown_send, ec);
+    std::array<char, 16384> dropped;
+    stream.expires_after(max_time);
+    while (!ec)
+    {
+        auto [read_ec, n] = co_await stream.async_read_some(asio::buffer(dropped), as_result);
+        ec = read_ec;
+    }
+    closed = true;
+}
+
 void caller_connection::abort()
 {
     boost::system::error_code ec;
--- a/src/serve/caller_connection.hpp
+++ b/src/serve/caller_connection.hpp
@@ -20,7 +20,7 @@
 public:
     explicit caller_connection(tcp::socket socket) : stream(std::move(socket))
     {
-        set_socket_options(stream.socket());
+        set_socket_options(stream.socket(), caller_unacknowledged);
     }
 
     /// Calls `on_close` once if the caller closes its connection before `unwatch`.
@@ -31,6 +31,10 @@
     /// Closes the connection so that an unfinished response does not look complete.
     void abort();
 
+    /// Drops what the caller still sends behind a refused request, until it ends its side or the
+    /// time has passed, so that a reset does not overtake the refusal.
+    task<void> drain(milliseconds max_time);
+
     boost::beast::tcp_stream stream;
     boost::beast::flat_buffer buffer;
     bool closed = false;
--- a/src/serve/caller_session.cpp
+++ b/src/serve/caller_session.cpp
@@ -1,6 +1,7 @@
 #include "serve/caller_session.hpp"
 
 #include <algorithm>
+#include <utility>
 
 #include <boost/beast/http.hpp>
 #include <fmt/format.h>
@@ -20,6 +21,11 @@
 /// Idle timeout of the load balancer's connection; the balancer checks once a second.
 constexpr milliseconds ready_idle_timeout{5000};
 
+caller_limits limits_of(const host_context& context)
+{
+    return context.config ? context.config->limits : caller_limits();
+}
+
 int status_of(boost::system::error_code ec)
 {
     if (ec == http::error::body_limit)
@@ -33,6 +39,13 @@
     return 400;
 }
 
+/// How long the rest of a refused request is read.
+constexpr milliseconds drain_time{500};
+/// What a head or a line of a chunk may need in the buffer beside the limit on heads, in bytes.
+constexpr std::size_t buffer_margin = 16384;
+/// Retry-After of a request that does not fit the memory: bodies are held for about a second.
+constexpr const char* memory_retry_after = "0.50";
+
 task<void> refuse_bad_request(caller_connection& caller, int status, host_context& context)
 {
     context.log.write("bad_request", "status={}", status);
@@ -43,6 +56,25 @@
     co_await caller.write(text);
 }
 
+/// Refuses a request before it was read completely, so that it has not run.
+task<void> refuse_for_memory(caller_connection& caller, host_context& context, std::size_t bytes)
+{
+    if (!std::exchange(context.memory_short_logged, true))
+    {
+        context.log.write("memory_short", "held_bytes={} budget_bytes={}", context.bodies.held(),
+                          context.bodies.total());
+    }
+    context.stats.increment("banyanshunt_memory_refusals_total");
+    context.log.write("request_refused_for_memory", "body_bytes={}", bytes);
+    constexpr std::string_view body = R"({"error":{"reason":"memory","run":"not_run"}})";
+    std::string text = fmt::format("HTTP/1.1 503 Service Unavailable\r\nContent-Type: "
+                                   "application/json\r\nContent-Length: {}\r\nRetry-After: {}\r\n"
+                                   "Connection: close\r\n\r\n{}",
+                                   body.size(), memory_retry_after, body);
+    co_await caller.write(text);
+    co_await caller.drain(drain_time);
+}
+
 /// How long a connection may be idle. Once the balancer has noticed a stop, a caller loses nothing
 /// if its connection is closed after a response: its next request goes to another host at once.
 milliseconds max_idle_time(const host_context& context, const caller_connection& caller,
@@ -58,7 +90,7 @@
 }
 
 /// Waits until a request begins; false if the connection was closed or idle for too long.
-task<bool> await_request(host_context& context, caller_connection& caller, milliseconds limit)
+task<bool> await_request(host_context& context, caller_connection& caller)
 {
     if (caller.buffer.size() > 0)
     {
@@ -77,7 +109,8 @@
                                       });
     while (!ended)
     {
-        auto idle_limit = max_idle_time(context, caller, limit);
+        // By the configuration of that moment, which may have changed during the wait.
+        auto idle_limit = max_idle_time(context, caller, limits_of(context).idle_timeout);
         if (context.now() - since > idle_limit)
         {
             boost::system::error_code ec;
@@ -89,56 +122,189 @@
     co_return ready;
 }
 
+using caller_parser = http::request_parser<http::string_body>;
+
+/// The workspace of a request by its key; empty if it has none that is known.
+workspace_id workspace_of(const host_context& context, const caller_parser& parser)
+{
+    platform::caller_fields fields;
+    for (const auto& field : parser.get())
+    {
+        platform::read_caller_field({field.name_string().data(), field.name_string().size()},
+                                    {field.value().data(), field.value().size()}, fields);
+    }
+    auto owner = context.config ? context.config->key_owner.find(fields.api_key)
+                                : std::unordered_map<std::string, workspace_id>::const_iterator();
+    bool known = context.config && owner != context.config->key_owner.end();
+    return known ? owner->second : workspace_id();
+}
+
+/// How the reading of a request ended.
+struct read_result
+{
+    boost::system::error_code ec;
+    /// The host has no memory for the body.
+    bool no_memory = false;
+};
+
+/// Reads the body and the trailer. What a caller adds to the body, extensions of chunks and the
+/// trailer, may be as long as a head.
+task<read_result> read_body(caller_connection& caller, caller_parser& parser,
+                            const caller_limits& limits, memory_reservation& memory)
+{
+    bool in_trailer = false;
+    std::uint64_t extension_bytes = 0;
+    auto on_chunk =
+        [&](std::uint64_t size, boost::beast::string_view extensions, boost::system::error_code& ec)
+    {
+        in_trailer = size == 0;
+        extension_bytes += extensions.size();
+        if (extension_bytes > limits.header_bytes)
+        {
+            ec = http::error::header_limit;
+        }
+    };
+    parser.on_chunk_header(on_chunk);
+    std::uint64_t trailer_bytes = 0;
+    while (!parser.is_done())
+    {
+        auto [ec, n] =
+            co_await http::async_read_some(caller.stream, caller.buffer, parser, as_result);
+        if (ec)
+        {
+            co_return read_result{.ec = ec};
+        }
+        trailer_bytes += in_trailer ? n : 0;
+        if (!parser.is_done() && in_trailer &&
+            trailer_bytes + caller.buffer.size() > limits.header_bytes)
+        {
+            co_return read_result{.ec = http::error::header_limit};
+        }
+        if (!memory.grow_to(parser.get().body().capacity()))
+        {
+            co_return read_result{.ec = {}, .no_memory = true};
+        }
+    }
+    co_return read_result();
+}
+
+/// Closes connections of callers that are awaited while too many are open.
+void close_excess_connections(host_context& context)
+{
+    while (auto number = context.callers.excess())
+    {
+        auto found = context.caller_connections.find(*number);
+        auto connection =
+            found == context.caller_connections.end() ? nullptr : found->second.lock();
+        context.callers.remove(*number);
+        context.caller_connections.erase(*number);
+        context.stats.increment("banyanshunt_excess_connections_total");
+        if (connection)
+        {
+            connection->abort();
+        }
+    }
+}
+
+/// Counts a connection from here on until it is destroyed.
+class counted_connection
+{
+public:
+    counted_connection(host_context& context, const std::shared_ptr<caller_connection>& it)
+        : context_(context), number_(context.callers.add())
+    {
+        context_.caller_connections.emplace(number_, it);
+        close_excess_connections(context_);
+    }
+    ~counted_connection()
+    {
+        context_.callers.remove(number_);
+        context_.caller_connections.erase(number_);
+    }
+    counted_connection(const counted_connection&) = delete;
+    counted_connection& operator=(const counted_connection&) = delete;
+
+    void begin_request() { context_.callers.begin_request(number_); }
+    void end_request() { context_.callers.end_request(number_); }
+
+private:
+    host_context& context_;
+    connection_number number_;
+};
+
+/// Reads the next request into `parser`; false if the connection is to be closed.
+task<bool> read_request(host_context& context, caller_connection& caller, caller_parser& parser,
+                        memory_reservation& memory)
+{
+    const caller_limits limits = limits_of(context);
+    parser.header_limit(static_cast<std::uint32_t>(limits.header_bytes));
+    parser.body_limit(limits.body_bytes);
+    caller.buffer.max_size(std::max(limits.header_bytes + buffer_margin, caller.buffer.size()));
+    caller.stream.expires_after(limits.header_timeout);
+    auto [head_ec, n] =
+        co_await http::async_read_header(caller.stream, caller.buffer, parser, as_result);
+    read_result result{.ec = head_ec};
+    if (!result.ec)
+    {
+        memory = memory_reservation(context.bodies, workspace_of(context, parser));
+        if (parser.get()[http::field::expect] == "100-continue")
+        {
+            co_await caller.write("HTTP/1.1 100 Continue\r\n\r\n");
+        }
+        caller.stream.expires_after(limits.idle_timeout);
+        result = co_await read_body(caller, parser, limits, memory);
+    }
+    caller.stream.expires_never();
+    if (result.no_memory)
+    {
+        co_await refuse_for_memory(caller, context, parser.get().body().size());
+        co_return false;
+    }
+    auto ec = result.ec;
+    bool is_http_error = ec.category() == http::make_error_code(http::error::bad_method).category();
+    if (ec && is_http_error && ec != http::error::end_of_stream &&
+        ec != http::error::partial_message)
+    {
+        co_await refuse_bad_request(caller, status_of(ec), context);
+    }
+    co_return !ec;
+}
+
 } // namespace
 
 task<void> serve_caller(host_context& context, tcp::socket socket)
 {
     auto caller = std::make_shared<caller_connection>(std::move(socket));
+    counted_connection counted(context, caller);
     while (!caller->closed)
     {
-        const caller_limits limits = context.config ? context.config->limits : caller_limits();
-        if (!co_await await_request(context, *caller, limits.idle_timeout))
+        if (!co_await await_request(context, *caller))
         {
             break;
         }
         ++context.requests_arriving;
-        http::request_parser<http::string_body> parser;
-        parser.header_limit(static_cast<std::uint32_t>(limits.header_bytes));
-        parser.body_limit(limits.body_bytes);
-        caller->stream.expires_after(limits.header_timeout);
-        auto [head_ec, n] =
-            co_await http::async_read_header(caller->stream, caller->buffer, parser, as_result);
-        if (!head_ec && parser.get()[http::field::expect] == "100-continue")
-        {
-            co_await caller->write("HTTP/1.1 100 Continue\r\n\r\n");
-        }
-        auto ec = head_ec;
-        if (!ec)
-        {
-            caller->stream.expires_after(limits.idle_timeout);
-            auto [body_ec, m] =
-                co_await http::async_read(caller->stream, caller->buffer, parser, as_result);
-            ec = body_ec;
-        }
-        caller->stream.expires_never();
+        caller_parser parser;
+        memory_reservation memory;
+        bool read = co_await read_request(context, *caller, parser, memory);
         --context.requests_arriving;
-        if (ec)
+        if (!read)
         {
-            bool is_http_error =
-                ec.category() == http::make_error_code(http::error::bad_method).category();
-            if (is_http_error && ec != http::error::end_of_stream &&
-                ec != http::error::partial_message)
-            {
-                co_await refuse_bad_request(*caller, status_of(ec), context);
-            }
             break;
         }
         ++caller->requests;
-        auto active = std::make_shared<active_request>(context, caller, parser.release());
+        counted.begin_request();
+        if (caller->buffer.size() == 0)
+        {
+            // An idle connection holds no more than it needs.
+            caller->buffer.shrink_to_fit();
+        }
+        auto active =
+            std::make_shared<active_request>(context, caller, parser.release(), std::move(memory));
         if (!co_await active->run())
         {
             break;
         }
+        counted.end_request();
     }
     boost::system::error_code ec;
     caller->stream.socket().shutdown(tcp::socket::shutdown_send, ec);
@@ -186,6 +352,10 @@
     context.stats.set("banyanshunt_repeats", static_cast<double>(counters.retries));
     context.stats.set("banyanshunt_resumed_streams", static_cast<double>(counters.resumed));
     context.stats.set("banyanshunt_orders", static_cast<double>(counters.orders));
+    context.stats.set("banyanshunt_body_bytes_held", static_cast<double>(context.bodies.held()));
+    context.stats.set("banyanshunt_body_bytes_budget", static_cast<double>(context.bodies.total()));
+    context.stats.set("banyanshunt_caller_connections",
+                      static_cast<double>(context.callers.open()));
     context.stats.set("banyanshunt_loans", static_cast<double>(counters.loans));
     context.stats.set("banyanshunt_log_lines_dropped", static_cast<double>(context.log.dropped()));
     context.stats.set("banyanshunt_hosts", static_cast<double>(context.host_count));
--- a/src/serve/host_context.hpp
+++ b/src/serve/host_context.hpp
@@ -5,6 +5,7 @@
 /// only.
 
 #include <functional>
+#include <limits>
 #include <map>
 #include <memory>
 #include <optional>
@@ -12,6 +13,8 @@
 #include <set>
 
 #include "coordination/backend_table.hpp"
+#include "coordination/connection_limit.hpp"
+#include "coordination/memory_budget.hpp"
 #include "coordination/planned_stop.hpp"
 #include "coordination/prompt_quarantine.hpp"
 #include "coordination/random_source.hpp"
@@ -102,7 +105,32 @@
     std::optional<instant> requested_at;
 };
 
+/// The memory for bodies; the other part of a host's memory is for the process itself, connections,
+/// responses and tables. No bound if the settings state no memory.
+inline std::size_t body_budget(const host_settings& settings)
+{
+    constexpr double body_fraction = 0.4;
+    constexpr double bytes_per_mb = 1024.0 * 1024.0;
+    return settings.memory_mb == 0
+               ? std::numeric_limits<std::size_t>::max() / 2
+               : static_cast<std::size_t>(body_fraction * bytes_per_mb *
+                                          static_cast<double>(settings.memory_mb));
+}
+
+/// How many connections of callers are kept open: each request in progress also has one to a
+/// server, and the platform reserves 200 descriptors for files. No bound if the settings state
+/// none.
+inline std::size_t max_caller_connections(const host_settings& settings)
+{
+    constexpr std::size_t reserved_descriptors = 200;
+    std::size_t all = settings.max_descriptors;
+    return all == 0                         ? std::numeric_limits<std::size_t>::max()
+           : all < 2 * reserved_descriptors ? all / 4
+                                            : (all - reserved_descriptors) / 2;
+}
+
 class active_request;
+class caller_connection;
 
 struct host_context
 {
@@ -262,6 +290,12 @@
     /// Requests a call that confirms the server list.
     std::function<void()> refresh_server_list = [] {};
     backend_table servers;
+    /// Bodies of requests, from their first byte to the end of the request.
+    memory_budget bodies{body_budget(settings)};
+    /// Whether it was logged that the budget is short.
+    bool memory_short_logged = false;
+    connection_limit callers{max_caller_connections(settings)};
+    std::map<connection_number, std::weak_ptr<caller_connection>> caller_connections;
     prompt_quarantine quarantine;
     /// Servers of which it is being found out whether they have ended, with the parts of the
     /// requests that they had not begun to answer when their connections ended.
--- a/src/serve/order_controller.cpp
+++ b/src/serve/order_controller.cpp
@@ -545,7 +545,8 @@
     std::string text = platform::encode_report_request(server, known->entry.address);
     server_exchange exchange(context_, server);
     exchange_deadline deadline(exchange, context_.executor, order_timeout);
-    auto state = co_await exchange.send([&] { return std::optional(text); }, request_id());
+    auto state = co_await exchange.send(
+        [&] { return std::optional(outgoing_request{.head = text}); }, request_id());
     bool adopted = false;
     if (state == exchange_state::responded)
     {
@@ -583,7 +584,7 @@
         {
             bool may_send = !held->ended && may_order(held->partition, context_.now()) &&
                             partitions_.at(held->partition).fence == fence;
-            return may_send ? std::optional(text) : std::nullopt;
+            return may_send ? std::optional(outgoing_request{.head = text}) : std::nullopt;
         },
         request_id());
     if (state != exchange_state::responded)
--- a/src/serve/request_attempt.cpp
+++ b/src/serve/request_attempt.cpp
@@ -34,7 +34,7 @@
 
 } // namespace
 
-std::string active_request::server_request(const server_id& server)
+outgoing_request active_request::server_request(const server_id& server)
 {
     std::string text = fmt::format(
         "{} {} HTTP/1.1\r\n",
@@ -68,8 +68,7 @@
         fmt::format_to(std::back_inserter(text), "Content-Length: {}\r\n", request_.body().size());
     }
     text += "\r\n";
-    text += request_.body();
-    return text;
+    return {.head = std::move(text), .body = request_.body()};
 }
 
 std::string active_request::response_head(const server_exchange& exchange,
--- a/src/serve/server_exchange.cpp
+++ b/src/serve/server_exchange.cpp
@@ -86,8 +86,9 @@
     received_at_ = sent_at_ = context_.now();
     written_at_ = sent_at_;
     servers_age_ = context_.servers_age(sent_at_);
-    auto [ec, n] =
-        co_await asio::async_write(connection_->stream.socket(), asio::buffer(*request), as_result);
+    std::array<asio::const_buffer, 2> parts{
+        asio::buffer(request->head), asio::buffer(request->body.data(), request->body.size())};
+    auto [ec, n] = co_await asio::async_write(connection_->stream.socket(), parts, as_result);
     if (ec)
     {
         record_end(ec);
--- a/src/serve/server_exchange.hpp
+++ b/src/serve/server_exchange.hpp
@@ -34,6 +34,14 @@
     no_response,
 };
 
+/// A request as it is sent. Its body may be large and is kept for a repeat, so it is not copied.
+struct outgoing_request
+{
+    std::string head;
+    /// Valid until the exchange ends.
+    std::string_view body = {};
+};
+
 class server_exchange
 {
 public:
@@ -42,10 +50,10 @@
     {
     }
 
-    /// Makes the complete request with its head, or nothing if it must not be sent. Called when the
+    /// Makes the request, or nothing if it must not be sent. Called when the
     /// connection is established, right before the first byte is sent, because what the request
     /// states and rests on may have changed since the server was chosen.
-    using request_source = std::function<std::optional<std::string>()>;
+    using request_source = std::function<std::optional<outgoing_request>()>;
 
     /// Sends a request and reads the head of the response to `id`, which is empty for a call that
     /// has no id. Responses that are not proven to be this one are read and dropped.
--- a/src/transport/loop/event_loop.cpp
+++ b/src/transport/loop/event_loop.cpp
@@ -11,15 +11,6 @@
 namespace banyanshunt
 {
 
-namespace
-{
-
-/// How long sent bytes may stay unacknowledged before a connection counts as dead. An unresponsive
-/// peer delays a request by this long at most; it exceeds the retransmissions of a lossy link.
-constexpr unsigned unacknowledged_ms = 3000;
-
-} // namespace
-
 task<void> pause(nanoseconds length)
 {
     asio::steady_timer timer(co_await asio::this_coro::executor);
@@ -57,14 +48,14 @@
     co_return ec == asio::error::connection_refused;
 }
 
-void set_socket_options(tcp::socket& socket)
+void set_socket_options(tcp::socket& socket, milliseconds unacknowledged)
 {
     boost::system::error_code ec;
     // Errors are ignored: without these options a connection still works, only with more delay or
     // slower detection of a dead peer.
     socket.set_option(tcp::no_delay(true), ec);
-    setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &unacknowledged_ms,
-               sizeof unacknowledged_ms);
+    auto limit_ms = static_cast<unsigned>(unacknowledged.count());
+    setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &limit_ms, sizeof limit_ms);
 }
 
 } // namespace banyanshunt
--- a/src/transport/loop/event_loop.hpp
+++ b/src/transport/loop/event_loop.hpp
@@ -44,8 +44,16 @@
 /// closes it at once; false if none is opened or refused before the timeout.
 task<bool> refuses_connections(endpoint_text address, milliseconds timeout);
 
+/// How long sent bytes may stay unacknowledged before a connection to a server or to the log counts
+/// as dead. An unresponsive peer delays a request by this long at most; it exceeds the
+/// retransmissions of a lossy link.
+inline constexpr milliseconds peer_unacknowledged{3000};
+/// The same for a caller, which may read slowly: a window that stays closed counts as well. As long
+/// as a caller's connection may usually be idle.
+inline constexpr milliseconds caller_unacknowledged{15000};
+
 /// Sets the options that each connection of an entry host has: no delay, and a limit on
 /// unacknowledged data that detects an unresponsive peer.
-void set_socket_options(tcp::socket& socket);
+void set_socket_options(tcp::socket& socket, milliseconds unacknowledged = peer_unacknowledged);
 
 } // namespace banyanshunt
