Registry: the log's order, evacuated domains, cold servers

Cause: entries of a server were ordered by its clock and its count. A start with the clock ahead, or one entry of another writer, outranked all later entries: a leaving was not believed (over 300 requests late), or a sound server was out of use until it started again. No code knew the evacuation of a failure domain. Each host sent to a cold server as to any: it got 30 requests in a second where 24.5 are allowed. Change: an entry read from the log replaces what was read before it; one whose service is not in the configuration changes nothing; a leaving is of one incarnation. The operator's record evacuate/DOMAIN takes the domain's servers out of every choice; one that the settings do not name is refused. A server whose entry says that it is cold is limited by the permits of limited servers, at a rate that keeps any second within the bound.

--- a/src/coordination/backend_table.cpp
+++ b/src/coordination/backend_table.cpp
@@ -56,34 +56,46 @@
            a.adapter_room == b.adapter_room && a.models == b.models && same_room;
 }
 
-bool backend_table::apply_entry(const backend_entry& entry, instant now)
+bool backend_table::apply_entry(const backend_entry& entry, instant now, log_offset offset)
 {
     auto [it, is_new] = servers_.try_emplace(entry.id);
     record& known = it->second;
-    if (entry.draining)
+    bool from_log = offset.count() > 0;
+    auto record_leaving = [&]
     {
-        notices_.record_leaving(entry.id,
-                                {.start_time_ms = entry.start_time_ms,
-                                 .source = notice_source::registry,
-                                 .stated_at = now},
-                                now);
-    }
+        if (entry.draining)
+        {
+            notices_.record_leaving(entry.id,
+                                    {.start_time_ms = entry.start_time_ms,
+                                     .source = notice_source::registry,
+                                     .stated_at = now},
+                                    now);
+        }
+    };
     if (is_new)
     {
         known.entry = entry;
         known.received_at = now;
         return true;
     }
-    if (entry.start_time_ms < known.entry.start_time_ms)
+    bool same_incarnation = entry.start_time_ms == known.entry.start_time_ms;
+    bool older = from_log ? offset < known.offset
+                          : entry.start_time_ms < known.entry.start_time_ms ||
+                                (same_incarnation && entry.sequence < known.entry.sequence);
+    if (older)
     {
         return false;
+        known.offset = offset;
+        known.newest_at = from_log ? now : instant::min();
     }
-    if (entry.start_time_ms == known.entry.start_time_ms &&
-        (entry.sequence < known.entry.sequence || (known.entry.draining && !entry.draining)))
+        record_leaving();
+    record_leaving();
+    known.offset = offset;
+    if (same_incarnation && known.entry.draining && !entry.draining)
     {
         return false;
     }
-    if (entry.start_time_ms > known.entry.start_time_ms)
+    if (!same_incarnation)
     {
         limits_.forget_earlier(entry.id, entry.start_time_ms);
         known.placement.reset();
@@ -92,6 +104,7 @@
         known.failure_ratio = 0;
         known.avoid_until = now;
     }
+        known.newest_at = from_log ? now : instant::min();
     known.entry = entry;
     known.removed = false;
     return true;
@@ -103,6 +116,21 @@
     if (it == servers_.end())
     {
         return;
+void backend_table::forget_offsets()
+{
+    for (auto& [id, it] : servers_)
+    {
+        it.offset = {};
+    }
+}
+
+bool backend_table::set_evacuated(std::set<domain_id> domains)
+{
+    bool changed = domains != evacuated_;
+    evacuated_ = std::move(domains);
+    return changed;
+}
+
     }
     if (it->second.running == 0)
     {
@@ -349,8 +377,8 @@
 bool backend_table::accepts(const server_id& server, std::int64_t start_time_ms, instant now) const
 {
     const auto* known = find(server);
-    return known && !leaves(*known) && known->entry.start_time_ms == start_time_ms &&
-           pause_left(*known, now).count() == 0;
+    return known && !leaves(*known) && !is_evacuated(*known) &&
+           known->entry.start_time_ms == start_time_ms && pause_left(*known, now).count() == 0;
 }
 
 void backend_table::expire_peer_loads(instant now)
@@ -409,15 +437,15 @@
 int backend_table::count_other_replicas(const server_id& server, const model_id& model,
                                         instant now) const
 {
-    return static_cast<int>(
-        std::count_if(servers_.begin(), servers_.end(),
-                      [&](const auto& it)
-                      {
-                          return it.first != server && !leaves(it.second) &&
-                                 pause_left(it.second, now).count() == 0 &&
-                                 it.second.avoid_until <= now && !limits_.in_force(it.first) &&
-                                 holds(it.second, {.model = model, .adapter = {}}, now);
-                      }));
+    return static_cast<int>(std::count_if(
+        servers_.begin(), servers_.end(),
+        [&](const auto& it)
+        {
+            return it.first != server && !leaves(it.second) && !is_evacuated(it.second) &&
+                   pause_left(it.second, now).count() == 0 && it.second.avoid_until <= now &&
+                   !limits_.in_force(it.first) &&
+                   holds(it.second, {.model = model, .adapter = {}}, now);
+        }));
 }
 
 int backend_table::active_store_loads(instant now) const
@@ -440,32 +468,34 @@
 bool backend_table::available_elsewhere(const server_id& server, const model_target& target,
                                         instant now) const
 {
-    return std::any_of(
-        servers_.begin(), servers_.end(),
-        [&](const auto& other)
-        {
-            const record& it = other.second;
-            if (other.first == server || leaves(it) || pause_left(it, now).count() > 0 ||
-                it.avoid_until > now || !placement_counts(it, now) || limits_.in_force(other.first))
-            {
-                return false;
-            }
-            auto held = it.placement->models.find(target.model);
-            if (held == it.placement->models.end() || held->second.unloading)
-            {
-                return false;
-            }
-            bool adapter_loadable = target.adapter.empty() ||
-                                    held->second.adapters.contains(target.adapter) ||
-                                    owner_wait(it, now).count() == 0;
-            return adapter_loadable &&
-                   (held->second.ready_at > now || (it.placement->adapter_room && has_room(it)));
-        });
+    return std::any_of(servers_.begin(), servers_.end(),
+                       [&](const auto& other)
+                       {
+                           const record& it = other.second;
+                           if (other.first == server || leaves(it) || is_evacuated(it) ||
+                               pause_left(it, now).count() > 0 || it.avoid_until > now ||
+                               !placement_counts(it, now) || limits_.in_force(other.first))
+                           {
+                               return false;
+                           }
+                           auto held = it.placement->models.find(target.model);
+                           if (held == it.placement->models.end() || held->second.unloading)
+                           {
+                               return false;
+                           }
+                           bool adapter_loadable = target.adapter.empty() ||
+                                                   held->second.adapters.contains(target.adapter) ||
+                                                   owner_wait(it, now).count() == 0;
+                           return adapter_loadable &&
+                                  (held->second.ready_at > now ||
+                                   (it.placement->adapter_room && has_room(it)));
+                       });
 }
 
 bool backend_table::usable(const record& it, const server_criteria& need) const
 {
-    return !leaves(it) && it.entry.service == need.service && !need.tried.contains(it.entry.id);
+    return !leaves(it) && !is_evacuated(it) && it.entry.service == need.service &&
+           !need.tried.contains(it.entry.id);
 }
 
 double backend_table::cost(const record& it, instant now) const
@@ -475,7 +505,8 @@
     sum += it.entry.domain == options_.own_domain ? 0 : cross_domain_cost;
     sum += it.avoid_until > now ? backoff_cost : 0;
     sum += it.entry.warmup_left.count() > 0 ? cross_domain_cost : 0;
-    sum += limits_.is_fresh(it.entry.id, now) ? limited_cost : 0;
+    bool limited = limits_.is_fresh(it.entry.id, now) || limits_.cold().contains(it.entry.id);
+    sum += limited ? limited_cost : 0;
     return sum;
 }
 
--- a/src/coordination/backend_table.hpp
+++ b/src/coordination/backend_table.hpp
@@ -170,6 +170,10 @@
         std::map<model_target, int> running_by_target;
         /// When own requests were last seen running there by a report.
         instant last_running_at;
+        /// The entry's offset in the log; 0 if it is not known.
+        log_offset offset;
+        /// When the log showed that this incarnation is the server's newest, if it did.
+        instant newest_at = instant::min();
         /// Own requests since the last report to the host that owns the server's engine.
         std::map<model_target, int> requests_since_report;
         struct peer_load
@@ -199,8 +203,15 @@
         bool removed = false;
     };
 
-    /// Applies a server's entry; returns false for one older than the known one.
-    bool apply_entry(const backend_entry& entry, instant now);
+    /// Applies a server's entry; returns false for one older than the known one. The log's order
+    /// tells which is newer, `offset`, where it is known for both. Otherwise the entry's start time
+    /// and sequence do, which another writer, or a clock that was wrong, can put ahead.
+    bool apply_entry(const backend_entry& entry, instant now, log_offset offset = {});
+    /// Forgets the offsets of entries, before a complete read of the registry.
+    void forget_offsets();
+    /// Sets the failure domains whose servers get no requests; returns whether that changed.
+    bool set_evacuated(std::set<domain_id> domains);
+    const std::set<domain_id>& evacuated() const { return evacuated_; }
     void remove(const server_id& server);
     /// Applies a placement and the owner that it names.
     void apply_placement(const server_id& server, server_placement placement);
@@ -245,7 +256,7 @@
     bool leaves(const record& it) const
     {
         return it.removed || it.entry.draining ||
-               notices_.leaving(it.entry.id, it.entry.start_time_ms);
+               notices_.leaving(it.entry.id, it.entry.start_time_ms, it.newest_at);
     }
     /// How long the server still wants no requests from this host.
     nanoseconds pause_left(const record& it, instant now) const
@@ -254,6 +265,8 @@
     }
     const std::map<server_id, record>& servers() const { return servers_; }
     std::map<server_id, record>& servers() { return servers_; }
+    /// Whether its failure domain is being evacuated.
+    bool is_evacuated(const record& it) const { return evacuated_.contains(it.entry.domain); }
     /// How many named targets of own requests are kept, over all servers.
     std::size_t count_targets() const;
     const server_limits& limits() const { return limits_; }
@@ -330,3 +343,4 @@
 };
 
 } // namespace banyanshunt
+    std::set<domain_id> evacuated_;
--- a/src/coordination/engine_controller.cpp
+++ b/src/coordination/engine_controller.cpp
@@ -88,11 +88,13 @@
 
 void engine_controller::update(const backend_entry& entry, instant now)
 {
-    if (entry.start_time_ms < entry_.start_time_ms || entry == entry_)
+    if (entry == entry_)
     {
         return;
     }
-    bool restarted = entry.start_time_ms > entry_.start_time_ms;
+    // The table of servers holds the newest incarnation, whose clock may be behind that of an
+    // earlier one.
+    bool restarted = entry.start_time_ms != entry_.start_time_ms;
     entry_ = entry;
     if (restarted)
     {
--- a/src/coordination/server_limits.cpp
+++ b/src/coordination/server_limits.cpp
@@ -17,6 +17,17 @@
 
 } // namespace
 
+millirequests_per_second cold_permit_rate(double allowed, double per_s)
+{
+    // What permits add to their rate within a second, as fractions of it: the burst of a schedule,
+    // and the validity of a permit.
+    constexpr double burst = 0.25;
+    constexpr double validity = 0.5;
+    double rate = std::min(per_s, (allowed - 1) / (1 + burst + validity));
+    return millirequests_per_second(
+        static_cast<std::int64_t>(std::max(rate, 0.0) * millirequests_per_request));
+}
+
 limit_change server_limits::record_response(const server_id& server, std::int64_t start_time_ms,
                                             std::optional<millirequests_per_second> rate,
                                             response_match match, instant sent_at, instant now)
@@ -71,16 +82,27 @@
 void server_limits::forget_earlier(const server_id& server, std::int64_t start_time_ms)
 {
     auto it = statements_.find(server);
-    if (it != statements_.end() && it->second.start_time_ms < start_time_ms)
+    if (it != statements_.end() && it->second.start_time_ms != start_time_ms)
     {
         statements_.erase(it);
         shown_rates_.erase(server);
     }
+    auto cold = cold_.find(server);
+    if (cold != cold_.end() && cold->second.start_time_ms != start_time_ms)
+    {
+        cold_.erase(cold);
+    }
+}
+
+bool server_limits::set_cold(const server_id& server, const cold_limit& limit)
+{
+    return cold_.insert_or_assign(server, limit).second;
 }
 
 void server_limits::expire(instant now)
 {
     std::erase_if(statements_, [&](const auto& it) { return now - it.second.at > statement_ttl; });
+    std::erase_if(cold_, [&](const auto& it) { return it.second.until <= now; });
     std::erase_if(shown_rates_, [&](const auto& it) { return !statements_.contains(it.first); });
     std::erase_if(next_permits_, [&](const auto& it) { return it.second <= now; });
     std::erase_if(sends_, [&](const auto& it)
@@ -90,7 +112,13 @@
 std::optional<millirequests_per_second> server_limits::rate(const server_id& server) const
 {
     auto it = statements_.find(server);
-    return it == statements_.end() ? std::nullopt : it->second.rate;
+    auto stated = it == statements_.end() ? std::nullopt : it->second.rate;
+    auto cold = cold_.find(server);
+    if (cold == cold_.end())
+    {
+        return stated;
+    }
+    return stated ? std::min(*stated, cold->second.rate) : cold->second.rate;
 }
 
 bool server_limits::is_fresh(const server_id& server, instant now) const
--- a/src/coordination/server_limits.hpp
+++ b/src/coordination/server_limits.hpp
@@ -57,6 +57,18 @@
     }
 }
 
+/// The limit of a server that takes fewer requests than usual for a time, because it is cold.
+struct cold_limit
+{
+    std::int64_t start_time_ms = 0;
+    millirequests_per_second rate{0};
+    instant until;
+};
+
+/// The rate at which permits for a cold server may be granted so that no second has more requests
+/// than `allowed`: those of a burst, and those whose permits were still valid, come on top of it.
+millirequests_per_second cold_permit_rate(double allowed, double per_s);
+
 class server_limits
 {
 public:
@@ -67,8 +79,15 @@
                                  instant sent_at, instant now);
     /// Records a statement, also one that a peer has made. Older ones change nothing.
     limit_change record(const server_id& server, const limit_statement& statement);
-    /// Forgets what earlier incarnations of the server stated.
+    /// Forgets what other incarnations of the server stated.
     void forget_earlier(const server_id& server, std::int64_t start_time_ms);
+    /// Limits a server that is cold until then, beside what it states itself. Returns whether it
+    /// was not limited so before.
+    bool set_cold(const server_id& server, const cold_limit& limit);
+    /// Ends that limit, because the server is warm; returns whether there was one.
+    bool end_cold(const server_id& server) { return cold_.erase(server) > 0; }
+    /// The limits of cold servers.
+    const std::map<server_id, cold_limit>& cold() const { return cold_; }
     /// Forgets limits that no response has stated for a minute, and that ended a minute ago.
     void expire(instant now);
 
@@ -90,6 +109,7 @@
 
 private:
     std::map<server_id, limit_statement> statements_;
+    std::map<server_id, cold_limit> cold_;
     /// The rates that `limit_change` results have shown.
     std::map<server_id, millirequests_per_second> shown_rates_;
     std::map<server_id, std::deque<instant>> sends_;
--- a/src/coordination/server_notices.cpp
+++ b/src/coordination/server_notices.cpp
@@ -10,7 +10,9 @@
         leaving_.try_emplace(server, known_leaving{.notice = notice, .mentioned_at = now});
     known_leaving& known = it->second;
     known.mentioned_at = now;
-    if (!is_new && notice.start_time_ms <= known.notice.start_time_ms)
+    bool earlier_start = notice.start_time_ms < known.notice.start_time_ms;
+    bool superseded = earlier_start && notice.stated_at <= known.notice.stated_at;
+    if (!is_new && (superseded || notice.start_time_ms == known.notice.start_time_ms))
     {
         bool same = notice.start_time_ms == known.notice.start_time_ms;
         if (same && notice.source == notice_source::response)
@@ -49,10 +51,17 @@
     return true;
 }
 
-bool server_notices::leaving(const server_id& server, std::int64_t start_time_ms) const
+bool server_notices::leaving(const server_id& server, std::int64_t start_time_ms,
+                             instant newest_at) const
 {
     auto it = leaving_.find(server);
-    return it != leaving_.end() && start_time_ms <= it->second.notice.start_time_ms;
+    if (it == leaving_.end())
+    {
+        return false;
+    }
+    const auto& notice = it->second.notice;
+    return start_time_ms == notice.start_time_ms ||
+           (start_time_ms < notice.start_time_ms && newest_at <= notice.stated_at);
 }
 
 nanoseconds server_notices::pause_left(const server_id& server, std::int64_t start_time_ms,
--- a/src/coordination/server_notices.hpp
+++ b/src/coordination/server_notices.hpp
@@ -6,8 +6,10 @@
 ///
 /// Made for a load pattern in which servers come and go while many hosts send to them: what is
 /// known of one server arrives from several sources, late and in any order, and the registry may
-/// learn last that it leaves. So a leaving is undone by a later incarnation of the server alone. A
-/// pause is between one host and one server, as the server turned that host's requests away.
+/// learn last that it leaves. So a leaving is undone by a later incarnation of the server alone.
+/// Which incarnation is later is not told by their start times alone, as a server's clock may have
+/// been wrong at one of them. A pause is between one host and one server, as the server turned that
+/// host's requests away.
 
 #include <algorithm>
 #include <map>
@@ -63,8 +65,11 @@
     bool record_pause(const server_id& server, std::int64_t start_time_ms, nanoseconds length,
                       instant now);
 
-    /// Whether the incarnation leaves. An earlier one than that which leaves has ended already.
-    bool leaving(const server_id& server, std::int64_t start_time_ms) const;
+    /// Whether the incarnation leaves. An earlier one than that which leaves has ended already: one
+    /// that started earlier by its clock, unless the log showed after the notice that it is the
+    /// newest, at `newest_at`.
+    bool leaving(const server_id& server, std::int64_t start_time_ms,
+                 instant newest_at = instant::min()) const;
     /// How long the incarnation still wants no requests; 0 if it takes them. Nothing is sent before
     /// that: a trial could not shorten the pause, so it would only waste a request's time.
     nanoseconds pause_left(const server_id& server, std::int64_t start_time_ms, instant now) const;
--- a/src/serve/limit_manager.cpp
+++ b/src/serve/limit_manager.cpp
@@ -64,9 +64,8 @@
 permit_grant limit_manager::grant(const server_id& server, milliseconds max_wait)
 {
     instant now = context_.now();
-    const auto& statements = context_.servers.limits().statements();
-    auto known = statements.find(server);
-    if (known == statements.end() || !known->second.rate)
+    auto limit = context_.servers.limits().rate(server);
+    if (!limit)
     {
         return {.granted = true};
     }
@@ -74,14 +73,35 @@
     {
         return {.granted = false, .wait = retry_period};
     }
-    auto rate =
-        reachable_rate(*known->second.rate, peers_.count_in_touch(now), peers_.count_hosts(now));
-    return ledger_.request(server, known->second.start_time_ms, rate, max_wait, now);
+    auto rate = reachable_rate(*limit, peers_.count_in_touch(now), peers_.count_hosts(now));
+    return ledger_.request(server, start_time(server), rate, max_wait, now);
+}
+
+std::int64_t limit_manager::start_time(const server_id& server) const
+{
+    const auto& limits = context_.servers.limits();
+    auto stated = limits.statements().find(server);
+    if (stated != limits.statements().end())
+    {
+        return stated->second.start_time_ms;
+    }
+    auto cold = limits.cold().find(server);
+    return cold == limits.cold().end() ? 0 : cold->second.start_time_ms;
 }
 
 void limit_manager::write(const server_id& server, peers::limit_statement& to) const
 {
-    const auto& known = context_.servers.limits().statements().at(server);
+    const auto& limits = context_.servers.limits();
+    auto cold = limits.cold().find(server);
+    if (cold != limits.cold().end())
+    {
+        to.set_server(server.str());
+        to.set_born_ms(cold->second.start_time_ms);
+        to.set_millirequests_per_s(static_cast<std::uint64_t>(cold->second.rate.count()));
+        to.set_cold_ms(to_ms(cold->second.until - context_.now()));
+        return;
+    }
+    const auto& known = limits.statements().at(server);
     to.set_server(server.str());
     to.set_born_ms(known.start_time_ms);
     to.set_stated(known.rate.has_value());
@@ -99,6 +119,11 @@
         // An earlier incarnation stated it.
         return;
     }
+    if (from.cold_ms() > 0)
+    {
+        apply_cold(server, from, sent_at);
+        return;
+    }
     instant at = sent_at - milliseconds(from.age_ms());
     limit_statement statement{.start_time_ms = from.born_ms(), .rate = {}, .at = at};
     if (from.stated())
@@ -113,6 +138,11 @@
     auto change = context_.servers.limits().record(server, statement);
     context_.log_limit_change(server, change, "peer");
     act_on(server, change);
+    charge_sent(server, from);
+}
+
+void limit_manager::charge_sent(const server_id& server, const peers::limit_statement& from)
+{
     auto rate = context_.servers.limits().rate(server);
     if (from.sent() > 0 && rate && grants(server))
     {
@@ -121,6 +151,25 @@
     }
 }
 
+void limit_manager::apply_cold(const server_id& server, const peers::limit_statement& from,
+                               instant sent_at)
+{
+    auto& limits = context_.servers.limits();
+    instant until = sent_at + milliseconds(from.cold_ms());
+    if (limits.cold().contains(server) || until <= context_.now())
+    {
+        // The server's entry says the same, and until when.
+        charge_sent(server, from);
+        return;
+    }
+    limits.set_cold(server, {.start_time_ms = from.born_ms(),
+                             .rate = millirequests_per_second(
+                                 static_cast<std::int64_t>(from.millirequests_per_s())),
+                             .until = until});
+    act_on(server, limit_change::began);
+    charge_sent(server, from);
+}
+
 void limit_manager::charge_own_sends(const server_id& server)
 {
     instant now = context_.now();
@@ -132,8 +181,7 @@
     }
     if (grants(server))
     {
-        ledger_.charge(server, context_.servers.limits().statements().at(server).start_time_ms,
-                       *rate, sent, now);
+        ledger_.charge(server, start_time(server), *rate, sent, now);
         return;
     }
     auto it = peers_.all.find(granter(server));
@@ -165,7 +213,8 @@
 
 void limit_manager::announce(const server_id& server, limit_change change)
 {
-    if (change != limit_change::none)
+    // That a server is cold is in its entry, which all hosts read.
+    if (change != limit_change::none && !context_.servers.limits().cold().contains(server))
     {
         auto message = peers_.new_message();
         write(server, *message.add_limits());
@@ -228,7 +277,8 @@
         to.set_number(it.number());
         to.set_granted(result.granted);
         to.set_wait_ms(to_ms(result.wait));
-        if (context_.servers.limits().statements().contains(server))
+        if (context_.servers.limits().statements().contains(server) ||
+            context_.servers.limits().cold().contains(server))
         {
             write(server, *to.mutable_limit());
         }
@@ -271,9 +321,10 @@
 
 void limit_manager::fill_report(peers::peer_message& message) const
 {
+    const auto& limits = context_.servers.limits();
     for (const auto& server : granted_)
     {
-        if (context_.servers.limits().in_force(server))
+        if (limits.in_force(server) && !limits.cold().contains(server))
         {
             write(server, *message.add_limits());
         }
--- a/src/serve/limit_manager.hpp
+++ b/src/serve/limit_manager.hpp
@@ -43,6 +43,11 @@
     permit_grant grant(const server_id& server, milliseconds max_wait);
     void write(const server_id& server, peers::limit_statement& to) const;
     void apply(const peers::limit_statement& from, instant sent_at);
+    void apply_cold(const server_id& server, const peers::limit_statement& from, instant sent_at);
+    /// Charges what the sender sent before it knew the limit.
+    void charge_sent(const server_id& server, const peers::limit_statement& from);
+    /// Start time of the incarnation that is limited.
+    std::int64_t start_time(const server_id& server) const;
     /// Charges what this host sent before it knew the limit.
     void charge_own_sends(const server_id& server);
     void act_on(const server_id& server, limit_change change);
--- a/src/serve/topic_reader.cpp
+++ b/src/serve/topic_reader.cpp
@@ -540,15 +540,8 @@
                .wait = config_wait(context),
                .max_shared_age = config_bounds().own_read,
                .max_age = context.max_config_age()},
-              {.snapshot =
-                   [this](const auto& records)
-               {
-                   for (const auto& record : records)
-                   {
-                       apply_config(record);
-                   }
-               },
-               .record = [this](const auto& record) { return apply_config(record); },
+              {.snapshot = [this](const auto& records) { apply_operator_snapshot(records); },
+               .record = [this](const auto& record) { return apply_operator_record(record); },
                .confirmed =
                    [this](instant sent_at)
                {
@@ -614,6 +607,95 @@
     return refusals_.take(context_.now());
 }
 
+bool state_watcher::apply_operator_record(const platform::keyed_record& record)
+{
+    return std::string_view(record.key).starts_with(platform::evacuation_prefix)
+               ? apply_evacuation(record)
+               : apply_config(record);
+}
+
+void state_watcher::apply_operator_snapshot(const std::vector<platform::keyed_record>& records)
+{
+    auto ended = context_.servers.evacuated();
+    for (const auto& record : records)
+    {
+        apply_operator_record(record);
+        if (std::string_view(record.key).starts_with(platform::evacuation_prefix))
+        {
+            ended.erase(domain_id(record.key.substr(platform::evacuation_prefix.size())));
+        }
+    }
+    for (const auto& domain : ended)
+    {
+        apply_evacuation({.key = std::string(platform::evacuation_prefix) + domain.str(),
+                          .value = std::nullopt});
+    }
+}
+
+bool state_watcher::apply_evacuation(const platform::keyed_record& record)
+{
+    domain_id domain(record.key.substr(platform::evacuation_prefix.size()));
+    const auto& known = context_.settings.domains;
+    if (!known.empty() && !known.contains(domain))
+    {
+        if (log_refusal(platform::config_topic))
+        {
+            context_.log.write("evacuation_refused",
+                               "key=\"{}\" detail=\"the settings name no such failure domain\"",
+                               record.key);
+        }
+        return false;
+    }
+    auto domains = context_.servers.evacuated();
+    if (record.value)
+    {
+        domains.insert(domain);
+    }
+    else
+    {
+        domains.erase(domain);
+    }
+    if (!context_.servers.set_evacuated(std::move(domains)))
+    {
+        return false;
+    }
+    context_.log.write("evacuation", "domain={} state={}", domain.str(),
+                       record.value ? "begun" : "ended");
+    context_.stats.set("banyanshunt_evacuated_domains",
+                       static_cast<double>(context_.servers.evacuated().size()));
+    context_.waiting.wake_all();
+    return true;
+}
+
+void state_watcher::apply_cold(const backend_entry& entry)
+{
+    auto& limits = context_.servers.limits();
+    const auto* service = context_.config ? context_.config->find_service(entry.service) : nullptr;
+    if (entry.warmup_left.count() <= 0 || !service || service->cold_requests_per_s <= 0)
+    {
+        if (limits.end_cold(entry.id))
+        {
+            context_.log.write("server_warm", "server={}", entry.id.str());
+            context_.waiting.wake_all();
+        }
+        return;
+    }
+    const auto& bounds = context_.settings.bounds;
+    double per_s = service->cold_requests_per_s;
+    cold_limit limit{.start_time_ms = entry.start_time_ms,
+                     .rate =
+                         cold_permit_rate(per_s * bounds.cold_factor + bounds.cold_extra, per_s),
+                     .until = context_.now() + entry.warmup_left};
+    if (limits.set_cold(entry.id, limit))
+    {
+        context_.stats.increment("banyanshunt_cold_servers_total");
+        context_.log.write("server_cold", "server={} left_ms={} permits_per_s={:.3f}",
+                           entry.id.str(), entry.warmup_left.count(),
+                           static_cast<double>(limit.rate.count()) / millirequests_per_request);
+        context_.on_limit_change(entry.id, limit_change::began);
+    }
+}
+
 bool state_watcher::apply_config(const platform::keyed_record& record)
 {
     if (record.key != platform::config_key || !record.value)
@@ -661,6 +743,18 @@
     }
     bool removal_cancelled = deferred_removals_.erase(id) > 0;
     const auto* known = context_.servers.find(id);
+    if (known && context_.config && !context_.config->find_service(parsed->service) &&
+        context_.config->find_service(known->entry.service))
+    {
+        // Of another writer: it names no server to use, and the server's own entry holds.
+        if (log_refusal(platform::server_topic))
+        {
+            context_.log.write("server_entry_refused",
+                               "server={} known=true detail=\"no service has the name {}\"",
+                               id.str(), parsed->service.str());
+        }
+        return removal_cancelled;
+    }
     if (known && known->entry.sequence <= parsed->sequence)
     {
         // A running server announces itself repeatedly.
@@ -675,10 +769,11 @@
     bool restarted = known && known->entry.start_time_ms != parsed->start_time_ms;
     bool began_draining = parsed->draining && (!known || !known->entry.draining);
     endpoint_text old_address = known ? known->entry.address : parsed->address;
-    if (!context_.servers.apply_entry(*parsed, context_.now()))
+    if (!context_.servers.apply_entry(*parsed, context_.now(), record.offset))
     {
         return false;
     }
+    apply_cold(*parsed);
     if (restarted || began_draining)
     {
         context_.pool.close_idle(old_address);
@@ -694,6 +789,7 @@
 void state_watcher::apply_server_snapshot(const std::vector<platform::keyed_record>& records)
 {
     std::set<server_id> listed;
+    context_.servers.forget_offsets();
     for (const auto& record : records)
     {
         apply_server(record);
--- a/src/serve/topic_reader.hpp
+++ b/src/serve/topic_reader.hpp
@@ -168,7 +168,14 @@
 
 private:
     void record_list_call(instant sent_at, bool confirmed);
+    bool apply_operator_record(const platform::keyed_record& record);
     bool apply_config(const platform::keyed_record& record);
+    /// Begins or ends the evacuation of a failure domain. One that the settings do not name changes
+    /// nothing.
+    bool apply_evacuation(const platform::keyed_record& record);
+    void apply_operator_snapshot(const std::vector<platform::keyed_record>& records);
+    /// Limits a server that its entry calls cold, if its service states what such a server takes.
+    void apply_cold(const backend_entry& entry);
     /// Applies a server's record. One that cannot be read names no server to use and changes
     /// nothing: a server that is known stays in use by its last readable entry, so that another
     /// writer cannot take servers out of use. Its leaving is still learned, by a readable entry, by
--- a/src/state/host_settings.hpp
+++ b/src/state/host_settings.hpp
@@ -4,6 +4,7 @@
 /// The settings that an entry host reads at start.
 
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -36,6 +37,10 @@
     /// Window and factor of the bound on loads from the weight store.
     milliseconds load_window{5000};
     double load_rate_factor = 1.1;
+    /// A cold server gets at most what its service states, times this factor, and these more in any
+    /// second, over all hosts.
+    double cold_factor = 1;
+    double cold_extra = 0;
 };
 
 /// The address and limits of the platform's log service.
@@ -52,6 +57,8 @@
     /// The port of /metrics on the host's own address; 9464 is the usual port of exporters.
     int metrics_port = 9464;
     domain_id domain;
+    /// All failure domains of the deployment; empty if the settings name none.
+    std::set<domain_id> domains;
     std::string ip;
     endpoint_text caller_address;
     endpoint_text ready_address;
--- a/src/state/serving_config.hpp
+++ b/src/state/serving_config.hpp
@@ -93,6 +93,9 @@
     std::string health_path;
     /// The maximum number of connections that one server accepts in total.
     int max_connections = 100;
+    /// Requests per second that a cold server of it takes; 0 if cold servers take as many as
+    /// others.
+    double cold_requests_per_s = 0;
     std::optional<engine_spec> engine;
 };
 
--- a/tests/correctness/closed_exchange_test.cpp
+++ b/tests/correctness/closed_exchange_test.cpp
@@ -31,8 +31,8 @@
     auto state = co_await exchange.send(
         []
         {
-            return std::optional<std::string>(
-                "GET /read/1 HTTP/1.1\r\nHost: desk.example\r\nX-Request-Id: r1\r\n\r\n");
+            return std::optional(outgoing_request{
+                .head = "GET /read/1 HTTP/1.1\r\nHost: desk.example\r\nX-Request-Id: r1\r\n\r\n"});
         },
         request_id("r1"));
     if (state == exchange_state::responded)
--- a/tests/correctness/leaving_server_path_test.cpp
+++ b/tests/correctness/leaving_server_path_test.cpp
@@ -130,7 +130,8 @@
         request.set("X-Request-Id", "stepped");
         request.set("X-Deadline-Ms", "4000");
         request_ = std::make_shared<active_request>(
-            context_, std::make_shared<caller_connection>(acceptor.accept()), request);
+            context_, std::make_shared<caller_connection>(acceptor.accept()), request,
+            memory_reservation());
         asio::co_spawn(loop_, request_->run(),
                        [this](const std::exception_ptr&, bool) { ended_ = true; });
     }
