Review of engine room, memory and registry: faults found by reading

Cause: a reader who had not written these parts found, among others: an order after the count of orders was forgotten; sessions that outlive the host's context; connections bounded by descriptors alone; the ports for the balancer and for metrics without a bound; a complete read of the registry ordered by start times; a cold server that is not limited if its entry is read before the configuration; a cold server's stated limit that is not told; evacuations that are not confirmed before a send; one workspace refused at three quarters of the budget while nobody else asks. Change: each is mended; the tests have a case for the order, the bounds with full buffers, a paused reader, and limits that change on open connections.

--- a/src/coordination/backend_table.cpp
+++ b/src/coordination/backend_table.cpp
@@ -81,14 +81,14 @@
     bool same_incarnation = entry.start_time_ms == known.entry.start_time_ms;
     bool older = from_log ? offset < known.offset
                           : entry.start_time_ms < known.entry.start_time_ms ||
+        known.offset = offset;
+        known.newest_at = from_log ? now : instant::min();
                                 (same_incarnation && entry.sequence < known.entry.sequence);
+        record_leaving();
     if (older)
     {
         return false;
-        known.offset = offset;
-        known.newest_at = from_log ? now : instant::min();
     }
-        record_leaving();
     record_leaving();
     known.offset = offset;
     if (same_incarnation && known.entry.draining && !entry.draining)
@@ -104,18 +104,22 @@
         known.failure_ratio = 0;
         known.avoid_until = now;
     }
-        known.newest_at = from_log ? now : instant::min();
+        known.newest_at = instant::min();
+    known.newest_at = from_log ? now : known.newest_at;
     known.entry = entry;
     known.removed = false;
     return true;
 }
 
-void backend_table::remove(const server_id& server)
+void backend_table::confirm_newest(const server_id& server, instant now)
 {
     auto it = servers_.find(server);
-    if (it == servers_.end())
+    if (it != servers_.end())
     {
-        return;
+        it->second.newest_at = now;
+    }
+}
+
 void backend_table::forget_offsets()
 {
     for (auto& [id, it] : servers_)
@@ -137,6 +141,12 @@
         servers_.erase(it);
         return;
     }
+void backend_table::remove(const server_id& server)
+{
+    auto it = servers_.find(server);
+    if (it == servers_.end())
+    {
+        return;
     it->second.removed = true;
 }
 
--- a/src/coordination/backend_table.hpp
+++ b/src/coordination/backend_table.hpp
@@ -207,7 +207,8 @@
     /// tells which is newer, `offset`, where it is known for both. Otherwise the entry's start time
     /// and sequence do, which another writer, or a clock that was wrong, can put ahead.
     bool apply_entry(const backend_entry& entry, instant now, log_offset offset = {});
-    /// Forgets the offsets of entries, before a complete read of the registry.
+    /// Forgets the offsets of entries, before a complete read of the registry. Its entries are the
+    /// newest; they are applied with `complete_read_offset`.
     void forget_offsets();
     /// Sets the failure domains whose servers get no requests; returns whether that changed.
     bool set_evacuated(std::set<domain_id> domains);
@@ -216,6 +217,9 @@
     /// Applies a placement and the owner that it names.
     void apply_placement(const server_id& server, server_placement placement);
     void apply_owner(const server_id& server, const engine_owner& owner);
+    static constexpr log_offset complete_read_offset{1};
+    /// The log repeated the entry that is known: its incarnation is the newest.
+    void confirm_newest(const server_id& server, instant now);
     /// Forgets the owner of a server's engine, when this host ceases to be it.
     void remove_owner(const server_id& server);
     /// A message of a host arrived. Its earlier incarnations give no more orders.
--- a/src/coordination/connection_limit.hpp
+++ b/src/coordination/connection_limit.hpp
@@ -29,6 +29,12 @@
     connection_number add();
     /// A request was read completely.
     void begin_request(connection_number connection);
+    /// The head of a request was read; the rest of it is awaited from now on.
+    void renew(connection_number connection)
+    {
+        begin_request(connection);
+        end_request(connection);
+    }
     /// Its response ended; the next request is awaited.
     void end_request(connection_number connection);
     void remove(connection_number connection);
--- a/src/coordination/engine_controller.cpp
+++ b/src/coordination/engine_controller.cpp
@@ -385,7 +385,7 @@
         }
         // What waits for the weight store or for more room does not hold up adapters.
         adapter_block_ = load_block::none;
-        return adapter_step(engine, now).value_or(next);
+        return orders_accepted_ ? adapter_step(engine, now).value_or(next) : next;
     }
     if (auto next = adapter_step(engine, now))
     {
--- a/src/coordination/engine_room.cpp
+++ b/src/coordination/engine_room.cpp
@@ -15,10 +15,17 @@
 {
     auto held = adapters_.find(model);
     auto spec = engine_.models.find(model);
-    if (held == adapters_.end() || spec == engine_.models.end())
+    if (held == adapters_.end())
     {
         return 0;
     }
+    if (spec == engine_.models.end())
+    {
+        // The configuration no longer names it; the engine may hold it all the same.
+        return std::accumulate(engine_.models.begin(), engine_.models.end(), 0.0,
+                               [](double most, const auto& it)
+                               { return std::max(most, it.second.weights_mb); });
+    }
     return spec->second.weights_mb + static_cast<double>(held->second) * spec->second.adapter_mb;
 }
 
--- a/src/coordination/memory_budget.cpp
+++ b/src/coordination/memory_budget.cpp
@@ -9,7 +9,10 @@
 bool memory_budget::reserve(const workspace_id& workspace, std::size_t bytes, std::size_t already)
 {
     std::size_t& own = by_workspace_[workspace];
-    auto own_limit = static_cast<std::size_t>(max_workspace_fraction * static_cast<double>(total_));
+    double fraction = workspace.empty() ? max_unknown_fraction : max_workspace_fraction;
+    bool shared = short_ || held_ != own;
+    auto own_limit =
+        shared ? static_cast<std::size_t>(fraction * static_cast<double>(total_)) : total_;
     bool alone = held_ == already;
     bool fits = held_ + bytes <= total_ && own + bytes <= own_limit;
     if (!alone && !fits)
@@ -43,11 +46,13 @@
     bool ends =
         short_ && static_cast<double>(held_) <= relief_fraction * static_cast<double>(total_);
     short_ = short_ && !ends;
+    shortage_taken_ = shortage_taken_ && !ends;
     return ends;
 }
 
-memory_reservation::memory_reservation(memory_budget& budget, workspace_id workspace)
-    : budget_(&budget), workspace_(std::move(workspace))
+memory_reservation::memory_reservation(std::shared_ptr<memory_budget> budget,
+                                       workspace_id workspace)
+    : budget_(std::move(budget)), workspace_(std::move(workspace))
 {
 }
 
@@ -56,7 +61,7 @@
     if (this != &other)
     {
         release();
-        budget_ = std::exchange(other.budget_, nullptr);
+        budget_ = std::move(other.budget_);
         workspace_ = std::move(other.workspace_);
         bytes_ = std::exchange(other.bytes_, 0);
     }
--- a/src/coordination/memory_budget.hpp
+++ b/src/coordination/memory_budget.hpp
@@ -9,6 +9,8 @@
 
 #include <cstddef>
 #include <map>
+#include <memory>
+#include <utility>
 
 #include "state/ids.hpp"
 
@@ -23,8 +25,8 @@
 
     /// Reserves memory for a request of a workspace, which is empty for callers without a known
     /// key, if it fits; the request holds `already` bytes. One that is alone always fits, because
-    /// the configuration bounds it. One workspace gets at most `max_workspace_fraction` of the
-    /// budget.
+    /// the configuration bounds it. While others hold memory too, or the budget is short, one
+    /// workspace gets at most `max_workspace_fraction` of it.
     bool reserve(const workspace_id& workspace, std::size_t bytes, std::size_t already = 0);
     void release(const workspace_id& workspace, std::size_t bytes);
 
@@ -32,17 +34,22 @@
     std::size_t total() const { return total_; }
     /// Whether a request was refused and the budget has been short since.
     bool is_short() const { return short_; }
+    /// Returns once for each shortage that it has begun.
+    bool take_new_shortage() { return short_ && !std::exchange(shortage_taken_, true); }
     /// Ends the shortage if less than `relief_fraction` is held; returns whether it ended.
     bool end_shortage();
 
     /// The rest stays free for the other workspaces.
     static constexpr double max_workspace_fraction = 0.75;
+    /// The same for all callers without a known key together.
+    static constexpr double max_unknown_fraction = 0.25;
     static constexpr double relief_fraction = 0.5;
 
 private:
     std::size_t total_;
     std::size_t held_ = 0;
     bool short_ = false;
+    bool shortage_taken_ = false;
     std::map<workspace_id, std::size_t> by_workspace_;
 };
 
@@ -51,7 +58,7 @@
 {
 public:
     memory_reservation() = default;
-    memory_reservation(memory_budget& budget, workspace_id workspace);
+    memory_reservation(std::shared_ptr<memory_budget> budget, workspace_id workspace);
     ~memory_reservation() { release(); }
     memory_reservation(memory_reservation&& other) noexcept { *this = std::move(other); }
     memory_reservation& operator=(memory_reservation&& other) noexcept;
@@ -65,7 +72,8 @@
 private:
     void release();
 
-    memory_budget* budget_ = nullptr;
+    /// Requests may outlive the host that they came to, when it ends.
+    std::shared_ptr<memory_budget> budget_;
     workspace_id workspace_;
     std::size_t bytes_ = 0;
 };
--- a/src/serve/active_request.cpp
+++ b/src/serve/active_request.cpp
@@ -199,6 +199,15 @@
             last_reason_ = "draining";
             break;
         }
+        if (context_.evacuation_may_be_unknown(context_.now()))
+        {
+            co_await confirm_evacuations();
+            const auto* known = context_.servers.find(*server);
+            if (!known || context_.servers.is_evacuated(*known))
+            {
+                continue;
+            }
+        }
         list_unconfirmed_ = false;
         if (context_.judge_server_list() == list_verdict::confirm_first)
         {
--- a/src/serve/active_request.hpp
+++ b/src/serve/active_request.hpp
@@ -117,6 +117,9 @@
     /// The reason to give for a request that was ended, or that failed for `otherwise`.
     const char* end_reason(const char* otherwise) const;
     void end(end_cause cause);
+    /// Waits until it is known whether failure domains are evacuated, for a short time: a host
+    /// without contact to the log serves on.
+    task<void> confirm_evacuations();
     /// Waits for the server list to be confirmed if it is too old to send by it.
     task<void> confirm_server_list();
     task<void> respond();
--- a/src/serve/caller_session.cpp
+++ b/src/serve/caller_session.cpp
@@ -20,6 +20,11 @@
 constexpr milliseconds stopping_idle_timeout{300};
 /// Idle timeout of the load balancer's connection; the balancer checks once a second.
 constexpr milliseconds ready_idle_timeout{5000};
+/// Connections to the ports for the balancer and for metrics: within the descriptors that are
+/// reserved for files. The platform has one, and metrics are read by few.
+constexpr int max_service_connections = 64;
+/// The longest request on these ports, in bytes; the platform's has about a hundred.
+constexpr std::size_t max_simple_bytes = 16384;
 
 caller_limits limits_of(const host_context& context)
 {
@@ -57,15 +62,14 @@
 }
 
 /// Refuses a request before it was read completely, so that it has not run.
-task<void> refuse_for_memory(caller_connection& caller, host_context& context, std::size_t bytes)
+task<void> refuse_for_memory(caller_connection& caller, host_context& context)
 {
-    if (!std::exchange(context.memory_short_logged, true))
+    if (context.bodies->take_new_shortage())
     {
-        context.log.write("memory_short", "held_bytes={} budget_bytes={}", context.bodies.held(),
-                          context.bodies.total());
+        context.log.write("memory_short", "held_bytes={} budget_bytes={}", context.bodies->held(),
+                          context.bodies->total());
     }
     context.stats.increment("banyanshunt_memory_refusals_total");
-    context.log.write("request_refused_for_memory", "body_bytes={}", bytes);
     constexpr std::string_view body = R"({"error":{"reason":"memory","run":"not_run"}})";
     std::string text = fmt::format("HTTP/1.1 503 Service Unavailable\r\nContent-Type: "
                                    "application/json\r\nContent-Length: {}\r\nRetry-After: {}\r\n"
@@ -147,17 +151,15 @@
     bool no_memory = false;
 };
 
-/// Reads the body and the trailer. What a caller adds to the body, extensions of chunks and the
-/// trailer, may be as long as a head.
+/// Reads the body and the trailer. The trailer is buffered whole, so the buffer's size bounds it;
+/// extensions of chunks may be as long as a head together.
 task<read_result> read_body(caller_connection& caller, caller_parser& parser,
                             const caller_limits& limits, memory_reservation& memory)
 {
-    bool in_trailer = false;
     std::uint64_t extension_bytes = 0;
     auto on_chunk =
-        [&](std::uint64_t size, boost::beast::string_view extensions, boost::system::error_code& ec)
+        [&](std::uint64_t, boost::beast::string_view extensions, boost::system::error_code& ec)
     {
-        in_trailer = size == 0;
         extension_bytes += extensions.size();
         if (extension_bytes > limits.header_bytes)
         {
@@ -165,7 +167,8 @@
         }
     };
     parser.on_chunk_header(on_chunk);
-    std::uint64_t trailer_bytes = 0;
+    // Takes all that was read at once, rather than one chunk a turn.
+    parser.eager(true);
     while (!parser.is_done())
     {
         auto [ec, n] =
@@ -174,12 +177,6 @@
         {
             co_return read_result{.ec = ec};
         }
-        trailer_bytes += in_trailer ? n : 0;
-        if (!parser.is_done() && in_trailer &&
-            trailer_bytes + caller.buffer.size() > limits.header_bytes)
-        {
-            co_return read_result{.ec = http::error::header_limit};
-        }
         if (!memory.grow_to(parser.get().body().capacity()))
         {
             co_return read_result{.ec = {}, .no_memory = true};
@@ -188,52 +185,48 @@
     co_return read_result();
 }
 
-/// Closes connections of callers that are awaited while too many are open.
-void close_excess_connections(host_context& context)
-{
-    while (auto number = context.callers.excess())
-    {
-        auto found = context.caller_connections.find(*number);
-        auto connection =
-            found == context.caller_connections.end() ? nullptr : found->second.lock();
-        context.callers.remove(*number);
-        context.caller_connections.erase(*number);
-        context.stats.increment("banyanshunt_excess_connections_total");
-        if (connection)
-        {
-            connection->abort();
-        }
-    }
-}
-
-/// Counts a connection from here on until it is destroyed.
+/// Counts a connection from here on until it is destroyed, and closes others while too many are
+/// open.
 class counted_connection
 {
 public:
     counted_connection(host_context& context, const std::shared_ptr<caller_connection>& it)
-        : context_(context), number_(context.callers.add())
-    {
-        context_.caller_connections.emplace(number_, it);
-        close_excess_connections(context_);
-    }
-    ~counted_connection()
+        : callers_(context.callers), number_(callers_->limit.add())
     {
-        context_.callers.remove(number_);
-        context_.caller_connections.erase(number_);
+        callers_->connections.emplace(number_, it);
+        while (auto excess = callers_->limit.excess())
+        {
+            context.stats.increment("banyanshunt_excess_connections_total");
+            auto connection = callers_->connections.at(*excess).lock();
+            remove(*excess);
+            if (connection)
+            {
+                connection->abort();
+            }
+        }
     }
+    ~counted_connection() { remove(number_); }
     counted_connection(const counted_connection&) = delete;
     counted_connection& operator=(const counted_connection&) = delete;
 
-    void begin_request() { context_.callers.begin_request(number_); }
-    void end_request() { context_.callers.end_request(number_); }
+    void renew() { callers_->limit.renew(number_); }
+    void begin_request() { callers_->limit.begin_request(number_); }
+    void end_request() { callers_->limit.end_request(number_); }
 
 private:
-    host_context& context_;
+    void remove(connection_number number)
+    {
+        callers_->limit.remove(number);
+        callers_->connections.erase(number);
+    }
+
+    std::shared_ptr<open_connections> callers_;
     connection_number number_;
 };
 
 /// Reads the next request into `parser`; false if the connection is to be closed.
-task<bool> read_request(host_context& context, caller_connection& caller, caller_parser& parser,
+task<bool> read_request(host_context& context, caller_connection& caller,
+                        counted_connection& counted, caller_parser& parser,
                         memory_reservation& memory)
 {
     const caller_limits limits = limits_of(context);
@@ -246,6 +239,7 @@
     read_result result{.ec = head_ec};
     if (!result.ec)
     {
+        counted.renew();
         memory = memory_reservation(context.bodies, workspace_of(context, parser));
         if (parser.get()[http::field::expect] == "100-continue")
         {
@@ -257,7 +251,7 @@
     caller.stream.expires_never();
     if (result.no_memory)
     {
-        co_await refuse_for_memory(caller, context, parser.get().body().size());
+        co_await refuse_for_memory(caller, context);
         co_return false;
     }
     auto ec = result.ec;
@@ -285,7 +279,7 @@
         ++context.requests_arriving;
         caller_parser parser;
         memory_reservation memory;
-        bool read = co_await read_request(context, *caller, parser, memory);
+        bool read = co_await read_request(context, *caller, counted, parser, memory);
         --context.requests_arriving;
         if (!read)
         {
@@ -318,10 +312,10 @@
 
 /// Serves requests without a body on one connection; `handler` fills each response.
 template <class Handler>
-task<void> serve_simple(tcp::socket socket, Handler handler)
+task<void> serve_simple_requests(tcp::socket socket, Handler handler)
 {
     boost::beast::tcp_stream stream(std::move(socket));
-    boost::beast::flat_buffer buffer;
+    boost::beast::flat_buffer buffer(max_simple_bytes);
     while (true)
     {
         stream.expires_after(ready_idle_timeout);
@@ -344,6 +338,20 @@
     }
 }
 
+/// The same, unless too many such connections are open.
+template <class Handler>
+task<void> serve_simple(host_context& context, tcp::socket socket, Handler handler)
+{
+    if (context.service_connections >= max_service_connections)
+    {
+        context.stats.increment("banyanshunt_excess_connections_total");
+        co_return;
+    }
+    ++context.service_connections;
+    co_await serve_simple_requests(std::move(socket), std::move(handler));
+    --context.service_connections;
+}
+
 void write_metrics(host_context& context, string_response& response)
 {
     const auto& counters = context.counters;
@@ -352,10 +360,11 @@
     context.stats.set("banyanshunt_repeats", static_cast<double>(counters.retries));
     context.stats.set("banyanshunt_resumed_streams", static_cast<double>(counters.resumed));
     context.stats.set("banyanshunt_orders", static_cast<double>(counters.orders));
-    context.stats.set("banyanshunt_body_bytes_held", static_cast<double>(context.bodies.held()));
-    context.stats.set("banyanshunt_body_bytes_budget", static_cast<double>(context.bodies.total()));
+    context.stats.set("banyanshunt_body_bytes_held", static_cast<double>(context.bodies->held()));
+    context.stats.set("banyanshunt_body_bytes_budget",
+                      static_cast<double>(context.bodies->total()));
     context.stats.set("banyanshunt_caller_connections",
-                      static_cast<double>(context.callers.open()));
+                      static_cast<double>(context.callers->limit.open()));
     context.stats.set("banyanshunt_loans", static_cast<double>(counters.loans));
     context.stats.set("banyanshunt_log_lines_dropped", static_cast<double>(context.log.dropped()));
     context.stats.set("banyanshunt_hosts", static_cast<double>(context.host_count));
@@ -391,7 +400,7 @@
 
 task<void> serve_ready(host_context& context, tcp::socket socket)
 {
-    co_await serve_simple(std::move(socket),
+    co_await serve_simple(context, std::move(socket),
                           [&context](std::string_view target, string_response& response)
                           {
                               bool ready = !context.stop && context.servers_known &&
@@ -406,7 +415,7 @@
 
 task<void> serve_metrics(host_context& context, tcp::socket socket)
 {
-    co_await serve_simple(std::move(socket),
+    co_await serve_simple(context, std::move(socket),
                           [&context](std::string_view target, string_response& response)
                           {
                               bool found = target == "/metrics";
--- a/src/serve/host_context.hpp
+++ b/src/serve/host_context.hpp
@@ -118,21 +118,37 @@
 }
 
 /// How many connections of callers are kept open: each request in progress also has one to a
-/// server, and the platform reserves 200 descriptors for files. No bound if the settings state
-/// none.
+/// server, and the platform reserves 200 descriptors for files; and what callers may make them
+/// buffer, 32 KB each, fits a quarter of the memory. No bound where the settings state none.
 inline std::size_t max_caller_connections(const host_settings& settings)
 {
     constexpr std::size_t reserved_descriptors = 200;
     std::size_t all = settings.max_descriptors;
-    return all == 0                         ? std::numeric_limits<std::size_t>::max()
-           : all < 2 * reserved_descriptors ? all / 4
-                                            : (all - reserved_descriptors) / 2;
+    constexpr std::size_t connections_per_mb = 8;
+    constexpr std::size_t no_bound = std::numeric_limits<std::size_t>::max();
+    std::size_t by_memory =
+        settings.memory_mb == 0 ? no_bound : connections_per_mb * settings.memory_mb;
+    std::size_t by_descriptors = all == 0 ? no_bound
+                                 : all < 2 * reserved_descriptors
+                                     ? all / 4
+                                     : (all - reserved_descriptors) / 2;
+    return std::max<std::size_t>(1, std::min(by_memory, by_descriptors));
 }
 
 class active_request;
 class caller_connection;
 
 struct host_context
+/// The open connections of callers. Shared with their sessions, which may outlive the context when
+/// the host ends.
+struct open_connections
+{
+    explicit open_connections(std::size_t max_open) : limit(max_open) {}
+
+    connection_limit limit;
+    std::map<connection_number, std::weak_ptr<caller_connection>> connections;
+};
+
 {
     host_context(host_settings initial, asio::any_io_executor loop)
         : settings(std::move(initial)), executor(std::move(loop)), random(make_seeded_rng()),
@@ -174,6 +190,14 @@
                                                         confirmed_ratio);
     }
     /// Time since the server list was confirmed; negative if it never was.
+    /// Whether an evacuation may be in force that this host has not read, where the deployment
+    /// bounds the time until it has to be.
+    bool evacuation_may_be_unknown(instant at) const
+    {
+        auto bound = settings.bounds.evacuation;
+        auto max_age = std::chrono::duration_cast<milliseconds>(bound * confirmed_ratio);
+        return bound.count() > 0 && (!config_confirmed_at || at - *config_confirmed_at >= max_age);
+    }
     milliseconds servers_age(instant at) const
     {
         auto confirmed_at = list_age.confirmed_at();
@@ -291,11 +315,11 @@
     std::function<void()> refresh_server_list = [] {};
     backend_table servers;
     /// Bodies of requests, from their first byte to the end of the request.
-    memory_budget bodies{body_budget(settings)};
-    /// Whether it was logged that the budget is short.
-    bool memory_short_logged = false;
-    connection_limit callers{max_caller_connections(settings)};
-    std::map<connection_number, std::weak_ptr<caller_connection>> caller_connections;
+    std::shared_ptr<memory_budget> bodies = std::make_shared<memory_budget>(body_budget(settings));
+    std::shared_ptr<open_connections> callers =
+        std::make_shared<open_connections>(max_caller_connections(settings));
+    /// Connections to the ports for the load balancer and for metrics.
+    int service_connections = 0;
     prompt_quarantine quarantine;
     /// Servers of which it is being found out whether they have ended, with the parts of the
     /// requests that they had not begun to answer when their connections ended.
@@ -321,6 +345,8 @@
     /// Called after another configuration was applied.
     std::function<void()> on_config_change = [] {};
     /// Called after a response showed a change of a server's limit.
+    /// Called after a server was found to be cold.
+    std::function<void(const server_id&)> on_server_cold = [](const server_id&) {};
     std::function<void(const server_id&, limit_change)> on_limit_change = [](const server_id&,
                                                                              limit_change) {};
     /// Called after a response showed that a server leaves.
--- a/src/serve/limit_manager.cpp
+++ b/src/serve/limit_manager.cpp
@@ -95,14 +95,18 @@
     auto cold = limits.cold().find(server);
     if (cold != limits.cold().end())
     {
-        to.set_server(server.str());
         to.set_born_ms(cold->second.start_time_ms);
-        to.set_millirequests_per_s(static_cast<std::uint64_t>(cold->second.rate.count()));
+        to.set_cold_millirequests_per_s(static_cast<std::uint64_t>(cold->second.rate.count()));
         to.set_cold_ms(to_ms(cold->second.until - context_.now()));
-        return;
     }
-    const auto& known = limits.statements().at(server);
     to.set_server(server.str());
+    auto stated = limits.statements().find(server);
+    if (stated == limits.statements().end())
+    {
+        to.set_only_cold(true);
+        return;
+    }
+    const auto& known = stated->second;
     to.set_born_ms(known.start_time_ms);
     to.set_stated(known.rate.has_value());
     to.set_millirequests_per_s(
@@ -122,6 +126,10 @@
     if (from.cold_ms() > 0)
     {
         apply_cold(server, from, sent_at);
+    }
+    if (from.only_cold())
+    {
+        charge_sent(server, from);
         return;
     }
     instant at = sent_at - milliseconds(from.age_ms());
@@ -159,15 +167,13 @@
     if (limits.cold().contains(server) || until <= context_.now())
     {
         // The server's entry says the same, and until when.
-        charge_sent(server, from);
         return;
     }
     limits.set_cold(server, {.start_time_ms = from.born_ms(),
                              .rate = millirequests_per_second(
-                                 static_cast<std::int64_t>(from.millirequests_per_s())),
+                                 static_cast<std::int64_t>(from.cold_millirequests_per_s())),
                              .until = until});
     act_on(server, limit_change::began);
-    charge_sent(server, from);
 }
 
 void limit_manager::charge_own_sends(const server_id& server)
@@ -201,7 +207,7 @@
     {
         charge_own_sends(server);
     }
-    else if (change == limit_change::ended)
+    else if (change == limit_change::ended && !context_.servers.limits().in_force(server))
     {
         ledger_.forget(server);
     }
@@ -213,8 +219,7 @@
 
 void limit_manager::announce(const server_id& server, limit_change change)
 {
-    // That a server is cold is in its entry, which all hosts read.
-    if (change != limit_change::none && !context_.servers.limits().cold().contains(server))
+    if (change != limit_change::none)
     {
         auto message = peers_.new_message();
         write(server, *message.add_limits());
@@ -324,7 +329,7 @@
     const auto& limits = context_.servers.limits();
     for (const auto& server : granted_)
     {
-        if (limits.in_force(server) && !limits.cold().contains(server))
+        if (limits.in_force(server))
         {
             write(server, *message.add_limits());
         }
--- a/src/serve/limit_manager.hpp
+++ b/src/serve/limit_manager.hpp
@@ -28,6 +28,8 @@
 
     /// Acts on a change of a server's limit that a response to this host showed.
     void announce(const server_id& server, limit_change change);
+    /// Acts on a server's entry that calls it cold, which all hosts read.
+    void begin_cold(const server_id& server) { act_on(server, limit_change::began); }
     /// Acquires a permit for one request to a server that states a limit.
     task<permit_response> acquire(server_id server, milliseconds max_wait);
     void handle_message(peer& sender, const peers::peer_message& message, instant sent_at);
--- a/src/serve/peer_message_check.cpp
+++ b/src/serve/peer_message_check.cpp
@@ -111,7 +111,7 @@
 {
     return is_name(it.server()) && is_within(it.born_ms(), max_unix_ms) &&
            it.millirequests_per_s() <= max_millirequests_per_s && it.sent() <= max_requests &&
-           it.cold_ms() <= max_cold_ms;
+           it.cold_ms() <= max_cold_ms && it.cold_millirequests_per_s() <= max_millirequests_per_s;
 }
 
 bool is_sound(const peers::permit_request& it)
--- a/src/serve/peer_service.cpp
+++ b/src/serve/peer_service.cpp
@@ -48,6 +48,10 @@
 constexpr std::size_t max_hosts = 4096;
 
 std::uint32_t ms_until(instant at, instant now)
+/// Scales of numbers in reports.
+constexpr double permille = 1000;
+constexpr double tenths = 10;
+
 {
     auto left = std::chrono::ceil<milliseconds>(at - now).count();
     return static_cast<std::uint32_t>(std::max<std::int64_t>(left, 0));
@@ -161,6 +165,7 @@
     context_.on_limit_change = [this](const server_id& server, limit_change change)
     { limits_.announce(server, change); };
     context_.on_connection_lost = [this](const server_id& server, const auto& parts)
+    context_.on_server_cold = [this](const server_id& server) { limits_.begin_cold(server); };
     { quarantine_.check_server(server, parts); };
     context_.on_sound_response = [this](const auto& parts) { quarantine_.record_sound(parts); };
     context_.on_server_leaving = [this](const server_id& server) { notices_.announce(server); };
--- a/src/serve/request_wait.cpp
+++ b/src/serve/request_wait.cpp
@@ -54,6 +54,18 @@
 }
 
 task<void> active_request::await_end_check()
+task<void> active_request::confirm_evacuations()
+{
+    instant give_up_at = context_.now() + list_confirm_timeout;
+    context_.refresh_config();
+    while (context_.evacuation_may_be_unknown(context_.now()) && context_.now() < give_up_at &&
+           !caller_->closed && !ended())
+    {
+        co_await context_.waiting.wait(host_context::config_wait_key, priority_, arrived_,
+                                       give_up_at - context_.now());
+    }
+}
+
 {
     while (context_.end_checks.contains(last_server_) && !caller_->closed && !ended())
     {
--- a/src/serve/serving_host.cpp
+++ b/src/serve/serving_host.cpp
@@ -227,11 +227,10 @@
     {
         co_await pause(tick_period);
         context.pool.prune(context.now());
-        if (context.bodies.end_shortage())
+        if (context.bodies->end_shortage())
         {
-            context.memory_short_logged = false;
             context.log.write("memory_short_ended", "held_bytes={} budget_bytes={}",
-                              context.bodies.held(), context.bodies.total());
+                              context.bodies->held(), context.bodies->total());
         }
     }
 }
--- a/src/serve/topic_reader.cpp
+++ b/src/serve/topic_reader.cpp
@@ -561,7 +561,7 @@
            .gap = [&context]
            { return fraction_of(context.max_server_list_age(), registry_gap_fraction); }},
           {.snapshot = [this](const auto& records) { apply_server_snapshot(records); },
-           .record = [this](const auto& record) { return apply_server(record); },
+           .record = [this](const auto& record) { return apply_server(record, record.offset); },
            .recovered =
                [this]
            {
@@ -692,7 +692,7 @@
         context_.log.write("server_cold", "server={} left_ms={} permits_per_s={:.3f}",
                            entry.id.str(), entry.warmup_left.count(),
                            static_cast<double>(limit.rate.count()) / millirequests_per_request);
-        context_.on_limit_change(entry.id, limit_change::began);
+        context_.on_server_cold(entry.id);
     }
 }
 
@@ -719,12 +719,16 @@
     context_.log.write("config_in_force", "version={} routes={} workspaces={}",
                        context_.config->version, context_.config->routes.size(),
                        context_.config->workspaces.size());
+    for (const auto& [id, it] : context_.servers.servers())
+    {
+        apply_cold(it.entry);
+    }
     context_.on_config_change();
     context_.waiting.wake_all();
     return true;
 }
 
-bool state_watcher::apply_server(const platform::keyed_record& record)
+bool state_watcher::apply_server(const platform::keyed_record& record, log_offset offset)
 {
     server_id id(record.key);
     if (!record.value)
@@ -762,6 +766,7 @@
         refreshed.sequence = parsed->sequence;
         if (refreshed == *parsed && !known->removed)
         {
+            context_.servers.confirm_newest(id, context_.now());
             // Hosts that take over what this one reads have deferred the removal as well.
             return removal_cancelled;
         }
@@ -769,7 +774,7 @@
     bool restarted = known && known->entry.start_time_ms != parsed->start_time_ms;
     bool began_draining = parsed->draining && (!known || !known->entry.draining);
     endpoint_text old_address = known ? known->entry.address : parsed->address;
-    if (!context_.servers.apply_entry(*parsed, context_.now(), record.offset))
+    if (!context_.servers.apply_entry(*parsed, context_.now(), offset))
     {
         return false;
     }
@@ -792,7 +797,7 @@
     context_.servers.forget_offsets();
     for (const auto& record : records)
     {
-        apply_server(record);
+        apply_server(record, backend_table::complete_read_offset);
         listed.insert(server_id(record.key));
     }
     std::vector<server_id> missing;
--- a/src/serve/topic_reader.hpp
+++ b/src/serve/topic_reader.hpp
@@ -181,7 +181,7 @@
     /// writer cannot take servers out of use. Its leaving is still learned, by a readable entry, by
     /// its key being dropped, or from its responses; and a server that took over its address
     /// refuses requests that expect another id.
-    bool apply_server(const platform::keyed_record& record);
+    bool apply_server(const platform::keyed_record& record, log_offset offset);
     /// Counts a refused record; returns whether it may be logged.
     bool log_refusal(const char* topic);
     void apply_server_snapshot(const std::vector<platform::keyed_record>& records);
--- a/src/state/host_settings.hpp
+++ b/src/state/host_settings.hpp
@@ -37,6 +37,9 @@
     /// Window and factor of the bound on loads from the weight store.
     milliseconds load_window{5000};
     double load_rate_factor = 1.1;
+    /// No request reaches a server of an evacuated failure domain after this time; 0 if the
+    /// deployment states none.
+    milliseconds evacuation{0};
     /// A cold server gets at most what its service states, times this factor, and these more in any
     /// second, over all hosts.
     double cold_factor = 1;
--- a/tests/correctness/engine_room_test.cpp
+++ b/tests/correctness/engine_room_test.cpp
@@ -260,6 +260,23 @@
             REQUIRE_FALSE(it.engine.overcommitted);
         }
     }
+    SECTION("adapters wait for a report where nothing is to follow an unload")
+    {
+        room_case it({"m0", "m1", "m3", "m6"});
+        it.controller->record_use(host_id("h"), {.model = model_id("m1"), .adapter = {}}, 0, 9,
+                                  it.now);
+        // The first of two unloads; the request leaves before the second.
+        it.request("m4");
+        it.step();
+        it.now += 1s;
+        for (int n = 0; n < 100; ++n)
+        {
+            it.request("m1", "a");
+            it.step();
+        }
+        CHECK(it.engine.models.at(model_id("m1")).contains(adapter_id("a")));
+        CHECK_FALSE(it.engine.overcommitted);
+    }
     SECTION("an engine whose callers have left is not held back by an unload")
     {
         room_case it({"m0", "m1", "m2"});
--- a/tests/memory/hostile_callers_test.cpp
+++ b/tests/memory/hostile_callers_test.cpp
@@ -247,6 +247,15 @@
             held.back()->send("GET /read/1 HTTP/1.1\r\nHost: desk");
         }
     }
+    SECTION("beside connections that fill their buffers")
+    {
+        for (int n = 0; n < connections; ++n)
+        {
+            held.push_back(host.connect());
+            held.back()->send(chunked_head(fmt::format("f{}", n)) +
+                              "1\r\nx\r\n0\r\nX-F: " + std::string(20000, 'v'));
+        }
+    }
     SECTION("beside connections that are opened and closed at once")
     {
         for (int n = 0; n < connections; ++n)
@@ -276,6 +285,36 @@
     check_sound(host);
 }
 
+TEST_CASE("a caller that pauses while it reads a long answer gets all of it")
+{
+    bounded_host host;
+    REQUIRE(host.started());
+    constexpr int size = 12 << 20;
+    host.desk.body_bytes = size;
+    auto caller = host.connect();
+    caller->send("GET /read/1 HTTP/1.1\r\nHost: desk.example\r\nX-Request-Id: p1\r\n"
+                 "Authorization: Bearer key-1\r\nX-Deadline-Ms: 8000\r\nConnection: close\r\n\r\n");
+    std::this_thread::sleep_for(4500ms);
+    CHECK(caller->receive().size() > static_cast<std::size_t>(size));
+}
+
+TEST_CASE("a new configuration's limits apply to connections that are open")
+{
+    bounded_host host;
+    REQUIRE(host.started());
+    auto caller = host.connect();
+    std::this_thread::sleep_for(200ms);
+    host.configure(2 * host.limits.body_bytes);
+    REQUIRE(host.answers_a_request());
+    std::this_thread::sleep_for(1500ms);
+    auto size = static_cast<std::size_t>(host.limits.body_bytes) * 3 / 2;
+    caller->send(fmt::format("POST /book/1 HTTP/1.1\r\nHost: desk.example\r\nX-Request-Id: k1\r\n"
+                             "Authorization: Bearer key-1\r\nX-Deadline-Ms: 5000\r\n"
+                             "Connection: close\r\nContent-Length: {}\r\n\r\n{}",
+                             size, std::string(size, 'b')));
+    CHECK(caller->receive().starts_with("HTTP/1.1 200"));
+}
+
 TEST_CASE("a host goes on when the reader of its log has gone")
 {
     bounded_host host;
