Even load by reports that are a little old, and the pace of servers

Cause: hosts that choose at the same moment all send to the server that looked the least loaded in the last reports, and know nothing of a server's speed.

--- a/programs/shunt_serve.cpp
+++ b/programs/shunt_serve.cpp
@@ -18,6 +18,10 @@
 DEFINE_string(sound_prompt_parts, "",
               "parts of prompts that are never banned, as their requests name them; separated by "
               "commas. Ends a ban on all hosts");
+DEFINE_bool(
+    spread_load, true,
+    "spreads requests over servers with regard to what other hosts probably send meanwhile; "
+    "otherwise each goes to the least loaded server by the last reports");
 DEFINE_bool(check, false, "check the settings and exit");
 
 namespace
@@ -69,6 +73,7 @@
         return usage_error;
     }
     settings->metrics_port = FLAGS_metrics_port;
+    settings->spread_load = FLAGS_spread_load;
     std::istringstream parts(FLAGS_sound_prompt_parts);
     for (std::string part; std::getline(parts, part, ',');)
     {
--- a/src/coordination/backend_table.cpp
+++ b/src/coordination/backend_table.cpp
@@ -15,6 +15,12 @@
 constexpr double outcome_weight = 0.12;
 /// Cost of a server that fails all its requests; a fully loaded server costs 1.
 constexpr double failing_cost = 1.5;
+/// Cost of a server of half the usual speed beside its load: its streams pause for longer, so that
+/// a prompt that is read there, or a short stall, makes more of them late.
+constexpr double slow_cost = 0.3;
+/// Added to the expected time of a load on such a server, in ms: what is loaded stays for many
+/// requests.
+constexpr double slow_load_ms = 400;
 /// Cost of a server in another failure domain: traffic between domains is charged.
 constexpr double cross_domain_cost = 0.02;
 /// Cost of a server in backoff after failures: at least that of a full one.
@@ -75,16 +81,16 @@
     if (is_new)
     {
         known.entry = entry;
+        known.offset = offset;
+        known.newest_at = from_log ? now : instant::min();
         known.received_at = now;
+        record_leaving();
         return true;
     }
     bool same_incarnation = entry.start_time_ms == known.entry.start_time_ms;
     bool older = from_log ? offset < known.offset
                           : entry.start_time_ms < known.entry.start_time_ms ||
-        known.offset = offset;
-        known.newest_at = from_log ? now : instant::min();
                                 (same_incarnation && entry.sequence < known.entry.sequence);
-        record_leaving();
     if (older)
     {
         return false;
@@ -98,13 +104,13 @@
     if (!same_incarnation)
     {
         limits_.forget_earlier(entry.id, entry.start_time_ms);
+        known.newest_at = instant::min();
         known.placement.reset();
         known.denied.clear();
         known.failures = 0;
         known.failure_ratio = 0;
         known.avoid_until = now;
     }
-        known.newest_at = instant::min();
     known.newest_at = from_log ? now : known.newest_at;
     known.entry = entry;
     known.removed = false;
@@ -135,18 +141,18 @@
     return changed;
 }
 
-    }
-    if (it->second.running == 0)
-    {
-        servers_.erase(it);
-        return;
-    }
 void backend_table::remove(const server_id& server)
 {
     auto it = servers_.find(server);
     if (it == servers_.end())
     {
         return;
+    }
+    if (it->second.running == 0)
+    {
+        servers_.erase(it);
+        return;
+    }
     it->second.removed = true;
 }
 
@@ -510,7 +516,9 @@
 
 double backend_table::cost(const record& it, instant now) const
 {
-    double sum = static_cast<double>(load(it)) / std::max(1, it.entry.slots);
+    double speed = pace_.speed(it.entry.id, now);
+    double sum = static_cast<double>(load(it)) / (std::max(1, it.entry.slots) * speed);
+    sum += slow_cost * (1 / speed - 1);
     sum += failing_cost * it.failure_ratio;
     sum += it.entry.domain == options_.own_domain ? 0 : cross_domain_cost;
     sum += it.avoid_until > now ? backoff_cost : 0;
@@ -568,6 +576,30 @@
     return best;
 }
 
+backend_table::candidate backend_table::choose_held(const std::vector<candidate>& held,
+                                                    const candidate& cheapest,
+                                                    const server_criteria& need, instant now) const
+{
+    if (need.unseen <= 0 || cheapest.cost >= backoff_cost)
+    {
+        return cheapest;
+    }
+    bool limited = limits_.in_force(cheapest.it->entry.id);
+    std::vector<spread_candidate> options;
+    std::vector<const candidate*> servers;
+    for (const auto& it : held)
+    {
+        if (it.cost < backoff_cost && limits_.in_force(it.it->entry.id) == limited)
+        {
+            double slots = std::max(1, it.it->entry.slots);
+            options.push_back(
+                {.cost = it.cost, .capacity = slots * pace_.speed(it.it->entry.id, now)});
+            servers.push_back(&it);
+        }
+    }
+    return *servers[choose_spread(options, need.unseen, need.draw)];
+}
+
 server_choice backend_table::choose_unpaused(const server_criteria& need, const engine_spec* engine,
                                              instant now) const
 {
@@ -577,6 +609,7 @@
     candidate without_adapter{.it = nullptr, .cost = never};
     candidate limited{.it = nullptr, .cost = never};
     bool unlimited_held = false;
+    std::vector<candidate> all_held;
     nanoseconds shortest_wait = nanoseconds::max();
     bool any_at_capacity = false;
     const bool wants_model = engine != nullptr && !need.target.model.empty();
@@ -620,6 +653,10 @@
         }
         unlimited_held = unlimited_held || (wait == nanoseconds(0) && !limits_.in_force(id) &&
                                             its_cost < backoff_cost);
+        if (wait == nanoseconds(0))
+        {
+            all_held.push_back({.it = &it, .cost = its_cost});
+        }
         candidate& best_of_kind = !wait ? without_adapter : wait->count() == 0 ? held : loading;
         if (its_cost < best_of_kind.cost)
         {
@@ -631,6 +668,7 @@
         held.cost >= backoff_cost && std::min(loading.cost, without_adapter.cost) < backoff_cost;
     if (held.it && !other_is_better)
     {
+        held = choose_held(all_held, held, need, now);
         const auto& id = held.it->entry.id;
         bool needs_permit = limits_.in_force(id) && id != need.permitted;
         return {.action = needs_permit ? server_choice::action_kind::permit
@@ -760,6 +798,7 @@
         double wait = ms;
         ms += limits_.in_force(id) ? limited_load_ms : 0;
         ms += 300.0 * load(it) / std::max(1, it.entry.slots);
+        ms += slow_load_ms * (1 / pace_.speed(id, now) - 1);
         auto weight = rendezvous_weight(need.target.model.str(), id.str());
         ms += tie_break_ms * static_cast<double>(weight) /
               static_cast<double>(std::numeric_limits<std::uint64_t>::max());
--- a/src/coordination/backend_table.hpp
+++ b/src/coordination/backend_table.hpp
@@ -13,8 +13,10 @@
 #include <set>
 #include <vector>
 
+#include "coordination/load_spread.hpp"
 #include "coordination/server_limits.hpp"
 #include "coordination/server_notices.hpp"
+#include "coordination/server_pace.hpp"
 #include "state/backend_entry.hpp"
 #include "state/clock.hpp"
 
@@ -121,6 +123,11 @@
     std::set<server_id> tried;
     /// The server for which the request holds a permit that is valid now, if any.
     server_id permitted = {};
+    /// Requests like it that other hosts have probably sent since their loads were reported; with 0
+    /// the server of the least cost is chosen.
+    double unseen = 0;
+    /// For the choice among several servers; in [0, 1).
+    double draw = 0;
 };
 
 /// Where a request can go.
@@ -163,6 +170,10 @@
     struct record
     {
         backend_entry entry;
+        /// The entry's offset in the log; 0 if it is not known.
+        log_offset offset;
+        /// When the log showed that this incarnation is the server's newest, if it did.
+        instant newest_at = instant::min();
         std::optional<server_placement> placement;
         std::optional<engine_owner> owner;
         /// Own requests in flight, in total and by target.
@@ -170,10 +181,6 @@
         std::map<model_target, int> running_by_target;
         /// When own requests were last seen running there by a report.
         instant last_running_at;
-        /// The entry's offset in the log; 0 if it is not known.
-        log_offset offset;
-        /// When the log showed that this incarnation is the server's newest, if it did.
-        instant newest_at = instant::min();
         /// Own requests since the last report to the host that owns the server's engine.
         std::map<model_target, int> requests_since_report;
         struct peer_load
@@ -210,6 +217,9 @@
     /// Forgets the offsets of entries, before a complete read of the registry. Its entries are the
     /// newest; they are applied with `complete_read_offset`.
     void forget_offsets();
+    static constexpr log_offset complete_read_offset{1};
+    /// The log repeated the entry that is known: its incarnation is the newest.
+    void confirm_newest(const server_id& server, instant now);
     /// Sets the failure domains whose servers get no requests; returns whether that changed.
     bool set_evacuated(std::set<domain_id> domains);
     const std::set<domain_id>& evacuated() const { return evacuated_; }
@@ -217,9 +227,6 @@
     /// Applies a placement and the owner that it names.
     void apply_placement(const server_id& server, server_placement placement);
     void apply_owner(const server_id& server, const engine_owner& owner);
-    static constexpr log_offset complete_read_offset{1};
-    /// The log repeated the entry that is known: its incarnation is the newest.
-    void confirm_newest(const server_id& server, instant now);
     /// Forgets the owner of a server's engine, when this host ceases to be it.
     void remove_owner(const server_id& server);
     /// A message of a host arrived. Its earlier incarnations give no more orders.
@@ -262,6 +269,8 @@
         return it.removed || it.entry.draining ||
                notices_.leaving(it.entry.id, it.entry.start_time_ms, it.newest_at);
     }
+    /// Whether its failure domain is being evacuated.
+    bool is_evacuated(const record& it) const { return evacuated_.contains(it.entry.domain); }
     /// How long the server still wants no requests from this host.
     nanoseconds pause_left(const record& it, instant now) const
     {
@@ -269,12 +278,12 @@
     }
     const std::map<server_id, record>& servers() const { return servers_; }
     std::map<server_id, record>& servers() { return servers_; }
-    /// Whether its failure domain is being evacuated.
-    bool is_evacuated(const record& it) const { return evacuated_.contains(it.entry.domain); }
     /// How many named targets of own requests are kept, over all servers.
     std::size_t count_targets() const;
     const server_limits& limits() const { return limits_; }
     server_limits& limits() { return limits_; }
+    const server_pace& pace() const { return pace_; }
+    server_pace& pace() { return pace_; }
     const server_notices& notices() const { return notices_; }
     server_notices& notices() { return notices_; }
     void expire_notices(instant now)
@@ -314,6 +323,9 @@
         double cost;
     };
     bool usable(const record& it, const server_criteria& need) const;
+    /// Chooses among servers that can serve the request at once, `cheapest` among them.
+    candidate choose_held(const std::vector<candidate>& held, const candidate& cheapest,
+                          const server_criteria& need, instant now) const;
     /// As `choose`, among servers that want requests now.
     server_choice choose_unpaused(const server_criteria& need, const engine_spec* engine,
                                   instant now) const;
@@ -339,12 +351,13 @@
 
     backend_table_options options_;
     std::map<server_id, record> servers_;
+    std::set<domain_id> evacuated_;
     std::map<host_id, heard_host> heard_hosts_;
     /// When the newest complete report of each host was sent.
     std::map<host_id, instant> complete_reports_;
     server_limits limits_;
     server_notices notices_;
+    server_pace pace_;
 };
 
 } // namespace banyanshunt
-    std::set<domain_id> evacuated_;
--- a/src/serve/active_request.cpp
+++ b/src/serve/active_request.cpp
@@ -369,12 +369,17 @@
     {
         context_.stats.observe("banyanshunt_first_event_seconds", time_to_first_byte_);
     }
+    const char* late = delivered && time_to_first_byte_.count() > 0 ? late_cause() : "-";
+    if (late != std::string_view("-"))
+    {
+        context_.stats.increment("banyanshunt_streams_total", {{"late", late}});
+    }
     context_.log.write(
         "request_end",
         "request={} outcome={} status={} reason={} route={} workspace={} model={}{}{} "
         "tokens={} output_tokens={} server={} server_load={} sends={} waited_ms={} first_ms={} "
         "took_ms={} config={} config_age_ms={} servers_age_ms={} connect_ms={} load={} "
-        "load_server={}",
+        "load_server={} late={} longest_gap_ms={}",
         fields_.id.str(), outcome, status, last_reason_, route_ ? route_->name.str() : "-",
         workspace_ ? workspace_->name.str() : "-",
         fields_.model.empty() ? "-" : fields_.model.str(), fields_.adapter.empty() ? "" : "/",
@@ -388,7 +393,7 @@
                   .count()
             : -1,
         servers_age_.count(), connect_time_.count(), load_route_ ? to_text(*load_route_) : "-",
-        load_server_.empty() ? "-" : load_server_.str());
+        load_server_.empty() ? "-" : load_server_.str(), late, to_ms(longest_gap_));
 }
 
 task<void> active_request::finish(attempt_result end)
--- a/src/serve/active_request.hpp
+++ b/src/serve/active_request.hpp
@@ -189,6 +189,13 @@
     /// ended well.
     void record_duration(const model_id& model, instant sent_at);
     void record_target_end(bool delivered);
+    /// Records that events of the current attempt arrived.
+    void record_events(std::string_view events);
+    /// Records the pace of the server that sent a whole stream.
+    void record_pace(const server_id& server);
+    /// What made a stream late for its caller: `first`, its first event, `gap`, a gap between
+    /// events, or `none`.
+    const char* late_cause() const;
     void log_end(const char* outcome, int status);
 
     host_context& context_;
@@ -225,6 +232,11 @@
     stream_continuity events_;
     /// When the current attempt began, or completed its last event.
     instant progressed_at_;
+    /// When it began or completed its first event, how many events it has brought, and the longest
+    /// gap between two of them over all attempts.
+    instant first_event_at_;
+    int event_count_ = 0;
+    nanoseconds longest_gap_{0};
     /// When the current attempt brought the first byte of a body, or the first event of a stream.
     std::optional<instant> first_byte_at_;
     /// The current attempt's response was recorded as sound.
--- a/src/serve/host_context.hpp
+++ b/src/serve/host_context.hpp
@@ -18,6 +18,7 @@
 #include "coordination/planned_stop.hpp"
 #include "coordination/prompt_quarantine.hpp"
 #include "coordination/random_source.hpp"
+#include "coordination/request_rates.hpp"
 #include "coordination/run_times.hpp"
 #include "coordination/server_list_age.hpp"
 #include "coordination/share_ledger.hpp"
@@ -123,11 +124,11 @@
 inline std::size_t max_caller_connections(const host_settings& settings)
 {
     constexpr std::size_t reserved_descriptors = 200;
-    std::size_t all = settings.max_descriptors;
     constexpr std::size_t connections_per_mb = 8;
     constexpr std::size_t no_bound = std::numeric_limits<std::size_t>::max();
     std::size_t by_memory =
         settings.memory_mb == 0 ? no_bound : connections_per_mb * settings.memory_mb;
+    std::size_t all = settings.max_descriptors;
     std::size_t by_descriptors = all == 0 ? no_bound
                                  : all < 2 * reserved_descriptors
                                      ? all / 4
@@ -138,7 +139,6 @@
 class active_request;
 class caller_connection;
 
-struct host_context
 /// The open connections of callers. Shared with their sessions, which may outlive the context when
 /// the host ends.
 struct open_connections
@@ -149,6 +149,7 @@
     std::map<connection_number, std::weak_ptr<caller_connection>> connections;
 };
 
+struct host_context
 {
     host_context(host_settings initial, asio::any_io_executor loop)
         : settings(std::move(initial)), executor(std::move(loop)), random(make_seeded_rng()),
@@ -189,7 +190,6 @@
         return std::chrono::duration_cast<milliseconds>(settings.bounds.key_revocation *
                                                         confirmed_ratio);
     }
-    /// Time since the server list was confirmed; negative if it never was.
     /// Whether an evacuation may be in force that this host has not read, where the deployment
     /// bounds the time until it has to be.
     bool evacuation_may_be_unknown(instant at) const
@@ -198,6 +198,7 @@
         auto max_age = std::chrono::duration_cast<milliseconds>(bound * confirmed_ratio);
         return bound.count() > 0 && (!config_confirmed_at || at - *config_confirmed_at >= max_age);
     }
+    /// Time since the server list was confirmed; negative if it never was.
     milliseconds servers_age(instant at) const
     {
         auto confirmed_at = list_age.confirmed_at();
@@ -344,9 +345,9 @@
     resource_provider* resources = nullptr;
     /// Called after another configuration was applied.
     std::function<void()> on_config_change = [] {};
-    /// Called after a response showed a change of a server's limit.
     /// Called after a server was found to be cold.
     std::function<void(const server_id&)> on_server_cold = [](const server_id&) {};
+    /// Called after a response showed a change of a server's limit.
     std::function<void(const server_id&, limit_change)> on_limit_change = [](const server_id&,
                                                                              limit_change) {};
     /// Called after a response showed that a server leaves.
@@ -361,6 +362,19 @@
     /// Set once this host was asked to stop.
     std::optional<planned_stop> stop;
     run_times durations{run_times_options{}};
+    /// By wait list key of the requests.
+    request_rates arrivals;
+    /// How old other hosts' reports of their loads are on average.
+    nanoseconds report_age{0};
+    /// How many requests with this wait list key other hosts have probably sent since they reported
+    /// their loads, if callers ask them as often as this host.
+    double unseen_requests(const std::string& key) const
+    {
+        std::chrono::duration<double> age = report_age;
+        return settings.spread_load
+                   ? arrivals.rate(key, now()) * static_cast<double>(host_count - 1) * age.count()
+                   : 0;
+    }
     /// The requests without a final response.
     std::set<std::weak_ptr<active_request>, std::owner_less<>> open_requests;
     /// Requests of which a part has been read.
--- a/src/serve/peer_message_check.cpp
+++ b/src/serve/peer_message_check.cpp
@@ -1,6 +1,7 @@
 #include "serve/peer_message_check.hpp"
 
 #include <algorithm>
+#include <cstdlib>
 #include <string>
 
 #include "peers.pb.h"
@@ -22,6 +23,12 @@
 constexpr std::uint64_t max_millirequests_per_s = std::uint64_t(max_requests) * 1000;
 /// Parts in the requests of one host that one server had not begun to answer.
 constexpr int max_parts_of_crash = 256;
+/// Gaps between events that are 150 times as long as usual, or as short.
+constexpr std::int32_t max_slowness_permille = 5000;
+/// More streams than a host lets count for one server.
+constexpr std::uint32_t max_paced_streams_tenths = 1000;
+/// A server is cold for some seconds after its start.
+constexpr std::uint32_t max_cold_ms = 600'000;
 constexpr std::int64_t max_waited_ms = 24LL * 3600 * 1000;
 /// The end of the year 9999, as in entries of servers.
 constexpr std::int64_t max_unix_ms = 253402300799999;
@@ -58,7 +65,9 @@
 
 bool is_sound(const peers::server_use& it)
 {
-    return is_name(it.server()) && it.running() <= max_requests;
+    return is_name(it.server()) && it.running() <= max_requests &&
+           std::abs(it.slowness_permille()) <= max_slowness_permille &&
+           it.paced_streams_tenths() <= max_paced_streams_tenths;
 }
 
 bool is_sound(const peers::spare_tokens& it)
--- a/src/serve/peer_service.cpp
+++ b/src/serve/peer_service.cpp
@@ -1,6 +1,7 @@
 #include "serve/peer_service.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <fmt/format.h>
 
 #include "peers.pb.h"
@@ -47,11 +48,11 @@
 /// Most hosts of a fleet, this one included.
 constexpr std::size_t max_hosts = 4096;
 
-std::uint32_t ms_until(instant at, instant now)
 /// Scales of numbers in reports.
 constexpr double permille = 1000;
 constexpr double tenths = 10;
 
+std::uint32_t ms_until(instant at, instant now)
 {
     auto left = std::chrono::ceil<milliseconds>(at - now).count();
     return static_cast<std::uint32_t>(std::max<std::int64_t>(left, 0));
@@ -164,8 +165,8 @@
     context_.on_config_change = [this] { shares_.update_shares(); };
     context_.on_limit_change = [this](const server_id& server, limit_change change)
     { limits_.announce(server, change); };
-    context_.on_connection_lost = [this](const server_id& server, const auto& parts)
     context_.on_server_cold = [this](const server_id& server) { limits_.begin_cold(server); };
+    context_.on_connection_lost = [this](const server_id& server, const auto& parts)
     { quarantine_.check_server(server, parts); };
     context_.on_sound_response = [this](const auto& parts) { quarantine_.record_sound(parts); };
     context_.on_server_leaving = [this](const server_id& server) { notices_.announce(server); };
@@ -420,6 +421,13 @@
     {
         server_id server(it.server());
         context_.servers.apply_peer_load(from, server, static_cast<int>(it.running()), sent_at);
+        if (it.paced_streams_tenths() > 0)
+        {
+            context_.servers.pace().apply(from, server,
+                                          {.slowness = it.slowness_permille() / permille,
+                                           .weight = it.paced_streams_tenths() / tenths,
+                                           .at = sent_at});
+        }
         for (const auto& use : it.units())
         {
             orders_.record_use(
@@ -505,6 +513,16 @@
     }
 }
 
+void write_pace(const server_pace& from, const server_id& server, instant now,
+                peers::server_use& to)
+{
+    if (auto it = from.own(server, now))
+    {
+        to.set_slowness_permille(static_cast<std::int32_t>(std::lround(it->slowness * permille)));
+        to.set_paced_streams_tenths(static_cast<std::uint32_t>(std::lround(it->weight * tenths)));
+    }
+}
+
 } // namespace
 
 void peer_service::report_to(const host_id& host, const peer& to, instant now)
@@ -524,6 +542,7 @@
         auto& use = *report.add_servers();
         use.set_server(id.str());
         use.set_running(static_cast<std::uint32_t>(it.running));
+        write_pace(context_.servers.pace(), id, now, use);
         if (is_owner)
         {
             write_units(it, use);
@@ -554,6 +573,7 @@
             auto& use = *report.add_servers();
             use.set_server(id.str());
             use.set_running(static_cast<std::uint32_t>(it.running));
+            write_pace(context_.servers.pace(), id, now, use);
         }
     }
     shares_.fill_lendable(message, now);
@@ -600,6 +620,10 @@
         instant now = context_.now();
         context_.ledger.expire(now);
         context_.servers.expire_peer_loads(now);
+        context_.servers.pace().expire(now);
+        context_.arrivals.expire(now);
+        // On average a report is half a period old, whichever domain it comes from.
+        context_.report_age = (same_domain_period() + cross_domain_period()) / 4;
         context_.servers.limits().expire(now);
         context_.servers.expire_notices(now);
         quarantine_.expire();
--- a/src/serve/request_attempt.cpp
+++ b/src/serve/request_attempt.cpp
@@ -204,6 +204,43 @@
     }
 }
 
+void active_request::record_events(std::string_view events)
+{
+    constexpr std::string_view end_of_event = "\n\n";
+    instant now = context_.now();
+    if (event_count_ == 0)
+    {
+        first_event_at_ = now;
+    }
+    if (time_to_first_byte_.count() > 0)
+    {
+        longest_gap_ = std::max(longest_gap_, now - progressed_at_);
+    }
+    progressed_at_ = now;
+    for (auto at = events.find(end_of_event); at != std::string_view::npos;
+         at = events.find(end_of_event, at + end_of_event.size()))
+    {
+        ++event_count_;
+    }
+}
+
+void active_request::record_pace(const server_id& server)
+{
+    if (event_count_ > 1)
+    {
+        context_.servers.pace().record(server, target().model,
+                                       (progressed_at_ - first_event_at_) / (event_count_ - 1),
+                                       event_count_, context_.now());
+    }
+}
+
+const char* active_request::late_cause() const
+{
+    bool late_first = route_->objective.count() > 0 && time_to_first_byte_ > route_->objective;
+    bool late_gap = route_->event_gap.count() > 0 && longest_gap_ > route_->event_gap;
+    return late_first ? "first" : late_gap ? "gap" : "none";
+}
+
 void active_request::undo_send()
 {
     --sends_;
@@ -269,6 +306,7 @@
     bool resumed = head_sent_;
     progressed_at_ = sent_at;
     first_byte_at_.reset();
+    event_count_ = 0;
     sound_recorded_ = false;
     schedule_inactivity_check();
     const auto* chosen = context_.servers.find(server);
@@ -353,6 +391,10 @@
     {
         record_duration(unit.model, sent_at);
     }
+    if (end == attempt_result::delivered && !unit.model.empty())
+    {
+        record_pace(server);
+    }
     context_.servers.record_ended(server, unit, outcome, context_.now());
     context_.waiting.wake(wait_key());
     if (end != attempt_result::delivered)
@@ -501,7 +543,7 @@
         {
             continue;
         }
-        progressed_at_ = context_.now();
+        record_events(part.events);
         first_byte_at_ = first_byte_at_.value_or(progressed_at_);
         if (begun_soundly())
         {
--- a/src/serve/request_wait.cpp
+++ b/src/serve/request_wait.cpp
@@ -1,6 +1,7 @@
 // Which server a request is sent to, and how long it waits for one.
 
 #include <algorithm>
+#include <random>
 
 #include "serve/active_request.hpp"
 
@@ -53,7 +54,6 @@
                        std::chrono::floor<milliseconds>(context_.now() - asked_at).count());
 }
 
-task<void> active_request::await_end_check()
 task<void> active_request::confirm_evacuations()
 {
     instant give_up_at = context_.now() + list_confirm_timeout;
@@ -66,6 +66,7 @@
     }
 }
 
+task<void> active_request::await_end_check()
 {
     while (context_.end_checks.contains(last_server_) && !caller_->closed && !ended())
     {
@@ -184,6 +185,11 @@
 task<std::optional<server_id>> active_request::find_server()
 {
     instant wait_start = context_.now();
+    const std::string key = wait_key();
+    if (sends_ == 0)
+    {
+        context_.arrivals.record(key, wait_start);
+    }
     server_id requested_server;
     instant requested_at;
     while (!caller_->closed && !ended())
@@ -197,7 +203,11 @@
         {
             permit_.reset();
         }
-        server_criteria need{.service = service_, .target = target(), .tried = tried_};
+        server_criteria need{.service = service_,
+                             .target = target(),
+                             .tried = tried_,
+                             .unseen = context_.unseen_requests(key),
+                             .draw = std::uniform_real_distribution<double>(0, 1)(context_.random)};
         if (permit_ && permitted(permit_->server))
         {
             need.permitted = permit_->server;
--- a/src/state/host_settings.hpp
+++ b/src/state/host_settings.hpp
@@ -72,6 +72,9 @@
     std::size_t memory_mb = 256;
     /// The number or fraction of CPU cores that this host may use.
     double cores = 1;
+    /// Whether requests are spread over servers with regard to what other hosts probably send,
+    /// rather than to the least loaded server by the last reports.
+    bool spread_load = true;
     /// Parts of prompts that operators know to be sound; they are never banned.
     std::vector<prompt_part> sound_parts;
     slo_bounds bounds;
