Configuration: the parser names the entry of an error and keeps repeats

Cause: a missing member was reported by its name alone and a wrong value as "routes[].timeout_ms", so that the entry could not be found among hundreds. A key of two workspaces, and a service or workspace listed twice, were dropped without a trace. Change: reasons begin with the entry's index; serving_config::repeated lists what was dropped. What is accepted and which entry stays in effect are as before.

--- a/src/state/serving_config.hpp
+++ b/src/state/serving_config.hpp
@@ -118,6 +118,22 @@
     milliseconds idle_timeout{15000};
 };
 
+/// An entry that repeats the name of an earlier one, which stays in effect, or a key of another
+/// workspace.
+struct repeated_entry
+{
+    enum class entry_kind
+    {
+        service,
+        workspace,
+        key,
+    };
+    entry_kind kind;
+    std::string name;
+    /// The workspace that lists the key a second time; empty for other kinds.
+    workspace_id workspace;
+};
+
 /// One version of the serving configuration.
 class serving_config
 {
@@ -128,6 +144,8 @@
     std::map<workspace_id, workspace_spec> workspaces;
     std::unordered_map<std::string, workspace_id> key_owner;
     caller_limits limits;
+    /// Entries that were dropped, in the order of the text.
+    std::vector<repeated_entry> repeated;
 
     /// Builds the index that `find_route` uses; call once after all fields are set.
     void build_index();
