shuntctl check: a serving configuration is checked before it is sent

Cause: a configuration that parses is accepted, whatever it does to callers: a hidden route, a key of another workspace, a model that no engine holds, or a timeout below its objective show only once callers' requests are rejected. Change: coordination/config_check finds entries that never match and contradictions, and compares two versions; `shuntctl check FILE [--against=FILE] [--json]` prints them and exits with 0, 1 or 2. The program hands the platform's parser to src/control, which does not include platform/.

--- a/programs/shuntctl.cpp
+++ b/programs/shuntctl.cpp
@@ -6,11 +6,13 @@
 #include <gflags/gflags.h>
 
 #include "control/commands.hpp"
+#include "platform/manifest.hpp"
 
 DEFINE_string(log, "", "address of the platform's log service");
 DEFINE_string(entry, "", "admin addresses of some entry hosts, comma-separated");
 DEFINE_int64(patience_ms, 2000, "longest wait for one response, in milliseconds");
 DEFINE_int64(wait_ms, 0, "how long to wait until every live host has the ticket in force");
+DEFINE_string(against, "", "file with the serving configuration in effect, for check");
 DEFINE_bool(json, false, "JSON instead of tables");
 
 namespace
@@ -39,6 +41,8 @@
         .admin_addresses = split(FLAGS_entry),
         .timeout = banyanshunt::milliseconds(FLAGS_patience_ms),
         .confirm_timeout = banyanshunt::milliseconds(FLAGS_wait_ms),
+        .against = FLAGS_against,
+        .parse_config = banyanshunt::platform::parse_manifest,
         .json = FLAGS_json,
     };
     return banyanshunt::run_control(std::vector<std::string>(argv + 1, argv + argc), options);
--- a/src/control/commands.cpp
+++ b/src/control/commands.cpp
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
+#include "control/config_command.hpp"
 #include "control/fleet_view.hpp"
 #include "control/text_table.hpp"
 #include "control/ticket_commands.hpp"
@@ -13,7 +14,8 @@
 namespace banyanshunt
 {
 
-const char* const control_usage = R"(drives banyanshunt by tickets.
+const char* const control_usage =
+    R"(drives banyanshunt by tickets and checks serving configurations.
   shuntctl ticket check FILE                   check a ticket's format
   shuntctl --log=ADDR ticket publish FILE      publish a ticket; safe to repeat
       [--entry=ADDR,... --wait_ms=N]           and wait until it is in force on every live host
@@ -22,6 +24,8 @@
   shuntctl --entry=ADDR,... state show         show the objects in force on the first host
   shuntctl --entry=ADDR,... hosts              list the entry hosts
   shuntctl key make ID WORKSPACE               make a key: its entry for a ticket, and the secret
+  shuntctl check FILE [--against=FILE]         check a serving configuration before it is sent,
+                                               and compare it with the version in effect
 Add --json for scripts.)";
 
 namespace
@@ -162,6 +166,10 @@
     {
         return list_hosts(options);
     }
+    if (words.size() == 2 && words[0] == "check")
+    {
+        return check_config_file(words[1], options);
+    }
     if (words.size() == 4 && words[0] == "key" && words[1] == "make")
     {
         return make_key(words[2], words[3], options);
--- a/src/control/commands.hpp
+++ b/src/control/commands.hpp
@@ -5,9 +5,12 @@
 /// explanations to standard error, and returns an exit code that scripts can distinguish.
 
 #include <string>
+#include <string_view>
 #include <vector>
 
+#include "state/serving_config.hpp"
 #include "state/units.hpp"
+#include "state/verdict.hpp"
 
 namespace banyanshunt
 {
@@ -24,6 +27,8 @@
     exit_unconfirmed = 6,
 };
 
+using config_parser = verdict<serving_config_ptr> (*)(std::string_view);
+
 struct control_options
 {
     /// Address of the platform's log service.
@@ -35,6 +40,10 @@
     /// How long `--wait_ms` waits until every live host has confirmed the ticket; zero does not
     /// wait.
     milliseconds confirm_timeout{0};
+    /// Path of the serving configuration in effect, with which `check` compares; empty for none.
+    std::string against;
+    /// Parses the text of a serving configuration.
+    config_parser parse_config = nullptr;
     /// Print JSON for scripts instead of a table.
     bool json = false;
 };
--- a/src/control/ticket_commands.cpp
+++ b/src/control/ticket_commands.cpp
@@ -1,8 +1,6 @@
 #include "control/ticket_commands.hpp"
 
 #include <charconv>
-#include <fstream>
-#include <sstream>
 #include <thread>
 
 #include <fmt/format.h>
@@ -10,6 +8,7 @@
 
 #include "control/fleet_view.hpp"
 #include "control/publication.hpp"
+#include "control/text_file.hpp"
 #include "control/text_table.hpp"
 #include "coordination/random_source.hpp"
 #include "protocol/snapshot_codec.hpp"
@@ -26,19 +25,6 @@
 
 constexpr milliseconds confirm_poll(100);
 
-std::optional<std::string> read_text(const std::string& path)
-{
-    std::ifstream in(path);
-    if (!in)
-    {
-        fmt::print(stderr, "{}: cannot be read\n", path);
-        return std::nullopt;
-    }
-    std::ostringstream text;
-    text << in.rdbuf();
-    return text.str();
-}
-
 int exit_of(publication_outcome end)
 {
     switch (end)
