--- a/src/serve/caller_session.cpp
+++ b/src/serve/caller_session.cpp
@@ -44,8 +44,9 @@
     return 400;
 }
 
-/// How long the rest of a refused request is read.
-constexpr milliseconds drain_time{500};
+/// How long the rest of a refused request is read: a caller that has sent a part of a large body
+/// reads nothing before it has sent all.
+constexpr milliseconds drain_time{4000};
 /// What a head or a line of a chunk may need in the buffer beside the limit on heads, in bytes.
 constexpr std::size_t buffer_margin = 16384;
 /// Retry-After of a request that does not fit the memory: bodies are held for about a second.
