--- a/src/serve/caller_session.cpp
+++ b/src/serve/caller_session.cpp
@@ -311,20 +311,21 @@
 
 using string_response = http::response<http::string_body>;
 
-/// Serves requests without a body on one connection; `handler` fills each response.
+/// Serves requests without a body on one connection, unless too many such connections are open;
+/// `handler` fills each response.
 template <class Handler>
-task<void> serve_simple_requests(tcp::socket socket, Handler handler)
+task<void> serve_simple(host_context& context, boost::beast::tcp_stream stream, Handler handler)
 {
-    boost::beast::tcp_stream stream(std::move(socket));
     boost::beast::flat_buffer buffer(max_simple_bytes);
+    ++context.service_connections;
     while (true)
     {
         stream.expires_after(ready_idle_timeout);
         http::request<http::empty_body> request;
         auto [ec, n] = co_await http::async_read(stream, buffer, request, as_result);
-        if (ec)
+        if (ec || context.service_connections > max_service_connections)
         {
-            co_return;
+            break;
         }
         string_response response;
         response.version(11);
@@ -334,22 +335,9 @@
         auto [write_ec, m] = co_await http::async_write(stream, response, as_result);
         if (write_ec || !request.keep_alive())
         {
-            co_return;
+            break;
         }
     }
-}
-
-/// The same, unless too many such connections are open.
-template <class Handler>
-task<void> serve_simple(host_context& context, tcp::socket socket, Handler handler)
-{
-    if (context.service_connections >= max_service_connections)
-    {
-        context.stats.increment("banyanshunt_excess_connections_total");
-        co_return;
-    }
-    ++context.service_connections;
-    co_await serve_simple_requests(std::move(socket), std::move(handler));
     --context.service_connections;
 }
 
@@ -401,7 +389,7 @@
 
 task<void> serve_ready(host_context& context, tcp::socket socket)
 {
-    co_await serve_simple(context, std::move(socket),
+    co_await serve_simple(context, boost::beast::tcp_stream(std::move(socket)),
                           [&context](std::string_view target, string_response& response)
                           {
                               bool ready = !context.stop && context.servers_known &&
@@ -416,7 +404,7 @@
 
 task<void> serve_metrics(host_context& context, tcp::socket socket)
 {
-    co_await serve_simple(context, std::move(socket),
+    co_await serve_simple(context, boost::beast::tcp_stream(std::move(socket)),
                           [&context](std::string_view target, string_response& response)
                           {
                               bool found = target == "/metrics";
--- a/tests/correctness/engine_room_test.cpp
+++ b/tests/correctness/engine_room_test.cpp
@@ -127,7 +127,7 @@
 class room_case
 {
 public:
-    explicit room_case(std::vector<const char*> held)
+    explicit room_case(const std::vector<const char*>& held)
     {
         entry.id = server_id("i-1");
         for (const char* id : held)
