--- a/tests/memory/hostile_callers_test.cpp
+++ b/tests/memory/hostile_callers_test.cpp
@@ -47,6 +47,7 @@
                      const std::function<std::string(std::size_t)>& block)
 {
     std::vector<std::thread> threads;
+    threads.reserve(crowd);
     for (int n = 0; n < crowd; ++n)
     {
         threads.emplace_back(
