One decaying rate, one refusal, one look-up of a key's workspace

Cause: request_rates repeated the rate that engine_controller had; the refusal for memory repeated the response of active_request; the session looked up a key's workspace beside the admission, and for requests without a body as well. A request that chose its server again counted as another arrival. Each request freed its connection's buffer, whose size is bounded already. Change: request_rates serves both, by key; refusal_response writes both; the configuration finds the workspace of a key; an arrival is counted once; buffers are kept.

--- a/src/coordination/engine_controller.cpp
+++ b/src/coordination/engine_controller.cpp
@@ -1,7 +1,6 @@
 #include "coordination/engine_controller.hpp"
 
 #include <algorithm>
-#include <cmath>
 #include <limits>
 #include <utility>
 
@@ -11,8 +10,6 @@
 namespace
 {
 
-/// Averaging window of a model's request rate: it covers a few requests of a rare model.
-constexpr double rate_window_s = 4.0;
 /// Factor on the worth of a model that other servers hold too.
 constexpr double redundant_factor = 0.15;
 /// What a running request adds to a model's worth, in requests a second.
@@ -167,7 +164,7 @@
     it->second.first = std::min(it->second.first, now - waited);
     if (waited < load_request_period)
     {
-        add_requests(target.model, 1, now);
+        rates_.record(target.model, 1, now);
     }
 }
 
@@ -175,7 +172,7 @@
                                    int requests, instant now)
 {
     uses_[target][host] = {.running = running, .at = now};
-    add_requests(target.model, requests, now);
+    rates_.record(target.model, requests, now);
     auto model = models_.find(target.model);
     if (model == models_.end())
     {
@@ -189,23 +186,6 @@
     }
 }
 
-double engine_controller::rate(const model_id& model, instant now) const
-{
-    auto it = rates_.find(model);
-    if (it == rates_.end())
-    {
-        return 0;
-    }
-    std::chrono::duration<double> passed = now - it->second.updated_at;
-    return it->second.per_s * std::exp(-passed.count() / rate_window_s);
-}
-
-void engine_controller::add_requests(const model_id& model, int requests, instant now)
-{
-    double per_s = rate(model, now) + requests / rate_window_s;
-    rates_[model] = {.per_s = per_s, .updated_at = now};
-}
-
 int engine_controller::running(const model_target& target, instant now) const
 {
     auto it = uses_.find(target);
@@ -625,7 +605,7 @@
         }
         int busy = running_model(id, now);
         bool redundant = env.count_other_replicas(id) > 0;
-        double worth = rate(id, now) + running_request_worth * busy;
+        double worth = rates_.rate(id, now) + running_request_worth * busy;
         worth *= redundant ? redundant_factor : 1;
         // A busy model with less worth than the others is waited for rather than passed over:
         // unloading one with more requests would block the engine for longer.
--- a/src/coordination/engine_controller.hpp
+++ b/src/coordination/engine_controller.hpp
@@ -19,6 +19,7 @@
 
 #include "coordination/backend_table.hpp"
 #include "coordination/engine_room.hpp"
+#include "coordination/request_rates.hpp"
 #include "state/clock.hpp"
 
 namespace banyanshunt
@@ -207,12 +208,6 @@
         instant last;
         load_block block = load_block::none;
     };
-    /// Requests a second for a model, decaying: served ones, and those that asked for a load.
-    struct request_rate
-    {
-        double per_s = 0;
-        instant updated_at;
-    };
     struct target_use
     {
         int running = 0;
@@ -255,8 +250,6 @@
     engine_room room(const engine_spec& engine) const;
     int running(const model_target& target, instant now) const;
     int running_model(const model_id& model, instant now) const;
-    double rate(const model_id& model, instant now) const;
-    void add_requests(const model_id& model, int requests, instant now);
     bool loading(instant now) const;
     milliseconds load_time(const model_spec& model) const;
 
@@ -286,9 +279,10 @@
     load_block model_block_ = load_block::none;
     load_block adapter_block_ = load_block::none;
     std::map<model_target, std::map<host_id, target_use>> uses_;
-    /// Kept for models that are not held, so that one which is loaded for many refused requests is
-    /// not the next to be evicted.
-    std::map<model_id, request_rate> rates_;
+    /// Requests for each model: served ones, and those that asked for a load. Kept for models that
+    /// are not held, so that one which is loaded for many refused requests is not the next to be
+    /// evicted.
+    request_rates<model_id> rates_;
 };
 
 } // namespace banyanshunt
--- a/src/coordination/request_rates.hpp
+++ b/src/coordination/request_rates.hpp
@@ -1,11 +1,10 @@
 #pragma once
 
 /// \file
-/// How often callers of this host ask for each model or service: decaying rates.
+/// How often callers ask for each model or service: decaying rates.
 
 #include <cmath>
 #include <map>
-#include <string>
 
 #include "state/clock.hpp"
 #include "state/units.hpp"
@@ -13,19 +12,20 @@
 namespace banyanshunt
 {
 
+template <class Key>
 class request_rates
 {
 public:
-    /// Covers a few requests of a busy model, and swings of demand within seconds.
+    /// Covers a few requests of a rare model, and swings of demand within seconds.
     static constexpr seconds window{4};
 
-    void record(const std::string& key, instant now)
+    void record(const Key& key, int requests, instant now)
     {
-        double per_s = rate(key, now) + 1 / std::chrono::duration<double>(window).count();
+        double per_s = rate(key, now) + requests / std::chrono::duration<double>(window).count();
         rates_[key] = {.per_s = per_s, .at = now};
     }
     /// Requests a second.
-    double rate(const std::string& key, instant now) const
+    double rate(const Key& key, instant now) const
     {
         auto it = rates_.find(key);
         if (it == rates_.end())
@@ -49,7 +49,7 @@
         double per_s = 0;
         instant at;
     };
-    std::map<std::string, decaying_rate> rates_;
+    std::map<Key, decaying_rate> rates_;
 };
 
 } // namespace banyanshunt
--- a/src/serve/active_request.cpp
+++ b/src/serve/active_request.cpp
@@ -7,6 +7,7 @@
 #include <fmt/format.h>
 
 #include "serve/prompt_trial.hpp"
+#include "serve/refusal_response.hpp"
 #include "state/errors.hpp"
 
 namespace banyanshunt
@@ -169,6 +170,7 @@
         co_await refuse(*refused);
         co_return;
     }
+    context_.arrivals.record(wait_key(), 1, context_.now());
     auto end = attempt_result::not_run;
     while (!caller_->closed && !ended())
     {
@@ -466,27 +468,12 @@
     }
     log_end(not_run ? "refused" : "failed", cause.status);
     keep_alive_ = keep_alive_ && !context_.stop;
-    std::string body = fmt::format("{{\"error\":{{\"reason\":\"{}\",\"run\":\"{}\"}}}}",
-                                   cause.reason, not_run ? "not_run" : "may_have_run");
-    std::string response = fmt::format(
-        "HTTP/1.1 {} {}\r\nContent-Type: application/json\r\nContent-Length: {}\r\n", cause.status,
-        std::string_view(
-            http::obsolete_reason(http::int_to_status(static_cast<unsigned>(cause.status)))),
-        body.size());
-    if (cause.retry_after)
-    {
-        response += fmt::format("Retry-After: {:.2f}\r\n",
-                                static_cast<double>(cause.retry_after->count()) / 1000);
-    }
-    if (!keep_alive_)
-    {
-        response += "Connection: close\r\n";
-    }
-    response += "\r\n";
-    if (request_.method() != http::verb::head)
-    {
-        response += body;
-    }
+    std::string response = to_text({.status = cause.status,
+                                    .reason = cause.reason,
+                                    .not_run = not_run,
+                                    .retry_after = cause.retry_after,
+                                    .keep_alive = keep_alive_,
+                                    .with_body = request_.method() != http::verb::head});
     co_return co_await caller_->write(response);
 }
 
--- a/src/serve/caller_session.cpp
+++ b/src/serve/caller_session.cpp
@@ -8,6 +8,7 @@
 
 #include "platform/headers.hpp"
 #include "serve/active_request.hpp"
+#include "serve/refusal_response.hpp"
 
 namespace banyanshunt
 {
@@ -50,7 +51,7 @@
 /// What a head or a line of a chunk may need in the buffer beside the limit on heads, in bytes.
 constexpr std::size_t buffer_margin = 16384;
 /// Retry-After of a request that does not fit the memory: bodies are held for about a second.
-constexpr const char* memory_retry_after = "0.50";
+constexpr milliseconds memory_retry_after{500};
 
 task<void> refuse_bad_request(caller_connection& caller, int status, host_context& context)
 {
@@ -71,11 +72,8 @@
                           context.bodies->total());
     }
     context.stats.increment("banyanshunt_memory_refusals_total");
-    constexpr std::string_view body = R"({"error":{"reason":"memory","run":"not_run"}})";
-    std::string text = fmt::format("HTTP/1.1 503 Service Unavailable\r\nContent-Type: "
-                                   "application/json\r\nContent-Length: {}\r\nRetry-After: {}\r\n"
-                                   "Connection: close\r\n\r\n{}",
-                                   body.size(), memory_retry_after, body);
+    std::string text =
+        to_text({.reason = "memory", .retry_after = memory_retry_after, .keep_alive = false});
     co_await caller.write(text);
     co_await caller.drain(drain_time);
 }
@@ -138,10 +136,9 @@
         platform::read_caller_field({field.name_string().data(), field.name_string().size()},
                                     {field.value().data(), field.value().size()}, fields);
     }
-    auto owner = context.config ? context.config->key_owner.find(fields.api_key)
-                                : std::unordered_map<std::string, workspace_id>::const_iterator();
-    bool known = context.config && owner != context.config->key_owner.end();
-    return known ? owner->second : workspace_id();
+    const auto* workspace =
+        context.config ? context.config->find_workspace(fields.api_key) : nullptr;
+    return workspace ? workspace->name : workspace_id();
 }
 
 /// How the reading of a request ended.
@@ -241,7 +238,10 @@
     if (!result.ec)
     {
         counted.renew();
-        memory = memory_reservation(context.bodies, workspace_of(context, parser));
+        if (!parser.is_done())
+        {
+            memory = memory_reservation(context.bodies, workspace_of(context, parser));
+        }
         if (parser.get()[http::field::expect] == "100-continue")
         {
             co_await caller.write("HTTP/1.1 100 Continue\r\n\r\n");
@@ -288,11 +288,6 @@
         }
         ++caller->requests;
         counted.begin_request();
-        if (caller->buffer.size() == 0)
-        {
-            // An idle connection holds no more than it needs.
-            caller->buffer.shrink_to_fit();
-        }
         auto active =
             std::make_shared<active_request>(context, caller, parser.release(), std::move(memory));
         if (!co_await active->run())
--- a/src/serve/host_context.hpp
+++ b/src/serve/host_context.hpp
@@ -363,7 +363,7 @@
     std::optional<planned_stop> stop;
     run_times durations{run_times_options{}};
     /// By wait list key of the requests.
-    request_rates arrivals;
+    request_rates<std::string> arrivals;
     /// How old other hosts' reports of their loads are on average.
     nanoseconds report_age{0};
     /// How many requests with this wait list key other hosts have probably sent since they reported
--- a/src/serve/request_admission.cpp
+++ b/src/serve/request_admission.cpp
@@ -50,8 +50,8 @@
     {
         return {.refused = unavailable, .route = route};
     }
-    auto owner = context_.config->key_owner.find(fields_.api_key);
-    if (owner == context_.config->key_owner.end())
+    const auto* workspace = context_.config->find_workspace(fields_.api_key);
+    if (!workspace)
     {
         return {.refused =
                     refusal{.status = 401,
@@ -59,7 +59,7 @@
                             .retry_after = {}},
                 .route = route};
     }
-    return {.route = route, .workspace = &context_.config->workspaces.at(owner->second)};
+    return {.route = route, .workspace = workspace};
 }
 
 std::optional<active_request::refusal> active_request::check_allowed()
--- a/src/serve/request_wait.cpp
+++ b/src/serve/request_wait.cpp
@@ -185,11 +185,6 @@
 task<std::optional<server_id>> active_request::find_server()
 {
     instant wait_start = context_.now();
-    const std::string key = wait_key();
-    if (sends_ == 0)
-    {
-        context_.arrivals.record(key, wait_start);
-    }
     server_id requested_server;
     instant requested_at;
     while (!caller_->closed && !ended())
@@ -206,7 +201,7 @@
         server_criteria need{.service = service_,
                              .target = target(),
                              .tried = tried_,
-                             .unseen = context_.unseen_requests(key),
+                             .unseen = context_.unseen_requests(wait_key()),
                              .draw = std::uniform_real_distribution<double>(0, 1)(context_.random)};
         if (permit_ && permitted(permit_->server))
         {
--- a/src/state/serving_config.cpp
+++ b/src/state/serving_config.cpp
@@ -52,4 +52,10 @@
     return it == services.end() ? nullptr : &it->second;
 }
 
+const workspace_spec* serving_config::find_workspace(const std::string& api_key) const
+{
+    auto owner = key_owner.find(api_key);
+    return owner == key_owner.end() ? nullptr : &workspaces.at(owner->second);
+}
+
 } // namespace banyanshunt
--- a/src/state/serving_config.hpp
+++ b/src/state/serving_config.hpp
@@ -155,6 +155,8 @@
     /// The route with the longest prefix of `path` among those of `host`, or null.
     const serving_route* find_route(const std::string& host, const std::string& path) const;
     const service_spec* find_service(const service_id& service) const;
+    /// The workspace that the API key belongs to, or null.
+    const workspace_spec* find_workspace(const std::string& api_key) const;
 
 private:
     std::unordered_map<std::string, std::size_t> by_prefix_;
