Tables of servers: one question whether a server is in use; less state

Cause: four places asked whether a server leaves and whether its failure domain is evacuated, one beside the other; newest_at was set twice in one update, and a reservation had a reader that nobody called. Change: in_use asks both; one assignment; the reader goes.

--- a/src/coordination/backend_table.cpp
+++ b/src/coordination/backend_table.cpp
@@ -104,14 +104,13 @@
     if (!same_incarnation)
     {
         limits_.forget_earlier(entry.id, entry.start_time_ms);
-        known.newest_at = instant::min();
         known.placement.reset();
         known.denied.clear();
         known.failures = 0;
         known.failure_ratio = 0;
         known.avoid_until = now;
     }
-    known.newest_at = from_log ? now : known.newest_at;
+    known.newest_at = from_log ? now : same_incarnation ? known.newest_at : instant::min();
     known.entry = entry;
     known.removed = false;
     return true;
@@ -393,8 +392,8 @@
 bool backend_table::accepts(const server_id& server, std::int64_t start_time_ms, instant now) const
 {
     const auto* known = find(server);
-    return known && !leaves(*known) && !is_evacuated(*known) &&
-           known->entry.start_time_ms == start_time_ms && pause_left(*known, now).count() == 0;
+    return known && in_use(*known) && known->entry.start_time_ms == start_time_ms &&
+           pause_left(*known, now).count() == 0;
 }
 
 void backend_table::expire_peer_loads(instant now)
@@ -453,15 +452,15 @@
 int backend_table::count_other_replicas(const server_id& server, const model_id& model,
                                         instant now) const
 {
-    return static_cast<int>(std::count_if(
-        servers_.begin(), servers_.end(),
-        [&](const auto& it)
-        {
-            return it.first != server && !leaves(it.second) && !is_evacuated(it.second) &&
-                   pause_left(it.second, now).count() == 0 && it.second.avoid_until <= now &&
-                   !limits_.in_force(it.first) &&
-                   holds(it.second, {.model = model, .adapter = {}}, now);
-        }));
+    return static_cast<int>(
+        std::count_if(servers_.begin(), servers_.end(),
+                      [&](const auto& it)
+                      {
+                          return it.first != server && in_use(it.second) &&
+                                 pause_left(it.second, now).count() == 0 &&
+                                 it.second.avoid_until <= now && !limits_.in_force(it.first) &&
+                                 holds(it.second, {.model = model, .adapter = {}}, now);
+                      }));
 }
 
 int backend_table::active_store_loads(instant now) const
@@ -484,34 +483,32 @@
 bool backend_table::available_elsewhere(const server_id& server, const model_target& target,
                                         instant now) const
 {
-    return std::any_of(servers_.begin(), servers_.end(),
-                       [&](const auto& other)
-                       {
-                           const record& it = other.second;
-                           if (other.first == server || leaves(it) || is_evacuated(it) ||
-                               pause_left(it, now).count() > 0 || it.avoid_until > now ||
-                               !placement_counts(it, now) || limits_.in_force(other.first))
-                           {
-                               return false;
-                           }
-                           auto held = it.placement->models.find(target.model);
-                           if (held == it.placement->models.end() || held->second.unloading)
-                           {
-                               return false;
-                           }
-                           bool adapter_loadable = target.adapter.empty() ||
-                                                   held->second.adapters.contains(target.adapter) ||
-                                                   owner_wait(it, now).count() == 0;
-                           return adapter_loadable &&
-                                  (held->second.ready_at > now ||
-                                   (it.placement->adapter_room && has_room(it)));
-                       });
+    return std::any_of(
+        servers_.begin(), servers_.end(),
+        [&](const auto& other)
+        {
+            const record& it = other.second;
+            if (other.first == server || !in_use(it) || pause_left(it, now).count() > 0 ||
+                it.avoid_until > now || !placement_counts(it, now) || limits_.in_force(other.first))
+            {
+                return false;
+            }
+            auto held = it.placement->models.find(target.model);
+            if (held == it.placement->models.end() || held->second.unloading)
+            {
+                return false;
+            }
+            bool adapter_loadable = target.adapter.empty() ||
+                                    held->second.adapters.contains(target.adapter) ||
+                                    owner_wait(it, now).count() == 0;
+            return adapter_loadable &&
+                   (held->second.ready_at > now || (it.placement->adapter_room && has_room(it)));
+        });
 }
 
 bool backend_table::usable(const record& it, const server_criteria& need) const
 {
-    return !leaves(it) && !is_evacuated(it) && it.entry.service == need.service &&
-           !need.tried.contains(it.entry.id);
+    return in_use(it) && it.entry.service == need.service && !need.tried.contains(it.entry.id);
 }
 
 double backend_table::cost(const record& it, instant now) const
--- a/src/coordination/backend_table.hpp
+++ b/src/coordination/backend_table.hpp
@@ -271,6 +271,8 @@
     }
     /// Whether its failure domain is being evacuated.
     bool is_evacuated(const record& it) const { return evacuated_.contains(it.entry.domain); }
+    /// Whether it may get new requests and loads at all: it neither leaves nor is evacuated.
+    bool in_use(const record& it) const { return !leaves(it) && !is_evacuated(it); }
     /// How long the server still wants no requests from this host.
     nanoseconds pause_left(const record& it, instant now) const
     {
--- a/src/coordination/memory_budget.hpp
+++ b/src/coordination/memory_budget.hpp
@@ -67,7 +67,6 @@
 
     /// Reserves what is missing up to `bytes`; false if that does not fit.
     bool grow_to(std::size_t bytes);
-    std::size_t bytes() const { return bytes_; }
 
 private:
     void release();
--- a/src/coordination/server_notices.cpp
+++ b/src/coordination/server_notices.cpp
@@ -10,11 +10,11 @@
         leaving_.try_emplace(server, known_leaving{.notice = notice, .mentioned_at = now});
     known_leaving& known = it->second;
     known.mentioned_at = now;
-    bool earlier_start = notice.start_time_ms < known.notice.start_time_ms;
-    bool superseded = earlier_start && notice.stated_at <= known.notice.stated_at;
-    if (!is_new && (superseded || notice.start_time_ms == known.notice.start_time_ms))
+    bool same = notice.start_time_ms == known.notice.start_time_ms;
+    bool superseded = notice.start_time_ms < known.notice.start_time_ms &&
+                      notice.stated_at <= known.notice.stated_at;
+    if (!is_new && (superseded || same))
     {
-        bool same = notice.start_time_ms == known.notice.start_time_ms;
         if (same && notice.source == notice_source::response)
         {
             // The server's own word; only that is told to peers.
--- a/tests/correctness/engine_room_test.cpp
+++ b/tests/correctness/engine_room_test.cpp
@@ -167,6 +167,11 @@
         controller->request_load({.model = model_id(model), .adapter = adapter_id(adapter)},
                                  milliseconds(50), now);
     }
+    void use(const char* model, int running, int requests)
+    {
+        controller->record_use(host_id("h"), {.model = model_id(model), .adapter = {}}, running,
+                               requests, now);
+    }
     /// Repeats a load request as a waiting request does; returns whether the engine held it in
     /// time.
     bool load_within(const char* model, nanoseconds limit)
@@ -199,10 +204,8 @@
     SECTION("one small model makes no room for a large one: enough is unloaded first")
     {
         room_case it({"m0", "m1", "m2"});
-        it.controller->record_use(host_id("h"), {.model = model_id("m1"), .adapter = {}}, 0, 9,
-                                  it.now);
-        it.controller->record_use(host_id("h"), {.model = model_id("m2"), .adapter = {}}, 0, 9,
-                                  it.now);
+        it.use("m1", 0, 9);
+        it.use("m2", 0, 9);
         CHECK(it.load_within("m4", 5s));
         CHECK_FALSE(it.engine.overcommitted);
     }
@@ -211,8 +214,7 @@
         room_case it({"m0", "m3", "m6", "m9"});
         for (const char* id : {"m3", "m6", "m9"})
         {
-            it.controller->record_use(host_id("h"), {.model = model_id(id), .adapter = {}}, 0, 3,
-                                      it.now);
+            it.use(id, 0, 3);
         }
         REQUIRE(it.load_within("m1", 5s));
         CHECK(it.load_within("m2", 5s));
@@ -221,10 +223,8 @@
     SECTION("a request for another, larger model during the unload is not loaded in its place")
     {
         room_case it({"m0", "m1", "m2"});
-        it.controller->record_use(host_id("h"), {.model = model_id("m1"), .adapter = {}}, 0, 9,
-                                  it.now);
-        it.controller->record_use(host_id("h"), {.model = model_id("m2"), .adapter = {}}, 0, 9,
-                                  it.now);
+        it.use("m1", 0, 9);
+        it.use("m2", 0, 9);
         it.engine.unload_time = 600ms;
         it.request("m3");
         it.step();
@@ -263,8 +263,7 @@
     SECTION("adapters wait for a report where nothing is to follow an unload")
     {
         room_case it({"m0", "m1", "m3", "m6"});
-        it.controller->record_use(host_id("h"), {.model = model_id("m1"), .adapter = {}}, 0, 9,
-                                  it.now);
+        it.use("m1", 0, 9);
         // The first of two unloads; the request leaves before the second.
         it.request("m4");
         it.step();
@@ -280,10 +279,8 @@
     SECTION("an engine whose callers have left is not held back by an unload")
     {
         room_case it({"m0", "m1", "m2"});
-        it.controller->record_use(host_id("h"), {.model = model_id("m1"), .adapter = {}}, 3, 9,
-                                  it.now);
-        it.controller->record_use(host_id("h"), {.model = model_id("m2"), .adapter = {}}, 3, 9,
-                                  it.now);
+        it.use("m1", 3, 9);
+        it.use("m2", 3, 9);
         it.request("m4");
         it.step();
         it.now += 3s;
