--- a/review/stand_ins_2/head_cost.cpp
+++ b/review/stand_ins_2/head_cost.cpp
@@ -50,7 +50,7 @@
 {
     tenant it{.name = "showrooms", .key = "key-showrooms", .rate_per_s = 71473, .burst = 71473};
     // Never destroyed, as threads of its servers still wait for callers at the end.
-    auto& all = *new setting(folder, it);
+    auto& all = *new setting(folder, {it});
     if (all.failed)
     {
         all.fleet.end();
--- a/review/stand_ins_2/model_names.cpp
+++ b/review/stand_ins_2/model_names.cpp
@@ -72,7 +72,7 @@
     constexpr int ends_allowed = 2;
     tenant it{.name = "showrooms", .key = "key-showrooms", .rate_per_s = 71473, .burst = 71473};
     // Never destroyed, as threads of its servers still wait for callers at the end.
-    auto& all = *new setting(folder, it);
+    auto& all = *new setting(folder, {it});
     if (all.failed)
     {
         all.fleet.end();
--- a/review/stand_ins_2/review_kit.hpp
+++ b/review/stand_ins_2/review_kit.hpp
@@ -30,11 +30,14 @@
 #include <memory>
 #include <mutex>
 #include <optional>
+#include <set>
 #include <string>
 #include <thread>
 #include <utility>
 #include <vector>
 
+#include <nlohmann/json.hpp>
+
 #include "stand_ins/prepared_platform.hpp"
 
 extern char** environ;
@@ -336,17 +339,30 @@
     double at = 0;
 };
 
+/// A model that an engine may be ordered to load: how long that takes, and how many adapters it
+/// has, named a1, a2, and so on.
+struct engine_model
+{
+    int load_ms = 0;
+    int adapters = 0;
+};
+
 /// A sound server as the platform's pages describe one: it checks X-Expect-Instance, echoes the
 /// request's id, runs what it is sent, and turns away a request without an id or with a token
-/// count that is no count. With models it is an engine, which holds them all the time.
+/// count that is no count. With models it is an engine; orders change what it holds.
 class page_server
 {
 public:
     page_server(std::string id, std::string service, std::string zone,
-                std::vector<std::string> models, int run_ms)
+                std::vector<std::string> models, int run_ms,
+                std::map<std::string, engine_model> known = {})
         : id_(std::move(id)), service_(std::move(service)), zone_(std::move(zone)),
-          models_(std::move(models)), run_ms_(run_ms)
+          is_engine_(!models.empty()), run_ms_(run_ms), known_(std::move(known))
     {
+        for (const auto& it : models)
+        {
+            held_[it] = {};
+        }
         listener_ = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
         sockaddr_in at = address_block::endpoint("127.0.0.1", 0);
         socklen_t size = sizeof at;
@@ -374,23 +390,21 @@
     }
 
     const std::string& id() const { return id_; }
-    std::string models_json() const
+    /// The orders that it got, one a line.
+    std::vector<std::string> orders() const
     {
-        std::string text;
-        for (const auto& it : models_)
-        {
-            text += (text.empty() ? "" : ",") + ("{\"name\":\"" + it) +
-                    "\",\"version\":1,\"adapters\":[]}";
-        }
-        return "[" + text + "]";
+        std::lock_guard lock(mutex_);
+        return orders_;
     }
+    /// What it writes to the registry about every `heartbeat_ms`.
     std::string entry() const
     {
+        std::lock_guard lock(mutex_);
         return "{\"service\":\"" + service_ + "\",\"address\":\"127.0.0.1:" +
                std::to_string(port_) + "\",\"zone\":\"" + zone_ +
                "\",\"version\":\"v1\",\"slots\":64,\"state\":\"ready\",\"cold_remaining_ms\":0,"
                "\"born\":1700000000000,\"models\":" +
-               models_json() + ",\"sequence\":1}";
+               models_json() + ",\"sequence\":" + std::to_string(sequence_) + "}";
     }
     std::vector<run> runs() const
     {
@@ -399,6 +413,101 @@
     }
 
 private:
+    struct held_model
+    {
+        steady::time_point ready_at = {};
+        std::set<std::string> adapters = {};
+    };
+
+    /// Precondition: locked.
+    std::string models_json() const
+    {
+        std::string text;
+        for (const auto& [name, it] : held_)
+        {
+            if (it.ready_at > steady::now())
+            {
+                continue;
+            }
+            std::string adapters;
+            for (const auto& one : it.adapters)
+            {
+                adapters += (adapters.empty() ? "\"" : ",\"") + one + "\"";
+            }
+            text += (text.empty() ? "" : ",") + ("{\"name\":\"" + name) +
+                    "\",\"version\":1,\"adapters\":[" + adapters + "]}";
+        }
+        return "[" + text + "]";
+    }
+    /// Whether an order is in progress. Precondition: locked.
+    bool busy() const
+    {
+        return std::any_of(held_.begin(), held_.end(),
+                           [](const auto& it) { return it.second.ready_at > steady::now(); });
+    }
+    /// The status of an order. Precondition: locked.
+    int take_order(const nlohmann::json& it)
+    {
+        std::string operation = it.value("operation", "");
+        std::string model = it.value("model", "");
+        std::string adapter = it.value("adapter", "");
+        auto known = known_.find(model);
+        if (!it.contains("holder") || !it.contains("fencing_token") || known == known_.end() ||
+            (operation != "load" && operation != "unload"))
+        {
+            return 400;
+        }
+        if (it.contains("expected") && it["expected"].get<std::int64_t>() != sequence_)
+        {
+            return 409;
+        }
+        auto held = held_.find(model);
+        bool loads = operation == "load";
+        if (!adapter.empty())
+        {
+            bool exists = false;
+            for (int n = 1; n <= known->second.adapters; ++n)
+            {
+                exists = exists || adapter == "a" + std::to_string(n);
+            }
+            if (!exists || held == held_.end())
+            {
+                return 400;
+            }
+            bool changes = loads ? held->second.adapters.insert(adapter).second
+                                 : held->second.adapters.erase(adapter) > 0;
+            sequence_ += changes ? 1 : 0;
+            return changes && loads ? 202 : 200;
+        }
+        if (busy())
+        {
+            return 409;
+        }
+        if (loads == (held != held_.end()))
+        {
+            return 200;
+        }
+        ++sequence_;
+        if (loads)
+        {
+            held_[model] = {.ready_at = steady::now() + milliseconds(known->second.load_ms)};
+        }
+        else
+        {
+            held_.erase(model);
+        }
+        return 202;
+    }
+    /// Whether a request's model and adapter are there. Precondition: locked.
+    bool holds(const std::string& target) const
+    {
+        auto slash = target.find('/');
+        auto held = held_.find(target.substr(0, slash));
+        return held != held_.end() && held->second.ready_at <= steady::now() &&
+               (slash == std::string::npos ||
+                held->second.adapters.contains(target.substr(slash + 1)));
+    }
+
     static std::string response(int status, const std::string& reason, const std::string& fields,
                                 const std::string& body)
     {
@@ -442,16 +551,22 @@
         }
         if (path == "/api/report")
         {
-            return caller.write(
-                response(200, "OK", "Content-Type: application/json\r\n",
-                         "{\"stage\":\"hybrid\",\"models\":" + models_json() +
-                             ",\"busy\":false,\"sequence\":0,\"waiting\":0,\"running\":0,"
-                             "\"kv_used\":0,\"kv_total\":90000,\"handles\":0,"
-                             "\"born\":1700000000000}"));
+            std::lock_guard lock(mutex_);
+            return caller.write(response(
+                200, "OK", "Content-Type: application/json\r\n",
+                "{\"stage\":\"hybrid\",\"models\":" + models_json() + ",\"busy\":" +
+                    (busy() ? "true" : "false") + ",\"sequence\":" + std::to_string(sequence_) +
+                    ",\"waiting\":0,\"running\":0,\"kv_used\":0,\"kv_total\":113535,"
+                    "\"handles\":0,\"born\":1700000000000}"));
         }
         if (path == "/api/order")
         {
-            return caller.write(response(409, "Conflict", "", ""));
+            std::lock_guard lock(mutex_);
+            int status = take_order(nlohmann::json::parse(it.body));
+            char text[32];
+            std::snprintf(text, sizeof text, "%.3f %d ", now_s(), status);
+            orders_.push_back(text + it.body);
+            return caller.write(response(status, "Order", "", ""));
         }
         auto id = it.field("x-request-id");
         if (id.empty() || !is_token_count(it.field("x-token-count")))
@@ -464,6 +579,13 @@
         }
         {
             std::lock_guard lock(mutex_);
+            if (is_engine_ && !holds(it.field("x-model")))
+            {
+                return caller.write(response(421, "Misdirected Request",
+                                             "X-Not-Executed: 1\r\nX-Request-Id: " + id +
+                                                 "\r\nX-Instance-Id: " + id_ + "\r\n",
+                                             ""));
+            }
             runs_.push_back({.id = id,
                              .tenant = it.field("x-tenant"),
                              .model = it.field("x-model"),
@@ -472,7 +594,7 @@
         }
         sleep_ms(run_ms_);
         std::string fields = "X-Request-Id: " + id + "\r\nX-Server-Stamp: " + id_ + ".1\r\n";
-        if (models_.empty())
+        if (!is_engine_)
         {
             return caller.write(response(200, "OK", fields, "{\"by\":\"" + id_ + "\"}"));
         }
@@ -501,12 +623,17 @@
     std::string id_;
     std::string service_;
     std::string zone_;
-    std::vector<std::string> models_;
+    bool is_engine_;
     int run_ms_;
+    /// The models that the manifest names.
+    std::map<std::string, engine_model> known_;
     int listener_ = -1;
     int port_ = 0;
     mutable std::mutex mutex_;
     std::vector<run> runs_;
+    std::vector<std::string> orders_;
+    std::map<std::string, held_model> held_;
+    std::int64_t sequence_ = 0;
 };
 
 // ---------------------------------------------------------------------------------------------
@@ -524,7 +651,7 @@
 /// The manifest of a deployment with one streaming, one idempotent and one non-idempotent route;
 /// limits, times and models are those of the site chautari-quotes.
 inline std::string manifest(int version, const std::vector<tenant>& tenants,
-                            const std::vector<std::string>& models)
+                            const std::vector<std::string>& models, int adapters = 0)
 {
     auto route = [](const char* name, const char* kind, const char* service, int timeout_ms,
                     int objective_ms, int priority, int attempts, bool resumable)
@@ -542,7 +669,8 @@
     for (const auto& it : models)
     {
         held += (held.empty() ? "" : ",") + ("{\"name\":\"" + it) +
-                "\",\"weights_mb\":72700.0,\"load_s\":6.0,\"adapters\":0,\"adapter_mb\":66.0,"
+                "\",\"weights_mb\":72700.0,\"load_s\":6.0,\"adapters\":" +
+                std::to_string(adapters) + ",\"adapter_mb\":66.0,"
                 "\"warm_s\":0.47,\"disk_s\":0.84}";
     }
     std::string listed;
@@ -745,6 +873,8 @@
     std::string token_count = {};
     int deadline_ms = 1000;
     std::string more_fields = {};
+    /// Of a request by POST.
+    std::size_t body_bytes = 2;
 };
 
 inline std::string request_text(const call& it)
@@ -763,9 +893,9 @@
     }
     if (it.method == "POST")
     {
-        text += "Content-Length: 2\r\n";
+        text += "Content-Length: " + std::to_string(it.body_bytes) + "\r\n";
     }
-    return text + "\r\n" + (it.method == "POST" ? "{}" : "");
+    return text + "\r\n" + (it.method == "POST" ? std::string(it.body_bytes, 'x') : "");
 }
 
 /// The status of the answer; 0 if the channel ended or the caller's time was over before it was
--- a/review/stand_ins_2/small_deployment.hpp
+++ b/review/stand_ins_2/small_deployment.hpp
@@ -29,7 +29,7 @@
 
 struct setting
 {
-    setting(const std::string& folder, const tenant& it) : fleet(folder, 260)
+    setting(const std::string& folder, const std::vector<tenant>& tenants) : fleet(folder, 260)
     {
         for (int n = 0; n < 2; ++n)
         {
@@ -41,7 +41,7 @@
                                                             "booking-desk", zone,
                                                             std::vector<std::string>(), 15));
         }
-        fleet.store.put("keyed.op", "config", manifest(7, {it}, {model}));
+        fleet.store.put("keyed.op", "config", manifest(7, tenants, {model}));
         for (const auto& server : servers)
         {
             fleet.store.put("keyed.servers", server->id(), server->entry());
--- a/review/stand_ins_2/token_count.cpp
+++ b/review/stand_ins_2/token_count.cpp
@@ -16,7 +16,7 @@
     constexpr int ends_allowed = 2;
     tenant it{.name = "showrooms", .key = "key-showrooms", .rate_per_s = 20000, .burst = 40000};
     // Never destroyed, as threads of its servers still wait for callers at the end.
-    auto& all = *new setting(folder, it);
+    auto& all = *new setting(folder, {it});
     if (all.failed)
     {
         all.fleet.end();
@@ -93,7 +93,7 @@
     constexpr int tokens_out = 45;
     tenant it{.name = "showrooms", .key = "key-showrooms", .rate_per_s = 2500, .burst = 5000};
     // Never destroyed, as threads of its servers still wait for callers at the end.
-    auto& all = *new setting(folder, it);
+    auto& all = *new setting(folder, {it});
     if (all.failed)
     {
         all.fleet.end();
