--- a/review/stand_ins_2/head_cost.cpp
+++ b/review/stand_ins_2/head_cost.cpp
@@ -16,7 +16,7 @@
 /// As many requests have to be unanswered at the route's timeout for the rule to be judged; the
 /// rule itself states no number.
 constexpr int min_unanswered = 20;
-constexpr int odd_connections = 64;
+constexpr int odd_connections = 128;
 constexpr double trouble_s = 20;
 
 struct waited_call
--- a/review/stand_ins_2/review_kit.hpp
+++ b/review/stand_ins_2/review_kit.hpp
@@ -733,6 +733,8 @@
             }
             it.pid = 0;
         }
+        // Nothing is left for `run.sh` to end.
+        std::ofstream(folder_ + "/pids");
     }
 
     entry_host& add(const std::string& name, const std::string& zone)
@@ -802,6 +804,7 @@
             std::fprintf(stderr, "cannot start %s\n", program.c_str());
             std::exit(could_not_run);
         }
+        write_pids();
     }
 
     void kill(entry_host& it, int number) const
@@ -821,6 +824,7 @@
             return false;
         }
         it.pid = 0;
+        write_pids();
         ++it.own_ends;
         it.last_end = WIFSIGNALED(status) ? "by signal " + std::to_string(WTERMSIG(status))
                                           : "with exit status " + std::to_string(WEXITSTATUS(status));
@@ -856,6 +860,19 @@
     address_block block;
 
 private:
+    /// For `run.sh`, in case this program is killed.
+    void write_pids() const
+    {
+        std::ofstream to(folder_ + "/pids");
+        for (const auto& it : hosts)
+        {
+            if (it.pid != 0)
+            {
+                to << it.pid << "\n";
+            }
+        }
+    }
+
     std::string folder_;
     int memory_mb_;
 };
--- a/review/stand_ins_2/small_deployment.hpp
+++ b/review/stand_ins_2/small_deployment.hpp
@@ -87,15 +87,17 @@
                 {
                     for (int k = 0; !stopping_; ++k)
                     {
-                        counts.add(send_call(ip, {.path = "/draft/1",
-                                                  .method = "POST",
-                                                  .key = key,
-                                                  .id = "o-" + std::to_string(n) + "-" +
-                                                        std::to_string(k),
-                                                  .model = model,
-                                                  .token_count = token_count,
-                                                  .deadline_ms = 12000}));
-                        sleep_ms(gap_ms);
+                        int status = send_call(ip, {.path = "/draft/1",
+                                                    .method = "POST",
+                                                    .key = key,
+                                                    .id = "o-" + std::to_string(n) + "-" +
+                                                          std::to_string(k),
+                                                    .model = model,
+                                                    .token_count = token_count,
+                                                    .deadline_ms = 12000});
+                        counts.add(status);
+                        // As long as a refusal asks for, at the least.
+                        sleep_ms(status == 200 ? gap_ms : std::max(gap_ms, 300));
                     }
                 });
         }
