--- a/review/stand_ins_2/small_deployment.hpp
+++ b/review/stand_ins_2/small_deployment.hpp
@@ -36,16 +36,25 @@
             std::string zone = n == 0 ? "kathmandu-a" : "kathmandu-b";
             servers.push_back(std::make_unique<page_server>(
                 "i-writer-" + std::to_string(n), "quote-writer", zone,
-                std::vector<std::string>{model}, 20));
+                std::vector<std::string>{model}, 20,
+                std::map<std::string, engine_model>{{model, {.load_ms = 6000}}}));
             servers.push_back(std::make_unique<page_server>("i-desk-" + std::to_string(n),
                                                             "booking-desk", zone,
                                                             std::vector<std::string>(), 15));
         }
         fleet.store.put("keyed.op", "config", manifest(7, tenants, {model}));
-        for (const auto& server : servers)
-        {
-            fleet.store.put("keyed.servers", server->id(), server->entry());
-        }
+        announce();
+        // Every `heartbeat_ms`, until the program ends: a setting is never destroyed.
+        std::thread(
+            [this]
+            {
+                while (true)
+                {
+                    sleep_ms(1200);
+                    announce();
+                }
+            })
+            .detach();
         for (const char* name : {"front-kathmandu-a-1", "front-kathmandu-a-2",
                                  "front-kathmandu-b-1", "front-kathmandu-b-2"})
         {
@@ -63,8 +72,19 @@
                 failed = true;
             }
         }
-        // Traffic starts 10 s after the machines do; shares are in use after 2 s.
-        sleep_ms(3000);
+        // Traffic starts 10 s after the machines do.
+        while (now_s() < 10)
+        {
+            sleep_ms(50);
+        }
+    }
+
+    void announce()
+    {
+        for (const auto& server : servers)
+        {
+            fleet.store.put("keyed.servers", server->id(), server->entry());
+        }
     }
 
     deployment fleet;
