--- a/review/stand_ins_2/http_parts.hpp
+++ b/review/stand_ins_2/http_parts.hpp
@@ -1,8 +1,10 @@
 #pragma once
 
 /// \file
-/// What the cases of this review share: a record of what happened, HTTP/1.1 on blocking sockets, a
-/// server and a client that see every byte, and a small deployment of entry hosts as processes.
+/// What cases 7 to 10 and `trailer_fields` share: a record of what happened, HTTP/1.1 on blocking
+/// sockets, a server and a client that see every byte, and a small deployment of entry hosts as
+/// processes. The other programs, of the sitting before, have `review_kit.hpp` and
+/// `small_deployment.hpp`.
 
 #include <arpa/inet.h>
 #include <fcntl.h>
