--- a/review/stand_ins_2/booking_desk.hpp
+++ b/review/stand_ins_2/booking_desk.hpp
@@ -55,7 +55,13 @@
     void serve(const std::string& id, channel& caller, const http_message& request)
     {
         std::string fields = "X-Request-Id: " + request.field("x-request-id") + "\r\n";
-        if (request.field("x-expect-instance") != id)
+        if (request.first_line.starts_with("GET /health "))
+        {
+            caller.send(response_text(200, "X-Instance-Id: " + id + "\r\n", ""));
+            return;
+        }
+        std::string expected = request.field("x-expect-instance");
+        if (!expected.empty() && expected != id)
         {
             caller.send(response_text(421, fields, ""));
             return;
--- a/review/stand_ins_2/held_requests.cpp
+++ b/review/stand_ins_2/held_requests.cpp
@@ -117,6 +117,43 @@
     const deployment& fleet_;
 };
 
+/// An engine that holds the model "busy" and has no adapters.
+void serve_as_engine(channel& caller, const http_message& request)
+{
+    std::string id = "X-Request-Id: " + request.field("x-request-id") + "\r\n";
+    std::string expected = request.field("x-expect-instance");
+    if (!expected.empty() && expected != "i-busy")
+    {
+        caller.send(response_text(421, id, ""));
+    }
+    else if (request.first_line.starts_with("GET /api/report "))
+    {
+        json models = {{{"name", "busy"}, {"version", 1}, {"adapters", json::array()}}};
+        json report = {{"stage", "hybrid"},  {"models", models}, {"busy", false}, {"sequence", 0},
+                       {"waiting", 0},       {"running", 0},     {"kv_used", 0},  {"born", 1},
+                       {"kv_total", 113535}, {"handles", 0}};
+        caller.send(response_text(200, "Content-Type: application/json\r\n", report.dump()));
+    }
+    else if (request.first_line.starts_with("POST /api/order "))
+    {
+        json order = json::parse(request.body);
+        bool holds_already = order.at("operation") == "load" && order.at("model") == "busy" &&
+                             !order.contains("adapter");
+        caller.send(response_text(holds_already ? 200 : 400, "", ""));
+    }
+    else if (request.field("x-model") != "busy")
+    {
+        caller.send(response_text(421, id, ""));
+    }
+    else
+    {
+        caller.send(response_text(200,
+                                  id + "X-Server-Stamp: i-busy\r\nX-Weight-Versions: 1\r\n"
+                                       "Content-Type: text/event-stream\r\n",
+                                  "id: 1\ndata: token\n\n"));
+    }
+}
+
 struct attempt
 {
     int caller = 0;
@@ -180,12 +217,7 @@
     }
     deployment fleet(manifest());
     booking_desk& desk = *new booking_desk(fleet);
-    auto& engine = *new raw_server(
-        [](channel& caller, const http_message& request)
-        {
-            caller.send(
-                response_text(421, "X-Request-Id: " + request.field("x-request-id") + "\r\n", ""));
-        });
+    auto& engine = *new raw_server(serve_as_engine);
     fleet.add_server(
         "i-busy",
         [&]
--- a/review/stand_ins_2/wrong_adapter.cpp
+++ b/review/stand_ins_2/wrong_adapter.cpp
@@ -52,13 +52,15 @@
         {
             caller.send(response_text(carry_out(json::parse(request.body)), "", ""));
         }
-        else if (!holds(request.field("x-model")))
+        else if (int status = begin(request.field("x-model")); status != 200)
         {
-            caller.send(response_text(421, id, ""));
+            std::string mark = status == 503 ? "X-Not-Executed: 1\r\n" : "";
+            caller.send(response_text(status, id + mark, ""));
         }
         else
         {
             stream(caller, id);
+            end(request.field("x-model"));
         }
     }
 
@@ -108,9 +110,20 @@
         {
             record_.write("overload server={}", id_);
         }
-        loads ? (void)held_.insert(adapter) : (void)held_.erase(adapter);
         ++orders_;
-        return loads ? accepted : done;
+        if (loads)
+        {
+            held_.insert(adapter);
+            return accepted;
+        }
+        if (runs_[adapter] > 0)
+        {
+            // Dropped when its runs have ended.
+            unloading_.insert(adapter);
+            return accepted;
+        }
+        held_.erase(adapter);
+        return done;
     }
     static bool is_adapter(const std::string& name)
     {
@@ -124,12 +137,30 @@
         return false;
     }
 
-    bool holds(const std::string& unit)
+    static std::string adapter_of(const std::string& unit)
     {
-        std::lock_guard lock(mutex_);
         auto slash = unit.find('/');
-        return unit.substr(0, slash) == model_ &&
-               (slash == std::string::npos || held_.contains(unit.substr(slash + 1)));
+        return slash == std::string::npos ? "" : unit.substr(slash + 1);
+    }
+    /// Begins a run; returns the status of one that cannot begin.
+    int begin(const std::string& unit)
+    {
+        std::lock_guard lock(mutex_);
+        std::string adapter = adapter_of(unit);
+        bool held = unit.substr(0, unit.find('/')) == model_ &&
+                    (adapter.empty() || held_.contains(adapter));
+        int status = !held ? 421 : unloading_.contains(adapter) ? 503 : 200;
+        runs_[adapter] += status == 200 ? 1 : 0;
+        return status;
+    }
+    void end(const std::string& unit)
+    {
+        std::lock_guard lock(mutex_);
+        std::string adapter = adapter_of(unit);
+        if (--runs_[adapter] == 0 && unloading_.erase(adapter) > 0)
+        {
+            held_.erase(adapter);
+        }
     }
 
     void stream(channel& caller, const std::string& id)
@@ -155,6 +186,9 @@
     case_record& record_;
     std::mutex mutex_;
     std::set<std::string> held_;
+    std::set<std::string> unloading_;
+    /// Requests that run, by adapter; those without one under an empty name.
+    std::map<std::string, int> runs_;
     int orders_ = 0;
     raw_server server_;
 };
