Logs: what became of an order, and when and why a host loses the engines of a partition

An order line with status=0 stood for a failed connection, a withheld order and an order that may still arrive; no line said that a partition was given up. order and report lines state whether they were sent, how long the response took and what was left of the membership; duty_taken states the kind of record that its wait is taken from; duty_lost and two counters are new. No change of logic.

--- a/src/serve/order_controller.cpp
+++ b/src/serve/order_controller.cpp
@@ -43,6 +43,29 @@
 /// or more.
 constexpr milliseconds order_timeout{1000};
 
+/// What became of an order, as it appears in logs and metrics. Only one without a response may
+/// still arrive at its engine.
+const char* to_text(exchange_state it)
+{
+    switch (it)
+    {
+    case exchange_state::responded:
+        return "responded";
+    case exchange_state::not_sent:
+        return "not_sent";
+    case exchange_state::withheld:
+        return "withheld";
+    case exchange_state::no_response:
+        return "no_response";
+    }
+    return "unknown";
+}
+
+milliseconds elapsed_ms(instant from, instant to)
+{
+    return std::chrono::floor<milliseconds>(to - from);
+}
+
 } // namespace
 
 order_controller::order_controller(host_context& context, fleet_link link)
@@ -145,10 +168,18 @@
     for (auto& [partition, held] : partitions_)
     {
         count_orders_in_flight(partition, held);
+        log_partition_lost(partition, held.fence, "given_up");
     }
     return std::exchange(partitions_, {});
 }
 
+void order_controller::log_partition_lost(int partition, fencing_number fence, const char* reason)
+{
+    context_.stats.increment("banyanshunt_partitions_lost_total", {{"reason", reason}});
+    context_.log.write("duty_lost", "partition={} fence={} generation={} reason={}", partition,
+                       fence.count(), generation_, reason);
+}
+
 void order_controller::count_orders_in_flight(int partition, held_partition& held) const
 {
     if (orders_in_flight_.contains(partition))
@@ -202,6 +233,7 @@
             ++it;
             continue;
         }
+        log_partition_lost(it->first, it->second.fence, lapsed ? "lapsed" : "moved");
         if (!lapsed)
         {
             count_orders_in_flight(it->first, it->second);
@@ -326,9 +358,18 @@
                               .last_order_at = taken.last_order_at};
     listed_since_.erase(partition);
     auto wait = std::chrono::ceil<milliseconds>(std::max(taken.may_order_at - now, nanoseconds(0)));
-    context_.log.write("duty_taken", "partition={} fence={} generation={} before={} wait_ms={}",
+    context_.log.write("duty_taken",
+                       "partition={} fence={} generation={} before={} kind={} wait_ms={} "
+                       "claim_ms={} membership_ms={}",
                        partition, fence.count(), generation_,
-                       previous ? previous->holder.str() : "-", wait.count());
+                       previous ? previous->holder.str() : "-",
+                       first                         ? "first"
+                       : !previous                   ? "unreadable"
+                       : previous->released_for      ? "released"
+                       : previous->takeover_complete ? "complete"
+                                                     : "claim",
+                       wait.count(), elapsed_ms(claimed_at, now).count(),
+                       elapsed_ms(now, membership_until_).count());
 }
 
 int order_controller::partition_of(const server_id& server) const
@@ -542,6 +583,7 @@
 task<void> order_controller::query_report(server_id server, std::shared_ptr<owned_engine> held)
 {
     const auto* known = context_.servers.find(server);
+    instant asked_at = context_.now();
     std::string text = platform::encode_report_request(server, known->entry.address);
     server_exchange exchange(context_, server);
     exchange_deadline deadline(exchange, context_.executor, order_timeout);
@@ -568,33 +610,42 @@
         }
         exchange.finish();
     }
-    context_.log.write("report", "server={} adopted={}", server.str(), adopted);
+    context_.log.write("report", "server={} adopted={} sent={} took_ms={}", server.str(), adopted,
+                       to_text(state), elapsed_ms(asked_at, context_.now()).count());
 }
 
-task<int> order_controller::exchange_order(server_id server, std::shared_ptr<owned_engine> held,
-                                           load_order order)
+task<order_controller::order_outcome>
+order_controller::exchange_order(server_id server, std::shared_ptr<owned_engine> held,
+                                 load_order order)
 {
     const auto* known = context_.servers.find(server);
     fencing_number fence = partitions_.at(held->partition).fence;
     std::string text = platform::encode_order(order, server, known->entry.address, member_, fence);
     server_exchange exchange(context_, server);
     exchange_deadline deadline(exchange, context_.executor, order_timeout);
-    auto state = co_await exchange.send(
+    instant began_at = context_.now();
+    order_outcome outcome;
+    outcome.state = co_await exchange.send(
         [&]
         {
-            bool may_send = !held->ended && may_order(held->partition, context_.now()) &&
+            instant now = context_.now();
+            bool may_send = !held->ended && may_order(held->partition, now) &&
                             partitions_.at(held->partition).fence == fence;
+            if (may_send)
+            {
+                outcome.membership_left = elapsed_ms(now, membership_until_);
+            }
             return may_send ? std::optional(outgoing_request{.head = text}) : std::nullopt;
         },
         request_id());
-    if (state != exchange_state::responded)
+    if (outcome.state == exchange_state::responded)
     {
-        co_return 0;
+        outcome.status = exchange.status();
+        co_await exchange.read_rest();
+        exchange.finish();
     }
-    int status = exchange.status();
-    co_await exchange.read_rest();
-    exchange.finish();
-    co_return status;
+    outcome.took = elapsed_ms(began_at, context_.now());
+    co_return outcome;
 }
 
 task<void> order_controller::send_order(server_id server, std::shared_ptr<owned_engine> held,
@@ -602,22 +653,24 @@
 {
     fencing_number fence = partitions_.at(held->partition).fence;
     orders_in_flight_.insert(held->partition);
-    int status = 0;
+    order_outcome outcome;
     try
     {
-        status = co_await exchange_order(server, held, order);
+        outcome = co_await exchange_order(server, held, order);
     }
     catch (...)
     {
-        record_order(server, *held, order, fence, 0);
+        record_order(server, *held, order, fence, {});
         throw;
     }
-    record_order(server, *held, order, fence, status);
+    record_order(server, *held, order, fence, outcome);
 }
 
 void order_controller::record_order(const server_id& server, owned_engine& held,
-                                    const load_order& order, fencing_number fence, int status)
+                                    const load_order& order, fencing_number fence,
+                                    const order_outcome& outcome)
 {
+    int status = outcome.status;
     auto response = status != 0 ? platform::order_response_of(status) : order_response::unknown;
     orders_in_flight_.erase(orders_in_flight_.find(held.partition));
     if (auto it = partitions_.find(held.partition); it != partitions_.end())
@@ -630,10 +683,14 @@
     int used = held.controller.requests_since_load(order.model);
     int pending = held.controller.pending_load_requests(order.model);
     context_.log.write(
-        "order", "server={} what={} model={}{}{} expected={} fence={} status={} used={} pending={}",
+        "order",
+        "server={} what={} model={}{}{} expected={} fence={} sent={} status={} took_ms={} "
+        "membership_ms={} used={} pending={}",
         server.str(), loads ? "load" : "unload", order.model.str(),
         order.adapter.empty() ? "" : "/", order.adapter.str(), order.expected_orders, fence.count(),
-        status, used, pending);
+        to_text(outcome.state), status, outcome.took.count(), outcome.membership_left.count(), used,
+        pending);
+    context_.stats.increment("banyanshunt_engine_orders_total", {{"sent", to_text(outcome.state)}});
     if (!loads && order.adapter.empty() && response == order_response::accepted)
     {
         context_.stats.increment(
--- a/src/serve/order_controller.hpp
+++ b/src/serve/order_controller.hpp
@@ -13,6 +13,7 @@
 #include "coordination/engine_controller.hpp"
 #include "coordination/order_membership.hpp"
 #include "serve/host_context.hpp"
+#include "serve/server_exchange.hpp"
 #include "transport/loop/http_connection.hpp"
 
 namespace banyanshunt
@@ -103,12 +104,22 @@
     task<bool> acquire_permit(server_id server, const owned_engine& held);
     task<void> query_report(server_id server, std::shared_ptr<owned_engine> held);
     task<void> send_order(server_id server, std::shared_ptr<owned_engine> held, load_order order);
-    /// Returns the status of the response, or 0 if none came and the engine may have the order.
-    task<int> exchange_order(server_id server, std::shared_ptr<owned_engine> held,
-                             load_order order);
-    /// Applies the response to an order, with a status of 0 if none came.
+    /// What became of an order that was to be sent.
+    struct order_outcome
+    {
+        exchange_state state = exchange_state::no_response;
+        /// Status of the response; 0 if none came.
+        int status = 0;
+        /// How much of the membership was left when the order was written; negative if it was not.
+        milliseconds membership_left{-1};
+        milliseconds took{0};
+    };
+    task<order_outcome> exchange_order(server_id server, std::shared_ptr<owned_engine> held,
+                                       load_order order);
     void record_order(const server_id& server, owned_engine& held, const load_order& order,
-                      fencing_number fence, int status);
+                      fencing_number fence, const order_outcome& outcome);
+    /// Logs and counts that this host orders the engines of a partition no more.
+    void log_partition_lost(int partition, fencing_number fence, const char* reason);
     milliseconds lease() const;
     order_terms terms() const;
     /// Tells the other hosts from when on orders can be given.
