Stand-ins: faults of calls to the store, partitions dealt anew, and all orders that an engine received

Until now an engine stand-in judged only the orders that it accepted; the users' rule judges each one that arrives, also those refused with 409.

--- a/tests/stand_ins/prepared_platform.cpp
+++ b/tests/stand_ins/prepared_platform.cpp
@@ -121,6 +121,30 @@
     }
 }
 
+void group_stand_in::rebalance()
+{
+    std::lock_guard lock(mutex_);
+    if (members_.empty())
+    {
+        return;
+    }
+    ++generation_;
+    // Each partition goes to the member after its holder.
+    for (auto& [partition, holder] : holders_)
+    {
+        auto next = members_.upper_bound(holder);
+        holder = next == members_.end() ? members_.begin()->first : next->first;
+    }
+}
+
+void group_stand_in::lapse()
+{
+    std::lock_guard lock(mutex_);
+    ++generation_;
+    members_.clear();
+    holders_.clear();
+}
+
 void group_stand_in::assign_partitions()
 {
     // Members keep the partitions they hold, up to an even share.
@@ -182,47 +206,72 @@
                  response.status = body ? 200 : 410;
                  response.set_content(body.value_or(""), "application/octet-stream");
              });
+    // Carries out a call as its fault says.
+    auto carry_out = [this](const httplib::Request& call, httplib::Response& response,
+                            const std::function<void()>& act)
+    {
+        auto fault = fault_of(call.path, call.body);
+        std::this_thread::sleep_for(fault.carry_out_delay);
+        if (fault.refused_with != 0)
+        {
+            response.status = fault.refused_with;
+            return;
+        }
+        act();
+        std::this_thread::sleep_for(fault.response_delay);
+    };
+    auto append = [this](const httplib::Request& call, httplib::Response& response)
+    {
+        std::string topic = log_name(call);
+        std::string key;
+        std::string value = call.body.substr(4);
+        if (is_keyed(topic))
+        {
+            auto size = static_cast<unsigned char>(value[0]);
+            key = value.substr(1, size);
+            value = value.substr(1 + size);
+        }
+        std::unique_lock lock(mutex_);
+        auto end = topics_[topic].size();
+        if (call.has_param("at") && std::stoul(call.get_param_value("at")) != end)
+        {
+            response.status = 412;
+            return;
+        }
+        topics_[topic].push_back({.key = key, .value = value});
+        ++end;
+        lock.unlock();
+        records_added_.notify_all();
+        response.set_content(json{{"offset", end - 1}, {"end", end}}.dump(), "application/json");
+    };
     http.Post("/api/log-append",
-              [this](const httplib::Request& call, httplib::Response& response)
-              {
-                  std::string topic = log_name(call);
-                  std::string key;
-                  std::string value = call.body.substr(4);
-                  if (is_keyed(topic))
-                  {
-                      auto size = static_cast<unsigned char>(value[0]);
-                      key = value.substr(1, size);
-                      value = value.substr(1 + size);
-                  }
-                  std::unique_lock lock(mutex_);
-                  auto end = topics_[topic].size();
-                  if (call.has_param("at") && std::stoul(call.get_param_value("at")) != end)
-                  {
-                      response.status = 412;
-                      return;
-                  }
-                  topics_[topic].push_back({.key = key, .value = value});
-                  ++end;
-                  lock.unlock();
-                  records_added_.notify_all();
-                  response.set_content(json{{"offset", end - 1}, {"end", end}}.dump(),
-                                       "application/json");
-              });
+              [carry_out, append](const httplib::Request& call, httplib::Response& response)
+              { carry_out(call, response, [&] { append(call, response); }); });
     http.Post("/api/log-join",
-              [this](const httplib::Request& call, httplib::Response& response)
+              [this, carry_out](const httplib::Request& call, httplib::Response& response)
               {
                   auto body = json::parse(call.body);
-                  response.set_content(group_.join(body.at("member").get<std::string>(),
-                                                   std::chrono::milliseconds(body.at("ttl_ms"))),
-                                       "application/json");
+                  carry_out(call, response,
+                            [&]
+                            {
+                                response.set_content(
+                                    group_.join(body.at("member").get<std::string>(),
+                                                std::chrono::milliseconds(body.at("ttl_ms"))),
+                                    "application/json");
+                            });
               });
     http.Post("/api/log-leave",
-              [this](const httplib::Request& call, httplib::Response& response)
+              [this, carry_out](const httplib::Request& call, httplib::Response& response)
               {
                   ++leave_calls;
                   std::this_thread::sleep_for(std::chrono::milliseconds(leave_delay_ms));
-                  group_.leave(json::parse(call.body).at("member").get<std::string>());
-                  response.set_content("{}", "application/json");
+                  carry_out(call, response,
+                            [&]
+                            {
+                                group_.leave(
+                                    json::parse(call.body).at("member").get<std::string>());
+                                response.set_content("{}", "application/json");
+                            });
               });
     port_ = http.bind_to_any_port(loopback);
     server_->thread = std::thread([&http] { http.listen_after_bind(); });
@@ -263,6 +312,18 @@
     records_added_.notify_all();
 }
 
+void store_stand_in::set_call_faults(fault_source faults)
+{
+    std::lock_guard lock(fault_mutex_);
+    call_faults_ = std::move(faults);
+}
+
+call_fault store_stand_in::fault_of(const std::string& path, const std::string& body)
+{
+    std::lock_guard lock(fault_mutex_);
+    return call_faults_ ? call_faults_(path, body) : call_fault{};
+}
+
 void store_stand_in::expire(const std::string& topic, std::size_t before)
 {
     std::lock_guard lock(mutex_);
@@ -425,6 +486,11 @@
         {
             auto order = json::parse(call.body);
             std::lock_guard lock(mutex_);
+            received_orders_.push_back({.at = request_arrived_at,
+                                        .holder = order.value("holder", ""),
+                                        .fence = order.value("fencing_token", std::int64_t{0}),
+                                        .status = 0});
+            auto& received = received_orders_.back();
             if (refuses_orders)
             {
                 response.status = 503;
@@ -434,6 +500,7 @@
             if (!expected || !order.contains("fencing_token") || !order.contains("holder"))
             {
                 response.status = expected ? 400 : 409;
+                received.status = response.status;
                 return;
             }
             auto now = request_arrived_at;
@@ -459,6 +526,7 @@
             }
             ++orders_;
             response.status = 202;
+            received.status = response.status;
         });
     auto serve = [this](const httplib::Request& call, httplib::Response& response)
     {
@@ -628,6 +696,12 @@
         .dump();
 }
 
+std::vector<received_order> backend_stand_in::received_orders() const
+{
+    std::lock_guard lock(mutex_);
+    return received_orders_;
+}
+
 std::vector<std::string> backend_stand_in::order_errors() const
 {
     std::lock_guard lock(mutex_);
--- a/tests/stand_ins/prepared_platform.hpp
+++ b/tests/stand_ins/prepared_platform.hpp
@@ -30,6 +30,10 @@
     /// Adds a member or renews its membership, and returns the response body.
     std::string join(const std::string& member, std::chrono::milliseconds ttl);
     void leave(const std::string& member);
+    /// Assigns every partition anew at once, without a call of any member.
+    void rebalance();
+    /// Ends all memberships at once.
+    void lapse();
 
 private:
     void assign_partitions();
@@ -50,6 +54,17 @@
     lost,
 };
 
+/// How one call to the log service goes.
+struct call_fault
+{
+    /// How much later it is carried out.
+    std::chrono::milliseconds carry_out_delay{0};
+    /// How much later it is responded to.
+    std::chrono::milliseconds response_delay{0};
+    /// If nonzero, it is refused with this status.
+    int refused_with = 0;
+};
+
 /// The log service: keyed topics with one partition each, appends, and one group.
 class store_stand_in
 {
@@ -71,6 +86,11 @@
     int newest_calls(const std::string& topic) const;
     /// While nonzero, every call gets this status.
     std::atomic<int> forced_status = 0;
+    /// Decides on each append and each call to the group, by its path and body.
+    using fault_source =
+        std::function<call_fault(const std::string& path, const std::string& body)>;
+    void set_call_faults(fault_source faults);
+    group_stand_in& group() { return group_; }
     /// How long a call to leave a group takes, and how many have arrived.
     std::atomic<int> leave_delay_ms = 0;
     std::atomic<int> leave_calls = 0;
@@ -88,8 +108,11 @@
     std::optional<std::string> read(const std::string& topic, std::size_t from, std::size_t max_kb,
                                     int wait_ms);
     std::string newest(const std::string& topic, const std::string& after);
+    call_fault fault_of(const std::string& path, const std::string& body);
 
     group_stand_in group_;
+    std::mutex fault_mutex_;
+    fault_source call_faults_;
     mutable std::mutex mutex_;
     std::condition_variable records_added_;
     std::map<std::string, int> reads_;
@@ -115,6 +138,15 @@
     std::chrono::steady_clock::time_point at = {};
 };
 
+/// An order that a model engine received, whatever it responded.
+struct received_order
+{
+    std::chrono::steady_clock::time_point at;
+    std::string holder;
+    std::int64_t fence = 0;
+    int status = 0;
+};
+
 /// A response of a backend server, and what it stated of the server.
 struct given_response
 {
@@ -161,6 +193,8 @@
     /// The errors in the orders received: fencing numbers that decreased, holders that changed
     /// within `lease_duration`, more models than fit.
     std::vector<std::string> order_errors() const;
+    /// All orders, in the order of their arrival.
+    std::vector<received_order> received_orders() const;
     int port() const { return port_; }
     /// The address to announce if callers reach the server through a proxy.
     std::string announced_address;
@@ -220,6 +254,7 @@
     std::vector<std::chrono::steady_clock::time_point> arrivals_;
     std::vector<given_response> responses_;
     std::vector<std::string> order_errors_;
+    std::vector<received_order> received_orders_;
     std::int64_t fence_ = 0;
     std::string holder_;
     std::chrono::steady_clock::time_point ordered_at_;
