Soak: faults around the assignment of engines (--faults=orders)

Hosts that stand still between a call to the store and its response, calls that are carried out late, partitions dealt anew, engines that stand still while orders lie in their sockets. Each order that an engine received is judged by the users' rule.

--- a/tests/soak/loopback_proxy.cpp
+++ b/tests/soak/loopback_proxy.cpp
@@ -109,12 +109,14 @@
                                              : pump(connection, to_server);
                                   });
             };
-            if (fault_ != fault::delay)
+            bool held = to_server && !held_prefix_.empty() &&
+                        std::string_view(bytes.data(), n).starts_with(held_prefix_);
+            if (fault_ != fault::delay && !held)
             {
                 forward();
                 return;
             }
-            auto timer = std::make_shared<asio::steady_timer>(loop_, delay);
+            auto timer = std::make_shared<asio::steady_timer>(loop_, held ? hold_length_ : delay);
             timer->async_wait([timer, forward](error_code) { forward(); });
         });
 }
@@ -134,6 +136,21 @@
                });
 }
 
+void loopback_proxy::hold_requests(const std::string& prefix, std::chrono::milliseconds length)
+{
+    asio::post(loop_,
+               [this, prefix, length]
+               {
+                   held_prefix_ = prefix;
+                   hold_length_ = length;
+               });
+}
+
+void loopback_proxy::freeze(std::chrono::milliseconds length)
+{
+    asio::post(loop_, [length] { std::this_thread::sleep_for(length); });
+}
+
 void loopback_proxy::blackhole_all()
 {
     asio::post(loop_,
--- a/tests/soak/loopback_proxy.hpp
+++ b/tests/soak/loopback_proxy.hpp
@@ -8,6 +8,7 @@
 #include <chrono>
 #include <list>
 #include <memory>
+#include <string>
 #include <thread>
 
 #include <boost/asio/io_context.hpp>
@@ -39,6 +40,11 @@
     void set_fault(fault now) { fault_ = now; }
     /// Resets every open connection.
     void reset_all();
+    /// Forwards requests that begin with `prefix` this much later, also if their caller has closed
+    /// the connection by then.
+    void hold_requests(const std::string& prefix, std::chrono::milliseconds length);
+    /// Stands still: what arrives stays in the kernel's buffers until this time is over.
+    void freeze(std::chrono::milliseconds length);
     /// Stops forwarding on open connections without closing them; new ones work.
     void blackhole_all();
 
@@ -54,6 +60,8 @@
     tcp::endpoint target_;
     std::string address_;
     std::atomic<fault> fault_ = fault::none;
+    std::string held_prefix_;
+    std::chrono::milliseconds hold_length_{0};
     std::list<std::weak_ptr<link>> links_;
     std::thread thread_;
 };
--- a/tests/soak/shunt_soak.cpp
+++ b/tests/soak/shunt_soak.cpp
@@ -14,6 +14,7 @@
 #include <gflags/gflags.h>
 
 #include "soak/odd_writers.hpp"
+#include "soak/order_faults.hpp"
 #include "soak/prompt_crashes.hpp"
 #include "soak/server_silences.hpp"
 #include "soak/soak_checks.hpp"
@@ -27,6 +28,9 @@
 DEFINE_string(odd, "entries,configurations,copies,streams",
               "what writers that break the protocol write; copies and streams only in seeds that "
               "have more than planned work");
+DEFINE_string(faults, "all",
+              "orders: only faults around the assignment of engines to hosts, and only the checks "
+              "of orders");
 DEFINE_string(folder, "", "folder for settings and logs; each seed gets a new folder in it");
 
 namespace
@@ -67,7 +71,8 @@
                   .address_block = FLAGS_block,
                   .hosts = FLAGS_hosts,
                   .grace_s = planned_only(seed) ? planned_grace_s : grace_s,
-                  .time_budget = long_time_budget(seed)})
+                  .time_budget = long_time_budget(seed),
+                  .engine_mb = FLAGS_faults == "orders" ? 50 : 100})
     {
         for (auto kind : odd_kinds(seed))
         {
@@ -148,6 +153,40 @@
         return violations;
     }
 
+    /// Faults around the assignment of engines only, and the check of what engines received.
+    std::vector<std::string> run_order_faults(std::uint64_t seed)
+    {
+        order_faults faults(fleet_, seed, [this](const std::string& what) { log_fault(what); });
+        std::this_thread::sleep_for(start_length);
+        std::vector<std::string> ips;
+        for (const auto& it : fleet_.hosts)
+        {
+            ips.push_back(it.ip);
+        }
+        soak_callers callers(ips, soak_fleet::caller_port, seed, long_time_budget(seed));
+        auto until = std::chrono::steady_clock::now() + std::chrono::seconds(FLAGS_fault_seconds);
+        while (std::chrono::steady_clock::now() < until)
+        {
+            // Faults that overlap, then time for the orders of the new owners.
+            for (int n = draw(4); n >= 0; --n)
+            {
+                restart_ended();
+                faults.inject();
+                std::this_thread::sleep_for(std::chrono::milliseconds(draw(700)));
+            }
+            for (int n = draw(8); n >= 0; --n)
+            {
+                restart_ended();
+                std::this_thread::sleep_for(500ms);
+            }
+        }
+        faults.heal();
+        std::this_thread::sleep_for(observation_length);
+        callers.stop();
+        calls_ = callers.records().size();
+        return faults.find_violations();
+    }
+
     std::size_t calls() const { return calls_; }
 
 private:
@@ -486,7 +525,7 @@
         std::filesystem::create_directories(folder);
         std::cout << "seed " << seed << ", logs in " << folder << std::endl;
         soak_run run(seed, folder);
-        auto violations = run.run(seed);
+        auto violations = FLAGS_faults == "orders" ? run.run_order_faults(seed) : run.run(seed);
         for (std::size_t n = 0; n < std::min<std::size_t>(violations.size(), 10); ++n)
         {
             std::cout << "  broken: " << violations[n] << "\n";
--- a/tests/soak/soak_fleet.hpp
+++ b/tests/soak/soak_fleet.hpp
@@ -33,6 +33,8 @@
     int grace_s = 4;
     /// The longest time budget of a request on any route.
     std::chrono::milliseconds time_budget{4000};
+    /// The memory of an engine; each model takes 40.
+    int engine_mb = 100;
 };
 
 class soak_fleet
