--- a/tests/soak/soak_fleet.hpp
+++ b/tests/soak/soak_fleet.hpp
@@ -14,7 +14,7 @@
 #include <string>
 #include <vector>
 
-#include "soak/loopback_proxy.hpp"
+#include "stand_ins/loopback_proxy.hpp"
 #include "stand_ins/prepared_platform.hpp"
 
 namespace banyanshunt::soak
--- a/tests/soak/loopback_proxy.cpp
+++ b/tests/stand_ins/loopback_proxy.cpp
@@ -1,4 +1,4 @@
-#include "soak/loopback_proxy.hpp"
+#include "stand_ins/loopback_proxy.hpp"
 
 #include <array>
 
@@ -6,7 +6,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 
-namespace banyanshunt::soak
+namespace banyanshunt
 {
 
 namespace asio = boost::asio;
@@ -166,4 +166,4 @@
                });
 }
 
-} // namespace banyanshunt::soak
+} // namespace banyanshunt
--- a/tests/soak/loopback_proxy.hpp
+++ b/tests/stand_ins/loopback_proxy.hpp
@@ -14,7 +14,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 
-namespace banyanshunt::soak
+namespace banyanshunt
 {
 
 class loopback_proxy
@@ -66,4 +66,4 @@
     std::thread thread_;
 };
 
-} // namespace banyanshunt::soak
+} // namespace banyanshunt
--- a/tests/stand_ins/prepared_platform.cpp
+++ b/tests/stand_ins/prepared_platform.cpp
@@ -330,6 +330,19 @@
     first_retained_[topic] = before;
 }
 
+std::vector<std::string> store_stand_in::values(const std::string& topic) const
+{
+    std::lock_guard lock(mutex_);
+    std::vector<std::string> values;
+    auto it = topics_.find(topic);
+    if (it != topics_.end())
+    {
+        std::transform(it->second.begin(), it->second.end(), std::back_inserter(values),
+                       [](const entry& record) { return record.value; });
+    }
+    return values;
+}
+
 int store_stand_in::reads(const std::string& topic) const
 {
     std::lock_guard lock(mutex_);
--- a/tests/stand_ins/prepared_platform.hpp
+++ b/tests/stand_ins/prepared_platform.hpp
@@ -80,6 +80,8 @@
                        missed_read_end end);
     /// Deletes the records of a topic before an offset; the newest of each key is retained.
     void expire(const std::string& topic, std::size_t before);
+    /// The values of all records of a topic; of a partition, its name is "TOPIC/PARTITION".
+    std::vector<std::string> values(const std::string& topic) const;
     /// The calls received to read a topic from an offset on.
     int reads(const std::string& topic) const;
     /// The calls received for the newest records of a topic.
