A new owner orders an engine only once the engine has responded, and an owner without a response releases nothing

Cause: an order that gets no response is reset by its host after 1 s, but the engine's kernel has acknowledged it and keeps it readable, also after the reset. An engine that stands still reads it when it goes on. The wait of a new owner was a sum of times with 0.45 s for the order's transit, and its first report was answered at the same moment as the old order was read; an owner that released a partition counted the order as ended 0.45 s after its timeout.

Change: the time from which an engine may be ordered follows from what the engine has shown. After a claim without a release, the new owner asks the engine for a report once the last order of an earlier claim can have been sent, and gives its first order one lease after the response. If the engine responds at once, that is no later than before. An owner awaits the orders in flight before it releases a partition, and does not release one in which an order had no response, or in which an engine has not responded since its own claim; it does not record such a takeover as complete either.

--- a/src/coordination/assignment_record.cpp
+++ b/src/coordination/assignment_record.cpp
@@ -88,7 +88,28 @@
     instant wait_from = before && before->released_for ? read_at : claimed_at;
     // An order that an earlier incarnation gave right before it ended may still be in transit.
     instant last_order_at = completed_by(own, before) ? claimed_at + terms.transit : instant();
-    return {.may_order_at = wait_from + delay, .last_order_at = last_order_at};
+    takeover taken{.may_order_at = wait_from + delay, .last_order_at = last_order_at};
+    if (completed_by(own, before))
+    {
+        taken.ask_engines_after = claimed_at;
+    }
+    else if (!first && !(before && before->released_for))
+    {
+        taken.ask_engines_after = claimed_at + terms.membership + terms.transit;
+        taken.from_other_host = true;
+    }
+    return taken;
+}
+
+std::optional<instant> first_order_at(const takeover& taken, std::optional<instant> responded_at,
+                                      milliseconds lease)
+{
+    if (!taken.from_other_host)
+    {
+        return taken.may_order_at;
+    }
+    return responded_at ? std::optional(std::max(taken.may_order_at, *responded_at + lease))
+                        : std::nullopt;
 }
 
 } // namespace banyanshunt
--- a/src/coordination/assignment_record.hpp
+++ b/src/coordination/assignment_record.hpp
@@ -74,8 +74,22 @@
     instant may_order_at;
     /// When the last order ended that the host may have given under an earlier claim.
     instant last_order_at;
+    /// When the last order of an earlier claim can have been sent; nothing if all of them were
+    /// answered, or if there were none. An engine that stands still keeps what it received, so it
+    /// counts as free of such orders only once it has responded to a call that was sent later.
+    std::optional<instant> ask_engines_after = {};
+    /// Whether that claim was another host's.
+    bool from_other_host = false;
 };
 
+/// Returns when the first order to an engine may be given that was assigned by `taken`, at the
+/// earliest. `responded_at` is when the engine responded to a call sent after
+/// `taken.ask_engines_after`; nothing if it did not. Orders of two hosts are at least `lease`
+/// apart, and what lay in the engine's socket was read by the time it responded. The orders of one
+/// host need no pause, and each owner asks for a report before its first one.
+std::optional<instant> first_order_at(const takeover& taken, std::optional<instant> responded_at,
+                                      milliseconds lease);
+
 /// Decides on a claim that was sent at `claimed_at`; the record `before` it was received at
 /// `read_at`. The other arguments are those of `takeover_delay`.
 takeover take_over(bool first, const std::optional<assignment_record>& before, const host_id& own,
--- a/src/serve/order_controller.cpp
+++ b/src/serve/order_controller.cpp
@@ -43,6 +43,9 @@
 /// or more.
 constexpr milliseconds order_timeout{1000};
 
+/// How often a host that gives up engines checks whether its last orders have ended.
+constexpr milliseconds order_poll_interval{5};
+
 /// What became of an order, as it appears in logs and metrics. Only one without a response may
 /// still arrive at its engine.
 const char* to_text(exchange_state it)
@@ -155,6 +158,11 @@
 std::map<int, order_controller::held_partition> order_controller::give_up_engines()
 {
     instant next_owner_at = context_.now() + takeover_expiry(terms());
+    for (auto& [partition, held] : partitions_)
+    {
+        held.has_old_orders = may_hold_old_orders(partition, held);
+        log_partition_lost(partition, held.fence, "given_up");
+    }
     for (auto& [server, held] : owned_engines_)
     {
         publish_pending(server, *held, next_owner_at);
@@ -165,11 +173,6 @@
     // From here on this host's own requests go to the next owners.
     owned_engines_.clear();
     listed_since_.clear();
-    for (auto& [partition, held] : partitions_)
-    {
-        count_orders_in_flight(partition, held);
-        log_partition_lost(partition, held.fence, "given_up");
-    }
     return std::exchange(partitions_, {});
 }
 
@@ -180,11 +183,23 @@
                        fence.count(), generation_, reason);
 }
 
-void order_controller::count_orders_in_flight(int partition, held_partition& held) const
+bool order_controller::has_open_order(int partition) const
 {
-    if (orders_in_flight_.contains(partition))
+    return orders_in_flight_.contains(partition) ||
+           std::any_of(open_orders_.begin(), open_orders_.end(),
+                       [&](const server_id& it) { return partition_of(it) == partition; });
+}
+
+task<void> order_controller::await_orders(const std::map<int, held_partition>& partitions)
+{
+    auto in_flight = [&]
+    {
+        return std::any_of(orders_in_flight_.begin(), orders_in_flight_.end(),
+                           [&](int it) { return partitions.contains(it); });
+    };
+    for (instant until = context_.now() + order_timeout; in_flight() && context_.now() < until;)
     {
-        held.last_order_at = context_.now() + order_timeout;
+        co_await pause(order_poll_interval);
     }
 }
 
@@ -236,7 +251,7 @@
         log_partition_lost(it->first, it->second.fence, lapsed ? "lapsed" : "moved");
         if (!lapsed)
         {
-            count_orders_in_flight(it->first, it->second);
+            it->second.has_old_orders = may_hold_old_orders(it->first, it->second);
             moved.insert(*it);
         }
         it = partitions_.erase(it);
@@ -258,11 +273,22 @@
 
 task<void> order_controller::release(std::map<int, held_partition> partitions, milliseconds timeout)
 {
+    std::set<int> awaited(orders_in_flight_.begin(), orders_in_flight_.end());
+    co_await await_orders(partitions);
     for (const auto& [partition, held] : partitions)
     {
+        if (has_open_order(partition) || held.has_old_orders)
+        {
+            // The engine may read it at any time, so the next owner has to wait for the engine.
+            context_.log.write("duty_not_released", "partition={} reason={}", partition,
+                               held.has_old_orders ? "old_orders" : "open_order");
+            continue;
+        }
+        // An order that was in flight has been answered since.
+        instant last_order_at = awaited.contains(partition) ? context_.now() : held.last_order_at;
         assignment_record record{.holder = context_.settings.name,
                                  .released_for =
-                                     release_delay(held.last_order_at, held.may_order_at,
+                                     release_delay(last_order_at, held.taken.may_order_at,
                                                    lease() + release_margin, context_.now())};
         auto call = platform::assignment_append_call(partition, to_text(record), held.last_record);
         auto response = co_await store_.call(call.method, call.target, call.body, timeout);
@@ -288,7 +314,8 @@
     std::vector<int> due;
     for (const auto& [partition, it] : partitions_)
     {
-        if (!it.takeover_recorded && context_.now() >= it.may_order_at)
+        if (!it.takeover_recorded && context_.now() >= it.taken.may_order_at &&
+            !may_hold_old_orders(partition, it))
         {
             due.push_back(partition);
         }
@@ -353,7 +380,7 @@
     fencing_number fence(offset->count() + 1);
     partitions_[partition] = {.fence = fence,
                               .claim = *offset,
-                              .may_order_at = taken.may_order_at,
+                              .taken = taken,
                               .last_record = *offset,
                               .last_order_at = taken.last_order_at};
     listed_since_.erase(partition);
@@ -407,6 +434,13 @@
             ++it;
         }
     }
+    std::erase_if(open_orders_,
+                  [&](const server_id& it)
+                  {
+                      const auto* known = context_.servers.find(it);
+                      return !known || known->removed;
+                  });
+    instant now = context_.now();
     for (const auto& [server, known] : context_.servers.servers())
     {
         int partition = partition_of(server);
@@ -421,27 +455,78 @@
                          .partition = partition,
                          .wake_timer = asio::steady_timer(context_.executor),
                          .last_published = {}});
+        const auto& claimed = partitions_.at(partition);
+        if (claimed.taken.ask_engines_after && now >= *claimed.taken.ask_engines_after)
+        {
+            // It registered after the last order of an earlier claim.
+            held->responded_at = instant();
+            held->responded_for = claimed.fence;
+        }
         owned_engines_.emplace(server, held);
         spawn_loop(context_, "engine",
                    [this, server = server, held] { return run_server(server, held); });
     }
 }
 
-bool order_controller::may_order(int partition, instant now) const
+std::optional<instant> order_controller::takeover_end(const owned_engine& held,
+                                                      const held_partition& it) const
+{
+    return first_order_at(
+        it.taken, held.responded_for == it.fence ? held.responded_at : std::nullopt, lease());
+}
+
+bool order_controller::may_hold_old_orders(int partition, const held_partition& it) const
+{
+    return it.taken.ask_engines_after &&
+           std::any_of(owned_engines_.begin(), owned_engines_.end(),
+                       [&](const auto& owned) {
+                           return owned.second->partition == partition &&
+                                  owned.second->responded_for != it.fence;
+                       });
+}
+
+void order_controller::record_response(const server_id& server, owned_engine& held,
+                                       instant asked_at)
 {
-    auto it = partitions_.find(partition);
-    return !leaving_ && it != partitions_.end() && now < membership_until_ &&
-           now >= it->second.may_order_at;
+    auto it = partitions_.find(held.partition);
+    bool had_open_order = open_orders_.erase(server) > 0;
+    if (it == partitions_.end())
+    {
+        return;
+    }
+    if (had_open_order)
+    {
+        // It may have read the order as late as now.
+        it->second.last_order_at = context_.now();
+    }
+    const auto& ask_after = it->second.taken.ask_engines_after;
+    if (ask_after && asked_at >= *ask_after && held.responded_for != it->second.fence)
+    {
+        held.responded_at = context_.now();
+        held.responded_for = it->second.fence;
+    }
 }
 
-instant order_controller::may_order_from(int partition, instant now) const
+bool order_controller::may_order(const owned_engine& held, instant now) const
 {
-    auto it = partitions_.find(partition);
+    auto it = partitions_.find(held.partition);
+    if (leaving_ || it == partitions_.end() || now >= membership_until_)
+    {
+        return false;
+    }
+    auto end = takeover_end(held, it->second);
+    return end && now >= *end;
+}
+
+instant order_controller::may_order_from(const owned_engine& held, instant now) const
+{
+    auto it = partitions_.find(held.partition);
     if (leaving_ || it == partitions_.end() || now >= membership_until_)
     {
         return now + takeover_expiry(terms());
     }
-    return it->second.may_order_at;
+    return takeover_end(held, it->second)
+        .value_or(std::max(it->second.taken.may_order_at, now + lease()));
 }
 
 void order_controller::publish_pending(const server_id& server, const owned_engine& held,
@@ -496,13 +581,17 @@
         const auto* known = context_.servers.find(server);
         const engine_spec* engine = engine_of(server);
         instant now = context_.now();
-        if (!known || !engine || !may_order(held->partition, now))
+        if (!known || !engine || !may_order(*held, now))
         {
             held->announced = false;
             if (known && !held->pending_announced)
             {
                 held->pending_announced = true;
-                publish_pending(server, *held, may_order_from(held->partition, now));
+                publish_pending(server, *held, may_order_from(*held, now));
+            }
+            if (known && engine)
+            {
+                co_await probe_engine(server, held);
             }
             co_await pause(milliseconds(100));
             continue;
@@ -576,11 +665,10 @@
     }
     co_await pause(permit.valid_from - context_.now());
     instant now = context_.now();
-    co_return now < permit.valid_until && !held.ended && context_.servers.find(server) &&
-        may_order(held.partition, now);
+    co_return now < permit.valid_until && !held.ended && context_.servers.find(server);
 }
 
-task<void> order_controller::query_report(server_id server, std::shared_ptr<owned_engine> held)
+task<std::optional<residency_report>> order_controller::fetch_report(server_id server)
 {
     const auto* known = context_.servers.find(server);
     instant asked_at = context_.now();
@@ -589,19 +677,14 @@
     exchange_deadline deadline(exchange, context_.executor, order_timeout);
     auto state = co_await exchange.send(
         [&] { return std::optional(outgoing_request{.head = text}); }, request_id());
-    bool adopted = false;
+    std::optional<residency_report> fetched;
     if (state == exchange_state::responded)
     {
         std::string body = co_await exchange.read_rest();
         auto report = platform::parse_server_report(body);
         if (exchange.complete() && exchange.status() == 200 && report)
         {
-            if (report->start_time_ms == 0)
-            {
-                report->start_time_ms = held->controller.start_time_ms();
-            }
-            held->controller.adopt(*report, context_.now());
-            adopted = true;
+            fetched = *report;
         }
         else
         {
@@ -610,8 +693,43 @@
         }
         exchange.finish();
     }
-    context_.log.write("report", "server={} adopted={} sent={} took_ms={}", server.str(), adopted,
-                       to_text(state), elapsed_ms(asked_at, context_.now()).count());
+    context_.log.write("report", "server={} adopted={} sent={} took_ms={}", server.str(),
+                       fetched.has_value(), to_text(state),
+                       elapsed_ms(asked_at, context_.now()).count());
+    co_return fetched;
+}
+
+task<void> order_controller::query_report(server_id server, std::shared_ptr<owned_engine> held)
+{
+    instant asked_at = context_.now();
+    auto report = co_await fetch_report(server);
+    if (!report)
+    {
+        co_return;
+    }
+    record_response(server, *held, asked_at);
+    if (report->start_time_ms == 0)
+    {
+        report->start_time_ms = held->controller.start_time_ms();
+    }
+    held->controller.adopt(*report, context_.now());
+}
+
+task<void> order_controller::probe_engine(server_id server, std::shared_ptr<owned_engine> held)
+{
+    auto it = partitions_.find(held->partition);
+    bool due = !leaving_ && it != partitions_.end() && context_.now() < membership_until_ &&
+               it->second.taken.from_other_host && held->responded_for != it->second.fence &&
+               context_.now() >= *it->second.taken.ask_engines_after;
+    if (!due || !co_await acquire_permit(server, *held))
+    {
+        co_return;
+    }
+    instant asked_at = context_.now();
+    if (co_await fetch_report(server))
+    {
+        record_response(server, *held, asked_at);
+    }
 }
 
 task<order_controller::order_outcome>
@@ -629,7 +747,7 @@
         [&]
         {
             instant now = context_.now();
-            bool may_send = !held->ended && may_order(held->partition, now) &&
+            bool may_send = !held->ended && may_order(*held, now) &&
                             partitions_.at(held->partition).fence == fence;
             if (may_send)
             {
@@ -673,6 +791,10 @@
     int status = outcome.status;
     auto response = status != 0 ? platform::order_response_of(status) : order_response::unknown;
     orders_in_flight_.erase(orders_in_flight_.find(held.partition));
+    if (outcome.state == exchange_state::no_response)
+    {
+        open_orders_.insert(server);
+    }
     if (auto it = partitions_.find(held.partition); it != partitions_.end())
     {
         it->second.last_order_at =
@@ -734,13 +856,13 @@
     for (const auto& [server, held] : owned_engines_)
     {
         instant now = context_.now();
-        if (may_order(held->partition, now))
+        if (may_order(*held, now))
         {
             publish_placement(server, *held, true);
         }
         else
         {
-            publish_pending(server, *held, may_order_from(held->partition, now));
+            publish_pending(server, *held, may_order_from(*held, now));
         }
     }
 }
@@ -750,9 +872,9 @@
 {
     auto it = owned_engines_.find(server);
     bool owned = it != owned_engines_.end();
-    const char* state = !owned                                             ? "not_owner"
-                        : may_order(it->second->partition, context_.now()) ? "may_order"
-                                                                           : "takeover";
+    const char* state = !owned                                   ? "not_owner"
+                        : may_order(*it->second, context_.now()) ? "may_order"
+                                                                 : "takeover";
     context_.stats.increment("banyanshunt_load_requests_received_total", {{"state", state}});
     if (owned)
     {
--- a/tests/correctness/serve_case.hpp
+++ b/tests/correctness/serve_case.hpp
@@ -41,9 +41,11 @@
 class serve_case
 {
 public:
-    /// `prepare` may change what the store holds before the first host starts.
+    /// `prepare` may change what the store holds before the first host starts. Engines are assigned
+    /// to hosts in `partition_count` partitions, each to at most one host.
     explicit serve_case(std::size_t host_count = 1, store_path path = store_path::direct,
-                        const std::function<void(store_stand_in&)>& prepare = {});
+                        const std::function<void(store_stand_in&)>& prepare = {},
+                        int partition_count = 1);
     ~serve_case();
 
     struct call_result
@@ -109,7 +111,8 @@
         void request_stop();
     };
 
-    store_stand_in store;
+    int partitions;
+    store_stand_in store{partitions};
     /// The network between the hosts and the store, if it is proxied.
     std::unique_ptr<fault_proxy> store_link;
     backend_stand_in desk1{"d1", {}};
--- a/tests/stand_ins/loopback_proxy.cpp
+++ b/tests/stand_ins/loopback_proxy.cpp
@@ -63,21 +63,48 @@
             auto connection = std::make_shared<link>(std::move(accepted));
             std::erase_if(links_, [](const auto& it) { return it.expired(); });
             links_.push_back(connection);
-            connection->server.async_connect(target_,
-                                             [this, connection](error_code failed)
-                                             {
-                                                 if (failed)
-                                                 {
-                                                     connection->close(true);
-                                                     return;
-                                                 }
-                                                 pump(connection, true);
-                                                 pump(connection, false);
-                                             });
+            // Connects when the first request is there, as idle servers close connections.
+            connection->caller.async_wait(tcp::socket::wait_read,
+                                          [this, connection](error_code) { begin(connection); });
             accept();
         });
 }
 
+void loopback_proxy::begin(const std::shared_ptr<link>& connection)
+{
+    std::array<char, 64> buf{};
+    error_code ec;
+    auto n = connection->caller.receive(asio::buffer(buf), tcp::socket::message_peek, ec);
+    std::string_view text(buf.data(), n);
+    if (!freezing_prefix_.empty() && text.starts_with(freezing_prefix_))
+    {
+        freezing_prefix_.clear();
+        frozen_ = true;
+        std::this_thread::sleep_for(freeze_length_);
+    }
+    auto connect = [this, connection]
+    {
+        connection->server.async_connect(target_,
+                                         [this, connection](error_code failed)
+                                         {
+                                             if (failed)
+                                             {
+                                                 connection->close(true);
+                                                 return;
+                                             }
+                                             pump(connection, true);
+                                             pump(connection, false);
+                                         });
+    };
+    if (held_prefix_.empty() || !text.starts_with(held_prefix_))
+    {
+        connect();
+        return;
+    }
+    auto timer = std::make_shared<asio::steady_timer>(loop_, hold_length_);
+    timer->async_wait([timer, connect](error_code) { connect(); });
+}
+
 void loopback_proxy::pump(const std::shared_ptr<link>& connection, bool to_server)
 {
     auto& from = to_server ? connection->caller : connection->server;
@@ -109,14 +136,12 @@
                                              : pump(connection, to_server);
                                   });
             };
-            bool held = to_server && !held_prefix_.empty() &&
-                        std::string_view(bytes.data(), n).starts_with(held_prefix_);
-            if (fault_ != fault::delay && !held)
+            if (fault_ != fault::delay)
             {
                 forward();
                 return;
             }
-            auto timer = std::make_shared<asio::steady_timer>(loop_, held ? hold_length_ : delay);
+            auto timer = std::make_shared<asio::steady_timer>(loop_, delay);
             timer->async_wait([timer, forward](error_code) { forward(); });
         });
 }
@@ -146,6 +171,17 @@
                });
 }
 
+void loopback_proxy::freeze_at(const std::string& prefix, std::chrono::milliseconds length)
+{
+    frozen_ = false;
+    asio::post(loop_,
+               [this, prefix, length]
+               {
+                   freezing_prefix_ = prefix;
+                   freeze_length_ = length;
+               });
+}
+
 void loopback_proxy::freeze(std::chrono::milliseconds length)
 {
     asio::post(loop_, [length] { std::this_thread::sleep_for(length); });
--- a/tests/stand_ins/loopback_proxy.hpp
+++ b/tests/stand_ins/loopback_proxy.hpp
@@ -43,6 +43,11 @@
     /// Forwards requests that begin with `prefix` this much later, also if their caller has closed
     /// the connection by then.
     void hold_requests(const std::string& prefix, std::chrono::milliseconds length);
+    /// Stands still, as by `freeze`, as soon as it has read the next request that begins with
+    /// `prefix`, and forwards it afterwards.
+    void freeze_at(const std::string& prefix, std::chrono::milliseconds length);
+    /// Whether it has stood still since the last call of `freeze_at`.
+    bool has_frozen() const { return frozen_; }
     /// Stands still: what arrives stays in the kernel's buffers until this time is over.
     void freeze(std::chrono::milliseconds length);
     /// Stops forwarding on open connections without closing them; new ones work.
@@ -53,6 +58,7 @@
     using tcp = boost::asio::ip::tcp;
 
     void accept();
+    void begin(const std::shared_ptr<link>& connection);
     void pump(const std::shared_ptr<link>& connection, bool to_server);
 
     boost::asio::io_context loop_{1};
@@ -60,6 +66,9 @@
     tcp::endpoint target_;
     std::string address_;
     std::atomic<fault> fault_ = fault::none;
+    std::string freezing_prefix_;
+    std::chrono::milliseconds freeze_length_{0};
+    std::atomic<bool> frozen_ = false;
     std::string held_prefix_;
     std::chrono::milliseconds hold_length_{0};
     std::list<std::weak_ptr<link>> links_;
