Orders: a claim that outlasts its host's membership is not used

A host that joins the group claims its partitions one after the other, each in up to two calls of at most 1 s, and did not check in between whether its membership still lasts. It appended claims after the membership had ended, and took a partition whose claim was confirmed after that. The group may have assigned such a partition to another host, whose fencing number is then lower than that of a claim nobody acts on, and "begun" was recorded for it.

The membership is now checked right before each claim is appended and again when it is confirmed. A claim that is too late is dropped and logged as duty_claim_dropped; the next claim reads it as any other claim and waits.

--- a/src/serve/order_controller.cpp
+++ b/src/serve/order_controller.cpp
@@ -351,6 +351,10 @@
 task<void> order_controller::claim(int partition)
 {
     instant claimed_at = context_.now();
+    if (claimed_at >= membership_until_)
+    {
+        co_return;
+    }
     assignment_record record{.holder = context_.settings.name};
     auto call = platform::assignment_append_call(partition, to_text(record), std::nullopt);
     auto response = co_await store_.call(call.method, call.target, call.body, store_timeout);
@@ -375,6 +379,14 @@
         previous = text ? parse_assignment_record(*text) : std::nullopt;
     }
     instant now = context_.now();
+    if (now >= membership_until_)
+    {
+        // The group may have assigned the partition to another host since.
+        context_.log.write("duty_claim_dropped", "partition={} fence={} generation={} claim_ms={}",
+                           partition, offset->count() + 1, generation_,
+                           elapsed_ms(claimed_at, now).count());
+        co_return;
+    }
     auto taken = take_over(first, previous, context_.settings.name, claimed_at, now, terms());
     // Offsets grow with each claim, so a later owner has a higher fencing number.
     fencing_number fence(offset->count() + 1);
--- /dev/null
+++ b/tests/correctness/lapsed_membership_test.cpp
@@ -0,0 +1,138 @@
+// A host whose membership of the group ends while it claims, holds or releases a partition, and one
+// whose claim is followed by another host's.
+
+#include <algorithm>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include <catch2/catch.hpp>
+
+#include "serve_case.hpp"
+
+using namespace banyanshunt;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+const std::string join_path = "/api/log-join";
+const std::string append_path = "/api/log-append";
+
+bool is_claim_of(const std::string& host, const std::string& path, const std::string& body)
+{
+    constexpr std::size_t length_bytes = 4;
+    return path == append_path && body.substr(std::min(length_bytes, body.size())) == host;
+}
+
+std::vector<std::string> records(const serve_case& it, int partition = 0)
+{
+    return it.store.values("shunt-duties/" + std::to_string(partition));
+}
+
+bool ends_with(const std::vector<std::string>& records, const std::string& last)
+{
+    return !records.empty() && records.back() == last;
+}
+
+/// The value of a metric of the first host; 0 if it is not stated.
+int metric(const serve_case& it, const std::string& name)
+{
+    std::string text = it.scrape();
+    auto at = text.find("\n" + name + " ");
+    return at == std::string::npos ? 0 : std::stoi(text.substr(at + name.size() + 2));
+}
+
+} // namespace
+
+TEST_CASE("A claim that outlasts its host's membership is not used (ONE)")
+{
+    SECTION("its response comes after the membership has ended")
+    {
+        serve_case it;
+        REQUIRE(it.started);
+        REQUIRE(serve_case::eventually([&] { return ends_with(records(it), "h1 begun"); }));
+        auto lapsed = [&]
+        { return metric(it, R"(banyanshunt_partitions_lost_total{reason="lapsed"})"); };
+        const int lapsed_before = lapsed();
+        it.store.set_call_faults(
+            [](const std::string& path, const std::string& body)
+            {
+                return call_fault{.response_delay = path == join_path               ? 600ms
+                                                    : is_claim_of("h1", path, body) ? 700ms
+                                                                                    : 0ms};
+            });
+        const auto before = records(it).size();
+        REQUIRE(serve_case::eventually([&] { return records(it).size() >= before + 2; }));
+        std::this_thread::sleep_for(1000ms);
+
+        auto last = records(it);
+        last.erase(last.begin(), last.begin() + static_cast<std::ptrdiff_t>(before));
+        CHECK(std::count(last.begin(), last.end(), "h1 begun") == 0);
+        CHECK(lapsed() == lapsed_before + 1);
+
+        it.store.set_call_faults(nullptr);
+        CHECK(serve_case::eventually([&] { return ends_with(records(it), "h1 begun"); }));
+    }
+
+    SECTION("the membership ends while the host claims one partition after the other")
+    {
+        serve_case it(1, store_path::direct, {}, 4);
+        REQUIRE(it.started);
+        auto complete = [&]
+        {
+            for (int n = 0; n < it.partitions; ++n)
+            {
+                if (!ends_with(records(it, n), "h1 begun"))
+                {
+                    return false;
+                }
+            }
+            return true;
+        };
+        REQUIRE(serve_case::eventually(complete));
+
+        struct call_times
+        {
+            std::mutex mutex;
+            std::chrono::steady_clock::time_point last_join;
+            std::chrono::milliseconds latest_claim{0};
+            int joins = 0;
+            int claims = 0;
+        };
+        auto calls = std::make_shared<call_times>();
+        it.store.set_call_faults(
+            [calls](const std::string& path, const std::string& body)
+            {
+                std::lock_guard lock(calls->mutex);
+                auto now = std::chrono::steady_clock::now();
+                if (path == join_path)
+                {
+                    calls->last_join = now;
+                    bool ends_membership = ++calls->joins <= 20;
+                    return call_fault{.refused_with = ends_membership ? 429 : 0};
+                }
+                if (!is_claim_of("h1", path, body))
+                {
+                    return call_fault{};
+                }
+                ++calls->claims;
+                calls->latest_claim =
+                    std::max(calls->latest_claim,
+                             std::chrono::floor<std::chrono::milliseconds>(now - calls->last_join));
+                return call_fault{.response_delay = 700ms};
+            });
+        auto claims = [&]
+        {
+            std::lock_guard lock(calls->mutex);
+            return calls->claims;
+        };
+        REQUIRE(serve_case::eventually([&] { return claims() >= 4; }));
+        it.store.set_call_faults(nullptr);
+        // A membership lasts 900 ms from the call that renewed it.
+        CHECK(calls->latest_claim < 1200ms);
+        CHECK(serve_case::eventually(complete));
+    }
+}
