Orders: a takeover is recorded only while its host is a member

A host recorded that its takeover is complete as soon as the wait was over, also if it had not been able to renew its membership since the claim. With renewals that failed for longer than the wait, the record was the first call that passed: the log then said that no other host orders the engines, although the group may have assigned them to one that has not claimed them yet, and the next claim of the recording host did not wait.

The membership is now checked right before each such record is appended. A partition of a membership that has ended is claimed anew, with the full wait.

Measured with the new case: renewals fail for 4 s after a claim behind another host's. Before: "begun" was appended while they failed.

--- a/src/serve/order_controller.cpp
+++ b/src/serve/order_controller.cpp
@@ -323,7 +323,7 @@
     for (int partition : due)
     {
         auto held = partitions_.find(partition);
-        if (held == partitions_.end())
+        if (held == partitions_.end() || context_.now() >= membership_until_)
         {
             continue;
         }
--- a/tests/correctness/lapsed_membership_test.cpp
+++ b/tests/correctness/lapsed_membership_test.cpp
@@ -45,6 +45,26 @@
     return at == std::string::npos ? 0 : std::stoi(text.substr(at + name.size() + 2));
 }
 
+/// Refuses the calls that renew memberships.
+void refuse_joins(serve_case& it)
+{
+    it.store.set_call_faults([](const std::string& path, const std::string&)
+                             { return call_fault{.refused_with = path == join_path ? 429 : 0}; });
+}
+
+/// Ends the membership of the first host and lets it claim the partition behind another host's
+/// claim, so that its takeover takes 2350 ms. Returns whether it has claimed it.
+bool take_over_from_other_host(serve_case& it)
+{
+    refuse_joins(it);
+    std::this_thread::sleep_for(1500ms);
+    it.store.put("shunt-duties/0", "", "h9");
+    const auto before = records(it).size();
+    it.store.set_call_faults(nullptr);
+    return serve_case::eventually([&] { return records(it).size() > before; }) &&
+           ends_with(records(it), "h1");
+}
+
 } // namespace
 
 TEST_CASE("A claim that outlasts its host's membership is not used (ONE)")
@@ -136,3 +156,26 @@
         CHECK(serve_case::eventually(complete));
     }
 }
+
+TEST_CASE("A takeover is not recorded after its host's membership has ended (ONE)")
+{
+    serve_case it;
+    REQUIRE(it.started);
+    REQUIRE(serve_case::eventually([&] { return ends_with(records(it), "h1 begun"); }));
+    REQUIRE(take_over_from_other_host(it));
+
+    SECTION("the host cannot renew its membership for longer than the takeover takes")
+    {
+        refuse_joins(it);
+        std::this_thread::sleep_for(4000ms);
+        CHECK(ends_with(records(it), "h1"));
+
+        it.store.set_call_faults(nullptr);
+        CHECK(serve_case::eventually([&] { return ends_with(records(it), "h1 begun"); }));
+    }
+
+    SECTION("the membership lasts")
+    {
+        CHECK(serve_case::eventually([&] { return ends_with(records(it), "h1 begun"); }));
+    }
+}
