Orders: only partitions of a membership that lasts are released

A host that stopped or resigned after its membership had ended still released its partitions, with "released 0" where its last order was long ago. By then the group may have assigned them to a host whose claim is under way, and that host would not wait for what came in between.

The membership is now checked right before each release is appended, also for partitions that the group moved. resign() keeps the membership's end until the releases are done. A partition that is not released is logged as duty_not_released with reason=lapsed; its next owner waits in full.

Measured with the new case: the host stops 1.5 s after its renewals began to fail, with a membership of 0.9 s. Before: "h1 released 0" was appended.

--- a/src/serve/order_controller.cpp
+++ b/src/serve/order_controller.cpp
@@ -215,8 +215,8 @@
                        owned_engines_.size());
     generation_ = 0;
     is_member_ = false;
-    membership_until_ = {};
     co_await release(give_up_engines(), store_timeout);
+    membership_until_ = {};
     co_await leave_group();
 }
 
@@ -284,6 +284,12 @@
                                held.has_old_orders ? "old_orders" : "open_order");
             continue;
         }
+        if (context_.now() >= membership_until_)
+        {
+            // Another host may have been assigned the partition since.
+            context_.log.write("duty_not_released", "partition={} reason=lapsed", partition);
+            continue;
+        }
         // An order that was in flight has been answered since.
         instant last_order_at = awaited.contains(partition) ? context_.now() : held.last_order_at;
         assignment_record record{.holder = context_.settings.name,
--- a/tests/correctness/lapsed_membership_test.cpp
+++ b/tests/correctness/lapsed_membership_test.cpp
@@ -179,3 +179,31 @@
         CHECK(serve_case::eventually([&] { return ends_with(records(it), "h1 begun"); }));
     }
 }
+
+TEST_CASE("A host that stops releases only the partitions of a membership that lasts (ONE)")
+{
+    serve_case it;
+    REQUIRE(it.started);
+    REQUIRE(serve_case::eventually([&] { return ends_with(records(it), "h1 begun"); }));
+    auto stop = [&]
+    {
+        it.hosts.front()->request_stop();
+        return serve_case::eventually([&] { return it.exit_code() != -1; });
+    };
+
+    SECTION("its membership has ended")
+    {
+        refuse_joins(it);
+        std::this_thread::sleep_for(1500ms);
+        REQUIRE(stop());
+        CHECK(ends_with(records(it), "h1 begun"));
+    }
+
+    SECTION("its membership lasts")
+    {
+        // The release is appended behind the last record whose response has arrived.
+        std::this_thread::sleep_for(500ms);
+        REQUIRE(stop());
+        CHECK(records(it).back().starts_with("h1 released "));
+    }
+}
