Orders: a host whose claim another host's follows gives the partition up

When the record of a completed takeover was rejected with 412, another host's claim stood behind this host's: a claim that was carried out late, or a second owner. The host logged duty_turn_untold and went on ordering with a fencing number that was no longer the newest, so an engine could get an order with a lower number after one with a higher number.

On 412 the host now gives the partition up at once, stops ordering its engines (duty_lost with reason=superseded, banyanshunt_partitions_lost_total) and claims it anew if the group still lists it, with the wait of any new owner.

--- a/src/serve/order_controller.cpp
+++ b/src/serve/order_controller.cpp
@@ -335,21 +335,33 @@
         }
         // If this call fails, the next claim after a restart waits as any other host's would.
         held->second.takeover_recorded = true;
+        fencing_number fence = held->second.fence;
         assignment_record record{.holder = context_.settings.name, .takeover_complete = true};
         auto call =
             platform::assignment_append_call(partition, to_text(record), held->second.claim);
         auto response = co_await store_.call(call.method, call.target, call.body, store_timeout);
+        int status = response ? response->status : 0;
+        if (status != 200)
+        {
+            context_.log.write("duty_turn_untold", "partition={} status={}", partition, status);
+        }
         // The partition may have been lost and claimed anew during the call.
         held = partitions_.find(partition);
-        if (response && response->status == 200 && held != partitions_.end() &&
-            held->second.takeover_recorded)
+        if (held == partitions_.end() || held->second.fence != fence)
+        {
+            continue;
+        }
+        if (status == 200)
         {
             held->second.last_record = log_offset(held->second.claim.count() + 1);
         }
-        if (!response || response->status != 200)
+        else if (status == 412)
         {
-            context_.log.write("duty_turn_untold", "partition={} status={}", partition,
-                               response ? response->status : 0);
+            // A later claim has a higher fencing number. If the group still lists the partition,
+            // this host claims it anew.
+            log_partition_lost(partition, fence, "superseded");
+            partitions_.erase(held);
+            update_owned_engines();
         }
     }
 }
--- a/tests/correctness/lapsed_membership_test.cpp
+++ b/tests/correctness/lapsed_membership_test.cpp
@@ -2,6 +2,7 @@
 // whose claim is followed by another host's.
 
 #include <algorithm>
+#include <atomic>
 #include <memory>
 #include <mutex>
 #include <string>
@@ -21,10 +22,11 @@
 const std::string join_path = "/api/log-join";
 const std::string append_path = "/api/log-append";
 
-bool is_claim_of(const std::string& host, const std::string& path, const std::string& body)
+/// Whether a call appends this record.
+bool is_record(const std::string& record, const std::string& path, const std::string& body)
 {
     constexpr std::size_t length_bytes = 4;
-    return path == append_path && body.substr(std::min(length_bytes, body.size())) == host;
+    return path == append_path && body.substr(std::min(length_bytes, body.size())) == record;
 }
 
 std::vector<std::string> records(const serve_case& it, int partition = 0)
@@ -80,9 +82,9 @@
         it.store.set_call_faults(
             [](const std::string& path, const std::string& body)
             {
-                return call_fault{.response_delay = path == join_path               ? 600ms
-                                                    : is_claim_of("h1", path, body) ? 700ms
-                                                                                    : 0ms};
+                return call_fault{.response_delay = path == join_path             ? 600ms
+                                                    : is_record("h1", path, body) ? 700ms
+                                                                                  : 0ms};
             });
         const auto before = records(it).size();
         REQUIRE(serve_case::eventually([&] { return records(it).size() >= before + 2; }));
@@ -134,7 +136,7 @@
                     bool ends_membership = ++calls->joins <= 20;
                     return call_fault{.refused_with = ends_membership ? 429 : 0};
                 }
-                if (!is_claim_of("h1", path, body))
+                if (!is_record("h1", path, body))
                 {
                     return call_fault{};
                 }
@@ -207,3 +209,43 @@
         CHECK(records(it).back().starts_with("h1 released "));
     }
 }
+
+TEST_CASE("A host whose claim is followed by another host's orders by a new claim only (ONE)")
+{
+    serve_case it;
+    REQUIRE(it.started);
+    REQUIRE(serve_case::eventually([&] { return ends_with(records(it), "h1 begun"); }));
+    REQUIRE(take_over_from_other_host(it));
+
+    it.store.put("shunt-duties/0", "", "h9");
+    const auto fence_of_other = static_cast<std::int64_t>(records(it).size());
+    auto takeovers = std::make_shared<std::atomic<int>>(0);
+    it.store.set_call_faults(
+        [takeovers](const std::string& path, const std::string& body)
+        {
+            *takeovers += is_record("h1 begun", path, body) ? 1 : 0;
+            return call_fault{};
+        });
+    REQUIRE(serve_case::eventually([&] { return *takeovers == 1; }));
+    std::this_thread::sleep_for(500ms);
+    // It gets 503 while no host may order the engines.
+    int attempts = 0;
+    auto is_served = [&]
+    {
+        auto id = "r" + std::to_string(++attempts);
+        return it.send("POST", "/guide/1", id, "good-key", "rare").status == 200;
+    };
+    REQUIRE(serve_case::eventually(is_served));
+
+    auto orders = it.engine1.received_orders();
+    auto others = it.engine2.received_orders();
+    orders.insert(orders.end(), others.begin(), others.end());
+    REQUIRE_FALSE(orders.empty());
+    for (const auto& order : orders)
+    {
+        CHECK(order.fence > fence_of_other);
+    }
+    CHECK(metric(it, R"(banyanshunt_partitions_lost_total{reason="superseded"})") == 1);
+    CHECK(serve_case::eventually([&] { return ends_with(records(it), "h1 begun"); }));
+    CHECK(records(it).size() == static_cast<std::size_t>(fence_of_other) + 2);
+}
