Orders: unread orders are remembered by engine, through its absence from the registry and its owner's restart

A host that claimed its partitions again counted all engines as having responded. The time of the last order was kept in the partition, so an order that was answered between giving the engines up and the release was forgotten. A response on another connection ended an open order that was still on its way, which then arrived after an order with a higher fencing number. Between an engine's late response and the first order, "complete" and "released" did not count that response.

Cause: what may be unread belongs to the engine, and stood with the partition, the list of servers and the coroutine that happened to own it.

Change: order_history (coordination, pure) keeps for each engine when its last order ended or may have been read, an order without a response, when the engine responded, and when it came back to the registry without a new start. First orders, completed takeovers and releases go by it. An order without a response counts as under way until the engine has responded to a later call and the wait of a new owner has passed, also if the engine is not registered meanwhile. Engines that leave, and processes younger than any earlier order, hold nothing up. An engine that does not respond is asked every 450 ms, and not while it accepts nothing.

--- a/src/coordination/assignment_record.cpp
+++ b/src/coordination/assignment_record.cpp
@@ -101,15 +101,4 @@
     return taken;
 }
 
-std::optional<instant> first_order_at(const takeover& taken, std::optional<instant> responded_at,
-                                      milliseconds lease)
-{
-    if (!taken.from_other_host)
-    {
-        return taken.may_order_at;
-    }
-    return responded_at ? std::optional(std::max(taken.may_order_at, *responded_at + lease))
-                        : std::nullopt;
-}
-
 } // namespace banyanshunt
--- a/src/coordination/assignment_record.hpp
+++ b/src/coordination/assignment_record.hpp
@@ -82,14 +82,6 @@
     bool from_other_host = false;
 };
 
-/// Returns when the first order to an engine may be given that was assigned by `taken`, at the
-/// earliest. `responded_at` is when the engine responded to a call sent after
-/// `taken.ask_engines_after`; nothing if it did not. Orders of two hosts are at least `lease`
-/// apart, and what lay in the engine's socket was read by the time it responded. The orders of one
-/// host need no pause, and each owner asks for a report before its first one.
-std::optional<instant> first_order_at(const takeover& taken, std::optional<instant> responded_at,
-                                      milliseconds lease);
-
 /// Decides on a claim that was sent at `claimed_at`; the record `before` it was received at
 /// `read_at`. The other arguments are those of `takeover_delay`.
 takeover take_over(bool first, const std::optional<assignment_record>& before, const host_id& own,
--- /dev/null
+++ b/src/coordination/order_history.cpp
@@ -0,0 +1,185 @@
+#include "coordination/order_history.hpp"
+
+#include <algorithm>
+
+namespace banyanshunt
+{
+
+void order_history::observe(const std::map<server_id, registered_engine>& engines, instant now)
+{
+    bool is_first = !observed_ && !engines.empty();
+    for (const auto& [server, engine] : engines)
+    {
+        auto [it, is_new] = records_.try_emplace(server);
+        auto& known = it->second;
+        bool restarted = !is_new && known.engine.start_time_ms != engine.start_time_ms;
+        if (restarted)
+        {
+            instant last_order_at = known.last_order_at;
+            known = {};
+            known.last_order_at = last_order_at;
+        }
+        bool is_old = engine.process_started_at + options_.clock_difference < now;
+        if (is_new ? !is_first && is_old : !restarted && !known.registered)
+        {
+            known.reappeared_at = now;
+        }
+        known.engine = engine;
+        known.registered = true;
+        known.seen_at = now;
+    }
+    for (auto& [server, known] : records_)
+    {
+        known.registered = engines.contains(server);
+    }
+    std::erase_if(
+        records_, [&](const auto& it)
+        { return !it.second.registered && now - it.second.seen_at > options_.forget_after; });
+    observed_ = observed_ || is_first;
+}
+
+void order_history::record_order(const server_id& server, fencing_number fence, bool answered,
+                                 instant now)
+{
+    auto it = records_.find(server);
+    if (it == records_.end())
+    {
+        return;
+    }
+    it->second.last_order_at = now;
+    if (!answered)
+    {
+        it->second.open_since = now;
+        it->second.open_fence = fence;
+    }
+}
+
+void order_history::record_response(const server_id& server, const claim& it, instant asked_at,
+                                    instant now)
+{
+    auto known = records_.find(server);
+    if (known == records_.end())
+    {
+        return;
+    }
+    auto& record = known->second;
+    if (record.open_since && asked_at >= *record.open_since)
+    {
+        // It may have read the order as late as now.
+        record.last_order_at = now;
+    }
+    auto needed = needed_after(record, it.taken);
+    bool counts = !needed || asked_at >= *needed;
+    if (counts && (!record.responded_at || (needed && record.asked_at < *needed)))
+    {
+        record.responded_at = now;
+        record.asked_at = asked_at;
+        if (needed)
+        {
+            record.last_order_at = std::max(record.last_order_at, now);
+        }
+    }
+    if (record.open_since && !has_open_order(record, now))
+    {
+        record.open_since.reset();
+    }
+}
+
+std::optional<instant> order_history::needed_after(const engine_record& it,
+                                                   const takeover& taken) const
+{
+    auto needed = taken.ask_engines_after;
+    if (needed && it.engine.process_started_at >= *needed + options_.clock_difference)
+    {
+        // The process is younger than every order of an earlier claim.
+        needed.reset();
+    }
+    return it.reappeared_at ? std::max(needed, it.reappeared_at) : needed;
+}
+
+std::optional<instant> order_history::first_order_at(const engine_record& it,
+                                                     const claim& own) const
+{
+    instant at = own.taken.may_order_at;
+    if (it.open_since && it.open_fence != own.fence)
+    {
+        at = std::max(at, *it.open_since + options_.open_order_time);
+    }
+    auto needed = needed_after(it, own.taken);
+    bool from_others = own.taken.from_other_host || it.reappeared_at;
+    if (!needed || !from_others)
+    {
+        return at;
+    }
+    bool responded = it.responded_at && it.asked_at >= *needed;
+    return responded ? std::optional(std::max(at, *it.responded_at + options_.lease))
+                     : std::nullopt;
+}
+
+std::optional<instant> order_history::first_order_at(const server_id& server, const claim& it) const
+{
+    auto known = records_.find(server);
+    return known == records_.end() ? std::nullopt : first_order_at(known->second, it);
+}
+
+std::optional<instant> order_history::awaits_response_after(const server_id& server,
+                                                            const claim& it) const
+{
+    auto known = records_.find(server);
+    if (known == records_.end() || first_order_at(known->second, it))
+    {
+        return std::nullopt;
+    }
+    return needed_after(known->second, it.taken);
+}
+
+bool order_history::has_open_order(const engine_record& it, instant now) const
+{
+    if (!it.open_since)
+    {
+        return false;
+    }
+    bool responded = it.last_order_at > *it.open_since;
+    return !responded || now < *it.open_since + options_.open_order_time;
+}
+
+bool order_history::is_settled(const claim& it,
+                               const std::function<bool(const server_id&)>& in_partition,
+                               instant now) const
+{
+    return std::all_of(records_.begin(), records_.end(),
+                       [&](const auto& known)
+                       {
+                           const auto& [server, record] = known;
+                           if (!in_partition(server))
+                           {
+                               return true;
+                           }
+                           if (has_open_order(record, now))
+                           {
+                               return false;
+                           }
+                           auto needed = needed_after(record, it.taken);
+                           bool asked = record.registered && !record.engine.leaving && needed;
+                           if (!asked)
+                           {
+                               return true;
+                           }
+                           auto first = first_order_at(record, it);
+                           return record.responded_at && record.asked_at >= *needed && first &&
+                                  *first <= now;
+                       });
+}
+
+instant
+order_history::last_order_at(const std::function<bool(const server_id&)>& in_partition) const
+{
+    instant last{};
+    for (const auto& [server, record] : records_)
+    {
+        last = in_partition(server) ? std::max(last, record.last_order_at) : last;
+    }
+    return last;
+}
+
+} // namespace banyanshunt
--- a/src/serve/order_controller.cpp
+++ b/src/serve/order_controller.cpp
@@ -43,6 +43,8 @@
 /// or more.
 constexpr milliseconds order_timeout{1000};
 
+/// How often a new owner asks an engine that has not responded.
+constexpr milliseconds probe_interval{450};
 /// How often a host that gives up engines checks whether its last orders have ended.
 constexpr milliseconds order_poll_interval{5};
 
@@ -75,7 +77,9 @@
     : context_(context), link_(std::move(link)),
       // Stable across restarts, so that the group assigns this host the partitions it had.
       member_(context.settings.name.str()), store_(context.settings.log.address),
-      membership_timer_(context.executor), store_load_refilled_at_(context.now())
+      membership_timer_(context.executor),
+      history_({.lease = lease(), .open_order_time = takeover_expiry(terms())}),
+      store_load_refilled_at_(context.now())
 {
 }
 
@@ -100,6 +104,7 @@
 {
     while (!leaving_)
     {
+        observe_engines();
         if (!should_be_member())
         {
             if (generation_ != 0)
@@ -158,9 +163,8 @@
 std::map<int, order_controller::held_partition> order_controller::give_up_engines()
 {
     instant next_owner_at = context_.now() + takeover_expiry(terms());
-    for (auto& [partition, held] : partitions_)
+    for (const auto& [partition, held] : partitions_)
     {
-        held.has_old_orders = may_hold_old_orders(partition, held);
         log_partition_lost(partition, held.fence, "given_up");
     }
     for (auto& [server, held] : owned_engines_)
@@ -183,13 +187,6 @@
                        fence.count(), generation_, reason);
 }
 
-bool order_controller::has_open_order(int partition) const
-{
-    return orders_in_flight_.contains(partition) ||
-           std::any_of(open_orders_.begin(), open_orders_.end(),
-                       [&](const server_id& it) { return partition_of(it) == partition; });
-}
-
 task<void> order_controller::await_orders(const std::map<int, held_partition>& partitions)
 {
     auto in_flight = [&]
@@ -251,7 +248,6 @@
         log_partition_lost(it->first, it->second.fence, lapsed ? "lapsed" : "moved");
         if (!lapsed)
         {
-            it->second.has_old_orders = may_hold_old_orders(it->first, it->second);
             moved.insert(*it);
         }
         it = partitions_.erase(it);
@@ -273,25 +269,23 @@
 
 task<void> order_controller::release(std::map<int, held_partition> partitions, milliseconds timeout)
 {
-    std::set<int> awaited(orders_in_flight_.begin(), orders_in_flight_.end());
     co_await await_orders(partitions);
     for (const auto& [partition, held] : partitions)
     {
-        if (has_open_order(partition) || held.has_old_orders)
+        const char* kept_back =
+            context_.now() >= membership_until_                                     ? "lapsed"
+            : orders_in_flight_.contains(partition) || !is_settled(partition, held) ? "old_orders"
+                                                                                    : nullptr;
+        if (kept_back)
         {
-            // The engine may read it at any time, so the next owner has to wait for the engine.
-            context_.log.write("duty_not_released", "partition={} reason={}", partition,
-                               held.has_old_orders ? "old_orders" : "open_order");
+            // Another host may own the partition, or an engine may read an order at any time.
+            context_.log.write("duty_not_released", "partition={} reason={}", partition, kept_back);
             continue;
         }
-        if (context_.now() >= membership_until_)
-        {
-            // Another host may have been assigned the partition since.
-            context_.log.write("duty_not_released", "partition={} reason=lapsed", partition);
-            continue;
-        }
-        // An order that was in flight has been answered since.
-        instant last_order_at = awaited.contains(partition) ? context_.now() : held.last_order_at;
+        instant last_order_at =
+            std::max(held.taken.last_order_at,
+                     history_.last_order_at([&](const server_id& it)
+                                            { return partition_of(it) == partition; }));
         assignment_record record{.holder = context_.settings.name,
                                  .released_for =
                                      release_delay(last_order_at, held.taken.may_order_at,
@@ -321,7 +315,7 @@
     for (const auto& [partition, it] : partitions_)
     {
         if (!it.takeover_recorded && context_.now() >= it.taken.may_order_at &&
-            !may_hold_old_orders(partition, it))
+            is_settled(partition, it))
         {
             due.push_back(partition);
         }
@@ -408,11 +402,8 @@
     auto taken = take_over(first, previous, context_.settings.name, claimed_at, now, terms());
     // Offsets grow with each claim, so a later owner has a higher fencing number.
     fencing_number fence(offset->count() + 1);
-    partitions_[partition] = {.fence = fence,
-                              .claim = *offset,
-                              .taken = taken,
-                              .last_record = *offset,
-                              .last_order_at = taken.last_order_at};
+    partitions_[partition] = {
+        .fence = fence, .claim = *offset, .taken = taken, .last_record = *offset};
     listed_since_.erase(partition);
     auto wait = std::chrono::ceil<milliseconds>(std::max(taken.may_order_at - now, nanoseconds(0)));
     context_.log.write("duty_taken",
@@ -446,8 +437,29 @@
     return service && service->engine ? &*service->engine : nullptr;
 }
 
+void order_controller::observe_engines()
+{
+    instant now = context_.now();
+    auto unix_now =
+        std::chrono::floor<milliseconds>(std::chrono::system_clock::now().time_since_epoch());
+    std::map<server_id, order_history::registered_engine> engines;
+    for (const auto& [server, known] : context_.servers.servers())
+    {
+        if (!known.removed && engine_of(server))
+        {
+            milliseconds started(known.entry.start_time_ms);
+            engines.emplace(server, order_history::registered_engine{
+                                        .start_time_ms = known.entry.start_time_ms,
+                                        .process_started_at = now - (unix_now - started),
+                                        .leaving = context_.servers.leaves(known)});
+        }
+    }
+    history_.observe(engines, now);
+}
+
 void order_controller::update_owned_engines()
 {
+    observe_engines();
     for (auto it = owned_engines_.begin(); it != owned_engines_.end();)
     {
         const auto* known = context_.servers.find(it->first);
@@ -464,13 +476,6 @@
             ++it;
         }
     }
-    std::erase_if(open_orders_,
-                  [&](const server_id& it)
-                  {
-                      const auto* known = context_.servers.find(it);
-                      return !known || known->removed;
-                  });
-    instant now = context_.now();
     for (const auto& [server, known] : context_.servers.servers())
     {
         int partition = partition_of(server);
@@ -485,77 +490,39 @@
                          .partition = partition,
                          .wake_timer = asio::steady_timer(context_.executor),
                          .last_published = {}});
-        const auto& claimed = partitions_.at(partition);
-        if (claimed.taken.ask_engines_after && now >= *claimed.taken.ask_engines_after)
-        {
-            // It registered after the last order of an earlier claim.
-            held->responded_at = instant();
-            held->responded_for = claimed.fence;
-        }
         owned_engines_.emplace(server, held);
         spawn_loop(context_, "engine",
                    [this, server = server, held] { return run_server(server, held); });
     }
 }
 
-std::optional<instant> order_controller::takeover_end(const owned_engine& held,
-                                                      const held_partition& it) const
+bool order_controller::is_settled(int partition, const held_partition& it) const
 {
-    return first_order_at(
-        it.taken, held.responded_for == it.fence ? held.responded_at : std::nullopt, lease());
+    return history_.is_settled(
+        {.taken = it.taken, .fence = it.fence},
+        [&](const server_id& server) { return partition_of(server) == partition; }, context_.now());
 }
 
-bool order_controller::may_hold_old_orders(int partition, const held_partition& it) const
+bool order_controller::may_order(const server_id& server, instant now) const
 {
-    return it.taken.ask_engines_after &&
-           std::any_of(owned_engines_.begin(), owned_engines_.end(),
-                       [&](const auto& owned) {
-                           return owned.second->partition == partition &&
-                                  owned.second->responded_for != it.fence;
-                       });
-}
-
-void order_controller::record_response(const server_id& server, owned_engine& held,
-                                       instant asked_at)
-{
-    auto it = partitions_.find(held.partition);
-    bool had_open_order = open_orders_.erase(server) > 0;
-    if (it == partitions_.end())
-    {
-        return;
-    }
-    if (had_open_order)
-    {
-        // It may have read the order as late as now.
-        it->second.last_order_at = context_.now();
-    }
-    const auto& ask_after = it->second.taken.ask_engines_after;
-    if (ask_after && asked_at >= *ask_after && held.responded_for != it->second.fence)
-    {
-        held.responded_at = context_.now();
-        held.responded_for = it->second.fence;
-    }
-}
-
-bool order_controller::may_order(const owned_engine& held, instant now) const
-{
-    auto it = partitions_.find(held.partition);
+    auto it = partitions_.find(partition_of(server));
     if (leaving_ || it == partitions_.end() || now >= membership_until_)
     {
         return false;
     }
-    auto end = takeover_end(held, it->second);
-    return end && now >= *end;
+    auto first =
+        history_.first_order_at(server, {.taken = it->second.taken, .fence = it->second.fence});
+    return first && now >= *first;
 }
 
-instant order_controller::may_order_from(const owned_engine& held, instant now) const
+instant order_controller::may_order_from(const server_id& server, instant now) const
 {
-    auto it = partitions_.find(held.partition);
+    auto it = partitions_.find(partition_of(server));
     if (leaving_ || it == partitions_.end() || now >= membership_until_)
     {
         return now + takeover_expiry(terms());
     }
-    return takeover_end(held, it->second)
+    return history_.first_order_at(server, {.taken = it->second.taken, .fence = it->second.fence})
         .value_or(std::max(it->second.taken.may_order_at, now + lease()));
 }
 
@@ -611,13 +578,13 @@
         const auto* known = context_.servers.find(server);
         const engine_spec* engine = engine_of(server);
         instant now = context_.now();
-        if (!known || !engine || !may_order(*held, now))
+        if (!known || !engine || !may_order(server, now))
         {
             held->announced = false;
             if (known && !held->pending_announced)
             {
                 held->pending_announced = true;
-                publish_pending(server, *held, may_order_from(*held, now));
+                publish_pending(server, *held, may_order_from(server, now));
             }
             if (known && engine)
             {
@@ -656,7 +623,7 @@
             now);
         log_expired_requests(server, *held);
         if (step.action != engine_controller::step::action_kind::none &&
-            !co_await acquire_permit(server, *held))
+            (!co_await acquire_permit(server, *held) || !may_order(server, context_.now())))
         {
             co_await pause(permit_recheck);
             continue;
@@ -745,16 +712,35 @@
     held->controller.adopt(*report, context_.now());
 }
 
+void order_controller::record_response(const server_id& server, owned_engine& held,
+                                       instant asked_at)
+{
+    auto it = partitions_.find(held.partition);
+    if (it != partitions_.end())
+    {
+        history_.record_response(server, {.taken = it->second.taken, .fence = it->second.fence},
+                                 asked_at, context_.now());
+        held.pending_announced = false;
+    }
+}
+
 task<void> order_controller::probe_engine(server_id server, std::shared_ptr<owned_engine> held)
 {
+    instant now = context_.now();
     auto it = partitions_.find(held->partition);
-    bool due = !leaving_ && it != partitions_.end() && context_.now() < membership_until_ &&
-               it->second.taken.from_other_host && held->responded_for != it->second.fence &&
-               context_.now() >= *it->second.taken.ask_engines_after;
-    if (!due || !co_await acquire_permit(server, *held))
+    const auto* known = context_.servers.find(server);
+    if (leaving_ || it == partitions_.end() || now >= membership_until_ || now < held->probe_at ||
+        !context_.servers.accepts(server, known->entry.start_time_ms, now))
+    {
+        co_return;
+    }
+    auto ask_after = history_.awaits_response_after(
+        server, {.taken = it->second.taken, .fence = it->second.fence});
+    if (!ask_after || now < *ask_after || !co_await acquire_permit(server, *held))
     {
         co_return;
     }
+    held->probe_at = now + probe_interval;
     instant asked_at = context_.now();
     if (co_await fetch_report(server))
     {
@@ -777,7 +763,7 @@
         [&]
         {
             instant now = context_.now();
-            bool may_send = !held->ended && may_order(*held, now) &&
+            bool may_send = !held->ended && may_order(server, now) &&
                             partitions_.at(held->partition).fence == fence;
             if (may_send)
             {
@@ -821,14 +807,10 @@
     int status = outcome.status;
     auto response = status != 0 ? platform::order_response_of(status) : order_response::unknown;
     orders_in_flight_.erase(orders_in_flight_.find(held.partition));
-    if (outcome.state == exchange_state::no_response)
-    {
-        open_orders_.insert(server);
-    }
-    if (auto it = partitions_.find(held.partition); it != partitions_.end())
+    if (outcome.state == exchange_state::responded || outcome.state == exchange_state::no_response)
     {
-        it->second.last_order_at =
-            context_.now() + (status != 0 ? milliseconds(0) : order_transit_margin);
+        history_.record_order(server, fence, outcome.state == exchange_state::responded,
+                              context_.now());
     }
     ++context_.counters.orders;
     bool loads = order.action == load_order::action_kind::load;
@@ -886,13 +868,13 @@
     for (const auto& [server, held] : owned_engines_)
     {
         instant now = context_.now();
-        if (may_order(*held, now))
+        if (may_order(server, now))
         {
             publish_placement(server, *held, true);
         }
         else
         {
-            publish_pending(server, *held, may_order_from(*held, now));
+            publish_pending(server, *held, may_order_from(server, now));
         }
     }
 }
@@ -902,9 +884,9 @@
 {
     auto it = owned_engines_.find(server);
     bool owned = it != owned_engines_.end();
-    const char* state = !owned                                   ? "not_owner"
-                        : may_order(*it->second, context_.now()) ? "may_order"
-                                                                 : "takeover";
+    const char* state = !owned                              ? "not_owner"
+                        : may_order(server, context_.now()) ? "may_order"
+                                                            : "takeover";
     context_.stats.increment("banyanshunt_load_requests_received_total", {{"state", state}});
     if (owned)
     {
--- a/src/serve/order_controller.hpp
+++ b/src/serve/order_controller.hpp
@@ -11,6 +11,7 @@
 
 #include "coordination/assignment_record.hpp"
 #include "coordination/engine_controller.hpp"
+#include "coordination/order_history.hpp"
 #include "coordination/order_membership.hpp"
 #include "serve/host_context.hpp"
 #include "serve/server_exchange.hpp"
@@ -59,22 +60,14 @@
         bool takeover_recorded = false;
         /// Offset of the last record that this host appended.
         log_offset last_record;
-        /// When the last order ended, by a response or by its deadline; orders that this host gave
-        /// under an earlier claim count too.
-        instant last_order_at;
-        /// Whether an engine may still read an order of an earlier claim; set when the partition is
-        /// given up.
-        bool has_old_orders = false;
     };
     struct owned_engine
     {
         engine_controller controller;
         int partition;
         asio::steady_timer wake_timer;
-        /// When the engine responded to a call that was sent after every order of earlier claims,
-        /// and the claim for which that was.
-        std::optional<instant> responded_at = {};
-        fencing_number responded_for = {};
+        /// When the engine may be asked again whether it responds.
+        instant probe_at = {};
         bool ended = false;
         bool announced = false;
         /// The other hosts know that orders cannot be given now.
@@ -109,6 +102,8 @@
     task<void> query_report(server_id server, std::shared_ptr<owned_engine> held);
     /// Asks an engine for its report. Returns it if the engine responded.
     task<std::optional<residency_report>> fetch_report(server_id server);
+    /// Records that an engine responded to a call that was sent at `asked_at`.
+    void record_response(const server_id& server, owned_engine& held, instant asked_at);
     /// Asks an engine whose last owner may have left an order with it, if that is due.
     task<void> probe_engine(server_id server, std::shared_ptr<owned_engine> held);
     task<void> send_order(server_id server, std::shared_ptr<owned_engine> held, load_order order);
@@ -132,20 +127,15 @@
     order_terms terms() const;
     /// Tells the other hosts from when on orders can be given.
     void publish_pending(const server_id& server, const owned_engine& held, instant may_order_at);
-    bool may_order(const owned_engine& held, instant now) const;
+    bool may_order(const server_id& server, instant now) const;
     /// When this host, or the owner after it, may order at the earliest; for one that may not now.
-    instant may_order_from(const owned_engine& held, instant now) const;
-    /// Whether an engine of the partition may still read an order of an earlier claim.
-    bool may_hold_old_orders(int partition, const held_partition& it) const;
-    /// Records that an engine responded to a call that was sent at `asked_at`.
-    void record_response(const server_id& server, owned_engine& held, instant asked_at);
-    /// When the takeover of an engine ends; nothing while that depends on a response of the engine.
-    std::optional<instant> takeover_end(const owned_engine& held, const held_partition& it) const;
+    instant may_order_from(const server_id& server, instant now) const;
+    /// Applies the registry to the history of orders.
+    void observe_engines();
+    /// Whether no engine of the partition may still read an earlier order.
+    bool is_settled(int partition, const held_partition& it) const;
     /// Waits until the orders in flight to engines of these partitions have ended.
     task<void> await_orders(const std::map<int, held_partition>& partitions);
-    /// Whether an order to an engine of the partition had no response, and the engine has not
-    /// responded to a later call of this host: it may still read the order.
-    bool has_open_order(int partition) const;
     bool acquire_store_load(const engine_spec& engine);
     const engine_spec* engine_of(const server_id& server) const;
     int partition_of(const server_id& server) const;
@@ -167,8 +157,7 @@
     std::map<int, held_partition> partitions_;
     /// Partitions of orders whose response is awaited.
     std::multiset<int> orders_in_flight_;
-    /// The engines that did not respond to an order.
-    std::set<server_id> open_orders_;
+    order_history history_;
     /// Partitions that are listed for this host and not claimed yet, with the time when they were
     /// first listed.
     std::map<int, instant> listed_since_;
--- a/tests/correctness/engine_takeover_test.cpp
+++ b/tests/correctness/engine_takeover_test.cpp
@@ -153,45 +153,29 @@
         }
     }
 
-    SECTION("the previous owner may have left an order in the engine's socket")
+    SECTION("engines are asked whether they respond only if an order may be unread")
     {
         const instant claimed = start + 10s;
-        auto next = log.claim(second_host, claimed);
-        const instant last_sent = claimed + terms.membership + terms.transit;
-        REQUIRE(next.ask_engines_after == last_sent);
 
-        SECTION("it is not ordered while it does not respond")
+        SECTION("another host owned it: after its last order can have been sent")
         {
-            CHECK(first_order_at(next, std::nullopt, terms.lease) == std::nullopt);
+            auto next = log.claim(second_host, claimed);
+            CHECK(next.from_other_host);
+            CHECK(next.ask_engines_after == claimed + terms.membership + terms.transit);
         }
-        SECTION("it responds at once: the takeover takes no longer than without the call")
+        SECTION("its owner claims it again: after the claim")
         {
-            CHECK(first_order_at(next, last_sent, terms.lease) == next.may_order_at);
+            auto again = log.claim(first_host, claimed);
+            CHECK_FALSE(again.from_other_host);
+            CHECK(again.ask_engines_after == claimed);
         }
-        SECTION("it responds late, and reads the order then: the next one is a lease later")
+        SECTION("the previous owner released it, as every order had a response: never")
         {
-            const instant responded = last_sent + 5s;
-            CHECK(first_order_at(next, responded, terms.lease) == responded + terms.lease);
+            REQUIRE(log.append_at(log.end(), release_record(first_host, held, claimed)));
+            CHECK_FALSE(log.claim(second_host, claimed).ask_engines_after);
         }
     }
 
-    SECTION("its owner claims it again: a report is asked for before its orders, without a pause")
-    {
-        const instant claimed = start + 10s;
-        auto again = log.claim(first_host, claimed);
-        CHECK(again.ask_engines_after == claimed);
-        CHECK(first_order_at(again, std::nullopt, terms.lease) == claimed);
-    }
-
-    SECTION("the previous owner released it, as every order had a response")
-    {
-        const instant released = start + 10s;
-        REQUIRE(log.append_at(log.end(), release_record(first_host, held, released)));
-        auto next = log.claim(second_host, released);
-        CHECK_FALSE(next.ask_engines_after);
-        CHECK(first_order_at(next, std::nullopt, terms.lease) == next.may_order_at);
-    }
-
     SECTION("another machine with the owner's place but its own name waits in full")
     {
         const instant claimed = start + 10s;
--- a/tests/correctness/silent_engine_takeover_test.cpp
+++ b/tests/correctness/silent_engine_takeover_test.cpp
@@ -1,5 +1,11 @@
 // Two hosts and an engine that stands still while an order lies unread in its socket.
 
+#include <memory>
+#include <set>
+#include <string>
+#include <thread>
+#include <vector>
+
 #include <catch2/catch.hpp>
 
 #include "serve_case.hpp"
@@ -73,58 +79,120 @@
 
 } // namespace
 
-TEST_CASE("An order that lay unread in an engine's socket does not meet the next owner's (ONE)")
+namespace
 {
-    serve_case it(
-        2, store_path::direct,
-        [](store_stand_in& store)
-        { store.put("keyed.op", "config", serve_manifest(1, {"good-key"}, 12)); },
-        4);
-    REQUIRE(it.started);
-    loopback_proxy link("127.0.0.1", it.engine1.port());
-    it.engine1.announced_address = link.address();
-    it.store.put("keyed.servers", "e1", it.engine1.registry_entry("models"));
-    it.store.put("keyed.servers", "e2", it.engine2.registry_entry("models", true));
-    auto orders = [&] { return it.engine1.received_orders(); };
-
-    model_callers callers(it);
-    REQUIRE(serve_case::eventually([&] { return orders().size() >= 3; }));
-
-    auto owner = [&] { return it.hosts.at(orders().back().holder == "h1" ? 0 : 1).get(); };
-    auto await_takeover = [&]
+
+/// Two hosts and one engine behind a link, whose owner always has an order to give.
+struct takeover_case
+{
+    takeover_case()
     {
-        CHECK(serve_case::eventually([&] { return holders_of(orders()).size() == 2; }));
-        std::this_thread::sleep_for(500ms);
-    };
+        REQUIRE(it.started);
+        it.engine1.announced_address = link.address();
+        announce();
+        it.store.put("keyed.servers", "e2", it.engine2.registry_entry("models", true));
+        callers = std::make_unique<model_callers>(it);
+        REQUIRE(serve_case::eventually([&] { return orders().size() >= 3; }));
+    }
 
-    SECTION("the engine stands still with the order in its socket")
+    std::vector<received_order> orders() const { return it.engine1.received_orders(); }
+    void announce() { it.store.put("keyed.servers", "e1", it.engine1.registry_entry("models")); }
+    void remove_entry() { it.store.put("keyed.servers", "e1", ""); }
+    /// The number of the host that gave the last order.
+    std::size_t owner() const { return orders().back().holder == "h1" ? 0 : 1; }
+    void stop(std::size_t host) { it.hosts.at(host)->request_stop(); }
+    /// Waits until the next order lies unread in the socket of the engine, and its owner has given
+    /// it up.
+    void await_unread_order(std::chrono::milliseconds length)
     {
-        auto* first_owner = owner();
-        link.freeze_at("POST /api/order", 7000ms);
+        link.freeze_at("POST /api/order", length);
         REQUIRE(serve_case::eventually([&] { return link.has_frozen(); }));
         std::this_thread::sleep_for(1200ms);
+    }
+    /// Waits for orders of both hosts, and returns the first conflict.
+    std::string conflict_after_takeover()
+    {
+        CHECK(serve_case::eventually([&] { return holders_of(orders()).size() == 2; }));
+        std::this_thread::sleep_for(500ms);
+        return first_conflict(orders(), lease);
+    }
 
-        SECTION("its partition goes to the other host meanwhile")
-        {
-            it.store.group().rebalance();
-        }
-        SECTION("its owner stops meanwhile")
-        {
-            first_owner->request_stop();
-        }
-        await_takeover();
-        CHECK(first_conflict(orders(), lease) == "");
+    serve_case it{2, store_path::direct,
+                  [](store_stand_in& store)
+                  { store.put("keyed.op", "config", serve_manifest(1, {"good-key"}, 12)); },
+                  4};
+    loopback_proxy link{"127.0.0.1", it.engine1.port()};
+    std::unique_ptr<model_callers> callers;
+};
+
+} // namespace
+
+TEST_CASE("An order that lay unread in an engine's socket does not meet the next owner's (ONE)")
+{
+    takeover_case fleet;
+    const std::size_t first_owner = fleet.owner();
+    fleet.await_unread_order(7000ms);
+
+    SECTION("its partition goes to the other host meanwhile")
+    {
+        fleet.it.store.group().rebalance();
+        CHECK(fleet.conflict_after_takeover() == "");
     }
-    SECTION("the order is held up on its way, and its owner stops")
+    SECTION("its owner stops meanwhile")
     {
-        auto* first_owner = owner();
-        link.freeze_at("POST /api/order", 1ms);
-        link.hold_requests("POST /api/order", 2800ms);
-        REQUIRE(serve_case::eventually([&] { return link.has_frozen(); }));
-        link.hold_requests("", 0ms);
+        fleet.stop(first_owner);
+        CHECK(fleet.conflict_after_takeover() == "");
+    }
+}
+
+TEST_CASE("An engine that stands still and leaves the registry meets no orders of two hosts (ONE)")
+{
+    takeover_case fleet;
+    const std::size_t first_owner = fleet.owner();
+    fleet.await_unread_order(7000ms);
+
+    SECTION("its partition goes to the other host before its entry is gone")
+    {
+        fleet.it.store.group().rebalance();
+        std::this_thread::sleep_for(1000ms);
+        fleet.remove_entry();
+        std::this_thread::sleep_for(3700ms);
+    }
+    SECTION("its owner stops after its entry is gone")
+    {
+        fleet.remove_entry();
+        std::this_thread::sleep_for(1000ms);
+        fleet.stop(first_owner);
+        std::this_thread::sleep_for(3700ms);
+    }
+    fleet.announce();
+    CHECK(fleet.conflict_after_takeover() == "");
+}
+
+TEST_CASE("An order that was held up on its way does not meet the next owner's (ONE)")
+{
+    takeover_case fleet;
+    const std::size_t first_owner = fleet.owner();
+    auto hold_next_order = [&](std::chrono::milliseconds length)
+    {
+        fleet.link.freeze_at("POST /api/order", 1ms);
+        fleet.link.hold_requests("POST /api/order", length);
+        REQUIRE(serve_case::eventually([&] { return fleet.link.has_frozen(); }));
+        fleet.link.hold_requests("", 0ms);
+    };
+
+    SECTION("its owner stops right after it")
+    {
+        hold_next_order(2800ms);
         std::this_thread::sleep_for(1200ms);
-        first_owner->request_stop();
-        await_takeover();
-        CHECK(first_conflict(orders(), lease) == "");
+        fleet.stop(first_owner);
+        CHECK(fleet.conflict_after_takeover() == "");
+    }
+    SECTION("its owner stops when the engine has responded to another call")
+    {
+        hold_next_order(3600ms);
+        std::this_thread::sleep_for(2000ms);
+        fleet.stop(first_owner);
+        CHECK(fleet.conflict_after_takeover() == "");
     }
 }
