Soak: all orders that arrive are judged by one check; orders held up, and engines that stand still at one

Change: check_orders judges every order that an engine received, in both. It excuses orders that arrive within 300 ms after their sender was resumed, or after a delayed link, or one that held a request, goes on; an engine that stood still excuses nothing. The end of a hold is when it was due, also if the engine stands still then. The usual soak records which disturbances were resumes and which link changes ended a delay; order_errors is still checked as a whole. soak_fleet guards the state of the processes, and pauses and resumes them. The faults have names and constants; one enumerator each.

--- /dev/null
+++ b/tests/soak/order_checks.hpp
@@ -0,0 +1,37 @@
+#pragma once
+
+/// \file
+/// Checks the platform's rule on orders to model engines from what the engines received, whatever
+/// they responded: fencing numbers never decrease, and engines have one owner at a time.
+
+#include <chrono>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "soak/soak_fleet.hpp"
+
+namespace banyanshunt::soak
+{
+
+/// The faults of a run that excuse orders which arrive shortly afterwards.
+struct order_history
+{
+    std::chrono::steady_clock::time_point begun;
+    /// When each host was resumed, by its name.
+    std::map<std::string, std::vector<std::chrono::steady_clock::time_point>> resumed;
+    /// When the link to each backend server went on after it had held data up, by its index.
+    std::map<std::size_t, std::vector<std::chrono::steady_clock::time_point>> restored_links;
+};
+
+struct order_findings
+{
+    /// One line for each order that broke the rule.
+    std::vector<std::string> violations;
+    std::size_t judged = 0;
+    std::size_t excused = 0;
+};
+
+order_findings check_orders(const soak_fleet& fleet, const order_history& history);
+
+} // namespace banyanshunt::soak
--- a/tests/soak/order_faults.cpp
+++ b/tests/soak/order_faults.cpp
@@ -2,7 +2,7 @@
 
 #include <signal.h>
 
-#include <algorithm>
+#include <iterator>
 
 #include <fmt/format.h>
 
@@ -13,10 +13,60 @@
 {
 
 using namespace std::chrono_literals;
+using std::chrono::milliseconds;
 
-/// The platform's allowance for orders that arrive after their sender was resumed.
-constexpr std::chrono::milliseconds thaw_slack{300};
-constexpr std::chrono::milliseconds lease{1000};
+enum class fault_kind
+{
+    rebalance,
+    rebalance_twice,
+    lapse,
+    freeze_host,
+    freeze_host_in_call,
+    trouble_store,
+    kill_host,
+    stop_host,
+    freeze_engine,
+    freeze_engine_at_order,
+    hold_order,
+};
+
+/// Drawn with equal probability; kinds that need a second event to matter occur twice.
+constexpr fault_kind drawn_kinds[] = {
+    fault_kind::rebalance,     fault_kind::rebalance_twice,     fault_kind::lapse,
+    fault_kind::freeze_host,   fault_kind::freeze_host_in_call, fault_kind::freeze_host_in_call,
+    fault_kind::trouble_store, fault_kind::trouble_store,       fault_kind::kill_host,
+    fault_kind::stop_host,     fault_kind::freeze_engine,       fault_kind::freeze_engine_at_order,
+    fault_kind::hold_order,
+};
+
+constexpr const char* order_request = "POST /api/order";
+constexpr const char* frozen_calls[] = {"/api/log-append", "/api/log-join"};
+constexpr milliseconds max_rebalance_interval = 500ms;
+/// Hosts stand still for up to several leases.
+constexpr milliseconds min_host_freeze = 200ms;
+constexpr milliseconds max_host_freeze = 4200ms;
+/// Engines may be silent for longer than the wait of a new owner.
+constexpr milliseconds min_engine_freeze = 300ms;
+constexpr milliseconds max_engine_freeze = 6300ms;
+constexpr milliseconds min_order_hold = 300ms;
+constexpr milliseconds max_order_hold = 6300ms;
+
+constexpr int refused_status = 429;
+/// The share of a troubled store's calls that have each fault.
+constexpr int refused_percent = 70;
+constexpr int late_percent = 30;
+constexpr int slow_percent = 60;
+constexpr milliseconds min_call_delay = 50ms;
+constexpr milliseconds max_carry_out_delay = 4000ms;
+/// Below the hosts' timeout of a call, so that late responses are used.
+constexpr milliseconds max_response_delay = 950ms;
+
+template <class Random>
+milliseconds uniform_length(Random& random, milliseconds min, milliseconds max)
+{
+    return milliseconds(
+        std::uniform_int_distribution<milliseconds::rep>(min.count(), max.count())(random));
+}
 
 } // namespace
 
@@ -31,7 +81,6 @@
 order_faults::~order_faults()
 {
     fleet_.store.set_call_faults(nullptr);
-    thaws_.clear();
 }
 
 int order_faults::draw(int bound)
@@ -39,153 +88,166 @@
     return std::uniform_int_distribution<int>(0, bound - 1)(random_);
 }
 
-call_fault order_faults::decide(const std::string& path, const std::string& body)
+milliseconds order_faults::draw_length(milliseconds min, milliseconds max)
+{
+    return uniform_length(random_, min, max);
+}
+
+// The bodies of all calls name the host that makes them.
+soak_fleet::host* order_faults::find_caller(const std::string& body)
 {
-    std::string caller;
-    for (const auto& it : fleet_.hosts)
+    soak_fleet::host* caller = nullptr;
+    for (auto& it : fleet_.hosts)
     {
-        // Keyed records of other duties name hosts too, and are made by them.
-        if (body.find(it.name) != std::string::npos)
-        {
-            caller = it.name;
-        }
+        caller = body.find(it.name) != std::string::npos ? &it : caller;
     }
-    std::unique_lock lock(mutex_);
-    if (caller.empty())
+    return caller;
+}
+
+call_fault order_faults::decide(const std::string& path, const std::string& body)
+{
+    auto* caller = find_caller(body);
+    if (!caller)
     {
         return {};
     }
-    bool freezes = !freeze_at_.empty() && path == freeze_at_;
-    if (freezes)
+    std::unique_lock lock(mutex_);
+    if (call_freeze_ && call_freeze_->path == path)
     {
-        freeze_at_.clear();
-        auto length = freeze_length_;
+        auto length = call_freeze_->length;
+        call_freeze_.reset();
         lock.unlock();
-        freeze(caller, length);
+        freeze(*caller, length);
         return {};
     }
-    if (!faulty_host_.empty() && faulty_host_ != caller)
+    if (store_trouble_.caller && store_trouble_.caller != caller)
     {
         return {};
     }
     auto chance = [&](int percent)
     { return std::uniform_int_distribution<int>(0, 99)(call_random_) < percent; };
-    auto length = [&](int ms)
-    { return std::chrono::milliseconds(std::uniform_int_distribution<int>(50, ms)(call_random_)); };
     call_fault fault;
-    if (chance(refused_))
+    if (chance(store_trouble_.refused_percent))
     {
-        fault.refused_with = 429;
+        fault.refused_with = refused_status;
     }
-    if (chance(late_))
+    if (chance(store_trouble_.late_percent))
     {
-        fault.carry_out_delay = length(4000);
+        fault.carry_out_delay = uniform_length(call_random_, min_call_delay, max_carry_out_delay);
     }
-    if (chance(slow_))
+    if (chance(store_trouble_.slow_percent))
     {
-        fault.response_delay = length(950);
+        fault.response_delay = uniform_length(call_random_, min_call_delay, max_response_delay);
     }
     return fault;
 }
 
-void order_faults::freeze(const std::string& host, std::chrono::milliseconds length)
+void order_faults::trouble_store(const soak_fleet::host& it)
 {
-    for (auto& it : fleet_.hosts)
+    store_trouble now{.caller = draw(2) == 0 ? &it : nullptr,
+                      .refused_percent = draw(3) == 0 ? refused_percent : 0,
+                      .late_percent = draw(2) == 0 ? late_percent : 0,
+                      .slow_percent = draw(2) == 0 ? slow_percent : 0};
+    log_(fmt::format("store for {}: {} % refused, {} % late, {} % slow",
+                     now.caller ? now.caller->name : "all", now.refused_percent, now.late_percent,
+                     now.slow_percent));
+    std::lock_guard lock(mutex_);
+    store_trouble_ = now;
+}
+
+void order_faults::freeze(soak_fleet::host& it, milliseconds length)
+{
+    if (!fleet_.pause(it))
     {
-        if (it.name == host && !it.paused && it.pid != 0)
-        {
-            log_(fmt::format("freeze {} for {} ms", host, length.count()));
-            it.paused = true;
-            fleet_.signal(it, SIGSTOP);
-            std::lock_guard lock(mutex_);
-            thaws_.emplace_back(
-                [this, host, length]
-                {
-                    std::this_thread::sleep_for(length);
-                    resume(host);
-                });
-        }
+        return;
     }
+    log_(fmt::format("freeze {} for {} ms", it.name, length.count()));
+    std::lock_guard lock(mutex_);
+    thaws_.emplace_back(
+        [this, &it, length]
+        {
+            std::this_thread::sleep_for(length);
+            resume(it);
+        });
 }
 
-void order_faults::resume(const std::string& host)
+void order_faults::resume(soak_fleet::host& it)
 {
-    for (auto& it : fleet_.hosts)
+    if (auto at = fleet_.resume(it))
     {
-        if (it.name == host && it.paused)
-        {
-            {
-                std::lock_guard lock(mutex_);
-                resumed_[host].push_back(std::chrono::steady_clock::now());
-            }
-            it.paused = false;
-            fleet_.signal(it, SIGCONT);
-            log_("resumed " + host);
-        }
+        log_("resumed " + it.name);
+        std::lock_guard lock(mutex_);
+        history_.resumed[it.name].push_back(*at);
     }
 }
 
 void order_faults::inject()
 {
     auto& it = fleet_.hosts[static_cast<std::size_t>(draw(static_cast<int>(fleet_.hosts.size())))];
-    switch (draw(13))
+    auto engines = fleet_.backends.size() - soak_fleet::first_engine;
+    auto n = soak_fleet::first_engine + static_cast<std::size_t>(draw(static_cast<int>(engines)));
+    auto& engine_proxy = *fleet_.backend_proxies[n];
+    auto engine = soak_fleet::server_name(n);
+    switch (drawn_kinds[draw(static_cast<int>(std::size(drawn_kinds)))])
     {
-    case 0:
+    case fault_kind::rebalance:
         log_("rebalance");
         fleet_.store.group().rebalance();
         break;
-    case 1:
-    {
+    case fault_kind::rebalance_twice:
         log_("rebalance twice");
         fleet_.store.group().rebalance();
-        std::this_thread::sleep_for(std::chrono::milliseconds(draw(500)));
+        std::this_thread::sleep_for(draw_length(0ms, max_rebalance_interval));
         fleet_.store.group().rebalance();
         break;
-    }
-    case 2:
+    case fault_kind::lapse:
         log_("memberships lapse");
         fleet_.store.group().lapse();
         break;
-    case 3:
-        freeze(it.name, std::chrono::milliseconds(200 + draw(4000)));
+    case fault_kind::freeze_host:
+        freeze(it, draw_length(min_host_freeze, max_host_freeze));
         break;
-    case 4:
-    case 5:
+    case fault_kind::freeze_host_in_call:
     {
+        call_freeze next{.path = frozen_calls[draw(static_cast<int>(std::size(frozen_calls)))],
+                         .length = draw_length(min_host_freeze, max_host_freeze)};
+        log_(fmt::format("freeze the caller of the next {}", next.path));
         std::lock_guard lock(mutex_);
-        freeze_at_ = draw(2) == 0 ? "/api/log-append" : "/api/log-join";
-        freeze_length_ = std::chrono::milliseconds(200 + draw(4000));
+        call_freeze_ = next;
         break;
     }
-    case 6:
-    case 7:
+    case fault_kind::trouble_store:
+        trouble_store(it);
+        break;
+    case fault_kind::kill_host:
+        log_("kill " + it.name);
+        fleet_.signal(it, SIGKILL);
+        break;
+    case fault_kind::stop_host:
+        log_("stop " + it.name);
+        fleet_.signal(it, SIGTERM);
+        break;
+    case fault_kind::freeze_engine:
     {
-        std::lock_guard lock(mutex_);
-        faulty_host_ = draw(2) == 0 ? it.name : "";
-        refused_ = draw(3) == 0 ? 70 : 0;
-        late_ = draw(2) == 0 ? 30 : 0;
-        slow_ = draw(2) == 0 ? 60 : 0;
-        log_(fmt::format("store for {}: {} % refused, {} % late, {} % slow",
-                         faulty_host_.empty() ? "all" : faulty_host_, refused_, late_, slow_));
+        auto length = draw_length(min_engine_freeze, max_engine_freeze);
+        log_(fmt::format("freeze {} for {} ms", engine, length.count()));
+        engine_proxy.freeze(length);
         break;
     }
-    case 10:
-    case 11:
-    case 12:
+    case fault_kind::freeze_engine_at_order:
     {
-        auto n = soak_fleet::first_engine + static_cast<std::size_t>(draw(3));
-        auto length = std::chrono::milliseconds(300 + draw(6000));
-        log_(fmt::format("freeze {} for {} ms", soak_fleet::server_name(n), length.count()));
-        fleet_.backend_proxies[n]->freeze(length);
+        auto length = draw_length(min_engine_freeze, max_engine_freeze);
+        log_(fmt::format("freeze {} for {} ms at its next order", engine, length.count()));
+        engine_proxy.freeze_at(order_request, length);
         break;
     }
-    case 8:
-        log_("kill " + it.name);
-        fleet_.signal(it, SIGKILL);
+    case fault_kind::hold_order:
+    {
+        auto length = draw_length(min_order_hold, max_order_hold);
+        log_(fmt::format("hold the next order of {} for {} ms", engine, length.count()));
+        engine_proxy.hold_requests(order_request, length, 1);
         break;
-    default:
-        log_("stop " + it.name);
-        fleet_.signal(it, SIGTERM);
+    }
     }
 }
 
@@ -193,66 +255,29 @@
 {
     {
         std::lock_guard lock(mutex_);
-        refused_ = late_ = slow_ = 0;
-        freeze_at_.clear();
+        store_trouble_ = {};
+        call_freeze_.reset();
+    }
+    for (auto& it : fleet_.backend_proxies)
+    {
+        it->freeze_at("", 0ms);
+        it->hold_requests("", 0ms);
     }
-    for (const auto& it : fleet_.hosts)
+    for (auto& it : fleet_.hosts)
     {
-        resume(it.name);
+        resume(it);
     }
 }
 
-std::vector<std::string> order_faults::find_violations() const
+order_history order_faults::history() const
 {
     std::lock_guard lock(mutex_);
-    auto excused = [&](const received_order& order)
-    {
-        auto it = resumed_.find(order.holder);
-        return it != resumed_.end() &&
-               std::any_of(it->second.begin(), it->second.end(),
-                           [&](steady_instant at)
-                           { return at <= order.at && order.at - at <= thaw_slack; });
-    };
-    std::vector<std::string> violations;
-    for (std::size_t n = 0; n < fleet_.backends.size(); ++n)
+    auto history = history_;
+    for (std::size_t n = 0; n < fleet_.backend_proxies.size(); ++n)
     {
-        auto orders = fleet_.backends[n]->received_orders();
-        std::stable_sort(orders.begin(), orders.end(),
-                         [](const auto& a, const auto& b) { return a.at < b.at; });
-        const received_order* highest = nullptr;
-        const received_order* last = nullptr;
-        for (const auto& order : orders)
-        {
-            if (excused(order))
-            {
-                continue;
-            }
-            auto describe = [&](const char* what, const received_order& before)
-            {
-                std::chrono::duration<double> since = order.at - before.at;
-                violations.push_back(fmt::format(
-                    "{}: order of {} with fence {} (status {}), {:.3f} s after {} with fence {} "
-                    "(status {})",
-                    what, order.holder, order.fence, order.status, since.count(), before.holder,
-                    before.fence, before.status));
-            };
-            if (highest && order.fence < highest->fence)
-            {
-                describe("a lower fence after a higher one", *highest);
-            }
-            if (highest && order.fence == highest->fence && order.holder != highest->holder)
-            {
-                describe("one fence of two hosts", *highest);
-            }
-            if (last && last->holder != order.holder && order.at - last->at < lease)
-            {
-                describe("two hosts in turn within the lease", *last);
-            }
-            highest = !highest || order.fence > highest->fence ? &order : highest;
-            last = &order;
-        }
+        history.restored_links[n] = fleet_.backend_proxies[n]->hold_ends();
     }
-    return violations;
+    return history;
 }
 
 } // namespace banyanshunt::soak
--- a/tests/soak/order_faults.hpp
+++ b/tests/soak/order_faults.hpp
@@ -2,16 +2,19 @@
 
 /// \file
 /// Faults around the assignment of engines to entry hosts: hosts that stand still between a call
-/// to the store and its response, calls that are carried out late, and partitions that are
-/// reassigned without a call. Checks the platform's rule on orders from what the engines received.
+/// to the store and its response, calls that are carried out late, partitions that are reassigned
+/// without a call, and orders that are held up on their way or reach an engine that stands still.
 
+#include <chrono>
 #include <functional>
 #include <mutex>
+#include <optional>
 #include <random>
 #include <string>
 #include <thread>
 #include <vector>
 
+#include "soak/order_checks.hpp"
 #include "soak/soak_fleet.hpp"
 
 namespace banyanshunt::soak
@@ -20,7 +23,7 @@
 class order_faults
 {
 public:
-    /// `log` gets one line for each fault.
+    /// `log` gets one line for each fault, on any thread.
     order_faults(soak_fleet& fleet, std::uint64_t seed,
                  std::function<void(const std::string&)> log);
     ~order_faults();
@@ -28,34 +31,45 @@
     void inject();
     /// Ends all faults and resumes every host.
     void heal();
-    /// The orders that broke the rule: one line each.
-    std::vector<std::string> find_violations() const;
+    /// What excuses orders that engines received.
+    order_history history() const;
 
 private:
-    using steady_instant = std::chrono::steady_clock::time_point;
+    /// How the store treats the calls of one host, or of all.
+    struct store_trouble
+    {
+        const soak_fleet::host* caller = nullptr;
+        int refused_percent = 0;
+        int late_percent = 0;
+        int slow_percent = 0;
+    };
+    /// The next call with this path freezes its caller before it gets the response.
+    struct call_freeze
+    {
+        std::string path;
+        std::chrono::milliseconds length;
+    };
 
     int draw(int bound);
+    std::chrono::milliseconds draw_length(std::chrono::milliseconds min,
+                                          std::chrono::milliseconds max);
+    soak_fleet::host* find_caller(const std::string& body);
     call_fault decide(const std::string& path, const std::string& body);
+    void trouble_store(const soak_fleet::host& it);
     /// Stops the process of a host for a time.
-    void freeze(const std::string& host, std::chrono::milliseconds length);
-    void resume(const std::string& host);
+    void freeze(soak_fleet::host& it, std::chrono::milliseconds length);
+    void resume(soak_fleet::host& it);
 
     soak_fleet& fleet_;
-    std::function<void(const std::string&)> log_;
+    const std::function<void(const std::string&)> log_;
     std::mt19937_64 random_;
+    /// Guards the members below: calls to the store and the ends of freezes have their own threads.
     mutable std::mutex mutex_;
-    /// Of the store's calls.
     std::mt19937_64 call_random_;
-    /// Calls of this host, or of all if it is empty, have the fault in force.
-    std::string faulty_host_;
-    /// How many in a hundred calls are refused, are carried out late, or get a late response.
-    int refused_ = 0;
-    int late_ = 0;
-    int slow_ = 0;
-    /// The host that makes the next call of this kind is frozen before it gets the response.
-    std::string freeze_at_;
-    std::chrono::milliseconds freeze_length_{0};
-    std::map<std::string, std::vector<steady_instant>> resumed_;
+    store_trouble store_trouble_;
+    std::optional<call_freeze> call_freeze_;
+    order_history history_;
+    /// Last, so that its threads end before what they use.
     std::vector<std::jthread> thaws_;
 };
 
--- a/tests/soak/shunt_soak.cpp
+++ b/tests/soak/shunt_soak.cpp
@@ -184,7 +184,12 @@
         std::this_thread::sleep_for(observation_length);
         callers.stop();
         calls_ = callers.records().size();
-        return faults.find_violations();
+        auto orders = faults.history();
+        orders.begun = history_.begun;
+        auto findings = check_orders(fleet_, orders);
+        std::cout << fmt::format("  {} orders judged, {} excused\n", findings.judged,
+                                 findings.excused);
+        return findings.violations;
     }
 
     std::size_t calls() const { return calls_; }
@@ -243,12 +248,32 @@
             {.host = index_of(it), .at = std::chrono::steady_clock::now()});
     }
 
+    /// Returns whether the host was paused.
+    bool resume(soak_fleet::host& it)
+    {
+        auto at = fleet_.resume(it);
+        if (at)
+        {
+            history_.host_disturbances.push_back(
+                {.host = index_of(it), .at = *at, .resumed = true});
+        }
+        return at.has_value();
+    }
+
     void record_link(std::size_t backend, bool faulty)
     {
         history_.link_changes.push_back(
             {.backend = backend, .at = std::chrono::steady_clock::now(), .faulty = faulty});
     }
 
+    void set_link_fault(std::size_t backend, loopback_proxy::fault now)
+    {
+        using fault = loopback_proxy::fault;
+        record_link(backend, now != fault::none);
+        auto before = fleet_.backend_proxies[backend]->set_fault(now);
+        history_.link_changes.back().ended_delay = before == fault::delay && now != fault::delay;
+    }
+
     void signal(soak_fleet::host& it, int number)
     {
         record_disturbance(it);
@@ -392,8 +417,11 @@
             break;
         case 1:
             log_fault((it.paused ? "resume " : "pause ") + it.name);
-            signal(it, it.paused ? SIGCONT : SIGSTOP);
-            it.paused = !it.paused;
+            if (!resume(it))
+            {
+                record_disturbance(it);
+                fleet_.pause(it);
+            }
             break;
         case 2:
             log_fault("stop " + it.name);
@@ -419,9 +447,7 @@
             const fault faults[] = {fault::none, fault::none, fault::delay, fault::drop_requests,
                                     fault::drop_responses};
             log_fault("link to a server");
-            auto kind = faults[draw(5)];
-            record_link(linked, kind != fault::none);
-            backend_proxy.set_fault(kind);
+            set_link_fault(linked, faults[draw(5)]);
             break;
         }
         case 7:
@@ -472,13 +498,14 @@
         for (auto& it : fleet_.hosts)
         {
             it.store_proxy->set_fault(loopback_proxy::fault::none);
-            signal(it, SIGCONT);
-            it.paused = false;
+            if (!resume(it))
+            {
+                record_disturbance(it);
+            }
         }
         for (std::size_t n = 0; n < fleet_.backends.size(); ++n)
         {
-            fleet_.backend_proxies[n]->set_fault(loopback_proxy::fault::none);
-            record_link(n, false);
+            set_link_fault(n, loopback_proxy::fault::none);
             fleet_.backends[n]->stated_retry_after = nullptr;
             if (fleet_.backends[n]->stated_leaving != nullptr)
             {
--- a/tests/soak/soak_checks.cpp
+++ b/tests/soak/soak_checks.cpp
@@ -8,6 +8,7 @@
 
 #include <fmt/format.h>
 
+#include "soak/order_checks.hpp"
 #include "soak/server_checks.hpp"
 
 namespace banyanshunt::soak
@@ -291,6 +292,27 @@
     }
 }
 
+/// What excuses orders that engines received.
+order_history order_history_of(const soak_fleet& fleet, const soak_history& history)
+{
+    order_history orders{.begun = history.begun, .resumed = {}, .restored_links = {}};
+    for (const auto& it : history.host_disturbances)
+    {
+        if (it.resumed)
+        {
+            orders.resumed[fleet.hosts[it.host].name].push_back(it.at);
+        }
+    }
+    for (const auto& it : history.link_changes)
+    {
+        if (it.ended_delay)
+        {
+            orders.restored_links[it.backend].push_back(it.at);
+        }
+    }
+    return orders;
+}
+
 } // namespace
 
 std::vector<std::string> find_violations(const std::vector<call_record>& calls,
@@ -320,6 +342,8 @@
     {
         violations.push_back(it);
     }
+    std::ranges::move(check_orders(fleet, order_history_of(fleet, history)).violations,
+                      std::back_inserter(violations));
     for (const auto& it : fleet.backends)
     {
         for (const auto& fault : it->order_errors())
--- a/tests/soak/soak_checks.hpp
+++ b/tests/soak/soak_checks.hpp
@@ -25,6 +25,7 @@
 {
     std::size_t host = 0;
     steady_instant at;
+    bool resumed = false;
 };
 
 /// A change of the link between all hosts and a backend server: a fault of it, or its end.
@@ -33,6 +34,8 @@
     std::size_t backend = 0;
     steady_instant at;
     bool faulty = false;
+    /// Whether the change ended a delay.
+    bool ended_delay = false;
 };
 
 struct soak_history
--- a/tests/soak/soak_fleet.cpp
+++ b/tests/soak/soak_fleet.cpp
@@ -22,7 +22,6 @@
 
 using nlohmann::json;
 
-constexpr std::chrono::milliseconds lease{1000};
 constexpr std::size_t max_models = 2;
 /// Long enough that a silence begins at any point of a response.
 constexpr int event_pause_ms = 60;
@@ -221,6 +220,7 @@
         it.name, it.ip, it.ip, caller_port, it.ip, ready_port, lease.count(), options_.grace_s,
         it.store_proxy->address());
     std::string log = fmt::format("{}/{}.log", options_.directory, it.name);
+    std::lock_guard lock(process_mutex_);
     it.signals.clear();
     posix_spawn_file_actions_t files;
     posix_spawn_file_actions_init(&files);
@@ -238,8 +238,9 @@
     it.paused = false;
 }
 
-void soak_fleet::signal(host& it, int number) const
+void soak_fleet::signal(host& it, int number)
 {
+    std::lock_guard lock(process_mutex_);
     if (it.pid != 0)
     {
         it.signals.insert(number);
@@ -247,8 +248,34 @@
     }
 }
 
+bool soak_fleet::pause(host& it)
+{
+    std::lock_guard lock(process_mutex_);
+    if (it.pid == 0 || it.paused)
+    {
+        return false;
+    }
+    it.paused = true;
+    ::kill(it.pid, SIGSTOP);
+    return true;
+}
+
+std::optional<std::chrono::steady_clock::time_point> soak_fleet::resume(host& it)
+{
+    std::lock_guard lock(process_mutex_);
+    if (it.pid == 0 || !it.paused)
+    {
+        return std::nullopt;
+    }
+    auto at = std::chrono::steady_clock::now();
+    it.paused = false;
+    ::kill(it.pid, SIGCONT);
+    return at;
+}
+
 bool soak_fleet::reap(host& it)
 {
+    std::lock_guard lock(process_mutex_);
     int status = 0;
     if (it.pid != 0 && ::waitpid(it.pid, &status, WNOHANG) == it.pid)
     {
--- a/tests/soak/soak_fleet.hpp
+++ b/tests/soak/soak_fleet.hpp
@@ -10,6 +10,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -45,6 +46,8 @@
     static constexpr const char* fragile_model = "fragile-1";
     /// The first of `backends` that is an engine.
     static constexpr std::size_t first_engine = 2;
+    /// The lease of an engine by its host.
+    static constexpr std::chrono::milliseconds lease{1000};
 
     explicit soak_fleet(fleet_options options);
     /// Terminates every process that it started.
@@ -63,7 +66,11 @@
     };
 
     void start(host& it);
-    void signal(host& it, int number) const;
+    void signal(host& it, int number);
+    /// Stops a host's process until `resume`; returns whether it ran.
+    bool pause(host& it);
+    /// Returns when it was resumed; nothing if it was not paused.
+    std::optional<std::chrono::steady_clock::time_point> resume(host& it);
     /// Reaps a host's process if it has ended; returns whether it has.
     bool reap(host& it);
     bool ready(const host& it) const;
@@ -106,6 +113,8 @@
     void publish();
 
     fleet_options options_;
+    /// Guards `pid`, `paused` and `signals` of the hosts.
+    std::mutex process_mutex_;
     mutable std::mutex mutex_;
     std::vector<std::string> clinic_keys_;
     std::string configuration_;
--- a/tests/stand_ins/loopback_proxy.cpp
+++ b/tests/stand_ins/loopback_proxy.cpp
@@ -96,12 +96,17 @@
                                              pump(connection, false);
                                          });
     };
-    if (held_prefix_.empty() || !text.starts_with(held_prefix_))
+    if (held_prefix_.empty() || holds_left_ == 0 || !text.starts_with(held_prefix_))
     {
         connect();
         return;
     }
+    --holds_left_;
     auto timer = std::make_shared<asio::steady_timer>(loop_, hold_length_);
+    {
+        std::lock_guard lock(mutex_);
+        hold_ends_.push_back(timer->expiry());
+    }
     timer->async_wait([timer, connect](error_code) { connect(); });
 }
 
@@ -161,16 +166,24 @@
                });
 }
 
-void loopback_proxy::hold_requests(const std::string& prefix, std::chrono::milliseconds length)
+void loopback_proxy::hold_requests(const std::string& prefix, std::chrono::milliseconds length,
+                                   int max_requests)
 {
     asio::post(loop_,
-               [this, prefix, length]
+               [this, prefix, length, max_requests]
                {
                    held_prefix_ = prefix;
                    hold_length_ = length;
+                   holds_left_ = max_requests;
                });
 }
 
+std::vector<std::chrono::steady_clock::time_point> loopback_proxy::hold_ends() const
+{
+    std::lock_guard lock(mutex_);
+    return hold_ends_;
+}
+
 void loopback_proxy::freeze_at(const std::string& prefix, std::chrono::milliseconds length)
 {
     frozen_ = false;
--- a/tests/stand_ins/loopback_proxy.hpp
+++ b/tests/stand_ins/loopback_proxy.hpp
@@ -6,10 +6,13 @@
 
 #include <atomic>
 #include <chrono>
+#include <limits>
 #include <list>
 #include <memory>
+#include <mutex>
 #include <string>
 #include <thread>
+#include <vector>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -37,12 +40,16 @@
     ~loopback_proxy();
 
     std::string address() const { return address_; }
-    void set_fault(fault now) { fault_ = now; }
+    /// Returns the fault before.
+    fault set_fault(fault now) { return fault_.exchange(now); }
     /// Resets every open connection.
     void reset_all();
     /// Forwards requests that begin with `prefix` this much later, also if their caller has closed
-    /// the connection by then.
-    void hold_requests(const std::string& prefix, std::chrono::milliseconds length);
+    /// the connection by then; at most `max_requests` of them.
+    void hold_requests(const std::string& prefix, std::chrono::milliseconds length,
+                       int max_requests = std::numeric_limits<int>::max());
+    /// When each held request was due to go on.
+    std::vector<std::chrono::steady_clock::time_point> hold_ends() const;
     /// Stands still, as by `freeze`, as soon as it has read the next request that begins with
     /// `prefix`, and forwards it afterwards.
     void freeze_at(const std::string& prefix, std::chrono::milliseconds length);
@@ -71,6 +78,9 @@
     std::atomic<bool> frozen_ = false;
     std::string held_prefix_;
     std::chrono::milliseconds hold_length_{0};
+    int holds_left_ = 0;
+    mutable std::mutex mutex_;
+    std::vector<std::chrono::steady_clock::time_point> hold_ends_;
     std::list<std::weak_ptr<link>> links_;
     std::thread thread_;
 };
