--- a/tests/soak/shunt_soak.cpp
+++ b/tests/soak/shunt_soak.cpp
@@ -30,7 +30,7 @@
               "have more than planned work");
 DEFINE_string(faults, "all",
               "orders: only faults around the assignment of engines to hosts, and only the checks "
-              "of orders");
+              "of orders and of hosts that end unasked");
 DEFINE_string(folder, "", "folder for settings and logs; each seed gets a new folder in it");
 
 namespace
@@ -153,7 +153,8 @@
         return violations;
     }
 
-    /// Faults around the assignment of engines only, and the check of what engines received.
+    /// Faults around the assignment of engines only, and the checks of what engines received and of
+    /// hosts that ended unasked.
     std::vector<std::string> run_order_faults(std::uint64_t seed)
     {
         order_faults faults(fleet_, seed, [this](const std::string& what) { log_fault(what); });
@@ -183,12 +184,14 @@
         faults.heal();
         std::this_thread::sleep_for(observation_length);
         callers.stop();
+        restart_ended();
         calls_ = callers.records().size();
         auto orders = faults.history();
         orders.begun = history_.begun;
         auto findings = check_orders(fleet_, orders);
         std::cout << fmt::format("  {} orders judged, {} excused\n", findings.judged,
                                  findings.excused);
+        std::ranges::copy(fleet_.unasked_ends, std::back_inserter(findings.violations));
         return findings.violations;
     }
 
