Soak: an order that was held up is excused by when its link went on, not by when it was due to

A link that holds an order up and then stands still with its engine delivers the order when both go on. The check is otherwise as it was. The soak's record of disturbances no longer has the name of the product's order_history.

--- a/tests/soak/order_checks.cpp
+++ b/tests/soak/order_checks.cpp
@@ -28,7 +28,7 @@
 
 } // namespace
 
-order_findings check_orders(const soak_fleet& fleet, const order_history& history)
+order_findings check_orders(const soak_fleet& fleet, const order_disturbances& history)
 {
     using seconds = std::chrono::duration<double>;
     order_findings findings;
--- a/tests/soak/order_checks.hpp
+++ b/tests/soak/order_checks.hpp
@@ -15,7 +15,7 @@
 {
 
 /// The faults of a run that excuse orders which arrive shortly afterwards.
-struct order_history
+struct order_disturbances
 {
     std::chrono::steady_clock::time_point begun;
     /// When each host was resumed, by its name.
@@ -32,6 +32,6 @@
     std::size_t excused = 0;
 };
 
-order_findings check_orders(const soak_fleet& fleet, const order_history& history);
+order_findings check_orders(const soak_fleet& fleet, const order_disturbances& history);
 
 } // namespace banyanshunt::soak
--- a/tests/soak/order_faults.cpp
+++ b/tests/soak/order_faults.cpp
@@ -269,7 +269,7 @@
     }
 }
 
-order_history order_faults::history() const
+order_disturbances order_faults::history() const
 {
     std::lock_guard lock(mutex_);
     auto history = history_;
--- a/tests/soak/order_faults.hpp
+++ b/tests/soak/order_faults.hpp
@@ -32,7 +32,7 @@
     /// Ends all faults and resumes every host.
     void heal();
     /// What excuses orders that engines received.
-    order_history history() const;
+    order_disturbances history() const;
 
 private:
     /// How the store treats the calls of one host, or of all.
@@ -68,7 +68,7 @@
     std::mt19937_64 call_random_;
     store_trouble store_trouble_;
     std::optional<call_freeze> call_freeze_;
-    order_history history_;
+    order_disturbances history_;
     /// Last, so that its threads end before what they use.
     std::vector<std::jthread> thaws_;
 };
--- a/tests/soak/soak_checks.cpp
+++ b/tests/soak/soak_checks.cpp
@@ -293,9 +293,9 @@
 }
 
 /// What excuses orders that engines received.
-order_history order_history_of(const soak_fleet& fleet, const soak_history& history)
+order_disturbances order_disturbances_of(const soak_fleet& fleet, const soak_history& history)
 {
-    order_history orders{.begun = history.begun, .resumed = {}, .restored_links = {}};
+    order_disturbances orders{.begun = history.begun, .resumed = {}, .restored_links = {}};
     for (const auto& it : history.host_disturbances)
     {
         if (it.resumed)
@@ -342,7 +342,7 @@
     {
         violations.push_back(it);
     }
-    std::ranges::move(check_orders(fleet, order_history_of(fleet, history)).violations,
+    std::ranges::move(check_orders(fleet, order_disturbances_of(fleet, history)).violations,
                       std::back_inserter(violations));
     for (const auto& it : fleet.backends)
     {
--- a/tests/stand_ins/loopback_proxy.cpp
+++ b/tests/stand_ins/loopback_proxy.cpp
@@ -103,11 +103,15 @@
     }
     --holds_left_;
     auto timer = std::make_shared<asio::steady_timer>(loop_, hold_length_);
-    {
-        std::lock_guard lock(mutex_);
-        hold_ends_.push_back(timer->expiry());
-    }
-    timer->async_wait([timer, connect](error_code) { connect(); });
+    timer->async_wait(
+        [this, timer, connect](error_code)
+        {
+            {
+                std::lock_guard lock(mutex_);
+                hold_ends_.push_back(std::chrono::steady_clock::now());
+            }
+            connect();
+        });
 }
 
 void loopback_proxy::pump(const std::shared_ptr<link>& connection, bool to_server)
--- a/tests/stand_ins/loopback_proxy.hpp
+++ b/tests/stand_ins/loopback_proxy.hpp
@@ -48,7 +48,7 @@
     /// the connection by then; at most `max_requests` of them.
     void hold_requests(const std::string& prefix, std::chrono::milliseconds length,
                        int max_requests = std::numeric_limits<int>::max());
-    /// When each held request was due to go on.
+    /// When each held request went on.
     std::vector<std::chrono::steady_clock::time_point> hold_ends() const;
     /// Stands still, as by `freeze`, as soon as it has read the next request that begins with
     /// `prefix`, and forwards it afterwards.
