Tests: a host that resigns its membership releases its partitions

resign() ended the membership before the releases; with the check of the membership in release() that order would leave every partition unreleased, and no case covered it.

--- a/tests/correctness/lapsed_membership_test.cpp
+++ b/tests/correctness/lapsed_membership_test.cpp
@@ -11,6 +11,7 @@
 
 #include <catch2/catch.hpp>
 
+#include "coordination/host_ranking.hpp"
 #include "serve_case.hpp"
 
 using namespace banyanshunt;
@@ -249,3 +250,32 @@
     CHECK(serve_case::eventually([&] { return ends_with(records(it), "h1 begun"); }));
     CHECK(records(it).size() == static_cast<std::size_t>(fence_of_other) + 2);
 }
+
+TEST_CASE("A host that resigns its membership releases its partitions")
+{
+    serve_case it(3);
+    REQUIRE(it.started);
+    std::vector<ranked_host> ranked;
+    for (const char* name : {"h1", "h2", "h3"})
+    {
+        ranked.push_back({.host = host_id(name), .domain = domain_id("north")});
+    }
+    // With one partition, a member resigns if two live hosts rank before it.
+    auto order = first_in_ranking("orders", ranked, ranked.size());
+    auto number = [](const host_id& host) { return static_cast<std::size_t>(host.str()[1] - '1'); };
+    const std::string last = order.at(2).str();
+    for (std::size_t n : {number(order.at(0)), number(order.at(1))})
+    {
+        it.hosts.at(n)->request_stop();
+        REQUIRE(serve_case::eventually([&] { return it.hosts.at(n)->exit_code != -1; }));
+    }
+    REQUIRE(serve_case::eventually([&] { return ends_with(records(it), last + " begun"); }));
+    const auto before = records(it).size();
+
+    for (std::size_t n : {number(order.at(0)), number(order.at(1))})
+    {
+        REQUIRE(it.restart_host(n));
+    }
+    REQUIRE(serve_case::eventually([&] { return records(it).size() > before; }));
+    CHECK(records(it).at(before).starts_with(last + " released "));
+}
