Logs: the time of day in every line, and when an engine responded to its new owner

The users' record has lines of five hosts without a time, and no line said from when a new owner orders an engine: the order of events of two hosts could not be told from their logs. No change of logic.

--- a/src/serve/event_log.cpp
+++ b/src/serve/event_log.cpp
@@ -36,19 +36,22 @@
     allowance_ -= 1;
     if (dropped_ > reported_dropped_)
     {
-        append(fmt::format("event=log_lines_dropped count={}", dropped_ - reported_dropped_));
+        append("log_lines_dropped", fmt::format("count={}", dropped_ - reported_dropped_));
         reported_dropped_ = dropped_;
     }
     return true;
 }
 
-void event_log::append(std::string line)
+void event_log::append(const char* event, std::string_view fields)
 {
+    auto unix_ms =
+        std::chrono::floor<milliseconds>(std::chrono::system_clock::now().time_since_epoch());
+    std::string line = fmt::format("event={} {}", event, fields);
     // Names and details may be other writers' bytes: a line break would forge a line.
     line.resize(std::min(line.size(), options_.max_line));
     std::replace_if(
         line.begin(), line.end(), [](char it) { return it < ' ' || it == '\x7f'; }, '?');
-    line += '\n';
+    line += fmt::format(" unix_ms={}\n", unix_ms.count());
     std::lock_guard lock(mutex_);
     if (pending_.size() + line.size() > options_.buffer)
     {
--- a/src/serve/event_log.hpp
+++ b/src/serve/event_log.hpp
@@ -2,13 +2,15 @@
 
 /// \file
 /// Structured log of an entry host: one line on standard output for each decision, as "event=NAME
-/// field=value". A writer thread flushes the buffered lines a few times a second. A full buffer or
+/// field=value ... unix_ms=TIME", with the time of day so that lines of several hosts can be put in
+/// order. A writer thread flushes the buffered lines a few times a second. A full buffer or
 /// an exceeded line rate drops lines, counts them and logs the count; it never blocks the request
 /// path.
 
 #include <condition_variable>
 #include <mutex>
 #include <string>
+#include <string_view>
 #include <thread>
 
 #include <fmt/format.h>
@@ -49,16 +51,15 @@
     {
         if (acquire_line())
         {
-            append(fmt::format("event={} {}", event,
-                               fmt::format(format, std::forward<Args>(args)...)));
+            append(event, fmt::format(format, std::forward<Args>(args)...));
         }
     }
     std::uint64_t dropped() const { return dropped_; }
 
 private:
     bool acquire_line();
-    /// Adds a line, without its end.
-    void append(std::string line);
+    /// Adds a line with these fields.
+    void append(const char* event, std::string_view fields);
     void run();
 
     event_log_options options_;
--- a/src/serve/order_controller.cpp
+++ b/src/serve/order_controller.cpp
@@ -716,11 +716,20 @@
                                        instant asked_at)
 {
     auto it = partitions_.find(held.partition);
-    if (it != partitions_.end())
+    if (it == partitions_.end())
     {
-        history_.record_response(server, {.taken = it->second.taken, .fence = it->second.fence},
-                                 asked_at, context_.now());
-        held.pending_announced = false;
+        return;
+    }
+    order_history::claim own{.taken = it->second.taken, .fence = it->second.fence};
+    bool awaited = history_.awaits_response_after(server, own).has_value();
+    instant now = context_.now();
+    history_.record_response(server, own, asked_at, now);
+    held.pending_announced = false;
+    if (auto first = history_.first_order_at(server, own); awaited && first)
+    {
+        context_.log.write("takeover_response", "server={} fence={} took_ms={} orders_in_ms={}",
+                           server.str(), own.fence.count(), elapsed_ms(asked_at, now).count(),
+                           elapsed_ms(now, *first).count());
     }
 }
 
