Requests, orders and store calls: a response with an invalid status is none

Callers got answers with status 600, 703 and 999 from a server in trouble. With 000, 001, 099 and 101 the request was held until its deadline (8 s, 504), as the host took these for interim responses and waited for the final one; a 200 behind a 000, 001 or 099 counted as the answer. An order that was answered with 703 counted as one with a response. A call to the store took the response behind a 000, 099 or 101 for its own, and returned 600 and 999 as results.

Cause: every status below 200 was interim, and every other one final. Now 100 to 199 without 101 are interim and 200 to 599 are final (RFC 9110, section 15; no request asks for another protocol). Anything else closes the connection and counts as no response: 502, sent again only where the route allows two runs; the mark X-Not-Executed beside it promises nothing; an order counts as one that may arrive still. Log line `status_invalid`, metric `banyanshunt_invalid_statuses_total`.

--- a/src/serve/server_exchange.cpp
+++ b/src/serve/server_exchange.cpp
@@ -4,6 +4,8 @@
 
 #include <boost/asio/write.hpp>
 
+#include "coordination/http_status.hpp"
+
 namespace banyanshunt
 {
 
@@ -12,7 +14,6 @@
 
 /// Largest accepted response head, in bytes: twice the usual bound on request heads.
 constexpr std::uint32_t max_head_bytes = 32768;
-constexpr int first_final_status = 200;
 /// Status with which a server turns a request away and may say for how long it wants no others.
 constexpr int refused_for_load_status = 503;
 /// Interim responses, and responses to other requests, that may precede the response to a request.
@@ -97,7 +98,13 @@
     std::optional<exchange_deadline> second_response;
     for (int skipped = 0; skipped <= max_skipped_responses && co_await read_head(); ++skipped)
     {
-        bool interim = status() < first_final_status;
+        bool interim = is_interim_status(status());
+        if (!interim && !is_final_status(status()))
+        {
+            record_invalid_status(id);
+            close();
+            break;
+        }
         auto match = connection_->history.judge(id, fields_.id, interim);
         record_limit(match);
         record_notices(match);
@@ -158,6 +165,13 @@
                        id.empty() ? "-" : id.str(), server_.str(), status());
 }
 
+void server_exchange::record_invalid_status(const request_id& id)
+{
+    context_.stats.increment("banyanshunt_invalid_statuses_total");
+    context_.log.write("status_invalid", "request={} server={} status={}",
+                       id.empty() ? "-" : id.str(), server_.str(), status());
+}
+
 void server_exchange::record_limit(response_match match)
 {
     if (match == response_match::exact && status() == platform::misdirected_status)
--- a/src/serve/server_exchange.hpp
+++ b/src/serve/server_exchange.hpp
@@ -101,6 +101,8 @@
     void record_progress(instant now);
     /// Counts and logs a response without an id that may be another request's.
     void record_unproven(const request_id& id);
+    /// Counts and logs a head whose status no response to a request can have.
+    void record_invalid_status(const request_id& id);
     /// Records what the head that was just read states of the server's limit.
     void record_limit(response_match match);
     /// Records what it states of the server's leaving, and of a time without requests.
--- a/src/transport/loop/http_connection.cpp
+++ b/src/transport/loop/http_connection.cpp
@@ -5,6 +5,8 @@
 #include <boost/asio/this_coro.hpp>
 #include <boost/beast/http.hpp>
 
+#include "coordination/http_status.hpp"
+
 namespace banyanshunt
 {
 
@@ -15,7 +17,6 @@
 
 /// The largest response accepted, in bytes: a page of the newest records in base64, with a margin.
 constexpr std::uint64_t max_response_bytes = 8 * 1024 * 1024;
-constexpr unsigned first_final_status = 200;
 /// Interim responses that may precede the response to a call.
 constexpr int max_interim_responses = 16;
 /// The timeout for a new connection. The log accepts one within milliseconds also while its
@@ -82,7 +83,8 @@
         co_return std::nullopt;
     }
     std::optional<http::response_parser<http::string_body>> parser;
-    for (int skipped = 0; !parser || parser->get().result_int() < first_final_status; ++skipped)
+    auto status = [&] { return static_cast<int>(parser->get().result_int()); };
+    for (int skipped = 0; !parser || is_interim_status(status()); ++skipped)
     {
         parser.emplace();
         parser->body_limit(max_response_bytes);
@@ -93,9 +95,13 @@
             co_return std::nullopt;
         }
     }
+    if (!is_final_status(status()))
+    {
+        stream_.reset();
+        co_return std::nullopt;
+    }
     auto& response = parser->get();
-    call_response result{.status = static_cast<int>(response.result_int()),
-                         .body = std::move(response.body())};
+    call_response result{.status = status(), .body = std::move(response.body())};
     if (!response.keep_alive())
     {
         stream_.reset();
--- a/tests/correctness/http_connection_test.cpp
+++ b/tests/correctness/http_connection_test.cpp
@@ -4,6 +4,7 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <fmt/format.h>
 
 #include "stand_ins/raw_server.hpp"
 #include "transport/loop/http_connection.hpp"
@@ -120,3 +121,86 @@
         CHECK(bodies_of_calls(server, 3) == std::vector<std::string>{"body", "-", "body"});
     }
 }
+
+TEST_CASE("A response to a call with a status that none can have is none")
+{
+    for (const char* status : {"000", "099", "101", "600", "999"})
+    {
+        INFO(status);
+        raw_server server(
+            [&](int, int, const std::string&)
+            {
+                return raw_response{.bytes = fmt::format("HTTP/1.1 {} Odd\r\nContent-Length: 0"
+                                                         "\r\n\r\n{}",
+                                                         status, http_text(200, "behind"))};
+            });
+        CHECK(bodies_of_calls(server, 2) == std::vector<std::string>{"-", "-"});
+        CHECK(server.connections() == 2);
+    }
+}
+
+TEST_CASE("Bytes without end from the store are not read on, and its call gets no response")
+{
+    const std::string filler(65536, 'x');
+    /// Mostly socket buffers, and the largest body that is accepted.
+    constexpr std::size_t max_endless_bytes = std::size_t{24} << 20;
+    auto check = [&](const raw_response& faulty)
+    {
+        raw_server server([&](int, int, const std::string&) { return faulty; });
+        CHECK(bodies_of_calls(server, 1) == std::vector<std::string>{"-"});
+        std::this_thread::sleep_for(300ms);
+        CHECK(server.endless_bytes() < max_endless_bytes);
+    };
+    const std::string chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+    SECTION("that are not HTTP")
+    {
+        check({.bytes = {}, .endless = filler});
+    }
+    SECTION("that are zeros")
+    {
+        check({.bytes = {}, .endless = std::string(65536, '\0')});
+    }
+    SECTION("that are empty lines")
+    {
+        std::string lines;
+        for (int n = 0; n < 32768; ++n)
+        {
+            lines += "\r\n";
+        }
+        check({.bytes = {}, .endless = lines});
+    }
+    SECTION("as a field of the head")
+    {
+        check({.bytes = "HTTP/1.1 200 OK\r\nX-Filler: ", .endless = filler});
+    }
+    SECTION("as many fields of the head")
+    {
+        std::string fields;
+        for (int n = 0; n < 8192; ++n)
+        {
+            fields += fmt::format("X-{}: 1\r\n", n);
+        }
+        check({.bytes = "HTTP/1.1 200 OK\r\n", .endless = fields});
+    }
+    SECTION("as interim responses")
+    {
+        check({.bytes = {}, .endless = "HTTP/1.1 103 Early Hints\r\n\r\n"});
+    }
+    SECTION("as a body that states no length")
+    {
+        check({.bytes = "HTTP/1.1 200 OK\r\n\r\n", .endless = filler});
+    }
+    SECTION("as chunks")
+    {
+        check({.bytes = chunked, .endless = fmt::format("{:x}\r\n{}\r\n", filler.size(), filler)});
+    }
+    SECTION("as the extension of a chunk")
+    {
+        check({.bytes = chunked + "5;", .endless = filler});
+    }
+    SECTION("as a trailer")
+    {
+        check({.bytes = chunked + "0\r\nX-Filler: ", .endless = filler});
+    }
+}
