shunt-entry, shunt-placer, shuntctl: responses have bounds and valid statuses

A faulty server or platform that sent a body, a trailer, a chunk extension or a head without end was read until it stopped: a caller kept over 500 MB of a body and of an extension within 5 s. A response with status 000, 099, 600 or 703 was an answer, and a 103 before the answer made the call fail.

Cause: the client kept bodies of any size, and cpp-httplib reads lines and heads without a bound, checks no status, and knows no interim response but 100. Heads have 32 KB, kept bodies 16 MB (the largest document that is parsed), 16 interim responses may precede the answer; beyond that, and for a status that no answer can have, the call fails as bad_answer, may have run, and its detail names the limit.

--- a/src/transport/http_client.hpp
+++ b/src/transport/http_client.hpp
@@ -60,7 +60,8 @@
     http_client(const http_client&) = delete;
     http_client& operator=(const http_client&) = delete;
 
-    /// Sends the call and returns the complete response, whatever its status, redirects included.
+    /// Sends the call and returns the complete response, whatever its final status, redirects
+    /// included. One that exceeds a limit of docs/CALLER-LIMITS.md fails with `errc::bad_answer`.
     /// Fails with `not_run` only if no connection was established.
     verdict<http_call_response> send(const http_call& call);
 
--- a/tests/error/http_client_contract_test.cpp
+++ b/tests/error/http_client_contract_test.cpp
@@ -4,9 +4,12 @@
 
 #include <catch2/catch.hpp>
 
+#include <fmt/format.h>
+
 #include "stand_ins/raw_server.hpp"
 #include "state/errors.hpp"
 #include "transport/backend_clients.hpp"
+#include "transport/platform_clients.hpp"
 
 using namespace banyanshunt;
 
@@ -239,3 +242,138 @@
         }
     }
 }
+
+TEST_CASE("a response with a status that none can have is no answer to a call")
+{
+    http_client http;
+    http_plain_service service(http);
+    http_model_engine engine(http);
+    for (const char* status : {"000", "099", "101", "600", "703", "999"})
+    {
+        INFO(status);
+        raw_server server(
+            [&](int, int, const std::string&)
+            {
+                return raw_response{
+                    .bytes =
+                        fmt::format("HTTP/1.1 {} Odd\r\nContent-Length: 2\r\n\r\n{{}}", status)};
+            });
+        auto check = [](const auto& outcome)
+        {
+            REQUIRE(!outcome);
+            CHECK(outcome.error().run == run_state::may_have_run);
+            CHECK(outcome.error().code == errc::bad_answer);
+        };
+        check(service.call(server.address(), order_call(), milliseconds(500)));
+        check(engine.complete(
+            server.address(),
+            {.id = request_id("r1"), .model = model_id("m"), .adapter = {}, .prompt = "p"},
+            milliseconds(500), [](const stream_token&) { return true; }));
+        check(engine.order(server.address(), {.model = model_id("m"),
+                                              .version = version_id("v1"),
+                                              .adapter = {},
+                                              .memory = mebibytes(1),
+                                              .fencing = fencing_number(1)}));
+        check(engine.read_back(server.address()));
+        check(http_log_service(http, server.address(), milliseconds(500))
+                  .read(stream_name("a"), log_offset(0), 1, milliseconds(0)));
+        CHECK(server.requests() == 5);
+    }
+}
+
+TEST_CASE("an interim response precedes the answer to a call")
+{
+    http_client http;
+    raw_server server(
+        [](int, int, const std::string&)
+        {
+            return raw_response{.bytes = "HTTP/1.1 100 Continue\r\n\r\n"
+                                         "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" +
+                                         http_text(200, "answer")};
+        });
+    auto response = http.send(post_to(server.address()));
+    REQUIRE(response);
+    CHECK(response->status == 200);
+    CHECK(response->body == "answer");
+}
+
+TEST_CASE("bytes without end are not read on, and the call fails as one that may have run")
+{
+    http_client http;
+    const std::string filler(65536, 'x');
+    /// The largest response that is read whole, and socket buffers.
+    constexpr std::size_t max_endless_bytes = std::size_t{32} << 20;
+    const std::string chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    auto check = [&](const raw_response& faulty, const std::string& detail)
+    {
+        raw_server server([&](int, int, const std::string&) { return faulty; });
+        auto call = post_to(server.address());
+        call.read_timeout = milliseconds(1000);
+        auto response = http.send(call);
+        REQUIRE(!response);
+        CHECK(response.error().run == run_state::may_have_run);
+        CHECK_THAT(response.error().detail, Catch::Contains(detail));
+        std::this_thread::sleep_for(milliseconds(300));
+        CHECK(server.endless_bytes() < max_endless_bytes);
+    };
+
+    SECTION("in a body that states no length")
+    {
+        check({.bytes = "HTTP/1.1 200 OK\r\n\r\n", .endless = filler},
+              "the body of the response exceeds 16777216 bytes");
+    }
+    SECTION("in a body that states a length")
+    {
+        check(
+            {.bytes = "HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n", .endless = filler},
+            "the body of the response exceeds 16777216 bytes");
+    }
+    SECTION("as chunks")
+    {
+        check({.bytes = chunked, .endless = fmt::format("{:x}\r\n{}\r\n", filler.size(), filler)},
+              "the body of the response exceeds 16777216 bytes");
+    }
+    SECTION("as the extension of a chunk")
+    {
+        check({.bytes = chunked + "5;", .endless = filler}, "");
+    }
+    SECTION("as a trailer")
+    {
+        check({.bytes = chunked + "0\r\nX-Filler: ", .endless = filler}, "");
+    }
+    SECTION("as a field of the head")
+    {
+        check({.bytes = "HTTP/1.1 200 OK\r\nX-Filler: ", .endless = filler},
+              "the head of the response exceeds 32768 bytes");
+    }
+    SECTION("as many fields of the head")
+    {
+        std::string fields;
+        for (int n = 0; n < 8192; ++n)
+        {
+            fields += fmt::format("X-{}: 1\r\n", n);
+        }
+        check({.bytes = "HTTP/1.1 200 OK\r\n", .endless = fields},
+              "the head of the response exceeds 32768 bytes");
+    }
+    SECTION("as interim responses")
+    {
+        check({.bytes = {}, .endless = "HTTP/1.1 103 Early Hints\r\n\r\n"},
+              "more than 16 interim responses");
+    }
+    SECTION("that are not HTTP")
+    {
+        check({.bytes = {}, .endless = filler}, "");
+    }
+    SECTION("in the refusal of a stream")
+    {
+        raw_server server(
+            [&](int, int, const std::string&)
+            { return raw_response{.bytes = "HTTP/1.1 500 Error\r\n\r\n", .endless = filler}; });
+        auto response =
+            http.stream(post_to(server.address()), [](std::string_view) { return true; });
+        REQUIRE(!response);
+        CHECK(response.error().run == run_state::may_have_run);
+        CHECK(server.endless_bytes() < max_endless_bytes);
+    }
+}
