Responses of many short fields: a host keeps 256 of a head at most

A faulty server that sent heads of short fields and never ended them took a host above its memory: 100 requests at once, 54.3 MB of 48 (35.4 with 60), as each field takes tens of bytes beyond its text and 8,000 fit into a head of 32 KB.

Cause: the parser keeps all fields that have arrived, and reads on until the head is complete. The head is now read step by step, and one of more than 256 fields ends the exchange as one without a response.

A head that comes in parts is still read.

--- a/src/serve/server_exchange.cpp
+++ b/src/serve/server_exchange.cpp
@@ -1,6 +1,7 @@
 #include "serve/server_exchange.hpp"
 
 #include <algorithm>
+#include <iterator>
 
 #include <boost/asio/write.hpp>
 
@@ -14,6 +15,9 @@
 
 /// Largest accepted response head, in bytes: twice the usual bound on request heads.
 constexpr std::uint32_t max_head_bytes = 32768;
+/// Most fields of a response head. Each takes tens of bytes beyond its text, so that a head of
+/// short ones would take many times its size.
+constexpr std::ptrdiff_t max_head_fields = 256;
 /// Status with which a server turns a request away and may say for how long it wants no others.
 constexpr int refused_for_load_status = 503;
 /// Interim responses, and responses to other requests, that may precede the response to a request.
@@ -140,9 +144,7 @@
     parser_.emplace();
     parser_->header_limit(max_head_bytes);
     parser_->body_limit(boost::none);
-    auto [ec, n] = co_await http::async_read_header(connection_->stream, connection_->buffer,
-                                                    *parser_, as_result);
-    if (ec || closed_)
+    if (auto ec = co_await parse_head(); ec || closed_)
     {
         record_end(ec);
         parser_.reset();
@@ -158,6 +160,41 @@
     co_return true;
 }
 
+task<boost::system::error_code> server_exchange::parse_head()
+{
+    auto& buf = connection_->buffer;
+    while (true)
+    {
+        if (buf.size() > 0)
+        {
+            boost::system::error_code ec;
+            buf.consume(parser_->put(buf.data(), ec));
+            // Counted before more is read: beast reads on until the head is complete.
+            const auto& fields = parser_->get();
+            if (std::distance(fields.begin(), fields.end()) > max_head_fields)
+            {
+                co_return http::error::header_limit;
+            }
+            if (parser_->is_header_done() || (ec && ec != http::error::need_more))
+            {
+                co_return ec;
+            }
+        }
+        std::size_t size = boost::beast::read_size(buf, max_head_bytes);
+        if (size == 0)
+        {
+            co_return http::error::buffer_overflow;
+        }
+        auto [read_ec, n] =
+            co_await connection_->stream.async_read_some(buf.prepare(size), as_result);
+        buf.commit(n);
+        if (read_ec)
+        {
+            co_return read_ec;
+        }
+    }
+}
+
 void server_exchange::record_unproven(const request_id& id)
 {
     context_.stats.increment("banyanshunt_unproven_responses_total");
--- a/src/serve/server_exchange.hpp
+++ b/src/serve/server_exchange.hpp
@@ -92,6 +92,8 @@
 
 private:
     task<bool> read_head();
+    /// Reads into the parser until it has a head.
+    task<boost::system::error_code> parse_head();
     task<bool> skip_body();
     /// Reads and drops at most `max_bytes` of the body; returns whether that was all.
     task<bool> drop_body(std::size_t max_bytes);
--- a/tests/correctness/endless_bytes_test.cpp
+++ b/tests/correctness/endless_bytes_test.cpp
@@ -238,3 +238,98 @@
     CHECK(response.took > 7000ms);
     CHECK(server.requests() == 1);
 }
+
+TEST_CASE("Bytes without end are not read on as the response to an order or as a report")
+{
+    serve_case it;
+    REQUIRE(it.started);
+    std::atomic<int> orders = 0;
+    std::atomic<int> reports = 0;
+    bool faulty_orders = true;
+    raw_response faulty{.bytes = "HTTP/1.1 200 OK\r\n"};
+    raw_server server(
+        [&](int, int, const std::string& text)
+        {
+            bool order = text.starts_with("POST /api/order");
+            ++(order ? orders : reports);
+            return order && !faulty_orders ? raw_response{.bytes = {}, .close = true} : faulty;
+        });
+    auto check = [&]
+    {
+        remove(it, it.engine2, "e2", "models");
+        replace(it, it.engine1, "e1", "models", server);
+        std::this_thread::sleep_for(1500ms);
+        // For the rare model, the host sends an order; without a response, it calls for a report.
+        it.send("POST", "/guide/1", "rare1", "good-key", "rare");
+        CHECK(serve_case::eventually([&] { return orders > 0; }));
+        CHECK((faulty_orders || serve_case::eventually([&] { return reports > 0; })));
+        std::this_thread::sleep_for(1500ms);
+        CHECK(server.endless_bytes() / static_cast<std::size_t>(orders + reports) <
+              max_endless_bytes);
+        CHECK(it.send("GET", "/read/1", "sound", "good-key").status == 200);
+    };
+
+    SECTION("that are not HTTP")
+    {
+        faulty.bytes = {};
+        faulty.endless = filler;
+        check();
+    }
+    SECTION("in a field of the head")
+    {
+        faulty.bytes += "X-Filler: ";
+        faulty.endless = filler;
+        check();
+    }
+    SECTION("in the body of the response to an order")
+    {
+        faulty.bytes += "\r\n";
+        faulty.endless = filler;
+        check();
+    }
+    SECTION("in the body of a report")
+    {
+        faulty_orders = false;
+        faulty.bytes += "\r\n";
+        faulty.endless = filler;
+        check();
+    }
+    SECTION("as interim responses")
+    {
+        faulty.bytes = {};
+        faulty.endless = "HTTP/1.1 103 Early Hints\r\n\r\n";
+        check();
+    }
+}
+
+TEST_CASE("A head that comes in parts is read, and one of too many fields is not")
+{
+    serve_case it;
+    REQUIRE(it.started);
+    remove(it, it.desk2, "d2", "desk");
+    std::atomic<std::size_t> part = 0;
+    std::atomic<int> fields = 100;
+    raw_server server(
+        [&](int, int, const std::string& text)
+        {
+            std::string more = "X-Server-Stamp: d1\r\n" + id_line(text);
+            for (int n = 0; n < fields; ++n)
+            {
+                more += "a:\r\n";
+            }
+            auto all = http_text(200, "whole", more);
+            return raw_response{.bytes = all.substr(0, part.load()),
+                                .later = all.substr(part.load()),
+                                .later_after = 20ms};
+        });
+    replace(it, it.desk1, "d1", "desk", server);
+    std::this_thread::sleep_for(1500ms);
+    for (part = 1; part < 120; part += 7)
+    {
+        INFO(part.load());
+        auto response = it.call("POST", "/book/1", fmt::format("p{}", part.load()), "good-key");
+        CHECK(response == std::pair<int, std::string>(200, "whole"));
+    }
+    fields = 300;
+    CHECK(it.call("POST", "/book/1", "many", "good-key").first == 502);
+}
