--- a/src/coordination/assignment_record.hpp
+++ b/src/coordination/assignment_record.hpp
@@ -75,7 +75,7 @@
     /// When the last order ended that the host may have given under an earlier claim.
     instant last_order_at;
     /// When the last order of an earlier claim can have been sent; nothing if all of them were
-    /// answered, or if there were none. An engine that stands still keeps what it received, so it
+    /// answered, or if there were none. A stalled engine keeps what it has received, so it
     /// counts as free of such orders only once it has responded to a call that was sent later.
     std::optional<instant> ask_engines_after = {};
     /// Whether that claim was another host's.
--- a/src/coordination/order_history.hpp
+++ b/src/coordination/order_history.hpp
@@ -4,9 +4,9 @@
 /// Which engines may still read an order that was given before: one of this host that had no
 /// response, or one of an earlier owner.
 ///
-/// It is made for engines that stand still. The kernel of such an engine has acknowledged the order
+/// It is made for engines that stall. The kernel of such an engine has acknowledged the order
 /// and keeps it, also after its sender has reset the connection, and the engine reads it when it
-/// goes on; meanwhile its entry may leave the registry and come back. Pure: the time and what was
+/// resumes; meanwhile its entry may leave the registry and come back. Pure: the time and what was
 /// observed are arguments.
 
 #include <functional>
--- a/tests/correctness/order_history_test.cpp
+++ b/tests/correctness/order_history_test.cpp
@@ -117,7 +117,7 @@
         }
     }
 
-    SECTION("its entry leaves the registry and comes back: it may have stood still")
+    SECTION("its entry leaves the registry and comes back: it may have been stalled")
     {
         history.observe({}, start + 1s);
         history.observe({{engine, old_process}}, start + 9s);
--- a/tests/correctness/silent_engine_takeover_test.cpp
+++ b/tests/correctness/silent_engine_takeover_test.cpp
@@ -1,4 +1,4 @@
-// Two hosts and an engine that stands still while an order lies unread in its socket.
+// Two hosts and an engine that stalls while an order lies unread in its socket.
 
 #include <memory>
 #include <set>
@@ -146,7 +146,8 @@
     }
 }
 
-TEST_CASE("An engine that stands still and leaves the registry meets no orders of two hosts (ONE)")
+TEST_CASE(
+    "A stalled engine that leaves the registry gets no orders of two hosts within a lease (ONE)")
 {
     takeover_case fleet;
     const std::size_t first_owner = fleet.owner();
--- a/tests/soak/order_faults.cpp
+++ b/tests/soak/order_faults.cpp
@@ -42,7 +42,7 @@
 constexpr const char* order_request = "POST /api/order";
 constexpr const char* frozen_calls[] = {"/api/log-append", "/api/log-join"};
 constexpr milliseconds max_rebalance_interval = 500ms;
-/// Hosts stand still for up to several leases.
+/// Hosts stall for up to several leases.
 constexpr milliseconds min_host_freeze = 200ms;
 constexpr milliseconds max_host_freeze = 4200ms;
 /// Engines may be silent for longer than the wait of a new owner.
--- a/tests/soak/order_faults.hpp
+++ b/tests/soak/order_faults.hpp
@@ -1,9 +1,9 @@
 #pragma once
 
 /// \file
-/// Faults around the assignment of engines to entry hosts: hosts that stand still between a call
+/// Faults around the assignment of engines to entry hosts: hosts that stall between a call
 /// to the store and its response, calls that are carried out late, partitions that are reassigned
-/// without a call, and orders that are held up on their way or reach an engine that stands still.
+/// without a call, and orders that are held up on their way or reach a stalled engine.
 
 #include <chrono>
 #include <functional>
--- a/tests/stand_ins/loopback_proxy.hpp
+++ b/tests/stand_ins/loopback_proxy.hpp
@@ -50,12 +50,12 @@
                        int max_requests = std::numeric_limits<int>::max());
     /// When each held request went on.
     std::vector<std::chrono::steady_clock::time_point> hold_ends() const;
-    /// Stands still, as by `freeze`, as soon as it has read the next request that begins with
+    /// Freezes, as by `freeze`, as soon as it has read the next request that begins with
     /// `prefix`, and forwards it afterwards.
     void freeze_at(const std::string& prefix, std::chrono::milliseconds length);
-    /// Whether it has stood still since the last call of `freeze_at`.
+    /// Whether it has frozen since the last call of `freeze_at`.
     bool has_frozen() const { return frozen_; }
-    /// Stands still: what arrives stays in the kernel's buffers until this time is over.
+    /// Forwards and reads nothing for this time: what arrives stays in the kernel's buffers.
     void freeze(std::chrono::milliseconds length);
     /// Stops forwarding on open connections without closing them; new ones work.
     void blackhole_all();
