Orders to an engine are judged by one rule, by arrival and by effect

The stand-in judged accepted orders only and the soak all arrivals, each in its own way, and an order could not be carried out later than it arrived, which the platform's protocol allows for one without a response. order_rule judges all orders of one engine by either time, with the two excuses of the platform's rule. The stand-in's own check of numbers and turns goes: it had no excuses, and judged a part of what the soak judges. Engines hold adapters, and can carry out a share of their orders late and without a response.

--- a/tests/soak/order_checks.cpp
+++ b/tests/soak/order_checks.cpp
@@ -30,49 +30,32 @@
 
 order_findings check_orders(const soak_fleet& fleet, const order_disturbances& history)
 {
-    using seconds = std::chrono::duration<double>;
     order_findings findings;
     for (std::size_t n = 0; n < fleet.backends.size(); ++n)
     {
         auto orders = fleet.backends[n]->received_orders();
-        std::stable_sort(orders.begin(), orders.end(),
-                         [](const auto& a, const auto& b) { return a.at < b.at; });
-        const received_order* highest = nullptr;
-        const received_order* last = nullptr;
-        for (const auto& order : orders)
+        auto is_excused = [&](const received_order& order)
         {
-            if (follows_end(history.resumed, order.holder, order.at) ||
-                follows_end(history.restored_links, n, order.at))
-            {
-                ++findings.excused;
-                continue;
-            }
-            ++findings.judged;
-            auto add = [&](const char* what, const received_order& before)
-            {
-                findings.violations.push_back(fmt::format(
-                    "orders: {} received {}: {} with {} (response {}) at {:.3f} s, {:.3f} s after "
-                    "{} with {} (response {})",
-                    soak_fleet::server_name(n), what, order.holder, order.fence, order.status,
-                    seconds(order.at - history.begun).count(),
-                    seconds(order.at - before.at).count(), before.holder, before.fence,
-                    before.status));
-            };
-            if (highest && order.fence < highest->fence)
-            {
-                add("a lower fencing number after a higher one", *highest);
-            }
-            if (highest && order.fence == highest->fence && order.holder != highest->holder)
+            return follows_end(history.resumed, order.holder, order.at) ||
+                   follows_end(history.restored_links, n, order.at);
+        };
+        for (auto dating : {order_dating::arrival, order_dating::effect})
+        {
+            auto judgement = judge_orders(orders, dating, soak_fleet::lease, is_excused);
+            for (const auto& breach : judgement.breaches)
             {
-                add("one fencing number of two hosts", *highest);
+                findings.violations.push_back(
+                    fmt::format("orders: {} received {}", soak_fleet::server_name(n),
+                                describe(breach, orders, dating, history.begun)));
             }
-            if (last && last->holder != order.holder && order.at - last->at < soak_fleet::lease)
+            if (dating == order_dating::arrival)
             {
-                add("orders of two hosts within the lease", *last);
+                findings.judged += judgement.judged;
+                findings.excused += judgement.excused;
             }
-            highest = !highest || order.fence > highest->fence ? &order : highest;
-            last = &order;
         }
+        findings.late += static_cast<std::size_t>(
+            std::count_if(orders.begin(), orders.end(), [](const auto& it) { return it.is_late; }));
     }
     return findings;
 }
--- a/tests/soak/order_checks.hpp
+++ b/tests/soak/order_checks.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
 /// \file
-/// Checks the platform's rule on orders to model engines from what the engines received, whatever
-/// they responded: fencing numbers never decrease, and engines have one owner at a time.
+/// Checks the platform's rule on orders to model engines from what the engines received, by the
+/// time of arrival and by the time at which they were carried out.
 
 #include <chrono>
 #include <map>
@@ -30,6 +30,8 @@
     std::vector<std::string> violations;
     std::size_t judged = 0;
     std::size_t excused = 0;
+    /// Orders that got no response and were carried out later.
+    std::size_t late = 0;
 };
 
 order_findings check_orders(const soak_fleet& fleet, const order_disturbances& history);
--- a/tests/stand_ins/prepared_platform.cpp
+++ b/tests/stand_ins/prepared_platform.cpp
@@ -428,9 +428,15 @@
     std::thread thread;
 };
 
-backend_stand_in::backend_stand_in(std::string id, std::set<std::string> models)
-    : id_(std::move(id)), models_(std::move(models)), server_(std::make_unique<server>())
+backend_stand_in::backend_stand_in(std::string id, const std::set<std::string>& models)
+    : id_(std::move(id)),
+      order_random_(static_cast<std::mt19937::result_type>(std::hash<std::string>()(id_))),
+      server_(std::make_unique<server>())
 {
+    for (const auto& model : models)
+    {
+        models_[model] = {};
+    }
     auto& http = server_->http;
     http.set_keep_alive_timeout(keep_alive_s);
     http.new_task_queue = [] { return new httplib::ThreadPool(backend_threads); };
@@ -480,67 +486,15 @@
              [this](const httplib::Request&, httplib::Response& response)
              {
                  std::lock_guard lock(mutex_);
-                 json loaded_models = json::array();
-                 for (const auto& model : models_)
-                 {
-                     loaded_models.push_back(
-                         {{"name", model}, {"version", 1}, {"adapters", json::array()}});
-                 }
                  response.set_content(json{{"stage", "hybrid"},
-                                           {"models", loaded_models},
+                                           {"models", held_models()},
                                            {"busy", false},
                                            {"sequence", orders_.load()}}
                                           .dump(),
                                       "application/json");
              });
-    http.Post(
-        "/api/order",
-        [this](const httplib::Request& call, httplib::Response& response)
-        {
-            auto order = json::parse(call.body);
-            std::lock_guard lock(mutex_);
-            received_orders_.push_back({.at = request_arrived_at,
-                                        .holder = order.value("holder", ""),
-                                        .fence = order.value("fencing_token", std::int64_t{0}),
-                                        .status = 0});
-            auto& received = received_orders_.back();
-            if (refuses_orders)
-            {
-                response.status = 503;
-                return;
-            }
-            bool expected = order.at("expected").get<int>() == orders_.load();
-            if (!expected || !order.contains("fencing_token") || !order.contains("holder"))
-            {
-                response.status = expected ? 400 : 409;
-                received.status = response.status;
-                return;
-            }
-            auto now = request_arrived_at;
-            auto fence = order.at("fencing_token").get<std::int64_t>();
-            auto holder = order.at("holder").get<std::string>();
-            if (fence < fence_)
-            {
-                order_errors_.push_back("fencing number decreased, sent by " + holder);
-            }
-            if (!holder_.empty() && holder != holder_ && now - ordered_at_ < lease_duration)
-            {
-                order_errors_.push_back(holder + " sent an order within the lease of " + holder_);
-            }
-            fence_ = std::max(fence, fence_);
-            holder_ = holder;
-            ordered_at_ = now;
-            auto model = order.at("model").get<std::string>();
-            order.at("operation") == "load" ? (void)models_.insert(model)
-                                            : (void)models_.erase(model);
-            if (models_.size() > max_models)
-            {
-                order_errors_.push_back(model + " was loaded beyond the maximum number of models");
-            }
-            ++orders_;
-            response.status = 202;
-            received.status = response.status;
-        });
+    http.Post("/api/order", [this](const httplib::Request& call, httplib::Response& response)
+              { response.status = receive_order(call.body, request_arrived_at); });
     auto serve = [this](const httplib::Request& call, httplib::Response& response)
     {
         std::string model = call.get_header_value("X-Model");
@@ -549,7 +503,7 @@
         {
             std::lock_guard lock(mutex_);
             if (call.get_header_value("X-Expect-Instance") != id_ ||
-                (!model.empty() && !models_.contains(model)))
+                (!model.empty() && !holds(model)))
             {
                 response.status = 421;
                 return;
@@ -658,6 +612,84 @@
     server_->thread = std::thread([&http] { http.listen_after_bind(); });
 }
 
+int backend_stand_in::receive_order(const std::string& body,
+                                    std::chrono::steady_clock::time_point arrived_at)
+{
+    auto order = json::parse(body);
+    std::unique_lock lock(mutex_);
+    const auto delay = draw_order_delay();
+    const std::size_t n = received_orders_.size();
+    received_orders_.push_back({.at = arrived_at,
+                                .holder = order.value("holder", ""),
+                                .fence = order.value("fencing_token", std::int64_t{0}),
+                                .is_late = delay.count() > 0});
+    stopping_.wait_for(lock, delay, [this] { return stopped_; });
+    if (stopped_)
+    {
+        return 503;
+    }
+    auto& received = received_orders_[n];
+    received.carried_out_at = std::max(arrived_at, std::chrono::steady_clock::now());
+    received.status = refuses_orders ? 503 : carry_out(body);
+    return received.status;
+}
+
+std::chrono::milliseconds backend_stand_in::draw_order_delay()
+{
+    auto draw = [&](int min, int max)
+    { return std::uniform_int_distribution<int>(min, std::max(min, max))(order_random_); };
+    bool late = draw(0, 99) < late_order_percent;
+    return std::chrono::milliseconds(late ? draw(min_order_delay_ms, max_order_delay_ms) : 0);
+}
+
+int backend_stand_in::carry_out(const std::string& body)
+{
+    auto order = json::parse(body);
+    if (order.at("expected").get<int>() != orders_.load())
+    {
+        return 409;
+    }
+    if (!order.contains("fencing_token") || !order.contains("holder"))
+    {
+        return 400;
+    }
+    auto model = order.at("model").get<std::string>();
+    auto adapter = order.value("adapter", "");
+    bool loads = order.at("operation") == "load";
+    if (adapter.empty())
+    {
+        loads ? (void)models_.try_emplace(model) : (void)models_.erase(model);
+    }
+    else if (models_.contains(model))
+    {
+        loads ? (void)models_[model].insert(adapter) : (void)models_[model].erase(adapter);
+    }
+    if (models_.size() > max_models)
+    {
+        order_errors_.push_back(model + " was loaded beyond the maximum number of models");
+    }
+    ++orders_;
+    return 202;
+}
+
+bool backend_stand_in::holds(const std::string& target) const
+{
+    auto slash = target.find('/');
+    auto it = models_.find(target.substr(0, slash));
+    return it != models_.end() &&
+           (slash == std::string::npos || it->second.contains(target.substr(slash + 1)));
+}
+
+nlohmann::json backend_stand_in::held_models() const
+{
+    json held = json::array();
+    for (const auto& [model, adapters] : models_)
+    {
+        held.push_back({{"name", model}, {"version", 1}, {"adapters", adapters}});
+    }
+    return held;
+}
+
 bool backend_stand_in::refuses(const httplib::Request& call)
 {
     bool resumes = call.has_header("Last-Event-Id");
@@ -681,6 +713,11 @@
 
 backend_stand_in::~backend_stand_in()
 {
+    {
+        std::lock_guard lock(mutex_);
+        stopped_ = true;
+    }
+    stopping_.notify_all();
     server_->http.stop();
     server_->thread.join();
 }
@@ -688,11 +725,6 @@
 std::string backend_stand_in::registry_entry(const std::string& service, bool draining) const
 {
     std::lock_guard lock(mutex_);
-    json loaded_models = json::array();
-    for (const auto& model : models_)
-    {
-        loaded_models.push_back({{"name", model}, {"version", 1}, {"adapters", json::array()}});
-    }
     return json{{"service", service},
                 {"address", announced_address.empty()
                                 ? std::string(loopback) + ":" + std::to_string(port_)
@@ -703,7 +735,7 @@
                 {"state", draining ? "draining" : "ready"},
                 {"cold_remaining_ms", 0},
                 {"born", start_time_ms.load()},
-                {"models", loaded_models},
+                {"models", held_models()},
                 {"sequence", draining ? 2 : 1},
                 {"at_hand", {{"in_memory", {"rare"}}, {"on_disk", {"rare"}}}}}
         .dump();
--- a/tests/stand_ins/prepared_platform.hpp
+++ b/tests/stand_ins/prepared_platform.hpp
@@ -12,11 +12,15 @@
 #include <memory>
 #include <mutex>
 #include <optional>
+#include <random>
 #include <set>
 #include <string>
 #include <vector>
 
+#include <nlohmann/json_fwd.hpp>
+
 #include "stand_ins/odd_responses.hpp"
+#include "tools/order_rule.hpp"
 
 namespace banyanshunt
 {
@@ -140,15 +144,6 @@
     std::chrono::steady_clock::time_point at = {};
 };
 
-/// An order that a model engine received, whatever it responded.
-struct received_order
-{
-    std::chrono::steady_clock::time_point at;
-    std::string holder;
-    std::int64_t fence = 0;
-    int status = 0;
-};
-
 /// A response of a backend server, and what it stated of the server.
 struct given_response
 {
@@ -182,7 +177,7 @@
         own_error,
     };
 
-    backend_stand_in(std::string id, std::set<std::string> models);
+    backend_stand_in(std::string id, const std::set<std::string>& models);
     ~backend_stand_in();
 
     /// Its entry in the registry.
@@ -192,15 +187,13 @@
     std::vector<std::chrono::steady_clock::time_point> arrivals() const;
     std::vector<given_response> responses() const;
     int orders() const { return orders_; }
-    /// The errors in the orders received: fencing numbers that decreased, holders that changed
-    /// within `lease_duration`, more models than fit.
+    /// The errors in the orders that it carried out: more models than fit.
     std::vector<std::string> order_errors() const;
     /// All orders, in the order of their arrival.
     std::vector<received_order> received_orders() const;
     int port() const { return port_; }
     /// The address to announce if callers reach the server through a proxy.
     std::string announced_address;
-    std::chrono::milliseconds lease_duration{0};
     std::size_t max_models = 100;
     std::atomic<fault> active_fault = fault::none;
     /// The requests a second that all its responses state as its limit; negative for none.
@@ -236,6 +229,11 @@
     std::atomic<odd_resumption> resumption = odd_resumption::sound;
     /// Refuses orders with status 503.
     std::atomic<bool> refuses_orders = false;
+    /// The share of the orders, in percent, that get no response and are carried out later, if the
+    /// count of orders that they expect holds then; and how much later, in milliseconds.
+    std::atomic<int> late_order_percent = 0;
+    std::atomic<int> min_order_delay_ms = 2000;
+    std::atomic<int> max_order_delay_ms = 12000;
     /// Start time that its entry states; a later one is a restart under the same id.
     std::atomic<int> start_time_ms = 1;
     /// How many responses stated that it leaves.
@@ -248,19 +246,28 @@
     bool refuses(const httplib::Request& call);
     /// Waits until the server is no longer silent.
     void await_silence_end() const;
+    /// Returns the response to an order, after its delay if it is drawn to be late.
+    int receive_order(const std::string& body, std::chrono::steady_clock::time_point arrived_at);
+    int carry_out(const std::string& body);
+    /// Whether it can serve requests for a model, or for an adapter behind a slash.
+    bool holds(const std::string& target) const;
+    /// The models and adapters as its reports and its entry state them.
+    nlohmann::json held_models() const;
+    std::chrono::milliseconds draw_order_delay();
 
     std::string id_;
     mutable std::mutex mutex_;
-    std::set<std::string> models_;
+    /// The models that it holds, each with its adapters.
+    std::map<std::string, std::set<std::string>> models_;
     std::vector<served_request> served_;
     std::vector<std::chrono::steady_clock::time_point> arrivals_;
     std::vector<given_response> responses_;
     std::vector<std::string> order_errors_;
     std::vector<received_order> received_orders_;
-    std::int64_t fence_ = 0;
-    std::string holder_;
-    std::chrono::steady_clock::time_point ordered_at_;
     std::atomic<int> orders_ = 0;
+    std::mt19937 order_random_;
+    std::condition_variable stopping_;
+    bool stopped_ = false;
     int refusable_ = 0;
     std::set<std::string> resumed_;
     std::atomic<int> leaving_responses_ = 0;
