Soak: orders go on through the faults, a third without a response, and a run that judges too few fails

Causes: only two of six hosts were members of the group, as all hosts were in one failure domain; engines had nothing to load but models; trouble of the store lasted until the next draw. Now three domains, eight engines, callers for more adapters than fit, and an untroubled store after each series of faults.

--- a/tests/soak/order_faults.cpp
+++ b/tests/soak/order_faults.cpp
@@ -251,13 +251,16 @@
     }
 }
 
+void order_faults::restore_store()
+{
+    std::lock_guard lock(mutex_);
+    store_trouble_ = {};
+    call_freeze_.reset();
+}
+
 void order_faults::heal()
 {
-    {
-        std::lock_guard lock(mutex_);
-        store_trouble_ = {};
-        call_freeze_.reset();
-    }
+    restore_store();
     for (auto& it : fleet_.backend_proxies)
     {
         it->freeze_at("", 0ms);
--- a/tests/soak/order_faults.hpp
+++ b/tests/soak/order_faults.hpp
@@ -29,6 +29,8 @@
     ~order_faults();
 
     void inject();
+    /// Ends the trouble of the store.
+    void restore_store();
     /// Ends all faults and resumes every host.
     void heal();
     /// What excuses orders that engines received.
--- a/tests/soak/shunt_soak.cpp
+++ b/tests/soak/shunt_soak.cpp
@@ -13,6 +13,7 @@
 #include <fmt/format.h>
 #include <gflags/gflags.h>
 
+#include "soak/model_demand.hpp"
 #include "soak/odd_writers.hpp"
 #include "soak/order_faults.hpp"
 #include "soak/prompt_crashes.hpp"
@@ -31,6 +32,7 @@
 DEFINE_string(faults, "all",
               "orders: only faults around the assignment of engines to hosts, and only the checks "
               "of orders and of hosts that end unasked");
+DEFINE_string(host_flags, "", "further command-line flags of the hosts, separated by blanks");
 DEFINE_string(folder, "", "folder for settings and logs; each seed gets a new folder in it");
 
 namespace
@@ -60,6 +62,29 @@
 constexpr int max_configurations = 4;
 constexpr int max_configuration_pause_ms = 120;
 
+/// In runs with only faults around the assignment of engines: enough failure domains that most
+/// hosts own engines, and more adapters than fit.
+constexpr int order_domains = 3;
+constexpr int order_engines = 8;
+constexpr int demanded_adapters = 12;
+/// The share of the orders that get no response, in percent, and how much later they are carried
+/// out: 2 to 12 s, as the platform documentation's list of troubles states, for a lease that is a
+/// third of the platform's.
+constexpr int late_order_percent = 33;
+constexpr int min_order_delay_ms = 667;
+constexpr int max_order_delay_ms = 4000;
+/// The most faults in a series, the longest pause between two of them, and how long hosts have for
+/// their takeovers after the series.
+constexpr int max_faults_in_series = 4;
+constexpr int max_fault_pause_ms = 700;
+constexpr int min_takeover_time_ms = 2500;
+constexpr int max_takeover_time_ms = 9000;
+/// Orders in a second, on average, below which a run has shown nothing.
+constexpr double min_orders_per_second = 4;
+
+/// The most broken promises of a run that are printed.
+constexpr std::size_t max_printed = 100;
+
 /// One soak run: injects faults or planned work, restarts ended hosts, and checks the outcome.
 class soak_run
 {
@@ -67,12 +92,16 @@
     explicit soak_run(std::uint64_t seed, const std::string& folder)
         : random_(seed), notice_random_(seed), planned_random_(seed),
           fleet_({.program = FLAGS_program,
+                  .program_flags = FLAGS_host_flags,
                   .directory = folder,
                   .address_block = FLAGS_block,
                   .hosts = FLAGS_hosts,
                   .grace_s = planned_only(seed) ? planned_grace_s : grace_s,
                   .time_budget = long_time_budget(seed),
-                  .engine_mb = FLAGS_faults == "orders" ? 50 : 100})
+                  .engine_mb = only_orders() ? 50 : 100,
+                  .engines = only_orders() ? order_engines : 3,
+                  .adapters = only_orders() ? demanded_adapters : 0,
+                  .domains = only_orders() ? order_domains : 1})
     {
         for (auto kind : odd_kinds(seed))
         {
@@ -165,37 +194,58 @@
             ips.push_back(it.ip);
         }
         soak_callers callers(ips, soak_fleet::caller_port, seed, long_time_budget(seed));
+        model_demand demand(ips, soak_fleet::caller_port, demanded_adapters);
+        for (std::size_t n = soak_fleet::first_engine; n < fleet_.backends.size(); ++n)
+        {
+            fleet_.backends[n]->min_order_delay_ms = min_order_delay_ms;
+            fleet_.backends[n]->max_order_delay_ms = max_order_delay_ms;
+            fleet_.backends[n]->late_order_percent = late_order_percent;
+        }
         auto until = std::chrono::steady_clock::now() + std::chrono::seconds(FLAGS_fault_seconds);
         while (std::chrono::steady_clock::now() < until)
         {
-            // Faults that overlap, then time for the orders of the new owners.
-            for (int n = draw(4); n >= 0; --n)
+            for (int n = draw(max_faults_in_series); n >= 0; --n)
             {
                 restart_ended();
                 faults.inject();
-                std::this_thread::sleep_for(std::chrono::milliseconds(draw(700)));
+                std::this_thread::sleep_for(std::chrono::milliseconds(draw(max_fault_pause_ms)));
             }
-            for (int n = draw(8); n >= 0; --n)
+            faults.restore_store();
+            auto next =
+                std::chrono::steady_clock::now() +
+                std::chrono::milliseconds(min_takeover_time_ms +
+                                          draw(max_takeover_time_ms - min_takeover_time_ms));
+            while (std::chrono::steady_clock::now() < next)
             {
                 restart_ended();
-                std::this_thread::sleep_for(500ms);
+                std::this_thread::sleep_for(100ms);
             }
         }
         faults.heal();
-        std::this_thread::sleep_for(observation_length);
+        // Until orders that were given last are carried out.
+        std::this_thread::sleep_for(observation_length +
+                                    std::chrono::milliseconds(max_order_delay_ms));
         callers.stop();
         restart_ended();
         calls_ = callers.records().size();
         auto orders = faults.history();
         orders.begun = history_.begun;
         auto findings = check_orders(fleet_, orders);
-        std::cout << fmt::format("  {} orders judged, {} excused\n", findings.judged,
-                                 findings.excused);
+        std::cout << fmt::format("  {} orders judged, {} excused, {} without a response\n",
+                                 findings.judged, findings.excused, findings.late);
+        auto least = static_cast<std::size_t>(min_orders_per_second * FLAGS_fault_seconds);
+        if (findings.judged < least)
+        {
+            findings.violations.push_back(
+                fmt::format("orders: {} were judged, which shows nothing; at least {} are expected",
+                            findings.judged, least));
+        }
         std::ranges::copy(fleet_.unasked_ends, std::back_inserter(findings.violations));
         return findings.violations;
     }
 
     std::size_t calls() const { return calls_; }
+    static bool only_orders() { return FLAGS_faults == "orders"; }
 
 private:
     static bool planned_only(std::uint64_t seed) { return seed % planned_interval == 0; }
@@ -555,8 +605,8 @@
         std::filesystem::create_directories(folder);
         std::cout << "seed " << seed << ", logs in " << folder << std::endl;
         soak_run run(seed, folder);
-        auto violations = FLAGS_faults == "orders" ? run.run_order_faults(seed) : run.run(seed);
-        for (std::size_t n = 0; n < std::min<std::size_t>(violations.size(), 10); ++n)
+        auto violations = soak_run::only_orders() ? run.run_order_faults(seed) : run.run(seed);
+        for (std::size_t n = 0; n < std::min<std::size_t>(violations.size(), max_printed); ++n)
         {
             std::cout << "  broken: " << violations[n] << "\n";
         }
--- a/tests/soak/soak_fleet.cpp
+++ b/tests/soak/soak_fleet.cpp
@@ -7,6 +7,7 @@
 #include <unistd.h>
 
 #include <fstream>
+#include <sstream>
 
 #include <fmt/format.h>
 #include <httplib.h>
@@ -55,17 +56,16 @@
 
 soak_fleet::soak_fleet(fleet_options options) : options_(std::move(options))
 {
-    for (int n = 0; n < 5; ++n)
+    for (std::size_t index = 0; index < first_engine + static_cast<std::size_t>(options_.engines);
+         ++index)
     {
-        auto index = static_cast<std::size_t>(n);
         auto loaded_models =
             is_engine(index) ? std::set<std::string>{"busy"} : std::set<std::string>{};
         backends.push_back(std::make_unique<backend_stand_in>(server_name(index), loaded_models));
-        backends.back()->lease_duration = lease;
         backends.back()->max_models = max_models;
         backends.back()->event_pause_ms = event_pause_ms;
         backends.back()->run_ms = plain_run_ms;
-        auto ip = fmt::format("127.{}.1.{}", options_.address_block, n + 1);
+        auto ip = fmt::format("127.{}.1.{}", options_.address_block, index + 1);
         backend_proxies.push_back(std::make_unique<loopback_proxy>(ip, backends.back()->port()));
         backends.back()->announced_address = backend_proxies.back()->address();
     }
@@ -79,6 +79,7 @@
         host it;
         it.name = "h" + std::to_string(n);
         it.ip = fmt::format("127.{}.0.{}", options_.address_block, n + 1);
+        it.domain = fmt::format("north{}", n % options_.domains);
         it.store_proxy = std::make_unique<loopback_proxy>(
             fmt::format("127.{}.2.{}", options_.address_block, n + 1), store.port());
         start(it);
@@ -129,7 +130,6 @@
 void soak_fleet::add_late_server()
 {
     late_server = std::make_unique<backend_stand_in>(late_name, std::set<std::string>{});
-    late_server->lease_duration = lease;
     late_server->run_ms = plain_run_ms;
     late_proxy = std::make_unique<loopback_proxy>(
         fmt::format("127.{}.1.{}", options_.address_block, backends.size() + 1),
@@ -170,6 +170,7 @@
                           {"warm_s", 0.05},
                           {"disk_s", 0.05}});
     }
+    models.front()["adapters"] = options_.adapters;
     json fragile = {models.front()};
     fragile[0]["name"] = fragile_model;
     auto workspace = [](const char* name, const std::vector<std::string>& keys, int rate, int burst)
@@ -213,12 +214,12 @@
 {
     std::string settings = fmt::format("{}/{}.conf", options_.directory, it.name);
     std::ofstream(settings) << fmt::format(
-        "node_name={}\nip={}\nzone=north\nlisten.front={}:{}\nlisten.ready={}:{}\n"
+        "node_name={}\nip={}\nzone={}\nlisten.front={}:{}\nlisten.ready={}:{}\n"
         "internal_ports=17600,17615\nbounds.lease_ms={}\nbounds.grace_s={}\nbounds.drain_ms=2000\n"
         "bounds.revoke_ms=5000\nbounds.revoke_fail_closed=true\nplatform.address={}\n"
         "platform.parts=6\nplatform.ttl_min_ms=1000\n",
-        it.name, it.ip, it.ip, caller_port, it.ip, ready_port, lease.count(), options_.grace_s,
-        it.store_proxy->address());
+        it.name, it.ip, it.domain, it.ip, caller_port, it.ip, ready_port, lease.count(),
+        options_.grace_s, it.store_proxy->address());
     std::string log = fmt::format("{}/{}.log", options_.directory, it.name);
     std::lock_guard lock(process_mutex_);
     it.signals.clear();
@@ -226,10 +227,20 @@
     posix_spawn_file_actions_init(&files);
     posix_spawn_file_actions_addopen(&files, STDOUT_FILENO, log.c_str(),
                                      O_WRONLY | O_CREAT | O_APPEND, 0644);
-    std::string flag = "--settings=" + settings;
-    char* arguments[] = {options_.program.data(), flag.data(), nullptr};
-    int failed =
-        ::posix_spawn(&it.pid, options_.program.c_str(), &files, nullptr, arguments, environ);
+    std::vector<std::string> words = {options_.program, "--settings=" + settings};
+    std::istringstream flags(options_.program_flags);
+    for (std::string flag; flags >> flag;)
+    {
+        words.push_back(flag);
+    }
+    std::vector<char*> arguments;
+    for (auto& word : words)
+    {
+        arguments.push_back(word.data());
+    }
+    arguments.push_back(nullptr);
+    int failed = ::posix_spawn(&it.pid, options_.program.c_str(), &files, nullptr, arguments.data(),
+                               environ);
     posix_spawn_file_actions_destroy(&files);
     if (failed != 0)
     {
--- a/tests/soak/soak_fleet.hpp
+++ b/tests/soak/soak_fleet.hpp
@@ -25,6 +25,8 @@
 {
     /// The path of the entry host's program.
     std::string program;
+    /// Further command-line flags of the hosts, separated by blanks.
+    std::string program_flags;
     /// The directory for the settings and logs of the hosts.
     std::string directory;
     /// Addresses are 127.`address_block`.0.x, so that runs can execute in parallel; 1 to 254.
@@ -36,6 +38,11 @@
     std::chrono::milliseconds time_budget{4000};
     /// The memory of an engine; each model takes 40.
     int engine_mb = 100;
+    int engines = 3;
+    /// The adapters of the model that every engine holds; four fit an engine.
+    int adapters = 0;
+    /// The failure domains of the hosts.
+    int domains = 1;
 };
 
 class soak_fleet
@@ -57,6 +64,7 @@
     {
         std::string name;
         std::string ip;
+        std::string domain;
         pid_t pid = 0;
         bool paused = false;
         /// The signals that its process got.
