--- a/src/serve/order_controller.cpp
+++ b/src/serve/order_controller.cpp
@@ -491,6 +491,8 @@
                          .wake_timer = asio::steady_timer(context_.executor),
                          .last_published = {}});
         owned_engines_.emplace(server, held);
+        context_.log.write("engine_owned", "server={} partition={} fence={}", server.str(),
+                           partition, partitions_.at(partition).fence.count());
         spawn_loop(context_, "engine",
                    [this, server = server, held] { return run_server(server, held); });
     }
@@ -777,6 +779,7 @@
             if (may_send)
             {
                 outcome.membership_left = elapsed_ms(now, membership_until_);
+                outcome.written = elapsed_ms(began_at, now);
             }
             return may_send ? std::optional(outgoing_request{.head = text}) : std::nullopt;
         },
@@ -828,11 +831,11 @@
     context_.log.write(
         "order",
         "server={} what={} model={}{}{} expected={} fence={} sent={} status={} took_ms={} "
-        "membership_ms={} used={} pending={}",
+        "written_ms={} membership_ms={} used={} pending={}",
         server.str(), loads ? "load" : "unload", order.model.str(),
         order.adapter.empty() ? "" : "/", order.adapter.str(), order.expected_orders, fence.count(),
-        to_text(outcome.state), status, outcome.took.count(), outcome.membership_left.count(), used,
-        pending);
+        to_text(outcome.state), status, outcome.took.count(), outcome.written.count(),
+        outcome.membership_left.count(), used, pending);
     context_.stats.increment("banyanshunt_engine_orders_total", {{"sent", to_text(outcome.state)}});
     if (!loads && order.adapter.empty() && response == order_response::accepted)
     {
--- a/src/serve/order_controller.hpp
+++ b/src/serve/order_controller.hpp
@@ -115,6 +115,9 @@
         int status = 0;
         /// How much of the membership was left when the order was written; negative if it was not.
         milliseconds membership_left{-1};
+        /// Time from the begin of the exchange to the check and write; negative if it was not
+        /// written.
+        milliseconds written{-1};
         milliseconds took{0};
     };
     task<order_outcome> exchange_order(server_id server, std::shared_ptr<owned_engine> held,
