--- a/tests/soak/order_checks.cpp
+++ b/tests/soak/order_checks.cpp
@@ -1,6 +1,7 @@
 #include "soak/order_checks.hpp"
 
 #include <algorithm>
+#include <fstream>
 
 #include <fmt/format.h>
 
@@ -47,6 +48,8 @@
                 findings.violations.push_back(
                     fmt::format("orders: {} received {}", soak_fleet::server_name(n),
                                 describe(breach, orders, dating, history.begun)));
+                findings.breaches.push_back(
+                    {.server = soak_fleet::server_name(n), .dating = dating, .breach = breach});
             }
             if (dating == order_dating::arrival)
             {
@@ -54,10 +57,41 @@
                 findings.excused += judgement.excused;
             }
         }
+        for (const auto& it : orders)
+        {
+            findings.record.push_back(
+                received_order_line(soak_fleet::server_name(n), it, history.unix_offset));
+        }
         findings.late += static_cast<std::size_t>(
             std::count_if(orders.begin(), orders.end(), [](const auto& it) { return it.is_late; }));
     }
     return findings;
 }
 
+std::vector<std::string> explain_orders(const soak_fleet& fleet, const order_findings& findings,
+                                        const order_disturbances& history,
+                                        const std::string& folder, std::size_t most)
+{
+    std::ofstream record(folder + "/engines.log");
+    for (const auto& it : findings.record)
+    {
+        record << it << "\n";
+    }
+    order_logs logs;
+    logs.add_record(findings.record);
+    for (const auto& host : fleet.hosts)
+    {
+        std::ifstream in(fmt::format("{}/{}.log", folder, host.name));
+        std::vector<std::string> lines;
+        for (std::string line; std::getline(in, line);)
+        {
+            lines.push_back(line);
+        }
+        logs.add_host_log(lines, host.name);
+    }
+    auto begun = std::chrono::floor<std::chrono::milliseconds>(history.begun.time_since_epoch() +
+                                                               history.unix_offset);
+    return explain_breaches(logs, findings.breaches, most, unix_instant(begun));
+}
+
 } // namespace banyanshunt::soak
--- a/tests/soak/order_checks.hpp
+++ b/tests/soak/order_checks.hpp
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "soak/soak_fleet.hpp"
+#include "tools/engine_timeline.hpp"
 
 namespace banyanshunt::soak
 {
@@ -18,6 +19,8 @@
 struct order_disturbances
 {
     std::chrono::steady_clock::time_point begun;
+    /// The time of day when the steady clock was at zero.
+    std::chrono::nanoseconds unix_offset{0};
     /// When each host was resumed, by its name.
     std::map<std::string, std::vector<std::chrono::steady_clock::time_point>> resumed;
     /// When the link to each backend server went on after it had held data up, by its index.
@@ -32,8 +35,17 @@
     std::size_t excused = 0;
     /// Orders that got no response and were carried out later.
     std::size_t late = 0;
+    /// What the engines received, as lines of a log, and the pairs of them that broke the rule.
+    std::vector<std::string> record;
+    std::vector<engine_breach> breaches;
 };
 
 order_findings check_orders(const soak_fleet& fleet, const order_disturbances& history);
 
+/// Writes the engines' record beside the hosts' logs in `folder`, and returns the timelines of the
+/// first `most` pairs.
+std::vector<std::string> explain_orders(const soak_fleet& fleet, const order_findings& findings,
+                                        const order_disturbances& history,
+                                        const std::string& folder, std::size_t most);
+
 } // namespace banyanshunt::soak
--- a/tests/soak/shunt_soak.cpp
+++ b/tests/soak/shunt_soak.cpp
@@ -84,13 +84,15 @@
 
 /// The most broken promises of a run that are printed.
 constexpr std::size_t max_printed = 100;
+/// The most pairs of orders whose timeline is printed.
+constexpr std::size_t max_timelines = 3;
 
 /// One soak run: injects faults or planned work, restarts ended hosts, and checks the outcome.
 class soak_run
 {
 public:
     explicit soak_run(std::uint64_t seed, const std::string& folder)
-        : random_(seed), notice_random_(seed), planned_random_(seed),
+        : folder_(folder), random_(seed), notice_random_(seed), planned_random_(seed),
           fleet_({.program = FLAGS_program,
                   .program_flags = FLAGS_host_flags,
                   .directory = folder,
@@ -110,6 +112,8 @@
         }
         history_.planned_only = planned_only(seed);
         history_.begun = std::chrono::steady_clock::now();
+        unix_offset_ =
+            std::chrono::system_clock::now().time_since_epoch() - history_.begun.time_since_epoch();
     }
 
     std::vector<std::string> run(std::uint64_t seed)
@@ -230,9 +234,15 @@
         calls_ = callers.records().size();
         auto orders = faults.history();
         orders.begun = history_.begun;
+        orders.unix_offset = unix_offset_;
         auto findings = check_orders(fleet_, orders);
         std::cout << fmt::format("  {} orders judged, {} excused, {} without a response\n",
                                  findings.judged, findings.excused, findings.late);
+        for (const auto& it : explain_orders(fleet_, findings, orders, folder_, max_timelines))
+        {
+            // Indented further than the lines of violations.
+            std::cout << "    " << it << "\n";
+        }
         auto least = static_cast<std::size_t>(min_orders_per_second * FLAGS_fault_seconds);
         if (findings.judged < least)
         {
@@ -574,6 +584,7 @@
         state_limit(0, limit_per_second);
     }
 
+    const std::string folder_;
     std::mt19937_64 random_;
     /// Of their own, so that a seed gives the same sequence of the other faults as before.
     std::mt19937_64 notice_random_;
@@ -581,6 +592,8 @@
     std::vector<std::string> keys_ = {"key-1", "key-2"};
     soak_fleet fleet_;
     soak_history history_;
+    /// The time of day when the steady clock was at zero.
+    std::chrono::nanoseconds unix_offset_{0};
     std::vector<odd_writer> odd_writers_;
     std::size_t calls_ = 0;
 };
