--- a/src/coordination/order_history.cpp
+++ b/src/coordination/order_history.cpp
@@ -15,9 +15,12 @@
         bool restarted = !is_new && known.engine.start_time_ms != engine.start_time_ms;
         if (restarted)
         {
-            instant last_order_at = known.last_order_at;
-            known = {};
-            known.last_order_at = last_order_at;
+            // An order that is held up on its way outlasts the process that it was sent to.
+            engine_record next;
+            next.last_order_at = known.last_order_at;
+            next.open_since = known.open_since;
+            next.open_fence = known.open_fence;
+            known = next;
         }
         bool is_old = engine.process_started_at + options_.clock_difference < now;
         if (is_new ? !is_first && is_old : !restarted && !known.registered)
--- a/tests/correctness/order_history_test.cpp
+++ b/tests/correctness/order_history_test.cpp
@@ -104,11 +104,14 @@
             history.observe({}, given_up + 4s);
             CHECK_FALSE(settled(released, given_up + 4s));
         }
-        SECTION("its process ends: nobody reads the order")
+        SECTION("its process ends: the next one may read an order that a link held up")
         {
             history.observe({{engine, {.start_time_ms = 8, .process_started_at = given_up + 1s}}},
                             given_up + 2s);
-            CHECK(settled(released, given_up + 2s));
+            CHECK_FALSE(settled(released, given_up + 2s));
+            history.record_response(engine, released, given_up + 2s, given_up + 2s);
+            CHECK_FALSE(settled(released, given_up + 3s));
+            CHECK(settled(released, given_up + open_order_time));
         }
         SECTION("the host loses the engine and claims it again, with a higher number")
         {
