Orders: a partition that moved away and back is confirmed before its owner orders on (ONE)

Cause: a partition that moves to another host and back between two calls of its owner to the group stays with the owner under its old number, behind the other host's claim. Nothing told the owner, as it appends nothing more.

Change: when the group's generation has changed, a host reads what follows its records before it orders on, and gives the partition up if another host has claimed it. A host that gave no order states the full wait, whatever is left of its own, and the next owner asks the engines itself.

--- a/src/coordination/assignment_record.cpp
+++ b/src/coordination/assignment_record.cpp
@@ -141,7 +141,8 @@
     bool resumes = completed_by(claim.own, claim.before);
     bool released = is_release(claim.before);
     auto delay = takeover_delay(first, claim.before, claim.own, takeover_expiry(terms));
-    // A released assignment's wait counts from the release, which precedes the claim.
+    // A released assignment's wait counts from the release, which precedes the claim. That of a
+    // host which gave no order says nothing of the owner before.
     takeover taken{.claimed_at = claim.sent_at,
                    .may_order_at = (released ? claim.read_at : claim.sent_at) + delay,
                    .last_order_at = {}};
@@ -152,7 +153,7 @@
         taken.ask_engines_after = claim.sent_at;
         taken.resumed_fence = claim.before->fence;
     }
-    else if (!first && !released)
+    else if (!first && (!released || claim.before->unused_since))
     {
         taken.ask_engines_after = claim.sent_at + terms.membership + terms.transit;
         taken.from_other_host = true;
--- a/src/coordination/assignment_record.hpp
+++ b/src/coordination/assignment_record.hpp
@@ -37,7 +37,8 @@
     std::optional<milliseconds> released_for = {};
     /// For a late release: the last record of the releasing host before another host's claim.
     std::optional<log_offset> released_after = {};
-    /// For a release by a host that gave no order: the last record of the owner before it.
+    /// For a release by a host that gave no order, while those of the owner before it may still be
+    /// under way: the last record of that owner.
     std::optional<log_offset> unused_since = {};
 
     friend bool operator==(const assignment_record&, const assignment_record&) = default;
--- a/src/serve/order_controller.cpp
+++ b/src/serve/order_controller.cpp
@@ -302,6 +302,7 @@
     }
     // After a gap in which the membership may have lapsed, earlier claims are void.
     bool lapsed = context_.now() >= membership_until_;
+    bool changed = assignment->generation != generation_;
     generation_ = assignment->generation;
     std::set<int> listed(assignment->partitions.begin(), assignment->partitions.end());
     std::map<int, held_partition> moved;
@@ -309,6 +310,7 @@
     {
         if (!lapsed && listed.contains(it->first))
         {
+            it->second.confirmed = it->second.confirmed && !changed;
             ++it;
             continue;
         }
@@ -323,6 +325,7 @@
     membership_until_ = sent_at + terms().membership;
     std::erase_if(listed_since_, [&](const auto& it)
                   { return !listed.contains(it.first) || partitions_.contains(it.first); });
+    co_await confirm_claims();
     for (int partition : listed)
     {
         if (!partitions_.contains(partition) && is_settled(partition, context_.now()))
@@ -376,7 +379,7 @@
 {
     assignment_record record{.holder = context_.settings.name,
                              .released_for = wait,
-                             .unused_since = held.used ? std::nullopt : held.base};
+                             .unused_since = is_unused(held) ? held.base : std::nullopt};
     auto call = platform::assignment_append_call(partition, to_text(record), held.last_record);
     auto response = co_await store_.call(call.method, call.target, call.body, timeout);
     if (response && response->status == precondition_status)
@@ -397,9 +400,18 @@
     co_return response && response->status == 200;
 }
 
+bool order_controller::is_unused(const held_partition& it)
+{
+    return it.taken.from_other_host && !it.used;
+}
+
 std::optional<milliseconds> order_controller::release_wait(int partition,
                                                            const held_partition& it) const
 {
+    if (is_unused(it))
+    {
+        return takeover_expiry(terms());
+    }
     auto in_partition = [&](const server_id& server) { return partition_of(server) == partition; };
     auto free_at = history_.free_at({.taken = it.taken, .fence = it.fence}, in_partition);
     if (!free_at || orders_in_flight_.contains(partition))
@@ -497,6 +509,12 @@
     const log_offset from(it.last_record.count() + 1);
     auto call = platform::assignment_read_call(partition, from);
     auto response = co_await store_.call(call.method, call.target, call.body, store_timeout);
+    if (response && response->status == platform::expired_status)
+    {
+        // Records followed the last one of this host, and were dropped since.
+        co_return records_after_claim{
+            .superseded = true, .last = it.last_record, .last_before_claim = it.last_record};
+    }
     if (!response || response->status != 200)
     {
         co_return std::nullopt;
@@ -505,6 +523,35 @@
                                context_.settings.name, log_offset(it.claim.count() - 1));
 }
 
+task<void> order_controller::confirm_claims()
+{
+    std::vector<int> unconfirmed;
+    for (const auto& [partition, it] : partitions_)
+    {
+        if (!it.confirmed)
+        {
+            unconfirmed.push_back(partition);
+        }
+    }
+    for (int partition : unconfirmed)
+    {
+        const held_partition copy = partitions_.at(partition);
+        auto after = co_await read_records(partition, copy);
+        auto held = partitions_.find(partition);
+        if (!after || held == partitions_.end() || held->second.claim != copy.claim)
+        {
+            continue;
+        }
+        if (after->superseded)
+        {
+            give_up_superseded(partition);
+            continue;
+        }
+        held->second.last_record = after->last;
+        held->second.confirmed = true;
+    }
+}
+
 task<void> order_controller::read_late_releases()
 {
     std::vector<int> waiting;
@@ -744,7 +791,7 @@
 bool order_controller::may_order(const server_id& server, instant now) const
 {
     auto it = partitions_.find(partition_of(server));
-    if (leaving_ || it == partitions_.end() || now >= membership_until_)
+    if (leaving_ || it == partitions_.end() || !it->second.confirmed || now >= membership_until_)
     {
         return false;
     }
--- a/src/serve/order_controller.hpp
+++ b/src/serve/order_controller.hpp
@@ -70,6 +70,8 @@
         std::optional<log_offset> base = {};
         /// Whether this host has given an order under its claim.
         bool used = false;
+        /// Whether no other host had claimed the partition when the group last changed.
+        bool confirmed = true;
         /// When the records behind the claim are read next for a late release of the owner before.
         instant read_at = {};
     };
@@ -114,6 +116,9 @@
     task<void> record_takeovers();
     /// Records that the takeover of a partition is complete.
     task<void> record_takeover(int partition);
+    /// Reads whether other hosts have claimed partitions that this host kept when the group
+    /// changed: one may have moved away and back since the last call.
+    task<void> confirm_claims();
     /// Reads for late releases that end the waits of claims.
     task<void> read_late_releases();
     /// What is recorded behind the claim of a partition; nothing if it cannot be read.
@@ -125,6 +130,8 @@
     /// Records a release that states a wait; returns whether it was recorded.
     task<bool> append_release(int partition, const held_partition& held, milliseconds wait,
                               milliseconds timeout);
+    /// Whether another host's orders may still be under way, and this host has given none.
+    static bool is_unused(const held_partition& it);
     /// How long the next owner of a partition has to wait; nothing if that cannot be stated.
     std::optional<milliseconds> release_wait(int partition, const held_partition& it) const;
     /// Whether the partition has been listed long enough to be considered stable.
