Placer: orders stay under way through an unreachable log and a renewed claim

domain_placer forgot the orders of an engine as soon as it had no current fencing number for it, which is also so while the log is unreachable for a lease, and as soon as its own renewed claim had another number. After that it planned as if they could not be carried out any more, and a planned stop released the lease, so that the next holder ordered at once. Now only a report, or the time for which an order may be under way, settles an order.

On the code before, with an order that is carried out 5 s, and 1.9 s, after it was given:

when the log was unreachable and the holder stops as planned CHECK( group.engines.stale_orders() == 0 ) with expansion: 1 == 0 CHECK( group.engines.closest_holders() >= lease ) with expansion: 400ms >= 3000ms when the holder has renewed its claim and stops as planned CHECK( group.engines.stale_orders() == 0 ) with expansion: 1 == 0 CHECK( group.engines.closest_holders() >= lease ) with expansion: 1400ms >= 3000ms

--- a/src/coordination/placement/order_tracker.hpp
+++ b/src/coordination/placement/order_tracker.hpp
@@ -38,8 +38,6 @@
     /// were sent more than `max_order_delay` before `requested_at`, the time at which the report
     /// was requested.
     void settle(const server_id& server, const engine_report& report, instant requested_at);
-    /// Drops the orders to a server whose lease this placer no longer holds.
-    void forget(const server_id& server) { orders_.erase(server); }
 
     bool in_flight(const server_id& server, const order_target& target) const;
     /// Memory that unsettled loads may take beyond what reports show.
--- a/src/placer/domain_placer.hpp
+++ b/src/placer/domain_placer.hpp
@@ -226,18 +226,15 @@
         }
     }
 
+    // Orders without effect stay in `orders_`: they may still be carried out, and a renewed claim
+    // or an outage of the log changes nothing about that.
     void forget_except(const std::map<server_id, fencing_number>& held)
     {
         std::erase_if(known_,
                       [&](const auto& it)
                       {
                           auto current = held.find(it.first);
-                          bool lost = current == held.end() || current->second != it.second.fencing;
-                          if (lost)
-                          {
-                              orders_.forget(it.first);
-                          }
-                          return lost;
+                          return current == held.end() || current->second != it.second.fencing;
                       });
     }
 
--- a/tests/correctness/domain_placer_test.cpp
+++ b/tests/correctness/domain_placer_test.cpp
@@ -177,6 +177,61 @@
     CHECK(loaded == 4);
 }
 
+TEST_CASE(
+    "the orders of two holders reach an engine that ignores fencing numbers a lease apart (ONE)")
+{
+    placer_group_options options{
+        .domains = 1, .servers_in_domain = 1, .fencing_checks = fencing::none};
+    const auto lease = lease_manager_options().lease_duration;
+
+    SECTION("the earlier holder's order is under way")
+    {
+        // The holder's order has no response and takes effect after `delay`.
+        auto order_late = [](placer_group& group, milliseconds delay)
+        {
+            group.run_steps(20);
+            int first = holder_of(group, 0);
+            REQUIRE(first >= 0);
+            group.engines.set_order_delay(delay);
+            group.add_demand(model);
+            group.run_steps(1);
+            group.engines.set_order_delay({});
+            return first;
+        };
+        auto release = [](placer_group& group, int holder)
+        {
+            group.member(0, holder)->placer.release();
+            group.stop(0, holder);
+            group.add_demand(model_id("model-1"));
+            group.run_steps(200);
+            CHECK(group.engines.orders() >= 2);
+        };
+        SECTION("when the log was unreachable and the holder stops as planned")
+        {
+            options.assumed_order_delay = milliseconds(10'000);
+            placer_group group(options);
+            int first = order_late(group, milliseconds(5000));
+            group.log.set_down(true);
+            group.run_steps(35);
+            group.log.set_down(false);
+            group.run_steps(2);
+            release(group, first);
+            CHECK(group.engines.stale_orders() == 0);
+            CHECK(group.engines.closest_holders() >= lease);
+        }
+        SECTION("when the holder has renewed its claim and stops as planned")
+        {
+            options.renew_interval = milliseconds(2200);
+            placer_group group(options);
+            int first = order_late(group, milliseconds(1900));
+            group.run_steps(5);
+            release(group, first);
+            CHECK(group.engines.stale_orders() == 0);
+            CHECK(group.engines.closest_holders() >= lease);
+        }
+    }
+}
+
 TEST_CASE("a ticket that changes a version reloads one slot after the other")
 {
     placer_group group({.domains = 1, .replicas = 2, .fencing_checks = fencing::all});
--- a/tests/stand_ins/placement/memory_engines.cpp
+++ b/tests/stand_ins/placement/memory_engines.cpp
@@ -1,5 +1,9 @@
 #include "stand_ins/placement/memory_engines.hpp"
 
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
 #include "state/errors.hpp"
 
 namespace banyanshunt
@@ -38,6 +42,15 @@
     {
         return engine_failure(run_state::may_have_run, errc::timeout);
     }
+    engine& target = engines_.at(address);
+    target.stalled = target.stalled || std::exchange(target.stalls_at_order, false);
+    if (order_delay_ || target.stalled)
+    {
+        delayed_.push_back({.address = address,
+                            .order = order,
+                            .due = clock_.now() + order_delay_.value_or(milliseconds(0))});
+        return engine_failure(run_state::may_have_run, errc::timeout);
+    }
     if (chance(options_.faults.delayed))
     {
         auto range = static_cast<std::uint64_t>(options_.max_order_delay.count());
@@ -72,6 +85,14 @@
     }
     stale_orders_ += is_stale ? 1 : 0;
     ++orders_;
+    if (target.last_fencing != fencing_number() && target.last_fencing != order.fencing)
+    {
+        auto apart = clock_.now() - target.last_order_at;
+        closest_holders_ =
+            std::min(closest_holders_, std::chrono::duration_cast<milliseconds>(apart));
+    }
+    target.last_fencing = order.fencing;
+    target.last_order_at = clock_.now();
     target.report.fencing = std::max(target.report.fencing, order.fencing);
     const held_replica* held = find_replica(target.report, order.model);
     if (order.kind == order_kind::load_model && !held)
@@ -98,7 +119,7 @@
 verdict<engine_report> memory_engines::read_back(const std::string& address)
 {
     auto it = engines_.find(address);
-    if (it == engines_.end() || chance(options_.faults.report_lost))
+    if (it == engines_.end() || it->second.stalled || chance(options_.faults.report_lost))
     {
         return engine_failure(run_state::not_run, errc::unreachable);
     }
@@ -107,15 +128,14 @@
 
 void memory_engines::advance()
 {
-    std::vector<delayed_order> due;
-    for (const auto& it : delayed_)
+    auto is_due = [&](const delayed_order& it)
     {
-        if (it.due <= clock_.now())
-        {
-            due.push_back(it);
-        }
-    }
-    std::erase_if(delayed_, [&](const delayed_order& it) { return it.due <= clock_.now(); });
+        auto target = engines_.find(it.address);
+        return it.due <= clock_.now() && (target == engines_.end() || !target->second.stalled);
+    };
+    std::vector<delayed_order> due;
+    std::copy_if(delayed_.begin(), delayed_.end(), std::back_inserter(due), is_due);
+    std::erase_if(delayed_, is_due);
     for (const auto& it : due)
     {
         apply(it.address, it.order);
--- a/tests/stand_ins/placement/memory_engines.hpp
+++ b/tests/stand_ins/placement/memory_engines.hpp
@@ -5,6 +5,7 @@
 /// be lost, be delayed, or lose their response.
 
 #include <map>
+#include <optional>
 #include <random>
 #include <string>
 
@@ -44,6 +45,12 @@
     /// Ends the engine's process; its replicas are lost.
     void stop(const std::string& address) { engines_.erase(address); }
     void set_faults(order_faults faults) { options_.faults = faults; }
+    /// From now on, orders get no response and take effect after this time; nothing ends that.
+    void set_order_delay(std::optional<milliseconds> delay) { order_delay_ = delay; }
+    /// The engine stalls as the next order arrives: it sends no response any more, and reads the
+    /// orders of the meantime when it resumes.
+    void stall_at_order(const std::string& address) { engines_.at(address).stalls_at_order = true; }
+    void resume(const std::string& address) { engines_.at(address).stalled = false; }
 
     verdict<done> order(const std::string& address, const engine_order& order);
     verdict<engine_report> read_back(const std::string& address);
@@ -58,6 +65,8 @@
     /// Orders that took the memory of an engine beyond its total.
     int overcommits() const { return overcommits_; }
     int orders() const { return orders_; }
+    /// The shortest time between two orders with different fencing numbers at one engine.
+    milliseconds closest_holders() const { return closest_holders_; }
 
 private:
     struct engine
@@ -65,6 +74,10 @@
         engine_report report;
         bool checks_fencing = false;
         std::map<model_id, instant> loading;
+        bool stalls_at_order = false;
+        bool stalled = false;
+        instant last_order_at;
+        fencing_number last_fencing;
     };
     struct delayed_order
     {
@@ -84,6 +97,8 @@
     int stale_orders_ = 0;
     int overcommits_ = 0;
     int orders_ = 0;
+    std::optional<milliseconds> order_delay_;
+    milliseconds closest_holders_ = milliseconds::max();
 };
 
 } // namespace banyanshunt
--- a/tests/stand_ins/placement/placer_group.cpp
+++ b/tests/stand_ins/placement/placer_group.cpp
@@ -58,6 +58,12 @@
     it.lease.holder = host_id(name);
     it.lease.incarnation = incarnation;
     it.lease.domain = domain_name(domain);
+    it.lease.renew_interval = options.renew_interval;
+    if (options.assumed_order_delay)
+    {
+        it.lease.max_order_delay = *options.assumed_order_delay;
+        it.lease.takeover_delay = it.lease.lease_duration + it.lease.max_order_delay;
+    }
     if (options.skip_takeover_delay)
     {
         it.lease.takeover_delay = milliseconds(0);
@@ -151,7 +157,8 @@
         for (const auto& [other_name, other] : members_)
         {
             // The other placers take a paused process for dead and take over.
-            bool alive = other->paused_until <= clock.now();
+            bool alive =
+                other->paused_until <= clock.now() && (!other->unlisted || other.get() == it.get());
             if (other->domain == it->domain && alive)
             {
                 view.placers.push_back(other->name);
--- a/tests/stand_ins/placement/placer_group.hpp
+++ b/tests/stand_ins/placement/placer_group.hpp
@@ -30,6 +30,10 @@
     order_faults orders = {};
     /// Lets every successor act at once; a fault injected to test the checks.
     bool skip_takeover_delay = false;
+    /// The longest time for which the placers take an order to be under way; nothing for the
+    /// default. The engines' random delays are below 2 s.
+    std::optional<milliseconds> assumed_order_delay = milliseconds(2000);
+    milliseconds renew_interval{600'000};
     std::uint64_t seed = 1;
 };
 
@@ -44,6 +48,8 @@
     flaky_log link;
     domain_placer<flaky_log, memory_engines, test_clock> placer;
     instant paused_until;
+    /// The other placers take it for dead, although it runs.
+    bool unlisted = false;
 };
 
 class placer_group
