Placer: a release states how long the next holder waits

A planned stop released the leases on all engines without unsettled orders, and the next holder ordered at once: moments after an order that the engine had just answered. A release states the rest of the lease after the last order, and of the releasing holder's own wait, and is not made while order_history says that an order may still be read. The next holder counts the wait from when it reads the release.

On the code before:

the holder stops as planned right after an order CHECK( group.engines.closest_holders() >= lease ) with expansion: 400ms >= 3000ms

--- a/src/coordination/lease_table.cpp
+++ b/src/coordination/lease_table.cpp
@@ -15,7 +15,8 @@
     }
     leases_[claim.server] = {.holder = claim.holder,
                              .incarnation = claim.incarnation,
-                             .fencing = fencing_number(offset.count() + 1)};
+                             .fencing = fencing_number(offset.count() + 1),
+                             .released_for = claim.released_for};
     return true;
 }
 
--- a/src/coordination/lease_table.hpp
+++ b/src/coordination/lease_table.hpp
@@ -17,6 +17,7 @@
 
 #include "state/clock.hpp"
 #include "state/ids.hpp"
+#include "state/units.hpp"
 
 namespace banyanshunt
 {
@@ -30,6 +31,8 @@
     incarnation_id incarnation;
     /// The fencing number of the claim that this one follows; 0 for the first.
     fencing_number follows;
+    /// How long the next holder waits after a release.
+    milliseconds released_for{0};
 };
 
 /// The newest valid claim on a server.
@@ -39,6 +42,8 @@
     incarnation_id incarnation;
     /// Offset of the claim in the lease stream, plus 1 so that 0 means none.
     fencing_number fencing;
+    /// How long the next holder waits, if the lease was released.
+    milliseconds released_for{0};
     friend bool operator==(const lease&, const lease&) = default;
 };
 
--- a/src/placer/domain_placer.hpp
+++ b/src/placer/domain_placer.hpp
@@ -80,7 +80,10 @@
           observer_(std::move(observer)), leases_(log, clock, options_.lease),
           slots_(log, clock, options_.slots),
           planner_(Policy(), fixed_load_budget(load_share()), options_.planner),
-          orders_(options_.lease.max_order_delay)
+          orders_(options_.lease.max_order_delay),
+          history_({.lease = options_.lease.lease_duration,
+                    .open_order_time = options_.lease.max_order_delay,
+                    .clock_difference = unknown_process_age})
     {
     }
 
@@ -93,6 +96,7 @@
     {
         (void)leases_.read();
         (void)slots_.read();
+        observe_engines(view);
         claim_leases(view);
         leases_.renew();
         read_servers(view);
@@ -106,16 +110,28 @@
                 .retiring = std::move(plan.retiring)};
     }
 
-    /// Releases the leases on all servers to which no order can be in flight; for a planned stop.
+    /// Releases the leases on all servers to which no order can be in flight, and states how long
+    /// the next holder waits; for a planned stop.
     void release()
     {
+        instant now = clock_.now();
+        std::map<server_id, milliseconds> waits;
         for (const auto& [server, known] : known_)
         {
-            if (orders_.orders(server).empty())
+            auto is_this = [&id = server](const server_id& other) { return other == id; };
+            auto claim = leases_.claim_of(server);
+            if (claim && orders_.orders(server).empty() &&
+                history_.is_settled(*claim, is_this, now))
             {
-                leases_.release(server);
+                waits[server] =
+                    release_delay(history_.last_order_at(is_this), claim->taken.may_order_at,
+                                  options_.lease.lease_duration, now);
             }
         }
+        for (const auto& [server, wait] : waits)
+        {
+            leases_.release(server, wait);
+        }
     }
 
     /// The holder of the leases on the domain's servers, if any; taken from the first server's
@@ -130,6 +146,10 @@
     const slot_ledger& ledger() const { return slots_.ledger(); }
 
 private:
+    /// Reports do not tell when the engine's process started, so that none counts as younger than
+    /// an order.
+    static constexpr milliseconds unknown_process_age = std::chrono::hours(24 * 3650);
+
     struct known_server
     {
         fencing_number fencing;
@@ -154,6 +174,29 @@
         return servers;
     }
 
+    void observe_engines(const domain_view& view)
+    {
+        std::map<server_id, order_history::registered_engine> engines;
+        for (const auto& server : local_engines(*view.state))
+        {
+            if (!view.removed.contains(server))
+            {
+                engines[server] = {};
+            }
+        }
+        history_.observe(engines, clock_.now());
+    }
+
+    // Gives the order and records when it ended, and whether it may still be carried out.
+    verdict<done> send_order(const domain_view& view, const server_id& server,
+                             const engine_order& order)
+    {
+        auto sent = engine_.order(find_object(view.state->servers, server)->address, order);
+        bool answered = sent || sent.error().run == run_state::not_run;
+        history_.record_order(server, order.fencing, answered, clock_.now());
+        return sent;
+    }
+
     // One placer claims all servers of the domain, so that one decides. A lease is not claimed from
     // a holder that is believed to be alive, because each takeover costs a delay.
     void claim_leases(const domain_view& view)
@@ -252,6 +295,10 @@
             known.retry_at = clock_.now() + options_.read_retry_delay;
             return;
         }
+        if (auto claim = leases_.claim_of(server))
+        {
+            history_.record_response(server, *claim, requested_at, clock_.now());
+        }
         known.report = *report;
         orders_.settle(server, *report, requested_at);
         // Until the engine has seen this lease's fencing number, it may accept an earlier holder's
@@ -259,7 +306,7 @@
         known.fresh = !object->checks_fencing || report->fencing >= known.fencing;
         if (!known.fresh)
         {
-            (void)engine_.order(object->address, make_fencing_order(known.fencing));
+            (void)send_order(view, server, make_fencing_order(known.fencing));
         }
     }
 
@@ -412,8 +459,7 @@
                 continue;
             }
             orders_.record_sent(it.server, it.order, clock_.now());
-            auto sent =
-                engine_.order(find_object(view.state->servers, it.server)->address, it.order);
+            auto sent = send_order(view, it.server, it.order);
             if (!sent && sent.error().run == run_state::not_run)
             {
                 orders_.record_refused(it.server, it.order);
@@ -452,6 +498,7 @@
     slot_manager<Log, Clock> slots_;
     placement_planner<Policy, fixed_load_budget> planner_;
     order_tracker orders_;
+    order_history history_;
     std::map<server_id, known_server> known_;
     slot_preference preference_;
     fleet_state_ptr preference_state_;
--- a/src/placer/lease_manager.hpp
+++ b/src/placer/lease_manager.hpp
@@ -10,11 +10,13 @@
 /// time: a holder stops when its last read that reached the end of the stream began
 /// `lease_duration` ago, and a successor waits for that duration and `max_order_delay`.
 
+#include <algorithm>
 #include <limits>
 #include <map>
 
 #include "coordination/lease_table.hpp"
 #include "coordination/log_service.hpp"
+#include "coordination/order_history.hpp"
 #include "protocol/lease_codec.hpp"
 #include "state/errors.hpp"
 
@@ -107,7 +109,7 @@
     /// Claims again the held leases whose newest claim is older than `renew_interval`.
     void renew()
     {
-        for (const auto& [server, allowed_at] : orders_allowed_at_)
+        for (const auto& [server, taken] : taken_)
         {
             auto claimed = claim_read_at_.find(server);
             if (clock_.now() - claimed->second >= options_.renew_interval)
@@ -117,9 +119,9 @@
         }
     }
 
-    /// Releases a lease at a planned stop, so that a successor need not wait. The caller guarantees
-    /// that no order of this holder is in flight.
-    void release(const server_id& server)
+    /// Releases a lease at a planned stop, so that a successor waits only for `wait`. The caller
+    /// guarantees that no order of this holder is in flight.
+    void release(const server_id& server, milliseconds wait)
     {
         auto it = leases_.find(server);
         if (!it || !is_mine(*it))
@@ -128,12 +130,13 @@
         }
         lease_claim release_claim{.server = server,
                                   .holder = {},
-                                  .incarnation = options_.incarnation,
-                                  .follows = it->fencing};
+                                  .incarnation = {},
+                                  .follows = it->fencing,
+                                  .released_for = wait};
         log_entry entry{.id = record_id("release." + options_.holder.str()),
                         .data = encode_lease_claim(release_claim)};
         (void)log_.append(stream(), std::span(&entry, 1));
-        orders_allowed_at_.erase(server);
+        taken_.erase(server);
         released_ = true;
     }
 
@@ -145,18 +148,27 @@
         return it.holder == options_.holder && it.incarnation == options_.incarnation;
     }
 
-    /// The fencing number with which an order may be sent now, if any.
-    std::optional<fencing_number> order_fencing(const server_id& server, bool checks_fencing) const
+    /// The own claim on a server, if it is the newest.
+    std::optional<order_history::claim> claim_of(const server_id& server) const
     {
         auto it = leases_.find(server);
         if (!it || !is_mine(*it) || released_)
         {
             return std::nullopt;
         }
-        instant now = clock_.now();
-        bool is_fresh = last_read_at_ && now - *last_read_at_ < options_.lease_duration;
-        bool takeover_complete = is_fresh && now >= orders_allowed_at_.at(server);
-        return checks_fencing || takeover_complete ? std::optional(it->fencing) : std::nullopt;
+        return order_history::claim{.taken = taken_.at(server), .fence = it->fencing};
+    }
+
+    /// The fencing number with which an order may be sent now, if any.
+    std::optional<fencing_number> order_fencing(const server_id& server, bool checks_fencing) const
+    {
+        auto it = claim_of(server);
+        if (!it)
+        {
+            return std::nullopt;
+        }
+        bool takeover_complete = fresh() && clock_.now() >= it->taken.may_order_at;
+        return checks_fencing || takeover_complete ? std::optional(it->fence) : std::nullopt;
     }
 
     /// Whether the last read that reached the stream's end began less than `lease_duration` ago.
@@ -184,7 +196,7 @@
         if (page)
         {
             leases_.reset(page->first_kept);
-            orders_allowed_at_.clear();
+            taken_.clear();
             restarted_at_ = clock_.now();
         }
         return page;
@@ -204,22 +216,38 @@
             return;
         }
         lease newest = *leases_.find(claim->server);
+        instant now = clock_.now();
         if (!is_mine(newest))
         {
-            orders_allowed_at_.erase(claim->server);
+            taken_.erase(claim->server);
+            if (newest.holder.empty())
+            {
+                released_at_[claim->server] = now;
+            }
             return;
         }
-        instant now = clock_.now();
         claim_read_at_[claim->server] = now;
         pending_claims_.erase(claim->server);
-        bool renewed = previous && is_mine(*previous) && orders_allowed_at_.contains(claim->server);
-        bool first = claim->follows == fencing_number() && !leases_.partial();
-        bool was_released = previous && previous->holder.empty();
+        bool renewed = previous && is_mine(*previous) && taken_.contains(claim->server);
         if (!renewed)
         {
-            auto delay = first || was_released ? milliseconds(0) : options_.takeover_delay;
-            orders_allowed_at_[claim->server] = now + delay;
+            bool first = claim->follows == fencing_number() && !leases_.partial();
+            taken_[claim->server] = take_over_after(first, previous, claim->server);
+        }
+    }
+
+    takeover take_over_after(bool first, const std::optional<lease>& previous,
+                             const server_id& server) const
+    {
+        instant now = clock_.now();
+        if (previous && previous->holder.empty())
+        {
+            return {.may_order_at = released_at_.at(server) +
+                                    std::min(previous->released_for, options_.takeover_delay),
+                    .last_order_at = {}};
         }
+        return {.may_order_at = now + (first ? milliseconds(0) : options_.takeover_delay),
+                .last_order_at = {}};
     }
 
     Log& log_;
@@ -228,8 +256,10 @@
     lease_table leases_;
     /// The start of the last read that reached the stream's end.
     std::optional<instant> last_read_at_;
-    /// When the last order of an earlier holder can no longer be in flight, for each own lease.
-    std::map<server_id, instant> orders_allowed_at_;
+    /// What each own claim entitles to.
+    std::map<server_id, takeover> taken_;
+    /// When the newest release of each server was read.
+    std::map<server_id, instant> released_at_;
     /// When each claim that has not appeared in the stream yet was sent.
     std::map<server_id, instant> pending_claims_;
     /// When the newest claim of each own lease was read.
--- a/tests/correctness/domain_placer_test.cpp
+++ b/tests/correctness/domain_placer_test.cpp
@@ -32,6 +32,16 @@
     return -1;
 }
 
+// Runs until the engines have carried out another order.
+void run_to_next_order(placer_group& group, int limit)
+{
+    int before = group.engines.orders();
+    for (int n = 0; n < limit && group.engines.orders() == before; ++n)
+    {
+        group.step();
+    }
+}
+
 fleet_state_ptr with_model(const fleet_state& from, const model_id& id, model_object object)
 {
     auto state = std::make_shared<fleet_state>(from);
@@ -230,6 +240,22 @@
             CHECK(group.engines.closest_holders() >= lease);
         }
     }
+    SECTION("the holder stops as planned right after an order")
+    {
+        placer_group group(options);
+        group.run_steps(20);
+        int first = holder_of(group, 0);
+        REQUIRE(first >= 0);
+        group.add_demand(model);
+        run_to_next_order(group, 20);
+        group.run_steps(1);
+        group.member(0, first)->placer.release();
+        group.stop(0, first);
+        group.add_demand(model_id("model-1"));
+        group.run_steps(45);
+        CHECK(group.engines.orders() == 2);
+        CHECK(group.engines.closest_holders() >= lease);
+    }
 }
 
 TEST_CASE("a ticket that changes a version reloads one slot after the other")
