Placer: a new holder's first order comes a lease after the last one before

A new holder waited for a lease and the longest time that an order may be under way, so that its first order could follow the last one of the holder before at once. And it took the engine's first report as the end of all earlier orders, although an engine that was stalled reads those orders as it answers that report.

Claims are now judged by take_over, and the engines by order_history, which decide the same for shunt-serve: the first order comes a lease after the last order can have been carried out, and a lease after the engine's first response to a call that was sent later than that. Engines are read back during the wait, and what they serve stays published, so that the longer wait takes no replica from callers. Engines that check fencing numbers are ordered at once, as before.

The stand-in's injected fault is now order_terms of 0; the test that it is detected is unchanged and passes.

On the code before:

a holder that the log no longer reaches orders until its lease ends CHECK( group.engines.closest_holders() >= lease ) with expansion: 500ms >= 3000ms an engine that was stalled reads the earlier order as it resumes CHECK( group.engines.closest_holders() >= lease ) with expansion: 100ms >= 3000ms

With the change both pass, as do the cases of domain_placer_test.cpp, placement_run_test.cpp, order_history_test.cpp and assignment_record_test.cpp (19).

--- a/src/coordination/lease_table.hpp
+++ b/src/coordination/lease_table.hpp
@@ -7,8 +7,8 @@
 /// A claim names the claim that it follows and is valid only if that one is still the newest, so
 /// every reader sees the same winner of two racing claims. The fencing number derives from the
 /// offset of the winning claim. A holder acts only while a read of the log that began less than
-/// `lease_duration` ago showed no later claim. Before its first order, a new holder waits for
-/// `lease_duration` and for the longest time that an order can be in flight.
+/// `lease_duration` ago showed no later claim. How long a new holder waits before its first order,
+/// `take_over` decides.
 
 #include <map>
 #include <optional>
--- a/src/placer/domain_placer.hpp
+++ b/src/placer/domain_placer.hpp
@@ -81,7 +81,7 @@
           slots_(log, clock, options_.slots),
           planner_(Policy(), fixed_load_budget(load_share()), options_.planner),
           orders_(options_.lease.max_order_delay),
-          history_({.lease = options_.lease.lease_duration,
+          history_({.lease = options_.lease.terms.lease,
                     .open_order_time = options_.lease.max_order_delay,
                     .clock_difference = unknown_process_age})
     {
@@ -125,7 +125,7 @@
             {
                 waits[server] =
                     release_delay(history_.last_order_at(is_this), claim->taken.may_order_at,
-                                  options_.lease.lease_duration, now);
+                                  options_.lease.terms.lease, now);
             }
         }
         for (const auto& [server, wait] : waits)
@@ -153,7 +153,8 @@
     struct known_server
     {
         fencing_number fencing;
-        /// The newest report; `fresh` is whether it is from this round, under this lease's number.
+        /// The newest report; `fresh` is whether it is from this round, under this lease's number,
+        /// and no order of an earlier holder can change what it says.
         std::optional<engine_report> report;
         bool fresh = false;
         instant retry_at;
@@ -241,47 +242,62 @@
     {
         const server_object* object = find_object(view.state->servers, server);
         bool removed = is_removed(view, server);
-        return leases_.order_fencing(server, !removed && object->checks_fencing);
+        bool checks_fencing = !removed && object->checks_fencing;
+        auto fencing = leases_.order_fencing(server, checks_fencing);
+        if (!fencing || removed || checks_fencing)
+        {
+            return fencing;
+        }
+        // The engine may still read an order of an earlier holder.
+        auto allowed_at = history_.first_order_at(server, *leases_.claim_of(server));
+        return allowed_at && *allowed_at <= clock_.now() ? fencing : std::nullopt;
     }
 
     void read_servers(const domain_view& view)
     {
+        std::map<server_id, fencing_number> claimed;
         std::map<server_id, fencing_number> held;
         for (const auto& server : leases_.servers())
         {
-            auto fencing = current_fencing(view, server);
-            if (fencing)
+            if (auto claim = leases_.claim_of(server))
+            {
+                claimed[server] = claim->fence;
+            }
+            if (auto fencing = current_fencing(view, server))
             {
                 held[server] = *fencing;
             }
         }
         slots_.set_held(held);
-        forget_except(held);
-        for (const auto& [server, fencing] : held)
+        forget_except(claimed);
+        for (const auto& [server, fencing] : claimed)
         {
             known_server& known = known_[server];
             known.fencing = fencing;
             known.fresh = false;
             if (!is_removed(view, server))
             {
-                read_server(view, server, known);
+                read_server(view, server, known, held.contains(server));
             }
         }
     }
 
     // Orders without effect stay in `orders_`: they may still be carried out, and a renewed claim
     // or an outage of the log changes nothing about that.
-    void forget_except(const std::map<server_id, fencing_number>& held)
+    void forget_except(const std::map<server_id, fencing_number>& claimed)
     {
         std::erase_if(known_,
                       [&](const auto& it)
                       {
-                          auto current = held.find(it.first);
-                          return current == held.end() || current->second != it.second.fencing;
+                          auto current = claimed.find(it.first);
+                          return current == claimed.end() || current->second != it.second.fencing;
                       });
     }
 
-    void read_server(const domain_view& view, const server_id& server, known_server& known)
+    // Engines are also read while the holder before may still order them: the first order depends
+    // on their responses, and entry hosts go on using what they serve.
+    void read_server(const domain_view& view, const server_id& server, known_server& known,
+                     bool may_order)
     {
         const server_object* object = find_object(view.state->servers, server);
         instant requested_at = clock_.now();
@@ -303,8 +319,9 @@
         orders_.settle(server, *report, requested_at);
         // Until the engine has seen this lease's fencing number, it may accept an earlier holder's
         // orders, so the report may already be out of date.
-        known.fresh = !object->checks_fencing || report->fencing >= known.fencing;
-        if (!known.fresh)
+        bool shows_fencing = !object->checks_fencing || report->fencing >= known.fencing;
+        known.fresh = may_order && shows_fencing;
+        if (!shows_fencing)
         {
             (void)send_order(view, server, make_fencing_order(known.fencing));
         }
--- a/src/placer/lease_manager.hpp
+++ b/src/placer/lease_manager.hpp
@@ -8,7 +8,8 @@
 /// number. With these engines a holder continues while the log is unreachable, and a successor
 /// sends its number before it gives orders. With engines that ignore the numbers, safety rests on
 /// time: a holder stops when its last read that reached the end of the stream began
-/// `lease_duration` ago, and a successor waits for that duration and `max_order_delay`.
+/// `lease_duration` ago, and a successor's first order comes a `lease_duration` after the last one
+/// of the holder before can have been carried out.
 
 #include <algorithm>
 #include <limits>
@@ -30,8 +31,9 @@
     domain_id domain;
     milliseconds lease_duration{3000};
     milliseconds max_order_delay{2000};
-    /// How long a successor waits after it has read its successful claim.
-    milliseconds takeover_delay = lease_duration + max_order_delay;
+    /// The durations that keep the orders of two holders to one engine apart.
+    order_terms terms{
+        .lease = lease_duration, .membership = lease_duration, .transit = max_order_delay};
     /// How long to wait for a claim to appear in the stream before claiming again.
     milliseconds claim_retry_delay{1000};
     /// How often a held lease is claimed again, so that its claim outlives the log's retention.
@@ -240,14 +242,18 @@
                              const server_id& server) const
     {
         instant now = clock_.now();
-        if (previous && previous->holder.empty())
+        instant read_at = now;
+        std::optional<assignment_record> before;
+        if (previous)
         {
-            return {.may_order_at = released_at_.at(server) +
-                                    std::min(previous->released_for, options_.takeover_delay),
-                    .last_order_at = {}};
+            before = assignment_record{.holder = previous->holder};
+            if (previous->holder.empty())
+            {
+                before->released_for = previous->released_for;
+                read_at = released_at_.at(server);
+            }
         }
-        return {.may_order_at = now + (first ? milliseconds(0) : options_.takeover_delay),
-                .last_order_at = {}};
+        return take_over(first, before, options_.holder, now, read_at, options_.terms);
     }
 
     Log& log_;
--- a/tests/correctness/domain_placer_test.cpp
+++ b/tests/correctness/domain_placer_test.cpp
@@ -256,6 +256,42 @@
         CHECK(group.engines.orders() == 2);
         CHECK(group.engines.closest_holders() >= lease);
     }
+    SECTION("a holder that the log no longer reaches orders until its lease ends")
+    {
+        placer_group group(options);
+        group.run_steps(20);
+        int first = holder_of(group, 0);
+        REQUIRE(first >= 0);
+        group.member(0, first)->link.set_partitioned(true);
+        group.member(0, first)->unlisted = true;
+        group.run_steps(28);
+        group.engines.set_order_delay(milliseconds(1900));
+        group.add_demand(model);
+        group.run_steps(1);
+        group.engines.set_order_delay({});
+        group.add_demand(model_id("model-1"));
+        group.run_steps(100);
+        CHECK(group.engines.orders() >= 2);
+        CHECK(group.engines.stale_orders() == 0);
+        CHECK(group.engines.closest_holders() >= lease);
+    }
+    SECTION("an engine that was stalled reads the earlier order as it resumes")
+    {
+        placer_group group(options);
+        group.run_steps(20);
+        int first = holder_of(group, 0);
+        REQUIRE(first >= 0);
+        group.engines.stall_at_order("engine-0");
+        group.add_demand(model);
+        group.run_steps(1);
+        group.stop(0, first);
+        group.run_steps(200);
+        group.engines.resume("engine-0");
+        group.add_demand(model_id("model-1"));
+        group.run_steps(60);
+        CHECK(group.engines.orders() >= 2);
+        CHECK(group.engines.closest_holders() >= lease);
+    }
 }
 
 TEST_CASE("a ticket that changes a version reloads one slot after the other")
--- a/tests/stand_ins/placement/placer_group.cpp
+++ b/tests/stand_ins/placement/placer_group.cpp
@@ -55,18 +55,15 @@
                                      int domain, incarnation_id incarnation)
 {
     domain_placer_options it;
-    it.lease.holder = host_id(name);
-    it.lease.incarnation = incarnation;
-    it.lease.domain = domain_name(domain);
-    it.lease.renew_interval = options.renew_interval;
-    if (options.assumed_order_delay)
-    {
-        it.lease.max_order_delay = *options.assumed_order_delay;
-        it.lease.takeover_delay = it.lease.lease_duration + it.lease.max_order_delay;
-    }
+    it.lease = {.holder = host_id(name),
+                .incarnation = incarnation,
+                .domain = domain_name(domain),
+                .max_order_delay =
+                    options.assumed_order_delay.value_or(lease_manager_options().max_order_delay),
+                .renew_interval = options.renew_interval};
     if (options.skip_takeover_delay)
     {
-        it.lease.takeover_delay = milliseconds(0);
+        it.lease.terms = {};
     }
     it.slots.writer = host_id(name);
     it.planner.spread_after = milliseconds(500);
