Placer: a test that engines stay published while no orders may be given

Since a new holder reads its engines back during its wait, placers publish what they serve also then, and while the log is unreachable, as docs/PLACEMENT.md says.

--- a/tests/correctness/domain_placer_test.cpp
+++ b/tests/correctness/domain_placer_test.cpp
@@ -306,6 +306,35 @@
     }
 }
 
+TEST_CASE("what the engines serve stays published while no orders may be given")
+{
+    placer_group group({.domains = 1, .fencing_checks = fencing::none});
+    group.add_demand(model);
+    group.run_steps(40);
+    int first = holder_of(group, 0);
+    REQUIRE(first >= 0);
+    auto published = [&](int index)
+    {
+        const auto& engines = group.member(0, index)->last_step.engines;
+        return std::count_if(engines.begin(), engines.end(),
+                             [](const placed_engine& it)
+                             { return find_replica(it.report, model) != nullptr; });
+    };
+    REQUIRE(published(first) == 1);
+    SECTION("as the log is unreachable")
+    {
+        group.log.set_down(true);
+        group.run_steps(60);
+        CHECK(published(first) == 1);
+    }
+    SECTION("as a new holder waits")
+    {
+        group.stop(0, first);
+        group.run_steps(5);
+        CHECK(published(1 - first) == 1);
+    }
+}
+
 TEST_CASE("a ticket that changes a version reloads one slot after the other")
 {
     placer_group group({.domains = 1, .replicas = 2, .fencing_checks = fencing::all});
--- a/tests/stand_ins/placement/placer_group.cpp
+++ b/tests/stand_ins/placement/placer_group.cpp
@@ -161,7 +161,7 @@
                 view.placers.push_back(other->name);
             }
         }
-        (void)it->placer.step(view);
+        it->last_step = it->placer.step(view);
     }
 }
 
--- a/tests/stand_ins/placement/placer_group.hpp
+++ b/tests/stand_ins/placement/placer_group.hpp
@@ -48,6 +48,7 @@
     flaky_log link;
     domain_placer<flaky_log, memory_engines, test_clock> placer;
     instant paused_until;
+    domain_step_result last_step;
     /// The other placers take it for dead, although it runs.
     bool unlisted = false;
 };
