Placer: an engine's restart ends the orders that it had taken

On the code before:

a model is loaded again at once on an engine that restarted during the load CHECK( group.engines.replicas_of(model) == 1 ) with expansion: 0 == 1

With the change it passes, as do the cases of domain_placer_test.cpp, placement_run_test.cpp, order_history_test.cpp and assignment_record_test.cpp (21).

--- a/src/coordination/placement/order_tracker.cpp
+++ b/src/coordination/placement/order_tracker.cpp
@@ -61,6 +61,16 @@
                                                                          .sent_at = now};
 }
 
+void order_tracker::record_taken(const server_id& server, const engine_order& order)
+{
+    orders_[server][{.model = order.model, .adapter = order.adapter}].taken = true;
+}
+
+void order_tracker::drop_taken(const server_id& server)
+{
+    std::erase_if(orders_[server], [](const auto& it) { return it.second.taken; });
+}
+
 void order_tracker::record_refused(const server_id& server, const engine_order& order)
 {
     orders_[server].erase({.model = order.model, .adapter = order.adapter});
--- a/src/coordination/placement/order_tracker.hpp
+++ b/src/coordination/placement/order_tracker.hpp
@@ -32,6 +32,11 @@
 
     /// Records an order; call it right before the order is sent.
     void record_sent(const server_id& server, const engine_order& order, instant now);
+    /// Records that the engine has taken the order, so that it cannot be carried out later by
+    /// another process.
+    void record_taken(const server_id& server, const engine_order& order);
+    /// Drops the orders that an engine had taken which has restarted since.
+    void drop_taken(const server_id& server);
     /// Drops an order that is known to have had no effect.
     void record_refused(const server_id& server, const engine_order& order);
     /// Drops the orders whose effect `report` shows, and those that can no longer take effect: they
@@ -50,6 +55,7 @@
     {
         engine_order order;
         instant sent_at;
+        bool taken = false;
     };
 
     milliseconds max_order_delay_;
--- a/src/placer/domain_placer.hpp
+++ b/src/placer/domain_placer.hpp
@@ -315,6 +315,10 @@
         {
             history_.record_response(server, *claim, requested_at, clock_.now());
         }
+        if (known.report && known.report->incarnation != report->incarnation)
+        {
+            orders_.drop_taken(server);
+        }
         known.report = *report;
         orders_.settle(server, *report, requested_at);
         // Until the engine has seen this lease's fencing number, it may accept an earlier holder's
@@ -477,7 +481,11 @@
             }
             orders_.record_sent(it.server, it.order, clock_.now());
             auto sent = send_order(view, it.server, it.order);
-            if (!sent && sent.error().run == run_state::not_run)
+            if (sent)
+            {
+                orders_.record_taken(it.server, it.order);
+            }
+            else if (sent.error().run == run_state::not_run)
             {
                 orders_.record_refused(it.server, it.order);
             }
--- a/tests/correctness/domain_placer_test.cpp
+++ b/tests/correctness/domain_placer_test.cpp
@@ -306,6 +306,22 @@
     }
 }
 
+TEST_CASE("a model is loaded again at once on an engine that restarted during the load")
+{
+    placer_group group({.domains = 1,
+                        .servers_in_domain = 1,
+                        .fencing_checks = fencing::none,
+                        .assumed_order_delay = {}});
+    group.run_steps(20);
+    group.add_demand(model);
+    run_to_next_order(group, 20);
+    REQUIRE(group.engines.replicas_of(model) == 1);
+    group.engines.stop("engine-0");
+    group.engines.add("engine-0", mebibytes(40), false);
+    group.run_steps(20);
+    CHECK(group.engines.replicas_of(model) == 1);
+}
+
 TEST_CASE("what the engines serve stays published while no orders may be given")
 {
     placer_group group({.domains = 1, .fencing_checks = fencing::none});
--- a/tests/stand_ins/placement/memory_engines.cpp
+++ b/tests/stand_ins/placement/memory_engines.cpp
@@ -21,6 +21,7 @@
 void memory_engines::add(const std::string& address, mebibytes memory, bool checks_fencing)
 {
     engine it;
+    it.report.incarnation = incarnation_id(++last_incarnation_);
     it.report.memory_total = memory;
     it.checks_fencing = checks_fencing;
     engines_[address] = std::move(it);
--- a/tests/stand_ins/placement/memory_engines.hpp
+++ b/tests/stand_ins/placement/memory_engines.hpp
@@ -94,6 +94,7 @@
     std::mt19937_64 random_;
     std::map<std::string, engine> engines_;
     std::vector<delayed_order> delayed_;
+    std::int64_t last_incarnation_ = 0;
     int stale_orders_ = 0;
     int overcommits_ = 0;
     int orders_ = 0;
