--- a/src/coordination/lease_table.hpp
+++ b/src/coordination/lease_table.hpp
@@ -7,8 +7,8 @@
 /// A claim names the claim that it follows and is valid only if that one is still the newest, so
 /// every reader sees the same winner of two racing claims. The fencing number derives from the
 /// offset of the winning claim. A holder acts only while a read of the log that began less than
-/// `lease_duration` ago showed no later claim. Before its first order, a new holder waits for
-/// `lease_duration` and for the longest time that an order can be in flight.
+/// `lease_duration` ago showed no later claim. How long a new holder waits before its first order,
+/// `take_over` decides.
 
 #include <map>
 #include <optional>
@@ -17,6 +17,7 @@
 
 #include "state/clock.hpp"
 #include "state/ids.hpp"
+#include "state/units.hpp"
 
 namespace banyanshunt
 {
@@ -30,6 +31,8 @@
     incarnation_id incarnation;
     /// The fencing number of the claim that this one follows; 0 for the first.
     fencing_number follows;
+    /// How long the next holder waits after a release.
+    milliseconds released_for{0};
 };
 
 /// The newest valid claim on a server.
@@ -39,6 +42,8 @@
     incarnation_id incarnation;
     /// Offset of the claim in the lease stream, plus 1 so that 0 means none.
     fencing_number fencing;
+    /// How long the next holder waits, if the lease was released.
+    milliseconds released_for{0};
     friend bool operator==(const lease&, const lease&) = default;
 };
 
--- a/src/coordination/placement/order_tracker.hpp
+++ b/src/coordination/placement/order_tracker.hpp
@@ -32,14 +32,17 @@
 
     /// Records an order; call it right before the order is sent.
     void record_sent(const server_id& server, const engine_order& order, instant now);
+    /// Records that the engine has taken the order, so that it cannot be carried out later by
+    /// another process.
+    void record_taken(const server_id& server, const engine_order& order);
+    /// Drops the orders that an engine had taken which has restarted since.
+    void drop_taken(const server_id& server);
     /// Drops an order that is known to have had no effect.
     void record_refused(const server_id& server, const engine_order& order);
     /// Drops the orders whose effect `report` shows, and those that can no longer take effect: they
     /// were sent more than `max_order_delay` before `requested_at`, the time at which the report
     /// was requested.
     void settle(const server_id& server, const engine_report& report, instant requested_at);
-    /// Drops the orders to a server whose lease this placer no longer holds.
-    void forget(const server_id& server) { orders_.erase(server); }
 
     bool in_flight(const server_id& server, const order_target& target) const;
     /// Memory that unsettled loads may take beyond what reports show.
@@ -52,6 +55,7 @@
     {
         engine_order order;
         instant sent_at;
+        bool taken = false;
     };
 
     milliseconds max_order_delay_;
--- a/src/placer/domain_placer.hpp
+++ b/src/placer/domain_placer.hpp
@@ -80,7 +80,10 @@
           observer_(std::move(observer)), leases_(log, clock, options_.lease),
           slots_(log, clock, options_.slots),
           planner_(Policy(), fixed_load_budget(load_share()), options_.planner),
-          orders_(options_.lease.max_order_delay)
+          orders_(options_.lease.max_order_delay),
+          history_({.lease = options_.lease.terms.lease,
+                    .open_order_time = options_.lease.max_order_delay,
+                    .clock_difference = unknown_process_age})
     {
     }
 
@@ -93,6 +96,7 @@
     {
         (void)leases_.read();
         (void)slots_.read();
+        observe_engines(view);
         claim_leases(view);
         leases_.renew();
         read_servers(view);
@@ -106,16 +110,28 @@
                 .retiring = std::move(plan.retiring)};
     }
 
-    /// Releases the leases on all servers to which no order can be in flight; for a planned stop.
+    /// Releases the leases on all servers to which no order can be in flight, and states how long
+    /// the next holder waits; for a planned stop.
     void release()
     {
+        instant now = clock_.now();
+        std::map<server_id, milliseconds> waits;
         for (const auto& [server, known] : known_)
         {
-            if (orders_.orders(server).empty())
+            auto is_this = [&id = server](const server_id& other) { return other == id; };
+            auto claim = leases_.claim_of(server);
+            if (claim && orders_.orders(server).empty() &&
+                history_.is_settled(*claim, is_this, now))
             {
-                leases_.release(server);
+                waits[server] =
+                    release_delay(history_.last_order_at(is_this), claim->taken.may_order_at,
+                                  options_.lease.terms.lease, now);
             }
         }
+        for (const auto& [server, wait] : waits)
+        {
+            leases_.release(server, wait);
+        }
     }
 
     /// The holder of the leases on the domain's servers, if any; taken from the first server's
@@ -130,10 +146,15 @@
     const slot_ledger& ledger() const { return slots_.ledger(); }
 
 private:
+    /// Reports do not tell when the engine's process started, so that none counts as younger than
+    /// an order.
+    static constexpr milliseconds unknown_process_age = std::chrono::hours(24 * 3650);
+
     struct known_server
     {
         fencing_number fencing;
-        /// The newest report; `fresh` is whether it is from this round, under this lease's number.
+        /// The newest report; `fresh` is whether it is from this round, under this lease's number,
+        /// and no order of an earlier holder can change what it says.
         std::optional<engine_report> report;
         bool fresh = false;
         instant retry_at;
@@ -154,6 +175,29 @@
         return servers;
     }
 
+    void observe_engines(const domain_view& view)
+    {
+        std::map<server_id, order_history::registered_engine> engines;
+        for (const auto& server : local_engines(*view.state))
+        {
+            if (!view.removed.contains(server))
+            {
+                engines[server] = {};
+            }
+        }
+        history_.observe(engines, clock_.now());
+    }
+
+    // Gives the order and records when it ended, and whether it may still be carried out.
+    verdict<done> send_order(const domain_view& view, const server_id& server,
+                             const engine_order& order)
+    {
+        auto sent = engine_.order(find_object(view.state->servers, server)->address, order);
+        bool answered = sent || sent.error().run == run_state::not_run;
+        history_.record_order(server, order.fencing, answered, clock_.now());
+        return sent;
+    }
+
     // One placer claims all servers of the domain, so that one decides. A lease is not claimed from
     // a holder that is believed to be alive, because each takeover costs a delay.
     void claim_leases(const domain_view& view)
@@ -198,50 +242,62 @@
     {
         const server_object* object = find_object(view.state->servers, server);
         bool removed = is_removed(view, server);
-        return leases_.order_fencing(server, !removed && object->checks_fencing);
+        bool checks_fencing = !removed && object->checks_fencing;
+        auto fencing = leases_.order_fencing(server, checks_fencing);
+        if (!fencing || removed || checks_fencing)
+        {
+            return fencing;
+        }
+        // The engine may still read an order of an earlier holder.
+        auto allowed_at = history_.first_order_at(server, *leases_.claim_of(server));
+        return allowed_at && *allowed_at <= clock_.now() ? fencing : std::nullopt;
     }
 
     void read_servers(const domain_view& view)
     {
+        std::map<server_id, fencing_number> claimed;
         std::map<server_id, fencing_number> held;
         for (const auto& server : leases_.servers())
         {
-            auto fencing = current_fencing(view, server);
-            if (fencing)
+            if (auto claim = leases_.claim_of(server))
+            {
+                claimed[server] = claim->fence;
+            }
+            if (auto fencing = current_fencing(view, server))
             {
                 held[server] = *fencing;
             }
         }
         slots_.set_held(held);
-        forget_except(held);
-        for (const auto& [server, fencing] : held)
+        forget_except(claimed);
+        for (const auto& [server, fencing] : claimed)
         {
             known_server& known = known_[server];
             known.fencing = fencing;
             known.fresh = false;
             if (!is_removed(view, server))
             {
-                read_server(view, server, known);
+                read_server(view, server, known, held.contains(server));
             }
         }
     }
 
-    void forget_except(const std::map<server_id, fencing_number>& held)
+    // Orders without effect stay in `orders_`: they may still be carried out, and a renewed claim
+    // or an outage of the log changes nothing about that.
+    void forget_except(const std::map<server_id, fencing_number>& claimed)
     {
         std::erase_if(known_,
                       [&](const auto& it)
                       {
-                          auto current = held.find(it.first);
-                          bool lost = current == held.end() || current->second != it.second.fencing;
-                          if (lost)
-                          {
-                              orders_.forget(it.first);
-                          }
-                          return lost;
+                          auto current = claimed.find(it.first);
+                          return current == claimed.end() || current->second != it.second.fencing;
                       });
     }
 
-    void read_server(const domain_view& view, const server_id& server, known_server& known)
+    // Engines are also read while the holder before may still order them: the first order depends
+    // on their responses, and entry hosts go on using what they serve.
+    void read_server(const domain_view& view, const server_id& server, known_server& known,
+                     bool may_order)
     {
         const server_object* object = find_object(view.state->servers, server);
         instant requested_at = clock_.now();
@@ -255,14 +311,23 @@
             known.retry_at = clock_.now() + options_.read_retry_delay;
             return;
         }
+        if (auto claim = leases_.claim_of(server))
+        {
+            history_.record_response(server, *claim, requested_at, clock_.now());
+        }
+        if (known.report && known.report->incarnation != report->incarnation)
+        {
+            orders_.drop_taken(server);
+        }
         known.report = *report;
         orders_.settle(server, *report, requested_at);
         // Until the engine has seen this lease's fencing number, it may accept an earlier holder's
         // orders, so the report may already be out of date.
-        known.fresh = !object->checks_fencing || report->fencing >= known.fencing;
-        if (!known.fresh)
+        bool shows_fencing = !object->checks_fencing || report->fencing >= known.fencing;
+        known.fresh = may_order && shows_fencing;
+        if (!shows_fencing)
         {
-            (void)engine_.order(object->address, make_fencing_order(known.fencing));
+            (void)send_order(view, server, make_fencing_order(known.fencing));
         }
     }
 
@@ -415,9 +480,12 @@
                 continue;
             }
             orders_.record_sent(it.server, it.order, clock_.now());
-            auto sent =
-                engine_.order(find_object(view.state->servers, it.server)->address, it.order);
-            if (!sent && sent.error().run == run_state::not_run)
+            auto sent = send_order(view, it.server, it.order);
+            if (sent)
+            {
+                orders_.record_taken(it.server, it.order);
+            }
+            else if (sent.error().run == run_state::not_run)
             {
                 orders_.record_refused(it.server, it.order);
             }
@@ -455,6 +523,7 @@
     slot_manager<Log, Clock> slots_;
     placement_planner<Policy, fixed_load_budget> planner_;
     order_tracker orders_;
+    order_history history_;
     std::map<server_id, known_server> known_;
     slot_preference preference_;
     fleet_state_ptr preference_state_;
--- a/tests/correctness/domain_placer_test.cpp
+++ b/tests/correctness/domain_placer_test.cpp
@@ -32,6 +32,16 @@
     return -1;
 }
 
+// Runs until the engines have carried out another order.
+void run_to_next_order(placer_group& group, int limit)
+{
+    int before = group.engines.orders();
+    for (int n = 0; n < limit && group.engines.orders() == before; ++n)
+    {
+        group.step();
+    }
+}
+
 fleet_state_ptr with_model(const fleet_state& from, const model_id& id, model_object object)
 {
     auto state = std::make_shared<fleet_state>(from);
@@ -177,6 +187,191 @@
     CHECK(loaded == 4);
 }
 
+TEST_CASE(
+    "the orders of two holders reach an engine that ignores fencing numbers a lease apart (ONE)")
+{
+    placer_group_options options{
+        .domains = 1, .servers_in_domain = 1, .fencing_checks = fencing::none};
+    const auto lease = lease_manager_options().lease_duration;
+
+    SECTION("the earlier holder's order is under way")
+    {
+        // The holder's order has no response and takes effect after `delay`.
+        auto order_late = [](placer_group& group, milliseconds delay)
+        {
+            group.run_steps(20);
+            int first = holder_of(group, 0);
+            REQUIRE(first >= 0);
+            group.engines.set_order_delay(delay);
+            group.add_demand(model);
+            group.run_steps(1);
+            group.engines.set_order_delay({});
+            return first;
+        };
+        auto release = [](placer_group& group, int holder)
+        {
+            group.member(0, holder)->placer.release();
+            group.stop(0, holder);
+            group.add_demand(model_id("model-1"));
+            group.run_steps(200);
+            CHECK(group.engines.orders() >= 2);
+        };
+        SECTION("when the log was unreachable and the holder stops as planned")
+        {
+            options.assumed_order_delay = milliseconds(10'000);
+            placer_group group(options);
+            int first = order_late(group, milliseconds(5000));
+            group.log.set_down(true);
+            group.run_steps(35);
+            group.log.set_down(false);
+            group.run_steps(2);
+            release(group, first);
+            CHECK(group.engines.stale_orders() == 0);
+            CHECK(group.engines.closest_holders() >= lease);
+        }
+        SECTION("when the holder has renewed its claim and stops as planned")
+        {
+            options.renew_interval = milliseconds(2200);
+            placer_group group(options);
+            int first = order_late(group, milliseconds(1900));
+            group.run_steps(5);
+            release(group, first);
+            CHECK(group.engines.stale_orders() == 0);
+            CHECK(group.engines.closest_holders() >= lease);
+        }
+        SECTION("for as long as the platform says, when the holder crashes")
+        {
+            options.assumed_order_delay.reset();
+            placer_group group(options);
+            int first = order_late(group, milliseconds(12'000));
+            group.stop(0, first);
+            group.add_demand(model_id("model-1"));
+            group.run_steps(300);
+            CHECK(group.engines.orders() >= 2);
+            CHECK(group.engines.stale_orders() == 0);
+            CHECK(group.engines.closest_holders() >= lease);
+        }
+    }
+    SECTION("the holder stops as planned right after an order")
+    {
+        placer_group group(options);
+        group.run_steps(20);
+        int first = holder_of(group, 0);
+        REQUIRE(first >= 0);
+        group.add_demand(model);
+        run_to_next_order(group, 20);
+        group.run_steps(1);
+        group.member(0, first)->placer.release();
+        group.stop(0, first);
+        group.add_demand(model_id("model-1"));
+        group.run_steps(45);
+        CHECK(group.engines.orders() == 2);
+        CHECK(group.engines.closest_holders() >= lease);
+    }
+    SECTION("a holder that the log no longer reaches orders until its lease ends")
+    {
+        placer_group group(options);
+        group.run_steps(20);
+        int first = holder_of(group, 0);
+        REQUIRE(first >= 0);
+        group.member(0, first)->link.set_partitioned(true);
+        group.member(0, first)->unlisted = true;
+        group.run_steps(28);
+        group.engines.set_order_delay(milliseconds(1900));
+        group.add_demand(model);
+        group.run_steps(1);
+        group.engines.set_order_delay({});
+        group.add_demand(model_id("model-1"));
+        group.run_steps(100);
+        CHECK(group.engines.orders() >= 2);
+        CHECK(group.engines.stale_orders() == 0);
+        CHECK(group.engines.closest_holders() >= lease);
+    }
+    SECTION("an engine that was stalled reads the earlier order as it resumes")
+    {
+        placer_group group(options);
+        group.run_steps(20);
+        int first = holder_of(group, 0);
+        REQUIRE(first >= 0);
+        group.engines.stall_at_order("engine-0");
+        group.add_demand(model);
+        group.run_steps(1);
+        group.stop(0, first);
+        group.run_steps(200);
+        group.engines.resume("engine-0");
+        group.add_demand(model_id("model-1"));
+        group.run_steps(60);
+        CHECK(group.engines.orders() >= 2);
+        CHECK(group.engines.closest_holders() >= lease);
+    }
+}
+
+TEST_CASE("an engine that a ticket moves to another domain has one holder at a time (ONE)")
+{
+    placer_group group({.domains = 2, .servers_in_domain = 1, .fencing_checks = fencing::none});
+    group.run_steps(20);
+    auto state = std::make_shared<fleet_state>(group.state());
+    server_object moved = *find_object(state->servers, server_id("server-0"));
+    moved.domain = domain_id("domain-1");
+    state->servers[server_id("server-0")] =
+        std::make_shared<const state_entry<server_object>>(state_entry<server_object>{
+            .ticket = ticket_number(2), .offset = log_offset(1), .value = moved});
+    group.set_state(state);
+    for (const auto& [id, entry] : group.state().models)
+    {
+        group.add_demand(id);
+    }
+    group.run_steps(200);
+    CHECK(group.engines.orders() >= 2);
+    CHECK(group.engines.stale_orders() == 0);
+    CHECK(group.engines.closest_holders() >= lease_manager_options().lease_duration);
+}
+
+TEST_CASE("a model is loaded again at once on an engine that restarted during the load")
+{
+    placer_group group({.domains = 1,
+                        .servers_in_domain = 1,
+                        .fencing_checks = fencing::none,
+                        .assumed_order_delay = {}});
+    group.run_steps(20);
+    group.add_demand(model);
+    run_to_next_order(group, 20);
+    REQUIRE(group.engines.replicas_of(model) == 1);
+    group.engines.stop("engine-0");
+    group.engines.add("engine-0", mebibytes(40), false);
+    group.run_steps(20);
+    CHECK(group.engines.replicas_of(model) == 1);
+}
+
+TEST_CASE("what the engines serve stays published while no orders may be given")
+{
+    placer_group group({.domains = 1, .fencing_checks = fencing::none});
+    group.add_demand(model);
+    group.run_steps(40);
+    int first = holder_of(group, 0);
+    REQUIRE(first >= 0);
+    auto published = [&](int index)
+    {
+        const auto& engines = group.member(0, index)->last_step.engines;
+        return std::count_if(engines.begin(), engines.end(),
+                             [](const placed_engine& it)
+                             { return find_replica(it.report, model) != nullptr; });
+    };
+    REQUIRE(published(first) == 1);
+    SECTION("as the log is unreachable")
+    {
+        group.log.set_down(true);
+        group.run_steps(60);
+        CHECK(published(first) == 1);
+    }
+    SECTION("as a new holder waits")
+    {
+        group.stop(0, first);
+        group.run_steps(5);
+        CHECK(published(1 - first) == 1);
+    }
+}
+
 TEST_CASE("a ticket that changes a version reloads one slot after the other")
 {
     placer_group group({.domains = 1, .replicas = 2, .fencing_checks = fencing::all});
--- a/tests/stand_ins/placement/placer_group.cpp
+++ b/tests/stand_ins/placement/placer_group.cpp
@@ -55,12 +55,15 @@
                                      int domain, incarnation_id incarnation)
 {
     domain_placer_options it;
-    it.lease.holder = host_id(name);
-    it.lease.incarnation = incarnation;
-    it.lease.domain = domain_name(domain);
+    it.lease = {.holder = host_id(name),
+                .incarnation = incarnation,
+                .domain = domain_name(domain),
+                .max_order_delay =
+                    options.assumed_order_delay.value_or(lease_manager_options().max_order_delay),
+                .renew_interval = options.renew_interval};
     if (options.skip_takeover_delay)
     {
-        it.lease.takeover_delay = milliseconds(0);
+        it.lease.terms = {};
     }
     it.slots.writer = host_id(name);
     it.planner.spread_after = milliseconds(500);
@@ -151,13 +154,14 @@
         for (const auto& [other_name, other] : members_)
         {
             // The other placers take a paused process for dead and take over.
-            bool alive = other->paused_until <= clock.now();
+            bool alive =
+                other->paused_until <= clock.now() && (!other->unlisted || other.get() == it.get());
             if (other->domain == it->domain && alive)
             {
                 view.placers.push_back(other->name);
             }
         }
-        (void)it->placer.step(view);
+        it->last_step = it->placer.step(view);
     }
 }
 
