--- a/src/serve/order_controller.cpp
+++ b/src/serve/order_controller.cpp
@@ -89,7 +89,7 @@
                                        takeover_expiry({.lease = lease(),
                                                         .membership = terms().membership,
                                                         .transit = order_transit_margin})),
-           .order_delay = context.settings.bounds.order_delay}),
+           .order_delay = order_transit_margin + context.settings.bounds.order_delay}),
       store_load_refilled_at_(context.now())
 {
 }
@@ -128,7 +128,10 @@
             continue;
         }
         bool joined = co_await join();
-        joined ? own_releases_.clear() : void_claims();
+        if (!joined)
+        {
+            void_claims();
+        }
         publish_releases();
         if (joined != is_member_)
         {
@@ -303,6 +306,7 @@
     // After a gap in which the membership may have lapsed, earlier claims are void.
     bool lapsed = context_.now() >= membership_until_;
     bool changed = assignment->generation != generation_;
+    own_releases_.clear();
     generation_ = assignment->generation;
     std::set<int> listed(assignment->partitions.begin(), assignment->partitions.end());
     std::map<int, held_partition> moved;
@@ -369,6 +373,11 @@
 void order_controller::release_to_peers(int partition, const held_partition& held,
                                         milliseconds wait)
 {
+    if (is_unused(held))
+    {
+        // It cannot speak for the owner before.
+        return;
+    }
     auto& it = own_releases_[partition];
     it = {.last_record = held.last_record, .free_at = context_.now() + wait};
     link_.publish_release(partition, it);
@@ -389,6 +398,11 @@
         auto after = co_await read_records(partition, held);
         auto last = after ? after->last_before_claim : held.last_record;
         bool late = !after || after->superseded;
+        if (late && is_unused(held))
+        {
+            // It cannot speak for the owner before, and the next owner waits in full.
+            co_return true;
+        }
         record.released_after = late ? std::optional(last) : std::nullopt;
         call = platform::assignment_append_call(partition, to_text(record),
                                                 late ? std::nullopt : std::optional(last));
@@ -400,6 +414,11 @@
     co_return response && response->status == 200;
 }
 
+fencing_number order_controller::announced_number(const held_partition& it)
+{
+    return fencing_number(it.claim.count() + 1);
+}
+
 bool order_controller::is_unused(const held_partition& it)
 {
     return it.taken.from_other_host && !it.used;
@@ -485,7 +504,7 @@
     }
     else if (after && !after->superseded)
     {
-        held->second.last_record = after->last;
+        apply_records(partition, copy, *after);
         held->second.recorded_at.reset();
     }
     else if (status == precondition_status)
@@ -535,20 +554,24 @@
     }
     for (int partition : unconfirmed)
     {
-        const held_partition copy = partitions_.at(partition);
-        auto after = co_await read_records(partition, copy);
         auto held = partitions_.find(partition);
-        if (!after || held == partitions_.end() || held->second.claim != copy.claim)
+        if (held == partitions_.end())
         {
             continue;
         }
-        if (after->superseded)
+        const held_partition copy = held->second;
+        auto after = co_await read_records(partition, copy);
+        // The next call to the group must not wait for a store that does not respond.
+        if (!after || leaving_ || context_.now() + lease() / 2 > membership_until_)
         {
-            give_up_superseded(partition);
-            continue;
+            co_return;
+        }
+        apply_records(partition, copy, *after);
+        held = partitions_.find(partition);
+        if (held != partitions_.end() && held->second.claim == copy.claim)
+        {
+            held->second.confirmed = true;
         }
-        held->second.last_record = after->last;
-        held->second.confirmed = true;
     }
 }
 
@@ -576,24 +599,34 @@
         const held_partition copy = held->second;
         held->second.read_at = context_.now() + late_release_poll;
         auto after = co_await read_records(partition, copy);
-        held = partitions_.find(partition);
-        if (!after || held == partitions_.end() || held->second.claim != copy.claim)
+        if (after)
         {
-            continue;
-        }
-        if (after->superseded)
-        {
-            give_up_superseded(partition);
-            continue;
-        }
-        held->second.last_record = after->last;
-        if (after->released_for)
-        {
-            apply_release(partition, held->second, context_.now() + *after->released_for, "log");
+            apply_records(partition, copy, *after);
         }
     }
 }
 
+void order_controller::apply_records(int partition, const held_partition& read_for,
+                                     const records_after_claim& after)
+{
+    // The partition may have been lost and claimed anew during the call.
+    auto held = partitions_.find(partition);
+    if (held == partitions_.end() || held->second.claim != read_for.claim)
+    {
+        return;
+    }
+    if (after.superseded)
+    {
+        give_up_superseded(partition);
+        return;
+    }
+    held->second.last_record = after.last;
+    if (after.released_for)
+    {
+        apply_release(partition, held->second, context_.now() + *after.released_for, "log");
+    }
+}
+
 task<void> order_controller::claim(int partition)
 {
     instant claimed_at = context_.now();
@@ -821,7 +854,7 @@
     }
     engine_owner owner{.host = context_.settings.name,
                        .incarnation = context_.incarnation,
-                       .fencing = partition->second.fence,
+                       .fencing = announced_number(partition->second),
                        .may_order_at = may_order_at,
                        .reported_at = context_.now()};
     context_.servers.apply_owner(server, owner);
@@ -1145,7 +1178,7 @@
     auto placement = held.controller.placement(*engine, context_.now());
     placement.owner = context_.settings.name;
     placement.owner_incarnation = context_.incarnation;
-    placement.fencing = partition->second.fence;
+    placement.fencing = announced_number(partition->second);
     context_.servers.apply_placement(server, placement);
     if (!force && equivalent_reports(held.last_published, placement, context_.now()))
     {
--- a/src/serve/order_controller.hpp
+++ b/src/serve/order_controller.hpp
@@ -123,6 +123,9 @@
     task<void> read_late_releases();
     /// What is recorded behind the claim of a partition; nothing if it cannot be read.
     task<std::optional<records_after_claim>> read_records(int partition, const held_partition& it);
+    /// Applies what was read behind a claim of this host.
+    void apply_records(int partition, const held_partition& read_for,
+                       const records_after_claim& after);
     void give_up_superseded(int partition);
     /// States in the log that this host gives no more orders in these partitions, so that their
     /// next owners need not wait until its lease has expired.
@@ -130,6 +133,9 @@
     /// Records a release that states a wait; returns whether it was recorded.
     task<bool> append_release(int partition, const held_partition& held, milliseconds wait,
                               milliseconds timeout);
+    /// The number of the claim, by which other hosts tell the newest owner. Orders may have an
+    /// earlier one, of a takeover that this host continues.
+    static fencing_number announced_number(const held_partition& it);
     /// Whether another host's orders may still be under way, and this host has given none.
     static bool is_unused(const held_partition& it);
     /// How long the next owner of a partition has to wait; nothing if that cannot be stated.
