Store stand-in: documented moves of partitions, retention, lost responses

The group reassigned a partition at once when a member joined. By the platform documentation it stays with its holder, listed for nobody, until that holder joins with the generation that moved it, leaves or lapses. rebalance() still assigns at once; undo_rebalance() and move() are new.

The log can retain records for a time, drop its history, answer reads with an older state and begin a topic anew, and a call can be carried out without its response.

--- a/tests/stand_ins/prepared_platform.cpp
+++ b/tests/stand_ins/prepared_platform.cpp
@@ -26,6 +26,7 @@
 constexpr int keep_alive_s = 1;
 /// Longer than a host waits for a response.
 constexpr std::chrono::seconds lost_read_time{5};
+constexpr std::chrono::milliseconds lost_response_time{1500};
 /// Longer than a host's pause between two reads.
 constexpr int store_keep_alive_s = 5;
 /// Size of each of the two offsets at the start of a read response.
@@ -87,7 +88,8 @@
 
 } // namespace
 
-std::string group_stand_in::join(const std::string& member, std::chrono::milliseconds ttl)
+std::string group_stand_in::join(const std::string& member, std::chrono::milliseconds ttl,
+                                 std::int64_t generation)
 {
     std::lock_guard lock(mutex_);
     auto now = std::chrono::steady_clock::now();
@@ -100,15 +102,19 @@
         ++generation_;
         assign_partitions();
     }
-    json assigned = json::array();
-    for (const auto& [partition, holder] : holders_)
+    json listed = json::array();
+    for (auto& [partition, it] : assigned_)
     {
-        if (holder == member)
+        if (it.holder == member && generation >= it.moved_in)
         {
-            assigned.push_back({"shunt-duties", partition, 0});
+            it.holder = it.next_holder;
+        }
+        if (it.holder == member && it.next_holder == member)
+        {
+            listed.push_back({"shunt-duties", partition, 0});
         }
     }
-    return json{{"generation", generation_}, {"ttl_ms", ttl.count()}, {"parts", assigned}}.dump();
+    return json{{"generation", generation_}, {"ttl_ms", ttl.count()}, {"parts", listed}}.dump();
 }
 
 void group_stand_in::leave(const std::string& member)
@@ -129,20 +135,54 @@
         return;
     }
     ++generation_;
+    holders_before_.clear();
     // Each partition goes to the member after its holder.
-    for (auto& [partition, holder] : holders_)
+    for (const auto& [partition, it] : assigned_)
     {
-        auto next = members_.upper_bound(holder);
-        holder = next == members_.end() ? members_.begin()->first : next->first;
+        holders_before_[partition] = it.holder;
+        auto next = members_.upper_bound(it.holder);
+        assign_at_once(partition, next == members_.end() ? members_.begin()->first : next->first);
     }
 }
 
+void group_stand_in::undo_rebalance()
+{
+    std::lock_guard lock(mutex_);
+    ++generation_;
+    for (const auto& [partition, holder] : holders_before_)
+    {
+        if (members_.contains(holder))
+        {
+            assign_at_once(partition, holder);
+        }
+    }
+}
+
+void group_stand_in::move(int partition, const std::string& member)
+{
+    std::lock_guard lock(mutex_);
+    ++generation_;
+    assign_at_once(partition, member);
+}
+
+std::string group_stand_in::holder_of(int partition)
+{
+    std::lock_guard lock(mutex_);
+    auto it = assigned_.find(partition);
+    return it == assigned_.end() ? "" : it->second.holder;
+}
+
+void group_stand_in::assign_at_once(int partition, const std::string& member)
+{
+    assigned_[partition] = {.holder = member, .next_holder = member, .moved_in = generation_};
+}
+
 void group_stand_in::lapse()
 {
     std::lock_guard lock(mutex_);
     ++generation_;
     members_.clear();
-    holders_.clear();
+    assigned_.clear();
 }
 
 void group_stand_in::assign_partitions()
@@ -153,19 +193,40 @@
             ? 0
             : (static_cast<std::size_t>(partitions_) + members_.size() - 1) / members_.size();
     std::map<std::string, std::size_t> held;
-    std::erase_if(holders_, [&](const auto& it)
-                  { return !members_.contains(it.second) || ++held[it.second] > max_share; });
+    std::map<int, std::string> next;
+    for (const auto& [partition, it] : assigned_)
+    {
+        if (members_.contains(it.next_holder) && ++held[it.next_holder] <= max_share)
+        {
+            next[partition] = it.next_holder;
+        }
+    }
     for (int partition = 0; partition < partitions_ && max_share > 0; ++partition)
     {
         for (const auto& [member, until] : members_)
         {
-            if (!holders_.contains(partition) && held[member] < max_share)
+            if (!next.contains(partition) && held[member] < max_share)
             {
-                holders_[partition] = member;
+                next[partition] = member;
                 ++held[member];
             }
         }
     }
+    std::erase_if(assigned_, [&](const auto& it) { return !next.contains(it.first); });
+    for (const auto& [partition, member] : next)
+    {
+        auto& it = assigned_[partition];
+        if (!members_.contains(it.holder))
+        {
+            assign_at_once(partition, member);
+        }
+        else if (it.next_holder != member)
+        {
+            bool was_moving = it.holder != it.next_holder;
+            it.next_holder = member;
+            it.moved_in = was_moving ? it.moved_in : generation_;
+        }
+    }
 }
 
 struct store_stand_in::server
@@ -218,7 +279,8 @@
             return;
         }
         act();
-        std::this_thread::sleep_for(fault.response_delay);
+        std::this_thread::sleep_for(fault.response_lost ? lost_response_time
+                                                        : fault.response_delay);
     };
     auto append = [this](const httplib::Request& call, httplib::Response& response)
     {
@@ -256,7 +318,8 @@
                             {
                                 response.set_content(
                                     group_.join(body.at("member").get<std::string>(),
-                                                std::chrono::milliseconds(body.at("ttl_ms"))),
+                                                std::chrono::milliseconds(body.at("ttl_ms")),
+                                                body.value("generation", std::int64_t{0})),
                                     "application/json");
                             });
               });
@@ -330,6 +393,31 @@
     first_retained_[topic] = before;
 }
 
+void store_stand_in::drop_history()
+{
+    std::lock_guard lock(mutex_);
+    for (const auto& [topic, entries] : topics_)
+    {
+        first_retained_[topic] = entries.size();
+    }
+}
+
+void store_stand_in::begin_anew(const std::string& topic)
+{
+    std::lock_guard lock(mutex_);
+    auto is_part = [&](const auto& it) { return it.first.starts_with(topic + "/"); };
+    std::erase_if(topics_, is_part);
+    std::erase_if(first_retained_, is_part);
+}
+
+std::size_t store_stand_in::first_after(const std::vector<entry>& entries,
+                                        std::chrono::steady_clock::time_point at)
+{
+    auto it = std::partition_point(entries.begin(), entries.end(),
+                                   [&](const entry& record) { return record.at <= at; });
+    return static_cast<std::size_t>(it - entries.begin());
+}
+
 std::vector<std::string> store_stand_in::values(const std::string& topic) const
 {
     std::lock_guard lock(mutex_);
@@ -398,15 +486,25 @@
     {
         records_added_.wait_for(lock, lost_read_time, [&] { return closing_; });
     }
-    auto first = first_retained_[topic];
+    auto now = std::chrono::steady_clock::now();
+    auto& first = first_retained_[topic];
+    if (keep_ms > 0)
+    {
+        first = std::max(first, first_after(entries, now - std::chrono::milliseconds(keep_ms)));
+    }
     if (from < first)
     {
         return std::nullopt;
     }
+    std::size_t end = entries.size();
+    if (stale_ms > 0)
+    {
+        end = std::max(from, first_after(entries, now - std::chrono::milliseconds(stale_ms)));
+    }
     std::string body;
-    big_endian(body, entries.size(), offset_bytes);
-    big_endian(body, first, offset_bytes);
-    for (std::size_t n = from; n < entries.size() && body.size() < max_kb * 1024; ++n)
+    big_endian(body, end, offset_bytes);
+    big_endian(body, std::min(first, end), offset_bytes);
+    for (std::size_t n = from; n < end && body.size() < max_kb * 1024; ++n)
     {
         const auto& it = entries[n];
         std::string content = it.value;
--- a/tests/stand_ins/prepared_platform.hpp
+++ b/tests/stand_ins/prepared_platform.hpp
@@ -31,22 +31,42 @@
 public:
     explicit group_stand_in(int partitions) : partitions_(partitions) {}
 
-    /// Adds a member or renews its membership, and returns the response body.
-    std::string join(const std::string& member, std::chrono::milliseconds ttl);
+    /// Adds a member or renews its membership, and returns the response body. `generation` is the
+    /// last one that the member received.
+    std::string join(const std::string& member, std::chrono::milliseconds ttl,
+                     std::int64_t generation);
     void leave(const std::string& member);
     /// Assigns every partition anew at once, without a call of any member.
     void rebalance();
+    /// Assigns every partition at once to its holder before the last `rebalance`, if that is still
+    /// a member.
+    void undo_rebalance();
+    /// Assigns one partition at once.
+    void move(int partition, const std::string& member);
+    /// The member that a partition is listed for; empty if there is none.
+    std::string holder_of(int partition);
     /// Ends all memberships at once.
     void lapse();
 
 private:
+    /// A partition that is to move stays with its holder, unlisted, until the holder joins with
+    /// the generation that moved it, leaves or lapses.
+    struct assigned_partition
+    {
+        std::string holder;
+        std::string next_holder;
+        std::int64_t moved_in = 0;
+    };
+
     void assign_partitions();
+    void assign_at_once(int partition, const std::string& member);
 
     int partitions_;
     std::mutex mutex_;
     std::int64_t generation_ = 0;
     std::map<std::string, std::chrono::steady_clock::time_point> members_;
-    std::map<int, std::string> holders_;
+    std::map<int, assigned_partition> assigned_;
+    std::map<int, std::string> holders_before_;
 };
 
 /// How a read that did not notice a record ends.
@@ -67,6 +87,8 @@
     std::chrono::milliseconds response_delay{0};
     /// If nonzero, it is refused with this status.
     int refused_with = 0;
+    /// It is carried out, and its response is lost.
+    bool response_lost = false;
 };
 
 /// The log service: keyed topics with one partition each, appends, and one group.
@@ -84,6 +106,14 @@
                        missed_read_end end);
     /// Deletes the records of a topic before an offset; the newest of each key is retained.
     void expire(const std::string& topic, std::size_t before);
+    /// Deletes the records of all topics; the newest of each key is retained.
+    void drop_history();
+    /// Forgets all partitions of a topic, so that their offsets begin with 0 again.
+    void begin_anew(const std::string& topic);
+    /// How long records are retained; 0 for always.
+    std::atomic<int> keep_ms = 0;
+    /// Reads respond with the records that were there this long ago.
+    std::atomic<int> stale_ms = 0;
     /// The values of all records of a topic; of a partition, its name is "TOPIC/PARTITION".
     std::vector<std::string> values(const std::string& topic) const;
     /// The calls received to read a topic from an offset on.
@@ -107,6 +137,7 @@
     {
         std::string key;
         std::string value;
+        std::chrono::steady_clock::time_point at = std::chrono::steady_clock::now();
         /// The read that does not notice it while it waits; 0 for none.
         int missed_by = 0;
     };
@@ -114,6 +145,9 @@
     std::optional<std::string> read(const std::string& topic, std::size_t from, std::size_t max_kb,
                                     int wait_ms);
     std::string newest(const std::string& topic, const std::string& after);
+    /// The first record that was added after a time.
+    static std::size_t first_after(const std::vector<entry>& entries,
+                                   std::chrono::steady_clock::time_point at);
     call_fault fault_of(const std::string& path, const std::string& body);
 
     group_stand_in group_;
