Soak: faults of the store's history and of appends around orders

New faults: the history of all topics is dropped as partitions are dealt anew, half the time after stale reads; appends that get no response, at once or late; partitions that move away and back within a membership. Broken rules are counted by kind.

--- a/tests/soak/order_checks.cpp
+++ b/tests/soak/order_checks.cpp
@@ -44,6 +44,9 @@
             auto judgement = judge_orders(orders, dating, soak_fleet::lease, is_excused);
             for (const auto& breach : judgement.breaches)
             {
+                ++findings.counts[fmt::format(
+                    "{}, {}", dating == order_dating::arrival ? "arrival" : "effect",
+                    to_text(breach.kind))];
                 findings.violations.push_back(
                     fmt::format("orders: {} received {}", soak_fleet::server_name(n),
                                 describe(breach, orders, dating, history.begun)));
--- a/tests/soak/order_checks.hpp
+++ b/tests/soak/order_checks.hpp
@@ -28,6 +28,8 @@
 {
     /// One line for each order that broke the rule.
     std::vector<std::string> violations;
+    /// How many orders broke the rule, by what was broken and by the time that counted.
+    std::map<std::string, std::size_t> counts;
     std::size_t judged = 0;
     std::size_t excused = 0;
     /// Orders that got no response and were carried out later.
--- a/tests/soak/order_faults.cpp
+++ b/tests/soak/order_faults.cpp
@@ -28,15 +28,38 @@
     freeze_engine,
     freeze_engine_at_order,
     hold_order,
+    compact,
+    lose_appends,
+    rebalance_and_back,
 };
 
 /// Drawn with equal probability; kinds that need a second event to matter occur twice.
 constexpr fault_kind drawn_kinds[] = {
-    fault_kind::rebalance,     fault_kind::rebalance_twice,     fault_kind::lapse,
-    fault_kind::freeze_host,   fault_kind::freeze_host_in_call, fault_kind::freeze_host_in_call,
-    fault_kind::trouble_store, fault_kind::trouble_store,       fault_kind::kill_host,
-    fault_kind::stop_host,     fault_kind::freeze_engine,       fault_kind::freeze_engine_at_order,
+    fault_kind::rebalance,
+    fault_kind::rebalance_twice,
+    fault_kind::lapse,
+    fault_kind::freeze_host,
+    fault_kind::freeze_host_in_call,
+    fault_kind::freeze_host_in_call,
+    fault_kind::trouble_store,
+    fault_kind::trouble_store,
+    fault_kind::kill_host,
+    fault_kind::stop_host,
+    fault_kind::freeze_engine,
+    fault_kind::freeze_engine_at_order,
     fault_kind::hold_order,
+    fault_kind::compact,
+    fault_kind::compact,
+    fault_kind::lose_appends,
+    fault_kind::lose_appends,
+    fault_kind::rebalance_and_back,
+};
+constexpr fault_kind store_kinds[] = {
+    fault_kind::rebalance,          fault_kind::rebalance_twice, fault_kind::lapse,
+    fault_kind::trouble_store,      fault_kind::trouble_store,   fault_kind::kill_host,
+    fault_kind::stop_host,          fault_kind::compact,         fault_kind::compact,
+    fault_kind::lose_appends,       fault_kind::lose_appends,    fault_kind::rebalance_and_back,
+    fault_kind::rebalance_and_back,
 };
 
 constexpr const char* order_request = "POST /api/order";
@@ -61,6 +84,14 @@
 /// Below the hosts' timeout of a call, so that late responses are used.
 constexpr milliseconds max_response_delay = 950ms;
 
+constexpr milliseconds max_staleness = 2000ms;
+/// Two for each partition of the group, as a host that gets no response claims again.
+constexpr int max_lost_appends = 12;
+constexpr milliseconds max_append_delay = 2500ms;
+/// Within a membership, in which hosts claim what is listed for longer than 300 ms.
+constexpr milliseconds min_absence = 350ms;
+constexpr milliseconds max_absence = 850ms;
+
 template <class Random>
 milliseconds uniform_length(Random& random, milliseconds min, milliseconds max)
 {
@@ -70,9 +101,9 @@
 
 } // namespace
 
-order_faults::order_faults(soak_fleet& fleet, std::uint64_t seed,
+order_faults::order_faults(soak_fleet& fleet, std::uint64_t seed, order_fault_scope scope,
                            std::function<void(const std::string&)> log)
-    : fleet_(fleet), log_(std::move(log)), random_(seed), call_random_(seed)
+    : fleet_(fleet), scope_(scope), log_(std::move(log)), random_(seed), call_random_(seed)
 {
     fleet_.store.set_call_faults([this](const std::string& path, const std::string& body)
                                  { return decide(path, body); });
@@ -120,6 +151,11 @@
         freeze(*caller, length);
         return {};
     }
+    if (path == "/api/log-append" && append_trouble_.left > 0)
+    {
+        --append_trouble_.left;
+        return {.carry_out_delay = append_trouble_.carry_out_delay, .response_lost = true};
+    }
     if (store_trouble_.caller && store_trouble_.caller != caller)
     {
         return {};
@@ -155,6 +191,40 @@
     store_trouble_ = now;
 }
 
+void order_faults::compact_store()
+{
+    auto staleness = draw(2) == 0 ? draw_length(0ms, max_staleness) : 0ms;
+    log_(fmt::format("reads stale for {} ms, history dropped, rebalance", staleness.count()));
+    fleet_.store.stale_ms = static_cast<int>(staleness.count());
+    std::this_thread::sleep_for(staleness);
+    fleet_.store.drop_history();
+    fleet_.store.group().rebalance();
+    fleet_.store.stale_ms = 0;
+}
+
+void order_faults::lose_appends()
+{
+    append_trouble next{.left = 1 + draw(max_lost_appends),
+                        .carry_out_delay =
+                            draw(2) == 0 ? draw_length(min_call_delay, max_append_delay) : 0ms};
+    log_(fmt::format("rebalance, {} appends without a response, carried out after {} ms", next.left,
+                     next.carry_out_delay.count()));
+    {
+        std::lock_guard lock(mutex_);
+        append_trouble_ = next;
+    }
+    fleet_.store.group().rebalance();
+}
+
+void order_faults::rebalance_and_back()
+{
+    auto absence = draw_length(min_absence, max_absence);
+    log_(fmt::format("rebalance and back after {} ms", absence.count()));
+    fleet_.store.group().rebalance();
+    std::this_thread::sleep_for(absence);
+    fleet_.store.group().undo_rebalance();
+}
+
 void order_faults::freeze(soak_fleet::host& it, milliseconds length)
 {
     if (!fleet_.pause(it))
@@ -188,7 +258,10 @@
     auto n = soak_fleet::first_engine + static_cast<std::size_t>(draw(static_cast<int>(engines)));
     auto& engine_proxy = *fleet_.backend_proxies[n];
     auto engine = soak_fleet::server_name(n);
-    switch (drawn_kinds[draw(static_cast<int>(std::size(drawn_kinds)))])
+    auto kind = scope_ == order_fault_scope::store
+                    ? store_kinds[draw(static_cast<int>(std::size(store_kinds)))]
+                    : drawn_kinds[draw(static_cast<int>(std::size(drawn_kinds)))];
+    switch (kind)
     {
     case fault_kind::rebalance:
         log_("rebalance");
@@ -219,6 +292,15 @@
     case fault_kind::trouble_store:
         trouble_store(it);
         break;
+    case fault_kind::compact:
+        compact_store();
+        break;
+    case fault_kind::lose_appends:
+        lose_appends();
+        break;
+    case fault_kind::rebalance_and_back:
+        rebalance_and_back();
+        break;
     case fault_kind::kill_host:
         log_("kill " + it.name);
         fleet_.signal(it, SIGKILL);
@@ -255,6 +337,7 @@
 {
     std::lock_guard lock(mutex_);
     store_trouble_ = {};
+    append_trouble_ = {};
     call_freeze_.reset();
 }
 
--- a/tests/soak/order_faults.hpp
+++ b/tests/soak/order_faults.hpp
@@ -20,11 +20,19 @@
 namespace banyanshunt::soak
 {
 
+/// Which faults are injected.
+enum class order_fault_scope
+{
+    all,
+    /// Those of the store and of its group, and hosts that are stopped or killed.
+    store,
+};
+
 class order_faults
 {
 public:
     /// `log` gets one line for each fault, on any thread.
-    order_faults(soak_fleet& fleet, std::uint64_t seed,
+    order_faults(soak_fleet& fleet, std::uint64_t seed, order_fault_scope scope,
                  std::function<void(const std::string&)> log);
     ~order_faults();
 
@@ -52,23 +60,36 @@
         std::chrono::milliseconds length;
     };
 
+    /// The next appends, of any host, that are late or whose responses are lost.
+    struct append_trouble
+    {
+        int left = 0;
+        std::chrono::milliseconds carry_out_delay{0};
+    };
+
     int draw(int bound);
     std::chrono::milliseconds draw_length(std::chrono::milliseconds min,
                                           std::chrono::milliseconds max);
     soak_fleet::host* find_caller(const std::string& body);
     call_fault decide(const std::string& path, const std::string& body);
     void trouble_store(const soak_fleet::host& it);
+    /// Drops all history and assigns all partitions anew, after reads that were stale or not.
+    void compact_store();
+    void lose_appends();
+    void rebalance_and_back();
     /// Stops the process of a host for a time.
     void freeze(soak_fleet::host& it, std::chrono::milliseconds length);
     void resume(soak_fleet::host& it);
 
     soak_fleet& fleet_;
+    const order_fault_scope scope_;
     const std::function<void(const std::string&)> log_;
     std::mt19937_64 random_;
     /// Guards the members below: calls to the store and the ends of freezes have their own threads.
     mutable std::mutex mutex_;
     std::mt19937_64 call_random_;
     store_trouble store_trouble_;
+    append_trouble append_trouble_;
     std::optional<call_freeze> call_freeze_;
     order_disturbances history_;
     /// Last, so that its threads end before what they use.
--- a/tests/soak/shunt_soak.cpp
+++ b/tests/soak/shunt_soak.cpp
@@ -31,7 +31,13 @@
               "have more than planned work");
 DEFINE_string(faults, "all",
               "orders: only faults around the assignment of engines to hosts, and only the checks "
-              "of orders and of hosts that end unasked");
+              "of orders and of hosts that end unasked; store: of these, only the store's faults");
+DEFINE_int32(late_order_percent, 33,
+             "with --faults=orders or store: the share of orders that get no response and are "
+             "carried out later");
+DEFINE_int32(record_keep_ms, 7000,
+             "with --faults=orders or store: how long the store retains records, by default 20 s "
+             "scaled by the lease; 0 for always");
 DEFINE_string(host_flags, "", "further command-line flags of the hosts, separated by blanks");
 DEFINE_string(folder, "", "folder for settings and logs; each seed gets a new folder in it");
 
@@ -67,10 +73,8 @@
 constexpr int order_domains = 3;
 constexpr int order_engines = 8;
 constexpr int demanded_adapters = 12;
-/// The share of the orders that get no response, in percent, and how much later they are carried
-/// out: 2 to 12 s, as the platform documentation's list of troubles states, for a lease that is a
-/// third of the platform's.
-constexpr int late_order_percent = 33;
+/// How much later orders that get no response are carried out: 2 to 12 s, as the platform
+/// documentation's list of troubles states, for a lease that is a third of the platform's.
 constexpr int min_order_delay_ms = 667;
 constexpr int max_order_delay_ms = 4000;
 /// The most faults in a series, the longest pause between two of them, and how long hosts have for
@@ -186,7 +190,11 @@
     /// hosts that ended unasked.
     std::vector<std::string> run_order_faults(std::uint64_t seed)
     {
-        order_faults faults(fleet_, seed, [this](const std::string& what) { log_fault(what); });
+        order_faults faults(fleet_, seed,
+                            FLAGS_faults == "store" ? order_fault_scope::store
+                                                    : order_fault_scope::all,
+                            [this](const std::string& what) { log_fault(what); });
+        fleet_.store.keep_ms = FLAGS_record_keep_ms;
         std::this_thread::sleep_for(start_length);
         std::vector<std::string> ips;
         for (const auto& it : fleet_.hosts)
@@ -199,7 +207,7 @@
         {
             fleet_.backends[n]->min_order_delay_ms = min_order_delay_ms;
             fleet_.backends[n]->max_order_delay_ms = max_order_delay_ms;
-            fleet_.backends[n]->late_order_percent = late_order_percent;
+            fleet_.backends[n]->late_order_percent = FLAGS_late_order_percent;
         }
         auto until = std::chrono::steady_clock::now() + std::chrono::seconds(FLAGS_fault_seconds);
         while (std::chrono::steady_clock::now() < until)
@@ -233,6 +241,10 @@
         auto findings = check_orders(fleet_, orders);
         std::cout << fmt::format("  {} orders judged, {} excused, {} without a response\n",
                                  findings.judged, findings.excused, findings.late);
+        for (const auto& [kind, n] : findings.counts)
+        {
+            std::cout << fmt::format("  {} by {}\n", n, kind);
+        }
         auto least = static_cast<std::size_t>(min_orders_per_second * FLAGS_fault_seconds);
         if (findings.judged < least)
         {
@@ -245,7 +257,7 @@
     }
 
     std::size_t calls() const { return calls_; }
-    static bool only_orders() { return FLAGS_faults == "orders"; }
+    static bool only_orders() { return FLAGS_faults == "orders" || FLAGS_faults == "store"; }
 
 private:
     static bool planned_only(std::uint64_t seed) { return seed % planned_interval == 0; }
