Soak: directed scenarios for states of the assignment that last

--scenario: a partition that moves away and back between two joins, two hosts with 4 instead of 6 partitions, an assignment topic that begins anew, and hosts that are replaced by another machine of their name, which counts as another holder.

--- /dev/null
+++ b/tests/soak/assignment_scenario.cpp
@@ -0,0 +1,122 @@
+#include "soak/assignment_scenario.hpp"
+
+#include <set>
+#include <stdexcept>
+#include <thread>
+#include <utility>
+
+#include <fmt/format.h>
+
+namespace banyanshunt::soak
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+constexpr auto step_interval = 9s;
+constexpr int moved_partition = 0;
+constexpr int rounds = 6;
+/// Joins are 250 ms apart and renew a membership of 900 ms. One that is this late leaves the next
+/// member the time to claim.
+constexpr auto join_delay = 500ms;
+constexpr auto absence = 650ms;
+constexpr auto max_join_wait = 2s;
+constexpr auto round_pause = 300ms;
+
+} // namespace
+
+assignment_scenario::assignment_scenario(soak_fleet& fleet, std::string what,
+                                         std::function<void(const std::string&)> log)
+    : fleet_(fleet), what_(std::move(what)), log_(std::move(log))
+{
+    static const std::set<std::string> known = {"away_and_back", "other_parts", "new_topic",
+                                                "other_machine"};
+    if (!known.contains(what_))
+    {
+        throw std::invalid_argument("no scenario " + what_);
+    }
+    if (what_ != "away_and_back")
+    {
+        return;
+    }
+    fleet_.store.set_call_faults(
+        [this](const std::string& path, const std::string& body) -> call_fault
+        {
+            std::lock_guard lock(mutex_);
+            bool concerned = path == "/api/log-join" && !delayed_member_.empty() &&
+                             body.find('"' + delayed_member_ + '"') != std::string::npos;
+            if (!concerned)
+            {
+                return {};
+            }
+            return {.carry_out_delay = std::exchange(joined_, true) ? join_delay : 0ms};
+        });
+}
+
+assignment_scenario::~assignment_scenario()
+{
+    fleet_.store.set_call_faults(nullptr);
+}
+
+void assignment_scenario::move_away_and_back()
+{
+    auto& group = fleet_.store.group();
+    auto holder = group.holder_of(moved_partition);
+    auto other = fleet_.hosts[0].name == holder ? fleet_.hosts[1].name : fleet_.hosts[0].name;
+    log_(fmt::format("partition {} from {} to {} and back, {} times", moved_partition, holder,
+                     other, rounds));
+    for (int n = 0; n < rounds; ++n)
+    {
+        {
+            std::lock_guard lock(mutex_);
+            delayed_member_ = holder;
+            joined_ = false;
+        }
+        auto has_joined = [&]
+        {
+            std::lock_guard lock(mutex_);
+            return joined_;
+        };
+        for (auto until = std::chrono::steady_clock::now() + max_join_wait;
+             !has_joined() && std::chrono::steady_clock::now() < until;)
+        {
+            std::this_thread::sleep_for(2ms);
+        }
+        std::this_thread::sleep_for(5ms);
+        group.move(moved_partition, other);
+        std::this_thread::sleep_for(absence);
+        group.move(moved_partition, holder);
+        {
+            std::lock_guard lock(mutex_);
+            delayed_member_.clear();
+        }
+        std::this_thread::sleep_for(round_pause);
+    }
+}
+
+void assignment_scenario::step()
+{
+    auto next = std::chrono::steady_clock::now() + step_interval;
+    if (what_ == "away_and_back")
+    {
+        move_away_and_back();
+    }
+    else if (what_ == "new_topic")
+    {
+        log_("the assignment topic begins anew, rebalance");
+        fleet_.store.begin_anew("shunt-duties");
+        fleet_.store.group().rebalance();
+    }
+    else if (what_ == "other_machine")
+    {
+        auto& it = fleet_.hosts[steps_++ % fleet_.hosts.size()];
+        log_("replace " + it.name);
+        replaced_[it.name].push_back(std::chrono::steady_clock::now());
+        fleet_.replace(it);
+    }
+    std::this_thread::sleep_until(next);
+}
+
+} // namespace banyanshunt::soak
--- /dev/null
+++ b/tests/soak/assignment_scenario.hpp
@@ -0,0 +1,49 @@
+#pragma once
+
+/// \file
+/// Single faults directed at the assignment of engines to entry hosts, for states that last.
+
+#include <chrono>
+#include <functional>
+#include <map>
+#include <mutex>
+#include <string>
+#include <vector>
+
+#include "soak/soak_fleet.hpp"
+
+namespace banyanshunt::soak
+{
+
+class assignment_scenario
+{
+public:
+    /// `what` is one of away_and_back, other_parts, new_topic and other_machine.
+    assignment_scenario(soak_fleet& fleet, std::string what,
+                        std::function<void(const std::string&)> log);
+    ~assignment_scenario();
+
+    /// Injects the fault once and waits until the next one is due.
+    void step();
+    /// When each host was replaced by another machine.
+    std::map<std::string, std::vector<std::chrono::steady_clock::time_point>> replaced() const
+    {
+        return replaced_;
+    }
+
+private:
+    /// One partition moves to another member between two joins of its holder, and back.
+    void move_away_and_back();
+
+    soak_fleet& fleet_;
+    const std::string what_;
+    const std::function<void(const std::string&)> log_;
+    std::map<std::string, std::vector<std::chrono::steady_clock::time_point>> replaced_;
+    std::size_t steps_ = 0;
+    /// Guards the members below, which calls to the store use.
+    std::mutex mutex_;
+    std::string delayed_member_;
+    bool joined_ = false;
+};
+
+} // namespace banyanshunt::soak
--- a/tests/soak/order_checks.cpp
+++ b/tests/soak/order_checks.cpp
@@ -26,6 +26,17 @@
                        [&](auto end) { return end <= at && at - end <= arrival_slack; });
 }
 
+/// The holder of an order; machines are different holders, whatever their names.
+std::string machine_of(const received_order& order, const order_disturbances& history)
+{
+    auto it = history.replaced.find(order.holder);
+    auto before = it == history.replaced.end()
+                      ? 0
+                      : std::count_if(it->second.begin(), it->second.end(),
+                                      [&](auto at) { return at <= order.at; });
+    return before == 0 ? order.holder : fmt::format("{}, machine {}", order.holder, before + 1);
+}
+
 } // namespace
 
 order_findings check_orders(const soak_fleet& fleet, const order_disturbances& history)
@@ -34,6 +45,10 @@
     for (std::size_t n = 0; n < fleet.backends.size(); ++n)
     {
         auto orders = fleet.backends[n]->received_orders();
+        for (auto& order : orders)
+        {
+            order.holder = machine_of(order, history);
+        }
         auto is_excused = [&](const received_order& order)
         {
             return follows_end(history.resumed, order.holder, order.at) ||
--- a/tests/soak/order_checks.hpp
+++ b/tests/soak/order_checks.hpp
@@ -22,6 +22,8 @@
     std::map<std::string, std::vector<std::chrono::steady_clock::time_point>> resumed;
     /// When the link to each backend server went on after it had held data up, by its index.
     std::map<std::size_t, std::vector<std::chrono::steady_clock::time_point>> restored_links;
+    /// When each host was replaced by another machine of its name.
+    std::map<std::string, std::vector<std::chrono::steady_clock::time_point>> replaced = {};
 };
 
 struct order_findings
--- a/tests/soak/shunt_soak.cpp
+++ b/tests/soak/shunt_soak.cpp
@@ -13,6 +13,7 @@
 #include <fmt/format.h>
 #include <gflags/gflags.h>
 
+#include "soak/assignment_scenario.hpp"
 #include "soak/model_demand.hpp"
 #include "soak/odd_writers.hpp"
 #include "soak/order_faults.hpp"
@@ -38,6 +39,9 @@
 DEFINE_int32(record_keep_ms, 7000,
              "with --faults=orders or store: how long the store retains records, by default 20 s "
              "scaled by the lease; 0 for always");
+DEFINE_string(scenario, "",
+              "with --faults=orders: instead of random faults, one that is directed at the "
+              "assignment of engines: away_and_back, other_parts, new_topic or other_machine");
 DEFINE_string(host_flags, "", "further command-line flags of the hosts, separated by blanks");
 DEFINE_string(folder, "", "folder for settings and logs; each seed gets a new folder in it");
 
@@ -73,6 +77,8 @@
 constexpr int order_domains = 3;
 constexpr int order_engines = 8;
 constexpr int demanded_adapters = 12;
+/// What two hosts take for the number of the store's partitions in the scenario `other_parts`.
+constexpr int scenario_parts = 4;
 /// How much later orders that get no response are carried out: 2 to 12 s, as the platform
 /// documentation's list of troubles states, for a lease that is a third of the platform's.
 constexpr int min_order_delay_ms = 667;
@@ -105,7 +111,8 @@
                   .engine_mb = only_orders() ? 50 : 100,
                   .engines = only_orders() ? order_engines : 3,
                   .adapters = only_orders() ? demanded_adapters : 0,
-                  .domains = only_orders() ? order_domains : 1})
+                  .domains = only_orders() ? order_domains : 1,
+                  .other_parts = FLAGS_scenario == "other_parts" ? scenario_parts : 0})
     {
         for (auto kind : odd_kinds(seed))
         {
@@ -210,6 +217,17 @@
             fleet_.backends[n]->late_order_percent = FLAGS_late_order_percent;
         }
         auto until = std::chrono::steady_clock::now() + std::chrono::seconds(FLAGS_fault_seconds);
+        std::optional<assignment_scenario> scenario;
+        if (!FLAGS_scenario.empty())
+        {
+            scenario.emplace(fleet_, FLAGS_scenario,
+                             [this](const std::string& what) { log_fault(what); });
+        }
+        while (scenario && std::chrono::steady_clock::now() < until)
+        {
+            restart_ended();
+            scenario->step();
+        }
         while (std::chrono::steady_clock::now() < until)
         {
             for (int n = draw(max_faults_in_series); n >= 0; --n)
@@ -238,6 +256,10 @@
         calls_ = callers.records().size();
         auto orders = faults.history();
         orders.begun = history_.begun;
+        if (scenario)
+        {
+            orders.replaced = scenario->replaced();
+        }
         auto findings = check_orders(fleet_, orders);
         std::cout << fmt::format("  {} orders judged, {} excused, {} without a response\n",
                                  findings.judged, findings.excused, findings.late);
--- a/tests/soak/soak_fleet.cpp
+++ b/tests/soak/soak_fleet.cpp
@@ -8,6 +8,7 @@
 
 #include <fstream>
 #include <sstream>
+#include <thread>
 
 #include <fmt/format.h>
 #include <httplib.h>
@@ -212,14 +213,15 @@
 
 void soak_fleet::start(host& it)
 {
+    bool has_other_parts = options_.other_parts > 0 && (it.name == "h0" || it.name == "h1");
     std::string settings = fmt::format("{}/{}.conf", options_.directory, it.name);
     std::ofstream(settings) << fmt::format(
         "node_name={}\nip={}\nzone={}\nlisten.front={}:{}\nlisten.ready={}:{}\n"
         "internal_ports=17600,17615\nbounds.lease_ms={}\nbounds.grace_s={}\nbounds.drain_ms=2000\n"
         "bounds.revoke_ms=5000\nbounds.revoke_fail_closed=true\nplatform.address={}\n"
-        "platform.parts=6\nplatform.ttl_min_ms=1000\n",
+        "platform.parts={}\nplatform.ttl_min_ms=1000\n",
         it.name, it.ip, it.domain, it.ip, caller_port, it.ip, ready_port, lease.count(),
-        options_.grace_s, it.store_proxy->address());
+        options_.grace_s, it.store_proxy->address(), has_other_parts ? options_.other_parts : 6);
     std::string log = fmt::format("{}/{}.log", options_.directory, it.name);
     std::lock_guard lock(process_mutex_);
     it.signals.clear();
@@ -234,6 +236,7 @@
         words.push_back(flag);
     }
     std::vector<char*> arguments;
+    arguments.reserve(words.size() + 1);
     for (auto& word : words)
     {
         arguments.push_back(word.data());
@@ -259,6 +262,19 @@
     }
 }
 
+void soak_fleet::replace(host& it)
+{
+    signal(it, SIGKILL);
+    while (!reap(it))
+    {
+        std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    }
+    constexpr int other_addresses = 100;
+    auto last = std::stoi(it.ip.substr(it.ip.rfind('.') + 1));
+    it.ip = fmt::format("127.{}.0.{}", options_.address_block, last + other_addresses);
+    start(it);
+}
+
 bool soak_fleet::pause(host& it)
 {
     std::lock_guard lock(process_mutex_);
--- a/tests/soak/soak_fleet.hpp
+++ b/tests/soak/soak_fleet.hpp
@@ -43,6 +43,8 @@
     int adapters = 0;
     /// The failure domains of the hosts.
     int domains = 1;
+    /// The store's partitions in the settings of the first two hosts, if not as for the others.
+    int other_parts = 0;
 };
 
 class soak_fleet
@@ -75,6 +77,8 @@
 
     void start(host& it);
     void signal(host& it, int number);
+    /// Kills a host's process and starts another one under its name, with another address.
+    void replace(host& it);
     /// Stops a host's process until `resume`; returns whether it ran.
     bool pause(host& it);
     /// Returns when it was resumed; nothing if it was not paused.
