--- a/tests/soak/assignment_scenario.cpp
+++ b/tests/soak/assignment_scenario.cpp
@@ -1,5 +1,6 @@
 #include "soak/assignment_scenario.hpp"
 
+#include <algorithm>
 #include <set>
 #include <stdexcept>
 #include <thread>
@@ -15,15 +16,16 @@
 
 using namespace std::chrono_literals;
 
-constexpr auto step_interval = 9s;
 constexpr int moved_partition = 0;
 constexpr int rounds = 6;
-/// Joins are 250 ms apart and renew a membership of 900 ms. One that is this late leaves the next
-/// member the time to claim.
-constexpr auto join_delay = 500ms;
-constexpr auto absence = 650ms;
-constexpr auto max_join_wait = 2s;
-constexpr auto round_pause = 300ms;
+constexpr int joins_per_lease = 4;
+/// A host's call to the store times out after 1 s.
+constexpr std::chrono::milliseconds max_join_delay = 900ms;
+/// How long before the holder's next join is carried out the partition moves back.
+constexpr auto return_margin = 100ms;
+constexpr auto max_join_wait = 4s;
+constexpr auto min_step_interval = 6s;
+constexpr int step_interval_leases = 4;
 
 } // namespace
 
@@ -51,7 +53,7 @@
             {
                 return {};
             }
-            return {.carry_out_delay = std::exchange(joined_, true) ? join_delay : 0ms};
+            return {.carry_out_delay = std::exchange(joined_, true) ? join_delay() : 0ms};
         });
 }
 
@@ -60,8 +62,15 @@
     fleet_.store.set_call_faults(nullptr);
 }
 
+// Late enough for another member to claim what is listed for it meanwhile, and within a membership.
+std::chrono::milliseconds assignment_scenario::join_delay() const
+{
+    return std::min(fleet_.lease() / 2, max_join_delay);
+}
+
 void assignment_scenario::move_away_and_back()
 {
+    auto absence = fleet_.lease() / joins_per_lease + join_delay() - return_margin;
     auto& group = fleet_.store.group();
     auto holder = group.holder_of(moved_partition);
     auto other = fleet_.hosts[0].name == holder ? fleet_.hosts[1].name : fleet_.hosts[0].name;
@@ -92,13 +101,14 @@
             std::lock_guard lock(mutex_);
             delayed_member_.clear();
         }
-        std::this_thread::sleep_for(round_pause);
+        std::this_thread::sleep_for(fleet_.lease() / joins_per_lease);
     }
 }
 
 void assignment_scenario::step()
 {
-    auto next = std::chrono::steady_clock::now() + step_interval;
+    auto next = std::chrono::steady_clock::now() + min_step_interval +
+                step_interval_leases * fleet_.lease();
     if (what_ == "away_and_back")
     {
         move_away_and_back();
--- a/tests/soak/assignment_scenario.hpp
+++ b/tests/soak/assignment_scenario.hpp
@@ -34,6 +34,7 @@
 private:
     /// One partition moves to another member between two joins of its holder, and back.
     void move_away_and_back();
+    std::chrono::milliseconds join_delay() const;
 
     soak_fleet& fleet_;
     const std::string what_;
--- a/tests/soak/order_checks.cpp
+++ b/tests/soak/order_checks.cpp
@@ -56,7 +56,7 @@
         };
         for (auto dating : {order_dating::arrival, order_dating::effect})
         {
-            auto judgement = judge_orders(orders, dating, soak_fleet::lease, is_excused);
+            auto judgement = judge_orders(orders, dating, fleet.lease(), is_excused);
             for (const auto& breach : judgement.breaches)
             {
                 ++findings.counts[fmt::format(
--- a/tests/soak/order_faults.cpp
+++ b/tests/soak/order_faults.cpp
@@ -64,7 +64,8 @@
 
 constexpr const char* order_request = "POST /api/order";
 constexpr const char* frozen_calls[] = {"/api/log-append", "/api/log-join"};
-constexpr milliseconds max_rebalance_interval = 500ms;
+/// In leases.
+constexpr double max_rebalance_interval = 0.5;
 /// Hosts stall for up to several leases.
 constexpr milliseconds min_host_freeze = 200ms;
 constexpr milliseconds max_host_freeze = 4200ms;
@@ -84,13 +85,14 @@
 /// Below the hosts' timeout of a call, so that late responses are used.
 constexpr milliseconds max_response_delay = 950ms;
 
-constexpr milliseconds max_staleness = 2000ms;
+constexpr int max_staleness = 2;
 /// Two for each partition of the group, as a host that gets no response claims again.
 constexpr int max_lost_appends = 12;
 constexpr milliseconds max_append_delay = 2500ms;
-/// Within a membership, in which hosts claim what is listed for longer than 300 ms.
+/// Hosts claim what is listed for longer than this.
 constexpr milliseconds min_absence = 350ms;
-constexpr milliseconds max_absence = 850ms;
+/// In leases: within a membership.
+constexpr double max_absence = 0.85;
 
 template <class Random>
 milliseconds uniform_length(Random& random, milliseconds min, milliseconds max)
@@ -124,6 +126,11 @@
     return uniform_length(random_, min, max);
 }
 
+milliseconds order_faults::leases(double n) const
+{
+    return std::chrono::duration_cast<milliseconds>(n * fleet_.lease());
+}
+
 // The bodies of all calls name the host that makes them.
 soak_fleet::host* order_faults::find_caller(const std::string& body)
 {
@@ -193,7 +200,7 @@
 
 void order_faults::compact_store()
 {
-    auto staleness = draw(2) == 0 ? draw_length(0ms, max_staleness) : 0ms;
+    auto staleness = draw(2) == 0 ? draw_length(0ms, leases(max_staleness)) : 0ms;
     log_(fmt::format("reads stale for {} ms, history dropped, rebalance", staleness.count()));
     fleet_.store.stale_ms = static_cast<int>(staleness.count());
     std::this_thread::sleep_for(staleness);
@@ -218,7 +225,7 @@
 
 void order_faults::rebalance_and_back()
 {
-    auto absence = draw_length(min_absence, max_absence);
+    auto absence = draw_length(min_absence, leases(max_absence));
     log_(fmt::format("rebalance and back after {} ms", absence.count()));
     fleet_.store.group().rebalance();
     std::this_thread::sleep_for(absence);
@@ -270,7 +277,7 @@
     case fault_kind::rebalance_twice:
         log_("rebalance twice");
         fleet_.store.group().rebalance();
-        std::this_thread::sleep_for(draw_length(0ms, max_rebalance_interval));
+        std::this_thread::sleep_for(draw_length(0ms, leases(max_rebalance_interval)));
         fleet_.store.group().rebalance();
         break;
     case fault_kind::lapse:
--- a/tests/soak/order_faults.hpp
+++ b/tests/soak/order_faults.hpp
@@ -70,6 +70,7 @@
     int draw(int bound);
     std::chrono::milliseconds draw_length(std::chrono::milliseconds min,
                                           std::chrono::milliseconds max);
+    std::chrono::milliseconds leases(double n) const;
     soak_fleet::host* find_caller(const std::string& body);
     call_fault decide(const std::string& path, const std::string& body);
     void trouble_store(const soak_fleet::host& it);
--- a/tests/soak/shunt_soak.cpp
+++ b/tests/soak/shunt_soak.cpp
@@ -36,9 +36,10 @@
 DEFINE_int32(late_order_percent, 33,
              "with --faults=orders or store: the share of orders that get no response and are "
              "carried out later");
-DEFINE_int32(record_keep_ms, 7000,
-             "with --faults=orders or store: how long the store retains records, by default 20 s "
-             "scaled by the lease; 0 for always");
+DEFINE_int32(lease_ms, 1000,
+             "the lease of an engine by its host; the platform's is 3000, and runs with "
+             "--faults=orders or store scale its other times by it");
+DEFINE_bool(expiry, true, "with --faults=orders or store: whether the store's records expire");
 DEFINE_string(scenario, "",
               "with --faults=orders: instead of random faults, one that is directed at the "
               "assignment of engines: away_and_back, other_parts, new_topic or other_machine");
@@ -79,16 +80,18 @@
 constexpr int demanded_adapters = 12;
 /// What two hosts take for the number of the store's partitions in the scenario `other_parts`.
 constexpr int scenario_parts = 4;
-/// How much later orders that get no response are carried out: 2 to 12 s, as the platform
-/// documentation's list of troubles states, for a lease that is a third of the platform's.
-constexpr int min_order_delay_ms = 667;
-constexpr int max_order_delay_ms = 4000;
+/// By the platform documentation, for its lease: how long the store retains records, and how much
+/// later orders that get no response are carried out.
+constexpr int platform_lease_ms = 3000;
+constexpr int record_keep_ms = 20000;
+constexpr int min_order_delay_ms = 2000;
+constexpr int max_order_delay_ms = 12000;
 /// The most faults in a series, the longest pause between two of them, and how long hosts have for
 /// their takeovers after the series.
 constexpr int max_faults_in_series = 4;
 constexpr int max_fault_pause_ms = 700;
-constexpr int min_takeover_time_ms = 2500;
-constexpr int max_takeover_time_ms = 9000;
+constexpr int min_takeover_time_ms = 7500;
+constexpr int max_takeover_time_ms = 27000;
 /// Orders in a second, on average, below which a run has shown nothing.
 constexpr double min_orders_per_second = 4;
 
@@ -112,7 +115,8 @@
                   .engines = only_orders() ? order_engines : 3,
                   .adapters = only_orders() ? demanded_adapters : 0,
                   .domains = only_orders() ? order_domains : 1,
-                  .other_parts = FLAGS_scenario == "other_parts" ? scenario_parts : 0})
+                  .other_parts = FLAGS_scenario == "other_parts" ? scenario_parts : 0,
+                  .lease = std::chrono::milliseconds(FLAGS_lease_ms)})
     {
         for (auto kind : odd_kinds(seed))
         {
@@ -201,7 +205,7 @@
                             FLAGS_faults == "store" ? order_fault_scope::store
                                                     : order_fault_scope::all,
                             [this](const std::string& what) { log_fault(what); });
-        fleet_.store.keep_ms = FLAGS_record_keep_ms;
+        fleet_.store.keep_ms = FLAGS_expiry ? scaled_ms(record_keep_ms) : 0;
         std::this_thread::sleep_for(start_length);
         std::vector<std::string> ips;
         for (const auto& it : fleet_.hosts)
@@ -212,8 +216,8 @@
         model_demand demand(ips, soak_fleet::caller_port, demanded_adapters);
         for (std::size_t n = soak_fleet::first_engine; n < fleet_.backends.size(); ++n)
         {
-            fleet_.backends[n]->min_order_delay_ms = min_order_delay_ms;
-            fleet_.backends[n]->max_order_delay_ms = max_order_delay_ms;
+            fleet_.backends[n]->min_order_delay_ms = scaled_ms(min_order_delay_ms);
+            fleet_.backends[n]->max_order_delay_ms = scaled_ms(max_order_delay_ms);
             fleet_.backends[n]->late_order_percent = FLAGS_late_order_percent;
         }
         auto until = std::chrono::steady_clock::now() + std::chrono::seconds(FLAGS_fault_seconds);
@@ -237,10 +241,10 @@
                 std::this_thread::sleep_for(std::chrono::milliseconds(draw(max_fault_pause_ms)));
             }
             faults.restore_store();
-            auto next =
-                std::chrono::steady_clock::now() +
-                std::chrono::milliseconds(min_takeover_time_ms +
-                                          draw(max_takeover_time_ms - min_takeover_time_ms));
+            auto next = std::chrono::steady_clock::now() +
+                        std::chrono::milliseconds(
+                            scaled_ms(min_takeover_time_ms) +
+                            draw(scaled_ms(max_takeover_time_ms - min_takeover_time_ms)));
             while (std::chrono::steady_clock::now() < next)
             {
                 restart_ended();
@@ -250,7 +254,7 @@
         faults.heal();
         // Until orders that were given last are carried out.
         std::this_thread::sleep_for(observation_length +
-                                    std::chrono::milliseconds(max_order_delay_ms));
+                                    std::chrono::milliseconds(scaled_ms(max_order_delay_ms)));
         callers.stop();
         restart_ended();
         calls_ = callers.records().size();
@@ -282,6 +286,8 @@
     static bool only_orders() { return FLAGS_faults == "orders" || FLAGS_faults == "store"; }
 
 private:
+    /// A time at the platform's lease, at the lease of this run.
+    static int scaled_ms(int ms) { return ms * FLAGS_lease_ms / platform_lease_ms; }
     static bool planned_only(std::uint64_t seed) { return seed % planned_interval == 0; }
     static std::chrono::milliseconds long_time_budget(std::uint64_t seed)
     {
--- a/tests/soak/soak_fleet.cpp
+++ b/tests/soak/soak_fleet.cpp
@@ -220,7 +220,7 @@
         "internal_ports=17600,17615\nbounds.lease_ms={}\nbounds.grace_s={}\nbounds.drain_ms=2000\n"
         "bounds.revoke_ms=5000\nbounds.revoke_fail_closed=true\nplatform.address={}\n"
         "platform.parts={}\nplatform.ttl_min_ms=1000\n",
-        it.name, it.ip, it.domain, it.ip, caller_port, it.ip, ready_port, lease.count(),
+        it.name, it.ip, it.domain, it.ip, caller_port, it.ip, ready_port, lease().count(),
         options_.grace_s, it.store_proxy->address(), has_other_parts ? options_.other_parts : 6);
     std::string log = fmt::format("{}/{}.log", options_.directory, it.name);
     std::lock_guard lock(process_mutex_);
--- a/tests/soak/soak_fleet.hpp
+++ b/tests/soak/soak_fleet.hpp
@@ -45,6 +45,8 @@
     int domains = 1;
     /// The store's partitions in the settings of the first two hosts, if not as for the others.
     int other_parts = 0;
+    /// The lease of an engine by its host.
+    std::chrono::milliseconds lease{1000};
 };
 
 class soak_fleet
@@ -55,13 +57,12 @@
     static constexpr const char* fragile_model = "fragile-1";
     /// The first of `backends` that is an engine.
     static constexpr std::size_t first_engine = 2;
-    /// The lease of an engine by its host.
-    static constexpr std::chrono::milliseconds lease{1000};
-
     explicit soak_fleet(fleet_options options);
     /// Terminates every process that it started.
     ~soak_fleet();
 
+    std::chrono::milliseconds lease() const { return options_.lease; }
+
     struct host
     {
         std::string name;
