--- a/tests/correctness/lapsed_membership_test.cpp
+++ b/tests/correctness/lapsed_membership_test.cpp
@@ -289,3 +289,32 @@
     REQUIRE(serve_case::eventually([&] { return records(it).size() > before; }));
     CHECK(records(it).at(before).starts_with(last + " released "));
 }
+
+TEST_CASE("A host whose partition moved away and back orders by a new claim only (ONE)")
+{
+    serve_case it;
+    REQUIRE(it.started);
+    REQUIRE(serve_case::eventually([&] { return is_complete(records(it)); }));
+    // The other host claimed it and lost it again between two calls of this one.
+    it.store.put("shunt-duties/0", "", "h9");
+    const auto fence_of_other = static_cast<std::int64_t>(records(it).size());
+    it.store.group().rebalance();
+    std::this_thread::sleep_for(600ms);
+
+    int attempts = 0;
+    auto is_served = [&]
+    {
+        auto id = "r" + std::to_string(++attempts);
+        return it.send("POST", "/guide/1", id, "good-key", "rare").status == 200;
+    };
+    REQUIRE(serve_case::eventually(is_served));
+    auto orders = it.engine1.received_orders();
+    auto others = it.engine2.received_orders();
+    orders.insert(orders.end(), others.begin(), others.end());
+    REQUIRE_FALSE(orders.empty());
+    for (const auto& order : orders)
+    {
+        CHECK(order.fence > fence_of_other);
+    }
+    CHECK(metric(it, R"(banyanshunt_partitions_lost_total{reason="superseded"})") == 1);
+}
--- a/tests/soak/order_checks.cpp
+++ b/tests/soak/order_checks.cpp
@@ -27,6 +27,17 @@
                        [&](auto end) { return end <= at && at - end <= arrival_slack; });
 }
 
+/// The holder of an order; machines are different holders, whatever their names.
+std::string machine_of(const received_order& order, const order_disturbances& history)
+{
+    auto it = history.replaced.find(order.holder);
+    auto before = it == history.replaced.end()
+                      ? 0
+                      : std::count_if(it->second.begin(), it->second.end(),
+                                      [&](auto at) { return at <= order.at; });
+    return before == 0 ? order.holder : fmt::format("{}, machine {}", order.holder, before + 1);
+}
+
 } // namespace
 
 order_findings check_orders(const soak_fleet& fleet, const order_disturbances& history)
@@ -35,6 +46,10 @@
     for (std::size_t n = 0; n < fleet.backends.size(); ++n)
     {
         auto orders = fleet.backends[n]->received_orders();
+        for (auto& order : orders)
+        {
+            order.holder = machine_of(order, history);
+        }
         auto is_excused = [&](const received_order& order)
         {
             return follows_end(history.resumed, order.holder, order.at) ||
@@ -42,9 +57,12 @@
         };
         for (auto dating : {order_dating::arrival, order_dating::effect})
         {
-            auto judgement = judge_orders(orders, dating, soak_fleet::lease, is_excused);
+            auto judgement = judge_orders(orders, dating, fleet.lease(), is_excused);
             for (const auto& breach : judgement.breaches)
             {
+                ++findings.counts[fmt::format(
+                    "{}, {}", dating == order_dating::arrival ? "arrival" : "effect",
+                    to_text(breach.kind))];
                 findings.violations.push_back(
                     fmt::format("orders: {} received {}", soak_fleet::server_name(n),
                                 describe(breach, orders, dating, history.begun)));
--- a/tests/soak/order_checks.hpp
+++ b/tests/soak/order_checks.hpp
@@ -25,12 +25,16 @@
     std::map<std::string, std::vector<std::chrono::steady_clock::time_point>> resumed;
     /// When the link to each backend server went on after it had held data up, by its index.
     std::map<std::size_t, std::vector<std::chrono::steady_clock::time_point>> restored_links;
+    /// When each host was replaced by another machine of its name.
+    std::map<std::string, std::vector<std::chrono::steady_clock::time_point>> replaced = {};
 };
 
 struct order_findings
 {
     /// One line for each order that broke the rule.
     std::vector<std::string> violations;
+    /// How many orders broke the rule, by what was broken and by the time that counted.
+    std::map<std::string, std::size_t> counts;
     std::size_t judged = 0;
     std::size_t excused = 0;
     /// Orders that got no response and were carried out later.
--- a/tests/soak/shunt_soak.cpp
+++ b/tests/soak/shunt_soak.cpp
@@ -13,6 +13,7 @@
 #include <fmt/format.h>
 #include <gflags/gflags.h>
 
+#include "soak/assignment_scenario.hpp"
 #include "soak/model_demand.hpp"
 #include "soak/odd_writers.hpp"
 #include "soak/order_faults.hpp"
@@ -31,7 +32,17 @@
               "have more than planned work");
 DEFINE_string(faults, "all",
               "orders: only faults around the assignment of engines to hosts, and only the checks "
-              "of orders and of hosts that end unasked");
+              "of orders and of hosts that end unasked; store: of these, only the store's faults");
+DEFINE_int32(late_order_percent, 33,
+             "with --faults=orders or store: the share of orders that get no response and are "
+             "carried out later");
+DEFINE_int32(lease_ms, 1000,
+             "the lease of an engine by its host; the platform's is 3000, and runs with "
+             "--faults=orders or store scale its other times by it");
+DEFINE_bool(expiry, true, "with --faults=orders or store: whether the store's records expire");
+DEFINE_string(scenario, "",
+              "with --faults=orders: instead of random faults, one that is directed at the "
+              "assignment of engines: away_and_back, other_parts, new_topic or other_machine");
 DEFINE_string(host_flags, "", "further command-line flags of the hosts, separated by blanks");
 DEFINE_string(folder, "", "folder for settings and logs; each seed gets a new folder in it");
 
@@ -67,18 +78,20 @@
 constexpr int order_domains = 3;
 constexpr int order_engines = 14;
 constexpr int demanded_adapters = 12;
-/// The share of the orders that get no response, in percent, and how much later they are carried
-/// out: 2 to 12 s, as the platform documentation's list of troubles states, for a lease that is a
-/// third of the platform's.
-constexpr int late_order_percent = 33;
-constexpr int min_order_delay_ms = 667;
-constexpr int max_order_delay_ms = 4000;
+/// What two hosts take for the number of the store's partitions in the scenario `other_parts`.
+constexpr int scenario_parts = 4;
+/// By the platform documentation, for its lease: how long the store retains records, and how much
+/// later orders that get no response are carried out.
+constexpr int platform_lease_ms = 3000;
+constexpr int record_keep_ms = 20000;
+constexpr int min_order_delay_ms = 2000;
+constexpr int max_order_delay_ms = 12000;
 /// The most faults in a series, the longest pause between two of them, and how long hosts have for
 /// their takeovers after the series.
 constexpr int max_faults_in_series = 4;
 constexpr int max_fault_pause_ms = 700;
-constexpr int min_takeover_time_ms = 2500;
-constexpr int max_takeover_time_ms = 9000;
+constexpr int min_takeover_time_ms = 7500;
+constexpr int max_takeover_time_ms = 27000;
 /// Orders in a second, on average, below which a run has shown nothing.
 constexpr double min_orders_per_second = 4;
 
@@ -103,7 +116,9 @@
                   .engine_mb = only_orders() ? 50 : 100,
                   .engines = only_orders() ? order_engines : 3,
                   .adapters = only_orders() ? demanded_adapters : 0,
-                  .domains = only_orders() ? order_domains : 1})
+                  .domains = only_orders() ? order_domains : 1,
+                  .other_parts = FLAGS_scenario == "other_parts" ? scenario_parts : 0,
+                  .lease = std::chrono::milliseconds(FLAGS_lease_ms)})
     {
         for (auto kind : odd_kinds(seed))
         {
@@ -190,7 +205,11 @@
     /// hosts that ended unasked.
     std::vector<std::string> run_order_faults(std::uint64_t seed)
     {
-        order_faults faults(fleet_, seed, [this](const std::string& what) { log_fault(what); });
+        order_faults faults(fleet_, seed,
+                            FLAGS_faults == "store" ? order_fault_scope::store
+                                                    : order_fault_scope::all,
+                            [this](const std::string& what) { log_fault(what); });
+        fleet_.store.keep_ms = FLAGS_expiry ? scaled_ms(record_keep_ms) : 0;
         std::this_thread::sleep_for(start_length);
         std::vector<std::string> ips;
         for (const auto& it : fleet_.hosts)
@@ -201,11 +220,22 @@
         model_demand demand(ips, soak_fleet::caller_port, demanded_adapters);
         for (std::size_t n = soak_fleet::first_engine; n < fleet_.backends.size(); ++n)
         {
-            fleet_.backends[n]->min_order_delay_ms = min_order_delay_ms;
-            fleet_.backends[n]->max_order_delay_ms = max_order_delay_ms;
-            fleet_.backends[n]->late_order_percent = late_order_percent;
+            fleet_.backends[n]->min_order_delay_ms = scaled_ms(min_order_delay_ms);
+            fleet_.backends[n]->max_order_delay_ms = scaled_ms(max_order_delay_ms);
+            fleet_.backends[n]->late_order_percent = FLAGS_late_order_percent;
         }
         auto until = std::chrono::steady_clock::now() + std::chrono::seconds(FLAGS_fault_seconds);
+        std::optional<assignment_scenario> scenario;
+        if (!FLAGS_scenario.empty())
+        {
+            scenario.emplace(fleet_, FLAGS_scenario,
+                             [this](const std::string& what) { log_fault(what); });
+        }
+        while (scenario && std::chrono::steady_clock::now() < until)
+        {
+            restart_ended();
+            scenario->step();
+        }
         while (std::chrono::steady_clock::now() < until)
         {
             for (int n = draw(max_faults_in_series); n >= 0; --n)
@@ -215,10 +245,10 @@
                 std::this_thread::sleep_for(std::chrono::milliseconds(draw(max_fault_pause_ms)));
             }
             faults.restore_store();
-            auto next =
-                std::chrono::steady_clock::now() +
-                std::chrono::milliseconds(min_takeover_time_ms +
-                                          draw(max_takeover_time_ms - min_takeover_time_ms));
+            auto next = std::chrono::steady_clock::now() +
+                        std::chrono::milliseconds(
+                            scaled_ms(min_takeover_time_ms) +
+                            draw(scaled_ms(max_takeover_time_ms - min_takeover_time_ms)));
             while (std::chrono::steady_clock::now() < next)
             {
                 restart_ended();
@@ -228,16 +258,24 @@
         faults.heal();
         // Until orders that were given last are carried out.
         std::this_thread::sleep_for(observation_length +
-                                    std::chrono::milliseconds(max_order_delay_ms));
+                                    std::chrono::milliseconds(scaled_ms(max_order_delay_ms)));
         callers.stop();
         restart_ended();
         calls_ = callers.records().size();
         auto orders = faults.history();
         orders.begun = history_.begun;
         orders.unix_offset = unix_offset_;
+        if (scenario)
+        {
+            orders.replaced = scenario->replaced();
+        }
         auto findings = check_orders(fleet_, orders);
         std::cout << fmt::format("  {} orders judged, {} excused, {} without a response\n",
                                  findings.judged, findings.excused, findings.late);
+        for (const auto& [kind, n] : findings.counts)
+        {
+            std::cout << fmt::format("  {} by {}\n", n, kind);
+        }
         for (const auto& it : explain_orders(fleet_, findings, orders, folder_, max_timelines))
         {
             // Indented further than the lines of violations.
@@ -255,9 +293,11 @@
     }
 
     std::size_t calls() const { return calls_; }
-    static bool only_orders() { return FLAGS_faults == "orders"; }
+    static bool only_orders() { return FLAGS_faults == "orders" || FLAGS_faults == "store"; }
 
 private:
+    /// A time at the platform's lease, at the lease of this run.
+    static int scaled_ms(int ms) { return ms * FLAGS_lease_ms / platform_lease_ms; }
     static bool planned_only(std::uint64_t seed) { return seed % planned_interval == 0; }
     static std::chrono::milliseconds long_time_budget(std::uint64_t seed)
     {
--- a/tests/soak/soak_fleet.hpp
+++ b/tests/soak/soak_fleet.hpp
@@ -43,6 +43,10 @@
     int adapters = 0;
     /// The failure domains of the hosts.
     int domains = 1;
+    /// The store's partitions in the settings of the first two hosts, if not as for the others.
+    int other_parts = 0;
+    /// The lease of an engine by its host.
+    std::chrono::milliseconds lease{1000};
 };
 
 class soak_fleet
@@ -53,13 +57,12 @@
     static constexpr const char* fragile_model = "fragile-1";
     /// The first of `backends` that is an engine.
     static constexpr std::size_t first_engine = 2;
-    /// The lease of an engine by its host.
-    static constexpr std::chrono::milliseconds lease{1000};
-
     explicit soak_fleet(fleet_options options);
     /// Terminates every process that it started.
     ~soak_fleet();
 
+    std::chrono::milliseconds lease() const { return options_.lease; }
+
     struct host
     {
         std::string name;
@@ -75,6 +78,8 @@
 
     void start(host& it);
     void signal(host& it, int number);
+    /// Kills a host's process and starts another one under its name, with another address.
+    void replace(host& it);
     /// Stops a host's process until `resume`; returns whether it ran.
     bool pause(host& it);
     /// Returns when it was resumed; nothing if it was not paused.
