--- a/tests/soak/model_demand.cpp
+++ b/tests/soak/model_demand.cpp
@@ -16,7 +16,7 @@
 constexpr std::size_t callers_per_host = 2;
 /// Short, so that a caller soon asks for the next model.
 constexpr std::chrono::milliseconds time_budget{400};
-constexpr std::chrono::milliseconds pause{50};
+constexpr std::chrono::milliseconds pause{20};
 
 } // namespace
 
--- a/tests/soak/shunt_soak.cpp
+++ b/tests/soak/shunt_soak.cpp
@@ -77,7 +77,7 @@
 /// hosts own engines, and more adapters than fit.
 constexpr int order_domains = 3;
 constexpr int order_engines = 14;
-constexpr int demanded_adapters = 12;
+constexpr int demanded_adapters = 32;
 /// What two hosts take for the number of the store's partitions in the scenario `other_parts`.
 constexpr int scenario_parts = 4;
 /// By the platform documentation, for its lease: how long the store retains records, and how much
@@ -90,8 +90,8 @@
 /// their takeovers after the series.
 constexpr int max_faults_in_series = 4;
 constexpr int max_fault_pause_ms = 700;
-constexpr int min_takeover_time_ms = 7500;
-constexpr int max_takeover_time_ms = 27000;
+constexpr int min_takeover_time_ms = 21000;
+constexpr int max_takeover_time_ms = 33000;
 /// Orders in a second, on average, below which a run has shown nothing.
 constexpr double min_orders_per_second = 4;
 
