--- a/src/state/host_settings.hpp
+++ b/src/state/host_settings.hpp
@@ -29,8 +29,8 @@
     milliseconds stop_grace{8000};
     /// The minimum time between the orders of two hosts to one server.
     milliseconds lease{3000};
-    /// How long after it was sent an engine may carry out an order that got no response. Source: the
-    /// list of troubles that the platform's operators inject, 2 to 12 s.
+    /// How long after it was sent an engine may carry out an order that got no response. Source:
+    /// the list of troubles that the platform's operators inject, 2 to 12 s.
     milliseconds order_delay{12000};
     /// Retries allowed for each request, over all hosts, and additional retries allowed in a
     /// window.
