--- a/tests/correctness/lapsed_membership_test.cpp
+++ b/tests/correctness/lapsed_membership_test.cpp
@@ -76,6 +76,30 @@
            ends_with(records(it), "h1");
 }
 
+/// Checks that the first host has given its engines up and orders them by a later claim than the
+/// other host's alone.
+void check_orders_of_new_claim(const serve_case& it, std::int64_t fence_of_other)
+{
+    // It gets 503 while no host may order the engines.
+    int attempts = 0;
+    auto is_served = [&]
+    {
+        auto id = "r" + std::to_string(++attempts);
+        return it.send("POST", "/guide/1", id, "good-key", "rare").status == 200;
+    };
+    REQUIRE(serve_case::eventually(is_served));
+
+    auto orders = it.engine1.received_orders();
+    auto others = it.engine2.received_orders();
+    orders.insert(orders.end(), others.begin(), others.end());
+    REQUIRE_FALSE(orders.empty());
+    for (const auto& order : orders)
+    {
+        CHECK(order.fence > fence_of_other);
+    }
+    CHECK(metric(it, R"(banyanshunt_partitions_lost_total{reason="superseded"})") == 1);
+}
+
 } // namespace
 
 TEST_CASE("A claim that outlasts its host's membership is not used (ONE)")
@@ -239,24 +263,7 @@
         });
     REQUIRE(serve_case::eventually([&] { return *takeovers == 1; }));
     std::this_thread::sleep_for(500ms);
-    // It gets 503 while no host may order the engines.
-    int attempts = 0;
-    auto is_served = [&]
-    {
-        auto id = "r" + std::to_string(++attempts);
-        return it.send("POST", "/guide/1", id, "good-key", "rare").status == 200;
-    };
-    REQUIRE(serve_case::eventually(is_served));
-
-    auto orders = it.engine1.received_orders();
-    auto others = it.engine2.received_orders();
-    orders.insert(orders.end(), others.begin(), others.end());
-    REQUIRE_FALSE(orders.empty());
-    for (const auto& order : orders)
-    {
-        CHECK(order.fence > fence_of_other);
-    }
-    CHECK(metric(it, R"(banyanshunt_partitions_lost_total{reason="superseded"})") == 1);
+    check_orders_of_new_claim(it, fence_of_other);
     CHECK(serve_case::eventually([&] { return is_complete(records(it)); }));
     CHECK(records(it).size() == static_cast<std::size_t>(fence_of_other) + 2);
 }
@@ -301,20 +308,5 @@
     it.store.group().rebalance();
     std::this_thread::sleep_for(600ms);
 
-    int attempts = 0;
-    auto is_served = [&]
-    {
-        auto id = "r" + std::to_string(++attempts);
-        return it.send("POST", "/guide/1", id, "good-key", "rare").status == 200;
-    };
-    REQUIRE(serve_case::eventually(is_served));
-    auto orders = it.engine1.received_orders();
-    auto others = it.engine2.received_orders();
-    orders.insert(orders.end(), others.begin(), others.end());
-    REQUIRE_FALSE(orders.empty());
-    for (const auto& order : orders)
-    {
-        CHECK(order.fence > fence_of_other);
-    }
-    CHECK(metric(it, R"(banyanshunt_partitions_lost_total{reason="superseded"})") == 1);
+    check_orders_of_new_claim(it, fence_of_other);
 }
