Store stand-in and soak: a store that returns with an older copy of its log

The scenario older_copy: the store is away for 0.4 s and comes back without the records of the last 8 s; operators and servers write theirs again, hosts do not. Offsets are given out again, and a read behind the end gets 410.

--- a/tests/soak/assignment_scenario.cpp
+++ b/tests/soak/assignment_scenario.cpp
@@ -26,6 +26,8 @@
 constexpr auto max_join_wait = 4s;
 constexpr auto min_step_interval = 6s;
 constexpr int step_interval_leases = 4;
+constexpr auto store_absence = 400ms;
+constexpr auto copy_age = 8s;
 
 } // namespace
 
@@ -34,7 +36,7 @@
     : fleet_(fleet), what_(std::move(what)), log_(std::move(log))
 {
     static const std::set<std::string> known = {"away_and_back", "other_parts", "new_topic",
-                                                "other_machine"};
+                                                "older_copy", "other_machine"};
     if (!known.contains(what_))
     {
         throw std::invalid_argument("no scenario " + what_);
@@ -119,6 +121,16 @@
         fleet_.store.begin_anew("shunt-duties");
         fleet_.store.group().rebalance();
     }
+    else if (what_ == "older_copy")
+    {
+        log_(fmt::format("the store is away for {} ms and returns {} ms older, rebalance",
+                         store_absence.count(), copy_age.count()));
+        fleet_.store.forced_status = 503;
+        std::this_thread::sleep_for(store_absence);
+        fleet_.store.return_older(copy_age);
+        fleet_.store.group().rebalance();
+        fleet_.store.forced_status = 0;
+    }
     else if (what_ == "other_machine")
     {
         auto& it = fleet_.hosts[steps_++ % fleet_.hosts.size()];
--- a/tests/soak/assignment_scenario.hpp
+++ b/tests/soak/assignment_scenario.hpp
@@ -18,7 +18,7 @@
 class assignment_scenario
 {
 public:
-    /// `what` is one of away_and_back, other_parts, new_topic and other_machine.
+    /// `what` is one of away_and_back, other_parts, new_topic, older_copy and other_machine.
     assignment_scenario(soak_fleet& fleet, std::string what,
                         std::function<void(const std::string&)> log);
     ~assignment_scenario();
--- a/tests/soak/shunt_soak.cpp
+++ b/tests/soak/shunt_soak.cpp
@@ -40,9 +40,10 @@
              "the lease of an engine by its host; the platform's is 3000, and runs with "
              "--faults=orders or store scale its other times by it");
 DEFINE_bool(expiry, true, "with --faults=orders or store: whether the store's records expire");
-DEFINE_string(scenario, "",
-              "with --faults=orders: instead of random faults, one that is directed at the "
-              "assignment of engines: away_and_back, other_parts, new_topic or other_machine");
+DEFINE_string(
+    scenario, "",
+    "with --faults=orders: instead of random faults, one that is directed at the "
+    "assignment of engines: away_and_back, other_parts, new_topic, older_copy or other_machine");
 DEFINE_string(host_flags, "", "further command-line flags of the hosts, separated by blanks");
 DEFINE_string(folder, "", "folder for settings and logs; each seed gets a new folder in it");
 
--- a/tests/stand_ins/prepared_platform.cpp
+++ b/tests/stand_ins/prepared_platform.cpp
@@ -410,6 +410,36 @@
     std::erase_if(first_retained_, is_part);
 }
 
+void store_stand_in::return_older(std::chrono::milliseconds age)
+{
+    {
+        std::lock_guard lock(mutex_);
+        returned_older_ = true;
+        for (auto& [topic, entries] : topics_)
+        {
+            auto end = static_cast<std::ptrdiff_t>(
+                first_after(entries, std::chrono::steady_clock::now() - age));
+            std::vector<entry> lost(entries.begin() + end, entries.end());
+            entries.erase(entries.begin() + end, entries.end());
+            auto& first = first_retained_[topic];
+            first = std::min(first, entries.size());
+            if (topic == "keyed.op" || topic == "keyed.servers")
+            {
+                std::map<std::string, std::string> newest;
+                for (const auto& it : lost)
+                {
+                    newest[it.key] = it.value;
+                }
+                for (const auto& [key, value] : newest)
+                {
+                    entries.push_back({.key = key, .value = value});
+                }
+            }
+        }
+    }
+    records_added_.notify_all();
+}
+
 std::size_t store_stand_in::first_after(const std::vector<entry>& entries,
                                         std::chrono::steady_clock::time_point at)
 {
@@ -492,7 +522,7 @@
     {
         first = std::max(first, first_after(entries, now - std::chrono::milliseconds(keep_ms)));
     }
-    if (from < first)
+    if (from < first || (returned_older_ && from > entries.size()))
     {
         return std::nullopt;
     }
--- a/tests/stand_ins/prepared_platform.hpp
+++ b/tests/stand_ins/prepared_platform.hpp
@@ -110,6 +110,9 @@
     void drop_history();
     /// Forgets all partitions of a topic, so that their offsets begin with 0 again.
     void begin_anew(const std::string& topic);
+    /// Forgets the records of the last `age` in all topics, so that their offsets are given out
+    /// again. Operators and servers write again what they wrote since; hosts do not.
+    void return_older(std::chrono::milliseconds age);
     /// How long records are retained; 0 for always.
     std::atomic<int> keep_ms = 0;
     /// Reads respond with the records that were there this long ago.
@@ -158,6 +161,8 @@
     std::map<std::string, int> reads_;
     std::map<std::string, int> newest_calls_;
     std::map<std::string, std::size_t> first_retained_;
+    /// Whether reads may begin behind the end, as the log was longer before.
+    bool returned_older_ = false;
     std::set<std::pair<std::string, int>> lost_reads_;
     bool closing_ = false;
     std::map<std::string, std::vector<entry>> topics_;
