--- a/src/coordination/assignment_record.cpp
+++ b/src/coordination/assignment_record.cpp
@@ -19,6 +19,8 @@
 constexpr std::string_view late_mark = " after ";
 /// Followed by an offset.
 constexpr std::string_view unused_mark = " unused ";
+/// Followed by a fencing number.
+constexpr std::string_view number_mark = " number ";
 
 std::optional<std::int64_t> parse_number(std::string_view text)
 {
@@ -46,6 +48,14 @@
     return before && before->released_for && !before->released_after;
 }
 
+/// The highest number that a claim in front of this one can have, by what the log has.
+fencing_number highest_recorded(const assignment_claim& claim)
+{
+    fencing_number by_offset(claim.at.count());
+    bool states = claim.before && claim.before->claim_number;
+    return states ? std::max(by_offset, *claim.before->claim_number) : by_offset;
+}
+
 } // namespace
 
 bool completed_by(const claimant& own, const std::optional<assignment_record>& before)
@@ -71,12 +81,25 @@
             fmt::format("{}{} {}", complete_mark, record.fence.value_or(fencing_number(0)).count(),
                         record.machine.value_or(machine_id("-")).str());
     }
+    if (record.claim_number)
+    {
+        text += fmt::format("{}{}", number_mark, record.claim_number->count());
+    }
     return text;
 }
 
 std::optional<assignment_record> parse_assignment_record(std::string_view text)
 {
     assignment_record record;
+    if (auto number = take_after(text, number_mark))
+    {
+        auto n = parse_number(*number);
+        if (!n)
+        {
+            return std::nullopt;
+        }
+        record.claim_number = fencing_number(*n);
+    }
     if (auto release = take_after(text, release_mark))
     {
         auto after = take_after(*release, late_mark);
@@ -135,12 +158,21 @@
     return terms.membership + terms.transit + terms.order_delay + terms.lease;
 }
 
+std::optional<fencing_number> number_to_state(const assignment_claim& claim)
+{
+    auto highest = std::max(claim.highest_known, highest_recorded(claim));
+    return highest.count() > claim.at.count() ? std::optional(fencing_number(highest.count() + 1))
+                                              : std::nullopt;
+}
+
 takeover take_over(const assignment_claim& claim, const order_terms& terms)
 {
-    bool first = claim.at.count() == 0;
-    bool resumes = completed_by(claim.own, claim.before);
-    bool released = is_release(claim.before);
-    auto delay = takeover_delay(first, claim.before, claim.own, takeover_expiry(terms));
+    bool log_went_back = claim.highest_known > highest_recorded(claim);
+    const auto before = log_went_back ? std::nullopt : claim.before;
+    bool first = claim.at.count() == 0 && !log_went_back;
+    bool resumes = completed_by(claim.own, before);
+    bool released = is_release(before);
+    auto delay = takeover_delay(first, before, claim.own, takeover_expiry(terms));
     // A released assignment's wait counts from the release, which precedes the claim. That of a
     // host which gave no order says nothing of the owner before.
     takeover taken{.claimed_at = claim.sent_at,
@@ -151,9 +183,9 @@
         // Orders that an earlier incarnation gave right before it ended may still be under way.
         taken.last_order_at = claim.sent_at + terms.transit + terms.order_delay;
         taken.ask_engines_after = claim.sent_at;
-        taken.resumed_fence = claim.before->fence;
+        taken.resumed_fence = before->fence;
     }
-    else if (!first && (!released || claim.before->unused_since))
+    else if (!first && (!released || before->unused_since))
     {
         taken.ask_engines_after = claim.sent_at + terms.membership + terms.transit;
         taken.from_other_host = true;
--- a/src/coordination/assignment_record.hpp
+++ b/src/coordination/assignment_record.hpp
@@ -40,6 +40,8 @@
     /// For a release by a host that gave no order, while those of the owner before it may still be
     /// under way: the last record of that owner.
     std::optional<log_offset> unused_since = {};
+    /// The number of the holder's claim, if the offset of the claim gives a lower one.
+    std::optional<fencing_number> claim_number = {};
 
     friend bool operator==(const assignment_record&, const assignment_record&) = default;
 };
@@ -124,12 +126,19 @@
     log_offset at;
     /// Nothing if there is none, or if it could not be read.
     std::optional<assignment_record> before = {};
+    /// The highest number of an owner that this host knew before it claimed.
+    fencing_number highest_known = fencing_number(0);
     instant sent_at;
     /// When the record before was received.
     instant read_at;
 };
 
-/// Decides what a claim entitles its host to.
+/// Returns the number that a claim has to state in the log to be above all earlier ones; nothing if
+/// its offset plus one is. Offsets only grow while the log neither loses records nor begins anew.
+std::optional<fencing_number> number_to_state(const assignment_claim& claim);
+
+/// Decides what a claim entitles its host to. If the log has lost claims that the host knows, the
+/// record before this one says nothing of the last owner.
 takeover take_over(const assignment_claim& claim, const order_terms& terms);
 
 /// What the records behind a claim show to its host.
--- a/src/serve/order_claims.cpp
+++ b/src/serve/order_claims.cpp
@@ -298,7 +298,8 @@
 {
     assignment_record record{.holder = context_.settings.name,
                              .released_for = wait,
-                             .unused_since = is_unused(held) ? held.base : std::nullopt};
+                             .unused_since = is_unused(held) ? held.base : std::nullopt,
+                             .claim_number = stated_number(held)};
     auto call = platform::assignment_append_call(partition, to_text(record), held.last_record);
     auto response = co_await store_.call(call.method, call.target, call.body, timeout);
     if (response && response->status == precondition_status)
@@ -324,9 +325,9 @@
     co_return response && response->status == 200;
 }
 
-fencing_number order_controller::announced_number(const held_partition& it)
+std::optional<fencing_number> order_controller::stated_number(const held_partition& it)
 {
-    return fencing_number(it.claim.count() + 1);
+    return it.number.count() > it.claim.count() + 1 ? std::optional(it.number) : std::nullopt;
 }
 
 bool order_controller::is_unused(const held_partition& it)
@@ -392,7 +393,8 @@
     assignment_record record{.holder = context_.settings.name,
                              .takeover_complete = true,
                              .fence = copy.fence,
-                             .machine = claimant_of_settings().machine};
+                             .machine = claimant_of_settings().machine,
+                             .claim_number = stated_number(copy)};
     auto call = platform::assignment_append_call(partition, to_text(record), copy.last_record);
     auto response = co_await store_.call(call.method, call.target, call.body, store_timeout);
     int status = response ? response->status : 0;
@@ -448,6 +450,12 @@
     {
         co_return std::nullopt;
     }
+    if (!platform::reaches(response->body, from))
+    {
+        // The log went back, or the response is of an earlier time: it shows nothing.
+        context_.log.write("duty_read_refused", "partition={} offset={}", partition, from.count());
+        co_return std::nullopt;
+    }
     co_return read_after_claim(platform::parse_assignment_records(response->body), from,
                                context_.settings.name, log_offset(it.claim.count() - 1));
 }
@@ -544,32 +552,66 @@
     {
         co_return;
     }
-    assignment_record record{.holder = context_.settings.name};
-    auto call = platform::assignment_append_call(partition, to_text(record), std::nullopt);
-    auto response = co_await store_.call(call.method, call.target, call.body, store_timeout);
-    if (!response || response->status != 200)
-    {
-        co_return;
-    }
-    auto offset = platform::parse_append(response->body);
+    const auto highest_known = known_numbers_[partition];
+    auto offset = co_await append_claim(partition, std::nullopt, std::nullopt);
     if (!offset)
     {
-        context_.log.write("store_answer_bad", "call=append detail=\"{}\"", offset.error().detail);
         co_return;
     }
     auto previous = co_await read_record_before(partition, *offset);
+    assignment_claim it{.own = claimant_of_settings(),
+                        .at = *offset,
+                        .before = previous,
+                        .highest_known = highest_known,
+                        .sent_at = claimed_at,
+                        .read_at = context_.now()};
+    std::optional<log_offset> stated_at;
+    auto number = number_to_state(it);
+    if (number)
+    {
+        context_.stats.increment("banyanshunt_claim_numbers_stated_total");
+        context_.log.write("duty_number_stated", "partition={} number={} offset={} known={}",
+                           partition, number->count(), offset->count(), highest_known.count());
+        // Directly behind the claim, so that no other host states the same number.
+        stated_at = co_await append_claim(partition, number, *offset);
+        if (!stated_at)
+        {
+            co_return;
+        }
+    }
     if (previous && previous->unused_since)
     {
         // The owner in between gave no order, so the one before it may be this host.
         auto base =
             co_await read_record_before(partition, log_offset(previous->unused_since->count() + 1));
-        previous = completed_by(claimant_of_settings(), base) ? base : previous;
+        if (completed_by(it.own, base))
+        {
+            base->claim_number = previous->claim_number;
+            it.before = std::move(base);
+        }
     }
-    take_partition(partition, {.own = claimant_of_settings(),
-                               .at = *offset,
-                               .before = std::move(previous),
-                               .sent_at = claimed_at,
-                               .read_at = context_.now()});
+    it.read_at = context_.now();
+    take_partition(partition, it, stated_at ? *stated_at : *offset, number);
+}
+
+task<std::optional<log_offset>> order_controller::append_claim(int partition,
+                                                               std::optional<fencing_number> number,
+                                                               std::optional<log_offset> after)
+{
+    assignment_record record{.holder = context_.settings.name, .claim_number = number};
+    auto call = platform::assignment_append_call(partition, to_text(record), after);
+    auto response = co_await store_.call(call.method, call.target, call.body, store_timeout);
+    if (!response || response->status != 200)
+    {
+        co_return std::nullopt;
+    }
+    auto offset = platform::parse_append(response->body);
+    if (!offset)
+    {
+        context_.log.write("store_answer_bad", "call=append detail=\"{}\"", offset.error().detail);
+        co_return std::nullopt;
+    }
+    co_return *offset;
 }
 
 claimant order_controller::claimant_of_settings() const
@@ -592,15 +634,18 @@
     co_return records.empty() ? std::nullopt : parse_assignment_record(records.front());
 }
 
-void order_controller::take_partition(int partition, const assignment_claim& claim)
+void order_controller::take_partition(int partition, const assignment_claim& claim,
+                                      log_offset last_record, std::optional<fencing_number> stated)
 {
     instant now = claim.read_at;
     const auto& previous = claim.before;
+    // Offsets grow with each claim, so a later owner has a higher fencing number.
+    const auto number = stated.value_or(fencing_number(claim.at.count() + 1));
     if (now >= membership_until_)
     {
         // The group may have assigned the partition to another host since.
         context_.log.write("duty_claim_dropped", "partition={} fence={} generation={} claim_ms={}",
-                           partition, claim.at.count() + 1, generation_,
+                           partition, number.count(), generation_,
                            elapsed_ms(claim.sent_at, now).count());
         return;
     }
@@ -613,13 +658,14 @@
         taken.last_order_at = former->second.taken.last_order_at;
         taken.ask_engines_after = former->second.taken.ask_engines_after;
     }
-    // Offsets grow with each claim, so a later owner has a higher fencing number.
-    fencing_number fence = taken.resumed_fence.value_or(fencing_number(claim.at.count() + 1));
+    fencing_number fence = taken.resumed_fence.value_or(number);
+    known_numbers_[partition] = std::max(known_numbers_[partition], number);
     auto& held = partitions_[partition];
     held = {.fence = fence,
-            .claim = claim.at,
+            .number = number,
+            .claim = last_record,
             .taken = taken,
-            .last_record = claim.at,
+            .last_record = last_record,
             .base = previous && previous->unused_since ? previous->unused_since
                     : claim.at.count() > 0 ? std::optional(log_offset(claim.at.count() - 1))
                                            : std::nullopt,
--- a/src/serve/order_controller.cpp
+++ b/src/serve/order_controller.cpp
@@ -113,6 +113,11 @@
     std::map<server_id, order_history::registered_engine> engines;
     for (const auto& [server, known] : context_.servers.servers())
     {
+        if (known.owner)
+        {
+            auto& highest = known_numbers_[partition_of(server)];
+            highest = std::max(highest, known.owner->fencing);
+        }
         if (!known.removed && engine_of(server))
         {
             milliseconds started(known.entry.start_time_ms);
@@ -206,7 +211,7 @@
     }
     engine_owner owner{.host = context_.settings.name,
                        .incarnation = context_.incarnation,
-                       .fencing = announced_number(partition->second),
+                       .fencing = partition->second.number,
                        .may_order_at = may_order_at,
                        .reported_at = context_.now()};
     context_.servers.apply_owner(server, owner);
@@ -530,7 +535,7 @@
     auto placement = held.controller.placement(*engine, context_.now());
     placement.owner = context_.settings.name;
     placement.owner_incarnation = context_.incarnation;
-    placement.fencing = announced_number(partition->second);
+    placement.fencing = partition->second.number;
     context_.servers.apply_placement(server, placement);
     if (!force && equivalent_reports(held.last_published, placement, context_.now()))
     {
--- a/src/serve/order_controller.hpp
+++ b/src/serve/order_controller.hpp
@@ -58,6 +58,9 @@
     struct held_partition
     {
         fencing_number fence;
+        /// The number of the claim, by which other hosts tell the newest owner. Orders may have an
+        /// earlier one, of a takeover that this host continues.
+        fencing_number number;
         /// Offset of the record by which this host claimed the partition.
         log_offset claim;
         takeover taken;
@@ -108,11 +111,18 @@
     task<void> leave_group();
     task<bool> join();
     task<void> claim(int partition);
+    /// Appends a claim that may state a number, directly behind the record at `after` if that is
+    /// given. Returns its offset; nothing if it was not appended, or got no response.
+    task<std::optional<log_offset>> append_claim(int partition,
+                                                 std::optional<fencing_number> number,
+                                                 std::optional<log_offset> after);
     claimant claimant_of_settings() const;
     /// The record that precedes a claim; nothing if there is none, or if it cannot be read.
     task<std::optional<assignment_record>> read_record_before(int partition, log_offset at);
-    /// Holds a partition by a claim, unless the membership has ended meanwhile.
-    void take_partition(int partition, const assignment_claim& claim);
+    /// Holds a partition by a claim, unless the membership has ended meanwhile. `last_record` is
+    /// the claim, or the record behind it that states its number.
+    void take_partition(int partition, const assignment_claim& claim, log_offset last_record,
+                        std::optional<fencing_number> stated);
     task<void> record_takeovers();
     /// Records that the takeover of a partition is complete.
     task<void> record_takeover(int partition);
@@ -133,9 +143,8 @@
     /// Records a release that states a wait; returns whether it was recorded.
     task<bool> append_release(int partition, const held_partition& held, milliseconds wait,
                               milliseconds timeout);
-    /// The number of the claim, by which other hosts tell the newest owner. Orders may have an
-    /// earlier one, of a takeover that this host continues.
-    static fencing_number announced_number(const held_partition& it);
+    /// The number of the claim, if its offset does not give it.
+    static std::optional<fencing_number> stated_number(const held_partition& it);
     /// Whether another host's orders may still be under way, and this host has given none.
     static bool is_unused(const held_partition& it);
     /// How long the next owner of a partition has to wait; nothing if that cannot be stated.
@@ -182,7 +191,7 @@
     bool may_order(const server_id& server, instant now) const;
     /// When this host, or the owner after it, may order at the earliest; for one that may not now.
     instant may_order_from(const server_id& server, instant now) const;
-    /// Applies the registry to the history of orders.
+    /// Applies the registry to the history of orders, and the numbers of owners to those known.
     void observe_engines();
     /// Whether no engine of the partition may still read an earlier order.
     bool is_settled(int partition, const held_partition& it) const;
@@ -209,6 +218,8 @@
     std::map<int, held_partition> partitions_;
     /// The claims that this process held last.
     std::map<int, held_partition> former_;
+    /// The highest number of an owner of each partition, by own claims and announcements.
+    std::map<int, fencing_number> known_numbers_;
     /// Releases of this host that could not be recorded, and those of other hosts.
     std::map<int, peer_release> own_releases_;
     std::map<int, peer_release> peer_releases_;
--- a/tests/correctness/assignment_record_test.cpp
+++ b/tests/correctness/assignment_record_test.cpp
@@ -76,7 +76,12 @@
               .machine = own_host.machine},
               {.holder = own, .released_for = 1250ms},
               {.holder = own, .released_for = 1250ms, .released_after = log_offset(9)},
-              {.holder = own, .released_for = 1250ms, .unused_since = log_offset(0)}})
+              {.holder = own, .released_for = 1250ms, .unused_since = log_offset(0)},
+              {.holder = own, .claim_number = fencing_number(21)},
+              {.holder = own,
+              .released_for = 1250ms,
+              .unused_since = log_offset(0),
+              .claim_number = fencing_number(21)}})
         {
             CHECK(parse_assignment_record(to_text(record)) == record);
         }
@@ -87,6 +92,7 @@
         CHECK_FALSE(parse_assignment_record("front-1 released 5 unused "));
         CHECK_FALSE(parse_assignment_record("front-1 released "));
         CHECK_FALSE(parse_assignment_record("front-1 released -5"));
+        CHECK_FALSE(parse_assignment_record("front-1 number x"));
         CHECK_FALSE(parse_assignment_record("front-1 released 5 ms"));
         CHECK_FALSE(parse_assignment_record(" released 5"));
         CHECK_FALSE(parse_assignment_record(""));
@@ -146,3 +152,65 @@
         CHECK(read({"front-1 begun 5 10.0.0.1", "front-2"}).last_before_claim == log_offset(5));
     }
 }
+
+TEST_CASE("the number of a claim is above those of all earlier owners (ONE)")
+{
+    const order_terms terms{.lease = 3000ms, .membership = 2700ms, .transit = 450ms};
+    const claimant own{.host = host_id("front-1"), .machine = machine_id("10.0.0.1")};
+    const assignment_record complete{.holder = own.host,
+                                     .takeover_complete = true,
+                                     .fence = fencing_number(3),
+                                     .machine = own.machine};
+    const instant now{std::chrono::hours(1)};
+    assignment_claim claim{
+        .own = own, .at = log_offset(12), .before = complete, .sent_at = now, .read_at = now};
+
+    SECTION("offsets have grown since the owners that are known: the offset gives it")
+    {
+        claim.highest_known = fencing_number(12);
+        CHECK_FALSE(number_to_state(claim));
+        CHECK(take_over(claim, terms).may_order_at == now);
+    }
+    SECTION("the log has lost the claim of an owner that is known")
+    {
+        claim.highest_known = fencing_number(20);
+        CHECK(number_to_state(claim) == fencing_number(21));
+        SECTION("so that its records do not show who gave orders last")
+        {
+            for (const auto& before :
+                 {complete, assignment_record{.holder = host_id("front-2"), .released_for = 0ms}})
+            {
+                claim.before = before;
+                auto taken = take_over(claim, terms);
+                CHECK(taken.may_order_at == now + takeover_expiry(terms));
+                CHECK(taken.from_other_host);
+                CHECK_FALSE(taken.resumed_fence);
+            }
+        }
+        SECTION("and the claim may be the first one of a log that begins anew")
+        {
+            claim.at = log_offset(0);
+            claim.before.reset();
+            CHECK(number_to_state(claim) == fencing_number(21));
+            CHECK(take_over(claim, terms).may_order_at == now + takeover_expiry(terms));
+        }
+    }
+    SECTION("an owner since then has stated its number: the next one continues from it")
+    {
+        claim.before = assignment_record{
+            .holder = host_id("front-2"), .released_for = 0ms, .claim_number = fencing_number(21)};
+        for (int known : {0, 21})
+        {
+            claim.highest_known = fencing_number(known);
+            CHECK(number_to_state(claim) == fencing_number(22));
+            CHECK(take_over(claim, terms).may_order_at == now);
+        }
+    }
+    SECTION("offsets have passed the number that was stated")
+    {
+        claim.at = log_offset(21);
+        claim.before->claim_number = fencing_number(21);
+        claim.highest_known = fencing_number(21);
+        CHECK_FALSE(number_to_state(claim));
+    }
+}
--- a/tests/correctness/silent_engine_takeover_test.cpp
+++ b/tests/correctness/silent_engine_takeover_test.cpp
@@ -250,3 +250,26 @@
         serve_case::eventually([&] { return fleet.orders().at(late).carried_out_at.has_value(); }));
     CHECK(first_conflict(fleet.orders(), lease) == no_conflict);
 }
+
+TEST_CASE("An owner after the log went back orders under a higher number (ONE)")
+{
+    takeover_case fleet;
+    const std::size_t first_owner = fleet.owner();
+    fleet.it.store.begin_anew("shunt-duties");
+
+    SECTION("its partition goes to the other host")
+    {
+        fleet.it.store.group().rebalance();
+        CHECK(fleet.conflict_after_takeover() == no_conflict);
+    }
+    SECTION("its owner stops")
+    {
+        fleet.stop(first_owner);
+        CHECK(fleet.conflict_after_takeover() == no_conflict);
+    }
+    SECTION("its owner has no more access to the store")
+    {
+        fleet.refuse_calls_of(first_owner);
+        CHECK(fleet.conflict_after_takeover() == no_conflict);
+    }
+}
