Orders: owners wait for late orders of a host that is gone only where such orders are seen

Engines of a host that was gone, cut off or frozen got no orders for 18.15 s after the next claim, 6.15 s before the waits covered orders that engines carry out late.

An engine that sends no response to an order but responds to a later call at once has read the order, and may carry it out late. Its owner now asks it right after the order, and all hosts learn of it with the next message. A claim that says nothing of the owner before waits for late orders only while one is known that ended less than 12.45 s before the claim; the wait becomes longer if it is known later. A host that releases still states its own open orders.

What this gives up: an order of a host that ends before anybody knows of a late order. Orders of two hosts stay apart by their arrival in any case.

--- a/src/coordination/assignment_record.cpp
+++ b/src/coordination/assignment_record.cpp
@@ -155,7 +155,7 @@
 
 milliseconds takeover_expiry(const order_terms& terms)
 {
-    return terms.membership + terms.transit + terms.order_delay + terms.lease;
+    return terms.membership + terms.transit + terms.lease;
 }
 
 std::optional<fencing_number> number_to_state(const assignment_claim& claim)
@@ -172,7 +172,10 @@
     bool first = claim.at.count() == 0 && !log_went_back;
     bool resumes = completed_by(claim.own, before);
     bool released = is_release(before);
-    auto delay = takeover_delay(first, before, claim.own, takeover_expiry(terms));
+    const auto expiry = takeover_expiry(terms);
+    // A host that releases knows which of its orders may be carried out late.
+    auto delay =
+        takeover_delay(first, before, claim.own, released ? expiry + terms.order_delay : expiry);
     // A released assignment's wait counts from the release, which precedes the claim. That of a
     // host which gave no order says nothing of the owner before.
     takeover taken{.claimed_at = claim.sent_at,
@@ -181,14 +184,16 @@
     if (resumes)
     {
         // Orders that an earlier incarnation gave right before it ended may still be under way.
-        taken.last_order_at = claim.sent_at + terms.transit + terms.order_delay;
+        taken.last_order_at = claim.sent_at + terms.transit;
         taken.ask_engines_after = claim.sent_at;
         taken.resumed_fence = before->fence;
+        taken.late_orders_end = claim.sent_at + terms.transit + terms.order_delay + terms.lease;
     }
     else if (!first && (!released || before->unused_since))
     {
         taken.ask_engines_after = claim.sent_at + terms.membership + terms.transit;
         taken.from_other_host = true;
+        taken.late_orders_end = claim.sent_at + expiry + terms.order_delay;
     }
     return taken;
 }
--- a/src/coordination/assignment_record.hpp
+++ b/src/coordination/assignment_record.hpp
@@ -87,9 +87,10 @@
     milliseconds order_delay{0};
 };
 
-/// Returns how long after a claim the last order of a previous owner may still bind the new one.
-/// The group may have reassigned the assignment right after it renewed the previous owner, which
-/// gives orders until its membership ends if it cannot reach the group.
+/// Returns how long after a claim the last order of a previous owner may still bind the new one,
+/// if engines carry orders out as they arrive. The group may have reassigned the assignment right
+/// after it renewed the previous owner, which gives orders until its membership ends if it cannot
+/// reach the group.
 milliseconds takeover_expiry(const order_terms& terms);
 
 /// The release of an assignment that its owner sends to the other hosts when it cannot record it.
@@ -114,6 +115,9 @@
     std::optional<instant> ask_engines_after = {};
     /// Whether that claim was another host's.
     bool from_other_host = false;
+    /// From when another host's orders do not meet one that was given under an earlier claim and is
+    /// carried out late; nothing if there is none.
+    std::optional<instant> late_orders_end = {};
     /// The number under which the host gave orders before, if it goes on with them: orders of its
     /// earlier claim that arrive now are not older than its new ones.
     std::optional<fencing_number> resumed_fence = {};
--- a/src/coordination/order_history.cpp
+++ b/src/coordination/order_history.cpp
@@ -71,6 +71,10 @@
     {
         // It may have read the order as late as now.
         record.last_order_at = now;
+        if (now - *record.open_since <= options_.late_order_evidence)
+        {
+            record_late_order(*record.open_since);
+        }
     }
     auto needed = needed_after(record, it.taken);
     bool counts = !needed || asked_at >= *needed;
@@ -89,6 +93,17 @@
     }
 }
 
+void order_history::record_late_order(instant at)
+{
+    last_late_order_ = std::max(last_late_order_, std::optional(at));
+}
+
+bool order_history::expects_late_orders(const takeover& taken) const
+{
+    return taken.late_orders_end && last_late_order_ &&
+           *last_late_order_ + options_.order_delay >= taken.claimed_at;
+}
+
 std::optional<instant> order_history::needed_after(const engine_record& it,
                                                    const takeover& taken) const
 {
@@ -105,6 +120,10 @@
                                                      const claim& own) const
 {
     instant at = own.taken.may_order_at;
+    if (own.taken.from_other_host && expects_late_orders(own.taken))
+    {
+        at = std::max(at, *own.taken.late_orders_end);
+    }
     if (it.open_since && it.open_fence != own.fence)
     {
         at = std::max(at, *it.open_since + options_.open_order_time);
@@ -129,7 +148,8 @@
 {
     // While the engine was absent, its owner was this host, whose orders are known.
     bool only_reappeared = !taken.ask_engines_after && taken.claimed_at <= it.absent_since;
-    return options_.lease + (only_reappeared ? milliseconds(0) : options_.order_delay);
+    bool late = !only_reappeared && expects_late_orders(taken);
+    return options_.lease + (late ? options_.order_delay : milliseconds(0));
 }
 
 std::optional<instant> order_history::first_order_at(const server_id& server, const claim& it) const
@@ -192,6 +212,10 @@
                        const std::function<bool(const server_id&)>& in_partition) const
 {
     instant at = it.taken.may_order_at;
+    if (expects_late_orders(it.taken))
+    {
+        at = std::max(at, *it.taken.late_orders_end);
+    }
     for (const auto& [server, record] : records_)
     {
         if (!in_partition(server))
--- a/src/coordination/order_history.hpp
+++ b/src/coordination/order_history.hpp
@@ -6,8 +6,10 @@
 ///
 /// It is made for engines that stall. The kernel of such an engine has acknowledged the order
 /// and keeps it, also after its sender has reset the connection, and the engine reads it when it
-/// resumes; meanwhile its entry may leave the registry and come back. Pure: the time and what was
-/// observed are arguments.
+/// resumes; meanwhile its entry may leave the registry and come back. Engines may also carry out an
+/// order seconds after its arrival, without a response. Hosts tell each other when one does, and
+/// only then wait for such orders of owners that are gone. Pure: the time and what was observed are
+/// arguments.
 
 #include <functional>
 #include <map>
@@ -26,8 +28,10 @@
     /// How long an order without a response counts as under way, also if the engine responds to
     /// other calls: something between the hosts may hold it up.
     milliseconds open_order_time;
-    /// How long after it has read an order an engine may carry it out without a response.
+    /// How long after it was sent an engine may carry out an order without a response.
     milliseconds order_delay{0};
+    /// An engine that responds to a later call within this time has read the order.
+    milliseconds late_order_evidence{2000};
     /// How far the time of day may differ between two machines.
     milliseconds clock_difference{10000};
     /// How long an engine that is not registered any more is remembered.
@@ -61,6 +65,13 @@
     void record_order(const server_id& server, fencing_number fence, bool answered, instant now);
     /// Records a response at `now` to a call for a report that was sent at `asked_at`.
     void record_response(const server_id& server, const claim& it, instant asked_at, instant now);
+    /// Records that an engine of any host may carry out an order late that ended at `at` without a
+    /// response.
+    void record_late_order(instant at);
+    /// When the last such order ended; nothing if none is known.
+    std::optional<instant> last_late_order() const { return last_late_order_; }
+    /// Whether an order of an owner before this claim may be carried out late.
+    bool expects_late_orders(const takeover& taken) const;
 
     /// When the first order to the engine may be given; nothing while that depends on a response of
     /// the engine.
@@ -107,6 +118,7 @@
 
     order_history_options options_;
     std::map<server_id, engine_record> records_;
+    std::optional<instant> last_late_order_;
     bool observed_ = false;
 };
 
--- a/src/serve/host_context.hpp
+++ b/src/serve/host_context.hpp
@@ -321,6 +321,8 @@
         std::make_shared<open_connections>(max_caller_connections(settings));
     /// Connections to the ports for the load balancer and for metrics.
     int service_connections = 0;
+    /// When the last order ended of which this host knows that an engine may carry it out late.
+    std::optional<instant> last_late_order;
     prompt_quarantine quarantine;
     /// Servers of which it is being found out whether they have ended, with the parts of the
     /// requests that they had not begun to answer when their connections ended.
--- a/src/serve/order_claims.cpp
+++ b/src/serve/order_claims.cpp
@@ -172,7 +172,10 @@
     {
         return;
     }
-    held.taken.may_order_at = std::min(held.taken.may_order_at, free_at);
+    // The owner before knows which of its orders may be carried out late.
+    held.taken.may_order_at =
+        std::min(held.taken.late_orders_end.value_or(held.taken.may_order_at), free_at);
+    held.taken.late_orders_end.reset();
     held.taken.ask_engines_after.reset();
     held.taken.from_other_host = false;
     auto wait = std::max(nanoseconds(0), held.taken.may_order_at - context_.now());
@@ -343,7 +346,7 @@
         return takeover_expiry(terms());
     }
     auto in_partition = [&](const server_id& server) { return partition_of(server) == partition; };
-    auto free_at = history_.free_at({.taken = it.taken, .fence = it.fence}, in_partition);
+    auto free_at = history_.free_at(claim_of(it), in_partition);
     if (!free_at || orders_in_flight_.contains(partition))
     {
         return std::nullopt;
@@ -657,6 +660,7 @@
         // This process knows all orders under that number.
         taken.last_order_at = former->second.taken.last_order_at;
         taken.ask_engines_after = former->second.taken.ask_engines_after;
+        taken.late_orders_end = former->second.taken.late_orders_end;
     }
     fencing_number fence = taken.resumed_fence.value_or(number);
     known_numbers_[partition] = std::max(known_numbers_[partition], number);
@@ -677,19 +681,19 @@
     }
     listed_since_.erase(partition);
     auto wait = std::chrono::ceil<milliseconds>(std::max(taken.may_order_at - now, nanoseconds(0)));
-    context_.log.write("duty_taken",
-                       "partition={} fence={} generation={} before={} kind={} wait_ms={} "
-                       "claim_ms={} membership_ms={}",
-                       partition, fence.count(), generation_,
-                       previous ? previous->holder.str() : "-",
-                       claim.at.count() == 0         ? "first"
-                       : !previous                   ? "unreadable"
-                       : previous->released_after    ? "late_release"
-                       : previous->released_for      ? "released"
-                       : previous->takeover_complete ? "complete"
-                                                     : "claim",
-                       wait.count(), elapsed_ms(claim.sent_at, now).count(),
-                       elapsed_ms(now, membership_until_).count());
+    context_.log.write(
+        "duty_taken",
+        "partition={} fence={} generation={} before={} kind={} wait_ms={} late={} "
+        "claim_ms={} membership_ms={}",
+        partition, fence.count(), generation_, previous ? previous->holder.str() : "-",
+        claim.at.count() == 0         ? "first"
+        : !previous                   ? "unreadable"
+        : previous->released_after    ? "late_release"
+        : previous->released_for      ? "released"
+        : previous->takeover_complete ? "complete"
+                                      : "claim",
+        wait.count(), history_.expects_late_orders(taken), elapsed_ms(claim.sent_at, now).count(),
+        elapsed_ms(now, membership_until_).count());
 }
 
 task<void> order_controller::leave()
--- a/src/serve/order_controller.cpp
+++ b/src/serve/order_controller.cpp
@@ -29,6 +29,8 @@
 /// An engine responds to an order within milliseconds; a lost packet is retransmitted after 200 ms
 /// or more.
 constexpr milliseconds order_timeout{1000};
+/// How often the other hosts are told of orders that engines may carry out late.
+constexpr milliseconds late_order_interval{1000};
 /// How often a new owner asks an engine that has not responded.
 constexpr milliseconds probe_interval{450};
 /// How often a host that gives up engines checks whether its last orders have ended.
@@ -62,9 +64,7 @@
       history_(
           {.lease = lease(),
            .open_order_time = std::max(order_transit_margin + context.settings.bounds.order_delay,
-                                       takeover_expiry({.lease = lease(),
-                                                        .membership = terms().membership,
-                                                        .transit = order_transit_margin})),
+                                       takeover_expiry(terms())),
            .order_delay = order_transit_margin + context.settings.bounds.order_delay}),
       store_load_refilled_at_(context.now())
 {
@@ -171,11 +171,16 @@
     }
 }
 
+order_history::claim order_controller::claim_of(const held_partition& it)
+{
+    return {.taken = it.taken, .fence = it.fence};
+}
+
 bool order_controller::is_settled(int partition, const held_partition& it) const
 {
     return history_.is_settled(
-        {.taken = it.taken, .fence = it.fence},
-        [&](const server_id& server) { return partition_of(server) == partition; }, context_.now());
+        claim_of(it), [&](const server_id& server) { return partition_of(server) == partition; },
+        context_.now());
 }
 
 bool order_controller::may_order(const server_id& server, instant now) const
@@ -185,8 +190,7 @@
     {
         return false;
     }
-    auto first =
-        history_.first_order_at(server, {.taken = it->second.taken, .fence = it->second.fence});
+    auto first = history_.first_order_at(server, claim_of(it->second));
     return first && now >= *first;
 }
 
@@ -197,7 +201,7 @@
     {
         return now + takeover_expiry(terms());
     }
-    return history_.first_order_at(server, {.taken = it->second.taken, .fence = it->second.fence})
+    return history_.first_order_at(server, claim_of(it->second))
         .value_or(std::max(it->second.taken.may_order_at, now + lease()));
 }
 
@@ -395,10 +399,11 @@
     {
         return;
     }
-    order_history::claim own{.taken = it->second.taken, .fence = it->second.fence};
+    const auto own = claim_of(it->second);
     bool awaited = history_.awaits_response_after(server, own).has_value();
     instant now = context_.now();
     history_.record_response(server, own, asked_at, now);
+    share_late_order(server);
     held.pending_announced = false;
     if (auto first = history_.first_order_at(server, own); awaited && first)
     {
@@ -408,6 +413,27 @@
     }
 }
 
+void order_controller::share_late_order(const server_id& server)
+{
+    auto known = history_.last_late_order();
+    auto& shared = context_.last_late_order;
+    if (!known || (shared && *known - *shared < late_order_interval))
+    {
+        return;
+    }
+    shared = known;
+    link_.publish_late_order();
+    context_.stats.increment("banyanshunt_late_orders_expected_total");
+    context_.log.write("late_order_expected", "server={} age_ms={}", server.str(),
+                       elapsed_ms(*known, context_.now()).count());
+}
+
+void order_controller::apply_late_order(instant at)
+{
+    history_.record_late_order(at);
+    context_.last_late_order = history_.last_late_order();
+}
+
 task<void> order_controller::probe_engine(server_id server, std::shared_ptr<owned_engine> held)
 {
     instant now = context_.now();
@@ -418,8 +444,7 @@
     {
         co_return;
     }
-    auto ask_after = history_.awaits_response_after(
-        server, {.taken = it->second.taken, .fence = it->second.fence});
+    auto ask_after = history_.awaits_response_after(server, claim_of(it->second));
     if (!ask_after || now < *ask_after || !co_await acquire_permit(server, *held))
     {
         co_return;
@@ -471,7 +496,7 @@
 task<void> order_controller::send_order(server_id server, std::shared_ptr<owned_engine> held,
                                         load_order order)
 {
-    fencing_number fence = partitions_.at(held->partition).fence;
+    const auto own = claim_of(partitions_.at(held->partition));
     orders_in_flight_.insert(held->partition);
     order_outcome outcome;
     try
@@ -480,10 +505,29 @@
     }
     catch (...)
     {
-        record_order(server, *held, order, fence, {});
+        record_order(server, *held, order, own.fence, {});
         throw;
     }
-    record_order(server, *held, order, fence, outcome);
+    record_order(server, *held, order, own.fence, outcome);
+    if (outcome.state == exchange_state::no_response)
+    {
+        co_await query_open_order(server, *held, own);
+    }
+}
+
+task<void> order_controller::query_open_order(server_id server, const owned_engine& held,
+                                              order_history::claim own)
+{
+    if (!co_await acquire_permit(server, held) || !context_.servers.find(server))
+    {
+        co_return;
+    }
+    instant asked_at = context_.now();
+    if (co_await fetch_report(server))
+    {
+        history_.record_response(server, own, asked_at, context_.now());
+        share_late_order(server);
+    }
 }
 
 void order_controller::record_order(const server_id& server, owned_engine& held,
--- a/src/serve/order_controller.hpp
+++ b/src/serve/order_controller.hpp
@@ -34,6 +34,8 @@
         /// Sends to the other hosts that this host gives no more orders to the engines of a
         /// partition.
         std::function<void(int partition, const peer_release&)> publish_release;
+        /// Tells the other hosts that an engine may carry out an order late.
+        std::function<void()> publish_late_order;
         /// The known hosts including this one; empty before the others can know of this host.
         std::function<std::vector<known_host>()> hosts;
     };
@@ -51,6 +53,8 @@
                     int running, int requests);
     /// Applies another host's release of a partition.
     void apply_release(int partition, const peer_release& release);
+    /// Applies that another host knows of an order that may be carried out late.
+    void apply_late_order(instant at);
     /// Publishes the placements of all engines that this host owns.
     void publish_all();
 
@@ -162,9 +166,15 @@
     task<std::optional<residency_report>> fetch_report(server_id server);
     /// Records that an engine responded to a call that was sent at `asked_at`.
     void record_response(const server_id& server, owned_engine& held, instant asked_at);
+    /// Lets the other hosts know of an order that the engine may carry out late.
+    void share_late_order(const server_id& server);
     /// Asks an engine whose last owner may have left an order with it, if that is due.
     task<void> probe_engine(server_id server, std::shared_ptr<owned_engine> held);
     task<void> send_order(server_id server, std::shared_ptr<owned_engine> held, load_order order);
+    /// Asks an engine that sent no response to an order whether it responds to another call, also
+    /// if this host has lost it meanwhile.
+    task<void> query_open_order(server_id server, const owned_engine& held,
+                                order_history::claim own);
     /// What became of an order that was to be sent.
     struct order_outcome
     {
@@ -193,6 +203,7 @@
     instant may_order_from(const server_id& server, instant now) const;
     /// Applies the registry to the history of orders, and the numbers of owners to those known.
     void observe_engines();
+    static order_history::claim claim_of(const held_partition& it);
     /// Whether no engine of the partition may still read an earlier order.
     bool is_settled(int partition, const held_partition& it) const;
     /// Waits until the orders in flight to engines of these partitions have ended.
--- a/src/serve/peer_list.cpp
+++ b/src/serve/peer_list.cpp
@@ -1,10 +1,12 @@
 #include "serve/peer_list.hpp"
 
 #include <algorithm>
+#include <limits>
 
 #include <fmt/format.h>
 
 #include "peers.pb.h"
+#include "state/elapsed_time.hpp"
 
 namespace banyanshunt
 {
@@ -49,6 +51,12 @@
     message.set_domain(context_.settings.domain.str());
     message.set_life(static_cast<std::uint64_t>(context_.incarnation.count()));
     message.set_stopping(context_.stop.has_value());
+    if (context_.last_late_order)
+    {
+        auto age = elapsed_ms(*context_.last_late_order, context_.now());
+        message.set_late_order_age_ms(static_cast<std::uint32_t>(
+            std::clamp<std::int64_t>(age.count(), 1, std::numeric_limits<std::int32_t>::max())));
+    }
     return message;
 }
 
--- a/src/serve/peer_service.cpp
+++ b/src/serve/peer_service.cpp
@@ -130,6 +130,12 @@
                { publish_pending_owner(server, it); },
                .publish_release = [this](int partition, const peer_release& it)
                { publish_release(partition, it); },
+               .publish_late_order =
+                   [this]
+               {
+                   // Every message states it.
+                   send_to_all(peers_.new_message(), relays_in_domain);
+               },
                .hosts =
                    [this]
                {
@@ -390,6 +396,10 @@
                               {.last_record = log_offset(it.last_record()),
                                .free_at = context_.now() + milliseconds(it.wait_ms())});
     }
+    if (message.late_order_age_ms() > 0)
+    {
+        orders_.apply_late_order(sent_at - milliseconds(message.late_order_age_ms()));
+    }
     for (const auto& it : message.wishes())
     {
         orders_.request_load(server_id(it.server()),
--- a/tests/correctness/loop_failure_test.cpp
+++ b/tests/correctness/loop_failure_test.cpp
@@ -245,6 +245,7 @@
         {.publish_placement = [](const server_id&, const server_placement&) {},
          .publish_pending_owner = [](const server_id&, const engine_owner&) {},
          .publish_release = [](int, const peer_release&) {},
+         .publish_late_order = [] {},
          .hosts =
              [&]
          {
