Orders: late orders that are known only when an owner may order already do not stop it

A late order of any engine stopped every owner that had claimed up to 18 s before, also one that had given orders for seconds: its wait was judged anew. An order of the host before that comes late then follows its orders in any case. Late orders now count for a claim only if the first of a series was known before the claim's host might order. Two sections were added to the test of order_history; the first one failed before. Messages state only late orders that can still concern a claim.

--- a/src/coordination/order_history.cpp
+++ b/src/coordination/order_history.cpp
@@ -95,13 +95,22 @@
 
 void order_history::record_late_order(instant at)
 {
-    last_late_order_ = std::max(last_late_order_, std::optional(at));
+    if (last_late_order_ && at <= *last_late_order_)
+    {
+        return;
+    }
+    if (!last_late_order_ || at - *last_late_order_ > options_.order_delay)
+    {
+        late_orders_since_ = at;
+    }
+    last_late_order_ = at;
 }
 
 bool order_history::expects_late_orders(const takeover& taken) const
 {
     return taken.late_orders_end && last_late_order_ &&
-           *last_late_order_ + options_.order_delay >= taken.claimed_at;
+           *last_late_order_ + options_.order_delay >= taken.claimed_at &&
+           *late_orders_since_ <= taken.may_order_at;
 }
 
 std::optional<instant> order_history::needed_after(const engine_record& it,
--- a/src/coordination/order_history.hpp
+++ b/src/coordination/order_history.hpp
@@ -70,7 +70,8 @@
     void record_late_order(instant at);
     /// When the last such order ended; nothing if none is known.
     std::optional<instant> last_late_order() const { return last_late_order_; }
-    /// Whether an order of an owner before this claim may be carried out late.
+    /// Whether an order of an owner before this claim may be carried out late. What is known only
+    /// when this host may order already changes nothing.
     bool expects_late_orders(const takeover& taken) const;
 
     /// When the first order to the engine may be given; nothing while that depends on a response of
@@ -118,7 +119,10 @@
 
     order_history_options options_;
     std::map<server_id, engine_record> records_;
+    /// The last of the late orders that are known, and the first of those that followed each other
+    /// within `order_delay`.
     std::optional<instant> last_late_order_;
+    std::optional<instant> late_orders_since_;
     bool observed_ = false;
 };
 
--- a/src/serve/peer_list.cpp
+++ b/src/serve/peer_list.cpp
@@ -1,7 +1,6 @@
 #include "serve/peer_list.hpp"
 
 #include <algorithm>
-#include <limits>
 
 #include <fmt/format.h>
 
@@ -53,9 +52,12 @@
     message.set_stopping(context_.stop.has_value());
     if (context_.last_late_order)
     {
-        auto age = elapsed_ms(*context_.last_late_order, context_.now());
-        message.set_late_order_age_ms(static_cast<std::uint32_t>(
-            std::clamp<std::int64_t>(age.count(), 1, std::numeric_limits<std::int32_t>::max())));
+        auto age = std::max(milliseconds(1), elapsed_ms(*context_.last_late_order, context_.now()));
+        // Older ones concern no claim.
+        if (age < 2 * context_.settings.bounds.order_delay)
+        {
+            message.set_late_order_age_ms(static_cast<std::uint32_t>(age.count()));
+        }
     }
     return message;
 }
--- a/tests/correctness/order_history_test.cpp
+++ b/tests/correctness/order_history_test.cpp
@@ -208,6 +208,19 @@
             history.record_late_order(start + 5s);
             CHECK(history.first_order_at(engine, next) == start + 18s);
         }
+        SECTION("this is known only when it may order already: it goes on")
+        {
+            history.record_response(engine, next, start + 3s, start + 3s);
+            history.record_late_order(start + 7s);
+            CHECK(history.first_order_at(engine, next) == start + 6s);
+        }
+        SECTION("late orders before the claim go on after it")
+        {
+            history.record_response(engine, next, start + 3s, start + 3s);
+            history.record_late_order(start - 1s);
+            history.record_late_order(start + 7s);
+            CHECK(history.first_order_at(engine, next) == start + 18s);
+        }
         SECTION("the last late order was carried out before the claim")
         {
             history.record_late_order(start - order_delay - 1s);
