Orders: a fencing number out of range is refused

The next owner's number is one above the highest that is known; above the largest integer there is none. Numbers of peers and of records are at most 10^15.

--- a/src/coordination/assignment_record.cpp
+++ b/src/coordination/assignment_record.cpp
@@ -94,7 +94,7 @@
     if (auto number = take_after(text, number_mark))
     {
         auto n = parse_number(*number);
-        if (!n)
+        if (!n || fencing_number(*n) > max_fencing_number)
         {
             return std::nullopt;
         }
--- a/src/coordination/assignment_record.hpp
+++ b/src/coordination/assignment_record.hpp
@@ -22,6 +22,9 @@
 namespace banyanshunt
 {
 
+/// Larger fencing numbers are taken for an error.
+inline constexpr fencing_number max_fencing_number{1'000'000'000'000'000};
+
 /// One record of an assignment: a host claims it, has completed its takeover, or releases it. The
 /// second and third kinds are appended only directly after the holder's own records, so that they
 /// cannot follow another host's claim; a late release states that it does.
--- a/src/serve/peer_message_check.cpp
+++ b/src/serve/peer_message_check.cpp
@@ -4,6 +4,7 @@
 #include <cstdlib>
 #include <string>
 
+#include "coordination/assignment_record.hpp"
 #include "peers.pb.h"
 #include "transport/loop/event_loop.hpp"
 
@@ -84,14 +85,15 @@
 
 bool is_sound(const peers::placement& it)
 {
-    return is_name(it.server()) && is_within(it.born_ms(), max_unix_ms) && it.fence() >= 0 &&
+    return is_name(it.server()) && is_within(it.born_ms(), max_unix_ms) &&
+           is_within(it.fence(), max_fencing_number.count()) &&
            std::all_of(it.models().begin(), it.models().end(),
                        [](const auto& held) { return is_sound(held); });
 }
 
 bool is_sound(const peers::pending_owner& it)
 {
-    return is_name(it.server()) && it.fence() >= 0;
+    return is_name(it.server()) && is_within(it.fence(), max_fencing_number.count());
 }
 
 bool is_sound(const peers::partition_release& it)
--- a/tests/correctness/assignment_record_test.cpp
+++ b/tests/correctness/assignment_record_test.cpp
@@ -93,6 +93,7 @@
         CHECK_FALSE(parse_assignment_record("front-1 released "));
         CHECK_FALSE(parse_assignment_record("front-1 released -5"));
         CHECK_FALSE(parse_assignment_record("front-1 number x"));
+        CHECK_FALSE(parse_assignment_record("front-1 number 9223372036854775807"));
         CHECK_FALSE(parse_assignment_record("front-1 released 5 ms"));
         CHECK_FALSE(parse_assignment_record(" released 5"));
         CHECK_FALSE(parse_assignment_record(""));
--- a/tests/correctness/odd_datagram_test.cpp
+++ b/tests/correctness/odd_datagram_test.cpp
@@ -151,16 +151,19 @@
         CHECK_FALSE(it.known().owner);
         CHECK(it.refused() == 4);
     }
-    SECTION("a fencing number below all that a partition has")
+    SECTION("a fencing number that no partition has, and that no later one could exceed")
     {
-        auto placement = receiving_host::message_of("south-2");
-        auto& held = *placement.add_placements();
-        held.set_server(server.str());
-        held.set_born_ms(start_time);
-        held.set_fence(-1);
-        it.send(placement);
+        for (std::int64_t number : {std::int64_t(-1), max_int64})
+        {
+            auto placement = receiving_host::message_of("south-2");
+            auto& held = *placement.add_placements();
+            held.set_server(server.str());
+            held.set_born_ms(start_time);
+            held.set_fence(number);
+            it.send(placement);
+        }
         CHECK_FALSE(it.known().owner);
-        CHECK(it.refused() == 1);
+        CHECK(it.refused() == 2);
     }
     SECTION("a limit that is none")
     {
