What hosts report of one crash counts together against parts of prompts

Cause: hosts have different requests at a server that ends. One reported the end with the part that caused it, another the same end with the part of a sound request beside it. Both reports were joined only for a part that was in both, so the crash stood against the sound part as if it had been there alone. With two more crashes that had both parts, the sound part was all that the three had in common: it was banned by itself, and no request tried it again.

The parts reported of one server's end are now kept once, by server and start time, and shared by all parts that it counts against. A part that was beside the cause in each of its crashes is banned together with it: a request with the part alone is tried, and its response lifts the ban.

The new test failed in each of its five sections before and passes now, with the other cases of prompt_quarantine_test.cpp and prompt_crash_path_test.cpp, once.

Open: a host stores a ban when it decides on it. If the report of the cause comes only after that, the record names the sound part alone, and a host that starts later takes it so.

--- a/src/coordination/prompt_quarantine.cpp
+++ b/src/coordination/prompt_quarantine.cpp
@@ -38,13 +38,17 @@
 std::vector<prompt_part> prompt_quarantine::common_parts(const suspect& it) const
 {
     std::vector<prompt_part> common;
-    const auto& first = it.crashes.front().parts;
+    part_set first;
+    for (const auto& parts : it.crashes.front().parts)
+    {
+        first.insert(parts->begin(), parts->end());
+    }
     std::copy_if(first.begin(), first.end(), std::back_inserter(common),
                  [&](prompt_part part)
                  {
                      return !is_sound(part) && std::all_of(it.crashes.begin(), it.crashes.end(),
                                                            [&](const counted_crash& crash)
-                                                           { return crash.parts.contains(part); });
+                                                           { return crash.has(part); });
                  });
     return common;
 }
@@ -57,7 +61,26 @@
     return found;
 }
 
-bool prompt_quarantine::add_crash(suspect& to, const std::vector<prompt_part>& parts,
+bool prompt_quarantine::counted_crash::has(prompt_part part) const
+{
+    return std::any_of(parts.begin(), parts.end(),
+                       [&](const auto& of_server) { return of_server->contains(part); });
+}
+
+std::shared_ptr<prompt_quarantine::part_set>
+prompt_quarantine::join_reports(const std::vector<prompt_part>& parts, const server_crash& crash)
+{
+    std::erase_if(parts_by_end_, [](const auto& it) { return it.second.use_count() == 1; });
+    auto& joined = parts_by_end_[{crash.server, crash.start_time_ms}];
+    if (!joined)
+    {
+        joined = std::make_shared<part_set>();
+    }
+    joined->insert(parts.begin(), parts.end());
+    return joined;
+}
+
+bool prompt_quarantine::add_crash(suspect& to, const std::shared_ptr<part_set>& parts,
                                   const server_crash& crash) const
 {
     auto known = std::find_if(to.crashes.begin(), to.crashes.end(),
@@ -71,15 +94,18 @@
                               });
     if (known != to.crashes.end())
     {
-        // Hosts had different requests at a server that ended.
-        known->parts.insert(parts.begin(), parts.end());
+        auto& all = known->parts;
+        if (std::find(all.begin(), all.end(), parts) == all.end())
+        {
+            all.push_back(parts);
+        }
         return false;
     }
     if (to.crashes.size() >= options_.max_crashes)
     {
         return false;
     }
-    to.crashes.push_back({.crash = crash, .parts = {parts.begin(), parts.end()}});
+    to.crashes.push_back({.crash = crash, .parts = {parts}});
     return true;
 }
 
@@ -88,10 +114,11 @@
 {
     crash_effect effect;
     auto counted = unproven(parts);
+    auto joined = join_reports(counted, crash);
     for (auto part : counted)
     {
         suspect& it = suspects_[part];
-        if (add_crash(it, counted, crash))
+        if (add_crash(it, joined, crash))
         {
             effect.counted.push_back(part);
         }
@@ -154,8 +181,8 @@
     bool is_new = !it.banned_at;
     if (is_new)
     {
-        auto with = decided.with;
-        with.push_back(decided.part);
+        auto with = std::make_shared<part_set>(decided.with.begin(), decided.with.end());
+        with->insert(decided.part);
         // Stands for the crashes that the other host knows.
         add_crash(it, with, {.server = {}, .start_time_ms = 0, .at = decided.at});
         it.banned_at = decided.at;
@@ -194,6 +221,7 @@
 {
     std::erase_if(suspects_, [&](const auto& it)
                   { return now - last_mentioned(it.second) > options_.retention; });
+    std::erase_if(parts_by_end_, [](const auto& it) { return it.second.use_count() == 1; });
     std::erase_if(sound_,
                   [&](const sound_part& it)
                   {
--- a/src/coordination/prompt_quarantine.hpp
+++ b/src/coordination/prompt_quarantine.hpp
@@ -15,8 +15,10 @@
 
 #include <list>
 #include <map>
+#include <memory>
 #include <optional>
 #include <set>
+#include <utility>
 #include <vector>
 
 #include "state/clock.hpp"
@@ -79,6 +81,8 @@
 {
 public:
     explicit prompt_quarantine(const prompt_quarantine_options& options = {}) : options_(options) {}
+    prompt_quarantine(const prompt_quarantine&) = delete;
+    prompt_quarantine& operator=(const prompt_quarantine&) = delete;
 
     /// Whether a request whose prompt has these parts is sent.
     part_state judge(const std::vector<prompt_part>& parts) const;
@@ -135,11 +139,16 @@
     std::vector<server_crash> crashes(prompt_part part) const;
 
 private:
+    using part_set = std::set<prompt_part>;
     struct counted_crash
     {
         server_crash crash;
-        /// The parts of all requests that the server had not begun to answer.
-        std::set<prompt_part> parts;
+        /// For each server that ended in it, the parts of all requests that it had not begun to
+        /// answer. Suspects share them: hosts had different requests at a server, so that the part
+        /// that ended it may be told by another host than a part that was beside it.
+        std::vector<std::shared_ptr<part_set>> parts;
+
+        bool has(prompt_part part) const;
     };
     struct suspect
     {
@@ -154,8 +163,11 @@
     };
 
     /// Whether the crash counts as one more, or as part of one that is known.
-    bool add_crash(suspect& to, const std::vector<prompt_part>& parts,
+    bool add_crash(suspect& to, const std::shared_ptr<part_set>& parts,
                    const server_crash& crash) const;
+    /// The parts that hosts told of the end of a server, with these added.
+    std::shared_ptr<part_set> join_reports(const std::vector<prompt_part>& parts,
+                                           const server_crash& crash);
     /// The parts that were in all crashes of a suspect, without sound ones.
     std::vector<prompt_part> common_parts(const suspect& it) const;
     void make_room(prompt_part newest);
@@ -163,6 +175,8 @@
 
     prompt_quarantine_options options_;
     std::map<prompt_part, suspect> suspects_;
+    /// By server and start time, as long as a suspect refers to them.
+    std::map<std::pair<server_id, std::int64_t>, std::shared_ptr<part_set>> parts_by_end_;
     std::set<prompt_part> on_trial_;
     std::set<prompt_part> allowed_;
     /// The part that was used last comes first.
--- a/tests/correctness/prompt_quarantine_test.cpp
+++ b/tests/correctness/prompt_quarantine_test.cpp
@@ -131,6 +131,57 @@
     }
 }
 
+TEST_CASE("What hosts tell of one crash counts as one crash, whatever parts each of them knows")
+{
+    crash_case it;
+    constexpr prompt_part victim(9);
+    it.clock.advance(500ms);
+    auto crash = it.next_crash();
+
+    SECTION("the host of the victim first")
+    {
+        it.quarantine.record_crash({victim}, crash);
+        it.quarantine.record_crash({bad}, crash);
+    }
+    SECTION("the host of the cause first")
+    {
+        it.quarantine.record_crash({bad}, crash);
+        it.quarantine.record_crash({victim}, crash);
+    }
+    SECTION("right after another crash, the host of the victim first")
+    {
+        it.quarantine.record_crash({rare, bad}, crash);
+        it.clock.advance(75ms);
+        auto second = it.next_crash();
+        it.quarantine.record_crash({victim}, second);
+        it.quarantine.record_crash({rare, bad}, second);
+    }
+    SECTION("right after another crash, the host of the cause first")
+    {
+        it.quarantine.record_crash({rare, bad}, crash);
+        it.clock.advance(75ms);
+        auto second = it.next_crash();
+        it.quarantine.record_crash({rare, bad}, second);
+        it.quarantine.record_crash({victim}, second);
+    }
+    SECTION("right before another crash under the victim's part")
+    {
+        it.quarantine.record_crash({victim}, crash);
+        it.clock.advance(75ms);
+        auto second = it.next_crash();
+        it.quarantine.record_crash({victim}, second);
+        it.quarantine.record_crash({bad}, second);
+    }
+    CHECK(it.crash({victim, bad}).empty());
+    it.crash({victim, bad});
+    // Only a request without the cause shows that the victim's part is sound.
+    CHECK(it.quarantine.judge({victim}) == part_state::suspected);
+    CHECK(it.quarantine.judge({victim, bad}) == part_state::banned);
+    it.quarantine.record_sound({victim}, it.clock.now());
+    CHECK(it.quarantine.judge({victim}) == part_state::free);
+    CHECK(it.quarantine.judge({bad}) == part_state::banned);
+}
+
 TEST_CASE("Crashes for another cause ban no part")
 {
     crash_case it;
