--- /dev/null
+++ b/tests/correctness/regressed_log_test.cpp
@@ -0,0 +1,203 @@
+// Claims and releases of engines behind a log that returned with an older copy of itself.
+
+#include <algorithm>
+#include <atomic>
+#include <limits>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <catch2/catch.hpp>
+
+#include "coordination/assignment_record.hpp"
+#include "coordination/order_history.hpp"
+#include "coordination/rendezvous.hpp"
+#include "peers.pb.h"
+#include "serve/peer_message_check.hpp"
+#include "serve_case.hpp"
+
+using namespace banyanshunt;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+const std::string no_conflict;
+constexpr std::chrono::milliseconds test_lease{1000};
+const std::string append_path = "/api/log-append";
+
+std::vector<std::string> records(const serve_case& it, int partition = 0)
+{
+    return it.store.values("shunt-duties/" + std::to_string(partition));
+}
+
+void put_record(store_stand_in& store, const std::string& record, int partition = 0)
+{
+    store.put("shunt-duties/" + std::to_string(partition), "", record);
+}
+
+/// Whether the last record says that a host has completed its takeover.
+bool is_complete(const std::vector<std::string>& records, const std::string& host)
+{
+    auto last = records.empty() ? std::nullopt : parse_assignment_record(records.back());
+    return last && last->takeover_complete && last->holder == host_id(host);
+}
+
+/// Hosts and one engine whose owner always has an order to give.
+struct busy_fleet
+{
+    explicit busy_fleet(
+        std::size_t host_count, const std::function<void(store_stand_in&)>& prepare = {},
+        std::function<void(host_settings&)> adjust = [](host_settings&) {})
+        : it{host_count, store_path::direct,
+             [&](store_stand_in& store)
+             {
+                 store.put("keyed.op", "config", serve_manifest(1, {"good-key"}, 12));
+                 if (prepare)
+                 {
+                     prepare(store);
+                 }
+             },
+             host_count > 1 ? 4 : 1, std::move(adjust)},
+          partition(static_cast<int>(rendezvous_weight("partition", "e1") %
+                                     static_cast<std::uint64_t>(it.partitions)))
+    {
+        REQUIRE(it.started);
+        for (std::size_t n = 0; n < 4; ++n)
+        {
+            callers.emplace_back(
+                [this, n](const std::stop_token& stop)
+                {
+                    for (int k = 0; !stop.stop_requested(); ++k)
+                    {
+                        auto id = "c" + std::to_string(n) + "-" + std::to_string(k);
+                        auto model = "m" + std::to_string((k + static_cast<int>(n)) % 12);
+                        it.send("POST", "/guide/1", id, "good-key", model, n % it.hosts.size());
+                        std::this_thread::sleep_for(20ms);
+                    }
+                });
+        }
+        REQUIRE(serve_case::eventually([&] { return !orders().empty(); }));
+    }
+
+    std::vector<received_order> orders() const { return it.engine1.received_orders(); }
+    /// Waits until a host orders after the orders that there are now.
+    bool awaits_order_of(const std::string& host) const
+    {
+        const auto before = orders().size();
+        return serve_case::eventually(
+            [&]
+            {
+                auto now = orders();
+                return std::any_of(now.begin() + static_cast<std::ptrdiff_t>(before), now.end(),
+                                   [&](const auto& order) { return order.holder == host; });
+            });
+    }
+    /// Waits until a host has claimed the partition behind the records that there are now.
+    bool awaits_claim_of(const std::string& host, std::size_t before) const
+    {
+        return serve_case::eventually(
+            [&]
+            {
+                auto now = log();
+                return std::any_of(now.begin() + static_cast<std::ptrdiff_t>(before), now.end(),
+                                   [&](const auto& text)
+                                   {
+                                       auto record = parse_assignment_record(text);
+                                       return record && record->holder == host_id(host) &&
+                                              !record->released_for;
+                                   });
+            });
+    }
+    std::vector<std::string> log() const { return records(it, partition); }
+    /// The group assigns the engine's partition to a host at once.
+    void assign_to(const std::string& host) { it.store.group().move(partition, host); }
+    /// The log of the engine's partition loses all records behind these.
+    void lose_records_behind(const std::vector<std::string>& kept)
+    {
+        std::vector<std::vector<std::string>> logs;
+        for (int n = 0; n < it.partitions; ++n)
+        {
+            logs.push_back(n == partition ? kept : records(it, n));
+        }
+        it.store.begin_anew("shunt-duties");
+        for (int n = 0; n < it.partitions; ++n)
+        {
+            for (const auto& record : logs.at(static_cast<std::size_t>(n)))
+            {
+                put_record(it.store, record, n);
+            }
+        }
+    }
+    /// The store refuses the calls of hosts to the group and to the log that have one of these
+    /// texts.
+    void refuse_calls_with(const std::vector<std::string>& texts)
+    {
+        it.store.set_call_faults(
+            [texts](const std::string&, const std::string& body)
+            {
+                bool refuses = std::any_of(texts.begin(), texts.end(),
+                                           [&](const auto& text)
+                                           { return body.find(text) != std::string::npos; });
+                return call_fault{.refused_with = refuses ? 503 : 0};
+            });
+    }
+    std::string first_conflict(std::chrono::milliseconds lease = test_lease) const
+    {
+        auto all = orders();
+        auto judged = judge_orders(all, order_dating::arrival, lease,
+                                   [](const received_order&) { return false; });
+        std::string text;
+        for (const auto& record : log())
+        {
+            text += record + "; ";
+        }
+        UNSCOPED_INFO("breaches " << judged.breaches.size() << ", records " << text);
+        return judged.breaches.empty()
+                   ? ""
+                   : describe(judged.breaches.front(), all, order_dating::arrival, all.front().at);
+    }
+
+    serve_case it;
+    /// The partition of the engine.
+    int partition;
+    std::vector<std::jthread> callers;
+};
+
+std::string other(const std::string& host)
+{
+    return host == "h1" ? "h2" : "h1";
+}
+
+} // namespace
+
+TEST_CASE("A release of an unused claim does not let a host go on before the log went back (ONE)")
+{
+    busy_fleet fleet(2);
+    const std::string first = fleet.orders().back().holder;
+    const std::string second = other(first);
+    REQUIRE(serve_case::eventually([&] { return is_complete(fleet.log(), first); }));
+    const auto kept = fleet.log();
+    fleet.assign_to(second);
+    REQUIRE(fleet.awaits_order_of(second));
+    REQUIRE(serve_case::eventually([&] { return is_complete(fleet.log(), second); }));
+    REQUIRE(fleet.awaits_order_of(second));
+
+    // The store refuses the release of the second owner.
+    fleet.refuse_calls_with({second + " released"});
+    fleet.lose_records_behind(kept);
+    for (const auto& host : {first, second, first})
+    {
+        const auto before = fleet.log().size();
+        fleet.assign_to(host);
+        REQUIRE(fleet.awaits_claim_of(host, before));
+        fleet.it.store.set_call_faults(nullptr);
+        std::this_thread::sleep_for(400ms);
+    }
+    CHECK(fleet.awaits_order_of(first));
+    std::this_thread::sleep_for(500ms);
+    CHECK(fleet.first_conflict() == no_conflict);
+}
