Tests: a number that the log states is lost behind other records (ONE), failing

A claim reads the one record in front of it. If that is a claim whose number was not stated, or a late release of an earlier owner, the number is taken from the offset.

--- a/tests/correctness/regressed_log_test.cpp
+++ b/tests/correctness/regressed_log_test.cpp
@@ -46,6 +46,13 @@
     return last && last->takeover_complete && last->holder == host_id(host);
 }
 
+/// Whether a call appends this record.
+bool is_record(const std::string& record, const std::string& path, const std::string& body)
+{
+    constexpr std::size_t length_bytes = 4;
+    return path == append_path && body.substr(std::min(length_bytes, body.size())) == record;
+}
+
 /// Hosts and one engine whose owner always has an order to give.
 struct busy_fleet
 {
@@ -201,3 +208,46 @@
     std::this_thread::sleep_for(500ms);
     CHECK(fleet.first_conflict() == no_conflict);
 }
+
+TEST_CASE("A claim is above a number that the log states, whatever lies between (ONE)")
+{
+    const std::string stated = "h9 begun 21 10.9.9.9 number 21";
+    std::atomic<int> refused = 0;
+    std::int64_t highest = 21;
+    std::function<void(store_stand_in&)> prepare;
+
+    SECTION("a host has claimed the partition, and did not get to state its number")
+    {
+        prepare = [&](store_stand_in& store)
+        {
+            put_record(store, stated);
+            put_record(store, "h8");
+        };
+    }
+    SECTION("the store refuses the first statement of this host")
+    {
+        prepare = [&](store_stand_in& store)
+        {
+            put_record(store, stated);
+            store.set_call_faults(
+                [&](const std::string& path, const std::string& body)
+                {
+                    bool refuses = is_record("h1 number 22", path, body) && refused++ == 0;
+                    return call_fault{.refused_with = refuses ? 503 : 0};
+                });
+        };
+    }
+    SECTION("a late release of the owner before follows the statement")
+    {
+        highest = 22;
+        prepare = [&](store_stand_in& store)
+        {
+            put_record(store, stated);
+            put_record(store, "h8");
+            put_record(store, "h8 number 22");
+            put_record(store, "h9 released 100 after 0 number 21");
+        };
+    }
+    busy_fleet fleet(1, prepare);
+    CHECK(fleet.orders().front().fence > highest);
+}
