Tests: a release among hosts counts for a claim after the log went back (ONE), failing

Releases that hosts send each other name an offset, are kept for good, and apply to any later claim directly behind that offset, also when the log has lost the claims in between.

--- a/tests/correctness/regressed_log_test.cpp
+++ b/tests/correctness/regressed_log_test.cpp
@@ -251,3 +251,36 @@
     busy_fleet fleet(1, prepare);
     CHECK(fleet.orders().front().fence > highest);
 }
+
+TEST_CASE("A release sent to the hosts does not count for a claim after the log went back (ONE)")
+{
+    static constexpr std::chrono::milliseconds lease{2000};
+    busy_fleet fleet(3, {},
+                     [](host_settings& settings)
+                     {
+                         settings.bounds.lease = lease;
+                         // Each domain has two members, so that all three hosts are.
+                         settings.domain =
+                             domain_id(settings.name == host_id("h3") ? "south" : "north");
+                     });
+    const std::string first = fleet.orders().back().holder;
+    REQUIRE(serve_case::eventually([&] { return is_complete(fleet.log(), first); }));
+    const auto kept = fleet.log();
+    // Its membership lapses, so that it sends a release to the other hosts.
+    fleet.refuse_calls_with({first});
+    REQUIRE(serve_case::eventually([&] { return fleet.orders().back().holder != first; }));
+    const std::string second = fleet.orders().back().holder;
+    const std::string third = first != "h1" && second != "h1"   ? "h1"
+                              : first != "h2" && second != "h2" ? "h2"
+                                                                : "h3";
+    REQUIRE(fleet.awaits_order_of(second));
+    REQUIRE(fleet.first_conflict(lease) == no_conflict);
+
+    // The second owner has no access to the store either, and its membership still lasts.
+    fleet.refuse_calls_with({first, second});
+    fleet.lose_records_behind(kept);
+    fleet.assign_to(third);
+    CHECK(fleet.awaits_order_of(third));
+    std::this_thread::sleep_for(500ms);
+    CHECK(fleet.first_conflict(lease) == no_conflict);
+}
