Tests: a number without a successor makes later ones negative (ONE), failing

The check of peer messages admits every number of an owner that is not negative, and the next claim adds one to it.

--- a/tests/correctness/regressed_log_test.cpp
+++ b/tests/correctness/regressed_log_test.cpp
@@ -284,3 +284,30 @@
     std::this_thread::sleep_for(500ms);
     CHECK(fleet.first_conflict(lease) == no_conflict);
 }
+
+TEST_CASE("A message with a number that has no successor does not lower later ones (ONE)")
+{
+    constexpr auto last = std::numeric_limits<std::int64_t>::max();
+    SECTION("the message is not applied")
+    {
+        peers::peer_message message;
+        message.set_host("front-1");
+        message.set_domain("north");
+        auto& owner = *message.add_pending_owners();
+        owner.set_server("engine-1");
+        owner.set_fence(last);
+        remove_odd_items(message, [](const char*) {});
+        CHECK(message.pending_owners_size() == 0);
+    }
+    SECTION("a claim that knows it")
+    {
+        const assignment_claim claim{
+            .own = {.host = host_id("front-1"), .machine = machine_id("10.0.0.1")},
+            .at = log_offset(12),
+            .highest_known = fencing_number(last),
+            .sent_at = instant{1h},
+            .read_at = instant{1h}};
+        auto number = number_to_state(claim);
+        CHECK(number.value_or(fencing_number(claim.at.count() + 1)).count() > 0);
+    }
+}
