Tests: a resumed takeover forgets late orders of the owner before (ONE), failing

A takeover is recorded as complete before late orders of the owner before are over, if none is known at that time. One that becomes known makes the owner wait, but not the same host after a restart.

--- a/tests/correctness/regressed_log_test.cpp
+++ b/tests/correctness/regressed_log_test.cpp
@@ -311,3 +311,49 @@
         CHECK(number.value_or(fencing_number(claim.at.count() + 1)).count() > 0);
     }
 }
+
+TEST_CASE("A host that goes on with a takeover waits for late orders seen since (ONE)")
+{
+    const order_terms terms{
+        .lease = 3000ms, .membership = 2700ms, .transit = 450ms, .order_delay = 12000ms};
+    const claimant own{.host = host_id("front-2"), .machine = machine_id("10.0.0.2")};
+    const instant start{1h};
+    const server_id engine("engine-1");
+    auto any_engine = [](const server_id&) { return true; };
+    order_history history({.lease = 3000ms, .open_order_time = 12450ms, .order_delay = 12450ms});
+    history.observe({{engine, {.start_time_ms = 1, .process_started_at = instant{1min}}}}, start);
+
+    // The owner before is gone, and no late order is known.
+    const assignment_claim first{.own = own,
+                                 .at = log_offset(4),
+                                 .before = assignment_record{.holder = host_id("front-1")},
+                                 .sent_at = start,
+                                 .read_at = start};
+    const order_history::claim held{.taken = take_over(first, terms), .fence = fencing_number(5)};
+    history.record_response(engine, held, start + 3150ms, start + 3150ms);
+    const auto orders_at = history.first_order_at(engine, held);
+    REQUIRE(orders_at);
+    // The host records here that its takeover is complete.
+    const bool recorded = history.is_settled(held, any_engine, *orders_at);
+    REQUIRE(*orders_at < start + 7s);
+
+    history.record_late_order(start + 5s);
+    REQUIRE(history.first_order_at(engine, held).value_or(start) >= held.taken.late_orders_end);
+
+    assignment_claim again{.own = own,
+                           .at = log_offset(6),
+                           .before = assignment_record{.holder = own.host},
+                           .sent_at = start + 8s,
+                           .read_at = start + 8s};
+    if (recorded)
+    {
+        again.before = assignment_record{.holder = own.host,
+                                         .takeover_complete = true,
+                                         .fence = fencing_number(5),
+                                         .machine = own.machine};
+    }
+    const order_history::claim resumed{.taken = take_over(again, terms),
+                                       .fence = fencing_number(5)};
+    auto at = history.first_order_at(engine, resumed);
+    CHECK((!at || *at >= *held.taken.late_orders_end));
+}
