Tests: an owner with a lower number than one it heard of orders nothing, failing

All hosts drop the announcements of an owner whose number is lower than one they know, and send their load requests to the host of the higher one. The owner neither sees this nor claims anew.

--- a/tests/correctness/regressed_log_test.cpp
+++ b/tests/correctness/regressed_log_test.cpp
@@ -357,3 +357,51 @@
     auto at = history.first_order_at(engine, resumed);
     CHECK((!at || *at >= *held.taken.late_orders_end));
 }
+
+TEST_CASE("An owner that hears of a higher number than its own claims anew")
+{
+    constexpr int peer_port = 17600;
+    std::int64_t heard = 1;
+    SECTION("the number that it hears of is lower") {}
+    SECTION("the number that it hears of is higher")
+    {
+        heard = 50;
+    }
+    serve_case it(
+        1, store_path::direct,
+        [](store_stand_in& store)
+        {
+            store.put("keyed.op", "config", serve_manifest(1, {"good-key"}, 12));
+            put_record(store, "h8");
+        },
+        1, [](host_settings& settings) { settings.bounds.lease = 2000ms; });
+    REQUIRE(it.started);
+    REQUIRE(records(it).back() == "h1");
+    REQUIRE(it.engine1.received_orders().empty());
+
+    peers::peer_message message;
+    message.set_host("h9");
+    message.set_domain("north");
+    message.set_life(7);
+    auto& owner = *message.add_pending_owners();
+    owner.set_server("e1");
+    owner.set_fence(heard);
+    auto bytes = message.SerializeAsString();
+    boost::asio::io_context loop;
+    boost::asio::ip::udp::socket peer(loop, {boost::asio::ip::make_address_v4("127.0.0.1"), 0});
+    peer.send_to(boost::asio::buffer(bytes),
+                 {boost::asio::ip::make_address_v4(it.hosts.front()->ip), peer_port});
+
+    const auto until = std::chrono::steady_clock::now() + 15s;
+    for (int n = 0;
+         it.engine1.received_orders().empty() && std::chrono::steady_clock::now() < until; ++n)
+    {
+        it.send("POST", "/guide/1", "r" + std::to_string(n), "good-key",
+                "m" + std::to_string(n % 12));
+    }
+    for (const auto& order : it.engine1.received_orders())
+    {
+        CHECK(order.fence > heard);
+    }
+    CHECK_FALSE(it.engine1.received_orders().empty());
+}
