Tests: an owner whose claim the log has lost is never confirmed, failing

A read that ends before a host's own records shows nothing, so a claim that is to be confirmed stays unconfirmed until the log has grown.

--- a/tests/correctness/regressed_log_test.cpp
+++ b/tests/correctness/regressed_log_test.cpp
@@ -405,3 +405,14 @@
     }
     CHECK_FALSE(it.engine1.received_orders().empty());
 }
+
+TEST_CASE("An owner goes on after the log has lost its records and the group has changed")
+{
+    busy_fleet fleet(1);
+    REQUIRE(serve_case::eventually([&] { return is_complete(fleet.log(), "h1"); }));
+    fleet.it.store.begin_anew("shunt-duties");
+    fleet.assign_to("h1");
+    std::this_thread::sleep_for(1000ms);
+    const auto before = fleet.orders().size();
+    CHECK(serve_case::eventually([&] { return fleet.orders().size() > before + 2; }));
+}
