Tests: claims that state numbers outlast the membership, failing

Claims of all listed partitions follow each other without a call to the group in between. With a second append for each, the membership ends first, all claims are void, and are made again.

--- a/tests/correctness/regressed_log_test.cpp
+++ b/tests/correctness/regressed_log_test.cpp
@@ -416,3 +416,42 @@
     const auto before = fleet.orders().size();
     CHECK(serve_case::eventually([&] { return fleet.orders().size() > before + 2; }));
 }
+
+TEST_CASE("A host claims its partitions with a store that takes its time")
+{
+    std::string before;
+    SECTION("their offsets give the numbers")
+    {
+        before = "h9 begun 1 10.9.9.9";
+    }
+    SECTION("their claims state the numbers")
+    {
+        before = "h9 begun 21 10.9.9.9 number 21";
+    }
+    constexpr int partition_count = 4;
+    serve_case it(
+        1, store_path::direct,
+        [&](store_stand_in& store)
+        {
+            for (int n = 0; n < partition_count; ++n)
+            {
+                put_record(store, before, n);
+            }
+            store.set_call_faults(
+                [](const std::string& path, const std::string&)
+                { return call_fault{.response_delay = path == append_path ? 80ms : 0ms}; });
+        },
+        partition_count);
+    auto complete = [&]
+    {
+        for (int n = 0; n < partition_count; ++n)
+        {
+            if (!is_complete(records(it, n), "h1"))
+            {
+                return false;
+            }
+        }
+        return true;
+    };
+    CHECK(serve_case::eventually(complete));
+}
