Tests: a late release does not match a claim that states its number, failing

What follows a claim is compared with the offset before its last record, which is the claim itself if the number has a record of its own.

--- a/tests/correctness/regressed_log_test.cpp
+++ b/tests/correctness/regressed_log_test.cpp
@@ -46,6 +46,11 @@
     return last && last->takeover_complete && last->holder == host_id(host);
 }
 
+bool contains(const std::vector<std::string>& records, const std::string& record)
+{
+    return std::find(records.begin(), records.end(), record) != records.end();
+}
+
 /// Whether a call appends this record.
 bool is_record(const std::string& record, const std::string& path, const std::string& body)
 {
@@ -455,3 +460,16 @@
     };
     CHECK(serve_case::eventually(complete));
 }
+
+TEST_CASE("A late release ends the wait of a claim that states its number")
+{
+    serve_case it(
+        1, store_path::direct,
+        [](store_stand_in& store) { put_record(store, "h9 begun 21 10.9.9.9 number 21"); }, 1,
+        [](host_settings& settings) { settings.bounds.lease = 6000ms; });
+    REQUIRE(serve_case::eventually([&] { return contains(records(it), "h1 number 22"); }));
+    put_record(it.store, "h9 released 0 after 0 number 21");
+    const auto released_at = std::chrono::steady_clock::now();
+    REQUIRE(serve_case::eventually([&] { return is_complete(records(it), "h1"); }));
+    CHECK(std::chrono::steady_clock::now() - released_at < 4s);
+}
