Orders: hosts state their own late orders only, and record a takeover when it cannot become longer

A host repeated the newest late order that it had heard of, so that its age shrank with each hop, and a host that reads datagrams after a pause made old ones new. A takeover was recorded as complete while other hosts could still tell of a late order that makes its wait longer; after a restart its host then went on at once.

--- a/src/coordination/order_history.cpp
+++ b/src/coordination/order_history.cpp
@@ -58,22 +58,24 @@
     }
 }
 
-void order_history::record_response(const server_id& server, const claim& it, instant asked_at,
-                                    instant now)
+std::optional<instant> order_history::record_response(const server_id& server, const claim& it,
+                                                      instant asked_at, instant now)
 {
     auto known = records_.find(server);
     if (known == records_.end())
     {
-        return;
+        return std::nullopt;
     }
     auto& record = known->second;
+    std::optional<instant> late_order;
     if (record.open_since && asked_at >= *record.open_since)
     {
         // It may have read the order as late as now.
         record.last_order_at = now;
         if (now - *record.open_since <= options_.late_order_evidence)
         {
-            record_late_order(*record.open_since);
+            late_order = record.open_since;
+            record_late_order(*late_order);
         }
     }
     auto needed = needed_after(record, it.taken);
@@ -91,6 +93,7 @@
     {
         record.open_since.reset();
     }
+    return late_order;
 }
 
 void order_history::record_late_order(instant at)
@@ -192,6 +195,13 @@
                                const std::function<bool(const server_id&)>& in_partition,
                                instant now) const
 {
+    // Other hosts may still tell of late orders that make the wait longer.
+    bool may_wait_longer =
+        it.taken.from_other_host && it.taken.late_orders_end > it.taken.may_order_at;
+    if (may_wait_longer && now < it.taken.may_order_at + options_.late_order_evidence)
+    {
+        return false;
+    }
     return std::all_of(records_.begin(), records_.end(),
                        [&](const auto& known)
                        {
--- a/src/coordination/order_history.hpp
+++ b/src/coordination/order_history.hpp
@@ -63,13 +63,14 @@
 
     /// Records that an order ended: with a response, or without one although it was sent.
     void record_order(const server_id& server, fencing_number fence, bool answered, instant now);
-    /// Records a response at `now` to a call for a report that was sent at `asked_at`.
-    void record_response(const server_id& server, const claim& it, instant asked_at, instant now);
+    /// Records a response at `now` to a call for a report that was sent at `asked_at`. Returns when
+    /// an order ended of which it shows that the engine may carry it out late; nothing if it shows
+    /// none.
+    std::optional<instant> record_response(const server_id& server, const claim& it,
+                                           instant asked_at, instant now);
     /// Records that an engine of any host may carry out an order late that ended at `at` without a
     /// response.
     void record_late_order(instant at);
-    /// When the last such order ended; nothing if none is known.
-    std::optional<instant> last_late_order() const { return last_late_order_; }
     /// Whether an order of an owner before this claim may be carried out late. What is known only
     /// when this host may order already changes nothing.
     bool expects_late_orders(const takeover& taken) const;
--- a/src/serve/host_context.hpp
+++ b/src/serve/host_context.hpp
@@ -321,7 +321,7 @@
         std::make_shared<open_connections>(max_caller_connections(settings));
     /// Connections to the ports for the load balancer and for metrics.
     int service_connections = 0;
-    /// When the last order ended of which this host knows that an engine may carry it out late.
+    /// When the last order of this host ended that an engine may carry out late.
     std::optional<instant> last_late_order;
     prompt_quarantine quarantine;
     /// Servers of which it is being found out whether they have ended, with the parts of the
--- a/src/serve/order_controller.cpp
+++ b/src/serve/order_controller.cpp
@@ -402,8 +402,7 @@
     const auto own = claim_of(it->second);
     bool awaited = history_.awaits_response_after(server, own).has_value();
     instant now = context_.now();
-    history_.record_response(server, own, asked_at, now);
-    share_late_order(server);
+    share_late_order(server, history_.record_response(server, own, asked_at, now));
     held.pending_announced = false;
     if (auto first = history_.first_order_at(server, own); awaited && first)
     {
@@ -413,25 +412,28 @@
     }
 }
 
-void order_controller::share_late_order(const server_id& server)
+void order_controller::share_late_order(const server_id& server, std::optional<instant> ended_at)
 {
-    auto known = history_.last_late_order();
-    auto& shared = context_.last_late_order;
-    if (!known || (shared && *known - *shared < late_order_interval))
+    if (!ended_at)
     {
         return;
     }
-    shared = known;
+    context_.last_late_order = std::max(context_.last_late_order, ended_at);
+    instant now = context_.now();
+    if (now < late_order_shared_at_ + late_order_interval)
+    {
+        return;
+    }
+    late_order_shared_at_ = now;
     link_.publish_late_order();
     context_.stats.increment("banyanshunt_late_orders_expected_total");
     context_.log.write("late_order_expected", "server={} age_ms={}", server.str(),
-                       elapsed_ms(*known, context_.now()).count());
+                       elapsed_ms(*ended_at, now).count());
 }
 
 void order_controller::apply_late_order(instant at)
 {
     history_.record_late_order(at);
-    context_.last_late_order = history_.last_late_order();
 }
 
 task<void> order_controller::probe_engine(server_id server, std::shared_ptr<owned_engine> held)
@@ -525,8 +527,7 @@
     instant asked_at = context_.now();
     if (co_await fetch_report(server))
     {
-        history_.record_response(server, own, asked_at, context_.now());
-        share_late_order(server);
+        share_late_order(server, history_.record_response(server, own, asked_at, context_.now()));
     }
 }
 
--- a/src/serve/order_controller.hpp
+++ b/src/serve/order_controller.hpp
@@ -166,8 +166,8 @@
     task<std::optional<residency_report>> fetch_report(server_id server);
     /// Records that an engine responded to a call that was sent at `asked_at`.
     void record_response(const server_id& server, owned_engine& held, instant asked_at);
-    /// Lets the other hosts know of an order that the engine may carry out late.
-    void share_late_order(const server_id& server);
+    /// Lets the other hosts know of an order that the engine may carry out late, if there is one.
+    void share_late_order(const server_id& server, std::optional<instant> ended_at);
     /// Asks an engine whose last owner may have left an order with it, if that is due.
     task<void> probe_engine(server_id server, std::shared_ptr<owned_engine> held);
     task<void> send_order(server_id server, std::shared_ptr<owned_engine> held, load_order order);
@@ -237,6 +237,8 @@
     /// Partitions of orders whose response is awaited.
     std::multiset<int> orders_in_flight_;
     order_history history_;
+    /// When the other hosts were last told at once of a late order.
+    instant late_order_shared_at_ = {};
     /// Partitions that are listed for this host and not claimed yet, with the time when they were
     /// first listed.
     std::map<int, instant> listed_since_;
--- a/tests/correctness/order_history_test.cpp
+++ b/tests/correctness/order_history_test.cpp
@@ -232,16 +232,18 @@
     {
         const instant given_up = start + 5s;
         history.record_order(engine, own.fence, false, given_up);
-        CHECK_FALSE(history.last_late_order());
         SECTION("the engine responds to a later call at once, so it has read the order")
         {
-            history.record_response(engine, own, given_up + 100ms, given_up + 110ms);
-            CHECK(history.last_late_order() == given_up);
+            CHECK(history.record_response(engine, own, given_up + 100ms, given_up + 110ms) ==
+                  given_up);
         }
         SECTION("the engine was silent for seconds, or cut off")
         {
-            history.record_response(engine, own, given_up + 4s, given_up + 4s);
-            CHECK_FALSE(history.last_late_order());
+            CHECK_FALSE(history.record_response(engine, own, given_up + 4s, given_up + 4s));
+        }
+        SECTION("the call was sent before")
+        {
+            CHECK_FALSE(history.record_response(engine, own, given_up - 1ms, given_up + 1ms));
         }
     }
     SECTION("this host goes on with its own takeover, whose orders it may have left")
