--- a/src/coordination/assignment_record.cpp
+++ b/src/coordination/assignment_record.cpp
@@ -51,9 +51,7 @@
 /// The highest number that a claim in front of this one can have, by what the log has.
 fencing_number highest_recorded(const assignment_claim& claim)
 {
-    fencing_number by_offset(claim.at.count());
-    bool states = claim.before && claim.before->claim_number;
-    return states ? std::max(by_offset, *claim.before->claim_number) : by_offset;
+    return std::max(fencing_number(claim.at.count()), claim.highest_stated);
 }
 
 } // namespace
@@ -160,16 +158,28 @@
 
 std::optional<fencing_number> number_to_state(const assignment_claim& claim)
 {
-    auto highest = std::max(claim.highest_known, highest_recorded(claim));
+    auto highest =
+        std::min(std::max(claim.highest_known, highest_recorded(claim)), max_fencing_number);
     return highest.count() > claim.at.count() ? std::optional(fencing_number(highest.count() + 1))
                                               : std::nullopt;
 }
 
+bool may_hide_number(const assignment_record& record)
+{
+    bool is_claim = !record.takeover_complete && !record.released_for;
+    return record.released_after || (is_claim && !record.claim_number);
+}
+
+bool has_lost_claims(const assignment_claim& claim)
+{
+    return claim.highest_known > highest_recorded(claim);
+}
+
 takeover take_over(const assignment_claim& claim, const order_terms& terms)
 {
-    bool log_went_back = claim.highest_known > highest_recorded(claim);
-    const auto before = log_went_back ? std::nullopt : claim.before;
-    bool first = claim.at.count() == 0 && !log_went_back;
+    bool lost = has_lost_claims(claim);
+    const auto before = lost ? std::nullopt : claim.before;
+    bool first = claim.at.count() == 0 && !lost;
     bool resumes = completed_by(claim.own, before);
     bool released = is_release(before);
     const auto expiry = takeover_expiry(terms);
--- a/src/coordination/assignment_record.hpp
+++ b/src/coordination/assignment_record.hpp
@@ -133,6 +133,8 @@
     log_offset at;
     /// Nothing if there is none, or if it could not be read.
     std::optional<assignment_record> before = {};
+    /// The highest number that the records before state.
+    fencing_number highest_stated = fencing_number(0);
     /// The highest number of an owner that this host knew before it claimed.
     fencing_number highest_known = fencing_number(0);
     instant sent_at;
@@ -144,8 +146,15 @@
 /// its offset plus one is. Offsets only grow while the log neither loses records nor begins anew.
 std::optional<fencing_number> number_to_state(const assignment_claim& claim);
 
-/// Decides what a claim entitles its host to. If the log has lost claims that the host knows, the
-/// record before this one says nothing of the last owner.
+/// Whether the number that `record` or an earlier record states may be missing in it: a host may
+/// have claimed without getting to state its number, and a late release has that of its own host.
+bool may_hide_number(const assignment_record& record);
+
+/// Whether the log has lost the claim of an owner that the host knows.
+bool has_lost_claims(const assignment_claim& claim);
+
+/// Decides what a claim entitles its host to. If the log has lost claims, the record before this
+/// one says nothing of the last owner.
 takeover take_over(const assignment_claim& claim, const order_terms& terms);
 
 /// What the records behind a claim show to its host.
@@ -158,6 +167,8 @@
     /// The last record that was read, and the last one before another host's claim.
     log_offset last;
     log_offset last_before_claim;
+    /// The response ends before the host's own records, so that it shows nothing.
+    bool ends_before = false;
 };
 
 /// Reads the records behind a claim of `own`, the first of which is at `from`. The owner before had
--- a/src/serve/order_claims.cpp
+++ b/src/serve/order_claims.cpp
@@ -32,6 +32,8 @@
 constexpr int precondition_status = 412;
 /// How often a new owner reads for a late release of the owner before.
 constexpr milliseconds late_release_poll{500};
+/// How many records that may hide a stated number a host passes over in search of it.
+constexpr int max_hiding_records = 8;
 
 } // namespace
 
@@ -225,14 +227,20 @@
     std::map<int, held_partition> moved;
     for (auto it = partitions_.begin(); it != partitions_.end();)
     {
-        if (!lapsed && listed.contains(it->first))
+        bool is_listed = !lapsed && listed.contains(it->first);
+        // The other hosts follow the owner with the highest number.
+        bool outnumbered = known_numbers_[it->first] > it->second.number;
+        if (is_listed && !outnumbered)
         {
             it->second.confirmed = it->second.confirmed && !changed;
             ++it;
             continue;
         }
-        log_partition_lost(it->first, it->second.fence, lapsed ? "lapsed" : "moved");
-        if (!lapsed)
+        log_partition_lost(it->first, it->second.fence,
+                           lapsed      ? "lapsed"
+                           : is_listed ? "outnumbered"
+                                       : "moved");
+        if (!lapsed && !is_listed)
         {
             moved.insert(*it);
         }
@@ -243,10 +251,14 @@
     std::erase_if(listed_since_, [&](const auto& it)
                   { return !listed.contains(it.first) || partitions_.contains(it.first); });
     co_await confirm_claims();
+    bool has_claimed = false;
     for (int partition : listed)
     {
-        if (!partitions_.contains(partition) && is_settled(partition, context_.now()))
+        // The next call to the group must not wait for many claims that take long.
+        bool has_time = !has_claimed || context_.now() + lease() / 2 < membership_until_;
+        if (!partitions_.contains(partition) && is_settled(partition, context_.now()) && has_time)
         {
+            has_claimed = true;
             co_await claim(partition);
         }
     }
@@ -311,7 +323,7 @@
         // was appended without a response.
         auto after = co_await read_records(partition, held);
         auto last = after ? after->last_before_claim : held.last_record;
-        bool late = !after || after->superseded;
+        bool late = !after || after->superseded || after->ends_before;
         if (late && is_unused(held))
         {
             // It cannot speak for the owner before, and the next owner waits in full.
@@ -343,7 +355,7 @@
 {
     if (is_unused(it))
     {
-        return takeover_expiry(terms());
+        return it.base ? std::optional(takeover_expiry(terms())) : std::nullopt;
     }
     auto in_partition = [&](const server_id& server) { return partition_of(server) == partition; };
     auto free_at = history_.free_at(claim_of(it), in_partition);
@@ -407,6 +419,7 @@
     }
     auto after =
         status == precondition_status ? co_await read_records(partition, copy) : std::nullopt;
+    bool is_own = after && !after->superseded && !after->ends_before;
     // The partition may have been lost and claimed anew during the calls.
     auto held = partitions_.find(partition);
     if (held == partitions_.end() || held->second.claim != copy.claim)
@@ -417,7 +430,7 @@
     {
         held->second.last_record = at;
     }
-    else if (after && !after->superseded)
+    else if (is_own)
     {
         apply_records(partition, copy, *after);
         held->second.recorded_at.reset();
@@ -457,7 +470,8 @@
     {
         // The log went back, or the response is of an earlier time: it shows nothing.
         context_.log.write("duty_read_refused", "partition={} offset={}", partition, from.count());
-        co_return std::nullopt;
+        co_return records_after_claim{
+            .last = it.last_record, .last_before_claim = it.last_record, .ends_before = true};
     }
     co_return read_after_claim(platform::parse_assignment_records(response->body), from,
                                context_.settings.name,
@@ -488,6 +502,11 @@
         {
             co_return;
         }
+        if (after->ends_before)
+        {
+            co_await confirm_by_record(partition);
+            continue;
+        }
         apply_records(partition, copy, *after);
         held = partitions_.find(partition);
         if (held != partitions_.end() && held->second.claim == copy.claim)
@@ -497,6 +516,24 @@
     }
 }
 
+task<void> order_controller::confirm_by_record(int partition)
+{
+    if (!partitions_.at(partition).recorded_at)
+    {
+        give_up_superseded(partition);
+        co_return;
+    }
+    const auto claim = partitions_.at(partition).claim;
+    const auto last_record = partitions_.at(partition).last_record;
+    co_await record_takeover(partition);
+    auto held = partitions_.find(partition);
+    bool is_own = held != partitions_.end() && held->second.claim == claim;
+    if (is_own && held->second.last_record.count() > last_record.count())
+    {
+        held->second.confirmed = true;
+    }
+}
+
 task<void> order_controller::read_late_releases()
 {
     std::vector<int> waiting;
@@ -542,6 +579,10 @@
         give_up_superseded(partition);
         return;
     }
+    if (after.ends_before)
+    {
+        return;
+    }
     held->second.last_record = after.last;
     if (after.released_for)
     {
@@ -563,9 +604,11 @@
         co_return;
     }
     auto previous = co_await read_record_before(partition, *offset);
+    auto highest_stated = co_await read_stated_number(partition, *offset, previous);
     assignment_claim it{.own = claimant_of_settings(),
                         .at = *offset,
                         .before = previous,
+                        .highest_stated = highest_stated,
                         .highest_known = highest_known,
                         .sent_at = claimed_at,
                         .read_at = context_.now()};
@@ -590,7 +633,6 @@
             co_await read_record_before(partition, log_offset(previous->unused_since->count() + 1));
         if (completed_by(it.own, base))
         {
-            base->claim_number = previous->claim_number;
             it.before = std::move(base);
         }
     }
@@ -618,6 +660,23 @@
     co_return *offset;
 }
 
+task<fencing_number> order_controller::read_stated_number(int partition, log_offset at,
+                                                          std::optional<assignment_record> before)
+{
+    fencing_number highest(0);
+    for (int n = 0; before && n < max_hiding_records; ++n)
+    {
+        highest = std::max(highest, before->claim_number.value_or(fencing_number(0)));
+        if (!may_hide_number(*before))
+        {
+            break;
+        }
+        at = log_offset(at.count() - 1);
+        before = co_await read_record_before(partition, at);
+    }
+    co_return highest;
+}
+
 claimant order_controller::claimant_of_settings() const
 {
     return {.host = context_.settings.name, .machine = machine_id(context_.settings.ip)};
@@ -671,7 +730,8 @@
             .claim = last_record,
             .taken = taken,
             .last_record = last_record,
-            .base = previous && previous->unused_since ? previous->unused_since
+            .base = has_lost_claims(claim)               ? std::nullopt
+                    : previous && previous->unused_since ? previous->unused_since
                     : claim.at.count() > 0 ? std::optional(log_offset(claim.at.count() - 1))
                                            : std::nullopt,
             .used = taken.resumed_fence.has_value()};
--- a/src/serve/order_controller.hpp
+++ b/src/serve/order_controller.hpp
@@ -73,7 +73,8 @@
         /// Offset of the last record of which this host knows; those behind its claim are its own,
         /// or late releases.
         log_offset last_record;
-        /// The last record of the last owner that gave orders before; nothing if there was none.
+        /// The last record of the last owner that gave orders before; nothing if there was none, or
+        /// if the log has lost it.
         std::optional<log_offset> base = {};
         /// Whether this host has given an order under its claim.
         bool used = false;
@@ -123,6 +124,9 @@
     claimant claimant_of_settings() const;
     /// The record that precedes a claim; nothing if there is none, or if it cannot be read.
     task<std::optional<assignment_record>> read_record_before(int partition, log_offset at);
+    /// The highest number that the records before a claim at `at` state.
+    task<fencing_number> read_stated_number(int partition, log_offset at,
+                                            std::optional<assignment_record> before);
     /// Holds a partition by a claim, unless the membership has ended meanwhile. `last_record` is
     /// the claim, or the record behind it that states its number.
     void take_partition(int partition, const assignment_claim& claim, log_offset last_record,
@@ -133,6 +137,9 @@
     /// Reads whether other hosts have claimed partitions that this host kept when the group
     /// changed: one may have moved away and back since the last call.
     task<void> confirm_claims();
+    /// Confirms a claim by the next record of its takeover, where a read shows nothing; gives it up
+    /// if there is none yet.
+    task<void> confirm_by_record(int partition);
     /// Reads for late releases that end the waits of claims.
     task<void> read_late_releases();
     /// What is recorded behind the claim of a partition; nothing if it cannot be read.
--- a/tests/correctness/assignment_record_test.cpp
+++ b/tests/correctness/assignment_record_test.cpp
@@ -200,6 +200,7 @@
     {
         claim.before = assignment_record{
             .holder = host_id("front-2"), .released_for = 0ms, .claim_number = fencing_number(21)};
+        claim.highest_stated = fencing_number(21);
         for (int known : {0, 21})
         {
             claim.highest_known = fencing_number(known);
@@ -210,7 +211,7 @@
     SECTION("offsets have passed the number that was stated")
     {
         claim.at = log_offset(21);
-        claim.before->claim_number = fencing_number(21);
+        claim.highest_stated = fencing_number(21);
         claim.highest_known = fencing_number(21);
         CHECK_FALSE(number_to_state(claim));
     }
