Soak: scenarios with absent engines, two machines of one name, stale reads, lost responses, held orders

The soak had no directed faults for claims that a host releases without an engine of the partition, for two machines under one name at the same time, for reads that are stale while a partition moves, for calls to the store without a response or carried out after a restart, and for orders that a link holds while their sender is killed. Each is a function of assignment_scenario now.

--- a/tests/soak/assignment_scenario.cpp
+++ b/tests/soak/assignment_scenario.cpp
@@ -1,5 +1,7 @@
 #include "soak/assignment_scenario.hpp"
 
+#include <signal.h>
+
 #include <algorithm>
 #include <set>
 #include <stdexcept>
@@ -8,6 +10,8 @@
 
 #include <fmt/format.h>
 
+#include "coordination/rendezvous.hpp"
+
 namespace banyanshunt::soak
 {
 
@@ -28,6 +32,17 @@
 constexpr int step_interval_leases = 4;
 constexpr auto store_absence = 400ms;
 constexpr auto copy_age = 8s;
+/// The partitions of the fleet's store.
+constexpr std::uint64_t partitions = 6;
+constexpr auto read_staleness = 2500ms;
+constexpr auto leave_delay = 3s;
+/// In leases: how long two machines run under one name, and how long a host gets no responses.
+constexpr int overlap_leases = 5;
+constexpr double response_loss_leases = 1.5;
+/// Longer than hosts expect orders to be under way.
+constexpr auto order_hold = 2500ms;
+constexpr int held_orders_per_engine = 4;
+constexpr auto order_hold_lead = 1s;
 
 } // namespace
 
@@ -35,19 +50,20 @@
                                          std::function<void(const std::string&)> log)
     : fleet_(fleet), what_(std::move(what)), log_(std::move(log))
 {
-    static const std::set<std::string> known = {"away_and_back", "other_parts", "new_topic",
-                                                "older_copy", "other_machine"};
+    static const std::set<std::string> known = {
+        "away_and_back",  "other_parts",    "new_topic",   "older_copy",    "other_machine",
+        "absent_engines", "second_machine", "stale_reads", "one_way_store", "held_orders"};
     if (!known.contains(what_))
     {
         throw std::invalid_argument("no scenario " + what_);
     }
-    if (what_ != "away_and_back")
-    {
-        return;
-    }
     fleet_.store.set_call_faults(
         [this](const std::string& path, const std::string& body) -> call_fault
         {
+            if (path == "/api/log-leave" && what_ == "one_way_store")
+            {
+                return {.carry_out_delay = leave_delay};
+            }
             std::lock_guard lock(mutex_);
             bool concerned = path == "/api/log-join" && !delayed_member_.empty() &&
                              body.find('"' + delayed_member_ + '"') != std::string::npos;
@@ -107,6 +123,85 @@
     }
 }
 
+void assignment_scenario::move_while_engines_are_absent()
+{
+    std::vector<std::size_t> engines;
+    for (auto n = soak_fleet::first_engine; n < fleet_.backends.size(); ++n)
+    {
+        if (rendezvous_weight("partition", soak_fleet::server_name(n)) % partitions ==
+            moved_partition)
+        {
+            engines.push_back(n);
+        }
+    }
+    log_(fmt::format("{} engines of partition {} leave the registry", engines.size(),
+                     moved_partition));
+    for (auto n : engines)
+    {
+        fleet_.store.put("keyed.servers", soak_fleet::server_name(n), "");
+    }
+    std::this_thread::sleep_for(fleet_.lease() / joins_per_lease);
+    move_away_and_back();
+    log_("the engines are back, restarted");
+    for (auto n : engines)
+    {
+        fleet_.restart(n);
+    }
+    std::this_thread::sleep_for(fleet_.lease());
+    move_away_and_back();
+}
+
+void assignment_scenario::run_second_machine()
+{
+    auto& it = fleet_.hosts[steps_++ % fleet_.hosts.size()];
+    log_("a second machine under the name " + it.name);
+    fleet_.begin_replacement(it);
+    std::this_thread::sleep_for(overlap_leases * fleet_.lease());
+    log_("the first machine under the name " + it.name + " ends");
+    fleet_.end_replacement(it);
+}
+
+void assignment_scenario::move_while_reads_are_stale()
+{
+    log_(fmt::format("reads stale for {} ms", read_staleness.count()));
+    fleet_.store.stale_ms = static_cast<int>(read_staleness.count());
+    move_away_and_back();
+    log_("rebalance");
+    fleet_.store.group().rebalance();
+    std::this_thread::sleep_for(fleet_.lease());
+    fleet_.store.stale_ms = 0;
+}
+
+void assignment_scenario::lose_store_responses()
+{
+    auto& it = fleet_.hosts[steps_ % fleet_.hosts.size()];
+    auto& other = fleet_.hosts[(steps_ + 1) % fleet_.hosts.size()];
+    ++steps_;
+    log_(
+        fmt::format("{} gets no responses of the store, {} stops, rebalance", it.name, other.name));
+    it.store_proxy->set_fault(loopback_proxy::fault::drop_responses);
+    fleet_.signal(other, SIGTERM);
+    fleet_.store.group().rebalance();
+    std::this_thread::sleep_for(std::chrono::duration_cast<std::chrono::milliseconds>(
+        response_loss_leases * fleet_.lease()));
+    it.store_proxy->set_fault(loopback_proxy::fault::none);
+    it.store_proxy->reset_all();
+}
+
+void assignment_scenario::hold_orders_of_killed_hosts()
+{
+    auto& it = fleet_.hosts[steps_++ % fleet_.hosts.size()];
+    log_(fmt::format("orders held for {} ms, kill {}, rebalance", order_hold.count(), it.name));
+    for (auto n = soak_fleet::first_engine; n < fleet_.backends.size(); ++n)
+    {
+        fleet_.backend_proxies[n]->hold_requests("POST /api/order", order_hold,
+                                                 held_orders_per_engine);
+    }
+    std::this_thread::sleep_for(order_hold_lead);
+    fleet_.signal(it, SIGKILL);
+    fleet_.store.group().rebalance();
+}
+
 void assignment_scenario::step()
 {
     auto next = std::chrono::steady_clock::now() + min_step_interval +
@@ -138,6 +233,26 @@
         replaced_[it.name].push_back(std::chrono::steady_clock::now());
         fleet_.replace(it);
     }
+    else if (what_ == "absent_engines")
+    {
+        move_while_engines_are_absent();
+    }
+    else if (what_ == "second_machine")
+    {
+        run_second_machine();
+    }
+    else if (what_ == "stale_reads")
+    {
+        move_while_reads_are_stale();
+    }
+    else if (what_ == "one_way_store")
+    {
+        lose_store_responses();
+    }
+    else if (what_ == "held_orders")
+    {
+        hold_orders_of_killed_hosts();
+    }
     std::this_thread::sleep_until(next);
 }
 
--- a/tests/soak/assignment_scenario.hpp
+++ b/tests/soak/assignment_scenario.hpp
@@ -18,7 +18,8 @@
 class assignment_scenario
 {
 public:
-    /// `what` is one of away_and_back, other_parts, new_topic, older_copy and other_machine.
+    /// `what` is one of away_and_back, other_parts, new_topic, older_copy, other_machine,
+    /// absent_engines, second_machine, stale_reads, one_way_store and held_orders.
     assignment_scenario(soak_fleet& fleet, std::string what,
                         std::function<void(const std::string&)> log);
     ~assignment_scenario();
@@ -34,6 +35,15 @@
 private:
     /// One partition moves to another member between two joins of its holder, and back.
     void move_away_and_back();
+    /// The same while the partition's engines are missing in the registry, and after their restart.
+    void move_while_engines_are_absent();
+    /// Another machine starts under the name of a host before that one ends.
+    void run_second_machine();
+    void move_while_reads_are_stale();
+    /// One host's calls to the store are carried out without a response, and another host's call to
+    /// leave the group is carried out after its restart.
+    void lose_store_responses();
+    void hold_orders_of_killed_hosts();
     std::chrono::milliseconds join_delay() const;
 
     soak_fleet& fleet_;
--- a/tests/soak/shunt_soak.cpp
+++ b/tests/soak/shunt_soak.cpp
@@ -43,7 +43,8 @@
 DEFINE_string(
     scenario, "",
     "with --faults=orders: instead of random faults, one that is directed at the "
-    "assignment of engines: away_and_back, other_parts, new_topic, older_copy or other_machine");
+    "assignment of engines: away_and_back, other_parts, new_topic, older_copy, other_machine, "
+    "absent_engines, second_machine, stale_reads, one_way_store or held_orders");
 DEFINE_string(host_flags, "", "further command-line flags of the hosts, separated by blanks");
 DEFINE_string(folder, "", "folder for settings and logs; each seed gets a new folder in it");
 
--- a/tests/soak/soak_fleet.cpp
+++ b/tests/soak/soak_fleet.cpp
@@ -92,6 +92,7 @@
 {
     for (auto& it : hosts)
     {
+        end_replacement(it);
         if (it.pid != 0)
         {
             signal(it, SIGKILL);
@@ -269,12 +270,38 @@
     {
         std::this_thread::sleep_for(std::chrono::milliseconds(1));
     }
+    change_address(it);
+    start(it);
+}
+
+void soak_fleet::change_address(host& it)
+{
     constexpr int other_addresses = 100;
     auto last = std::stoi(it.ip.substr(it.ip.rfind('.') + 1));
     it.ip = fmt::format("127.{}.0.{}", options_.address_block, last + other_addresses);
+}
+
+void soak_fleet::begin_replacement(host& it)
+{
+    {
+        std::lock_guard lock(process_mutex_);
+        it.former_pid = it.pid;
+    }
+    change_address(it);
     start(it);
 }
 
+void soak_fleet::end_replacement(host& it)
+{
+    std::lock_guard lock(process_mutex_);
+    if (it.former_pid != 0)
+    {
+        ::kill(it.former_pid, SIGKILL);
+        ::waitpid(it.former_pid, nullptr, 0);
+        it.former_pid = 0;
+    }
+}
+
 bool soak_fleet::pause(host& it)
 {
     std::lock_guard lock(process_mutex_);
--- a/tests/soak/soak_fleet.hpp
+++ b/tests/soak/soak_fleet.hpp
@@ -69,6 +69,8 @@
         std::string ip;
         std::string domain;
         pid_t pid = 0;
+        /// The process of the machine that another one is about to replace; 0 for none.
+        pid_t former_pid = 0;
         bool paused = false;
         /// The signals that its process got.
         std::set<int> signals;
@@ -80,6 +82,10 @@
     void signal(host& it, int number);
     /// Kills a host's process and starts another one under its name, with another address.
     void replace(host& it);
+    /// Starts a process under a host's name, with another address, beside the one that runs.
+    void begin_replacement(host& it);
+    /// Kills the process that ran before `begin_replacement`.
+    void end_replacement(host& it);
     /// Stops a host's process until `resume`; returns whether it ran.
     bool pause(host& it);
     /// Returns when it was resumed; nothing if it was not paused.
@@ -124,6 +130,8 @@
 
 private:
     void publish();
+    /// Gives a host an address that none had before.
+    void change_address(host& it);
 
     fleet_options options_;
     /// Guards `pid`, `paused` and `signals` of the hosts.
