--- a/tests/correctness/silent_engine_takeover_test.cpp
+++ b/tests/correctness/silent_engine_takeover_test.cpp
@@ -1,6 +1,7 @@
 // Two hosts and an engine that stalls while an order lies unread in its socket, or carries one out
 // late.
 
+#include <functional>
 #include <memory>
 #include <set>
 #include <string>
@@ -82,12 +83,18 @@
 /// Two hosts and one engine behind a link, whose owner always has an order to give.
 struct takeover_case
 {
-    explicit takeover_case(std::chrono::milliseconds order_delay = 0ms)
+    explicit takeover_case(
+        std::chrono::milliseconds order_delay = 0ms,
+        const std::function<void(host_settings&)>& adjust = [](host_settings&) {})
         : it{2, store_path::direct,
              [](store_stand_in& store)
              { store.put("keyed.op", "config", serve_manifest(1, {"good-key"}, 12)); },
              4,
-             [order_delay](host_settings& settings) { settings.bounds.order_delay = order_delay; }}
+             [order_delay, adjust](host_settings& settings)
+             {
+                 settings.bounds.order_delay = order_delay;
+                 adjust(settings);
+             }}
     {
         REQUIRE(it.started);
         it.engine1.announced_address = link.address();
@@ -273,3 +280,25 @@
         CHECK(fleet.conflict_after_takeover() == no_conflict);
     }
 }
+
+TEST_CASE("Two machines under one name are two holders (ONE)")
+{
+    takeover_case fleet(0ms, [](host_settings& settings) { settings.name = host_id("h1"); });
+    auto order_on = [&]
+    {
+        const auto before = fleet.orders().size();
+        std::this_thread::sleep_for(6 * lease);
+        CHECK(fleet.orders().size() > before);
+        CHECK(first_conflict(fleet.orders(), lease) == no_conflict);
+    };
+
+    SECTION("both are members of the group")
+    {
+        order_on();
+    }
+    SECTION("the partitions move from one to the other")
+    {
+        fleet.it.store.group().rebalance();
+        order_on();
+    }
+}
--- a/tests/soak/assignment_scenario.cpp
+++ b/tests/soak/assignment_scenario.cpp
@@ -37,7 +37,7 @@
 constexpr auto read_staleness = 2500ms;
 constexpr auto leave_delay = 3s;
 /// In leases: how long two machines run under one name, and how long a host gets no responses.
-constexpr int overlap_leases = 5;
+constexpr int overlap_leases = 8;
 constexpr double response_loss_leases = 1.5;
 /// Longer than hosts expect orders to be under way.
 constexpr auto order_hold = 2500ms;
