--- a/src/coordination/assignment_record.cpp
+++ b/src/coordination/assignment_record.cpp
@@ -48,6 +48,15 @@
     return before && before->released_for && !before->released_after;
 }
 
+/// Whether a record behind a claim of `own` is one that follows a claim, of the same host and
+/// machine.
+bool continues_claim(const claimant& own, const assignment_record& record)
+{
+    bool other_machine = record.takeover_complete && record.machine != own.machine;
+    bool is_claim = !record.takeover_complete && !record.released_for;
+    return record.holder == own.host && !is_claim && !other_machine;
+}
+
 /// The highest number that a claim in front of this one can have, by what the log has.
 fencing_number highest_recorded(const assignment_claim& claim)
 {
@@ -199,7 +208,7 @@
 }
 
 records_after_claim read_after_claim(const std::vector<std::string>& records, log_offset from,
-                                     const host_id& own, log_offset before_claim)
+                                     const claimant& own, log_offset before_claim)
 {
     records_after_claim read{.last = log_offset(from.count() - 1),
                              .last_before_claim = log_offset(from.count() - 1)};
@@ -208,12 +217,13 @@
         auto record = parse_assignment_record(text);
         read.last = log_offset(read.last.count() + 1);
         bool late_release = record && record->released_after;
-        if (late_release && record->released_after == before_claim && record->holder != own)
+        if (late_release && record->released_after == before_claim && record->holder != own.host)
         {
             read.released_for = record->released_for;
         }
         // What cannot be read counts as another host's claim.
-        read.superseded = read.superseded || (!late_release && !(record && record->holder == own));
+        read.superseded =
+            read.superseded || (!late_release && !(record && continues_claim(own, *record)));
         read.last_before_claim = read.superseded ? read.last_before_claim : read.last;
     }
     return read;
--- a/src/coordination/assignment_record.hpp
+++ b/src/coordination/assignment_record.hpp
@@ -148,7 +148,7 @@
 /// What the records behind a claim show to its host.
 struct records_after_claim
 {
-    /// Another host has claimed the assignment since.
+    /// Another host has claimed the assignment since, or another machine under this host's name.
     bool superseded = false;
     /// How long after its late release the owner before lets this host order.
     std::optional<milliseconds> released_for = {};
@@ -158,8 +158,9 @@
 };
 
 /// Reads the records behind a claim of `own`, the first of which is at `from`. The owner before had
-/// its last record at `before_claim`.
+/// its last record at `before_claim`. Claims do not name their machine, so one under the host's own
+/// name counts as another machine's.
 records_after_claim read_after_claim(const std::vector<std::string>& records, log_offset from,
-                                     const host_id& own, log_offset before_claim);
+                                     const claimant& own, log_offset before_claim);
 
 } // namespace banyanshunt
--- a/src/serve/order_claims.cpp
+++ b/src/serve/order_claims.cpp
@@ -460,7 +460,7 @@
         co_return std::nullopt;
     }
     co_return read_after_claim(platform::parse_assignment_records(response->body), from,
-                               context_.settings.name, log_offset(it.claim.count() - 1));
+                               claimant_of_settings(), log_offset(it.claim.count() - 1));
 }
 
 task<void> order_controller::confirm_claims()
--- a/src/serve/order_controller.cpp
+++ b/src/serve/order_controller.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include <fmt/format.h>
+
 #include "coordination/rendezvous.hpp"
 #include "platform/orders.hpp"
 #include "platform/registry.hpp"
@@ -58,9 +60,10 @@
 
 order_controller::order_controller(host_context& context, fleet_link link)
     : context_(context), link_(std::move(link)),
-      // Stable across restarts, so that the group assigns this host the partitions it had.
-      member_(context.settings.name.str()), store_(context.settings.log.address),
-      membership_timer_(context.executor),
+      // Stable across restarts, so that the group assigns this host the partitions it had. Two
+      // machines under one name are two members, as the group lists a partition for one member.
+      member_(fmt::format("{}@{}", context.settings.name.str(), context.settings.ip)),
+      store_(context.settings.log.address), membership_timer_(context.executor),
       history_(
           {.lease = lease(),
            .open_order_time = std::max(order_transit_margin + context.settings.bounds.order_delay,
@@ -463,7 +466,8 @@
 {
     const auto* known = context_.servers.find(server);
     fencing_number fence = partitions_.at(held->partition).fence;
-    std::string text = platform::encode_order(order, server, known->entry.address, member_, fence);
+    std::string text = platform::encode_order(order, server, known->entry.address,
+                                              context_.settings.name.str(), fence);
     server_exchange exchange(context_, server);
     exchange_deadline deadline(exchange, context_.executor, order_timeout);
     instant began_at = context_.now();
--- a/tests/correctness/assignment_record_test.cpp
+++ b/tests/correctness/assignment_record_test.cpp
@@ -122,7 +122,7 @@
 
 TEST_CASE("what follows a claim in the log")
 {
-    const host_id own("front-1");
+    const claimant own{.host = host_id("front-1"), .machine = machine_id("10.0.0.1")};
     const log_offset before_claim(3);
     const log_offset from(5);
     auto read = [&](const std::vector<std::string>& records)
@@ -151,6 +151,13 @@
         CHECK(read({"front-1 begun 5 10.0.0.1", "??? ?"}).superseded);
         CHECK(read({"front-1 begun 5 10.0.0.1", "front-2"}).last_before_claim == log_offset(5));
     }
+    SECTION("a claim of another machine under the host's name (ONE)")
+    {
+        CHECK(read({"front-1"}).superseded);
+        CHECK(read({"front-1 number 21"}).superseded);
+        CHECK(read({"front-1 begun 5 10.0.0.2"}).superseded);
+        CHECK(read({"front-1 begun 5 10.0.0.1", "front-1"}).last_before_claim == log_offset(5));
+    }
 }
 
 TEST_CASE("the number of a claim is above those of all earlier owners (ONE)")
--- a/tests/soak/assignment_scenario.cpp
+++ b/tests/soak/assignment_scenario.cpp
@@ -91,7 +91,13 @@
     auto absence = fleet_.lease() / joins_per_lease + join_delay() - return_margin;
     auto& group = fleet_.store.group();
     auto holder = group.holder_of(moved_partition);
-    auto other = fleet_.hosts[0].name == holder ? fleet_.hosts[1].name : fleet_.hosts[0].name;
+    auto members = group.members();
+    std::erase(members, holder);
+    if (members.empty())
+    {
+        return;
+    }
+    const auto& other = members.front();
     log_(fmt::format("partition {} from {} to {} and back, {} times", moved_partition, holder,
                      other, rounds));
     for (int n = 0; n < rounds; ++n)
--- a/tests/stand_ins/prepared_platform.cpp
+++ b/tests/stand_ins/prepared_platform.cpp
@@ -165,6 +165,17 @@
     assign_at_once(partition, member);
 }
 
+std::vector<std::string> group_stand_in::members()
+{
+    std::lock_guard lock(mutex_);
+    std::vector<std::string> names;
+    for (const auto& [member, until] : members_)
+    {
+        names.push_back(member);
+    }
+    return names;
+}
+
 std::string group_stand_in::holder_of(int partition)
 {
     std::lock_guard lock(mutex_);
--- a/tests/stand_ins/prepared_platform.hpp
+++ b/tests/stand_ins/prepared_platform.hpp
@@ -43,6 +43,7 @@
     void undo_rebalance();
     /// Assigns one partition at once.
     void move(int partition, const std::string& member);
+    std::vector<std::string> members();
     /// The member that a partition is listed for; empty if there is none.
     std::string holder_of(int partition);
     /// Ends all memberships at once.
