--- a/src/serve/order_claims.cpp
+++ b/src/serve/order_claims.cpp
@@ -474,7 +474,7 @@
             .last = it.last_record, .last_before_claim = it.last_record, .ends_before = true};
     }
     co_return read_after_claim(platform::parse_assignment_records(response->body), from,
-                               context_.settings.name,
+                               claimant_of_settings(),
                                it.base.value_or(log_offset(it.claim.count() - 1)));
 }
 
