A crash of a part that is banned already is stored with the ban

A host that started knew a ban with the parts of its first three crashes, also after a later crash had told some of them apart. It tried requests with the part that crashes servers, and each ended an engine.

Cause: the ban was written to the store only by the crash that decided on it. Now the host that saw a further crash writes the ban again.

A host that already read the older record keeps it, as a ban that is known is not taken again from a peer.

--- a/src/serve/quarantine_manager.cpp
+++ b/src/serve/quarantine_manager.cpp
@@ -236,9 +236,14 @@
         crash_report report{
             .crash = {.server = server, .start_time_ms = start_time_ms, .at = ended_at},
             .parts = {parts.begin(), parts.end()}};
-        for (auto part : record_crash(report, "response"))
+        record_crash(report, "response");
+        // A crash of a part that is banned already tells it apart from others that were beside it.
+        for (auto part : report.parts)
         {
-            store_ban(part);
+            if (context_.quarantine.is_banned(part))
+            {
+                store_ban(part);
+            }
         }
         auto message = peers_.new_message();
         write(report, *message.add_prompt_crashes());
@@ -248,8 +253,7 @@
     context_.waiting.wake(host_context::quarantine_wait_key);
 }
 
-std::vector<prompt_part> quarantine_manager::record_crash(const crash_report& report,
-                                                          const char* source)
+void quarantine_manager::record_crash(const crash_report& report, const char* source)
 {
     auto effect = context_.quarantine.record_crash(report.parts, report.crash);
     for (auto part : effect.counted)
@@ -276,7 +280,6 @@
     {
         context_.waiting.wake_all();
     }
-    return effect.banned;
 }
 
 void quarantine_manager::record_sound(const std::vector<prompt_part>& parts)
--- a/src/serve/quarantine_manager.hpp
+++ b/src/serve/quarantine_manager.hpp
@@ -65,8 +65,7 @@
     /// Drops a stored ban that no longer applies.
     void drop_record(prompt_part part);
     task<void> run_check(server_id server, std::int64_t start_time_ms, endpoint_text address);
-    /// Returns the parts that are banned by it.
-    std::vector<prompt_part> record_crash(const crash_report& report, const char* source);
+    void record_crash(const crash_report& report, const char* source);
     void record_cleared(const std::vector<prompt_part>& parts, const char* source);
     /// Tells the other hosts that a part is sound; seldom for one part, and on large fleets not at
     /// once from each host that knows it.
--- a/tests/correctness/prompt_crash_path_test.cpp
+++ b/tests/correctness/prompt_crash_path_test.cpp
@@ -277,6 +277,39 @@
     CHECK(it.send_to_each_host("sound", "50:10", 200) == host_count);
 }
 
+TEST_CASE("Hosts that start know what later crashes told apart from a banned part")
+{
+    prompt_crash_case it;
+    it.engines->set_deadly("bad1");
+    auto send = [&](const std::string& id, const std::string& prompt)
+    { return it.send("POST", "/guide/1", id, "good-key", "m0", 0, prompt + "," + id + ":10"); };
+    auto await_refusal = [&](const std::string& prompt)
+    {
+        int n = 0;
+        REQUIRE(it.eventually(
+            [&]
+            {
+                auto result = send("crash" + std::to_string(++n), prompt);
+                return result.status == 503 && result.retry_after < 0;
+            }));
+        std::this_thread::sleep_for(registry_time);
+    };
+    await_refusal("beside:10,bad1:10");
+    auto sent = it.sent_with("bad1");
+    // Not with both parts of the ban, so that it is tried.
+    send("other", "50:10,bad1:10");
+    REQUIRE(it.sent_with("bad1") > sent);
+    std::this_thread::sleep_for(registry_time);
+    sent = it.sent_with("bad1");
+
+    for (std::size_t n = 0; n < host_count; ++n)
+    {
+        REQUIRE(it.restart_host(n));
+    }
+    CHECK(it.send_to_each_host("late", "bad1:10", 503) == host_count);
+    CHECK(it.sent_with("bad1") == sent);
+}
+
 TEST_CASE("A ban of a part that is sound ends")
 {
     prompt_crash_case it;
