--- a/tests/correctness/regressed_log_test.cpp
+++ b/tests/correctness/regressed_log_test.cpp
@@ -126,7 +126,11 @@
     }
     std::vector<std::string> log() const { return records(it, partition); }
     /// The group assigns the engine's partition to a host at once.
-    void assign_to(const std::string& host) { it.store.group().move(partition, host); }
+    void assign_to(const std::string& host)
+    {
+        const auto& ip = it.hosts.at(static_cast<std::size_t>(host.at(1) - '1'))->ip;
+        it.store.group().move(partition, host + "@" + ip);
+    }
     /// The log of the engine's partition loses all records behind these.
     void lose_records_behind(const std::vector<std::string>& kept)
     {
