Soak: series of changes of owner beside late orders, and counts without refused orders

The random faults kill and stop single hosts at random times, mostly after other hosts know of their late orders.

Counts are also given without orders that got 409.

--- a/tests/soak/assignment_scenario.cpp
+++ b/tests/soak/assignment_scenario.cpp
@@ -1,6 +1,9 @@
 #include "soak/assignment_scenario.hpp"
 
+#include <signal.h>
+
 #include <algorithm>
+#include <iterator>
 #include <set>
 #include <stdexcept>
 #include <thread>
@@ -29,34 +32,42 @@
 constexpr auto store_absence = 400ms;
 constexpr auto copy_age = 8s;
 
+constexpr const char* series_kinds[] = {"killed",  "restarted",      "frozen",
+                                        "cut_off", "store_troubled", "dealt_anew",
+                                        "starved", "killed_at_order"};
+constexpr int series_interval_leases = 4;
+constexpr auto stop_interval = 1500ms;
+/// Beyond a membership.
+constexpr std::chrono::milliseconds host_freeze = 4500ms;
+constexpr auto cut_length = 5s;
+constexpr auto store_outage = 4s;
+constexpr auto slow_length = 5s;
+constexpr auto slow_call = 200ms;
+/// Every so many calls to a troubled store lose their response.
+constexpr int lost_response_interval = 4;
+/// Starved hosts run for a fifth of the time, which excuses none of their orders.
+constexpr auto starved_run = 25ms;
+constexpr auto starved_pause = 100ms;
+constexpr int starved_rounds = 40;
+/// Until another host has claimed the partitions of one that was killed.
+constexpr int absence_leases = 2;
+constexpr int watch_leases = 8;
+
 } // namespace
 
 assignment_scenario::assignment_scenario(soak_fleet& fleet, std::string what,
                                          std::function<void(const std::string&)> log)
     : fleet_(fleet), what_(std::move(what)), log_(std::move(log))
 {
-    static const std::set<std::string> known = {"away_and_back", "other_parts", "new_topic",
-                                                "older_copy", "other_machine"};
+    std::set<std::string> known = {"away_and_back", "other_parts",   "new_topic",
+                                   "older_copy",    "other_machine", "all_series"};
+    known.insert(std::begin(series_kinds), std::end(series_kinds));
     if (!known.contains(what_))
     {
         throw std::invalid_argument("no scenario " + what_);
     }
-    if (what_ != "away_and_back")
-    {
-        return;
-    }
-    fleet_.store.set_call_faults(
-        [this](const std::string& path, const std::string& body) -> call_fault
-        {
-            std::lock_guard lock(mutex_);
-            bool concerned = path == "/api/log-join" && !delayed_member_.empty() &&
-                             body.find('"' + delayed_member_ + '"') != std::string::npos;
-            if (!concerned)
-            {
-                return {};
-            }
-            return {.carry_out_delay = std::exchange(joined_, true) ? join_delay() : 0ms};
-        });
+    fleet_.store.set_call_faults([this](const std::string& path, const std::string& body)
+                                 { return decide(path, body); });
 }
 
 assignment_scenario::~assignment_scenario()
@@ -64,6 +75,23 @@
     fleet_.store.set_call_faults(nullptr);
 }
 
+call_fault assignment_scenario::decide(const std::string& path, const std::string& body)
+{
+    std::lock_guard lock(mutex_);
+    if (store_is_troubled_)
+    {
+        return {.response_delay = slow_call,
+                .response_lost = ++troubled_calls_ % lost_response_interval == 0};
+    }
+    bool concerned = path == "/api/log-join" && !delayed_member_.empty() &&
+                     body.find('"' + delayed_member_ + '"') != std::string::npos;
+    if (!concerned)
+    {
+        return {};
+    }
+    return {.carry_out_delay = std::exchange(joined_, true) ? join_delay() : 0ms};
+}
+
 // Late enough for another member to claim what is listed for it meanwhile, and within a membership.
 std::chrono::milliseconds assignment_scenario::join_delay() const
 {
@@ -107,8 +135,240 @@
     }
 }
 
+void assignment_scenario::wait_until(std::chrono::steady_clock::time_point until)
+{
+    while (std::chrono::steady_clock::now() < until)
+    {
+        for (auto& it : fleet_.hosts)
+        {
+            if (fleet_.reap(it))
+            {
+                fleet_.start(it);
+            }
+        }
+        std::this_thread::sleep_for(20ms);
+    }
+}
+
+void assignment_scenario::wait_for(std::chrono::milliseconds length)
+{
+    wait_until(std::chrono::steady_clock::now() + length);
+}
+
+void assignment_scenario::kill_hosts()
+{
+    auto n = fleet_.hosts.size();
+    std::size_t most = 2 * n / 3;
+    auto first = steps_ % n;
+    log_(fmt::format("kill {}, then the new holder of a partition, then {} hosts at once",
+                     fleet_.hosts[first].name, most));
+    fleet_.signal(fleet_.hosts[first], SIGKILL);
+    wait_for(fleet_.lease());
+    fleet_.store.group().rebalance();
+    wait_for(fleet_.lease() / 2);
+    for (auto& it : fleet_.hosts)
+    {
+        if (it.name == fleet_.store.group().holder_of(moved_partition))
+        {
+            log_("kill " + it.name);
+            fleet_.signal(it, SIGKILL);
+        }
+    }
+    wait_for(2 * fleet_.lease());
+    for (std::size_t k = 0; k < most; ++k)
+    {
+        fleet_.signal(fleet_.hosts[(first + k) % n], SIGKILL);
+    }
+}
+
+void assignment_scenario::kill_at_late_orders()
+{
+    auto half = static_cast<std::ptrdiff_t>(fleet_.hosts.size() / 2);
+    auto until = std::chrono::steady_clock::now() + watch_leases * fleet_.lease();
+    std::map<std::string, std::chrono::steady_clock::time_point> returns;
+    std::map<std::size_t, std::size_t> seen;
+    for (std::size_t n = soak_fleet::first_engine; n < fleet_.backends.size(); ++n)
+    {
+        seen[n] = fleet_.backends[n]->received_orders().size();
+    }
+    for (auto now = until; (now = std::chrono::steady_clock::now()) < until;)
+    {
+        auto is_away = [&](const auto& it) { return returns[it.name] > now; };
+        for (std::size_t n = soak_fleet::first_engine; n < fleet_.backends.size(); ++n)
+        {
+            auto orders = fleet_.backends[n]->received_orders();
+            for (auto& k = seen[n]; k < orders.size(); ++k)
+            {
+                auto it =
+                    std::ranges::find(fleet_.hosts, orders[k].holder, &soak_fleet::host::name);
+                if (orders[k].is_late && it != fleet_.hosts.end() && !is_away(*it) &&
+                    std::ranges::count_if(fleet_.hosts, is_away) < half)
+                {
+                    log_("kill " + it->name);
+                    fleet_.signal(*it, SIGKILL);
+                    returns[it->name] = now + absence_leases * fleet_.lease();
+                }
+            }
+        }
+        for (auto& it : fleet_.hosts)
+        {
+            if (fleet_.reap(it) && !is_away(it))
+            {
+                fleet_.start(it);
+            }
+        }
+        std::this_thread::sleep_for(5ms);
+    }
+}
+
+void assignment_scenario::restart_in_turn()
+{
+    log_("stop all hosts in turn");
+    for (auto& it : fleet_.hosts)
+    {
+        fleet_.signal(it, SIGTERM);
+        wait_for(stop_interval);
+    }
+}
+
+void assignment_scenario::freeze_half()
+{
+    log_(fmt::format("freeze half of the hosts for {} ms each, in turn", host_freeze.count()));
+    auto length = host_freeze / 3;
+    std::size_t half = fleet_.hosts.size() / 2;
+    auto host = [&](std::size_t k) -> auto&
+    {
+        return fleet_.hosts[(steps_ + k) % fleet_.hosts.size()];
+    };
+    // Each freeze overlaps the two before.
+    for (std::size_t k = 0; k < half + 3; ++k)
+    {
+        if (k >= 3)
+        {
+            auto& it = host(k - 3);
+            if (auto at = fleet_.resume(it))
+            {
+                resumed_[it.name].push_back(*at);
+            }
+        }
+        if (k < half)
+        {
+            fleet_.pause(host(k));
+        }
+        wait_for(length);
+    }
+}
+
+void assignment_scenario::cut_half_off()
+{
+    auto half = fleet_.hosts.size() / 2;
+    log_("cut half of the hosts off the store");
+    auto set_all = [&](bool cut)
+    {
+        for (std::size_t k = 0; k < half; ++k)
+        {
+            fleet_.hosts[(steps_ + k) % fleet_.hosts.size()].store_proxy->set_fault(
+                !cut         ? loopback_proxy::fault::none
+                : k % 2 == 0 ? loopback_proxy::fault::drop_requests
+                             : loopback_proxy::fault::drop_responses);
+        }
+    };
+    set_all(true);
+    wait_for(cut_length);
+    set_all(false);
+}
+
+void assignment_scenario::trouble_store()
+{
+    log_("the store is away, memberships lapse, then it is slow and loses responses");
+    fleet_.store.forced_status = 503;
+    wait_for(store_outage);
+    fleet_.store.group().lapse();
+    fleet_.store.forced_status = 0;
+    auto set = [&](bool troubled)
+    {
+        std::lock_guard lock(mutex_);
+        store_is_troubled_ = troubled;
+    };
+    set(true);
+    wait_for(slow_length);
+    set(false);
+}
+
+void assignment_scenario::deal_anew()
+{
+    log_("history dropped, rebalance");
+    fleet_.store.drop_history();
+    fleet_.store.group().rebalance();
+}
+
+void assignment_scenario::starve_hosts()
+{
+    log_("hosts starved, rebalance");
+    fleet_.store.group().rebalance();
+    for (int n = 0; n < starved_rounds; ++n)
+    {
+        for (auto& it : fleet_.hosts)
+        {
+            fleet_.pause(it);
+        }
+        std::this_thread::sleep_for(starved_pause);
+        for (auto& it : fleet_.hosts)
+        {
+            fleet_.resume(it);
+        }
+        std::this_thread::sleep_for(starved_run);
+    }
+}
+
+void assignment_scenario::step_series()
+{
+    auto next = std::chrono::steady_clock::now() + series_interval_leases * fleet_.lease();
+    std::string now =
+        what_ == "all_series" ? series_kinds[steps_ % std::size(series_kinds)] : what_;
+    if (now == "killed")
+    {
+        kill_hosts();
+    }
+    else if (now == "restarted")
+    {
+        restart_in_turn();
+    }
+    else if (now == "frozen")
+    {
+        freeze_half();
+    }
+    else if (now == "cut_off")
+    {
+        cut_half_off();
+    }
+    else if (now == "store_troubled")
+    {
+        trouble_store();
+    }
+    else if (now == "dealt_anew")
+    {
+        deal_anew();
+    }
+    else if (now == "killed_at_order")
+    {
+        kill_at_late_orders();
+    }
+    else
+    {
+        starve_hosts();
+    }
+    ++steps_;
+    wait_until(next);
+}
+
 void assignment_scenario::step()
 {
+    if (what_ == "all_series" || std::ranges::find(series_kinds, what_) != std::end(series_kinds))
+    {
+        step_series();
+        return;
+    }
     auto next = std::chrono::steady_clock::now() + min_step_interval +
                 step_interval_leases * fleet_.lease();
     if (what_ == "away_and_back")
--- a/tests/soak/assignment_scenario.hpp
+++ b/tests/soak/assignment_scenario.hpp
@@ -1,7 +1,8 @@
 #pragma once
 
 /// \file
-/// Single faults directed at the assignment of engines to entry hosts, for states that last.
+/// Faults directed at the assignment of engines to entry hosts: single ones for states that last,
+/// and series of changes of owner.
 
 #include <chrono>
 #include <functional>
@@ -18,7 +19,9 @@
 class assignment_scenario
 {
 public:
-    /// `what` is one of away_and_back, other_parts, new_topic, older_copy and other_machine.
+    /// `what` is one of away_and_back, other_parts, new_topic, older_copy and other_machine, or a
+    /// series: killed, restarted, frozen, cut_off, store_troubled, dealt_anew, starved,
+    /// killed_at_order, or all_series for these in turn.
     assignment_scenario(soak_fleet& fleet, std::string what,
                         std::function<void(const std::string&)> log);
     ~assignment_scenario();
@@ -30,21 +33,43 @@
     {
         return replaced_;
     }
+    /// When each host was resumed.
+    std::map<std::string, std::vector<std::chrono::steady_clock::time_point>> resumed() const
+    {
+        return resumed_;
+    }
 
 private:
     /// One partition moves to another member between two joins of its holder, and back.
     void move_away_and_back();
     std::chrono::milliseconds join_delay() const;
+    call_fault decide(const std::string& path, const std::string& body);
+    void step_series();
+    void kill_hosts();
+    /// Kills hosts as soon as an order of theirs arrives that an engine will carry out late.
+    void kill_at_late_orders();
+    void restart_in_turn();
+    void freeze_half();
+    void cut_half_off();
+    void trouble_store();
+    void deal_anew();
+    void starve_hosts();
+    /// Restarts hosts that end until then.
+    void wait_until(std::chrono::steady_clock::time_point until);
+    void wait_for(std::chrono::milliseconds length);
 
     soak_fleet& fleet_;
     const std::string what_;
     const std::function<void(const std::string&)> log_;
     std::map<std::string, std::vector<std::chrono::steady_clock::time_point>> replaced_;
+    std::map<std::string, std::vector<std::chrono::steady_clock::time_point>> resumed_;
     std::size_t steps_ = 0;
     /// Guards the members below, which calls to the store use.
     std::mutex mutex_;
     std::string delayed_member_;
     bool joined_ = false;
+    bool store_is_troubled_ = false;
+    int troubled_calls_ = 0;
 };
 
 } // namespace banyanshunt::soak
--- a/tests/soak/order_checks.cpp
+++ b/tests/soak/order_checks.cpp
@@ -17,6 +17,9 @@
 /// link that held them up went on.
 constexpr std::chrono::milliseconds arrival_slack{300};
 
+/// The response to an order whose number of expected orders is out of date.
+constexpr int refused_status = 409;
+
 template <class Key>
 bool follows_end(const std::map<Key, std::vector<steady_instant>>& ends, const Key& key,
                  steady_instant at)
@@ -58,11 +61,18 @@
         for (auto dating : {order_dating::arrival, order_dating::effect})
         {
             auto judgement = judge_orders(orders, dating, fleet.lease(), is_excused);
+            const char* dated = dating == order_dating::arrival ? "arrival" : "effect";
+            auto accepted = orders;
+            std::erase_if(accepted, [](const auto& it) { return it.status == refused_status; });
+            for (const auto& breach :
+                 judge_orders(accepted, dating, fleet.lease(), is_excused).breaches)
+            {
+                ++findings.counts[fmt::format("{}, {}, without refused orders", dated,
+                                              to_text(breach.kind))];
+            }
             for (const auto& breach : judgement.breaches)
             {
-                ++findings.counts[fmt::format(
-                    "{}, {}", dating == order_dating::arrival ? "arrival" : "effect",
-                    to_text(breach.kind))];
+                ++findings.counts[fmt::format("{}, {}", dated, to_text(breach.kind))];
                 findings.violations.push_back(
                     fmt::format("orders: {} received {}", soak_fleet::server_name(n),
                                 describe(breach, orders, dating, history.begun)));
@@ -80,6 +90,9 @@
             findings.record.push_back(
                 received_order_line(soak_fleet::server_name(n), it, history.unix_offset));
         }
+        findings.refused += static_cast<std::size_t>(
+            std::count_if(orders.begin(), orders.end(),
+                          [](const auto& it) { return it.status == refused_status; }));
         findings.late += static_cast<std::size_t>(
             std::count_if(orders.begin(), orders.end(), [](const auto& it) { return it.is_late; }));
     }
--- a/tests/soak/order_checks.hpp
+++ b/tests/soak/order_checks.hpp
@@ -39,6 +39,8 @@
     std::size_t excused = 0;
     /// Orders that got no response and were carried out later.
     std::size_t late = 0;
+    /// Orders whose number of expected orders was out of date.
+    std::size_t refused = 0;
     /// What the engines received, as lines of a log, and the pairs of them that broke the rule.
     std::vector<std::string> record;
     std::vector<engine_breach> breaches;
--- a/tests/soak/shunt_soak.cpp
+++ b/tests/soak/shunt_soak.cpp
@@ -43,7 +43,9 @@
 DEFINE_string(
     scenario, "",
     "with --faults=orders: instead of random faults, one that is directed at the "
-    "assignment of engines: away_and_back, other_parts, new_topic, older_copy or other_machine");
+    "assignment of engines: away_and_back, other_parts, new_topic, older_copy or other_machine; "
+    "or changes of owner in series: killed, restarted, frozen, cut_off, store_troubled, "
+    "dealt_anew, starved, killed_at_order, or all_series for these in turn");
 DEFINE_string(host_flags, "", "further command-line flags of the hosts, separated by blanks");
 DEFINE_string(folder, "", "folder for settings and logs; each seed gets a new folder in it");
 
@@ -269,10 +271,16 @@
         if (scenario)
         {
             orders.replaced = scenario->replaced();
+            for (const auto& [host, at] : scenario->resumed())
+            {
+                std::ranges::copy(at, std::back_inserter(orders.resumed[host]));
+            }
         }
         auto findings = check_orders(fleet_, orders);
-        std::cout << fmt::format("  {} orders judged, {} excused, {} without a response\n",
-                                 findings.judged, findings.excused, findings.late);
+        std::cout << fmt::format("  {} orders judged, {} excused, {} without a response, {} "
+                                 "refused\n",
+                                 findings.judged, findings.excused, findings.late,
+                                 findings.refused);
         for (const auto& [kind, n] : findings.counts)
         {
             std::cout << fmt::format("  {} by {}\n", n, kind);
