--- a/tests/correctness/regressed_log_test.cpp
+++ b/tests/correctness/regressed_log_test.cpp
@@ -135,6 +135,7 @@
     void lose_records_behind(const std::vector<std::string>& kept)
     {
         std::vector<std::vector<std::string>> logs;
+        logs.reserve(static_cast<std::size_t>(it.partitions));
         for (int n = 0; n < it.partitions; ++n)
         {
             logs.push_back(n == partition ? kept : records(it, n));
