Orders: a claim whose takeover is not complete is confirmed by a record, too

A read that shows nothing, as after the log went back or while reads are stale, ended a claim whose takeover was still under way, and its wait began anew. Its host appends the claim once more directly behind it, and gives it up only if that fails. The cases of regressed_log_test and lapsed_membership_test pass; the stale read itself has no test.

--- a/src/serve/order_claims.cpp
+++ b/src/serve/order_claims.cpp
@@ -518,20 +518,29 @@
 
 task<void> order_controller::confirm_by_record(int partition)
 {
-    if (!partitions_.at(partition).recorded_at)
+    const held_partition before = partitions_.at(partition);
+    std::optional<log_offset> claimed_at;
+    if (before.recorded_at)
     {
-        give_up_superseded(partition);
-        co_return;
+        co_await record_takeover(partition);
+    }
+    else
+    {
+        claimed_at = co_await append_claim(partition, stated_number(before), before.last_record);
     }
-    const auto claim = partitions_.at(partition).claim;
-    const auto last_record = partitions_.at(partition).last_record;
-    co_await record_takeover(partition);
     auto held = partitions_.find(partition);
-    bool is_own = held != partitions_.end() && held->second.claim == claim;
-    if (is_own && held->second.last_record.count() > last_record.count())
+    if (held == partitions_.end() || held->second.claim != before.claim)
     {
-        held->second.confirmed = true;
+        co_return;
+    }
+    if (!before.recorded_at && !claimed_at)
+    {
+        give_up_superseded(partition);
+        co_return;
     }
+    auto& last = held->second.last_record;
+    last = claimed_at.value_or(last);
+    held->second.confirmed = last > before.last_record;
 }
 
 task<void> order_controller::read_late_releases()
--- a/src/serve/order_controller.hpp
+++ b/src/serve/order_controller.hpp
@@ -137,8 +137,8 @@
     /// Reads whether other hosts have claimed partitions that this host kept when the group
     /// changed: one may have moved away and back since the last call.
     task<void> confirm_claims();
-    /// Confirms a claim by the next record of its takeover, where a read shows nothing; gives it up
-    /// if there is none yet.
+    /// Confirms a claim by a record directly behind its own, where a read shows nothing; gives it
+    /// up if the record is not appended.
     task<void> confirm_by_record(int partition);
     /// Reads for late releases that end the waits of claims.
     task<void> read_late_releases();
