--- a/src/serve/order_claims.cpp
+++ b/src/serve/order_claims.cpp
@@ -711,7 +711,6 @@
 {
     instant now = claim.read_at;
     const auto& previous = claim.before;
-    // Offsets grow with each claim, so a later owner has a higher fencing number.
     const auto number = stated.value_or(fencing_number(claim.at.count() + 1));
     if (now >= membership_until_)
     {
