Tests: owners behind a log that went back have one engine to order

"An owner goes on after the log has lost its records and the group has changed" waits for orders to the engine e1. By the log of a failed run the owner went on after its takeover and gave 11 orders, but to e2, which had room for all models that were missing; e1 had nothing to load.

The other engine leaves, as in silent_engine_takeover_test.cpp, so that each load is ordered from e1.

--- a/tests/correctness/regressed_log_test.cpp
+++ b/tests/correctness/regressed_log_test.cpp
@@ -58,6 +58,12 @@
     return path == append_path && body.substr(std::min(length_bytes, body.size())) == record;
 }
 
+/// The other engine takes no models any more, so that all loads are ordered from the first one.
+void leave_one_engine(serve_case& it)
+{
+    it.store.put("keyed.servers", "e2", it.engine2.registry_entry("models", true));
+}
+
 /// Hosts and one engine whose owner always has an order to give.
 struct busy_fleet
 {
@@ -78,6 +84,7 @@
                                      static_cast<std::uint64_t>(it.partitions)))
     {
         REQUIRE(it.started);
+        leave_one_engine(it);
         for (std::size_t n = 0; n < 4; ++n)
         {
             callers.emplace_back(
@@ -386,6 +393,7 @@
         },
         1, [](host_settings& settings) { settings.bounds.lease = 2000ms; });
     REQUIRE(it.started);
+    leave_one_engine(it);
     REQUIRE(records(it).back() == "h1");
     REQUIRE(it.engine1.received_orders().empty());
 
