Orders: claims log their offset, their numbers, and how the read before them ended

The log could not tell the hypotheses of one number of two hosts apart: kind=unreadable stood for five outcomes of a read, and neither the claim's offset and number nor the highest number that its host knew were logged.

duty_taken has offset, number, known, stated and read, duty_lost has number and known, and duty_number_shared says that another host has announced the number of this host's claim. Two metrics count claims by their read, and shared numbers. No change of what hosts do.

--- a/src/coordination/assignment_record.cpp
+++ b/src/coordination/assignment_record.cpp
@@ -165,6 +165,28 @@
     return terms.membership + terms.transit + terms.lease;
 }
 
+const char* to_text(preceding_read it)
+{
+    switch (it)
+    {
+    case preceding_read::none:
+        return "none";
+    case preceding_read::record:
+        return "record";
+    case preceding_read::unknown_record:
+        return "unknown_record";
+    case preceding_read::dropped:
+        return "dropped";
+    case preceding_read::past_end:
+        return "past_end";
+    case preceding_read::refused:
+        return "refused";
+    case preceding_read::no_response:
+        return "no_response";
+    }
+    return "unknown";
+}
+
 std::optional<fencing_number> number_to_state(const assignment_claim& claim)
 {
     auto highest =
--- a/src/coordination/assignment_record.hpp
+++ b/src/coordination/assignment_record.hpp
@@ -126,6 +126,25 @@
     std::optional<fencing_number> resumed_fence = {};
 };
 
+/// What a read of the record before a claim showed.
+enum class preceding_read
+{
+    /// The claim is the first record.
+    none,
+    record,
+    /// It is not an assignment record.
+    unknown_record,
+    /// The log has dropped it.
+    dropped,
+    /// The response ends before it: the log went back, or the response is of an earlier time.
+    past_end,
+    refused,
+    no_response,
+};
+
+/// The name of an outcome in logs and metrics.
+const char* to_text(preceding_read it);
+
 /// A claim of an assignment, and the record before it.
 struct assignment_claim
 {
@@ -133,6 +152,7 @@
     log_offset at;
     /// Nothing if there is none, or if it could not be read.
     std::optional<assignment_record> before = {};
+    preceding_read read = preceding_read::none;
     /// The highest number that the records before state.
     fencing_number highest_stated = fencing_number(0);
     /// The highest number of an owner that this host knew before it claimed.
--- a/src/serve/order_claims.cpp
+++ b/src/serve/order_claims.cpp
@@ -108,7 +108,7 @@
     instant next_owner_at = context_.now() + takeover_expiry(terms());
     for (const auto& [partition, held] : partitions_)
     {
-        log_partition_lost(partition, held.fence, "given_up");
+        log_partition_lost(partition, held, "given_up");
     }
     for (auto& [server, held] : owned_engines_)
     {
@@ -123,11 +123,14 @@
     return std::exchange(partitions_, {});
 }
 
-void order_controller::log_partition_lost(int partition, fencing_number fence, const char* reason)
+void order_controller::log_partition_lost(int partition, const held_partition& held,
+                                          const char* reason)
 {
     context_.stats.increment("banyanshunt_partitions_lost_total", {{"reason", reason}});
-    context_.log.write("duty_lost", "partition={} fence={} generation={} reason={}", partition,
-                       fence.count(), generation_, reason);
+    context_.log.write("duty_lost",
+                       "partition={} fence={} number={} known={} generation={} reason={}",
+                       partition, held.fence.count(), held.number.count(),
+                       known_numbers_[partition].count(), generation_, reason);
 }
 
 void order_controller::void_claims()
@@ -138,7 +141,7 @@
     }
     for (const auto& [partition, held] : partitions_)
     {
-        log_partition_lost(partition, held.fence, "lapsed");
+        log_partition_lost(partition, held, "lapsed");
         if (auto wait = release_wait(partition, held))
         {
             release_to_peers(partition, held, *wait);
@@ -236,7 +239,7 @@
             ++it;
             continue;
         }
-        log_partition_lost(it->first, it->second.fence,
+        log_partition_lost(it->first, it->second,
                            lapsed      ? "lapsed"
                            : is_listed ? "outnumbered"
                                        : "moved");
@@ -445,7 +448,7 @@
 {
     // A later claim has a higher fencing number. If the group still lists the partition, this host
     // claims it anew.
-    log_partition_lost(partition, partitions_.at(partition).fence, "superseded");
+    log_partition_lost(partition, partitions_.at(partition), "superseded");
     partitions_.erase(partition);
     update_owned_engines();
 }
@@ -612,11 +615,12 @@
     {
         co_return;
     }
-    auto previous = co_await read_record_before(partition, *offset);
+    auto [read, previous] = co_await read_record_before(partition, *offset);
     auto highest_stated = co_await read_stated_number(partition, *offset, previous);
     assignment_claim it{.own = claimant_of_settings(),
                         .at = *offset,
                         .before = previous,
+                        .read = read,
                         .highest_stated = highest_stated,
                         .highest_known = highest_known,
                         .sent_at = claimed_at,
@@ -640,9 +644,9 @@
         // The owner in between gave no order, so the one before it may be this host.
         auto base =
             co_await read_record_before(partition, log_offset(previous->unused_since->count() + 1));
-        if (completed_by(it.own, base))
+        if (completed_by(it.own, base.record))
         {
-            it.before = std::move(base);
+            it.before = std::move(base.record);
         }
     }
     it.read_at = context_.now();
@@ -681,7 +685,7 @@
             break;
         }
         at = log_offset(at.count() - 1);
-        before = co_await read_record_before(partition, at);
+        before = (co_await read_record_before(partition, at)).record;
     }
     co_return highest;
 }
@@ -691,19 +695,35 @@
     return {.host = context_.settings.name, .machine = machine_id(context_.settings.ip)};
 }
 
-task<std::optional<assignment_record>> order_controller::read_record_before(int partition,
-                                                                            log_offset at)
+task<order_controller::preceding_record> order_controller::read_record_before(int partition,
+                                                                              log_offset at)
 {
     if (at.count() == 0)
     {
-        co_return std::nullopt;
+        co_return preceding_record{};
     }
-    auto call = platform::assignment_read_call(partition, log_offset(at.count() - 1));
+    const log_offset from(at.count() - 1);
+    auto call = platform::assignment_read_call(partition, from);
     auto response = co_await store_.call(call.method, call.target, call.body, store_timeout);
-    auto records = response && response->status == 200
-                       ? platform::parse_assignment_records(response->body)
-                       : std::vector<std::string>();
-    co_return records.empty() ? std::nullopt : parse_assignment_record(records.front());
+    if (!response)
+    {
+        co_return preceding_record{.read = preceding_read::no_response};
+    }
+    if (response->status != 200)
+    {
+        co_return preceding_record{.read = response->status == platform::expired_status
+                                               ? preceding_read::dropped
+                                               : preceding_read::refused};
+    }
+    auto records = platform::parse_assignment_records(response->body);
+    if (records.empty())
+    {
+        co_return preceding_record{.read = preceding_read::past_end};
+    }
+    auto record = parse_assignment_record(records.front());
+    co_return preceding_record{.read =
+                                   record ? preceding_read::record : preceding_read::unknown_record,
+                               .record = std::move(record)};
 }
 
 void order_controller::take_partition(int partition, const assignment_claim& claim,
@@ -753,7 +773,7 @@
     context_.log.write(
         "duty_taken",
         "partition={} fence={} generation={} before={} kind={} wait_ms={} late={} "
-        "claim_ms={} membership_ms={}",
+        "claim_ms={} membership_ms={} offset={} number={} known={} stated={} read={}",
         partition, fence.count(), generation_, previous ? previous->holder.str() : "-",
         claim.at.count() == 0         ? "first"
         : !previous                   ? "unreadable"
@@ -762,7 +782,9 @@
         : previous->takeover_complete ? "complete"
                                       : "claim",
         wait.count(), history_.expects_late_orders(taken), elapsed_ms(claim.sent_at, now).count(),
-        elapsed_ms(now, membership_until_).count());
+        elapsed_ms(now, membership_until_).count(), claim.at.count(), number.count(),
+        claim.highest_known.count(), claim.highest_stated.count(), to_text(claim.read));
+    context_.stats.increment("banyanshunt_claims_total", {{"read", to_text(claim.read)}});
 }
 
 task<void> order_controller::leave()
--- a/src/serve/order_controller.cpp
+++ b/src/serve/order_controller.cpp
@@ -118,8 +118,10 @@
     {
         if (known.owner)
         {
-            auto& highest = known_numbers_[partition_of(server)];
+            int partition = partition_of(server);
+            auto& highest = known_numbers_[partition];
             highest = std::max(highest, known.owner->fencing);
+            report_shared_number(partition, *known.owner);
         }
         if (!known.removed && engine_of(server))
         {
@@ -133,6 +135,20 @@
     history_.observe(engines, now);
 }
 
+void order_controller::report_shared_number(int partition, const engine_owner& owner)
+{
+    auto held = partitions_.find(partition);
+    if (held == partitions_.end() || held->second.shared_reported ||
+        owner.host == context_.settings.name || owner.fencing != held->second.number)
+    {
+        return;
+    }
+    held->second.shared_reported = true;
+    context_.stats.increment("banyanshunt_shared_numbers_total");
+    context_.log.write("duty_number_shared", "partition={} number={} fence={} host={}", partition,
+                       owner.fencing.count(), held->second.fence.count(), owner.host.str());
+}
+
 void order_controller::update_owned_engines()
 {
     observe_engines();
--- a/src/serve/order_controller.hpp
+++ b/src/serve/order_controller.hpp
@@ -80,6 +80,8 @@
         bool used = false;
         /// Whether no other host had claimed the partition when the group last changed.
         bool confirmed = true;
+        /// Whether another host has announced the number of this claim, and that was reported.
+        bool shared_reported = false;
         /// When the records behind the claim are read next for a late release of the owner before.
         instant read_at = {};
     };
@@ -122,8 +124,13 @@
                                                  std::optional<fencing_number> number,
                                                  std::optional<log_offset> after);
     claimant claimant_of_settings() const;
-    /// The record that precedes a claim; nothing if there is none, or if it cannot be read.
-    task<std::optional<assignment_record>> read_record_before(int partition, log_offset at);
+    /// The record that precedes a claim; without one if there is none, or if it cannot be read.
+    struct preceding_record
+    {
+        preceding_read read = preceding_read::none;
+        std::optional<assignment_record> record = {};
+    };
+    task<preceding_record> read_record_before(int partition, log_offset at);
     /// The highest number that the records before a claim at `at` state.
     task<fencing_number> read_stated_number(int partition, log_offset at,
                                             std::optional<assignment_record> before);
@@ -200,7 +207,9 @@
     void record_order(const server_id& server, owned_engine& held, const load_order& order,
                       fencing_number fence, const order_outcome& outcome);
     /// Logs and counts that this host orders the engines of a partition no more.
-    void log_partition_lost(int partition, fencing_number fence, const char* reason);
+    void log_partition_lost(int partition, const held_partition& held, const char* reason);
+    /// Logs and counts that another host announced the number of this host's claim.
+    void report_shared_number(int partition, const engine_owner& owner);
     milliseconds lease() const;
     order_terms terms() const;
     /// Tells the other hosts from when on orders can be given.
