--- a/src/serve/order_controller.hpp
+++ b/src/serve/order_controller.hpp
@@ -59,6 +59,11 @@
     void publish_all();
 
 private:
+    static constexpr milliseconds store_timeout{1000};
+    /// After an outage hosts join one by one, and the first is assigned partitions that move on
+    /// within this time.
+    static constexpr milliseconds assignment_settle_time{300};
+
     struct held_partition
     {
         fencing_number fence;
