Order rule: one number of two hosts counts however far apart their orders are

The check compared an order with the highest number alone, so an earlier number that another host used again counted as a lower one only. It compares with the first order of that number now. The new test has one such section that failed before (lower_fence alone, where shared_fence is due as well).

--- a/src/tools/order_rule.cpp
+++ b/src/tools/order_rule.cpp
@@ -1,6 +1,7 @@
 #include "tools/order_rule.hpp"
 
 #include <algorithm>
+#include <map>
 
 #include <fmt/format.h>
 
@@ -45,6 +46,7 @@
                      [&](std::size_t a, std::size_t b) { return time(a) < time(b); });
     std::optional<std::size_t> highest;
     std::optional<std::size_t> last;
+    std::map<std::int64_t, std::size_t> first_of_fence;
     for (std::size_t n : sequence)
     {
         const auto& order = orders[n];
@@ -58,10 +60,11 @@
         {
             judgement.breaches.push_back({order_breach_kind::lower_fence, *highest, n});
         }
-        if (highest && order.fence == orders[*highest].fence &&
-            order.holder != orders[*highest].holder)
+        // However long ago that was, and whether or not the engine has restarted since.
+        auto first = first_of_fence.try_emplace(order.fence, n).first->second;
+        if (order.holder != orders[first].holder)
         {
-            judgement.breaches.push_back({order_breach_kind::shared_fence, *highest, n});
+            judgement.breaches.push_back({order_breach_kind::shared_fence, first, n});
         }
         if (last && orders[*last].holder != order.holder && time(n) - time(*last) < lease)
         {
--- a/src/tools/order_rule.hpp
+++ b/src/tools/order_rule.hpp
@@ -2,8 +2,8 @@
 
 /// \file
 /// The platform's rule on orders to one model engine: fencing numbers never decrease, no two hosts
-/// have the same one, and the orders of two hosts are at least a lease apart, whatever the engine
-/// responds. Source: the platform documentation of its rules.
+/// ever have the same one, and the orders of two hosts are at least a lease apart, whatever the
+/// engine responds. Source: the platform documentation of its rules.
 
 #include <chrono>
 #include <cstddef>
