--- a/tests/soak/assignment_scenario.cpp
+++ b/tests/soak/assignment_scenario.cpp
@@ -32,7 +32,6 @@
 constexpr auto min_step_interval = 6s;
 constexpr int step_interval_leases = 4;
 constexpr auto store_absence = 400ms;
-constexpr auto copy_age = 8s;
 /// The partitions of the fleet's store.
 constexpr std::uint64_t partitions = 6;
 constexpr auto read_staleness = 2500ms;
@@ -69,8 +68,9 @@
 } // namespace
 
 assignment_scenario::assignment_scenario(soak_fleet& fleet, std::string what,
+                                         const assignment_scenario_options& options,
                                          std::function<void(const std::string&)> log)
-    : fleet_(fleet), what_(std::move(what)), log_(std::move(log))
+    : fleet_(fleet), what_(std::move(what)), options_(options), log_(std::move(log))
 {
     std::set<std::string> known = {"away_and_back",  "other_parts",   "new_topic",
                                    "older_copy",     "other_machine", "absent_engines",
@@ -188,6 +188,38 @@
     move_away_and_back();
 }
 
+void assignment_scenario::return_older()
+{
+    auto n = fleet_.hosts.size();
+    std::size_t killed = options_.killed == killed_hosts::half  ? n / 2
+                         : options_.killed == killed_hosts::one ? 1
+                                                                : 0;
+    auto kill = [&](std::size_t first)
+    {
+        for (std::size_t k = 0; k < killed; ++k)
+        {
+            fleet_.signal(fleet_.hosts[(first + k) % n], SIGKILL);
+        }
+    };
+    if (killed > 0)
+    {
+        // Their partitions are claimed by others before the log goes back.
+        log_(fmt::format("{} hosts killed", killed));
+        kill(steps_ * killed);
+        wait_for(absence_leases * fleet_.lease());
+    }
+    log_(fmt::format("the store is away for {} ms and returns {} ms older, {} hosts killed, "
+                     "rebalance",
+                     store_absence.count(), options_.copy_age.count(), killed));
+    fleet_.store.forced_status = 503;
+    kill((steps_ + 1) * killed);
+    std::this_thread::sleep_for(store_absence);
+    fleet_.store.return_older(options_.copy_age);
+    fleet_.store.group().rebalance();
+    fleet_.store.forced_status = 0;
+    ++steps_;
+}
+
 void assignment_scenario::run_second_machine()
 {
     auto& it = fleet_.hosts[steps_++ % fleet_.hosts.size()];
@@ -487,13 +519,8 @@
     }
     else if (what_ == "older_copy")
     {
-        log_(fmt::format("the store is away for {} ms and returns {} ms older, rebalance",
-                         store_absence.count(), copy_age.count()));
-        fleet_.store.forced_status = 503;
-        std::this_thread::sleep_for(store_absence);
-        fleet_.store.return_older(copy_age);
-        fleet_.store.group().rebalance();
-        fleet_.store.forced_status = 0;
+        return_older();
+        wait_until(next);
     }
     else if (what_ == "other_machine")
     {
--- a/tests/soak/assignment_scenario.hpp
+++ b/tests/soak/assignment_scenario.hpp
@@ -16,6 +16,22 @@
 namespace banyanshunt::soak
 {
 
+/// How many hosts are killed before the store is away, and how many others while it is.
+enum class killed_hosts
+{
+    none,
+    one,
+    half,
+};
+
+struct assignment_scenario_options
+{
+    /// In older_copy: by how much the store that returns is older.
+    std::chrono::milliseconds copy_age{8000};
+    /// In older_copy.
+    killed_hosts killed = killed_hosts::none;
+};
+
 class assignment_scenario
 {
 public:
@@ -24,6 +40,7 @@
     /// killed, restarted, frozen, cut_off, store_troubled, dealt_anew, starved, killed_at_order, or
     /// all_series for these in turn.
     assignment_scenario(soak_fleet& fleet, std::string what,
+                        const assignment_scenario_options& options,
                         std::function<void(const std::string&)> log);
     ~assignment_scenario();
 
@@ -45,6 +62,8 @@
     void move_away_and_back();
     /// The same while the partition's engines are missing in the registry, and after their restart.
     void move_while_engines_are_absent();
+    /// The store returns with an older copy of itself, and deals all partitions anew.
+    void return_older();
     /// Another machine starts under the name of a host before that one ends.
     void run_second_machine();
     void move_while_reads_are_stale();
@@ -70,6 +89,7 @@
 
     soak_fleet& fleet_;
     const std::string what_;
+    const assignment_scenario_options options_;
     const std::function<void(const std::string&)> log_;
     std::map<std::string, std::vector<std::chrono::steady_clock::time_point>> replaced_;
     std::map<std::string, std::vector<std::chrono::steady_clock::time_point>> resumed_;
--- a/tests/soak/shunt_soak.cpp
+++ b/tests/soak/shunt_soak.cpp
@@ -47,6 +47,11 @@
     "absent_engines, second_machine, stale_reads, one_way_store or held_orders; or changes of "
     "owner in series: killed, restarted, frozen, cut_off, store_troubled, dealt_anew, starved, "
     "killed_at_order, or all_series for these in turn");
+DEFINE_int32(copy_age_ms, 8000, "in the scenario older_copy: how much older the store returns");
+DEFINE_string(
+    killed, "none",
+    "in the scenario older_copy: the hosts that are killed while the store is away: none, "
+    "one or half");
 DEFINE_string(host_flags, "", "further command-line flags of the hosts, separated by blanks");
 DEFINE_string(folder, "", "folder for settings and logs; each seed gets a new folder in it");
 
@@ -104,6 +109,17 @@
 /// The most pairs of orders whose timeline is printed.
 constexpr std::size_t max_timelines = 3;
 
+killed_hosts killed_of(const std::string& text)
+{
+    if (text != "none" && text != "one" && text != "half")
+    {
+        throw std::invalid_argument("--killed is none, one or half");
+    }
+    return text == "half"  ? killed_hosts::half
+           : text == "one" ? killed_hosts::one
+                           : killed_hosts::none;
+}
+
 /// One soak run: injects faults or planned work, restarts ended hosts, and checks the outcome.
 class soak_run
 {
@@ -233,6 +249,9 @@
         if (!FLAGS_scenario.empty())
         {
             scenario.emplace(fleet_, FLAGS_scenario,
+                             assignment_scenario_options{
+                                 .copy_age = std::chrono::milliseconds(FLAGS_copy_age_ms),
+                                 .killed = killed_of(FLAGS_killed)},
                              [this](const std::string& what) { log_fault(what); });
         }
         while (scenario && std::chrono::steady_clock::now() < until)
--- a/tests/stand_ins/prepared_platform.cpp
+++ b/tests/stand_ins/prepared_platform.cpp
@@ -269,20 +269,11 @@
                      newest(call.get_param_value("topic"), call.get_param_value("after")),
                      "application/json");
              });
-    http.Get("/api/log-read",
-             [this](const httplib::Request& call, httplib::Response& response)
-             {
-                 auto body = read(log_name(call), std::stoul(call.get_param_value("from")),
-                                  std::stoul(call.get_param_value("max_kb")),
-                                  std::stoi(call.get_param_value("wait_ms")));
-                 response.status = body ? 200 : 410;
-                 response.set_content(body.value_or(""), "application/octet-stream");
-             });
-    // Carries out a call as its fault says.
-    auto carry_out = [this](const httplib::Request& call, httplib::Response& response,
-                            const std::function<void()>& act)
+    // Carries out a call as the fault of its path and text says.
+    auto carry_out_as = [this](const std::string& path, const std::string& text,
+                               httplib::Response& response, const std::function<void()>& act)
     {
-        auto fault = fault_of(call.path, call.body);
+        auto fault = fault_of(path, text);
         std::this_thread::sleep_for(fault.carry_out_delay);
         if (fault.refused_with != 0)
         {
@@ -293,6 +284,30 @@
         std::this_thread::sleep_for(fault.response_lost ? lost_response_time
                                                         : fault.response_delay);
     };
+    auto carry_out = [carry_out_as](const httplib::Request& call, httplib::Response& response,
+                                    const std::function<void()>& act)
+    { carry_out_as(call.path, call.body, response, act); };
+    http.Get("/api/log-read",
+             [this, carry_out_as](const httplib::Request& call, httplib::Response& response)
+             {
+                 const auto topic = log_name(call);
+                 auto act = [&]
+                 {
+                     auto body = read(topic, std::stoul(call.get_param_value("from")),
+                                      std::stoul(call.get_param_value("max_kb")),
+                                      std::stoi(call.get_param_value("wait_ms")));
+                     response.status = body ? 200 : 410;
+                     response.set_content(body.value_or(""), "application/octet-stream");
+                 };
+                 if (is_keyed(topic))
+                 {
+                     act();
+                 }
+                 else
+                 {
+                     carry_out_as(call.path, topic, response, act);
+                 }
+             });
     auto append = [this](const httplib::Request& call, httplib::Response& response)
     {
         std::string topic = log_name(call);
--- a/tests/stand_ins/prepared_platform.hpp
+++ b/tests/stand_ins/prepared_platform.hpp
@@ -126,7 +126,8 @@
     int newest_calls(const std::string& topic) const;
     /// While nonzero, every call gets this status.
     std::atomic<int> forced_status = 0;
-    /// Decides on each append and each call to the group, by its path and body.
+    /// Decides on each append and each call to the group, by its path and body, and on each read of
+    /// a topic that is not keyed, by its path and the topic with its partition.
     using fault_source =
         std::function<call_fault(const std::string& path, const std::string& body)>;
     void set_call_faults(fault_source faults);
