Tests: one number of two hosts behind a log that went back (ONE), failing

A restarted host orders under 1 in a log that begins anew, which was the first owner's number, and under 3 after its own 4 where the log returned older. A refused read before a claim is taken for no record: the order is under 2, behind a record that states 21.

--- a/tests/correctness/regressed_log_test.cpp
+++ b/tests/correctness/regressed_log_test.cpp
@@ -85,21 +85,37 @@
     {
         REQUIRE(it.started);
         leave_one_engine(it);
+        start_callers("c");
+        REQUIRE(serve_case::eventually([&] { return !orders().empty(); }));
+    }
+
+    void start_callers(const std::string& name)
+    {
         for (std::size_t n = 0; n < 4; ++n)
         {
             callers.emplace_back(
-                [this, n](const std::stop_token& stop)
+                [this, n, name](const std::stop_token& stop)
                 {
                     for (int k = 0; !stop.stop_requested(); ++k)
                     {
-                        auto id = "c" + std::to_string(n) + "-" + std::to_string(k);
+                        auto id = name + std::to_string(n) + "-" + std::to_string(k);
                         auto model = "m" + std::to_string((k + static_cast<int>(n)) % 12);
                         it.send("POST", "/guide/1", id, "good-key", model, n % it.hosts.size());
                         std::this_thread::sleep_for(20ms);
                     }
                 });
         }
-        REQUIRE(serve_case::eventually([&] { return !orders().empty(); }));
+    }
+    /// Ends a host, lets the store lose records while it is away, and starts it again.
+    void restart(const std::string& host, const std::function<void()>& lose_records)
+    {
+        callers.clear();
+        auto n = static_cast<std::size_t>(host.at(1) - '1');
+        it.hosts.at(n)->request_stop();
+        REQUIRE(serve_case::eventually([&] { return it.hosts.at(n)->exit_code >= 0; }));
+        lose_records();
+        REQUIRE(it.restart_host(n));
+        start_callers("r");
     }
 
     std::vector<received_order> orders() const { return it.engine1.received_orders(); }
@@ -269,6 +285,49 @@
     CHECK(fleet.orders().front().fence > highest);
 }
 
+TEST_CASE("A host that has just started is above the owners that the log forgot (ONE)")
+{
+    busy_fleet fleet(2);
+    const std::string first = fleet.orders().back().holder;
+    const std::string second = other(first);
+    REQUIRE(serve_case::eventually([&] { return is_complete(fleet.log(), first); }));
+    const auto kept = fleet.log();
+    fleet.assign_to(second);
+    REQUIRE(fleet.awaits_order_of(second));
+    // The first host goes on as one that owns nothing.
+    fleet.refuse_calls_with({first});
+
+    SECTION("the log begins anew")
+    {
+        fleet.restart(second, [&] { fleet.lose_records_behind({}); });
+    }
+    SECTION("the log returns as it was before the last owner")
+    {
+        fleet.restart(second, [&] { fleet.lose_records_behind(kept); });
+    }
+    CHECK(fleet.awaits_order_of(second));
+    CHECK(fleet.first_conflict() == no_conflict);
+}
+
+TEST_CASE("A claim behind records that cannot be read is above the number that they state (ONE)")
+{
+    constexpr std::int64_t stated = 21;
+    std::atomic<int> refused = 0;
+    busy_fleet fleet(1,
+                     [&](store_stand_in& store)
+                     {
+                         put_record(store, "h9 begun 21 10.9.9.9 number 21");
+                         store.set_call_faults(
+                             [&](const std::string& path, const std::string&)
+                             {
+                                 bool refuses = path == "/api/log-read" && refused++ < 6;
+                                 return call_fault{.refused_with = refuses ? 503 : 0};
+                             });
+                     });
+    CHECK(refused > 0);
+    CHECK(fleet.orders().front().fence > stated);
+}
+
 TEST_CASE("A release sent to the hosts does not count for a claim after the log went back (ONE)")
 {
     static constexpr std::chrono::milliseconds lease{2000};
