--- a/src/coordination/assignment_record.cpp
+++ b/src/coordination/assignment_record.cpp
@@ -195,6 +195,12 @@
                                               : std::nullopt;
 }
 
+bool is_inconclusive(preceding_read read)
+{
+    return read == preceding_read::past_end || read == preceding_read::refused ||
+           read == preceding_read::no_response;
+}
+
 bool may_hide_number(const assignment_record& record)
 {
     bool is_claim = !record.takeover_complete && !record.released_for;
--- a/src/coordination/assignment_record.hpp
+++ b/src/coordination/assignment_record.hpp
@@ -166,6 +166,9 @@
 /// its offset plus one is. Offsets only grow while the log neither loses records nor begins anew.
 std::optional<fencing_number> number_to_state(const assignment_claim& claim);
 
+/// Whether such a read shows nothing of the records before a claim, so that it has to be repeated.
+bool is_inconclusive(preceding_read read);
+
 /// Whether the number that `record` or an earlier record states may be missing in it: a host may
 /// have claimed without getting to state its number, and a late release has that of its own host.
 bool may_hide_number(const assignment_record& record);
--- a/src/serve/order_claims.cpp
+++ b/src/serve/order_claims.cpp
@@ -17,8 +17,10 @@
 namespace
 {
 
-/// How many records that may hide a stated number a host passes over in search of it.
-constexpr int max_hiding_records = 8;
+/// How often a record before a claim is read if the reads show nothing, and the time between them:
+/// a store that answers again does so within milliseconds.
+constexpr int max_reads = 4;
+constexpr milliseconds read_interval{50};
 
 } // namespace
 
@@ -176,16 +178,22 @@
     {
         co_return;
     }
-    auto [read, previous] = co_await read_record_before(partition, *offset);
-    auto highest_stated = co_await read_stated_number(partition, *offset, previous);
+    auto before = co_await read_conclusively(partition, *offset);
     assignment_claim it{.own = claimant_of_settings(),
                         .at = *offset,
-                        .before = previous,
-                        .read = read,
-                        .highest_stated = highest_stated,
+                        .before = before.record,
+                        .read = before.read,
                         .highest_known = highest_known,
                         .sent_at = claimed_at,
                         .read_at = context_.now()};
+    auto stated = co_await read_stated_number(partition, it.at, before);
+    if (!stated)
+    {
+        // A number that cannot be compared with those before it is none.
+        log_claim_dropped(partition, "unread", it);
+        co_return;
+    }
+    it.highest_stated = *stated;
     std::optional<log_offset> stated_at;
     auto number = number_to_state(it);
     if (number)
@@ -197,14 +205,15 @@
         stated_at = co_await append_claim(partition, number, *offset);
         if (!stated_at)
         {
+            log_claim_dropped(partition, "not_stated", it);
             co_return;
         }
     }
-    if (previous && previous->unused_since)
+    if (it.before && it.before->unused_since)
     {
         // The owner in between gave no order, so the one before it may be this host.
-        auto base =
-            co_await read_record_before(partition, log_offset(previous->unused_since->count() + 1));
+        auto base = co_await read_record_before(partition,
+                                                log_offset(it.before->unused_since->count() + 1));
         if (completed_by(it.own, base.record))
         {
             it.before = std::move(base.record);
@@ -214,6 +223,16 @@
     take_partition(partition, it, stated_at ? *stated_at : *offset, number);
 }
 
+void order_controller::log_claim_dropped(int partition, const char* reason,
+                                         const assignment_claim& claim)
+{
+    context_.stats.increment("banyanshunt_claims_dropped_total", {{"reason", reason}});
+    context_.log.write("duty_claim_dropped",
+                       "partition={} reason={} generation={} offset={} read={} claim_ms={}",
+                       partition, reason, generation_, claim.at.count(), to_text(claim.read),
+                       elapsed_ms(claim.sent_at, context_.now()).count());
+}
+
 task<std::optional<log_offset>> order_controller::append_claim(int partition,
                                                                std::optional<fencing_number> number,
                                                                std::optional<log_offset> after)
@@ -234,21 +253,30 @@
     co_return *offset;
 }
 
-task<fencing_number> order_controller::read_stated_number(int partition, log_offset at,
-                                                          std::optional<assignment_record> before)
+task<std::optional<fencing_number>>
+order_controller::read_stated_number(int partition, log_offset at, preceding_record before)
 {
     fencing_number highest(0);
-    for (int n = 0; before && n < max_hiding_records; ++n)
+    while (!is_inconclusive(before.read))
     {
-        highest = std::max(highest, before->claim_number.value_or(fencing_number(0)));
-        if (!may_hide_number(*before))
+        if (before.record)
+        {
+            highest = std::max(highest, before.record->claim_number.value_or(fencing_number(0)));
+        }
+        bool ends = before.read == preceding_read::none || before.read == preceding_read::dropped ||
+                    (before.record && !may_hide_number(*before.record));
+        if (ends)
+        {
+            co_return highest;
+        }
+        if (!has_time_to_read())
         {
             break;
         }
         at = log_offset(at.count() - 1);
-        before = (co_await read_record_before(partition, at)).record;
+        before = co_await read_conclusively(partition, at);
     }
-    co_return highest;
+    co_return std::nullopt;
 }
 
 claimant order_controller::claimant_of_settings() const
@@ -256,6 +284,24 @@
     return {.host = context_.settings.name, .machine = machine_id(context_.settings.ip)};
 }
 
+bool order_controller::has_time_to_read() const
+{
+    // Calls that take long must not delay the next one to the group.
+    return context_.now() + lease() / 2 < membership_until_;
+}
+
+task<order_controller::preceding_record> order_controller::read_conclusively(int partition,
+                                                                             log_offset at)
+{
+    auto before = co_await read_record_before(partition, at);
+    for (int n = 1; n < max_reads && is_inconclusive(before.read) && has_time_to_read(); ++n)
+    {
+        co_await pause(read_interval);
+        before = co_await read_record_before(partition, at);
+    }
+    co_return before;
+}
+
 task<order_controller::preceding_record> order_controller::read_record_before(int partition,
                                                                               log_offset at)
 {
@@ -296,9 +342,7 @@
     if (now >= membership_until_)
     {
         // The group may have assigned the partition to another host since.
-        context_.log.write("duty_claim_dropped", "partition={} fence={} generation={} claim_ms={}",
-                           partition, number.count(), generation_,
-                           elapsed_ms(claim.sent_at, now).count());
+        log_claim_dropped(partition, "lapsed", claim);
         return;
     }
     auto taken = take_over(claim, terms());
--- a/src/serve/order_controller.hpp
+++ b/src/serve/order_controller.hpp
@@ -136,9 +136,15 @@
         std::optional<assignment_record> record = {};
     };
     task<preceding_record> read_record_before(int partition, log_offset at);
-    /// The highest number that the records before a claim at `at` state.
-    task<fencing_number> read_stated_number(int partition, log_offset at,
-                                            std::optional<assignment_record> before);
+    bool has_time_to_read() const;
+    /// The same; repeats a read that shows nothing, while the claim has time.
+    task<preceding_record> read_conclusively(int partition, log_offset at);
+    /// The highest number that the records before a claim at `at` state; nothing if one of them
+    /// could not be read.
+    task<std::optional<fencing_number>> read_stated_number(int partition, log_offset at,
+                                                           preceding_record before);
+    /// Logs that a claim is not used.
+    void log_claim_dropped(int partition, const char* reason, const assignment_claim& claim);
     /// Holds a partition by a claim, unless the membership has ended meanwhile. `last_record` is
     /// the claim, or the record behind it that states its number.
     void take_partition(int partition, const assignment_claim& claim, log_offset last_record,
