--- a/src/coordination/assignment_record.cpp
+++ b/src/coordination/assignment_record.cpp
@@ -57,10 +57,19 @@
     return record.holder == own.host && !is_claim && !other_machine;
 }
 
-/// The highest number that a claim in front of this one can have, by what the log has.
-fencing_number highest_recorded(const assignment_claim& claim)
+/// The highest position that a claim in front of this one can have, by what the log has.
+claim_position highest_recorded(const assignment_claim& claim)
 {
-    return std::max(fencing_number(claim.at.count()), claim.highest_stated);
+    return std::max(claim_position(claim.at.count()), position_of(claim.highest_stated));
+}
+
+/// Whether the record before a claim is of the last owner in the log, and states its number. Hosts
+/// of earlier versions state none.
+bool is_of_last_owner(const assignment_claim& claim)
+{
+    bool speaks_for_owner =
+        claim.before && (claim.before->takeover_complete || is_release(claim.before));
+    return speaks_for_owner && position_of(claim.highest_stated) > claim_position(0);
 }
 
 } // namespace
@@ -187,12 +196,16 @@
     return "unknown";
 }
 
-std::optional<fencing_number> number_to_state(const assignment_claim& claim)
+fencing_number number_of(const assignment_claim& claim)
+{
+    auto highest = std::max(position_of(claim.highest_known), highest_recorded(claim));
+    return make_fencing_number(std::min(highest, max_claim_position) + claim_position(1),
+                               claim.own.number);
+}
+
+bool has_to_state_number(const assignment_claim& claim)
 {
-    auto highest =
-        std::min(std::max(claim.highest_known, highest_recorded(claim)), max_fencing_number);
-    return highest.count() > claim.at.count() ? std::optional(fencing_number(highest.count() + 1))
-                                              : std::nullopt;
+    return position_of(number_of(claim)) != position_at(claim.at);
 }
 
 bool is_inconclusive(preceding_read read)
@@ -209,7 +222,8 @@
 
 bool has_lost_claims(const assignment_claim& claim)
 {
-    return claim.highest_known > highest_recorded(claim);
+    bool is_forgotten = is_of_last_owner(claim) && claim.highest_known > claim.highest_stated;
+    return is_forgotten || position_of(claim.highest_known) > highest_recorded(claim);
 }
 
 takeover take_over(const assignment_claim& claim, const order_terms& terms)
--- a/src/coordination/assignment_record.hpp
+++ b/src/coordination/assignment_record.hpp
@@ -15,6 +15,7 @@
 #include <string_view>
 #include <vector>
 
+#include "coordination/claim_number.hpp"
 #include "state/clock.hpp"
 #include "state/ids.hpp"
 #include "state/units.hpp"
@@ -22,9 +23,6 @@
 namespace banyanshunt
 {
 
-/// Larger fencing numbers are taken for an error.
-inline constexpr fencing_number max_fencing_number{1'000'000'000'000'000};
-
 /// One record of an assignment: a host claims it, has completed its takeover, or releases it. The
 /// second and third kinds are appended only directly after the holder's own records, so that they
 /// cannot follow another host's claim; a late release states that it does.
@@ -43,7 +41,7 @@
     /// For a release by a host that gave no order, while those of the owner before it may still be
     /// under way: the last record of that owner.
     std::optional<log_offset> unused_since = {};
-    /// The number of the holder's claim, if the offset of the claim gives a lower one.
+    /// The number of the holder's claim. A claim states it only if its offset gives a lower one.
     std::optional<fencing_number> claim_number = {};
 
     friend bool operator==(const assignment_record&, const assignment_record&) = default;
@@ -65,6 +63,7 @@
 {
     host_id host;
     machine_id machine;
+    machine_number number = {};
 };
 
 /// Whether a record says that this host has completed its takeover on this machine.
@@ -162,9 +161,12 @@
     instant read_at;
 };
 
-/// Returns the number that a claim has to state in the log to be above all earlier ones; nothing if
-/// its offset plus one is. Offsets only grow while the log neither loses records nor begins anew.
-std::optional<fencing_number> number_to_state(const assignment_claim& claim);
+/// The number of a claim, above all that are known.
+fencing_number number_of(const assignment_claim& claim);
+
+/// Whether a claim has to state its number in the log, as its offset gives a lower one. Offsets
+/// only grow while the log neither loses records nor begins anew.
+bool has_to_state_number(const assignment_claim& claim);
 
 /// Whether such a read shows nothing of the records before a claim, so that it has to be repeated.
 bool is_inconclusive(preceding_read read);
--- a/src/serve/order_claims.cpp
+++ b/src/serve/order_claims.cpp
@@ -24,11 +24,6 @@
 
 } // namespace
 
-std::optional<fencing_number> order_controller::stated_number(const held_partition& it)
-{
-    return it.number.count() > it.claim.count() + 1 ? std::optional(it.number) : std::nullopt;
-}
-
 bool order_controller::is_settled(int partition, instant now)
 {
     auto since = listed_since_.try_emplace(partition, now).first->second;
@@ -71,7 +66,7 @@
                              .takeover_complete = true,
                              .fence = copy.fence,
                              .machine = claimant_of_settings().machine,
-                             .claim_number = stated_number(copy)};
+                             .claim_number = copy.number};
     auto call = platform::assignment_append_call(partition, to_text(record), copy.last_record);
     auto response = co_await store_.call(call.method, call.target, call.body, store_timeout);
     int status = response ? response->status : 0;
@@ -172,6 +167,7 @@
     {
         co_return;
     }
+    // What is heard from here on may be of later claims.
     const auto highest_known = known_numbers_[partition];
     auto offset = co_await append_claim(partition, std::nullopt, std::nullopt);
     if (!offset)
@@ -194,20 +190,21 @@
         co_return;
     }
     it.highest_stated = *stated;
-    std::optional<log_offset> stated_at;
-    auto number = number_to_state(it);
-    if (number)
+    log_offset last_record = it.at;
+    if (has_to_state_number(it))
     {
         context_.stats.increment("banyanshunt_claim_numbers_stated_total");
         context_.log.write("duty_number_stated", "partition={} number={} offset={} known={}",
-                           partition, number->count(), offset->count(), highest_known.count());
-        // Directly behind the claim, so that no other host states the same number.
-        stated_at = co_await append_claim(partition, number, *offset);
+                           partition, number_of(it).count(), it.at.count(),
+                           it.highest_known.count());
+        // Directly behind the claim, so that the next host reads it.
+        auto stated_at = co_await append_claim(partition, number_of(it), it.at);
         if (!stated_at)
         {
             log_claim_dropped(partition, "not_stated", it);
             co_return;
         }
+        last_record = *stated_at;
     }
     if (it.before && it.before->unused_since)
     {
@@ -220,7 +217,7 @@
         }
     }
     it.read_at = context_.now();
-    take_partition(partition, it, stated_at ? *stated_at : *offset, number);
+    take_partition(partition, it, last_record);
 }
 
 void order_controller::log_claim_dropped(int partition, const char* reason,
@@ -281,7 +278,9 @@
 
 claimant order_controller::claimant_of_settings() const
 {
-    return {.host = context_.settings.name, .machine = machine_id(context_.settings.ip)};
+    const auto& ip = context_.settings.ip;
+    return {
+        .host = context_.settings.name, .machine = machine_id(ip), .number = machine_number_of(ip)};
 }
 
 bool order_controller::has_time_to_read() const
@@ -334,11 +333,11 @@
 }
 
 void order_controller::take_partition(int partition, const assignment_claim& claim,
-                                      log_offset last_record, std::optional<fencing_number> stated)
+                                      log_offset last_record)
 {
     instant now = claim.read_at;
     const auto& previous = claim.before;
-    const auto number = stated.value_or(fencing_number(claim.at.count() + 1));
+    const auto number = number_of(claim);
     if (now >= membership_until_)
     {
         // The group may have assigned the partition to another host since.
--- a/src/serve/order_controller.hpp
+++ b/src/serve/order_controller.hpp
@@ -147,8 +147,7 @@
     void log_claim_dropped(int partition, const char* reason, const assignment_claim& claim);
     /// Holds a partition by a claim, unless the membership has ended meanwhile. `last_record` is
     /// the claim, or the record behind it that states its number.
-    void take_partition(int partition, const assignment_claim& claim, log_offset last_record,
-                        std::optional<fencing_number> stated);
+    void take_partition(int partition, const assignment_claim& claim, log_offset last_record);
     task<void> record_takeovers();
     /// Records that the takeover of a partition is complete.
     task<void> record_takeover(int partition);
@@ -172,8 +171,6 @@
     /// Records a release that states a wait; returns whether it was recorded.
     task<bool> append_release(int partition, const held_partition& held, milliseconds wait,
                               milliseconds timeout);
-    /// The number of the claim, if its offset does not give it.
-    static std::optional<fencing_number> stated_number(const held_partition& it);
     /// Whether another host's orders may still be under way, and this host has given none.
     static bool is_unused(const held_partition& it);
     /// How long the next owner of a partition has to wait; nothing if that cannot be stated.
--- a/src/serve/order_group.cpp
+++ b/src/serve/order_group.cpp
@@ -266,7 +266,7 @@
     }
     else
     {
-        claimed_at = co_await append_claim(partition, stated_number(before), before.last_record);
+        claimed_at = co_await append_claim(partition, before.number, before.last_record);
     }
     auto held = partitions_.find(partition);
     if (held == partitions_.end() || held->second.claim != before.claim)
--- a/src/serve/order_releases.cpp
+++ b/src/serve/order_releases.cpp
@@ -106,7 +106,7 @@
     assignment_record record{.holder = context_.settings.name,
                              .released_for = wait,
                              .unused_since = is_unused(held) ? held.base : std::nullopt,
-                             .claim_number = stated_number(held)};
+                             .claim_number = held.number};
     auto call = platform::assignment_append_call(partition, to_text(record), held.last_record);
     auto response = co_await store_.call(call.method, call.target, call.body, timeout);
     if (response && response->status == platform::precondition_status)
--- a/src/tools/engine_timeline.cpp
+++ b/src/tools/engine_timeline.cpp
@@ -26,6 +26,7 @@
 const std::set<std::string, std::less<>> claim_events = {
     "duty_taken",        "duty_lost",          "duty_released",
     "duty_not_released", "duty_claim_dropped", "duty_turn_untold",
+    "duty_surveyed",     "duty_number_stated", "duty_number_shared",
 };
 const std::set<std::string, std::less<>> host_events = {
     "start",       "stop_begun",       "stop_ended",        "listen_failed",
@@ -73,9 +74,11 @@
 std::string describe_line(const log_line& line)
 {
     return line.event +
-           list_fields(line, {"partition", "fence", "kind", "before", "wait_ms", "claim_ms",
-                              "membership_ms", "reason", "status", "generation", "took_ms",
-                              "orders_in_ms", "domain", "life", "address", "count"});
+           list_fields(line, {"partition", "fence",         "kind",   "before", "wait_ms",
+                              "claim_ms",  "membership_ms", "reason", "status", "generation",
+                              "took_ms",   "orders_in_ms",  "offset", "number", "known",
+                              "stated",    "read",          "result", "domain", "life",
+                              "address",   "count"});
 }
 
 /// The check and write of an order, and its end if it had no response.
