--- a/src/coordination/order_membership.cpp
+++ b/src/coordination/order_membership.cpp
@@ -28,6 +28,9 @@
     return std::find(first.begin(), first.end(), own) != first.end();
 }
 
+/// Hosts that were added rank before some members; those stay, up to this many times the number.
+constexpr std::size_t staying_members_factor = 2;
+
 } // namespace
 
 std::size_t order_member_count(std::size_t engines, std::size_t domains, std::size_t partitions,
@@ -56,11 +59,21 @@
     { return ranks_within(own, hosts, places, [](const known_host& it) { return it.live; }); };
     if (is_member)
     {
-        // Hosts that were added rank before some members; those stay, up to twice the number.
-        return within(2 * count) || within_live(count);
+        return within(staying_members_factor * count) || within_live(count);
     }
     // More than half of the members are gone before another host takes a place.
     return within(count) || within_live((count + 1) / 2);
 }
 
+std::vector<host_id> order_members(const std::vector<known_host>& hosts, std::size_t count)
+{
+    std::vector<ranked_host> ranked;
+    ranked.reserve(hosts.size());
+    for (const auto& host : hosts)
+    {
+        ranked.push_back(host.it);
+    }
+    return first_in_ranking(ranking_key, std::move(ranked), staying_members_factor * count);
+}
+
 } // namespace banyanshunt
--- a/src/coordination/order_membership.hpp
+++ b/src/coordination/order_membership.hpp
@@ -31,6 +31,8 @@
     ranked_host it;
     /// Data was received from it recently, or it has just been listed.
     bool live = false;
+    /// It was asked to stop.
+    bool stopping = false;
 };
 
 /// How many hosts should be members, for this many engines in `partitions` partitions and for
@@ -42,4 +44,7 @@
 bool is_order_member(const host_id& own, const std::vector<known_host>& hosts, std::size_t count,
                      bool is_member);
 
+/// The hosts that are members if all compute `count`, and those that may have stayed members.
+std::vector<host_id> order_members(const std::vector<known_host>& hosts, std::size_t count);
+
 } // namespace banyanshunt
--- a/src/serve/order_claims.cpp
+++ b/src/serve/order_claims.cpp
@@ -160,6 +160,66 @@
     }
 }
 
+std::vector<known_host> order_controller::hosts_to_survey() const
+{
+    auto hosts = link_.hosts();
+    auto members = order_members(hosts, member_count(hosts));
+    std::erase_if(hosts,
+                  [&](const known_host& host)
+                  {
+                      const auto& name = host.it.host;
+                      return host.stopping || name == context_.settings.name ||
+                             std::find(members.begin(), members.end(), name) == members.end();
+                  });
+    return hosts;
+}
+
+void order_controller::ask_numbers()
+{
+    std::vector<host_id> names;
+    for (const auto& host : hosts_to_survey())
+    {
+        names.push_back(host.it.host);
+    }
+    link_.ask_numbers(names, survey_.begin_round(context_.now()));
+}
+
+bool order_controller::is_surveyed(int partition)
+{
+    auto hosts = hosts_to_survey();
+    instant since = listed_since_.try_emplace(partition, context_.now()).first->second;
+    auto state = survey_.state_at(context_.now(), since, hosts);
+    if (state == number_survey::state::waiting)
+    {
+        return false;
+    }
+    context_.stats.increment("banyanshunt_number_surveys_total", {{"result", to_text(state)}});
+    context_.log.write("duty_surveyed", "partition={} result={} hosts={} known={} took_ms={}",
+                       partition, to_text(state), hosts.size(), known_numbers_[partition].count(),
+                       elapsed_ms(since, context_.now()).count());
+    return true;
+}
+
+const std::map<int, fencing_number>& order_controller::known_numbers()
+{
+    observe_engines();
+    return known_numbers_;
+}
+
+void order_controller::apply_known_number(int partition, fencing_number number)
+{
+    if (partition >= 0 && partition < context_.settings.log.partitions)
+    {
+        auto& highest = known_numbers_[partition];
+        highest = std::max(highest, number);
+    }
+}
+
+void order_controller::record_survey_answer(const host_id& from, survey_round round)
+{
+    survey_.record_answer(from, round);
+}
+
 task<void> order_controller::claim(int partition)
 {
     instant claimed_at = context_.now();
--- a/src/serve/order_controller.cpp
+++ b/src/serve/order_controller.cpp
@@ -21,6 +21,9 @@
 /// The lease is shortened by this fraction (1/N) for the transit of the call and the drift between
 /// two clocks.
 constexpr int lease_margin_divisor = 10;
+/// A claim waits for the answers of other hosts for this fraction (1/N) of a lease at most:
+/// questions are repeated a few times within it.
+constexpr int survey_patience_divisor = 2;
 /// How long an order can be in transit: a lost packet is retransmitted after 200 ms, and the second
 /// time after another 200 ms or more.
 constexpr milliseconds order_transit_margin{450};
@@ -69,6 +72,8 @@
            .open_order_time = std::max(order_transit_margin + context.settings.bounds.order_delay,
                                        takeover_expiry(terms())),
            .order_delay = order_transit_margin + context.settings.bounds.order_delay}),
+      survey_({.first_round = survey_round(context.incarnation.count()),
+               .patience = lease() / survey_patience_divisor}),
       store_load_refilled_at_(context.now())
 {
 }
@@ -205,7 +210,8 @@
 bool order_controller::may_order(const server_id& server, instant now) const
 {
     auto it = partitions_.find(partition_of(server));
-    if (leaving_ || it == partitions_.end() || !it->second.confirmed || now >= membership_until_)
+    if (leaving_ || it == partitions_.end() || !it->second.confirmed || now >= membership_until_ ||
+        is_outnumbered(server, it->second))
     {
         return false;
     }
@@ -213,6 +219,14 @@
     return first && now >= *first;
 }
 
+bool order_controller::is_outnumbered(const server_id& server, const held_partition& held) const
+{
+    const auto* known = context_.servers.find(server);
+    auto highest = known_numbers_.find(partition_of(server));
+    return (known && known->owner && known->owner->fencing > held.number) ||
+           (highest != known_numbers_.end() && highest->second > held.number);
+}
+
 instant order_controller::may_order_from(const server_id& server, instant now) const
 {
     auto it = partitions_.find(partition_of(server));
--- a/src/serve/order_controller.hpp
+++ b/src/serve/order_controller.hpp
@@ -11,6 +11,7 @@
 
 #include "coordination/assignment_record.hpp"
 #include "coordination/engine_controller.hpp"
+#include "coordination/number_survey.hpp"
 #include "coordination/order_history.hpp"
 #include "coordination/order_membership.hpp"
 #include "serve/host_context.hpp"
@@ -36,6 +37,8 @@
         std::function<void(int partition, const peer_release&)> publish_release;
         /// Tells the other hosts that an engine may carry out an order late.
         std::function<void()> publish_late_order;
+        /// Asks these hosts for the numbers of owners that they know.
+        std::function<void(const std::vector<host_id>&, survey_round)> ask_numbers;
         /// The known hosts including this one; empty before the others can know of this host.
         std::function<std::vector<known_host>()> hosts;
     };
@@ -55,6 +58,12 @@
     void apply_release(int partition, const peer_release& release);
     /// Applies that another host knows of an order that may be carried out late.
     void apply_late_order(instant at);
+    /// The highest number of an owner of each partition that this host knows.
+    const std::map<int, fencing_number>& known_numbers();
+    /// Applies the number of an owner that another host knows.
+    void apply_known_number(int partition, fencing_number number);
+    /// Applies that a host has answered a question for the numbers it knows.
+    void record_survey_answer(const host_id& from, survey_round round);
     /// Publishes the placements of all engines that this host owns.
     void publish_all();
 
@@ -123,6 +132,13 @@
     task<void> leave_group();
     task<bool> join();
     task<void> claim(int partition);
+    /// The other hosts that may have owned partitions, or will.
+    std::vector<known_host> hosts_to_survey() const;
+    /// Asks them for the numbers they know.
+    void ask_numbers();
+    /// Whether a partition that is listed for this host may be claimed: the other hosts have told
+    /// it what they know of earlier owners.
+    bool is_surveyed(int partition);
     /// Appends a claim that may state a number, directly behind the record at `after` if that is
     /// given. Returns its offset; nothing if it was not appended, or got no response.
     task<std::optional<log_offset>> append_claim(int partition,
@@ -223,6 +239,8 @@
     /// Tells the other hosts from when on orders can be given.
     void publish_pending(const server_id& server, const owned_engine& held, instant may_order_at);
     bool may_order(const server_id& server, instant now) const;
+    /// Whether a higher number than this host's is known for the engine.
+    bool is_outnumbered(const server_id& server, const held_partition& held) const;
     /// When this host, or the owner after it, may order at the earliest; for one that may not now.
     instant may_order_from(const server_id& server, instant now) const;
     /// Applies the registry to the history of orders, and the numbers of owners to those known.
@@ -253,7 +271,8 @@
     std::map<int, held_partition> partitions_;
     /// The claims that this process held last.
     std::map<int, held_partition> former_;
-    /// The highest number of an owner of each partition, by own claims and announcements.
+    /// The highest number of an owner of each partition, by own claims, announcements and answers
+    /// of other hosts.
     std::map<int, fencing_number> known_numbers_;
     /// Releases of this host that could not be recorded, and those of other hosts.
     std::map<int, peer_release> own_releases_;
@@ -261,6 +280,7 @@
     /// Partitions of orders whose response is awaited.
     std::multiset<int> orders_in_flight_;
     order_history history_;
+    number_survey survey_;
     /// When the other hosts were last told at once of a late order.
     instant late_order_shared_at_ = {};
     /// Partitions that are listed for this host and not claimed yet, with the time when they were
--- a/src/serve/order_group.cpp
+++ b/src/serve/order_group.cpp
@@ -202,12 +202,24 @@
     std::erase_if(listed_since_, [&](const auto& it)
                   { return !listed.contains(it.first) || partitions_.contains(it.first); });
     co_await confirm_claims();
-    bool has_claimed = false;
+    std::vector<int> settled;
     for (int partition : listed)
+    {
+        if (!partitions_.contains(partition) && is_settled(partition, context_.now()))
+        {
+            settled.push_back(partition);
+        }
+    }
+    if (!listed_since_.empty())
+    {
+        ask_numbers();
+    }
+    bool has_claimed = false;
+    for (int partition : settled)
     {
         // The next call to the group must not wait for many claims that take long.
         bool has_time = !has_claimed || context_.now() + lease() / 2 < membership_until_;
-        if (!partitions_.contains(partition) && is_settled(partition, context_.now()) && has_time)
+        if (has_time && is_surveyed(partition))
         {
             has_claimed = true;
             co_await claim(partition);
--- a/src/serve/peer_list.cpp
+++ b/src/serve/peer_list.cpp
@@ -86,7 +86,8 @@
         {
             bool just_listed = now - it.listed_at < context_.servers.options().owner_ttl;
             hosts.push_back({.it = {.host = host, .domain = it.domain},
-                             .live = just_listed || in_touch(it, now)});
+                             .live = just_listed || in_touch(it, now),
+                             .stopping = it.stopping});
         }
     }
     return hosts;
--- a/src/serve/peer_message_check.cpp
+++ b/src/serve/peer_message_check.cpp
@@ -101,6 +101,11 @@
     return it.last_record() >= 0 && is_within<std::int64_t>(it.wait_ms(), max_waited_ms);
 }
 
+bool is_sound(const peers::partition_number& it)
+{
+    return is_within(it.number(), max_fencing_number.count());
+}
+
 bool is_sound(const peers::load_wish& it)
 {
     return is_name(it.server()) && is_name(it.model()) && is_name_or_empty(it.adapter());
@@ -204,6 +209,7 @@
     keep_sound(*message.mutable_placements(), "placement");
     keep_sound(*message.mutable_pending_owners(), "pending_owner");
     keep_sound(*message.mutable_partition_releases(), "partition_release");
+    keep_sound(*message.mutable_partition_numbers(), "partition_number");
     keep_sound(*message.mutable_wishes(), "load_request");
     keep_sound(*message.mutable_asks(), "token_request");
     keep_sound(*message.mutable_loans(), "loan");
--- a/src/serve/peer_service.cpp
+++ b/src/serve/peer_service.cpp
@@ -136,6 +136,8 @@
                    // Every message states it.
                    send_to_all(peers_.new_message(), relays_in_domain);
                },
+               .ask_numbers = [this](const std::vector<host_id>& hosts, survey_round round)
+               { ask_numbers(hosts, round); },
                .hosts =
                    [this]
                {
@@ -396,6 +398,7 @@
                               {.last_record = log_offset(it.last_record()),
                                .free_at = context_.now() + milliseconds(it.wait_ms())});
     }
+    handle_numbers(host, sender, message);
     if (message.late_order_age_ms() > 0)
     {
         orders_.apply_late_order(sent_at - milliseconds(message.late_order_age_ms()));
@@ -721,6 +724,44 @@
     send_to_all(std::move(message), relays_in_domain);
 }
 
+void peer_service::ask_numbers(const std::vector<host_id>& hosts, survey_round round)
+{
+    auto message = peers_.new_message();
+    message.set_numbers_asked(round.count());
+    for (const auto& host : hosts)
+    {
+        if (auto it = peers_.all.find(host); it != peers_.all.end())
+        {
+            peers_.send(it->second, message);
+        }
+    }
+}
+
+void peer_service::handle_numbers(const host_id& from, const peer& sender,
+                                  const peers::peer_message& message)
+{
+    for (const auto& it : message.partition_numbers())
+    {
+        orders_.apply_known_number(static_cast<int>(it.partition()), fencing_number(it.number()));
+    }
+    if (message.numbers_answered() != 0)
+    {
+        orders_.record_survey_answer(from, survey_round(message.numbers_answered()));
+    }
+    if (message.numbers_asked() != 0)
+    {
+        auto answer = peers_.new_message();
+        answer.set_numbers_answered(message.numbers_asked());
+        for (const auto& [partition, number] : orders_.known_numbers())
+        {
+            auto& it = *answer.add_partition_numbers();
+            it.set_partition(static_cast<std::uint32_t>(partition));
+            it.set_number(number.count());
+        }
+        peers_.send(sender, answer);
+    }
+}
+
 void peer_service::send_to_all(peers::peer_message message, std::size_t relays)
 {
     for (const auto& [host, it] : peers_.all)
--- a/src/serve/peer_service.hpp
+++ b/src/serve/peer_service.hpp
@@ -64,6 +64,10 @@
     void publish_placement(const server_id& server, const server_placement& placement);
     void publish_pending_owner(const server_id& server, const engine_owner& owner);
     void publish_release(int partition, const peer_release& release);
+    void ask_numbers(const std::vector<host_id>& hosts, survey_round round);
+    /// Answers a question for the numbers of owners, and applies the answer to an own one.
+    void handle_numbers(const host_id& from, const peer& sender,
+                        const peers::peer_message& message);
     void send_to_all(peers::peer_message message, std::size_t relays);
     /// Sends to `relays` hosts of each other domain, which relay the message to the rest of theirs.
     void send_to_domains(peers::peer_message message, std::size_t relays);
--- a/tests/correctness/loop_failure_test.cpp
+++ b/tests/correctness/loop_failure_test.cpp
@@ -246,6 +246,7 @@
          .publish_pending_owner = [](const server_id&, const engine_owner&) {},
          .publish_release = [](int, const peer_release&) {},
          .publish_late_order = [] {},
+         .ask_numbers = [](const std::vector<host_id>&, survey_round) {},
          .hosts =
              [&]
          {
