--- a/tests/correctness/assignment_record_test.cpp
+++ b/tests/correctness/assignment_record_test.cpp
@@ -308,3 +308,51 @@
         CHECK(number_of(claim).count() > 0);
     }
 }
+
+TEST_CASE("A claim behind a log that lost an owner of the earlier version waits in full (ONE)")
+{
+    const order_terms terms{.lease = 3000ms, .membership = 2700ms, .transit = 450ms};
+    const claimant own{.host = host_id("front-1"),
+                       .machine = machine_id("10.0.0.1"),
+                       .number = machine_number_of("10.0.0.1")};
+    const instant now{std::chrono::hours(1)};
+    // Its claim was at offset 7.
+    assignment_claim claim{.own = own,
+                           .at = log_offset(7),
+                           .highest_known = fencing_number(8),
+                           .sent_at = now,
+                           .read_at = now};
+
+    SECTION("the log returns with an owner before it, who had this host's name and machine")
+    {
+        claim.before = assignment_record{.holder = own.host,
+                                         .takeover_complete = true,
+                                         .fence = fencing_number(5),
+                                         .machine = own.machine};
+    }
+    SECTION("the log returns with a release before it")
+    {
+        claim.before = assignment_record{.holder = host_id("front-3"), .released_for = 0ms};
+    }
+    SECTION("the log begins anew")
+    {
+        claim.at = log_offset(0);
+    }
+    CHECK(has_lost_claims(claim));
+    auto taken = take_over(claim, terms);
+    CHECK_FALSE(taken.resumed_fence);
+    CHECK(taken.may_order_at == now + takeover_expiry(terms));
+}
+
+TEST_CASE("The next host can read the number of a claim, whatever numbers are known (ONE)")
+{
+    const assignment_claim claim{.own = {.host = host_id("front-1"),
+                                         .machine = machine_id("10.0.0.1"),
+                                         .number = machine_number_of("10.0.0.1")},
+                                 .at = log_offset(5),
+                                 .highest_known = max_fencing_number,
+                                 .sent_at = {},
+                                 .read_at = {}};
+    const assignment_record stated{.holder = claim.own.host, .claim_number = number_of(claim)};
+    CHECK(parse_assignment_record(to_text(stated)) == stated);
+}
--- a/tests/correctness/regressed_log_test.cpp
+++ b/tests/correctness/regressed_log_test.cpp
@@ -553,3 +553,115 @@
     REQUIRE(serve_case::eventually([&] { return is_complete(records(it), "h1"); }));
     CHECK(std::chrono::steady_clock::now() - released_at < 4s);
 }
+
+TEST_CASE("A host takes over behind many claims that were not used")
+{
+    // Reads that are refused for 45 s leave as many: each dropped claim is a record.
+    constexpr int unused_claims = 150;
+    busy_fleet fleet(
+        1,
+        [](store_stand_in& store)
+        {
+            put_record(store, complete_record(21));
+            for (int n = 0; n < unused_claims; ++n)
+            {
+                put_record(store, "h8");
+            }
+            store.set_call_faults(
+                [](const std::string& path, const std::string&)
+                { return call_fault{.response_delay = path == "/api/log-read" ? 10ms : 0ms}; });
+        },
+        [](host_settings& settings) { settings.bounds.lease = 2000ms; });
+    CHECK(fleet.orders().front().fence > number_at(21, "10.9.9.9"));
+}
+
+TEST_CASE("A host takes over from a log whose reads are of an earlier time")
+{
+    busy_fleet fleet(2);
+    const std::string first = fleet.orders().back().holder;
+    REQUIRE(serve_case::eventually([&] { return is_complete(fleet.log(), first); }));
+    fleet.it.store.stale_ms = 1200;
+    fleet.assign_to(other(first));
+    CHECK(fleet.awaits_order_of(other(first)));
+    CHECK(fleet.first_conflict() == no_conflict);
+}
+
+TEST_CASE("A partition that cannot be read does not keep a host from claiming others")
+{
+    constexpr int partition_count = 4;
+    serve_case it(
+        1, store_path::direct,
+        [&](store_stand_in& store)
+        {
+            for (int n = 0; n < partition_count; ++n)
+            {
+                put_record(store, complete_record(21), n);
+            }
+            store.set_call_faults(
+                [](const std::string& path, const std::string& text)
+                {
+                    bool lost = path == "/api/log-read" && text == "shunt-duties/0";
+                    return call_fault{.response_lost = lost};
+                });
+        },
+        partition_count, [](host_settings& settings) { settings.bounds.lease = 3000ms; });
+    for (int n = 1; n < partition_count; ++n)
+    {
+        CHECK(serve_case::eventually([&] { return records(it, n).size() > 1; }));
+    }
+}
+
+TEST_CASE("A host that has just started asks others that the store has forgotten, too (ONE)")
+{
+    busy_fleet fleet(2);
+    const std::string first = fleet.orders().back().holder;
+    const std::string second = other(first);
+    REQUIRE(serve_case::eventually([&] { return is_complete(fleet.log(), first); }));
+    fleet.assign_to(second);
+    REQUIRE(fleet.awaits_order_of(second));
+    fleet.refuse_calls_with({first});
+    fleet.restart(second, [&] { fleet.it.store.return_older(10min); });
+    CHECK(fleet.awaits_order_of(second));
+    CHECK(fleet.first_conflict() == no_conflict);
+}
+
+TEST_CASE("A host that goes on under an earlier number hears late of a higher one in use (ONE)")
+{
+    constexpr int peer_port = 17600;
+    busy_fleet fleet(1);
+    REQUIRE(serve_case::eventually([&] { return is_complete(fleet.log(), "h1"); }));
+    const auto record = fleet.log().back();
+    // An owner repeats its record, so that later offsets lie above the number that was lost.
+    constexpr int repeats = 30;
+    fleet.restart("h1",
+                  [&]
+                  {
+                      for (int n = 0; n < repeats; ++n)
+                      {
+                          put_record(fleet.it.store, record);
+                      }
+                  });
+    REQUIRE(fleet.awaits_order_of("h1"));
+    const std::int64_t heard = number_at(15, "10.9.9.9");
+    REQUIRE(fleet.orders().back().fence < heard);
+
+    peers::peer_message message;
+    message.set_host("h9");
+    message.set_domain("north");
+    message.set_life(7);
+    auto& owner = *message.add_pending_owners();
+    owner.set_server("e1");
+    owner.set_fence(heard);
+    auto bytes = message.SerializeAsString();
+    boost::asio::io_context loop;
+    boost::asio::ip::udp::socket peer(loop, {boost::asio::ip::make_address_v4("127.0.0.1"), 0});
+    peer.send_to(boost::asio::buffer(bytes),
+                 {boost::asio::ip::make_address_v4(fleet.it.hosts.front()->ip), peer_port});
+    std::this_thread::sleep_for(500ms);
+    const auto before = fleet.orders().size();
+    REQUIRE(fleet.awaits_order_of("h1"));
+    for (std::size_t n = before; n < fleet.orders().size(); ++n)
+    {
+        CHECK(fleet.orders().at(n).fence > heard);
+    }
+}
