--- a/src/coordination/assignment_record.cpp
+++ b/src/coordination/assignment_record.cpp
@@ -69,7 +69,7 @@
 {
     bool speaks_for_owner =
         claim.before && (claim.before->takeover_complete || is_release(claim.before));
-    return speaks_for_owner && position_of(claim.highest_stated) > claim_position(0);
+    return speaks_for_owner && claim.highest_stated > fencing_number(0);
 }
 
 } // namespace
@@ -110,7 +110,7 @@
     if (auto number = take_after(text, number_mark))
     {
         auto n = parse_number(*number);
-        if (!n || fencing_number(*n) > max_fencing_number)
+        if (!n || fencing_number(*n) > max_recorded_number)
         {
             return std::nullopt;
         }
@@ -199,7 +199,7 @@
 fencing_number number_of(const assignment_claim& claim)
 {
     auto highest = std::max(position_of(claim.highest_known), highest_recorded(claim));
-    return make_fencing_number(std::min(highest, max_claim_position) + claim_position(1),
+    return make_fencing_number(std::min(highest + claim_position(1), max_recorded_position),
                                claim.own.number);
 }
 
@@ -223,7 +223,8 @@
 bool has_lost_claims(const assignment_claim& claim)
 {
     bool is_forgotten = is_of_last_owner(claim) && claim.highest_known > claim.highest_stated;
-    return is_forgotten || position_of(claim.highest_known) > highest_recorded(claim);
+    return claim.forgotten_owner_known || is_forgotten ||
+           position_of(claim.highest_known) > highest_recorded(claim);
 }
 
 takeover take_over(const assignment_claim& claim, const order_terms& terms)
--- a/src/coordination/assignment_record.hpp
+++ b/src/coordination/assignment_record.hpp
@@ -156,6 +156,8 @@
     fencing_number highest_stated = fencing_number(0);
     /// The highest number of an owner that this host knew before it claimed.
     fencing_number highest_known = fencing_number(0);
+    /// Whether this host knows an owner that the log has forgotten, whatever its number.
+    bool forgotten_owner_known = false;
     instant sent_at;
     /// When the record before was received.
     instant read_at;
--- a/src/serve/order_claims.cpp
+++ b/src/serve/order_claims.cpp
@@ -21,6 +21,12 @@
 /// a store that answers again does so within milliseconds.
 constexpr int max_reads = 4;
 constexpr milliseconds read_interval{50};
+/// Records that are read at once in search of a stated number; they fit into one response.
+constexpr std::int64_t max_block = 16;
+/// How long, in leases, a claim that could not be used is kept: reads may be seconds behind.
+constexpr int unread_claim_leases = 2;
+/// Precedes all records: no late release belongs to an owner that the log has lost.
+constexpr log_offset no_offset{-1};
 
 } // namespace
 
@@ -131,8 +137,7 @@
             .last = it.last_record, .last_before_claim = it.last_record, .ends_before = true};
     }
     co_return read_after_claim(platform::parse_assignment_records(response->body), from,
-                               claimant_of_settings(),
-                               it.base.value_or(log_offset(it.claim.count() - 1)));
+                               claimant_of_settings(), it.base.value_or(no_offset));
 }
 
 void order_controller::apply_records(int partition, const held_partition& read_for,
@@ -168,7 +173,7 @@
                   [&](const known_host& host)
                   {
                       const auto& name = host.it.host;
-                      return host.stopping || name == context_.settings.name ||
+                      return name == context_.settings.name ||
                              std::find(members.begin(), members.end(), name) == members.end();
                   });
     return hosts;
@@ -187,6 +192,13 @@
 bool order_controller::is_surveyed(int partition)
 {
     auto hosts = hosts_to_survey();
+    bool others_go_on = std::any_of(hosts.begin(), hosts.end(),
+                                    [](const known_host& it) { return it.live && !it.stopping; });
+    if (others_go_on)
+    {
+        // One that stops may be gone before it answers.
+        std::erase_if(hosts, [](const known_host& it) { return it.stopping; });
+    }
     instant since = listed_since_.try_emplace(partition, context_.now()).first->second;
     auto state = survey_.state_at(context_.now(), since, hosts);
     if (state == number_survey::state::waiting)
@@ -208,13 +220,40 @@
 
 void order_controller::apply_known_number(int partition, fencing_number number)
 {
-    if (partition >= 0 && partition < context_.settings.log.partitions)
+    if (partition < 0 || partition >= context_.settings.log.partitions)
     {
-        auto& highest = known_numbers_[partition];
-        highest = std::max(highest, number);
+        return;
+    }
+    auto& highest = known_numbers_[partition];
+    highest = std::max(highest, number);
+    if (auto held = partitions_.find(partition); held != partitions_.end())
+    {
+        bool is_between = exceeds(number, held->second) && number < held->second.number;
+        held->second.outnumbered = held->second.outnumbered || exceeds(number, held->second);
+        if (is_between)
+        {
+            forgotten_owners_.insert(partition);
+        }
     }
 }
 
+void order_controller::apply_known_number(const server_id& server, fencing_number number)
+{
+    apply_known_number(partition_of(server), number);
+}
+
+bool order_controller::exceeds(fencing_number number, const held_partition& held) const
+{
+    if (number > held.number)
+    {
+        return true;
+    }
+    // After a resumed takeover orders have a lower number than the claim. The records before it
+    // account for claims in between that gave no order.
+    return number > held.fence && number > held.highest_stated && names_machine(number) &&
+           machine_of(number) != claimant_of_settings().number;
+}
+
 void order_controller::record_survey_answer(const host_id& from, survey_round round)
 {
     survey_.record_answer(from, round);
@@ -229,7 +268,8 @@
     }
     // What is heard from here on may be of later claims.
     const auto highest_known = known_numbers_[partition];
-    auto offset = co_await append_claim(partition, std::nullopt, std::nullopt);
+    const bool forgotten_owner_known = forgotten_owners_.contains(partition);
+    auto offset = co_await find_or_append_claim(partition);
     if (!offset)
     {
         co_return;
@@ -240,16 +280,19 @@
                         .before = before.record,
                         .read = before.read,
                         .highest_known = highest_known,
+                        .forgotten_owner_known = forgotten_owner_known,
                         .sent_at = claimed_at,
                         .read_at = context_.now()};
     auto stated = co_await read_stated_number(partition, it.at, before);
     if (!stated)
     {
         // A number that cannot be compared with those before it is none.
+        unread_claims_.try_emplace(partition, unread_claim{.at = it.at, .appended_at = claimed_at});
         log_claim_dropped(partition, "unread", it);
         co_return;
     }
     it.highest_stated = *stated;
+    unread_claims_.erase(partition);
     log_offset last_record = it.at;
     if (has_to_state_number(it))
     {
@@ -290,6 +333,30 @@
                        elapsed_ms(claim.sent_at, context_.now()).count());
 }
 
+task<std::optional<log_offset>> order_controller::find_or_append_claim(int partition)
+{
+    auto unread = unread_claims_.find(partition);
+    if (unread == unread_claims_.end())
+    {
+        co_return co_await append_claim(partition, std::nullopt, std::nullopt);
+    }
+    const unread_claim it = unread->second;
+    held_partition own{
+        .fence = {}, .number = {}, .claim = it.at, .taken = {}, .last_record = it.at};
+    auto after = co_await read_records(partition, own);
+    bool shows_nothing = !after || after->ends_before;
+    if (shows_nothing && context_.now() < it.appended_at + unread_claim_leases * lease())
+    {
+        co_return std::nullopt;
+    }
+    if (!shows_nothing && !after->superseded)
+    {
+        co_return it.at;
+    }
+    unread_claims_.erase(partition);
+    co_return co_await append_claim(partition, std::nullopt, std::nullopt);
+}
+
 task<std::optional<log_offset>> order_controller::append_claim(int partition,
                                                                std::optional<fencing_number> number,
                                                                std::optional<log_offset> after)
@@ -314,26 +381,57 @@
 order_controller::read_stated_number(int partition, log_offset at, preceding_record before)
 {
     fencing_number highest(0);
-    while (!is_inconclusive(before.read))
+    // Returns whether an earlier record may state a higher number.
+    auto hides_number = [&](const std::optional<assignment_record>& record)
     {
-        if (before.record)
+        if (record)
         {
-            highest = std::max(highest, before.record->claim_number.value_or(fencing_number(0)));
+            highest = std::max(highest, record->claim_number.value_or(fencing_number(0)));
         }
-        bool ends = before.read == preceding_read::none || before.read == preceding_read::dropped ||
-                    (before.record && !may_hide_number(*before.record));
-        if (ends)
+        return !record || may_hide_number(*record);
+    };
+    bool is_known = before.read == preceding_read::none || before.read == preceding_read::dropped;
+    if (is_inconclusive(before.read))
+    {
+        co_return std::nullopt;
+    }
+    if (is_known || !hides_number(before.record))
+    {
+        co_return highest;
+    }
+    std::int64_t end = at.count() - 1;
+    std::int64_t size = max_block;
+    while (end > 0 && has_time_to_read())
+    {
+        const std::int64_t from = std::max<std::int64_t>(0, end - size);
+        auto block = co_await read_block(partition, log_offset(from));
+        auto covers = static_cast<std::int64_t>(block.records.size()) >= end - from;
+        if (block.read == preceding_read::dropped && size == 1)
         {
             co_return highest;
         }
-        if (!has_time_to_read())
+        if (block.read == preceding_read::dropped ||
+            (block.read == preceding_read::record && !covers))
         {
-            break;
+            // Only the newer records of the block are left, or fit into a response.
+            size = std::max<std::int64_t>(1, size / 2);
+            continue;
         }
-        at = log_offset(at.count() - 1);
-        before = co_await read_conclusively(partition, at);
+        if (block.read != preceding_read::record)
+        {
+            co_return std::nullopt;
+        }
+        for (auto n = end - from; n > 0; --n)
+        {
+            if (!hides_number(
+                    parse_assignment_record(block.records[static_cast<std::size_t>(n - 1)])))
+            {
+                co_return highest;
+            }
+        }
+        end = from;
     }
-    co_return std::nullopt;
+    co_return end == 0 ? std::optional(highest) : std::nullopt;
 }
 
 claimant order_controller::claimant_of_settings() const
@@ -361,32 +459,39 @@
     co_return before;
 }
 
-task<order_controller::preceding_record> order_controller::read_record_before(int partition,
-                                                                              log_offset at)
+task<order_controller::record_block> order_controller::read_block(int partition, log_offset from)
 {
-    if (at.count() == 0)
-    {
-        co_return preceding_record{};
-    }
-    const log_offset from(at.count() - 1);
     auto call = platform::assignment_read_call(partition, from);
     auto response = co_await store_.call(call.method, call.target, call.body, store_timeout);
     if (!response)
     {
-        co_return preceding_record{.read = preceding_read::no_response};
+        co_return record_block{.read = preceding_read::no_response};
     }
     if (response->status != 200)
     {
-        co_return preceding_record{.read = response->status == platform::expired_status
-                                               ? preceding_read::dropped
-                                               : preceding_read::refused};
+        co_return record_block{.read = response->status == platform::expired_status
+                                           ? preceding_read::dropped
+                                           : preceding_read::refused};
     }
     auto records = platform::parse_assignment_records(response->body);
-    if (records.empty())
+    co_return record_block{.read =
+                               records.empty() ? preceding_read::past_end : preceding_read::record,
+                           .records = std::move(records)};
+}
+
+task<order_controller::preceding_record> order_controller::read_record_before(int partition,
+                                                                              log_offset at)
+{
+    if (at.count() == 0)
+    {
+        co_return preceding_record{};
+    }
+    auto block = co_await read_block(partition, log_offset(at.count() - 1));
+    if (block.read != preceding_read::record)
     {
-        co_return preceding_record{.read = preceding_read::past_end};
+        co_return preceding_record{.read = block.read};
     }
-    auto record = parse_assignment_record(records.front());
+    auto record = parse_assignment_record(block.records.front());
     co_return preceding_record{.read =
                                    record ? preceding_read::record : preceding_read::unknown_record,
                                .record = std::move(record)};
@@ -426,7 +531,10 @@
                     : previous && previous->unused_since ? previous->unused_since
                     : claim.at.count() > 0 ? std::optional(log_offset(claim.at.count() - 1))
                                            : std::nullopt,
-            .used = taken.resumed_fence.has_value()};
+            .used = taken.resumed_fence.has_value(),
+            .highest_stated = claim.highest_stated};
+    forgotten_owners_.erase(partition);
+    apply_known_number(partition, known_numbers_[partition]);
     if (auto it = peer_releases_.find(partition);
         it != peer_releases_.end() && it->second.last_record == held.base)
     {
--- a/src/serve/order_controller.cpp
+++ b/src/serve/order_controller.cpp
@@ -124,8 +124,7 @@
         if (known.owner)
         {
             int partition = partition_of(server);
-            auto& highest = known_numbers_[partition];
-            highest = std::max(highest, known.owner->fencing);
+            apply_known_number(partition, known.owner->fencing);
             report_shared_number(partition, *known.owner);
         }
         if (!known.removed && engine_of(server))
@@ -211,7 +210,7 @@
 {
     auto it = partitions_.find(partition_of(server));
     if (leaving_ || it == partitions_.end() || !it->second.confirmed || now >= membership_until_ ||
-        is_outnumbered(server, it->second))
+        it->second.outnumbered)
     {
         return false;
     }
@@ -219,14 +218,6 @@
     return first && now >= *first;
 }
 
-bool order_controller::is_outnumbered(const server_id& server, const held_partition& held) const
-{
-    const auto* known = context_.servers.find(server);
-    auto highest = known_numbers_.find(partition_of(server));
-    return (known && known->owner && known->owner->fencing > held.number) ||
-           (highest != known_numbers_.end() && highest->second > held.number);
-}
-
 instant order_controller::may_order_from(const server_id& server, instant now) const
 {
     auto it = partitions_.find(partition_of(server));
--- a/src/serve/order_controller.hpp
+++ b/src/serve/order_controller.hpp
@@ -60,8 +60,9 @@
     void apply_late_order(instant at);
     /// The highest number of an owner of each partition that this host knows.
     const std::map<int, fencing_number>& known_numbers();
-    /// Applies the number of an owner that another host knows.
+    /// Applies the number of an owner of a partition, or of an engine, that another host knows.
     void apply_known_number(int partition, fencing_number number);
+    void apply_known_number(const server_id& server, fencing_number number);
     /// Applies that a host has answered a question for the numbers it knows.
     void record_survey_answer(const host_id& from, survey_round round);
     /// Publishes the placements of all engines that this host owns.
@@ -92,6 +93,10 @@
         std::optional<log_offset> base = {};
         /// Whether this host has given an order under its claim.
         bool used = false;
+        /// The highest number that the records before the claim state.
+        fencing_number highest_stated = fencing_number(0);
+        /// Whether another host is known to have had a number above the one of this host's orders.
+        bool outnumbered = false;
         /// Whether no other host had claimed the partition when the group last changed.
         bool confirmed = true;
         /// Whether another host has announced the number of this claim, and that was reported.
@@ -152,6 +157,13 @@
         std::optional<assignment_record> record = {};
     };
     task<preceding_record> read_record_before(int partition, log_offset at);
+    /// Records from an offset on; `read` is `record` if there are any.
+    struct record_block
+    {
+        preceding_read read = preceding_read::none;
+        std::vector<std::string> records = {};
+    };
+    task<record_block> read_block(int partition, log_offset from);
     bool has_time_to_read() const;
     /// The same; repeats a read that shows nothing, while the claim has time.
     task<preceding_record> read_conclusively(int partition, log_offset at);
@@ -159,6 +171,9 @@
     /// could not be read.
     task<std::optional<fencing_number>> read_stated_number(int partition, log_offset at,
                                                            preceding_record before);
+    /// The offset of this host's claim that it could not use yet, if no other follows; else that of
+    /// a new one. Nothing if neither is known.
+    task<std::optional<log_offset>> find_or_append_claim(int partition);
     /// Logs that a claim is not used.
     void log_claim_dropped(int partition, const char* reason, const assignment_claim& claim);
     /// Holds a partition by a claim, unless the membership has ended meanwhile. `last_record` is
@@ -167,6 +182,8 @@
     task<void> record_takeovers();
     /// Records that the takeover of a partition is complete.
     task<void> record_takeover(int partition);
+    /// Whether a number is above those under which this host orders, and is not its own.
+    bool exceeds(fencing_number number, const held_partition& held) const;
     /// Reads whether other hosts have claimed partitions that this host kept when the group
     /// changed: one may have moved away and back since the last call.
     task<void> confirm_claims();
@@ -239,8 +256,6 @@
     /// Tells the other hosts from when on orders can be given.
     void publish_pending(const server_id& server, const owned_engine& held, instant may_order_at);
     bool may_order(const server_id& server, instant now) const;
-    /// Whether a higher number than this host's is known for the engine.
-    bool is_outnumbered(const server_id& server, const held_partition& held) const;
     /// When this host, or the owner after it, may order at the earliest; for one that may not now.
     instant may_order_from(const server_id& server, instant now) const;
     /// Applies the registry to the history of orders, and the numbers of owners to those known.
@@ -274,6 +289,15 @@
     /// The highest number of an owner of each partition, by own claims, announcements and answers
     /// of other hosts.
     std::map<int, fencing_number> known_numbers_;
+    /// Partitions of which the log has forgotten an owner that this host heard of.
+    std::set<int> forgotten_owners_;
+    /// A claim in the log that was not used, as what precedes it could not be read.
+    struct unread_claim
+    {
+        log_offset at;
+        instant appended_at;
+    };
+    std::map<int, unread_claim> unread_claims_;
     /// Releases of this host that could not be recorded, and those of other hosts.
     std::map<int, peer_release> own_releases_;
     std::map<int, peer_release> peer_releases_;
--- a/src/serve/order_group.cpp
+++ b/src/serve/order_group.cpp
@@ -172,6 +172,12 @@
     // After a gap in which the membership may have lapsed, earlier claims are void.
     bool lapsed = context_.now() >= membership_until_;
     bool changed = assignment->generation != generation_;
+    if (lapsed)
+    {
+        // What other hosts told this one may have changed since.
+        listed_since_.clear();
+        unread_claims_.clear();
+    }
     own_releases_.clear();
     generation_ = assignment->generation;
     std::set<int> listed(assignment->partitions.begin(), assignment->partitions.end());
@@ -180,7 +186,7 @@
     {
         bool is_listed = !lapsed && listed.contains(it->first);
         // The other hosts follow the owner with the highest number.
-        bool outnumbered = known_numbers_[it->first] > it->second.number;
+        bool outnumbered = it->second.outnumbered;
         if (is_listed && !outnumbered)
         {
             it->second.confirmed = it->second.confirmed && !changed;
@@ -199,6 +205,7 @@
         it = partitions_.erase(it);
     }
     membership_until_ = sent_at + terms().membership;
+    std::erase_if(unread_claims_, [&](const auto& it) { return !listed.contains(it.first); });
     std::erase_if(listed_since_, [&](const auto& it)
                   { return !listed.contains(it.first) || partitions_.contains(it.first); });
     co_await confirm_claims();
@@ -214,6 +221,9 @@
     {
         ask_numbers();
     }
+    // One that cannot be read must not keep the others from being claimed.
+    std::stable_partition(settled.begin(), settled.end(),
+                          [&](int partition) { return !unread_claims_.contains(partition); });
     bool has_claimed = false;
     for (int partition : settled)
     {
--- a/src/serve/peer_service.cpp
+++ b/src/serve/peer_service.cpp
@@ -375,6 +375,7 @@
     }
     for (const auto& it : message.placements())
     {
+        orders_.apply_known_number(server_id(it.server()), fencing_number(it.fence()));
         context_.servers.apply_placement(server_id(it.server()),
                                          read_placement(it, host, incarnation, sent_at));
         for (const auto& model : it.models())
@@ -384,6 +385,7 @@
     }
     for (const auto& it : message.pending_owners())
     {
+        orders_.apply_known_number(server_id(it.server()), fencing_number(it.fence()));
         context_.servers.apply_owner(
             server_id(it.server()),
             {.host = host,
--- a/tests/correctness/assignment_record_test.cpp
+++ b/tests/correctness/assignment_record_test.cpp
@@ -243,11 +243,25 @@
     }
     SECTION("an earlier version of the program numbered its claims by their offsets alone")
     {
-        claim.highest_stated = fencing_number(21);
-        claim.highest_known = fencing_number(40);
+        claim.highest_known = fencing_number(12);
         CHECK_FALSE(has_to_state_number(claim));
-        CHECK(number_of(claim) > claim.highest_known);
+        CHECK(number_of(claim) == number(13, own.number));
         CHECK(take_over(claim, terms).resumed_fence == complete.fence);
+        SECTION("or stated a number above them, which is that of the last owner")
+        {
+            claim.before->claim_number = claim.highest_stated = fencing_number(21);
+            claim.highest_known = fencing_number(21);
+            CHECK(number_of(claim) == number(22, own.number));
+            CHECK(take_over(claim, terms).resumed_fence == complete.fence);
+        }
+        SECTION("and the log has lost one of them")
+        {
+            claim.highest_known = fencing_number(20);
+            CHECK(number_of(claim) == number(21, own.number));
+            auto taken = take_over(claim, terms);
+            CHECK(taken.may_order_at == now + takeover_expiry(terms));
+            CHECK_FALSE(taken.resumed_fence);
+        }
     }
 }
 
