Tests: numbers in front of a log that loses nothing, and that a new host cannot read (ONE), failing

Partitions move ten times between two hosts while every other append loses its response, is answered right after its time-out or is carried out late, every other read is refused, reads are stale, or the history is dropped: each order's number is that of a claim of its host, here and on.

A number above the offsets is stated in the log and in the memory of hosts alone.

--- a/tests/correctness/regressed_log_test.cpp
+++ b/tests/correctness/regressed_log_test.cpp
@@ -56,6 +56,12 @@
     return make_fencing_number(claim_position(position), machine_number_of(machine)).count();
 }
 
+/// The offset of the claim that has a number; of one whose number was not raised.
+std::int64_t claim_offset(std::int64_t number)
+{
+    return position_of(fencing_number(number)).count() - 1;
+}
+
 /// The record of a host, h9 at 10.9.9.9, that completed its takeover under a number at `position`.
 std::string complete_record(std::int64_t position)
 {
@@ -217,6 +223,22 @@
     return host == "h1" ? "h2" : "h1";
 }
 
+/// The first order whose number is not that of a claim of its host in a log that lost nothing.
+std::string first_foreign_number(const busy_fleet& fleet)
+{
+    const auto log = fleet.log();
+    for (const auto& order : fleet.orders())
+    {
+        auto at = static_cast<std::size_t>(claim_offset(order.fence));
+        auto record = at < log.size() ? parse_assignment_record(log[at]) : std::nullopt;
+        if (!record || record->holder != host_id(order.holder))
+        {
+            return order.holder + " with " + std::to_string(order.fence);
+        }
+    }
+    return "";
+}
+
 } // namespace
 
 TEST_CASE("A release of an unused claim does not let a host go on before the log went back (ONE)")
@@ -665,3 +687,112 @@
         CHECK(fleet.orders().at(n).fence > heard);
     }
 }
+
+TEST_CASE("Orders have the numbers of claims of their own host, whatever calls to the log do (ONE)")
+{
+    static constexpr std::chrono::milliseconds lease{2000};
+    std::atomic<int> appends = 0;
+    call_fault fault;
+    std::chrono::milliseconds period{1200};
+    int stale_ms = 0;
+    std::string path = append_path;
+    bool drops_history = false;
+
+    SECTION("all calls are sound, and partitions move faster than they can be taken over")
+    {
+        period = 800ms;
+    }
+    SECTION("the response to an append is lost")
+    {
+        fault.response_lost = true;
+    }
+    SECTION("the response to an append comes right after its time-out")
+    {
+        fault.response_delay = 1030ms;
+    }
+    SECTION("an append is carried out late, behind the claim of the next host")
+    {
+        fault.carry_out_delay = 1700ms;
+    }
+    SECTION("a read is refused")
+    {
+        path = "/api/log-read";
+        fault.refused_with = 503;
+    }
+    SECTION("a read is stale")
+    {
+        stale_ms = 1500;
+    }
+    SECTION("the log drops its history")
+    {
+        drops_history = true;
+    }
+    busy_fleet fleet(2, {}, [](host_settings& settings) { settings.bounds.lease = lease; });
+    const std::string first = fleet.orders().back().holder;
+    fleet.it.store.set_call_faults(
+        [&](const std::string& called, const std::string&)
+        { return called == path && appends++ % 2 == 0 ? fault : call_fault{}; });
+    fleet.it.store.stale_ms = stale_ms;
+    for (int n = 0; n < 10; ++n)
+    {
+        fleet.assign_to(n % 2 == 0 ? other(first) : first);
+        std::this_thread::sleep_for(period);
+        if (drops_history)
+        {
+            fleet.it.store.expire("shunt-duties/" + std::to_string(fleet.partition),
+                                  fleet.log().size());
+        }
+    }
+    fleet.it.store.stale_ms = 0;
+    fleet.it.store.set_call_faults(nullptr);
+    CHECK(appends > 2);
+    CHECK(fleet.awaits_order_of(first));
+    CHECK(fleet.first_conflict(lease) == no_conflict);
+    CHECK(first_foreign_number(fleet) == no_conflict);
+}
+
+TEST_CASE("A host that has just started is above a number that it cannot read (ONE)")
+{
+    std::int64_t stated = 5;
+    bool refuses = true;
+    SECTION("the store refuses to read it") {}
+    SECTION("the log has dropped it")
+    {
+        stated = 8;
+        refuses = false;
+    }
+    busy_fleet fleet(2,
+                     [&](store_stand_in& store)
+                     {
+                         for (int n = 0; n < 4; ++n)
+                         {
+                             put_record(store, complete_record(stated), n);
+                         }
+                     });
+    const std::string first = fleet.orders().back().holder;
+    const std::string second = other(first);
+    REQUIRE(serve_case::eventually([&] { return is_complete(fleet.log(), first); }));
+    fleet.refuse_calls_with({second});
+    fleet.callers.clear();
+    auto& ended = *fleet.it.hosts.at(static_cast<std::size_t>(first.at(1) - '1'));
+    ended.request_stop();
+    REQUIRE(serve_case::eventually([&] { return ended.exit_code >= 0; }));
+    const auto duties = "shunt-duties/" + std::to_string(fleet.partition);
+    std::atomic<int> reads = 0;
+    fleet.restart(second,
+                  [&]
+                  {
+                      if (!refuses)
+                      {
+                          fleet.it.store.expire(duties, fleet.log().size());
+                      }
+                      fleet.it.store.set_call_faults(
+                          [&](const std::string&, const std::string& text)
+                          {
+                              bool is_refused = refuses && text == duties && reads++ < 2;
+                              return call_fault{.refused_with = is_refused ? 503 : 0};
+                          });
+                  });
+    CHECK(fleet.awaits_order_of(second));
+    CHECK(fleet.first_conflict() == no_conflict);
+}
