Orders: a host that has just started asks for the numbers of owners at once (ONE)

They had no partition listed in that time, so that they asked nobody, and 149 orders had a lower number than one before.

A member asks with each call to the group until a host has answered. Hosts that all end before a new one has joined still leave nobody who knows.

--- a/src/coordination/number_survey.hpp
+++ b/src/coordination/number_survey.hpp
@@ -46,6 +46,9 @@
     survey_round begin_round(instant now);
     void record_answer(const host_id& from, survey_round round);
 
+    /// Whether any host has answered since this one started.
+    bool has_answers() const { return !answered_.empty(); }
+
     enum class state
     {
         /// All hosts in touch have answered, or there is none to ask.
--- a/src/serve/order_group.cpp
+++ b/src/serve/order_group.cpp
@@ -217,7 +217,8 @@
             settled.push_back(partition);
         }
     }
-    if (!listed_since_.empty())
+    // A host that has just started hears what others know before they may end as well.
+    if (!listed_since_.empty() || !survey_.has_answers())
     {
         ask_numbers();
     }
