--- a/src/serve/order_claims.cpp
+++ b/src/serve/order_claims.cpp
@@ -184,14 +184,17 @@
                         .sent_at = claimed_at,
                         .read_at = context_.now()};
     auto stated = co_await read_stated_number(partition, it.at, before);
-    if (!stated)
+    auto lasting = stated && stated->ends_at_gap ? co_await read_lasting_number(partition)
+                                                 : std::optional(fencing_number(0));
+    if (!stated || !lasting)
     {
         // A number that cannot be compared with those before it is none.
         unread_claims_.try_emplace(partition, unread_claim{.at = it.at, .appended_at = claimed_at});
         log_claim_dropped(partition, "unread", it);
         co_return;
     }
-    it.highest_stated = *stated;
+    it.highest_stated = stated->highest;
+    it.highest_known = std::max(highest_known, *lasting);
     unread_claims_.erase(partition);
     log_offset last_record = it.at;
     if (has_to_state_number(it))
@@ -201,7 +204,9 @@
                            partition, number_of(it).count(), it.at.count(),
                            it.highest_known.count());
         // Directly behind the claim, so that the next host reads it.
-        auto stated_at = co_await append_claim(partition, number_of(it), it.at);
+        bool lasts = co_await record_lasting_number(partition, number_of(it));
+        auto stated_at =
+            lasts ? co_await append_claim(partition, number_of(it), it.at) : std::nullopt;
         if (!stated_at)
         {
             log_claim_dropped(partition, "not_stated", it);
--- a/src/serve/order_controller.hpp
+++ b/src/serve/order_controller.hpp
@@ -167,10 +167,21 @@
     bool has_time_to_read() const;
     /// The same; repeats a read that shows nothing, while the claim has time.
     task<preceding_record> read_conclusively(int partition, log_offset at);
-    /// The highest number that the records before a claim at `at` state; nothing if one of them
-    /// could not be read.
-    task<std::optional<fencing_number>> read_stated_number(int partition, log_offset at,
-                                                           preceding_record before);
+    /// What the records before a claim state.
+    struct number_search
+    {
+        fencing_number highest;
+        /// Whether earlier records may have stated more, as the log does not have them.
+        bool ends_at_gap = false;
+    };
+    /// Searches the records before a claim at `at`; nothing if one of them could not be read.
+    task<std::optional<number_search>> read_stated_number(int partition, log_offset at,
+                                                          preceding_record before);
+    /// The highest number of a partition that outlasts the records of the assignment topic; nothing
+    /// if it could not be read.
+    task<std::optional<fencing_number>> read_lasting_number(int partition);
+    /// Lets a number outlast the records; returns whether that was done.
+    task<bool> record_lasting_number(int partition, fencing_number number);
     /// The offset of this host's claim that it could not use yet, if no other follows; else that of
     /// a new one. Nothing if neither is known.
     task<std::optional<log_offset>> find_or_append_claim(int partition);
--- a/src/serve/order_numbers.cpp
+++ b/src/serve/order_numbers.cpp
@@ -120,7 +120,7 @@
     survey_.record_answer(from, round);
 }
 
-task<std::optional<fencing_number>>
+task<std::optional<order_controller::number_search>>
 order_controller::read_stated_number(int partition, log_offset at, preceding_record before)
 {
     fencing_number highest(0);
@@ -140,7 +140,7 @@
     bool is_first = before.read == preceding_read::none || before.read == preceding_read::dropped;
     if (is_first || !hides_number(before.record))
     {
-        co_return highest;
+        co_return number_search{.highest = highest, .ends_at_gap = is_first};
     }
     std::int64_t end = at.count() - 1;
     std::int64_t size = max_block;
@@ -151,7 +151,7 @@
         auto covers = static_cast<std::int64_t>(block.records.size()) >= end - from;
         if (block.read == preceding_read::dropped && size == 1)
         {
-            co_return highest;
+            co_return number_search{.highest = highest, .ends_at_gap = true};
         }
         if (block.read == preceding_read::dropped ||
             (block.read == preceding_read::record && !covers))
@@ -169,12 +169,62 @@
             if (!hides_number(
                     parse_assignment_record(block.records[static_cast<std::size_t>(n - 1)])))
             {
-                co_return highest;
+                co_return number_search{.highest = highest};
             }
         }
         end = from;
     }
-    co_return end == 0 ? std::optional(highest) : std::nullopt;
+    if (end > 0)
+    {
+        co_return std::nullopt;
+    }
+    co_return number_search{.highest = highest, .ends_at_gap = true};
+}
+
+task<std::optional<fencing_number>> order_controller::read_lasting_number(int partition)
+{
+    fencing_number highest(0);
+    std::string after;
+    for (bool more = true; more;)
+    {
+        auto call = platform::newest_call(platform::claim_number_topic, after);
+        auto response = co_await store_.call(call.method, call.target, call.body, store_timeout);
+        if (response && response->status == platform::no_topic_status)
+        {
+            co_return highest;
+        }
+        if (!response || response->status != 200)
+        {
+            co_return std::nullopt;
+        }
+        auto page = platform::parse_newest(response->body);
+        if (!page)
+        {
+            context_.log.write("store_answer_bad", "call=newest topic={} detail=\"{}\"",
+                               platform::claim_number_topic, page.error().detail);
+            co_return std::nullopt;
+        }
+        for (const auto& record : page->records)
+        {
+            auto it = platform::parse_claim_number(record);
+            if (it && it->partition == partition && it->number <= max_recorded_number)
+            {
+                highest = std::max(highest, it->number);
+            }
+            after = record.key;
+        }
+        more = page->more && !page->records.empty();
+    }
+    co_return highest;
+}
+
+task<bool> order_controller::record_lasting_number(int partition, fencing_number number)
+{
+    auto record = platform::to_record(platform::claim_number_record{
+        .partition = partition, .machine = claimant_of_settings().machine, .number = number});
+    auto call = platform::put_call(platform::claim_number_topic, record);
+    auto response = co_await store_.call(call.method, call.target, call.body, store_timeout);
+    co_return response && response->status == 200;
 }
 
 bool order_controller::has_time_to_read() const
--- a/src/serve/quarantine_manager.cpp
+++ b/src/serve/quarantine_manager.cpp
@@ -39,8 +39,6 @@
 constexpr milliseconds max_retry_delay{2000};
 constexpr int max_writes = 10;
 constexpr int ok_status = 200;
-/// The store has no record of the topic yet.
-constexpr int no_topic_status = 404;
 
 std::int64_t unix_ms_now()
 {
@@ -112,7 +110,7 @@
 {
     auto call = platform::newest_call(platform::banned_part_topic, after);
     auto response = co_await store.call(call.method, call.target, call.body, store_timeout);
-    if (response && response->status == no_topic_status)
+    if (response && response->status == platform::no_topic_status)
     {
         co_return "";
     }
