--- a/src/coordination/assignment_record.hpp
+++ b/src/coordination/assignment_record.hpp
@@ -63,6 +63,7 @@
 {
     host_id host;
     machine_id machine;
+    /// The machine in the numbers of its claims.
     machine_number number = {};
 };
 
--- a/tests/correctness/regressed_log_test.cpp
+++ b/tests/correctness/regressed_log_test.cpp
@@ -218,6 +218,24 @@
     std::vector<std::jthread> callers;
 };
 
+/// Tells the first host that another one owns its engine under a number.
+void announce_owner(const serve_case& it, std::int64_t number)
+{
+    constexpr int peer_port = 17600;
+    peers::peer_message message;
+    message.set_host("h9");
+    message.set_domain("north");
+    message.set_life(7);
+    auto& owner = *message.add_pending_owners();
+    owner.set_server("e1");
+    owner.set_fence(number);
+    auto bytes = message.SerializeAsString();
+    boost::asio::io_context loop;
+    boost::asio::ip::udp::socket peer(loop, {boost::asio::ip::make_address_v4("127.0.0.1"), 0});
+    peer.send_to(boost::asio::buffer(bytes),
+                 {boost::asio::ip::make_address_v4(it.hosts.front()->ip), peer_port});
+}
+
 std::string other(const std::string& host)
 {
     return host == "h1" ? "h2" : "h1";
@@ -464,7 +482,6 @@
 
 TEST_CASE("An owner that hears of a higher number than its own claims anew")
 {
-    constexpr int peer_port = 17600;
     std::int64_t heard = number_at(1, "10.9.9.9");
     SECTION("the number that it hears of is lower") {}
     SECTION("the number that it hears of is higher")
@@ -484,18 +501,7 @@
     REQUIRE(records(it).back() == "h1");
     REQUIRE(it.engine1.received_orders().empty());
 
-    peers::peer_message message;
-    message.set_host("h9");
-    message.set_domain("north");
-    message.set_life(7);
-    auto& owner = *message.add_pending_owners();
-    owner.set_server("e1");
-    owner.set_fence(heard);
-    auto bytes = message.SerializeAsString();
-    boost::asio::io_context loop;
-    boost::asio::ip::udp::socket peer(loop, {boost::asio::ip::make_address_v4("127.0.0.1"), 0});
-    peer.send_to(boost::asio::buffer(bytes),
-                 {boost::asio::ip::make_address_v4(it.hosts.front()->ip), peer_port});
+    announce_owner(it, heard);
 
     const auto until = std::chrono::steady_clock::now() + 15s;
     for (int n = 0;
@@ -649,7 +655,6 @@
 
 TEST_CASE("A host that goes on under an earlier number hears late of a higher one in use (ONE)")
 {
-    constexpr int peer_port = 17600;
     busy_fleet fleet(1);
     REQUIRE(serve_case::eventually([&] { return is_complete(fleet.log(), "h1"); }));
     const auto record = fleet.log().back();
@@ -667,18 +672,7 @@
     const std::int64_t heard = number_at(15, "10.9.9.9");
     REQUIRE(fleet.orders().back().fence < heard);
 
-    peers::peer_message message;
-    message.set_host("h9");
-    message.set_domain("north");
-    message.set_life(7);
-    auto& owner = *message.add_pending_owners();
-    owner.set_server("e1");
-    owner.set_fence(heard);
-    auto bytes = message.SerializeAsString();
-    boost::asio::io_context loop;
-    boost::asio::ip::udp::socket peer(loop, {boost::asio::ip::make_address_v4("127.0.0.1"), 0});
-    peer.send_to(boost::asio::buffer(bytes),
-                 {boost::asio::ip::make_address_v4(fleet.it.hosts.front()->ip), peer_port});
+    announce_owner(fleet.it, heard);
     std::this_thread::sleep_for(500ms);
     const auto before = fleet.orders().size();
     REQUIRE(fleet.awaits_order_of("h1"));
