--- a/src/serve/order_group.cpp
+++ b/src/serve/order_group.cpp
@@ -174,8 +174,6 @@
     bool changed = assignment->generation != generation_;
     if (lapsed)
     {
-        // What other hosts told this one may have changed since.
-        listed_since_.clear();
         unread_claims_.clear();
     }
     own_releases_.clear();
