Orders: numbers are kept for good after the claims, not in them

A claim that states its number made one call more to the store.

The numbers are written after the claims of a call to the group, as long as there is time, and nothing is ordered under one that is not written yet.

--- a/src/serve/order_claims.cpp
+++ b/src/serve/order_claims.cpp
@@ -204,9 +204,7 @@
                            partition, number_of(it).count(), it.at.count(),
                            it.highest_known.count());
         // Directly behind the claim, so that the next host reads it.
-        bool lasts = co_await record_lasting_number(partition, number_of(it));
-        auto stated_at =
-            lasts ? co_await append_claim(partition, number_of(it), it.at) : std::nullopt;
+        auto stated_at = co_await append_claim(partition, number_of(it), it.at);
         if (!stated_at)
         {
             log_claim_dropped(partition, "not_stated", it);
@@ -323,6 +321,7 @@
                     : previous && previous->unused_since ? previous->unused_since
                     : claim.at.count() > 0 ? std::optional(log_offset(claim.at.count() - 1))
                                            : std::nullopt,
+            .lasts = !has_to_state_number(claim),
             .used = taken.resumed_fence.has_value(),
             .highest_stated = claim.highest_stated};
     forgotten_owners_.erase(partition);
--- a/src/serve/order_controller.cpp
+++ b/src/serve/order_controller.cpp
@@ -210,7 +210,7 @@
 {
     auto it = partitions_.find(partition_of(server));
     if (leaving_ || it == partitions_.end() || !it->second.confirmed || now >= membership_until_ ||
-        it->second.outnumbered)
+        it->second.outnumbered || !it->second.lasts)
     {
         return false;
     }
--- a/src/serve/order_controller.hpp
+++ b/src/serve/order_controller.hpp
@@ -91,6 +91,9 @@
         /// The last record of the last owner that gave orders before; nothing if there was none, or
         /// if the log has lost it.
         std::optional<log_offset> base = {};
+        /// Whether the number of the claim outlasts its records: the offset gives it, or it is kept
+        /// in a topic of its own.
+        bool lasts = true;
         /// Whether this host has given an order under its claim.
         bool used = false;
         /// The highest number that the records before the claim state.
@@ -164,7 +167,7 @@
         std::vector<std::string> records = {};
     };
     task<record_block> read_block(int partition, log_offset from);
-    bool has_time_to_read() const;
+    bool has_time_for_calls() const;
     /// The same; repeats a read that shows nothing, while the claim has time.
     task<preceding_record> read_conclusively(int partition, log_offset at);
     /// What the records before a claim state.
@@ -180,8 +183,8 @@
     /// The highest number of a partition that outlasts the records of the assignment topic; nothing
     /// if it could not be read.
     task<std::optional<fencing_number>> read_lasting_number(int partition);
-    /// Lets a number outlast the records; returns whether that was done.
-    task<bool> record_lasting_number(int partition, fencing_number number);
+    /// Lets the numbers of this host's claims outlast their records, as long as there is time.
+    task<void> record_lasting_numbers();
     /// The offset of this host's claim that it could not use yet, if no other follows; else that of
     /// a new one. Nothing if neither is known.
     task<std::optional<log_offset>> find_or_append_claim(int partition);
--- a/src/serve/order_group.cpp
+++ b/src/serve/order_group.cpp
@@ -50,6 +50,7 @@
             is_member_ = joined;
         }
         update_owned_engines();
+        co_await record_lasting_numbers();
         co_await record_takeovers();
         co_await read_late_releases();
         milliseconds period = lease() / joins_per_lease;
--- a/src/serve/order_numbers.cpp
+++ b/src/serve/order_numbers.cpp
@@ -144,7 +144,7 @@
     }
     std::int64_t end = at.count() - 1;
     std::int64_t size = max_block;
-    while (end > 0 && has_time_to_read())
+    while (end > 0 && has_time_for_calls())
     {
         const std::int64_t from = std::max<std::int64_t>(0, end - size);
         auto block = co_await read_block(partition, log_offset(from));
@@ -218,16 +218,36 @@
     co_return highest;
 }
 
-task<bool> order_controller::record_lasting_number(int partition, fencing_number number)
+task<void> order_controller::record_lasting_numbers()
 {
-    auto record = platform::to_record(platform::claim_number_record{
-        .partition = partition, .machine = claimant_of_settings().machine, .number = number});
-    auto call = platform::put_call(platform::claim_number_topic, record);
-    auto response = co_await store_.call(call.method, call.target, call.body, store_timeout);
-    co_return response && response->status == 200;
+    std::map<int, fencing_number> due;
+    for (const auto& [partition, it] : partitions_)
+    {
+        if (!it.lasts)
+        {
+            due.emplace(partition, it.number);
+        }
+    }
+    for (const auto& [partition, number] : due)
+    {
+        if (!has_time_for_calls())
+        {
+            co_return;
+        }
+        auto record = platform::to_record(platform::claim_number_record{
+            .partition = partition, .machine = claimant_of_settings().machine, .number = number});
+        auto call = platform::put_call(platform::claim_number_topic, record);
+        auto response = co_await store_.call(call.method, call.target, call.body, store_timeout);
+        auto held = partitions_.find(partition);
+        if (response && response->status == 200 && held != partitions_.end() &&
+            held->second.number == number)
+        {
+            held->second.lasts = true;
+        }
+    }
 }
 
-bool order_controller::has_time_to_read() const
+bool order_controller::has_time_for_calls() const
 {
     // Calls that take long must not delay the next one to the group.
     return context_.now() + lease() / 2 < membership_until_;
@@ -237,7 +257,7 @@
                                                                              log_offset at)
 {
     auto before = co_await read_record_before(partition, at);
-    for (int n = 1; n < max_reads && is_inconclusive(before.read) && has_time_to_read(); ++n)
+    for (int n = 1; n < max_reads && is_inconclusive(before.read) && has_time_for_calls(); ++n)
     {
         co_await pause(read_interval);
         before = co_await read_record_before(partition, at);
