Soak: configurations whose routes are added, moved, split and removed, judged by what callers see

--faults=configurations publishes versions in uneven steps, alone and milliseconds apart, sends requests of the changed routes straight to each host, and judges each rule on configurations for hosts in touch: too late, regressed, added routes not served. The store's stand-in can let waiting reads miss a record.

--- a/tests/soak/shunt_soak.cpp
+++ b/tests/soak/shunt_soak.cpp
@@ -14,6 +14,8 @@
 #include <gflags/gflags.h>
 
 #include "soak/assignment_scenario.hpp"
+#include "soak/config_changes.hpp"
+#include "soak/config_faults.hpp"
 #include "soak/model_demand.hpp"
 #include "soak/odd_writers.hpp"
 #include "soak/order_faults.hpp"
@@ -32,7 +34,9 @@
               "have more than planned work");
 DEFINE_string(faults, "all",
               "orders: only faults around the assignment of engines to hosts, and only the checks "
-              "of orders and of hosts that end unasked; store: of these, only the store's faults");
+              "of orders and of hosts that end unasked; store: of these, only the store's faults; "
+              "configurations: faults around the hosts' reads of the configuration, and only the "
+              "checks of which version handles a request");
 DEFINE_int32(late_order_percent, 33,
              "with --faults=orders or store: the share of orders that get no response and are "
              "carried out later");
@@ -46,7 +50,10 @@
     "assignment of engines: away_and_back, other_parts, new_topic, older_copy, other_machine, "
     "absent_engines, second_machine, stale_reads, one_way_store or held_orders; or changes of "
     "owner in series: killed, restarted, frozen, cut_off, store_troubled, dealt_anew, starved, "
-    "killed_at_order, or all_series for these in turn");
+    "killed_at_order, or all_series for these in turn. With --faults=configurations: sound, "
+    "unnoticed, compacted, cut, unanswered, reset, refused, slow, frozen, killed, stopped, "
+    "starved, "
+    "stale, stale_items or older_copy");
 DEFINE_int32(copy_age_ms, 8000, "in the scenario older_copy: how much older the store returns");
 DEFINE_string(
     killed, "none",
@@ -87,6 +94,11 @@
 constexpr int order_domains = 3;
 constexpr int order_engines = 14;
 constexpr int demanded_adapters = 32;
+/// In runs with only faults around the configuration: domains so small that hosts read alone.
+constexpr int configuration_domains = 4;
+constexpr int probed_run_ms = 2;
+/// Requests in a second and host, on average, below which a run has shown nothing.
+constexpr double min_probes_per_second = 2;
 /// What two hosts take for the number of the store's partitions in the scenario `other_parts`.
 constexpr int scenario_parts = 4;
 /// By the platform documentation, for its lease: how long the store retains records, and how much
@@ -136,9 +148,12 @@
                   .engine_mb = only_orders() ? 50 : 100,
                   .engines = only_orders() ? order_engines : 3,
                   .adapters = only_orders() ? demanded_adapters : 0,
-                  .domains = only_orders() ? order_domains : 1,
+                  .domains = only_orders()           ? order_domains
+                             : only_configurations() ? configuration_domains
+                                                     : 1,
                   .other_parts = FLAGS_scenario == "other_parts" ? scenario_parts : 0,
-                  .lease = std::chrono::milliseconds(FLAGS_lease_ms)})
+                  .lease = std::chrono::milliseconds(FLAGS_lease_ms),
+                  .has_annex = only_configurations()})
     {
         for (auto kind : odd_kinds(seed))
         {
@@ -321,7 +336,60 @@
         return findings.violations;
     }
 
+    /// Faults around the hosts' reads of the configuration only, and the checks of which version
+    /// handled a request and of hosts that ended unasked.
+    std::vector<std::string> run_config_faults(std::uint64_t seed)
+    {
+        for (auto& it : fleet_.backends)
+        {
+            it->run_ms = probed_run_ms;
+        }
+        config_changes changes(fleet_, seed);
+        config_faults faults(fleet_, seed, FLAGS_scenario,
+                             [this](const std::string& what) { log_fault(what); });
+        for (std::size_t host = 0; host < fleet_.hosts.size(); ++host)
+        {
+            faults.record_restart(host);
+        }
+        std::this_thread::sleep_for(start_length);
+        changes.start(FLAGS_scenario != "sound");
+        auto until = std::chrono::steady_clock::now() + std::chrono::seconds(FLAGS_fault_seconds);
+        while (std::chrono::steady_clock::now() < until)
+        {
+            faults.step();
+            for (std::size_t host = 0; host < fleet_.hosts.size(); ++host)
+            {
+                if (fleet_.reap(fleet_.hosts[host]))
+                {
+                    faults.record_restart(host);
+                    fleet_.start(fleet_.hosts[host]);
+                }
+            }
+        }
+        std::this_thread::sleep_for(observation_length);
+        changes.stop();
+        calls_ = changes.probes().size();
+        auto findings =
+            check_configurations(changes.versions(), changes.probes(), faults.disturbances());
+        std::cout << fmt::format("  {} versions, {} of {} requests judged, the longest time to "
+                                 "force {} ms\n",
+                                 changes.versions().size(), findings.judged, calls_,
+                                 findings.longest.count());
+        auto least =
+            static_cast<std::size_t>(min_probes_per_second * FLAGS_fault_seconds * FLAGS_hosts);
+        if (findings.judged < least)
+        {
+            findings.violations.push_back(
+                fmt::format("configuration: {} requests were judged, which shows nothing; at least "
+                            "{} are expected",
+                            findings.judged, least));
+        }
+        std::ranges::copy(fleet_.unasked_ends, std::back_inserter(findings.violations));
+        return findings.violations;
+    }
+
     std::size_t calls() const { return calls_; }
+    static bool only_configurations() { return FLAGS_faults == "configurations"; }
     static bool only_orders() { return FLAGS_faults == "orders" || FLAGS_faults == "store"; }
 
 private:
@@ -687,7 +755,9 @@
         std::filesystem::create_directories(folder);
         std::cout << "seed " << seed << ", logs in " << folder << std::endl;
         soak_run run(seed, folder);
-        auto violations = soak_run::only_orders() ? run.run_order_faults(seed) : run.run(seed);
+        auto violations = soak_run::only_orders()           ? run.run_order_faults(seed)
+                          : soak_run::only_configurations() ? run.run_config_faults(seed)
+                                                            : run.run(seed);
         for (std::size_t n = 0; n < std::min<std::size_t>(violations.size(), max_printed); ++n)
         {
             std::cout << "  broken: " << violations[n] << "\n";
--- a/tests/soak/soak_fleet.cpp
+++ b/tests/soak/soak_fleet.cpp
@@ -106,9 +106,15 @@
     return (is_engine(backend) ? "e" : "d") + std::to_string(backend);
 }
 
+std::string soak_fleet::service_of(std::size_t backend) const
+{
+    bool in_annex = options_.has_annex && backend + 1 == first_engine;
+    return is_engine(backend) ? "models" : in_annex ? annex_service : desk_service;
+}
+
 std::string soak_fleet::entry(std::size_t backend) const
 {
-    return backends[backend]->registry_entry(is_engine(backend) ? "models" : "desk");
+    return backends[backend]->registry_entry(service_of(backend));
 }
 
 void soak_fleet::announce(std::size_t backend)
@@ -119,7 +125,7 @@
 void soak_fleet::drain(std::size_t backend)
 {
     store.put("keyed.servers", server_name(backend),
-              backends[backend]->registry_entry(is_engine(backend) ? "models" : "desk", true));
+              backends[backend]->registry_entry(service_of(backend), true));
 }
 
 void soak_fleet::restart(std::size_t backend)
@@ -159,6 +165,14 @@
     publish();
 }
 
+int soak_fleet::configure_routes(std::vector<plain_route> routes)
+{
+    std::lock_guard lock(mutex_);
+    plain_routes_ = std::move(routes);
+    publish();
+    return version_;
+}
+
 void soak_fleet::publish()
 {
     json models = json::array();
@@ -208,6 +222,18 @@
                  {"tenants",
                   {workspace("clinics", clinic_keys_, 100000, 100000),
                    workspace("small", {"small-key"}, small_rate, small_burst)}}};
+    text["services"].push_back(
+        {{"name", annex_service}, {"health_path", "/health"}, {"max_connections", 60}});
+    for (const auto& it : plain_routes_)
+    {
+        auto added = route(it.prefix.c_str(), "idempotent", "", false, it.timeout);
+        added.erase("service");
+        for (const auto& service : it.services)
+        {
+            added["traffic_split"].push_back({{"service", service}, {"weight", 50}});
+        }
+        text["routes"].push_back(std::move(added));
+    }
     configuration_ = text.dump();
     store.put("keyed.op", "config", configuration_);
 }
--- a/tests/soak/soak_fleet.hpp
+++ b/tests/soak/soak_fleet.hpp
@@ -47,6 +47,8 @@
     int other_parts = 0;
     /// The lease of an engine by its host.
     std::chrono::milliseconds lease{1000};
+    /// Whether the second plain server belongs to `soak_fleet::annex_service`.
+    bool has_annex = false;
 };
 
 class soak_fleet
@@ -55,6 +57,8 @@
     /// A service whose engines are made by `prompt_crashes`, and their model.
     static constexpr const char* fragile_service = "fragile";
     static constexpr const char* fragile_model = "fragile-1";
+    static constexpr const char* desk_service = "desk";
+    static constexpr const char* annex_service = "annex";
     /// The first of `backends` that is an engine.
     static constexpr std::size_t first_engine = 2;
     explicit soak_fleet(fleet_options options);
@@ -98,6 +102,16 @@
     void configure(const std::vector<std::string>& clinic_keys);
     /// Publishes the content of the newest configuration as the next one.
     void configure_again();
+    /// A route to plain services, beside those that every configuration has.
+    struct plain_route
+    {
+        std::string prefix;
+        /// Requests are split evenly between them.
+        std::set<std::string> services;
+        std::chrono::milliseconds timeout{4000};
+    };
+    /// Publishes the next configuration with these routes; returns its version.
+    int configure_routes(std::vector<plain_route> routes);
     /// The newest configuration.
     std::string configuration() const;
 
@@ -130,6 +144,8 @@
 
 private:
     void publish();
+    /// The service of a server that is no engine of `fragile_service`.
+    std::string service_of(std::size_t backend) const;
     /// Gives a host an address that none had before.
     void change_address(host& it);
 
@@ -139,6 +155,7 @@
     mutable std::mutex mutex_;
     std::vector<std::string> clinic_keys_;
     std::string configuration_;
+    std::vector<plain_route> plain_routes_;
     int version_ = 0;
 };
 
--- a/tests/stand_ins/prepared_platform.cpp
+++ b/tests/stand_ins/prepared_platform.cpp
@@ -29,6 +29,8 @@
 constexpr std::chrono::milliseconds lost_response_time{1500};
 /// Longer than a host's pause between two reads.
 constexpr int store_keep_alive_s = 5;
+/// How often a read that waits looks for records that it did not notice at once.
+constexpr std::chrono::milliseconds notice_period{10};
 /// Size of each of the two offsets at the start of a read response.
 constexpr int offset_bytes = 8;
 /// Most records, and about the most bytes of them, in one page of newest records.
@@ -381,7 +383,8 @@
 {
     {
         std::lock_guard lock(mutex_);
-        topics_[topic].push_back({.key = key, .value = value});
+        topics_[topic].push_back(
+            {.key = key, .value = value, .unnoticed = std::chrono::milliseconds(unnoticed_ms)});
     }
     records_added_.notify_all();
 }
@@ -506,9 +509,12 @@
     std::lock_guard lock(mutex_);
     ++newest_calls_[topic];
     std::map<std::string, std::string> by_key;
-    for (const auto& it : topics_[topic])
+    const auto& entries = topics_[topic];
+    auto known = first_after(entries, std::chrono::steady_clock::now() -
+                                          std::chrono::milliseconds(stale_items_ms));
+    for (std::size_t n = 0; n < known; ++n)
     {
-        by_key[it.key] = it.value;
+        by_key[entries[n].key] = entries[n].value;
     }
     json items = json::array();
     std::size_t bytes = 0;
@@ -521,8 +527,8 @@
             bytes += it->second.size();
         }
     }
-    return json{{"items", items}, {"has_more", it != by_key.end()}, {"end", topics_[topic].size()}}
-        .dump(-1, ' ', false, json::error_handler_t::replace);
+    return json{{"items", items}, {"has_more", it != by_key.end()}, {"end", entries.size()}}.dump(
+        -1, ' ', false, json::error_handler_t::replace);
 }
 
 std::optional<std::string> store_stand_in::read(const std::string& topic, std::size_t from,
@@ -531,13 +537,27 @@
     std::unique_lock lock(mutex_);
     int number = ++reads_[topic];
     auto& entries = topics_[topic];
+    const auto arrived_at = std::chrono::steady_clock::now();
+    const auto until = arrived_at + std::chrono::milliseconds(wait_ms);
     auto has_noticed = [&]
     {
         auto first = entries.begin() + static_cast<std::ptrdiff_t>(std::min(from, entries.size()));
-        return closing_ || std::any_of(first, entries.end(),
-                                       [&](const auto& it) { return it.missed_by != number; });
+        auto now = std::chrono::steady_clock::now();
+        return closing_ ||
+               std::any_of(first, entries.end(),
+                           [&](const auto& it) {
+                               return it.missed_by != number &&
+                                      (it.at <= arrived_at || it.at + it.unnoticed <= now);
+                           });
     };
-    records_added_.wait_for(lock, std::chrono::milliseconds(wait_ms), has_noticed);
+    while (!has_noticed() && std::chrono::steady_clock::now() < until)
+    {
+        // What was not noticed when it was appended wakes nobody later.
+        bool polls = unnoticed_ms > 0;
+        records_added_.wait_until(
+            lock,
+            polls ? std::min(until, std::chrono::steady_clock::now() + notice_period) : until);
+    }
     if (lost_reads_.contains({topic, number}))
     {
         records_added_.wait_for(lock, lost_read_time, [&] { return closing_; });
--- a/tests/stand_ins/prepared_platform.hpp
+++ b/tests/stand_ins/prepared_platform.hpp
@@ -118,6 +118,11 @@
     std::atomic<int> keep_ms = 0;
     /// Reads respond with the records that were there this long ago.
     std::atomic<int> stale_ms = 0;
+    /// Reads that wait notice what an operator or server writes from now on only after this time;
+    /// reads that arrive afterwards get it at once.
+    std::atomic<int> unnoticed_ms = 0;
+    /// The newest records of a topic are those of this long ago, beside its end of now.
+    std::atomic<int> stale_items_ms = 0;
     /// The values of all records of a topic; of a partition, its name is "TOPIC/PARTITION".
     std::vector<std::string> values(const std::string& topic) const;
     /// The calls received to read a topic from an offset on.
@@ -145,6 +150,8 @@
         std::chrono::steady_clock::time_point at = std::chrono::steady_clock::now();
         /// The read that does not notice it while it waits; 0 for none.
         int missed_by = 0;
+        /// How long no read that waited before notices it.
+        std::chrono::milliseconds unnoticed{0};
     };
     /// The response to a read; nothing if the records are no longer retained.
     std::optional<std::string> read(const std::string& topic, std::size_t from, std::size_t max_kb,
