Configuration: the reader of a topic, what hosts share of it, and what acts on its records are apart

Moved unchanged: state_watcher (configuration, registry) and topic_view (records shared with peers). No change of behaviour.

--- a/src/serve/serving_host.cpp
+++ b/src/serve/serving_host.cpp
@@ -13,7 +13,7 @@
 #include "serve/loop_runner.hpp"
 #include "serve/peer_service.hpp"
 #include "serve/settings_reload.hpp"
-#include "serve/topic_reader.hpp"
+#include "serve/state_watcher.hpp"
 
 namespace banyanshunt
 {
--- a/src/serve/topic_reader.hpp
+++ b/src/serve/topic_reader.hpp
@@ -1,19 +1,16 @@
 #pragma once
 
 /// \file
-/// Follows keyed topics of the platform's log: the configuration, the server registry and the list
-/// of entry hosts. Each topic is read completely once, then record by record with long-poll calls.
-/// A response proves what was in effect when its call was sent.
+/// Follows keyed topics of the platform's log. Each topic is read completely once, then record by
+/// record with long-poll calls. A response proves what was in effect when its call was sent.
 
-#include <deque>
 #include <functional>
-#include <map>
 
 #include "coordination/refusal_budget.hpp"
-#include "coordination/view_requests.hpp"
 #include "coordination/view_source.hpp"
 #include "platform/store.hpp"
 #include "serve/host_context.hpp"
+#include "serve/topic_view.hpp"
 #include "transport/loop/http_connection.hpp"
 
 namespace banyanshunt
@@ -34,18 +31,6 @@
     std::function<milliseconds()> gap = [] { return milliseconds(0); };
 };
 
-/// The records of a topic that one host has read, from some offset on.
-struct topic_view
-{
-    /// Everything before this offset has been read.
-    log_offset end;
-    /// When the call that confirmed it was made.
-    instant confirmed_at;
-    /// Whether `records` holds all changes between the requested offset and `end`.
-    bool complete = false;
-    std::vector<platform::keyed_record> records;
-};
-
 /// Follows one topic until the host stops. While another host reads for this one, it takes over
 /// what that host has read and makes no calls of its own, unless its data grows old.
 class topic_reader
@@ -67,6 +52,11 @@
         std::function<void(instant sent_at)> failed = [](instant) {};
     };
 
+    /// Time allowed beyond its wait for a call on a kept connection, which can become unresponsive
+    /// without an error: a few round trips and one retransmission. A store that was slower lately
+    /// gets some multiple of that.
+    static constexpr milliseconds min_response_timeout{300};
+
     topic_reader(host_context& context, topic_reader_options options, handlers initial_handlers);
 
     task<void> run();
@@ -146,58 +136,7 @@
     /// to have read cannot be.
     bool missed_records_ = false;
     /// Records read recently that changed something, complete from `recent_from_` on.
-    std::deque<platform::keyed_record> recent_;
-    log_offset recent_from_;
-    std::size_t recent_bytes_ = 0;
-};
-
-/// Keeps the configuration and the server table of a host up to date.
-class state_watcher
-{
-public:
-    explicit state_watcher(host_context& context);
-    /// Spawns the readers of both topics.
-    void start();
-    task<void> run_config() { return config_.run(); }
-    task<void> run_servers() { return servers_.run(); }
-    topic_reader& config() { return config_; }
-    topic_reader& servers() { return servers_; }
-    const topic_reader& config() const { return config_; }
-    /// Bounds on the age of a shared view of the configuration.
-    shared_view_bounds config_bounds() const;
-
-private:
-    void record_list_call(instant sent_at, bool confirmed);
-    bool apply_operator_record(const platform::keyed_record& record);
-    bool apply_config(const platform::keyed_record& record);
-    /// Begins or ends the evacuation of a failure domain. One that the settings do not name changes
-    /// nothing.
-    bool apply_evacuation(const platform::keyed_record& record);
-    void apply_operator_snapshot(const std::vector<platform::keyed_record>& records);
-    /// Limits a server that its entry calls cold, if its service states what such a server takes.
-    void apply_cold(const backend_entry& entry);
-    /// Applies a server's record. One that cannot be read names no server to use and changes
-    /// nothing: a server that is known stays in use by its last readable entry, so that another
-    /// writer cannot take servers out of use. Its leaving is still learned, by a readable entry, by
-    /// its key being dropped, or from its responses; and a server that took over its address
-    /// refuses requests that expect another id.
-    bool apply_server(const platform::keyed_record& record, log_offset offset);
-    /// Counts a refused record; returns whether it may be logged.
-    bool log_refusal(const char* topic);
-    void apply_server_snapshot(const std::vector<platform::keyed_record>& records);
-    bool remove_server(const server_id& server);
-    task<void> remove_later(server_id server, instant at);
-    void drop_server(const server_id& server);
-
-    host_context& context_;
-    topic_reader config_;
-    topic_reader servers_;
-    /// Removals before this time may be of running servers that only lost contact with the store;
-    /// an entry that has not come back by then is gone.
-    instant defer_removals_until_;
-    std::map<server_id, std::uint64_t> deferred_removals_;
-    std::uint64_t next_deferral_ = 0;
-    refusal_budget refusals_;
+    recent_records recent_;
 };
 
 } // namespace banyanshunt
--- a/src/serve/view_sync.hpp
+++ b/src/serve/view_sync.hpp
@@ -13,7 +13,7 @@
 #include "coordination/catch_up.hpp"
 #include "coordination/view_requests.hpp"
 #include "serve/peer_list.hpp"
-#include "serve/topic_reader.hpp"
+#include "serve/state_watcher.hpp"
 
 namespace banyanshunt
 {
