Logs: which version decided a request, how old it was then, and how a version came

request_end has config, config_age_ms and config_end (the end of what was read of the topic) of the last decision, within the first 200 characters; before, the age was that at the request's end. config_in_force has source, end and since_confirmed_ms. records_missed and banyanshunt_records_missed_total name records that a waiting read did not notice, banyanshunt_config_versions_total counts versions by source. Lines on changes of state have a burst of their own, so that lines on requests do not displace them.

--- a/src/serve/active_request.cpp
+++ b/src/serve/active_request.cpp
@@ -378,23 +378,20 @@
     }
     context_.log.write(
         "request_end",
-        "request={} outcome={} status={} reason={} route={} workspace={} model={}{}{} "
+        "request={} outcome={} status={} reason={} config={} config_age_ms={} config_end={} "
+        "route={} workspace={} model={}{}{} "
         "tokens={} output_tokens={} server={} server_load={} sends={} waited_ms={} first_ms={} "
-        "took_ms={} config={} config_age_ms={} servers_age_ms={} connect_ms={} load={} "
+        "took_ms={} servers_age_ms={} connect_ms={} load={} "
         "load_server={} late={} longest_gap_ms={}",
-        fields_.id.str(), outcome, status, last_reason_, route_ ? route_->name.str() : "-",
+        fields_.id.str(), outcome, status, last_reason_, config_ ? config_->version : 0,
+        config_age_.count(), config_end_.count(), route_ ? route_->name.str() : "-",
         workspace_ ? workspace_->name.str() : "-",
         fields_.model.empty() ? "-" : fields_.model.str(), fields_.adapter.empty() ? "" : "/",
         fields_.adapter.str(), charged_, fields_.output_tokens,
         last_server_.empty() ? "-" : last_server_.str(), last_load_, sends_, waited_.count(),
         std::chrono::floor<milliseconds>(time_to_first_byte_).count(),
-        std::chrono::floor<milliseconds>(context_.now() - arrived_).count(),
-        config_ ? config_->version : 0,
-        context_.config_confirmed_at
-            ? std::chrono::floor<milliseconds>(context_.now() - *context_.config_confirmed_at)
-                  .count()
-            : -1,
-        servers_age_.count(), connect_time_.count(), load_route_ ? to_text(*load_route_) : "-",
+        std::chrono::floor<milliseconds>(context_.now() - arrived_).count(), servers_age_.count(),
+        connect_time_.count(), load_route_ ? to_text(*load_route_) : "-",
         load_server_.empty() ? "-" : load_server_.str(), late, to_ms(longest_gap_));
 }
 
--- a/src/serve/active_request.hpp
+++ b/src/serve/active_request.hpp
@@ -206,6 +206,10 @@
     instant arrived_;
     instant deadline_;
     serving_config_ptr config_;
+    /// The age of the configuration, and the end of what was read of its topic, at the last
+    /// decision whether the request may run.
+    milliseconds config_age_{-1};
+    log_offset config_end_;
     const serving_route* route_ = nullptr;
     const workspace_spec* workspace_ = nullptr;
     service_id service_;
--- a/src/serve/event_log.cpp
+++ b/src/serve/event_log.cpp
@@ -22,13 +22,13 @@
     writer_.join();
 }
 
-bool event_log::acquire_line()
+bool event_log::acquire_line(double reserve)
 {
     instant now = boot_clock().now();
     std::chrono::duration<double> elapsed = now - refilled_at_;
     refilled_at_ = now;
     allowance_ = std::min(options_.burst, allowance_ + elapsed.count() * options_.lines_per_s);
-    if (allowance_ < 1)
+    if (allowance_ + reserve < 1)
     {
         ++dropped_;
         return false;
--- a/src/serve/event_log.hpp
+++ b/src/serve/event_log.hpp
@@ -49,7 +49,17 @@
     template <class... Args>
     void write(const char* event, fmt::format_string<Args...> format, Args&&... args)
     {
-        if (acquire_line())
+        if (acquire_line(0))
+        {
+            append(event, fmt::format(format, std::forward<Args>(args)...));
+        }
+    }
+    /// Writes a line on a change of state. These have a burst of their own, so that lines on
+    /// requests do not displace them.
+    template <class... Args>
+    void write_change(const char* event, fmt::format_string<Args...> format, Args&&... args)
+    {
+        if (acquire_line(options_.burst))
         {
             append(event, fmt::format(format, std::forward<Args>(args)...));
         }
@@ -57,7 +67,8 @@
     std::uint64_t dropped() const { return dropped_; }
 
 private:
-    bool acquire_line();
+    /// `reserve` is how far the allowance may be overdrawn, in lines.
+    bool acquire_line(double reserve);
     /// Adds a line with these fields.
     void append(const char* event, std::string_view fields);
     void run();
--- a/src/serve/host_context.hpp
+++ b/src/serve/host_context.hpp
@@ -198,6 +198,12 @@
         auto max_age = std::chrono::duration_cast<milliseconds>(bound * confirmed_ratio);
         return bound.count() > 0 && (!config_confirmed_at || at - *config_confirmed_at >= max_age);
     }
+    /// Time since the configuration was confirmed; negative if it never was.
+    milliseconds config_age(instant at) const
+    {
+        return config_confirmed_at ? std::chrono::floor<milliseconds>(at - *config_confirmed_at)
+                                   : milliseconds(-1);
+    }
     /// Time since the server list was confirmed; negative if it never was.
     milliseconds servers_age(instant at) const
     {
@@ -306,6 +312,8 @@
     serving_config_ptr config;
     /// When the call that confirmed the configuration was sent.
     std::optional<instant> config_confirmed_at;
+    /// Everything before this offset of the configuration's topic has been read.
+    log_offset config_end;
     bool servers_known = false;
     server_list_age list_age;
     /// Makes a call that confirms the configuration.
--- a/src/serve/request_admission.cpp
+++ b/src/serve/request_admission.cpp
@@ -68,6 +68,8 @@
     if (context_.config)
     {
         config_ = context_.config;
+        config_age_ = context_.config_age(context_.now());
+        config_end_ = context_.config_end;
         route_ = it.route;
         workspace_ = it.workspace;
     }
--- a/src/serve/state_watcher.cpp
+++ b/src/serve/state_watcher.cpp
@@ -16,8 +16,6 @@
 
 /// How long a call waits for a change at most; hosts seldom call while nothing changes.
 constexpr milliseconds topic_wait{2200};
-/// The time that a call takes which does not wait, unless the store is slow.
-constexpr milliseconds usual_response_time{100};
 /// Time within which lapsed entries of running servers are registered again.
 constexpr milliseconds entry_recovery_time{2000};
 
@@ -34,7 +32,8 @@
 /// connection has to be found well before the configuration counts as stale.
 milliseconds config_wait(const host_context& context)
 {
-    return std::min({topic_wait, context.settings.bounds.ticket_apply - usual_response_time,
+    return std::min({topic_wait,
+                     context.settings.bounds.ticket_apply - topic_reader::usual_response_time,
                      context.max_config_age() / 2 - topic_reader::min_response_timeout});
 }
 
@@ -57,6 +56,7 @@
                .confirmed =
                    [this](instant sent_at)
                {
+                   context_.config_end = config_.position().value_or(log_offset(0));
                    if (context_.config)
                    {
                        context_.config_confirmed_at =
@@ -220,7 +220,7 @@
     {
         if (log_refusal(platform::config_topic))
         {
-            context_.log.write("config_refused", "detail=\"{}\"", parsed.error().detail);
+            context_.log.write_change("config_refused", "detail=\"{}\"", parsed.error().detail);
         }
         return false;
     }
@@ -229,9 +229,15 @@
         return false;
     }
     context_.config = *parsed;
-    context_.log.write("config_in_force", "version={} routes={} workspaces={}",
-                       context_.config->version, context_.config->routes.size(),
-                       context_.config->workspaces.size());
+    const char* source = to_text(config_.source());
+    context_.stats.increment("banyanshunt_config_versions_total", {{"source", source}});
+    context_.log.write_change("config_in_force",
+                              "version={} source={} end={} since_confirmed_ms={} routes={} "
+                              "workspaces={}",
+                              context_.config->version, source,
+                              config_.position().value_or(log_offset(-1)).count(),
+                              context_.config_age(context_.now()).count(),
+                              context_.config->routes.size(), context_.config->workspaces.size());
     for (const auto& [id, it] : context_.servers.servers())
     {
         apply_cold(it.entry);
--- a/src/serve/topic_reader.cpp
+++ b/src/serve/topic_reader.cpp
@@ -29,6 +29,7 @@
 /// If the store was unreachable for this long, entries of running servers may have lapsed; three
 /// times the usual period of server heartbeats.
 constexpr milliseconds store_outage_threshold{3000};
+
 /// A key behind all that begin like `key` up to its first byte outside ASCII. A page may show a key
 /// whose bytes are not text as another key, after which the store does not continue; the names of
 /// servers and hosts are ASCII, so that none is passed over.
@@ -136,7 +137,8 @@
 {
     if (reachable != store_reachable_)
     {
-        context_.log.write(reachable ? "store_regained" : "store_lost", "topic={}", options_.topic);
+        context_.log.write_change(reachable ? "store_regained" : "store_lost", "topic={}",
+                                  options_.topic);
         store_reachable_ = reachable;
     }
 }
@@ -214,6 +216,7 @@
         return;
     }
     set_position(view.end);
+    source_ = record_source::peer;
     record_regained(view.confirmed_at);
     record_response(view.confirmed_at);
     deliver(view.records);
@@ -315,6 +318,7 @@
     recent_.restart(*begin);
     record_regained(sent_at);
     record_response(sent_at);
+    source_ = record_source::complete_read;
     handlers_.snapshot(all);
     // After an exception in the snapshot's handler, all is read again.
     set_position(*begin);
@@ -349,13 +353,18 @@
     }
     if (response->status == platform::expired_status)
     {
-        context_.log.write("store_history_expired", "topic={} offset={}", options_.topic,
-                           from.count());
+        context_.log.write_change("store_history_expired", "topic={} offset={}", options_.topic,
+                                  from.count());
         next_.reset();
     }
-    else if (!accept_records(response->body, from, sent_at))
+    else
     {
-        co_return false;
+        source_ = record_source::waiting_read;
+        if (!accept_records(response->body, from, sent_at))
+        {
+            co_return false;
+        }
+        record_missed(from, wait, took);
     }
     if (!next_)
     {
@@ -424,10 +433,25 @@
     }
     if (response && response->status == 200 && next_ == from)
     {
+        source_ = record_source::immediate_read;
         accept_records(response->body, from, sent_at);
     }
 }
 
+void topic_reader::record_missed(log_offset from, milliseconds wait, milliseconds took)
+{
+    bool is_empty = next_ == from;
+    bool at_end_of_wait = wait.count() > 0 && took >= wait;
+    bool right_after_wait = ended_empty_ && took <= usual_response_time;
+    ended_empty_ = is_empty && at_end_of_wait;
+    if (next_ && !is_empty && (at_end_of_wait || right_after_wait))
+    {
+        context_.stats.increment("banyanshunt_records_missed_total", {{"topic", options_.topic}});
+        context_.log.write_change("records_missed", "topic={} offset={} wait_ms={} took_ms={}",
+                                  options_.topic, from.count(), wait.count(), took.count());
+    }
+}
+
 void topic_reader::log_unanswered_call(instant sent_at, milliseconds wait)
 {
     context_.stats.increment(
--- a/src/serve/topic_reader.hpp
+++ b/src/serve/topic_reader.hpp
@@ -56,6 +56,8 @@
     /// without an error: a few round trips and one retransmission. A store that was slower lately
     /// gets some multiple of that.
     static constexpr milliseconds min_response_timeout{300};
+    /// The time that a call takes which does not wait, unless the store is slow.
+    static constexpr milliseconds usual_response_time{100};
 
     topic_reader(host_context& context, topic_reader_options options, handlers initial_handlers);
 
@@ -68,6 +70,8 @@
     {
         return store_reachable_ ? store_contact::kept : store_contact::lost;
     }
+    /// Where the records come from that are being handed over.
+    record_source source() const { return source_; }
     /// Returns what this host has read from `from` on.
     topic_view view_from(log_offset from) const;
     /// Applies what another host has read.
@@ -108,6 +112,8 @@
     void record_regained(instant sent_at);
     /// Everything up to a call sent at this time has been read.
     void record_response(instant confirmed);
+    /// Says so if records came that a read did not notice while it waited.
+    void record_missed(log_offset from, milliseconds wait, milliseconds took);
     void log_unanswered_call(instant sent_at, milliseconds wait);
 
     host_context& context_;
@@ -124,6 +130,9 @@
     std::optional<log_offset> next_;
     /// When `next_` became known.
     instant position_at_;
+    record_source source_ = record_source::waiting_read;
+    /// The last read waited and ended without a record.
+    bool ended_empty_ = false;
     /// The last response ended before the topic's end.
     bool has_more_ = false;
     /// When another complete read may begin.
--- a/src/serve/topic_view.hpp
+++ b/src/serve/topic_view.hpp
@@ -24,6 +24,34 @@
     std::vector<platform::keyed_record> records;
 };
 
+/// How a host came by records.
+enum class record_source
+{
+    /// A read that waited for them.
+    waiting_read,
+    /// A read beside the one that waits.
+    immediate_read,
+    /// A read of the newest record of each key.
+    complete_read,
+    /// Another host's view.
+    peer,
+};
+
+constexpr const char* to_text(record_source it)
+{
+    switch (it)
+    {
+    case record_source::waiting_read:
+        return "waiting_read";
+    case record_source::immediate_read:
+        return "immediate_read";
+    case record_source::complete_read:
+        return "complete_read";
+    default:
+        return "peer";
+    }
+}
+
 /// Whether the records are ones that a host can have read up to the end that the view states.
 bool is_consistent(const topic_view& view);
 
