Tests: versions that a read misses, and that a complete read passes over (CONFIG), failing

The store's stand-in can respond late to a read that waited in vain, and state an end that lies behind the records that it shows. The includes of two tests follow the split of topic_reader.

--- a/src/serve/peer_service.hpp
+++ b/src/serve/peer_service.hpp
@@ -17,7 +17,7 @@
 #include "serve/peer_list.hpp"
 #include "serve/quarantine_manager.hpp"
 #include "serve/share_manager.hpp"
-#include "serve/topic_reader.hpp"
+#include "serve/state_watcher.hpp"
 #include "serve/view_sync.hpp"
 
 namespace banyanshunt
--- a/tests/correctness/configuration_age_test.cpp
+++ b/tests/correctness/configuration_age_test.cpp
@@ -81,6 +81,51 @@
     }
 }
 
+TEST_CASE("A request does not run by a configuration that has to be superseded")
+{
+    serve_case it;
+    REQUIRE(it.started);
+    // Less than a host waits for an overdue response.
+    it.store.wait_delay_ms = 250;
+    wait_for_read(it.store);
+    REQUIRE(it.send("GET", "/read/1", "before", "good-key").status == 200);
+    it.store.put_unnoticed(config_topic, "config", serve_manifest(2, {"new-key"}),
+                           missed_read_end::answered);
+    auto acknowledged_at = std::chrono::steady_clock::now();
+    std::this_thread::sleep_until(acknowledged_at + apply_bound);
+    CHECK(it.send("GET", "/read/1", "withdrawn", "good-key").status == 401);
+    CHECK(it.send("GET", "/read/1", "new", "new-key").status == 200);
+}
+
+TEST_CASE("A complete read whose records are older than its end is no configuration to go by")
+{
+    serve_case it;
+    REQUIRE(it.started);
+    constexpr auto staleness = 2500ms;
+    it.store.stale_items_ms = static_cast<int>(milliseconds(staleness).count());
+    wait_for_read(it.store);
+    it.store.put_unnoticed(config_topic, "config", serve_manifest(2, {"new-key"}),
+                           missed_read_end::answered);
+    auto acknowledged_at = std::chrono::steady_clock::now();
+    it.store.drop_history();
+    std::this_thread::sleep_until(acknowledged_at + apply_bound);
+
+    SECTION("it does not refuse what the newer configuration allows")
+    {
+        while (std::chrono::steady_clock::now() < acknowledged_at + staleness)
+        {
+            CHECK(it.send("GET", "/read/1", "new", "new-key").status != 401);
+            std::this_thread::sleep_for(50ms);
+        }
+    }
+    SECTION("it has the newer one as soon as the store says so")
+    {
+        std::this_thread::sleep_until(acknowledged_at + staleness + apply_bound);
+        CHECK(it.send("GET", "/read/1", "new", "new-key").status == 200);
+        CHECK(it.send("GET", "/read/1", "withdrawn", "good-key").status == 401);
+    }
+}
+
 TEST_CASE("A host that may be behind the configuration does not refuse by it")
 {
     serve_case it(1, store_path::proxied);
--- a/tests/correctness/loop_failure_test.cpp
+++ b/tests/correctness/loop_failure_test.cpp
@@ -8,7 +8,7 @@
 #include "coordination/loop_restarts.hpp"
 #include "serve/loop_runner.hpp"
 #include "serve/order_controller.hpp"
-#include "serve/topic_reader.hpp"
+#include "serve/state_watcher.hpp"
 #include "serve_case.hpp"
 
 using namespace banyanshunt;
--- a/tests/correctness/view_sharing_test.cpp
+++ b/tests/correctness/view_sharing_test.cpp
@@ -7,7 +7,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
-#include "serve/topic_reader.hpp"
+#include "serve/state_watcher.hpp"
 #include "serve_case.hpp"
 
 using namespace banyanshunt;
--- a/tests/stand_ins/prepared_platform.hpp
+++ b/tests/stand_ins/prepared_platform.hpp
@@ -123,6 +123,8 @@
     std::atomic<int> unnoticed_ms = 0;
     /// The newest records of a topic are those of this long ago, beside its end of now.
     std::atomic<int> stale_items_ms = 0;
+    /// A read that waited as long as it may is responded to this much later.
+    std::atomic<int> wait_delay_ms = 0;
     /// The values of all records of a topic; of a partition, its name is "TOPIC/PARTITION".
     std::vector<std::string> values(const std::string& topic) const;
     /// The calls received to read a topic from an offset on.
