Configuration: a complete read goes on from where its records reach (CONFIG)

Callers saw, for seconds, requests run by the service of a superseded version and added routes refused with 404. Cause: after its history was dropped a host reads the newest record of each key and goes on from the end that the page states. If the page's records are older than that end, the record in between is never read, and every later read of the log confirms the old version.

A topic's last record is the newest of its key unless it drops the key, so the offsets of the records tell how far a page reaches. A host goes on from there; if the log has dropped what is in between, it repeats the read and takes nothing for confirmed until the records reach the end, 3 s at most (topic_gap in the log). A read beside the one that waits reads all if its position was dropped, and a history that is dropped twice is read again after 0.25 s instead of 1 s.

--- a/src/serve/state_watcher.cpp
+++ b/src/serve/state_watcher.cpp
@@ -16,6 +16,10 @@
 
 /// How long a call waits for a change at most; hosts seldom call while nothing changes.
 constexpr milliseconds topic_wait{2200};
+/// How long the store may show records of the configuration that are older than the end that it
+/// states, after its history was dropped. Source: the list of troubles that the platform's
+/// operators inject, 3 s.
+constexpr milliseconds max_item_staleness{3000};
 /// Time within which lapsed entries of running servers are registered again.
 constexpr milliseconds entry_recovery_time{2000};
 
@@ -50,7 +54,8 @@
               {.topic = platform::config_topic,
                .wait = config_wait(context),
                .max_shared_age = config_bounds().own_read,
-               .max_age = context.max_config_age()},
+               .max_age = context.max_config_age(),
+               .gap_patience = max_item_staleness},
               {.snapshot = [this](const auto& records) { apply_operator_snapshot(records); },
                .record = [this](const auto& record) { return apply_operator_record(record); },
                .confirmed =
--- a/src/serve/topic_reader.cpp
+++ b/src/serve/topic_reader.cpp
@@ -24,8 +24,10 @@
 /// Delay after a failed call, doubled with each further failure.
 constexpr milliseconds min_retry_delay{50};
 constexpr milliseconds max_retry_delay{400};
-/// Time between two complete reads of a topic whose positions turn out to be none.
+/// Time between two complete reads of a topic whose positions turn out to be none, and of one whose
+/// history the store has dropped again.
 constexpr milliseconds min_reread_gap{1000};
+constexpr milliseconds min_repeat_gap{250};
 /// If the store was unreachable for this long, entries of running servers may have lapsed; three
 /// times the usual period of server heartbeats.
 constexpr milliseconds store_outage_threshold{3000};
@@ -45,7 +47,8 @@
 topic_reader::topic_reader(host_context& context, topic_reader_options options,
                            handlers initial_handlers)
     : context_(context), options_(std::move(options)), handlers_(std::move(initial_handlers)),
-      store_(context.settings.log.address), rest_timer_(context.executor)
+      store_(context.settings.log.address), rest_timer_(context.executor),
+      gap_(options_.gap_patience)
 {
 }
 
@@ -112,7 +115,7 @@
         }
         else
         {
-            good = co_await read_all();
+            good = co_await read_all_again();
         }
         record_contact(good);
         if (good)
@@ -243,10 +246,8 @@
 
 task<bool> topic_reader::read_all_again()
 {
-    // Whoever states false positions may do so again and again, and a complete read is long.
     co_await pause(std::max(nanoseconds(0), nanoseconds(reread_at_ - context_.now())));
-    reread_at_ = context_.now() + min_reread_gap;
-    co_return co_await read_all();
+    co_return next_ || co_await read_all(store_);
 }
 
 void topic_reader::deliver_record(const platform::keyed_record& record)
@@ -257,11 +258,11 @@
     }
 }
 
-task<bool> topic_reader::read_all()
+task<bool> topic_reader::read_all(http_connection& store)
 {
     instant sent_at = context_.now();
     std::vector<platform::keyed_record> all;
-    std::optional<log_offset> begin;
+    complete_read read;
     std::string after;
     std::set<std::string> continued_after;
     while (true)
@@ -270,10 +271,10 @@
         instant page_sent_at = context_.now();
         // A page is long, and many hosts may read it at once.
         auto response =
-            co_await store_.call(call.method, call.target, call.body, max_response_timeout);
+            co_await store.call(call.method, call.target, call.body, max_response_timeout);
         if (!response)
         {
-            log_unanswered_call(page_sent_at, milliseconds(0));
+            log_unanswered_call(store, page_sent_at, milliseconds(0));
         }
         if (!response || response->status != 200)
         {
@@ -288,7 +289,11 @@
         }
         // Pages are not a consistent snapshot: changes since the first page are read again from its
         // end offset.
-        begin = begin ? begin : page->end;
+        read.add_page(page->end);
+        for (const auto& it : page->records)
+        {
+            read.add_record(it.offset);
+        }
         if (page->unreadable > 0)
         {
             context_.stats.increment("banyanshunt_records_refused_total",
@@ -314,15 +319,35 @@
             break;
         }
     }
+    auto action = gap_.judge(read, context_.now());
+    auto position = action == gap_action::read_gap ? read.reached() : read.end();
+    if (action != gap_action::read_from_end)
+    {
+        context_.log.write_change("topic_gap", "topic={} reached={} end={} repeats={}",
+                                  options_.topic, read.reached().count(), read.end().count(),
+                                  action == gap_action::repeat);
+    }
     has_more_ = false;
-    recent_.restart(*begin);
+    recent_.restart(position);
     record_regained(sent_at);
-    record_response(sent_at);
     source_ = record_source::complete_read;
+    if (action == gap_action::read_from_end)
+    {
+        record_response(sent_at);
+    }
     handlers_.snapshot(all);
+    if (action == gap_action::repeat)
+    {
+        next_.reset();
+        reread_at_ = context_.now() + min_repeat_gap;
+        co_return true;
+    }
     // After an exception in the snapshot's handler, all is read again.
-    set_position(*begin);
-    handlers_.confirmed(sent_at);
+    set_position(position);
+    if (action == gap_action::read_from_end)
+    {
+        handlers_.confirmed(sent_at);
+    }
     co_return true;
 }
 
@@ -336,7 +361,7 @@
         co_await store_.call(call.method, call.target, call.body, wait + response_timeout());
     if (!response)
     {
-        log_unanswered_call(sent_at, wait);
+        log_unanswered_call(store_, sent_at, wait);
         co_return false;
     }
     auto took = std::chrono::ceil<milliseconds>(context_.now() - sent_at);
@@ -356,6 +381,8 @@
         context_.log.write_change("store_history_expired", "topic={} offset={}", options_.topic,
                                   from.count());
         next_.reset();
+        reread_at_ = std::max(reread_at_, expired_at_ + min_repeat_gap);
+        expired_at_ = context_.now();
     }
     else
     {
@@ -389,6 +416,9 @@
         context_.log.write("store_position_refused", "topic={} offset={} first={} end={}",
                            options_.topic, from.count(), page->first.count(), page->end.count());
         next_.reset();
+        // Whoever states false positions may do so again and again, and a complete read is long.
+        reread_at_ = std::max(reread_at_, refused_at_ + min_reread_gap);
+        refused_at_ = context_.now();
         return true;
     }
     set_position(page->next);
@@ -405,20 +435,48 @@
 
 task<void> topic_reader::read_now()
 {
-    if (!next_ || reading_now_)
+    if (next_)
+    {
+        co_await read_beside(next_);
+    }
+}
+
+task<void> topic_reader::read_completely()
+{
+    co_await read_beside(std::nullopt);
+}
+
+task<void> topic_reader::read_beside(std::optional<log_offset> from)
+{
+    if (reading_now_)
     {
         co_return;
     }
     reading_now_ = true;
     instant sent_at = context_.now();
-    log_offset from = *next_;
-    auto call = platform::read_call(options_.topic, from, milliseconds(0));
     // The kept connection is in use by a call that waits, or may be what failed.
     http_connection store(context_.settings.log.address);
-    std::optional<call_response> response;
+    bool answered = false;
     try
     {
-        response = co_await store.call(call.method, call.target, call.body, min_response_timeout);
+        std::optional<call_response> response;
+        if (from)
+        {
+            auto call = platform::read_call(options_.topic, *from, milliseconds(0));
+            response =
+                co_await store.call(call.method, call.target, call.body, min_response_timeout);
+            answered = response.has_value();
+        }
+        bool is_expired = response && response->status == platform::expired_status;
+        if (!from || (is_expired && next_ == from))
+        {
+            answered = co_await read_all(store);
+        }
+        else if (response && response->status == 200 && next_ == from)
+        {
+            source_ = record_source::immediate_read;
+            accept_records(response->body, *from, sent_at);
+        }
     }
     catch (...)
     {
@@ -426,15 +484,11 @@
         throw;
     }
     reading_now_ = false;
-    if (!response)
+    if (!answered)
     {
         // A waiting call would notice only at its end.
         record_contact(false);
-    }
-    if (response && response->status == 200 && next_ == from)
-    {
-        source_ = record_source::immediate_read;
-        accept_records(response->body, from, sent_at);
+        handlers_.failed(sent_at);
     }
 }
 
@@ -452,16 +506,17 @@
     }
 }
 
-void topic_reader::log_unanswered_call(instant sent_at, milliseconds wait)
+void topic_reader::log_unanswered_call(const http_connection& store, instant sent_at,
+                                       milliseconds wait)
 {
     context_.stats.increment(
         "banyanshunt_store_calls_unanswered_total",
-        {{"topic", options_.topic}, {"connection", store_.reused() ? "reused" : "new"}});
+        {{"topic", options_.topic}, {"connection", store.reused() ? "reused" : "new"}});
     context_.log.write(
         "store_call_unanswered", "topic={} wait_ms={} took_ms={} connection={} since_answer_ms={}",
         options_.topic, wait.count(),
         std::chrono::floor<milliseconds>(context_.now() - sent_at).count(),
-        store_.reused() ? "reused" : "new",
+        store.reused() ? "reused" : "new",
         responded_at_ ? std::chrono::floor<milliseconds>(context_.now() - *responded_at_).count()
                       : -1);
 }
--- a/src/serve/topic_reader.hpp
+++ b/src/serve/topic_reader.hpp
@@ -6,6 +6,7 @@
 
 #include <functional>
 
+#include "coordination/complete_read.hpp"
 #include "coordination/refusal_budget.hpp"
 #include "coordination/view_source.hpp"
 #include "platform/store.hpp"
@@ -27,6 +28,9 @@
     /// The age beyond which decisions by the data are not allowed; a response is due earlier, and
     /// an overdue one is requested again on another connection. 0 if there is no such bound.
     milliseconds max_age{0};
+    /// How long a complete read whose records do not reach the end that it states is repeated, if
+    /// the records in between were dropped; then they are taken for drops of keys.
+    milliseconds gap_patience{0};
     /// Shortest time between two calls, which bounds the call rate while records arrive fast.
     std::function<milliseconds()> gap = [] { return milliseconds(0); };
 };
@@ -80,6 +84,8 @@
     void refresh();
     /// Reads what has been added, beside a call that waits; does nothing while it does so already.
     task<void> read_now();
+    /// The same for the newest record of every key.
+    task<void> read_completely();
 
 private:
     /// Whether hosts of a domain share what they read of this topic.
@@ -97,14 +103,17 @@
     /// the one that caused it were not handed over.
     void deliver(const std::vector<platform::keyed_record>& records);
     void deliver_record(const platform::keyed_record& record);
-    task<bool> read_all();
+    task<bool> read_all(http_connection& store);
     task<bool> read_next();
     /// Applies the response to a call sent at `sent_at` that read from `from` on. If the topic does
     /// not retain that position, or the response does not move on from it, there is no position
     /// afterwards.
     bool accept_records(const std::string& body, log_offset from, instant sent_at);
-    /// Reads the topic completely after its position turned out to be none.
+    /// Reads the topic completely after its position turned out to be none, once the next complete
+    /// read may begin.
     task<bool> read_all_again();
+    /// Makes a call beside the one that waits: a read from `from` on, or a complete one.
+    task<void> read_beside(std::optional<log_offset> from);
     void set_position(log_offset next);
     /// Counts a refused view of a peer, after which this host reads the topic itself.
     void refuse_view(const char* why, const topic_view& view);
@@ -114,7 +123,7 @@
     void record_response(instant confirmed);
     /// Says so if records came that a read did not notice while it waited.
     void record_missed(log_offset from, milliseconds wait, milliseconds took);
-    void log_unanswered_call(instant sent_at, milliseconds wait);
+    void log_unanswered_call(const http_connection& store, instant sent_at, milliseconds wait);
 
     host_context& context_;
     topic_reader_options options_;
@@ -130,13 +139,16 @@
     std::optional<log_offset> next_;
     /// When `next_` became known.
     instant position_at_;
+    complete_read_gap gap_;
     record_source source_ = record_source::waiting_read;
     /// The last read waited and ended without a record.
     bool ended_empty_ = false;
     /// The last response ended before the topic's end.
     bool has_more_ = false;
-    /// When another complete read may begin.
+    /// When another complete read may begin, and when the last two positions were lost.
     instant reread_at_;
+    instant expired_at_;
+    instant refused_at_;
     refusal_budget view_refusals_;
     bool store_reachable_ = true;
     std::optional<instant> responded_at_;
