Configuration: each decision asks how old its ground is, and reads are over twice within the bound (CONFIG)

Callers saw requests run by a superseded version more than 2 s after its acknowledgement. Cause: a host waited 1.9 of 2.0 s in one read, which may miss a record that is appended as it arrives, and only refusals asked whether the configuration was confirmed.

config_ground judges runs and refusals alike: a configuration older than 0.88 of config_apply_ms is confirmed first, and beside decisions from 0.8 on. Reads wait so long that two in a row are over by then: 0.78 s of 2, so that a steady host holds up no request. While the store does not answer, requests run by what is known and nothing is refused by it. Hosts report the version that they have in force; one that has read as far and has an older version reads all keys again, and a response by which the topic ends before what a peer had read is no confirmation.

--- a/src/coordination/catch_up.hpp
+++ b/src/coordination/catch_up.hpp
@@ -7,6 +7,8 @@
 /// host that reads for itself hears from one that has read further needs no call to the store while
 /// nothing is missed.
 
+#include <concepts>
+
 #include "state/clock.hpp"
 #include "state/ids.hpp"
 #include "state/units.hpp"
@@ -22,14 +24,17 @@
     milliseconds period{400};
 };
 
+/// `Mark` is how far a host has come: the offset before which it has read everything, or the
+/// version that it has in force.
+template <std::totally_ordered Mark = log_offset>
 class catch_up
 {
 public:
     explicit catch_up(const catch_up_options& options = {}) : options_(options) {}
 
-    /// Whether this host, which has read everything before `position`, reads the topic now because
-    /// a peer has read everything before `end`.
-    bool reads_now(log_offset end, log_offset position, instant now)
+    /// Whether this host, which has come to `position`, reads the topic now because a peer has come
+    /// to `end`.
+    bool reads_now(Mark end, Mark position, instant now)
     {
         if (end <= position)
         {
@@ -53,7 +58,7 @@
     catch_up_options options_;
     /// A peer has read beyond `position_`, where this host stands.
     bool is_behind_ = false;
-    log_offset position_;
+    Mark position_{};
     instant due_at_;
 };
 
--- a/src/serve/caller_session.cpp
+++ b/src/serve/caller_session.cpp
@@ -371,9 +371,8 @@
                           [&](const auto& it) { return context.servers.leaves(it.second); })));
     context.stats.set("banyanshunt_paused_servers",
                       static_cast<double>(context.servers.notices().count_paused(context.now())));
-    std::chrono::duration<double> age =
-        context.config_confirmed_at ? context.now() - *context.config_confirmed_at : nanoseconds(0);
-    context.stats.set("banyanshunt_config_age_seconds", age.count());
+    std::chrono::duration<double> age = context.config_age(context.now());
+    context.stats.set("banyanshunt_config_age_seconds", std::max(age.count(), 0.0));
     std::chrono::duration<double> servers_age = context.servers_age(context.now());
     context.stats.set("banyanshunt_servers_age_seconds", std::max(servers_age.count(), 0.0));
     response.set(http::field::content_type, "text/plain; version=0.0.4");
--- a/src/serve/host_context.hpp
+++ b/src/serve/host_context.hpp
@@ -13,6 +13,7 @@
 #include <set>
 
 #include "coordination/backend_table.hpp"
+#include "coordination/config_ground.hpp"
 #include "coordination/connection_limit.hpp"
 #include "coordination/memory_budget.hpp"
 #include "coordination/planned_stop.hpp"
@@ -173,18 +174,16 @@
     /// Fraction of a bound on how long outdated state is used within which that state must be
     /// confirmed. The rest covers the transit of a request to its server.
     static constexpr double confirmed_ratio = 0.88;
-    /// Whether the configuration was confirmed recently enough to judge keys and refusals by it.
+    /// Whether the configuration was confirmed recently enough to judge keys by it.
     bool config_is_fresh(instant at) const
     {
-        return config && config_confirmed_at && at - *config_confirmed_at < max_config_age();
-    }
-    /// Whether the configuration may be superseded by one that has to be in force.
-    bool config_may_be_superseded(instant at) const
-    {
-        auto max_age = std::chrono::duration_cast<milliseconds>(settings.bounds.ticket_apply *
-                                                                confirmed_ratio);
-        return !config_confirmed_at || at - *config_confirmed_at >= max_age;
+        auto confirmed_at = ground.confirmed_at();
+        return config && confirmed_at && at - *confirmed_at < max_config_age();
     }
+    /// 0 for none.
+    config_version version_in_force() const { return config_version(config ? config->version : 0); }
+    /// What to do before a decision by the configuration.
+    ground_verdict judge_config(instant at) const { return ground.judge(version_in_force(), at); }
     milliseconds max_config_age() const
     {
         return std::chrono::duration_cast<milliseconds>(settings.bounds.key_revocation *
@@ -196,13 +195,15 @@
     {
         auto bound = settings.bounds.evacuation;
         auto max_age = std::chrono::duration_cast<milliseconds>(bound * confirmed_ratio);
-        return bound.count() > 0 && (!config_confirmed_at || at - *config_confirmed_at >= max_age);
+        auto confirmed_at = ground.confirmed_at();
+        return bound.count() > 0 && (!confirmed_at || at - *confirmed_at >= max_age);
     }
     /// Time since the configuration was confirmed; negative if it never was.
     milliseconds config_age(instant at) const
     {
-        return config_confirmed_at ? std::chrono::floor<milliseconds>(at - *config_confirmed_at)
-                                   : milliseconds(-1);
+        auto confirmed_at = ground.confirmed_at();
+        return confirmed_at ? std::chrono::floor<milliseconds>(at - *confirmed_at)
+                            : milliseconds(-1);
     }
     /// Time since the server list was confirmed; negative if it never was.
     milliseconds servers_age(instant at) const
@@ -310,14 +311,15 @@
     std::mt19937_64 random;
     incarnation_id incarnation;
     serving_config_ptr config;
-    /// When the call that confirmed the configuration was sent.
-    std::optional<instant> config_confirmed_at;
+    config_ground ground{{.apply = settings.bounds.ticket_apply}};
     /// Everything before this offset of the configuration's topic has been read.
     log_offset config_end;
     bool servers_known = false;
     server_list_age list_age;
     /// Makes a call that confirms the configuration.
     std::function<void()> refresh_config = [] {};
+    /// Reads the configuration completely, wherever this host stands in its topic.
+    std::function<void()> reread_config = [] {};
     /// Wait list key of requests that wait for the configuration to be confirmed.
     static constexpr const char* config_wait_key = "config";
     /// Requests a call that confirms the server list.
--- a/src/serve/request_admission.cpp
+++ b/src/serve/request_admission.cpp
@@ -12,9 +12,8 @@
 namespace
 {
 
-/// How long a request that is refused by a configuration which may be superseded waits until it is
-/// confirmed: an overdue call to the log and one on a new connection. The log responds within
-/// milliseconds.
+/// How long a request waits until a configuration which may have to be superseded is confirmed: an
+/// overdue call to the log and one on a new connection. The log responds within milliseconds.
 constexpr milliseconds config_confirm_timeout{500};
 
 } // namespace
@@ -85,31 +84,50 @@
 task<std::optional<active_request::refusal>> active_request::confirm_allowed()
 {
     auto cause = check_allowed();
-    auto refuses = [&]
-    {
-        return cause && cause->status != unavailable.status &&
-               context_.config_may_be_superseded(context_.now());
-    };
-    if (!refuses())
+    instant now = context_.now();
+    if (cause && cause->status == unavailable.status)
     {
         co_return cause;
     }
+    auto verdict = context_.judge_config(now);
+    if (verdict == ground_verdict::decide && context_.ground.needs_refresh(now))
+    {
+        context_.refresh_config();
+    }
+    if (verdict == ground_verdict::confirm_first)
+    {
+        verdict = co_await confirm_config();
+        cause = check_allowed();
+    }
+    if (verdict != ground_verdict::decide && cause && cause->status != unavailable.status)
+    {
+        co_return unavailable;
+    }
+    co_return cause;
+}
+
+task<ground_verdict> active_request::confirm_config()
+{
     instant asked_at = context_.now();
     instant give_up_at = std::min<instant>(asked_at + config_confirm_timeout, deadline_);
-    context_.refresh_config();
-    while (refuses() && context_.now() < give_up_at && !caller_->closed && !ended())
+    auto verdict = ground_verdict::confirm_first;
+    context_.ground.is_behind(context_.version_in_force(), asked_at) ? context_.reread_config()
+                                                                     : context_.refresh_config();
+    while (verdict == ground_verdict::confirm_first && context_.now() < give_up_at &&
+           !caller_->closed && !ended())
     {
         co_await context_.waiting.wait(host_context::config_wait_key, 0, arrived_,
                                        give_up_at - context_.now());
-        cause = check_allowed();
+        verdict = context_.judge_config(context_.now());
     }
-    bool confirmed = !refuses();
+    auto decision = check_allowed() ? config_decision::refuse : config_decision::run;
+    const char* result = verdict == ground_verdict::decide ? "confirmed" : "unconfirmed";
     context_.stats.increment("banyanshunt_config_confirmations_total",
-                             {{"result", confirmed ? "confirmed" : "unconfirmed"}});
-    context_.log.write("config_old", "request={} result={} waited_ms={}", fields_.id.str(),
-                       confirmed ? "confirmed" : "unconfirmed",
+                             {{"result", result}, {"decision", to_text(decision)}});
+    context_.log.write("config_old", "request={} result={} decision={} waited_ms={}",
+                       fields_.id.str(), result, to_text(decision),
                        std::chrono::floor<milliseconds>(context_.now() - asked_at).count());
-    co_return confirmed ? cause : unavailable;
+    co_return verdict;
 }
 
 task<std::optional<active_request::refusal>> active_request::admit()
--- a/src/serve/state_watcher.cpp
+++ b/src/serve/state_watcher.cpp
@@ -36,8 +36,7 @@
 /// connection has to be found well before the configuration counts as stale.
 milliseconds config_wait(const host_context& context)
 {
-    return std::min({topic_wait,
-                     context.settings.bounds.ticket_apply - topic_reader::usual_response_time,
+    return std::min({topic_wait, context.ground.max_wait(topic_reader::usual_response_time),
                      context.max_config_age() / 2 - topic_reader::min_response_timeout});
 }
 
@@ -58,17 +57,8 @@
                .gap_patience = max_item_staleness},
               {.snapshot = [this](const auto& records) { apply_operator_snapshot(records); },
                .record = [this](const auto& record) { return apply_operator_record(record); },
-               .confirmed =
-                   [this](instant sent_at)
-               {
-                   context_.config_end = config_.position().value_or(log_offset(0));
-                   if (context_.config)
-                   {
-                       context_.config_confirmed_at =
-                           std::max(context_.config_confirmed_at.value_or(sent_at), sent_at);
-                   }
-                   context_.waiting.wake(host_context::config_wait_key);
-               }}),
+               .confirmed = [this](instant sent_at) { record_config_call(sent_at); },
+               .failed = [this](instant sent_at) { context_.ground.record_failed(sent_at); }}),
       servers_(
           context,
           {.topic = platform::server_topic,
@@ -91,6 +81,8 @@
 {
     context_.refresh_server_list = [this] { servers_.refresh(); };
     context_.refresh_config = [this] { spawn_once(context_, "config_read", config_.read_now()); };
+    context_.reread_config = [this]
+    { spawn_once(context_, "config_reread", config_.read_completely()); };
 }
 
 void state_watcher::start()
@@ -105,6 +97,26 @@
                              topic_reader::min_response_timeout);
 }
 
+void state_watcher::record_config_call(instant sent_at)
+{
+    context_.config_end = config_.position().value_or(log_offset(0));
+    if (config_.source() == record_source::complete_read)
+    {
+        // What the store says of all keys counts more than what peers say.
+        context_.ground.forget_reports();
+    }
+    if (context_.config && !context_.ground.record_response(context_.config_end, sent_at))
+    {
+        context_.stats.increment("banyanshunt_stale_responses_total",
+                                 {{"topic", platform::config_topic}});
+        context_.log.write_change("config_response_stale", "end={} age_ms={}",
+                                  context_.config_end.count(),
+                                  context_.config_age(context_.now()).count());
+        context_.reread_config();
+    }
+    context_.waiting.wake(host_context::config_wait_key);
+}
+
 void state_watcher::record_list_call(instant sent_at, bool confirmed)
 {
     if (confirmed)
--- a/src/serve/state_watcher.hpp
+++ b/src/serve/state_watcher.hpp
@@ -30,6 +30,8 @@
     shared_view_bounds config_bounds() const;
 
 private:
+    /// A call sent at this time confirmed what was read of the configuration.
+    void record_config_call(instant sent_at);
     void record_list_call(instant sent_at, bool confirmed);
     bool apply_operator_record(const platform::keyed_record& record);
     bool apply_config(const platform::keyed_record& record);
--- a/src/serve/view_sync.cpp
+++ b/src/serve/view_sync.cpp
@@ -109,6 +109,7 @@
     {
         report.set_config_end(end->count());
     }
+    report.set_config_version(context_.version_in_force().count());
 }
 
 void view_sync::handle_report(const peers::host_report& report)
@@ -120,11 +121,23 @@
     {
         return;
     }
+    config_version version(report.config_version());
+    context_.ground.record_report(log_offset(report.config_end()), version, context_.now());
     if (config_catch_up_.reads_now(log_offset(report.config_end()), *position, context_.now()))
     {
         context_.log.write("config_behind", "offset={} peer_offset={}", position->count(),
                            report.config_end());
         context_.refresh_config();
+        return;
+    }
+    // A position that passed a record never meets it again.
+    auto own = context_.version_in_force();
+    if (report.config_end() <= position->count() &&
+        version_catch_up_.reads_now(version, own, context_.now()))
+    {
+        context_.log.write_change("config_version_behind", "version={} peer_version={} end={}",
+                                  own.count(), version.count(), position->count());
+        context_.reread_config();
     }
 }
 
--- a/src/serve/view_sync.hpp
+++ b/src/serve/view_sync.hpp
@@ -47,7 +47,8 @@
     peer_list& peers_;
     state_watcher& watcher_;
     view_requests requests_;
-    catch_up config_catch_up_;
+    catch_up<log_offset> config_catch_up_;
+    catch_up<config_version> version_catch_up_;
 };
 
 } // namespace banyanshunt
--- a/src/state/ids.hpp
+++ b/src/state/ids.hpp
@@ -39,6 +39,8 @@
 using ticket_number = strong_number<struct ticket_number_tag>;
 /// The position of a record in one stream of the log; the first record has offset 0.
 using log_offset = strong_number<struct log_offset_tag>;
+/// The number that the operators assign to a configuration.
+using config_version = strong_number<struct config_version_tag>;
 /// The offset of a lease's claim. An engine compares it to refuse orders of former holders.
 using fencing_number = strong_number<struct fencing_number_tag>;
 /// Distinguishes incarnations of a process at the same address; drawn at random at start.
--- a/tests/correctness/configuration_age_test.cpp
+++ b/tests/correctness/configuration_age_test.cpp
@@ -85,9 +85,9 @@
 {
     serve_case it;
     REQUIRE(it.started);
+    wait_for_read(it.store);
     // Less than a host waits for an overdue response.
     it.store.wait_delay_ms = 250;
-    wait_for_read(it.store);
     REQUIRE(it.send("GET", "/read/1", "before", "good-key").status == 200);
     it.store.put_unnoticed(config_topic, "config", serve_manifest(2, {"new-key"}),
                            missed_read_end::answered);
--- a/tests/correctness/leaving_server_path_test.cpp
+++ b/tests/correctness/leaving_server_path_test.cpp
@@ -119,7 +119,7 @@
             route["public"] = true;
         }
         context_.config = *platform::parse_manifest(manifest.dump());
-        context_.config_confirmed_at = context_.now();
+        context_.ground.record_response(log_offset(0), context_.now());
         apply(desk1, false);
         apply(desk2, false);
 
--- a/tests/correctness/view_requests_test.cpp
+++ b/tests/correctness/view_requests_test.cpp
@@ -147,7 +147,7 @@
         instant next_call;
         milliseconds retry_delay = min_retry_delay;
         bool store_reachable = true;
-        catch_up config_catch_up;
+        catch_up<> config_catch_up;
         std::deque<datagram> arrived;
     };
 
