--- a/tests/soak/config_checks.cpp
+++ b/tests/soak/config_checks.cpp
@@ -152,12 +152,9 @@
             }
         }
         auto [newest, is_first] = shown.try_emplace(probe.host, low, probe.ended);
-        if (!is_first && process_ended(probe, newest->second.second, disturbances))
-        {
-            newest->second = {low, probe.ended};
-        }
-        else if (high < newest->second.first &&
-                 probe.sent > newest->second.second + bounds.rollback_slack)
+        bool is_restarted = !is_first && process_ended(probe, newest->second.second, disturbances);
+        if (!is_restarted && high < newest->second.first &&
+            probe.sent > newest->second.second + bounds.rollback_slack)
         {
             report(fmt::format("handled as only version {} or older allows, {} ms after version {} "
                                "took effect",
@@ -165,7 +162,7 @@
                                between(newest->second.second, probe.sent).count(),
                                versions[newest->second.first].version));
         }
-        else if (low > newest->second.first)
+        else if (is_restarted || low > newest->second.first)
         {
             newest->second = {low, probe.ended};
         }
--- a/tests/stand_ins/prepared_platform.cpp
+++ b/tests/stand_ins/prepared_platform.cpp
@@ -83,6 +83,17 @@
     return is_keyed(topic) ? topic : topic + "/" + call.get_param_value("part");
 }
 
+/// Returns once the server listens: one that is stopped before that goes on for good.
+std::thread start_listening(httplib::Server& http)
+{
+    std::thread listener([&http] { http.listen_after_bind(); });
+    while (!http.is_running())
+    {
+        std::this_thread::yield();
+    }
+    return listener;
+}
+
 std::string event(int n)
 {
     return "id: " + std::to_string(n) + "\ndata: token" + std::to_string(n) + "\n\n";
@@ -365,7 +376,7 @@
                             });
               });
     port_ = http.bind_to_any_port(loopback);
-    server_->thread = std::thread([&http] { http.listen_after_bind(); });
+    server_->thread = start_listening(http);
 }
 
 store_stand_in::~store_stand_in()
@@ -789,7 +800,7 @@
     http.Get(".*", serve);
     http.Post(".*", serve);
     port_ = http.bind_to_any_port(loopback);
-    server_->thread = std::thread([&http] { http.listen_after_bind(); });
+    server_->thread = start_listening(http);
 }
 
 int backend_stand_in::receive_order(const std::string& body,
