--- a/tests/soak/config_changes.cpp
+++ b/tests/soak/config_changes.cpp
@@ -26,7 +26,7 @@
 constexpr int long_pause = 4500;
 constexpr int long_percent = 25;
 constexpr int max_close_pause = 25;
-constexpr int close_percent = 30;
+constexpr int close_percent = 40;
 /// Longer than a host's read waits.
 constexpr int unnoticed_ms = 2500;
 constexpr int changed_percent = 80;
@@ -50,10 +50,10 @@
     publish();
 }
 
-void config_changes::start(bool misses_second)
+void config_changes::start(const config_change_options& options)
 {
-    threads_.emplace_back([this, misses_second](const std::stop_token& stop)
-                          { publish_changes(stop, misses_second); });
+    options_ = options;
+    threads_.emplace_back([this](const std::stop_token& stop) { publish_changes(stop); });
     for (std::size_t host = 0; host < fleet_.hosts.size(); ++host)
     {
         threads_.emplace_back([this, host](const std::stop_token& stop)
@@ -131,7 +131,7 @@
                                                           changed_.size(), remembered_changes)));
 }
 
-void config_changes::publish_changes(const std::stop_token& stop, bool misses_second)
+void config_changes::publish_changes(const std::stop_token& stop)
 {
     while (!stop.stop_requested())
     {
@@ -141,10 +141,11 @@
         if (is_first)
         {
             std::this_thread::sleep_for(std::chrono::milliseconds(1 + draw(max_close_pause)));
-            int before = misses_second ? fleet_.store.unnoticed_ms.exchange(unnoticed_ms) : 0;
+            int before =
+                options_.misses_second ? fleet_.store.unnoticed_ms.exchange(unnoticed_ms) : 0;
             change_routes();
             publish();
-            if (misses_second)
+            if (options_.misses_second)
             {
                 fleet_.store.unnoticed_ms = before;
             }
@@ -161,19 +162,22 @@
     { return std::uniform_int_distribution<std::size_t>(0, bound - 1)(random); };
     std::lock_guard lock(mutex_);
     auto kind = pick(100);
-    if (kind < unknown_percent)
+    if (kind < unknown_percent && options_.probes_refused)
     {
         return "/never/";
     }
     if (kind < unknown_percent + changed_percent && !changed_.empty())
     {
         const auto& prefix = changed_[pick(changed_.size())];
-        if (versions_.back().services.contains(prefix) || pick(100) < dropped_percent)
+        if (versions_.back().services.contains(prefix) ||
+            (options_.probes_refused && pick(100) < dropped_percent))
         {
             return prefix;
         }
     }
-    return fmt::format("/p{}/", pick(few_routes));
+    auto first = fmt::format("/p{}/", pick(few_routes));
+    bool is_served = versions_.back().services.contains(first);
+    return is_served || options_.probes_refused ? first : versions_.back().services.begin()->first;
 }
 
 void config_changes::probe_host(std::size_t host, std::uint64_t seed, const std::stop_token& stop)
--- a/tests/soak/config_changes.hpp
+++ b/tests/soak/config_changes.hpp
@@ -17,15 +17,23 @@
 namespace banyanshunt::soak
 {
 
+struct config_change_options
+{
+    /// Reads that wait do not notice a version that follows another one closely.
+    bool misses_second = true;
+    /// Whether routes that are removed or never were are probed. A refusal may make a host confirm
+    /// its configuration, which hides how old that was.
+    bool probes_refused = true;
+};
+
 class config_changes
 {
 public:
     /// Publishes the first routes. Every third seed has hundreds of them.
     config_changes(soak_fleet& fleet, std::uint64_t seed);
 
-    /// Publishes and probes until `stop`. With `misses_second`, reads that wait do not notice a
-    /// version that follows another one closely.
-    void start(bool misses_second);
+    /// Publishes and probes until `stop`.
+    void start(const config_change_options& options);
     void stop();
     /// Valid after `stop`.
     const std::vector<route_version>& versions() const { return versions_; }
@@ -34,7 +42,7 @@
 private:
     using routes = std::map<std::string, soak_fleet::plain_route>;
 
-    void publish_changes(const std::stop_token& stop, bool misses_second);
+    void publish_changes(const std::stop_token& stop);
     void change_routes();
     void publish();
     void probe_host(std::size_t host, std::uint64_t seed, const std::stop_token& stop);
@@ -46,6 +54,7 @@
     std::mt19937_64 random_;
     routes routes_;
     int next_route_ = 0;
+    config_change_options options_;
     /// Guards the members below while threads run.
     mutable std::mutex mutex_;
     std::vector<std::string> removed_;
--- a/tests/soak/config_faults.cpp
+++ b/tests/soak/config_faults.cpp
@@ -22,7 +22,9 @@
 constexpr const char* documented[] = {"sound",      "unnoticed", "compacted", "cut",
                                       "unanswered", "reset",     "refused",   "slow",
                                       "frozen",     "killed",    "stopped",   "starved"};
-constexpr const char* undocumented[] = {"stale", "stale_items", "older_copy"};
+constexpr const char* undocumented[] = {"late_waits", "stale", "stale_items", "older_copy"};
+/// Less than a host waits for an overdue response.
+constexpr milliseconds wait_delay = 250ms;
 constexpr int pair_percent = 40;
 constexpr int close_percent = 40;
 /// By the platform documentation, before the history is dropped and the reads that wait are cut.
@@ -139,6 +141,11 @@
     {
         now.excuses = false;
     }
+    else if (kind == "late_waits")
+    {
+        now.excuses = false;
+        store.wait_delay_ms = static_cast<int>(wait_delay.count());
+    }
     else if (kind == "starved")
     {
         // A share of the processor is what a machine has; it is no fault of it.
--- a/tests/soak/shunt_soak.cpp
+++ b/tests/soak/shunt_soak.cpp
@@ -53,7 +53,7 @@
     "killed_at_order, or all_series for these in turn. With --faults=configurations: sound, "
     "unnoticed, compacted, cut, unanswered, reset, refused, slow, frozen, killed, stopped, "
     "starved, "
-    "stale, stale_items or older_copy");
+    "late_waits, stale, stale_items or older_copy");
 DEFINE_int32(copy_age_ms, 8000, "in the scenario older_copy: how much older the store returns");
 DEFINE_string(
     killed, "none",
@@ -352,7 +352,8 @@
             faults.record_restart(host);
         }
         std::this_thread::sleep_for(start_length);
-        changes.start(FLAGS_scenario != "sound");
+        changes.start({.misses_second = FLAGS_scenario != "sound",
+                       .probes_refused = FLAGS_scenario != "late_waits"});
         auto until = std::chrono::steady_clock::now() + std::chrono::seconds(FLAGS_fault_seconds);
         while (std::chrono::steady_clock::now() < until)
         {
--- a/tests/stand_ins/prepared_platform.cpp
+++ b/tests/stand_ins/prepared_platform.cpp
@@ -557,9 +557,10 @@
         auto now = std::chrono::steady_clock::now();
         return closing_ ||
                std::any_of(first, entries.end(),
-                           [&](const auto& it) {
-                               return it.missed_by != number &&
-                                      (it.at <= arrived_at || it.at + it.unnoticed <= now);
+                           [&](const auto& it)
+                           {
+                               return it.missed_by != number && (it.appended_at() <= arrived_at ||
+                                                                 it.at + it.unnoticed <= now);
                            });
     };
     while (!has_noticed() && std::chrono::steady_clock::now() < until)
--- a/tests/stand_ins/prepared_platform.hpp
+++ b/tests/stand_ins/prepared_platform.hpp
@@ -118,8 +118,8 @@
     std::atomic<int> keep_ms = 0;
     /// Reads respond with the records that were there this long ago.
     std::atomic<int> stale_ms = 0;
-    /// Reads that wait notice what an operator or server writes from now on only after this time;
-    /// reads that arrive afterwards get it at once.
+    /// Reads that wait, or arrive while it is being appended, notice what an operator or server
+    /// writes from now on only after this time; reads that arrive afterwards get it at once.
     std::atomic<int> unnoticed_ms = 0;
     /// The newest records of a topic are those of this long ago, beside its end of now.
     std::atomic<int> stale_items_ms = 0;
@@ -152,8 +152,14 @@
         std::chrono::steady_clock::time_point at = std::chrono::steady_clock::now();
         /// The read that does not notice it while it waits; 0 for none.
         int missed_by = 0;
-        /// How long no read that waited before notices it.
+        /// How long it goes unnoticed by reads that arrived while it was being appended, or before.
         std::chrono::milliseconds unnoticed{0};
+
+        std::chrono::steady_clock::time_point appended_at() const
+        {
+            constexpr std::chrono::milliseconds append_time{50};
+            return unnoticed.count() > 0 ? at + append_time : at;
+        }
     };
     /// The response to a read; nothing if the records are no longer retained.
     std::optional<std::string> read(const std::string& topic, std::size_t from, std::size_t max_kb,
