Configuration: a refusal asks a store that did not answer before, and a cut link forwards nothing

Found by 'A host that may be behind the configuration does not refuse by it': after the link to the store was back, a refusal became 503 although one call would have confirmed it, as the last calls had failed. Requests that run are not held up for such a store; refusals are, 0.5 s at most, as before.

fault_proxy forwarded what arrived within the 10 ms of its poll after a cut, so that the record which the test keeps from the host reached it. It drops that now; the test is unchanged.

--- a/src/serve/active_request.hpp
+++ b/src/serve/active_request.hpp
@@ -84,8 +84,9 @@
     /// Like `check_allowed`, but does not refuse by a configuration that may be superseded while it
     /// can be confirmed, and only with `unavailable` if it cannot.
     task<std::optional<refusal>> confirm_allowed();
-    /// Waits until the configuration is confirmed, or is known not to be soon.
-    task<ground_verdict> confirm_config();
+    /// Waits until the configuration is confirmed, or is known not to be soon; for a refusal as
+    /// long as it may.
+    task<ground_verdict> confirm_config(config_decision decision);
     /// What the current configuration says of a request.
     struct admission
     {
--- a/src/serve/request_admission.cpp
+++ b/src/serve/request_admission.cpp
@@ -94,9 +94,13 @@
     {
         context_.refresh_config();
     }
-    if (verdict == ground_verdict::confirm_first)
+    // A refusal that cannot be confirmed is not given, so it is worth asking a store that did not
+    // answer before.
+    auto decision = cause ? config_decision::refuse : config_decision::run;
+    if (verdict == ground_verdict::confirm_first ||
+        (verdict == ground_verdict::unconfirmed && cause))
     {
-        verdict = co_await confirm_config();
+        verdict = co_await confirm_config(decision);
         cause = check_allowed();
     }
     if (verdict != ground_verdict::decide && cause && cause->status != unavailable.status)
@@ -106,21 +110,24 @@
     co_return cause;
 }
 
-task<ground_verdict> active_request::confirm_config()
+task<ground_verdict> active_request::confirm_config(config_decision decision)
 {
     instant asked_at = context_.now();
     instant give_up_at = std::min<instant>(asked_at + config_confirm_timeout, deadline_);
     auto verdict = ground_verdict::confirm_first;
+    auto is_open = [&]
+    {
+        return verdict == ground_verdict::confirm_first ||
+               (verdict == ground_verdict::unconfirmed && decision == config_decision::refuse);
+    };
     context_.ground.is_behind(context_.version_in_force(), asked_at) ? context_.reread_config()
                                                                      : context_.refresh_config();
-    while (verdict == ground_verdict::confirm_first && context_.now() < give_up_at &&
-           !caller_->closed && !ended())
+    while (is_open() && context_.now() < give_up_at && !caller_->closed && !ended())
     {
         co_await context_.waiting.wait(host_context::config_wait_key, 0, arrived_,
                                        give_up_at - context_.now());
         verdict = context_.judge_config(context_.now());
     }
-    auto decision = check_allowed() ? config_decision::refuse : config_decision::run;
     const char* result = verdict == ground_verdict::decide ? "confirmed" : "unconfirmed";
     context_.stats.increment("banyanshunt_config_confirmations_total",
                              {{"result", result}, {"decision", to_text(decision)}});
--- a/tests/stand_ins/fault_proxy.cpp
+++ b/tests/stand_ins/fault_proxy.cpp
@@ -127,7 +127,9 @@
                 std::this_thread::sleep_for(std::chrono::milliseconds(poll_ms));
                 continue;
             }
-            if (poll(ends.data(), ends.size(), poll_ms) > 0 && !forward_ready(ends, my_generation))
+            // What arrives after a cut is not forwarded any more.
+            if (poll(ends.data(), ends.size(), poll_ms) > 0 &&
+                (is_cut || !forward_ready(ends, my_generation)))
             {
                 return;
             }
