--- a/src/serve/topic_reader.hpp
+++ b/src/serve/topic_reader.hpp
@@ -145,9 +145,11 @@
     bool ended_empty_ = false;
     /// The last response ended before the topic's end.
     bool has_more_ = false;
-    /// When another complete read may begin, and when the last two positions were lost.
+    /// When another complete read may begin.
     instant reread_at_;
+    /// When the store had last dropped what follows this host's position.
     instant expired_at_;
+    /// When this host's position last turned out to be none of the topic's.
     instant refused_at_;
     refusal_budget view_refusals_;
     bool store_reachable_ = true;
