--- a/src/coordination/config_ground.hpp
+++ b/src/coordination/config_ground.hpp
@@ -63,8 +63,8 @@
     /// Age at which the configuration is confirmed beside decisions that it still allows.
     milliseconds refresh_age() const { return fraction_of_bound(refresh_ratio); }
     /// How long a read may wait, so that two of them in a row are over before `refresh_age`.
-    /// `call_time` is the most that a call to a sound store takes beyond its wait; usual ones take a
-    /// small part of it.
+    /// `call_time` is the most that a call to a sound store takes beyond its wait; usual ones take
+    /// a small part of it.
     milliseconds max_wait(milliseconds call_time) const
     {
         return refresh_age() / 2 - call_time / 4;
